Run the whole path, thin, as separate processes

Cause: nothing existed; every later proof needs real processes to stand on. Ruled out: curio.SignalQueue (not in 1.6), so a handler counts signals; h11's lower-cased names in answers, so raw items are passed on. Conclusion: the path stands; the parts can now be built side by side.

--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""Features of mangogauge, run by behave; they mirror the package's layout."""
--- /dev/null
+++ b/features/builders/__init__.py
@@ -0,0 +1,16 @@
+"""Builders of test data and of whole small deployments of real processes."""
+
+from .callers import Caller, CallerAnswer
+from .processes import Process, wait_until
+from .settings import make_base, make_overlay
+from .world import World
+
+__all__ = [
+    "Caller",
+    "CallerAnswer",
+    "Process",
+    "World",
+    "make_base",
+    "make_overlay",
+    "wait_until",
+]
--- /dev/null
+++ b/features/builders/world.py
@@ -0,0 +1,226 @@
+"""A small deployment of real processes on a loopback address of its own."""
+
+import itertools
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import orjson
+
+from .callers import Caller
+from .processes import Process, wait_until
+from .settings import make_base, make_host_file
+
+SECRET = "operators-secret-of-the-tests"
+FIRST_PORT = 7001
+
+_numbers = itertools.count()
+
+
+def _make_address():
+    # Addresses of 127.0.0.0/8 that no other process uses: no port can clash.
+    pid = os.getpid()
+    number = next(_numbers)
+    high = 16 + (pid // 250) % 200
+    return f"127.{high}.{1 + pid % 250}.{1 + number % 250}"
+
+
+class World:
+    """Platform, endpoints, hosts and proxies of one scenario.
+
+    Attributes
+    ----------
+    address : str
+        IP number that all processes listen on.
+    processes : dict
+        `Process` by name.
+    """
+
+    def __init__(self, name="world"):
+        self.name = name
+        self.address = _make_address()
+        self.folder = Path(tempfile.mkdtemp(prefix="mangogauge-"))
+        self.processes = {}
+        self.hosts = {}
+        self.endpoints = {}
+        self.routes = []
+        self.accounts = [("desk", 100, 100)]
+        self.data_centres = ["a", "b"]
+        self.extra = ""
+        self.overlays = {}
+        self.platform_address = ""
+        self._ports = itertools.count(FIRST_PORT)
+        self._secret_file = self.folder / "secret"
+        self._secret_file.write_text(SECRET)
+
+    def take_port(self):
+        """Return a port that is free on this world's address."""
+        return next(self._ports)
+
+    def start_process(self, name, *arguments):
+        """Start a process and wait until it is up."""
+        process = Process(name, arguments, self.folder)
+        self.processes[name] = process
+        return process.start()
+
+    def start_platform(self):
+        port = self.take_port()
+        self.platform_address = f"{self.address}:{port}"
+        return self._start_standin("platform", "platform", port)
+
+    def start_engine(self, name, data_centre="a", options=(), **endpoint):
+        """Start an engine and note it for the base file."""
+        port = self.take_port()
+        self.add_endpoint(
+            name, port, data_centre, "engine", **{"models": "small", **endpoint}
+        )
+        return self._start_standin(name, "engine", port, *options)
+
+    def start_service(self, name, data_centre="a", **endpoint):
+        """Start a plain service and note it for the base file."""
+        port = self.take_port()
+        self.add_endpoint(name, port, data_centre, "service", **endpoint)
+        return self._start_standin(name, "service", port)
+
+    def add_endpoint(self, name, port, data_centre, kind, **options):
+        self.endpoints[name] = {
+            "name": name,
+            "address": f"{self.address}:{port}",
+            "data_centre": data_centre,
+            "kind": kind,
+            **options,
+        }
+
+    def start_proxy(self, name="proxy", **links):
+        """Start a fault proxy: link name to target ``host:port``.
+
+        Returns
+        -------
+        dict of str to str
+            The address on which each link listens.
+        """
+        listens = {link: f"{self.address}:{self.take_port()}" for link in links}
+        arguments = [f"{link}={listens[link]}={links[link]}" for link in links]
+        self._start_standin(name, "proxy", self.take_port(), *arguments)
+        return listens
+
+    def set_faults(self, link, proxy="proxy", **changes):
+        """Change the faults of a proxy's link."""
+        return self.get_standin(proxy).request(
+            "POST", "/control", orjson.dumps({link: changes})
+        )
+
+    def start_host(
+        self, name, data_centre="a", platform="", seeds=(), ready=True, **options
+    ):
+        """Start an entry host and wait until it is ready."""
+        if name not in self.hosts:
+            self.hosts[name] = [self.take_port() for _ in range(3)]
+        path = self.folder / f"{name}.ini"
+        path.write_text(
+            make_host_file(
+                name,
+                data_centre,
+                self.address,
+                self.hosts[name],
+                platform or self.platform_address,
+                self._secret_file,
+                seeds or [f"{self.address}:{p[1]}" for p in self.hosts.values()],
+                **options,
+            )
+        )
+        process = self.start_process(name, "serve", path)
+        if ready:
+            self.wait_until_ready(name)
+        return process
+
+    def wait_until_ready(self, name):
+        wait_until(lambda: self.is_ready(name), f"{name} is ready")
+
+    def is_ready(self, name):
+        process = self.processes[name]
+        assert process.is_running, f"{name} has ended: {process.read_log()}"
+        try:
+            return self.get_operator(name).request("GET", "/readyz").status == 200
+        except OSError:
+            return False
+
+    def write_configuration(self):
+        """Write base and overlay files; return their paths, the base first."""
+        base = self.folder / "base.ini"
+        base.write_text(
+            make_base(
+                self.endpoints.values(),
+                self.data_centres,
+                self.accounts,
+                self.routes,
+                self.extra,
+            )
+        )
+        paths = [base]
+        for name in self.data_centres:
+            path = self.folder / f"{name}.ini"
+            path.write_text(self.overlays.get(name, ""))
+            paths.append(path)
+        return paths
+
+    def apply_configuration(self, *options):
+        """Record the configuration at the platform; return its version."""
+        paths = self.write_configuration()
+        answer = self.run(
+            "config", "apply", *paths, "--platform", self.platform_address, *options
+        )
+        return answer["version"]
+
+    def grant_key(self, account="desk"):
+        """Return a new key."""
+        return self.run("key", "grant", account, "--platform", self.platform_address)[
+            "key"
+        ]
+
+    def run(self, *arguments, check=True):
+        """Run a command to its end and return its last line as JSON."""
+        command = [sys.executable, "-m", "mangogauge", *map(str, arguments)]
+        done = subprocess.run(command, capture_output=True, timeout=300)
+        if check and done.returncode:
+            raise AssertionError(f"{arguments}: {done.returncode} {done.stderr!r}")
+        lines = done.stdout.splitlines()
+        return orjson.loads(lines[-1]) if lines else {}
+
+    def get_caller(self, host, key=""):
+        """Return a caller of a host."""
+        return Caller(self.address, self.hosts[host][0], key)
+
+    def get_operator(self, host):
+        """Return a caller of a host's operator port."""
+        return Caller(self.address, self.hosts[host][2], SECRET)
+
+    def get_standin(self, name):
+        """Return a caller of a stand-in."""
+        return Caller(self.address, self.processes[name].ready["port"])
+
+    def stop(self, keep_logs=False):
+        """End all processes."""
+        for process in self.processes.values():
+            if process.is_running:
+                process.resume()
+                process.kill()
+        if keep_logs:
+            print(f"logs of the failed scenario: {self.folder}")
+            return
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def _start_standin(self, name, kind, port, *options):
+        return self.start_process(
+            name,
+            "standin",
+            kind,
+            *options,
+            "--address",
+            self.address,
+            "--port",
+            port,
+        )
--- /dev/null
+++ b/mangogauge/commands/serve.py
@@ -0,0 +1,76 @@
+"""``mangogauge serve``: run one host."""
+
+import signal
+import sys
+from pathlib import Path
+
+import curio
+
+from ..daemon import Host
+from ..settings import SettingsError, read_host
+from ..telemetry import configure_logs
+from .exits import ExitCode
+from .output import print_error, print_json
+
+__all__ = ["serve"]
+
+SIGNAL_INTERVAL = 0.05
+
+
+def serve(host: Path, *, log_level: str = "INFO"):
+    """Run one host until it is told to end.
+
+    Parameters
+    ----------
+    host
+        The host's INI file.
+    log_level
+        DEBUG, INFO, WARNING or ERROR.
+    """
+    try:
+        settings = read_host(host)
+        secret = Path(settings.peers.secret_file).read_text().strip()
+    except (SettingsError, OSError) as error:
+        print_error(str(error))
+        sys.exit(ExitCode.USAGE)
+    configure_logs(log_level, host=settings.name, data_centre=settings.data_centre)
+    curio.run(_run, settings, secret)
+
+
+async def _run(settings, secret):
+    host = Host(settings, secret)
+    host.bind()
+    print_json(
+        {
+            "callers_port": host.callers.port,
+            "peer_port": host.protocol.port,
+            "operator_port": host.operators.server.port,
+        }
+    )
+    signals = _SignalCount(signal.SIGTERM, signal.SIGINT)
+    async with curio.TaskGroup(wait=any) as group:
+        await group.spawn(host.run)
+        await group.spawn(_wait_for_signals, signals, host)
+    if group.exception is not None:
+        raise group.exception
+
+
+async def _wait_for_signals(signals, host):
+    """Drain at the first signal, return at the second."""
+    while not signals.count:
+        await curio.sleep(SIGNAL_INTERVAL)
+    host.start_drain()
+    while signals.count < 2:
+        await curio.sleep(SIGNAL_INTERVAL)
+
+
+class _SignalCount:
+    """How many of the named signals have come."""
+
+    def __init__(self, *numbers):
+        self.count = 0
+        for number in numbers:
+            signal.signal(number, self._note)
+
+    def _note(self, number, frame):
+        self.count += 1
--- /dev/null
+++ b/mangogauge/gateway/__init__.py
@@ -0,0 +1,23 @@
+"""The callers' front: keys, routes, limits, dispatch, refusals."""
+
+from .calls import Call, Priority
+from .dispatch import Dispatcher
+from .front import Front
+from .refusals import Refusal, RefusalCode
+from .resources import Resource
+from .routes import RouteTable
+from .sinks import ExchangeSink, MemorySink, Sink
+
+__all__ = [
+    "Call",
+    "Dispatcher",
+    "ExchangeSink",
+    "Front",
+    "MemorySink",
+    "Priority",
+    "Refusal",
+    "RefusalCode",
+    "Resource",
+    "RouteTable",
+    "Sink",
+]
--- /dev/null
+++ b/mangogauge/gateway/sinks.py
@@ -0,0 +1,99 @@
+"""Where an answer goes: to a caller, or into memory for a batch item."""
+
+from abc import ABC, abstractmethod
+
+from ..http import Headers
+
+__all__ = ["ExchangeSink", "MemorySink", "Sink"]
+
+
+class Sink(ABC):
+    """Receives one answer.
+
+    Attributes
+    ----------
+    started : bool
+        Whether anything has been passed on, so that no other attempt's
+        answer may follow.
+    """
+
+    started = False
+
+    @abstractmethod
+    async def start(self, status, headers):
+        """Take the head of the answer."""
+
+    @abstractmethod
+    async def write(self, data):
+        """Take a piece of the body."""
+
+    @abstractmethod
+    async def finish(self):
+        """The answer is whole."""
+
+
+class ExchangeSink(Sink):
+    """Passes the answer to a caller as it arrives.
+
+    Parameters
+    ----------
+    exchange : Exchange
+    request_id : str
+    """
+
+    def __init__(self, exchange, request_id):
+        self._exchange = exchange
+        self._request_id = request_id
+
+    async def start(self, status, headers):
+        """Pass on the head."""
+        self.started = True
+        headers = headers.without_hop_by_hop()
+        headers.set("X-Request-Id", self._request_id)
+        if "content-length" not in headers:
+            headers.set("Transfer-Encoding", "chunked")
+        await self._exchange.start_response(status, headers)
+
+    async def write(self, data):
+        """Pass on a piece; waits while the caller's window is full."""
+        if self._exchange.method != "HEAD":
+            await self._exchange.send_data(data)
+
+    async def finish(self):
+        """End the answer."""
+        await self._exchange.finish()
+
+
+class MemorySink(Sink):
+    """Keeps the answer.
+
+    Attributes
+    ----------
+    status : int
+    headers : Headers
+    body : bytes
+    whole : bool
+        Whether the answer has ended.
+    """
+
+    def __init__(self):
+        self.status = 0
+        self.headers = Headers()
+        self.body = b""
+        self.whole = False
+        self._pieces = []
+
+    async def start(self, status, headers):
+        """Keep the head."""
+        self.started = True
+        self.status = status
+        self.headers = headers
+
+    async def write(self, data):
+        """Keep a piece."""
+        self._pieces.append(data)
+
+    async def finish(self):
+        """Put the pieces together."""
+        self.body = b"".join(self._pieces)
+        self.whole = True
--- /dev/null
+++ b/mangogauge/http/__init__.py
@@ -0,0 +1,29 @@
+"""HTTP/1.1 on both sides, by `h11` over curio sockets."""
+
+from .client import ClientConnection, ClientPool, ClientResponse, open_response
+from .errors import (
+    HTTPConnectError,
+    HTTPError,
+    HTTPReceiveError,
+    HTTPRequestError,
+    HTTPSendError,
+)
+from .headers import HOP_BY_HOP_HEADERS, Headers
+from .server import Exchange, HTTPServer, ServerLimits
+
+__all__ = [
+    "ClientConnection",
+    "ClientPool",
+    "ClientResponse",
+    "Exchange",
+    "HOP_BY_HOP_HEADERS",
+    "HTTPConnectError",
+    "HTTPError",
+    "HTTPReceiveError",
+    "HTTPRequestError",
+    "HTTPSendError",
+    "HTTPServer",
+    "Headers",
+    "ServerLimits",
+    "open_response",
+]
--- /dev/null
+++ b/mangogauge/http/client.py
@@ -0,0 +1,267 @@
+"""HTTP/1.1 client: pooled connections and streamed answers."""
+
+import select
+
+import curio
+import h11
+from curio import socket
+
+from .errors import HTTPConnectError, HTTPReceiveError, HTTPSendError
+from .headers import Headers
+
+__all__ = ["ClientConnection", "ClientPool", "ClientResponse", "open_response"]
+
+READ_SIZE_BYTES = 65_536
+IDLE_PER_ADDRESS = 64
+DEFAULT_CONNECT_TIMEOUT = 2.0
+
+
+class ClientResponse:
+    """The answer to one request, its body still to be read.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    headers : Headers
+        Header fields.
+    """
+
+    def __init__(self, connection, status, headers, release):
+        self._connection = connection
+        self._release = release
+        self.status = status
+        self.headers = headers
+        self.complete = False
+
+    async def iterate(self):
+        """Yield the body in pieces as they arrive.
+
+        Raises
+        ------
+        HTTPReceiveError
+            If the connection breaks before the answer is whole.
+        """
+        async for piece in self._connection.iterate_body():
+            yield piece
+        self.complete = True
+        await self.close()
+
+    async def read(self):
+        """Return the whole body."""
+        return b"".join([piece async for piece in self.iterate()])
+
+    async def close(self):
+        """Give the connection back, or end it if the answer is not whole."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            await self._release(connection, reusable=self.complete)
+
+
+class ClientConnection:
+    """One connection to a server.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port``, the host by IP number.
+    """
+
+    def __init__(self, address, sock):
+        self.address = address
+        self._sock = sock
+        self._h11 = h11.Connection(h11.CLIENT)
+
+    @classmethod
+    async def open(cls, address, timeout=DEFAULT_CONNECT_TIMEOUT, tls=None):
+        """Connect, or raise `HTTPConnectError`."""
+        host, _, port = address.rpartition(":")
+        try:
+            async with curio.timeout_after(timeout):
+                sock = await curio.open_connection(host, int(port), ssl=tls)
+        except (OSError, curio.TaskTimeout) as error:
+            raise HTTPConnectError(
+                f"No connection: {error!r}.", step="connect", peer=address
+            ) from error
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError:
+            pass
+        return cls(address, sock)
+
+    @property
+    def is_stale(self):
+        """Whether the server has closed, or spoken out of turn."""
+        poller = select.poll()
+        poller.register(self._sock.fileno(), select.POLLIN)
+        return bool(poller.poll(0))
+
+    async def close(self):
+        """Close the connection."""
+        try:
+            await self._sock.close()
+        except OSError:
+            pass
+
+    def prepare_next(self):
+        """Return whether another request may be sent, and get ready for it."""
+        if self._h11.our_state is not h11.DONE:
+            return False
+        if self._h11.their_state is not h11.DONE:
+            return False
+        self._h11.start_next_cycle()
+        return True
+
+    async def send_request(self, method, target, headers, body=b""):
+        """Send a whole request.
+
+        Raises
+        ------
+        HTTPSendError
+            If the connection breaks first.
+        """
+        headers = headers.copy()
+        if "host" not in headers:
+            headers.set("Host", self.address)
+        if body or method in ("POST", "PUT", "PATCH"):
+            headers.set("Content-Length", str(len(body)))
+        data = self._h11.send(
+            h11.Request(method=method, target=target, headers=headers.to_raw())
+        )
+        if body:
+            data += self._h11.send(h11.Data(data=body))
+        data += self._h11.send(h11.EndOfMessage())
+        try:
+            await self._sock.sendall(data)
+        except OSError as error:
+            raise HTTPSendError(
+                f"Sending failed: {error!r}.", step="send", peer=self.address
+            ) from error
+
+    async def read_head(self):
+        """Return the answer's status and header fields."""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                return event.status_code, Headers.from_raw(event.headers.raw_items())
+            if not isinstance(event, h11.InformationalResponse):
+                raise self._broken("before the answer's head")
+
+    async def iterate_body(self):
+        """Yield pieces of the answer's body."""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return
+            else:
+                raise self._broken("within the answer's body")
+
+    async def _next_event(self):
+        try:
+            while True:
+                event = self._h11.next_event()
+                if event is not h11.NEED_DATA:
+                    return event
+                self._h11.receive_data(await self._sock.recv(READ_SIZE_BYTES))
+        except (OSError, h11.RemoteProtocolError) as error:
+            raise HTTPReceiveError(
+                f"Receiving failed: {error!r}.", step="receive", peer=self.address
+            ) from error
+
+    def _broken(self, where):
+        return HTTPReceiveError(
+            f"The connection ended {where}.", step="receive", peer=self.address
+        )
+
+
+class ClientPool:
+    """Idle connections by address, reused for later requests.
+
+    Parameters
+    ----------
+    connect_timeout : float, optional
+        Seconds allowed for a connection to be made.
+    tls : ssl.SSLContext, optional
+        Context for connections to the other side; plain TCP if absent.
+    """
+
+    def __init__(self, connect_timeout=DEFAULT_CONNECT_TIMEOUT, tls=None):
+        self._connect_timeout = connect_timeout
+        self._tls = tls
+        self._idle = {}
+
+    async def request(self, address, method, target, headers, body=b"", fresh=False):
+        """Send a request and return the head of its answer.
+
+        Parameters
+        ----------
+        fresh : bool, optional
+            Never reuse a connection: a server may close an idle connection
+            just as a request is sent, which leaves its outcome unknown.
+
+        Returns
+        -------
+        ClientResponse
+
+        Raises
+        ------
+        HTTPConnectError, HTTPSendError, HTTPReceiveError
+            According to how far the request got.
+        """
+        connection = None if fresh else await self._take_idle(address)
+        if connection is None:
+            connection = await ClientConnection.open(
+                address, self._connect_timeout, self._tls
+            )
+        try:
+            await connection.send_request(method, target, headers, body)
+            status, fields = await connection.read_head()
+        except BaseException:
+            await connection.close()
+            raise
+        return ClientResponse(connection, status, fields, self._release)
+
+    async def close(self):
+        """Close every idle connection."""
+        idle, self._idle = self._idle, {}
+        for connections in idle.values():
+            for connection in connections:
+                await connection.close()
+
+    async def _take_idle(self, address):
+        idle = self._idle.get(address, [])
+        while idle:
+            connection = idle.pop()
+            if not connection.is_stale:
+                return connection
+            await connection.close()
+        return None
+
+    async def _release(self, connection, reusable):
+        idle = self._idle.setdefault(connection.address, [])
+        if reusable and len(idle) < IDLE_PER_ADDRESS and connection.prepare_next():
+            idle.append(connection)
+            return
+        await connection.close()
+
+
+async def open_response(address, method, target, headers=None, body=b"", tls=None):
+    """Send one request on a connection of its own.
+
+    Returns
+    -------
+    ClientResponse
+        Its connection ends when the body has been read or it is closed.
+    """
+    pool = ClientPool(tls=tls)
+    response = await pool.request(
+        address, method, target, headers or Headers(), body, fresh=True
+    )
+    response._release = _close_connection
+    return response
+
+
+async def _close_connection(connection, reusable):
+    await connection.close()
--- /dev/null
+++ b/mangogauge/http/errors.py
@@ -0,0 +1,47 @@
+"""Errors of the HTTP client and server.
+
+The client's errors tell how far a request got, which is what the retry table
+needs to know: not sent, sent, or answered in part.
+"""
+
+from ..errors import MangogaugeError, PeerError
+
+__all__ = [
+    "HTTPConnectError",
+    "HTTPError",
+    "HTTPReceiveError",
+    "HTTPRequestError",
+    "HTTPSendError",
+]
+
+
+class HTTPError(PeerError):
+    """An HTTP call failed."""
+
+
+class HTTPConnectError(HTTPError):
+    """No connection was made, so nothing was sent."""
+
+
+class HTTPSendError(HTTPError):
+    """The connection broke while the request was being sent."""
+
+
+class HTTPReceiveError(HTTPError):
+    """The connection broke after the request was sent in full."""
+
+
+class HTTPRequestError(MangogaugeError):
+    """A caller's request can't be served as it stands.
+
+    Parameters
+    ----------
+    status : int
+        The HTTP status that tells the caller.
+    message : str
+        What is wrong with the request.
+    """
+
+    def __init__(self, status, message, *, step="read request", peer=""):
+        super().__init__(message, step=step, peer=peer)
+        self.status = status
--- /dev/null
+++ b/mangogauge/keys/__init__.py
@@ -0,0 +1,7 @@
+"""Callers' keys: how they are made, stored, checked, granted and withdrawn."""
+
+from .records import KeyRecord, hash_key, make_key
+from .ring import KeyRing
+from .store import KeyStore
+
+__all__ = ["KeyRecord", "KeyRing", "KeyStore", "hash_key", "make_key"]
--- /dev/null
+++ b/mangogauge/limits/bucket.py
@@ -0,0 +1,62 @@
+"""Token bucket whose rate and burst may change while it is in use."""
+
+__all__ = ["TokenBucket"]
+
+
+class TokenBucket:
+    """Tokens that accrue at a rate up to a burst.
+
+    Parameters
+    ----------
+    rate : float
+        Tokens a second.
+    burst : float
+        Largest number of tokens held.
+    now : float
+        Elapsed time in seconds.
+    tokens : float, optional
+        Tokens at the start; a full bucket if absent.
+
+    Examples
+    --------
+    >>> bucket = TokenBucket(rate=2, burst=4, now=0)
+    >>> bucket.take(4, now=0), bucket.take(1, now=0.25), bucket.take(1, now=0.5)
+    (True, False, True)
+    """
+
+    def __init__(self, rate, burst, now, tokens=None):
+        self.rate = rate
+        self.burst = burst
+        self.tokens = burst if tokens is None else min(tokens, burst)
+        self._updated = now
+
+    def take(self, amount, now):
+        """Take `amount` tokens if they are there; return whether they were."""
+        self.accrue(now)
+        if self.tokens < amount:
+            return False
+        self.tokens -= amount
+        return True
+
+    def accrue(self, now):
+        """Add what has accrued since the last call."""
+        if now <= self._updated:
+            return
+        gained = self.rate * (now - self._updated)
+        self.tokens = min(self.burst, self.tokens + gained)
+        self._updated = now
+
+    def change(self, rate, burst, now):
+        """Go on with another rate and burst."""
+        self.accrue(now)
+        self.rate = rate
+        self.burst = burst
+        self.tokens = min(self.tokens, burst)
+
+    def compute_wait(self, amount):
+        """Return seconds until `amount` tokens are there; infinite if never."""
+        if self.tokens >= amount:
+            return 0.0
+        if amount > self.burst or self.rate <= 0:
+            return float("inf")
+        return (amount - self.tokens) / self.rate
--- /dev/null
+++ b/mangogauge/membership/__init__.py
@@ -0,0 +1,5 @@
+"""Which hosts there are."""
+
+from .members import Member, new_incarnation
+
+__all__ = ["Member", "new_incarnation"]
--- /dev/null
+++ b/mangogauge/platform/memory.py
@@ -0,0 +1,74 @@
+"""A store within one process, for embedding and for tests."""
+
+import curio
+from returns.result import Failure, Success
+
+from ..clock import SystemClock
+from .keyspace import Keyspace
+from .store import Lease, Store, StoreRefusedError
+
+__all__ = ["MemoryStore"]
+
+WATCH_INTERVAL = 0.01
+
+
+class MemoryStore(Store):
+    """A `Store` whose contents live in this process.
+
+    Parameters
+    ----------
+    clock : Clock, optional
+    """
+
+    def __init__(self, clock=None):
+        self._clock = clock or SystemClock()
+        self.keyspace = Keyspace(self._clock)
+
+    async def get(self, key):
+        """Return ``Success(KeyValue or None)``."""
+        return Success(self.keyspace.get(key))
+
+    async def list_prefix(self, prefix, limit=0, start_after="", keys_only=False):
+        """Return ``Success(list of KeyValue)`` in order of keys."""
+        start = start_after + "\0" if start_after else prefix
+        end = prefix[:-1] + chr(ord(prefix[-1]) + 1)
+        return Success(self.keyspace.get_range(start, end, limit))
+
+    async def transact(self, transaction):
+        """Return ``Success(TransactionResult)``."""
+        try:
+            return Success(self.keyspace.transact(transaction))
+        except KeyError as error:
+            return Failure(StoreRefusedError(str(error), step="transact"))
+
+    async def grant_lease(self, seconds):
+        """Return ``Success(Lease)``."""
+        now = self._clock.read_elapsed()
+        return Success(
+            Lease(self.keyspace.grant_lease(seconds), seconds, now + seconds)
+        )
+
+    async def renew_lease(self, lease):
+        """Return ``Success(Lease)``, or a refusal if it has lapsed."""
+        now = self._clock.read_elapsed()
+        seconds = self.keyspace.renew_lease(lease.lease_id)
+        if not seconds:
+            return Failure(
+                StoreRefusedError("The lease has lapsed.", step="renew lease")
+            )
+        return Success(Lease(lease.lease_id, seconds, now + seconds))
+
+    async def revoke_lease(self, lease):
+        """Return ``Success(None)``."""
+        self.keyspace.revoke_lease(lease.lease_id)
+        return Success(None)
+
+    async def watch(self, prefix, start_revision=0):
+        """Yield changes under `prefix` from `start_revision` on."""
+        end = prefix[:-1] + chr(ord(prefix[-1]) + 1)
+        following = start_revision or self.keyspace.revision + 1
+        while True:
+            for event in self.keyspace.read_history(prefix, end, following):
+                yield event
+            following = self.keyspace.revision + 1
+            await curio.sleep(WATCH_INTERVAL)
--- /dev/null
+++ b/mangogauge/platform/store.py
@@ -0,0 +1,197 @@
+"""The platform's key-value store as an abstract base class.
+
+Every method returns a `returns` result: ``Success`` with a value, or
+``Failure`` with a `StoreError` that says whether a write may have taken effect.
+"""
+
+from abc import ABC, abstractmethod
+
+from attrs import field, frozen
+
+from ..errors import PeerError
+
+__all__ = [
+    "Condition",
+    "KeyValue",
+    "Lease",
+    "Operation",
+    "Store",
+    "StoreError",
+    "StoreLostAnswerError",
+    "StoreRefusedError",
+    "StoreUnavailableError",
+    "Transaction",
+    "TransactionResult",
+    "VALUE_LIMIT_BYTES",
+    "WatchEvent",
+]
+
+VALUE_LIMIT_BYTES = 1_000_000
+
+
+class StoreError(PeerError):
+    """A call to the store failed."""
+
+
+class StoreUnavailableError(StoreError):
+    """The store was not reached; nothing took effect."""
+
+
+class StoreLostAnswerError(StoreError):
+    """The call was sent and no answer came; a write may have taken effect."""
+
+
+class StoreRefusedError(StoreError):
+    """The store refused the call; nothing took effect."""
+
+
+@frozen
+class KeyValue:
+    """A key with its value and the store's revisions of it.
+
+    Parameters
+    ----------
+    key : str
+    value : bytes
+    create_revision, mod_revision : int
+        Revision of the store at which the key was made, and last changed.
+    lease : int
+        Lease that the key hangs on; 0 for none.
+    """
+
+    key = field()
+    value = field()
+    create_revision = field(default=0)
+    mod_revision = field(default=0)
+    lease = field(default=0)
+
+
+@frozen
+class Condition:
+    """A key's revision of last change must be `mod_revision`; 0 means absent."""
+
+    key = field()
+    mod_revision = field()
+
+
+@frozen
+class Operation:
+    """Put `value` at `key`, or delete the key if `value` is None."""
+
+    key = field()
+    value = field(default=None)
+    lease = field(default=0)
+
+
+@frozen
+class Transaction:
+    """Operations that take effect together if all conditions hold.
+
+    Parameters
+    ----------
+    conditions : tuple of Condition
+    operations : tuple of Operation
+    """
+
+    conditions = field(converter=tuple)
+    operations = field(converter=tuple)
+
+
+@frozen
+class TransactionResult:
+    """Whether the conditions held, and the store's revision afterwards."""
+
+    succeeded = field()
+    revision = field()
+
+
+@frozen
+class Lease:
+    """A granted lease.
+
+    Parameters
+    ----------
+    lease_id : int
+    seconds : float
+        How long it lives after each renewal.
+    valid_until : float
+        Elapsed time, by this process's clock, up to which it certainly lives;
+        counted from before the request for it was sent.
+    """
+
+    lease_id = field()
+    seconds = field()
+    valid_until = field()
+
+
+@frozen
+class WatchEvent:
+    """A change under a watched prefix.
+
+    Parameters
+    ----------
+    key : str
+    value : bytes or None
+        None if the key was deleted.
+    mod_revision : int
+    """
+
+    key = field()
+    value = field()
+    mod_revision = field()
+
+
+class Store(ABC):
+    """Get, transactions, leases and watches."""
+
+    @abstractmethod
+    async def get(self, key):
+        """Return ``Success(KeyValue or None)``."""
+
+    @abstractmethod
+    async def list_prefix(self, prefix, limit=0, start_after="", keys_only=False):
+        """Return ``Success(list of KeyValue)`` in order of keys.
+
+        Parameters
+        ----------
+        prefix : str
+        limit : int, optional
+            Largest number returned; 0 for all.
+        start_after : str, optional
+            Key, with its prefix, after which the list starts.
+        keys_only : bool, optional
+            Leave the values empty.
+        """
+
+    @abstractmethod
+    async def transact(self, transaction):
+        """Return ``Success(TransactionResult)``."""
+
+    @abstractmethod
+    async def grant_lease(self, seconds):
+        """Return ``Success(Lease)``."""
+
+    @abstractmethod
+    async def renew_lease(self, lease):
+        """Return ``Success(Lease)``, or a refusal if it has lapsed."""
+
+    @abstractmethod
+    async def revoke_lease(self, lease):
+        """Return ``Success(None)``; keys that hang on the lease are deleted."""
+
+    @abstractmethod
+    def watch(self, prefix, start_revision=0):
+        """Return an asynchronous iterator of `WatchEvent`.
+
+        It raises `StoreError` when the watch breaks; the caller reads the
+        prefix again and watches from the revision after that.
+        """
+
+    async def put(self, key, value, lease=0):
+        """Put one key without conditions."""
+        operation = Operation(key, value, lease)
+        return await self.transact(Transaction((), (operation,)))
+
+    async def delete(self, key):
+        """Delete one key without conditions."""
+        return await self.transact(Transaction((), (Operation(key),)))
--- /dev/null
+++ b/mangogauge/settings/host.py
@@ -0,0 +1,117 @@
+"""Settings of one host: its addresses, data centre, platform and peers."""
+
+from pathlib import Path
+
+from attrs import field, frozen
+
+from .kinds import AddressKind, IntegerKind, ListKind, NameKind, NumberKind, TextKind
+from .problems import Problem, SettingsError
+from .sections import SectionReader, make_option, parse_text
+
+__all__ = ["HostSettings", "PeerSettings", "PlatformSettings", "read_host"]
+
+PORT = IntegerKind(0, 65_535)
+
+
+@frozen
+class PlatformSettings:
+    """Where the platform is.
+
+    Parameters
+    ----------
+    addresses : tuple of str
+        Front ends of the platform's store, ``host:port``.
+    timeout : float
+        Seconds until a call counts as lost.
+    host_list : str
+        File in which the platform lists hosts; empty for none.
+    """
+
+    addresses = make_option(ListKind(AddressKind()))
+    timeout = make_option(NumberKind(0.05, 60, "seconds"), default=2.0)
+    host_list = make_option(TextKind(), default="")
+
+
+@frozen
+class PeerSettings:
+    """How hosts reach each other.
+
+    Parameters
+    ----------
+    secret_file : str
+        File that holds the operators' secret.
+    seeds : tuple of str
+        Addresses of some hosts' peer ports, to start from.
+    """
+
+    secret_file = make_option(TextKind())
+    seeds = make_option(ListKind(AddressKind()), default=())
+
+
+@frozen
+class HostSettings:
+    """One host.
+
+    Parameters
+    ----------
+    name, data_centre : str
+    address : str
+        IP number that it listens on.
+    advertised : str
+        ``host:port`` at which peers reach its peer port, if another.
+    callers_port, peer_port, operator_port : int
+        Ports; 0 for any free one.
+    data_folder : str
+        Folder for bulk data; empty on hosts without a disk.
+    drain_seconds : float
+        How long a shutdown waits for the balancer to notice.
+    """
+
+    name = make_option(NameKind())
+    data_centre = make_option(NameKind())
+    address = make_option(AddressKind(with_port=False))
+    advertised = make_option(AddressKind(), default="")
+    callers_port = make_option(PORT, default=8080)
+    peer_port = make_option(PORT, default=8081)
+    operator_port = make_option(PORT, default=8082)
+    data_folder = make_option(TextKind(), default="")
+    drain_seconds = make_option(NumberKind(0, 600, "seconds"), default=10.0)
+    platform = field(default=None)
+    peers = field(default=None)
+
+    @property
+    def peer_address(self):
+        """Address that peers are told."""
+        return self.advertised or f"{self.address}:{self.peer_port}"
+
+
+def read_host(path):
+    """Read a host's file.
+
+    Raises
+    ------
+    SettingsError
+        With every mistake in it.
+    """
+    file = str(path)
+    problems = []
+    try:
+        text = Path(path).read_text()
+    except OSError as error:
+        raise SettingsError(
+            [Problem(file, read=error.strerror, allowed="a file that can be read")]
+        ) from error
+    sections = parse_text(text, file, problems)
+    reader = SectionReader(file, problems)
+    known = {"host": HostSettings, "platform": PlatformSettings, "peers": PeerSettings}
+    for section in sections:
+        if section not in known:
+            reader.check_section(section, known)
+    platform = reader.read("platform", sections.get("platform", {}), PlatformSettings)
+    peers = reader.read("peers", sections.get("peers", {}), PeerSettings)
+    host = reader.read(
+        "host", sections.get("host", {}), HostSettings, platform=platform, peers=peers
+    )
+    if problems:
+        raise SettingsError(problems)
+    return host
--- /dev/null
+++ b/mangogauge/telemetry/logs.py
@@ -0,0 +1,34 @@
+"""Logs as JSON lines, with the fields that tie a line to a request."""
+
+import logging
+import sys
+
+from pythonjsonlogger.json import JsonFormatter
+
+__all__ = ["configure_logs", "get_logger"]
+
+LINE_FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
+
+
+def configure_logs(level="INFO", stream=None, **fields):
+    """Write logs as JSON lines.
+
+    Parameters
+    ----------
+    level : str, optional
+    stream : file, optional
+        Where to write; standard error if absent.
+    **fields
+        Put into each line, such as ``host`` and ``data_centre``.
+    """
+    handler = logging.StreamHandler(stream or sys.stderr)
+    handler.setFormatter(JsonFormatter(LINE_FORMAT, static_fields=fields))
+    root = logging.getLogger("mangogauge")
+    root.handlers[:] = [handler]
+    root.setLevel(level)
+    root.propagate = False
+
+
+def get_logger(name):
+    """Return the logger of a part; pass fields by ``extra``."""
+    return logging.getLogger(f"mangogauge.{name}")
