Give each part of a host one base class, and hosts a view of each other

Cause: parts were wired by hand into Host, so parallel work would collide there. Change: HostPart (calls, operator paths, settings, task, drain); membership view with heartbeats, incarnations and versioned entries, exchanged in random pairs; watchers of configuration and keys as parts. Ruled out: an abstract base with abstract methods: each part needs only some.

--- a/mangogauge/batch/runner.py
+++ b/mangogauge/batch/runner.py
@@ -5,6 +5,7 @@
 from attrs import evolve
 from returns.result import Failure
 
+from ..daemon.parts import HostPart
 from ..gateway.calls import Call, Priority
 from ..gateway.refusals import Refusal
 from ..gateway.routes import RouteTable
@@ -25,7 +26,7 @@
 log = get_logger("batch")
 
 
-class BatchRunner:
+class BatchRunner(HostPart):
     """Runs jobs on this host.
 
     Parameters
@@ -47,9 +48,9 @@
         self._clock = clock
         self._routes = RouteTable()
 
-    def set_settings(self, settings):
-        """Take new settings."""
-        self._routes = RouteTable(settings.routes.values())
+    def take_fleet(self, fleet):
+        """Put newer settings in force."""
+        self._routes = RouteTable(fleet.routes.values())
 
     async def run(self):
         """Claim and run jobs until cancelled."""
--- a/mangogauge/commands/serve.py
+++ b/mangogauge/commands/serve.py
@@ -6,7 +6,7 @@
 
 import curio
 
-from ..daemon import Host
+from ..daemon.host import Host
 from ..settings import SettingsError, read_host
 from ..telemetry import configure_logs
 from .exits import ExitCode
--- a/mangogauge/daemon/host.py
+++ b/mangogauge/daemon/host.py
@@ -3,26 +3,23 @@
 import random
 
 import curio
-from returns.result import Failure
 
 from ..batch import BatchResource, BatchRunner, FileResource, FileStore, JobStore
 from ..clock import SystemClock
-from ..configuration import ConfigurationStore
+from ..configuration import ConfigurationStore, ConfigurationWatcher
 from ..gateway import Dispatcher, Front
 from ..http import ClientPool, HTTPServer
-from ..keys import KeyRing, KeyStore
+from ..keys import KeyRing, KeyStore, KeyWatcher
 from ..limits import LocalLimiter
-from ..membership import Member, new_incarnation
+from ..membership import Member, MembershipExchange, MembershipView, new_incarnation
 from ..platform import GatewayStore, RecordStore
 from ..protocol import ChannelPool, ProtocolServer
 from ..routing import LeastLoadedRouter, RetryPolicy
-from ..settings import SettingsError, read_fleet
 from ..telemetry import HostMetrics, get_logger
 from .operators import OperatorPort
 
 __all__ = ["Host"]
 
-REFRESH_SECONDS = 1.0
 DRAIN_INTERVAL = 0.05
 
 log = get_logger("host")
@@ -37,59 +34,95 @@
     secret : str
         The operators' secret.
     clock : Clock, optional
+
+    Attributes
+    ----------
+    parts : list of HostPart
+        Everything that has tasks, calls or settings of its own. A part is
+        added in one of the ``_make`` methods; the rest follows from it.
     """
 
     def __init__(self, settings, secret, clock=None):
         self.settings = settings
         self.clock = clock or SystemClock()
-        self.member = Member(
-            settings.name,
-            settings.data_centre,
-            settings.peer_address,
-            new_incarnation(),
-        )
+        self.random = random.Random()
         self.metrics = HostMetrics()
-        self.ready = False
-        self.draining = False
         self.fleet = None
-        self._random = random.Random()
-        self._make_platform(settings)
-        self._make_service()
-        self.peers = ChannelPool(secret)
-        self.protocol = ProtocolServer([], secret)
-        self.callers = HTTPServer(self.front.handle)
-        self.operators = OperatorPort(self, secret)
-
-    def _make_platform(self, settings):
-        self.store = GatewayStore(
-            settings.platform.addresses, settings.platform.timeout, self.clock
-        )
+        self.draining = False
+        self.parts = []
+        self.channels = ChannelPool(secret)
+        self._make_platform()
+        self._make_membership()
+        self._make_limits()
+        self._make_routing()
+        self._make_batch()
+        self._make_front()
+        self._make_ports(secret)
+
+    @property
+    def ready(self):
+        """Whether callers may be sent here."""
+        return self.fleet is not None and not self.draining
+
+    def _make_platform(self):
+        platform = self.settings.platform
+        self.store = GatewayStore(platform.addresses, platform.timeout, self.clock)
         self.records = RecordStore(self.store)
-        self.configuration = ConfigurationStore(self.records, self.clock)
-        self.keys = KeyStore(self.records, self.clock)
         self.ring = KeyRing()
+        configuration = ConfigurationStore(self.records, self.clock)
+        keys = KeyStore(self.records, self.clock)
+        self.parts.append(ConfigurationWatcher(self, configuration))
+        self.parts.append(KeyWatcher(self.ring, keys))
+
+    def _make_membership(self):
+        self.member = Member(
+            self.settings.name,
+            self.settings.data_centre,
+            self.settings.peer_address,
+            new_incarnation(),
+        )
+        self.view = MembershipView(self.member, self.clock)
+        seeds = self.settings.peers.seeds
+        exchange = MembershipExchange(self.view, self.channels, seeds, self.random)
+        self.parts.append(exchange)
 
-    def _make_service(self):
+    def _make_limits(self):
         self.limiter = LocalLimiter(self.clock)
-        self.router = LeastLoadedRouter(self.settings.data_centre, self._random)
+
+    def _make_routing(self):
+        self.router = LeastLoadedRouter(self.settings.data_centre, self.random)
         self.dispatcher = Dispatcher(
             self.router, RetryPolicy(), ClientPool(), self.clock, self.metrics
         )
+
+    def _make_batch(self):
         files = FileStore(self.records, self.clock)
         jobs = JobStore(self.records)
-        resources = [FileResource(files), BatchResource(jobs, files, self.clock)]
+        self.resources = [FileResource(files), BatchResource(jobs, files, self.clock)]
+        runner = BatchRunner(
+            self.settings.name, self.records, jobs, files, self.dispatcher, self.clock
+        )
+        self.parts.append(runner)
+
+    def _make_front(self):
         self.front = Front(
             self.ring,
             self.limiter,
             self.dispatcher,
             self.clock,
             self.metrics,
-            resources,
-        )
-        self.runner = BatchRunner(
-            self.settings.name, self.records, jobs, files, self.dispatcher, self.clock
+            self.resources,
         )
 
+    def _make_ports(self, secret):
+        methods = [m for part in self.parts for m in part.protocol_methods()]
+        self.protocol = ProtocolServer(methods, secret)
+        self.callers = HTTPServer(self.front.handle)
+        self.operators = OperatorPort(self, secret)
+        for part in self.parts:
+            for path, handler in part.operator_handlers().items():
+                self.operators.add_handler(path, handler)
+
     def bind(self):
         """Bind all ports."""
         address = self.settings.address
@@ -103,8 +136,8 @@
             await group.spawn(self.callers.serve)
             await group.spawn(self.protocol.serve)
             await group.spawn(self.operators.server.serve)
-            await group.spawn(self._refresh)
-            await group.spawn(self.runner.run)
+            for part in self.parts:
+                await group.spawn(part.run)
             await group.spawn(self._drain)
         if group.exception is not None:
             raise group.exception
@@ -112,36 +145,6 @@
     def start_drain(self):
         """Begin to end without cutting off any request."""
         self.draining = True
-        self.ready = False
-
-    async def _drain(self):
-        while not self.draining:
-            await curio.sleep(DRAIN_INTERVAL)
-        await curio.sleep(self.settings.drain_seconds)
-        await self.callers.drain()
-
-    async def _refresh(self):
-        while True:
-            await self._refresh_configuration()
-            await self._refresh_keys()
-            self.ready = self.fleet is not None and not self.draining
-            await curio.sleep(REFRESH_SECONDS)
-
-    async def _refresh_configuration(self):
-        found = await self.configuration.read()
-        if isinstance(found, Failure) or found.unwrap() is None:
-            return
-        current = found.unwrap()
-        if self.fleet is not None and current.version <= self.fleet.version:
-            return
-        try:
-            fleet = read_fleet(
-                current.documents, self.settings.data_centre, current.version
-            )
-        except SettingsError as error:
-            log.error("configuration refused", extra={"reason": str(error)})
-            return
-        self.take_fleet(fleet)
 
     def take_fleet(self, fleet):
         """Put a newer configuration in force, whole."""
@@ -149,11 +152,15 @@
         self.limiter.set_accounts(fleet.accounts)
         self.router.set_endpoints(fleet.endpoints)
         self.front.set_settings(fleet)
-        self.runner.set_settings(fleet)
+        for part in self.parts:
+            part.take_fleet(fleet)
         self.metrics.configuration_version.set(fleet.version)
         log.info("configuration in force", extra={"version": fleet.version})
 
-    async def _refresh_keys(self):
-        found = await self.keys.list_all()
-        if not isinstance(found, Failure):
-            self.ring.replace(found.unwrap())
+    async def _drain(self):
+        while not self.draining:
+            await curio.sleep(DRAIN_INTERVAL)
+        for part in self.parts:
+            await part.drain()
+        await curio.sleep(self.settings.drain_seconds)
+        await self.callers.drain()
--- a/mangogauge/daemon/operators.py
+++ b/mangogauge/daemon/operators.py
@@ -70,5 +70,6 @@
             "ready": host.ready,
             "draining": host.draining,
             "configuration_version": host.fleet.version if host.fleet else 0,
+            "members": [member.name for member in host.view.list_members()],
         }
         await send_json(exchange, value, "")
--- /dev/null
+++ b/mangogauge/daemon/parts.py
@@ -0,0 +1,27 @@
+"""What a part of a host may offer: calls, operators' paths, settings, tasks."""
+
+import curio
+
+__all__ = ["HostPart"]
+
+
+class HostPart:
+    """A part of a host; each method may be left as it is here."""
+
+    def protocol_methods(self):
+        """Return the `Method` objects that peers may call."""
+        return []
+
+    def operator_handlers(self):
+        """Return handlers of the operators' port: ``{path: async callable}``."""
+        return {}
+
+    def take_fleet(self, fleet):
+        """Put newer settings in force."""
+
+    async def run(self):
+        """Work until cancelled; runs in a task of its own."""
+        await curio.Event().wait()
+
+    async def drain(self):
+        """Hand over what this host holds; callers' requests still run."""
--- a/mangogauge/keys/__init__.py
+++ b/mangogauge/keys/__init__.py
@@ -3,5 +3,6 @@
 from .records import KeyRecord, hash_key, make_key
 from .ring import KeyRing
 from .store import KeyStore
+from .watcher import KeyWatcher
 
-__all__ = ["KeyRecord", "KeyRing", "KeyStore", "hash_key", "make_key"]
+__all__ = ["KeyRecord", "KeyRing", "KeyStore", "KeyWatcher", "hash_key", "make_key"]
