Spread configuration and keys by relays and peers, and confirm by asking hosts

Cause: each host read the whole configuration and all keys from the platform every second (820 reads/s at 410 hosts, megabytes each), and a host that lost the platform learnt nothing from its peers. Change: replicas that only move forward; one relay for each data centre polls one cheap key listing twice a second, stand-ins step in by rank when its counter stands still; other hosts fetch from peers that are ahead. Withdrawal cuts running exchanges. A host trusts its keys for a bounded time only, counted by question and answer. A roster names all hosts that may serve; commands ask each of them before they say that a change is in force. Ruled out: a watch for each host (410 waiting calls); taking a peer's gossiped counter as proof of freshness (it may be old news).

--- a/mangogauge/commands/application.py
+++ b/mangogauge/commands/application.py
@@ -2,7 +2,7 @@
 
 from cyclopts import App
 
-from . import configuration, keys, serve, standin
+from . import configuration, keys, roster, serve, standin
 
 __all__ = ["app", "main"]
 
@@ -13,6 +13,7 @@
 app.command(serve.serve)
 app.command(configuration.app)
 app.command(keys.app)
+app.command(roster.app)
 app.command(standin.app)
 
 
--- a/mangogauge/commands/platform.py
+++ b/mangogauge/commands/platform.py
@@ -6,12 +6,27 @@
 from returns.result import Failure
 
 from ..clock import SystemClock
-from ..platform import GatewayStore, RecordStore, StoreLostAnswerError
+from ..platform import (
+    GatewayStore,
+    RecordStore,
+    StoreLostAnswerError,
+    StoreRefusedError,
+)
 from .exits import ExitCode
 from .output import print_error
 
 __all__ = ["run_with_records"]
 
+EXIT_CODES = {
+    StoreLostAnswerError: ExitCode.UNKNOWN,
+    StoreRefusedError: ExitCode.REFUSED,
+}
+OUTCOMES = {
+    ExitCode.UNKNOWN: "Whether this was recorded is not known; run it again.",
+    ExitCode.REFUSED: "Not recorded.",
+    ExitCode.UNAVAILABLE: "Not recorded: the platform's store does not answer.",
+}
+
 
 def run_with_records(platform, function, *arguments):
     """Run an async function with a `RecordStore`; return its result's value.
@@ -30,7 +45,7 @@
     result = curio.run(run)
     if isinstance(result, Failure):
         error = result.failure()
-        print_error(str(error))
-        lost = isinstance(error, StoreLostAnswerError)
-        sys.exit(ExitCode.UNKNOWN if lost else ExitCode.UNAVAILABLE)
+        code = EXIT_CODES.get(type(error), ExitCode.UNAVAILABLE)
+        print_error(f"{OUTCOMES[code]} {error}")
+        sys.exit(code)
     return result.unwrap()
--- a/mangogauge/configuration/store.py
+++ b/mangogauge/configuration/store.py
@@ -1,15 +1,20 @@
 """The configuration in the platform's store, one version after another."""
 
 import orjson
+import zstandard
 from attrs import field, frozen
 from returns.result import Failure, Success
 
-from ..platform import Conflict
+from ..distribution.replica import CHANGES_PREFIX
+from ..platform import Conflict, Operation, make_record
 from ..settings import ConfigurationDocuments
 
-__all__ = ["CURRENT_KEY", "ConfigurationStore", "VersionedConfiguration"]
+__all__ = ["ConfigurationStore", "VersionedConfiguration"]
 
 CURRENT_KEY = "configuration/current"
+HISTORY_PREFIX = "configuration/history/"
+CHANGES_KEY = CHANGES_PREFIX + "configuration"
+VERSIONS_KEPT = 100
 
 
 @frozen
@@ -25,19 +30,22 @@
         Who applied it.
     applied_at : float
         Seconds since the Unix epoch.
+    note : str
+        What the change is for.
     """
 
     version = field()
     documents = field()
     author = field(default="")
     applied_at = field(default=0.0)
+    note = field(default="")
 
     @classmethod
     def from_bytes(cls, data):
         """Decode what `to_bytes` returned."""
         value = orjson.loads(data)
-        documents = ConfigurationDocuments(value["base"], value["overlays"])
-        return cls(value["version"], documents, value["author"], value["applied_at"])
+        documents = ConfigurationDocuments(value.pop("base"), value.pop("overlays"))
+        return cls(documents=documents, **value)
 
     def to_bytes(self):
         """Encode for the platform's store and for peers."""
@@ -48,6 +56,7 @@
                 "overlays": self.documents.overlays,
                 "author": self.author,
                 "applied_at": self.applied_at,
+                "note": self.note,
             }
         )
 
@@ -70,7 +79,17 @@
         found = await self._records.read(CURRENT_KEY)
         return found.map(_decode)
 
-    async def apply(self, documents, expected_version, author=""):
+    async def read_version(self, version):
+        """Return ``Success(VersionedConfiguration or None)`` of an old version."""
+        found = await self._records.read(_history_key(version))
+        return found.map(_decode)
+
+    async def list_history(self):
+        """Return ``Success(list of VersionedConfiguration)``, oldest first."""
+        found = await self._records.list_prefix(HISTORY_PREFIX)
+        return found.map(lambda rows: [_decode(row) for row in rows])
+
+    async def apply(self, documents, expected_version, author="", note=""):
         """Record the next version.
 
         Parameters
@@ -79,7 +98,7 @@
             Must have been checked.
         expected_version : int
             Version that the operator started from; 0 for none.
-        author : str, optional
+        author, note : str, optional
 
         Returns
         -------
@@ -96,14 +115,38 @@
         if (current.version if current else 0) != expected_version:
             return Success(Conflict(current))
         fresh = VersionedConfiguration(
-            expected_version + 1, documents, author, self._clock.read_calendar()
+            expected_version + 1,
+            documents,
+            author,
+            self._clock.read_calendar(),
+            note,
+        )
+        payload = zstandard.compress(fresh.to_bytes())
+        written = await self._records.write(
+            CURRENT_KEY, payload, previous, extra=_make_extra(fresh.version, payload)
         )
-        written = await self._records.write(CURRENT_KEY, fresh.to_bytes(), previous)
         return written.map(lambda outcome: _judge(outcome, fresh))
 
 
+def _make_extra(version, payload):
+    history = make_record(payload)
+    operations = [
+        Operation(CHANGES_KEY, str(version).encode()),
+        Operation(_history_key(version), history),
+    ]
+    if version > VERSIONS_KEPT:
+        operations.append(Operation(_history_key(version - VERSIONS_KEPT)))
+    return operations
+
+
+def _history_key(version):
+    return f"{HISTORY_PREFIX}{version:010}"
+
+
 def _decode(record):
-    return VersionedConfiguration.from_bytes(record.payload) if record else None
+    if record is None:
+        return None
+    return VersionedConfiguration.from_bytes(zstandard.decompress(record.payload))
 
 
 def _judge(outcome, fresh):
--- a/mangogauge/daemon/host.py
+++ b/mangogauge/daemon/host.py
@@ -6,15 +6,17 @@
 
 from ..batch import BatchResource, BatchRunner, FileResource, FileStore, JobStore
 from ..clock import SystemClock
-from ..configuration import ConfigurationStore, ConfigurationWatcher
-from ..gateway import Dispatcher, Front
+from ..configuration import ConfigurationReplica, ConfigurationStore
+from ..distribution import Distributor, Roster, RosterEntry, RosterKeeper
+from ..gateway import Dispatcher, Doorkeeper, Front
 from ..http import ClientPool, HTTPServer
-from ..keys import KeyRing, KeyStore, KeyWatcher
+from ..keys import KeyGuard, KeyReplica, KeyRing, KeyTrust
 from ..limits import LocalLimiter
 from ..membership import Member, MembershipExchange, MembershipView, new_incarnation
 from ..platform import GatewayStore, RecordStore
 from ..protocol import ChannelPool, ProtocolServer
 from ..routing import LeastLoadedRouter, RetryPolicy
+from ..settings import KeySettings
 from ..telemetry import HostMetrics, get_logger
 from .operators import OperatorPort
 
@@ -53,6 +55,7 @@
         self.channels = ChannelPool(secret)
         self._make_platform()
         self._make_membership()
+        self._make_distribution()
         self._make_limits()
         self._make_routing()
         self._make_batch()
@@ -62,17 +65,12 @@
     @property
     def ready(self):
         """Whether callers may be sent here."""
-        return self.fleet is not None and not self.draining
+        return self.distributor.loaded and not self.draining
 
     def _make_platform(self):
         platform = self.settings.platform
         self.store = GatewayStore(platform.addresses, platform.timeout, self.clock)
         self.records = RecordStore(self.store)
-        self.ring = KeyRing()
-        configuration = ConfigurationStore(self.records, self.clock)
-        keys = KeyStore(self.records, self.clock)
-        self.parts.append(ConfigurationWatcher(self, configuration))
-        self.parts.append(KeyWatcher(self.ring, keys))
 
     def _make_membership(self):
         self.member = Member(
@@ -86,6 +84,38 @@
         exchange = MembershipExchange(self.view, self.channels, seeds, self.random)
         self.parts.append(exchange)
 
+    def _make_distribution(self):
+        self.ring = KeyRing(self.clock)
+        self.trust = KeyTrust(self.clock, KeySettings().trust_seconds)
+        self.guard = KeyGuard()
+        configuration = ConfigurationReplica(
+            ConfigurationStore(self.records, self.clock),
+            self.settings.data_centre,
+            self.take_fleet,
+        )
+        keys = KeyReplica(self.records, self.ring, self.guard)
+        self.distributor = Distributor(
+            [configuration, keys],
+            self.view,
+            self.store,
+            self.channels,
+            self.clock,
+            self.random,
+            self.trust,
+        )
+        self.roster = RosterKeeper(
+            Roster(self.records),
+            RosterEntry(
+                self.member.name,
+                self.member.data_centre,
+                self.member.incarnation,
+                f"{self.settings.address}:{self.settings.operator_port}",
+            ),
+            self.clock,
+            self.trust,
+        )
+        self.parts += [self.distributor, self.roster]
+
     def _make_limits(self):
         self.limiter = LocalLimiter(self.clock)
 
@@ -106,7 +136,7 @@
 
     def _make_front(self):
         self.front = Front(
-            self.ring,
+            Doorkeeper(self.ring, self.guard, self.trust),
             self.limiter,
             self.dispatcher,
             self.clock,
@@ -149,6 +179,7 @@
     def take_fleet(self, fleet):
         """Put a newer configuration in force, whole."""
         self.fleet = fleet
+        self.trust.seconds = fleet.keys.trust_seconds
         self.limiter.set_accounts(fleet.accounts)
         self.router.set_endpoints(fleet.endpoints)
         self.front.set_settings(fleet)
@@ -164,3 +195,4 @@
             await part.drain()
         await curio.sleep(self.settings.drain_seconds)
         await self.callers.drain()
+        await self.roster.leave()
--- a/mangogauge/daemon/operators.py
+++ b/mangogauge/daemon/operators.py
@@ -28,6 +28,7 @@
             "/readyz": self._show_readiness,
             "/metrics": self._show_metrics,
             "/state": self._show_state,
+            "/keys/uses": self._show_key_uses,
         }
         self.server = HTTPServer(self.handle)
 
@@ -70,6 +71,11 @@
             "ready": host.ready,
             "draining": host.draining,
             "configuration_version": host.fleet.version if host.fleet else 0,
+            "positions": host.distributor.positions,
+            "keys_age": round(host.trust.age, 3),
             "members": [member.name for member in host.view.list_members()],
         }
         await send_json(exchange, value, "")
+
+    async def _show_key_uses(self, exchange):
+        await send_json(exchange, self._host.ring.list_uses(), "")
--- a/mangogauge/gateway/__init__.py
+++ b/mangogauge/gateway/__init__.py
@@ -2,6 +2,7 @@
 
 from .calls import Call, Priority
 from .dispatch import Dispatcher
+from .doorkeeper import Doorkeeper
 from .front import Front
 from .refusals import Refusal, RefusalCode
 from .resources import Resource
@@ -11,6 +12,7 @@
 __all__ = [
     "Call",
     "Dispatcher",
+    "Doorkeeper",
     "ExchangeSink",
     "Front",
     "MemorySink",
--- a/mangogauge/gateway/front.py
+++ b/mangogauge/gateway/front.py
@@ -26,7 +26,8 @@
 
     Parameters
     ----------
-    ring : KeyRing
+    doorkeeper : Doorkeeper
+        Checks callers' keys.
     limiter : Limiter
     dispatcher : Dispatcher
     clock : Clock
@@ -35,8 +36,8 @@
         Paths that the host serves itself, such as files and batches.
     """
 
-    def __init__(self, ring, limiter, dispatcher, clock, metrics, resources=()):
-        self._ring = ring
+    def __init__(self, doorkeeper, limiter, dispatcher, clock, metrics, resources=()):
+        self._doorkeeper = doorkeeper
         self._limiter = limiter
         self._dispatcher = dispatcher
         self._clock = clock
@@ -83,15 +84,24 @@
             )
         for resource in self._resources:
             if resource.matches(exchange.path):
-                record = self._authenticate(exchange)
-                labels.account, labels.route = record.account, resource.name
-                await resource.serve(exchange, record.account, request_id)
+                labels.route = resource.name
+                async with self._doorkeeper.hold(exchange) as record:
+                    labels.account = record.account
+                    await resource.serve(exchange, record.account, request_id)
                 return
         route = self._find_route(exchange)
         labels.route = route.name
-        labels.account = self._identify(exchange, route)
-        self._admit(labels.account)
-        call = await self._read_call(exchange, request_id, route, labels.account)
+        if route.open:
+            await self._run(exchange, request_id, route, "")
+            return
+        async with self._doorkeeper.hold(exchange) as record:
+            labels.account = record.account
+            _check_account(route, record)
+            self._admit(record.account)
+            await self._run(exchange, request_id, route, record.account)
+
+    async def _run(self, exchange, request_id, route, account):
+        call = await self._read_call(exchange, request_id, route, account)
         await self._dispatcher.dispatch(call, ExchangeSink(exchange, request_id))
 
     def _find_route(self, exchange):
@@ -105,31 +115,7 @@
             )
         return route
 
-    def _identify(self, exchange, route):
-        """Return the client account's name; empty on an open route."""
-        if route.open:
-            return ""
-        record = self._authenticate(exchange)
-        if route.accounts and record.account not in route.accounts:
-            raise Refusal(
-                RefusalCode.ROUTE_FORBIDDEN, "This key may not use this route."
-            )
-        return record.account
-
-    def _authenticate(self, exchange):
-        scheme, _, key = exchange.headers.get("authorization", "").partition(" ")
-        if scheme.lower() != "bearer" or not key:
-            raise Refusal(
-                RefusalCode.KEY_MISSING, "A key is needed: Authorization: Bearer KEY."
-            )
-        record = self._ring.find(key.strip())
-        if record is None:
-            raise Refusal(RefusalCode.KEY_UNKNOWN, "This key does not work.")
-        return record
-
     def _admit(self, account):
-        if not account:
-            return
         admission = self._limiter.admit(account)
         if not admission.admitted:
             raise Refusal(
@@ -214,6 +200,11 @@
         )
 
 
+def _check_account(route, record):
+    if route.accounts and record.account not in route.accounts:
+        raise Refusal(RefusalCode.ROUTE_FORBIDDEN, "This key may not use this route.")
+
+
 class _Labels:
     """Route and account of an exchange, as far as they are known."""
 
--- a/mangogauge/gateway/refusals.py
+++ b/mangogauge/gateway/refusals.py
@@ -40,6 +40,7 @@
     ENDPOINT_FAILED = RefusalKind(502, "endpoint_failed")
     OUTCOME_UNKNOWN = RefusalKind(502, "outcome_unknown")
     OVERLOADED = RefusalKind(503, "overloaded")
+    KEYS_STALE = RefusalKind(503, "keys_stale")
     NO_ENDPOINT = RefusalKind(503, "no_endpoint")
     PLATFORM_AWAY = RefusalKind(503, "platform_away")
     SHUTTING_DOWN = RefusalKind(503, "shutting_down")
--- a/mangogauge/keys/__init__.py
+++ b/mangogauge/keys/__init__.py
@@ -1,8 +1,21 @@
 """Callers' keys: how they are made, stored, checked, granted and withdrawn."""
 
+from .guard import KeyGuard, KeyWithdrawnCancel
 from .records import KeyRecord, hash_key, make_key
+from .replica import KeyReplica
 from .ring import KeyRing
-from .store import KeyStore
-from .watcher import KeyWatcher
+from .store import KeyStore, KeyWrite
+from .trust import KeyTrust
 
-__all__ = ["KeyRecord", "KeyRing", "KeyStore", "KeyWatcher", "hash_key", "make_key"]
+__all__ = [
+    "KeyGuard",
+    "KeyRecord",
+    "KeyReplica",
+    "KeyRing",
+    "KeyStore",
+    "KeyTrust",
+    "KeyWithdrawnCancel",
+    "KeyWrite",
+    "hash_key",
+    "make_key",
+]
--- /dev/null
+++ b/mangogauge/keys/guard.py
@@ -0,0 +1,42 @@
+"""Cuts the exchanges that run under a key when the key is withdrawn."""
+
+from collections import defaultdict
+from contextlib import asynccontextmanager
+
+import curio
+
+__all__ = ["KeyGuard", "KeyWithdrawnCancel"]
+
+
+class KeyWithdrawnCancel(curio.TaskCancelled):
+    """Cancels an exchange whose key has been withdrawn."""
+
+
+class KeyGuard:
+    """Knows which tasks run under which key."""
+
+    def __init__(self):
+        self._tasks = defaultdict(set)
+
+    def count_running(self, key_hash):
+        """Return how many exchanges run under a key."""
+        return len(self._tasks.get(key_hash, ()))
+
+    @asynccontextmanager
+    async def hold(self, key_hash):
+        """Note that the current task runs under a key, while the block lasts."""
+        task = await curio.current_task()
+        self._tasks[key_hash].add(task)
+        try:
+            yield
+        finally:
+            self._tasks[key_hash].discard(task)
+            if not self._tasks[key_hash]:
+                del self._tasks[key_hash]
+
+    async def cut(self, key_hash):
+        """Cancel all exchanges that run under a key; return how many."""
+        tasks = list(self._tasks.get(key_hash, ()))
+        for task in tasks:
+            await task.cancel(exc=KeyWithdrawnCancel, blocking=False)
+        return len(tasks)
--- /dev/null
+++ b/mangogauge/keys/replica.py
@@ -0,0 +1,96 @@
+"""A host's copy of all keys."""
+
+from returns.result import Failure, Success
+
+from ..distribution.replica import Replica
+from ..protocol import Method
+from ..protocol.distribution_pb2 import FetchRequest, KeyItem, KeysReply
+from .records import KeyRecord
+from .store import KEYS_PREFIX
+
+__all__ = ["KeyReplica"]
+
+FETCH_METHOD = "/mangogauge.Distribution/FetchKeys"
+PAGE_KEYS = 1000
+
+
+class KeyReplica(Replica):
+    """Keeps a `KeyRing` up to date.
+
+    Parameters
+    ----------
+    records : RecordStore
+    ring : KeyRing
+    guard : KeyGuard
+        Cuts what runs under a key that has ended.
+    """
+
+    name = "keys"
+
+    def __init__(self, records, ring, guard):
+        self._records = records
+        self._ring = ring
+        self._guard = guard
+        self._through = 0
+        self._loaded = False
+
+    @property
+    def position(self):
+        """Revision of the store up to which all changes are known."""
+        return self._through
+
+    @property
+    def loaded(self):
+        """Whether all keys have been read once."""
+        return self._loaded
+
+    async def read_platform(self, changed_at):
+        """Read the keys that changed since the last time."""
+        start_after = ""
+        while True:
+            page = await self._records.list_prefix(
+                KEYS_PREFIX, PAGE_KEYS, start_after, self._through + 1
+            )
+            if isinstance(page, Failure):
+                return page
+            rows = page.unwrap()
+            for row in rows:
+                await self._take(row.payload, row.revision)
+            if len(rows) < PAGE_KEYS:
+                break
+            start_after = rows[-1].key
+        # Every write of a key also changes the key that `changed_at` is of,
+        # and was visible when the pages were read.
+        self._advance(changed_at)
+        return Success(None)
+
+    async def fetch(self, channel):
+        """Read the keys that a peer knows beyond this copy."""
+        request = FetchRequest(after=self._through)
+        through = 0
+        async for reply in channel.stream(FETCH_METHOD, request, KeysReply):
+            for item in reply.keys:
+                await self._take(item.record, item.revision)
+            through = reply.through_revision
+        self._advance(through)
+
+    def protocol_methods(self):
+        """Return the method by which peers fetch."""
+        return [Method(FETCH_METHOD, FetchRequest, self._serve_fetch)]
+
+    async def _serve_fetch(self, request, context):
+        through = self._through
+        newer = self._ring.list_after(request.after)
+        for start in range(0, max(1, len(newer)), PAGE_KEYS):
+            page = newer[start : start + PAGE_KEYS]
+            items = [KeyItem(revision=r, record=k.to_bytes()) for k, r in page]
+            await context.send(KeysReply(keys=items, through_revision=through))
+
+    def _advance(self, through):
+        self._through = max(self._through, through)
+        self._loaded = True
+
+    async def _take(self, data, revision):
+        record = KeyRecord.from_bytes(data)
+        if self._ring.take(record, revision):
+            await self._guard.cut(record.key_hash)
--- a/mangogauge/keys/store.py
+++ b/mangogauge/keys/store.py
@@ -1,14 +1,34 @@
 """Keys in the platform's store."""
 
-from attrs import evolve
+from attrs import evolve, field, frozen
 from returns.result import Failure, Success
 
-from ..platform import Conflict, StoreRefusedError
+from ..distribution.replica import CHANGES_PREFIX
+from ..platform import Conflict, Operation, StoreRefusedError
 from .records import KeyRecord, hash_key, make_key
 
-__all__ = ["KEYS_PREFIX", "KeyStore"]
+__all__ = ["KEYS_PREFIX", "KeyStore", "KeyWrite"]
 
 KEYS_PREFIX = "keys/"
+CHANGES_KEY = CHANGES_PREFIX + "keys"
+
+
+@frozen
+class KeyWrite:
+    """A grant or withdrawal that has been recorded.
+
+    Parameters
+    ----------
+    record : KeyRecord
+    revision : int
+        Revision of the store that a host must have reached to know of it.
+    key : str
+        The key itself, after a grant; it is stored nowhere.
+    """
+
+    record = field()
+    revision = field()
+    key = field(default="", repr=False)
 
 
 class KeyStore:
@@ -25,13 +45,13 @@
         self._clock = clock
 
     async def grant(self, account, label=""):
-        """Return ``Success((key, KeyRecord))``; the key itself is not stored."""
+        """Return ``Success(KeyWrite)``."""
         key = make_key()
         record = KeyRecord(hash_key(key), account, label, self._clock.read_calendar())
-        written = await self._records.write(
-            KEYS_PREFIX + record.key_hash, record.to_bytes()
-        )
-        return written.map(lambda commit: (key, record))
+        written = await self._write(record, None)
+        if isinstance(written, Failure):
+            return written
+        return Success(KeyWrite(record, written.unwrap().revision, key))
 
     async def list_all(self):
         """Return ``Success(list of KeyRecord)``, withdrawn ones included."""
@@ -39,25 +59,38 @@
         return found.map(lambda rows: [KeyRecord.from_bytes(r.payload) for r in rows])
 
     async def withdraw(self, key_id):
-        """Record that a key no longer works; return ``Success(KeyRecord)``."""
-        found = await self._records.list_prefix(KEYS_PREFIX + key_id)
+        """Record that a key no longer works; return ``Success(KeyWrite)``."""
+        while True:
+            found = await self._find(key_id)
+            if isinstance(found, Failure):
+                return found
+            row = found.unwrap()
+            record = KeyRecord.from_bytes(row.payload)
+            if record.withdrawn_at:
+                return Success(KeyWrite(record, row.revision))
+            ended = evolve(record, withdrawn_at=self._clock.read_calendar())
+            written = await self._write(ended, row)
+            if isinstance(written, Failure):
+                return written
+            outcome = written.unwrap()
+            # Revision 0 stands for a write that was settled by reading back;
+            # the next round then finds the record with its revision.
+            if not isinstance(outcome, Conflict) and outcome.revision:
+                return Success(KeyWrite(ended, outcome.revision))
+
+    async def _find(self, key_id):
+        found = await self._records.list_prefix(KEYS_PREFIX + key_id, limit=2)
         if isinstance(found, Failure):
             return found
         rows = found.unwrap()
         if len(rows) != 1:
-            message = f"{len(rows)} keys start with {key_id!r}."
-            return Failure(StoreRefusedError(message, step="withdraw key"))
-        return await self._write_withdrawal(rows[0])
-
-    async def _write_withdrawal(self, row):
-        record = KeyRecord.from_bytes(row.payload)
-        if record.withdrawn_at:
-            return Success(record)
-        ended = evolve(record, withdrawn_at=self._clock.read_calendar())
-        written = await self._records.write(row.key, ended.to_bytes(), row)
-        if isinstance(written, Failure):
-            return written
-        outcome = written.unwrap()
-        if isinstance(outcome, Conflict):
-            return await self.withdraw(record.key_hash)
-        return Success(ended)
+            count = "No" if not rows else "More than one"
+            message = f"{count} key's id starts with {key_id!r}."
+            return Failure(StoreRefusedError(message, step="find key"))
+        return Success(rows[0])
+
+    async def _write(self, record, previous):
+        change = Operation(CHANGES_KEY, record.key_id.encode())
+        return await self._records.write(
+            KEYS_PREFIX + record.key_hash, record.to_bytes(), previous, extra=[change]
+        )
--- a/mangogauge/platform/gateway.py
+++ b/mangogauge/platform/gateway.py
@@ -64,7 +64,9 @@
         answer = await self._call("/v3/kv/range", {"key": _encode(key)})
         return answer.map(_read_first)
 
-    async def list_prefix(self, prefix, limit=0, start_after="", keys_only=False):
+    async def list_prefix(
+        self, prefix, limit=0, start_after="", keys_only=False, min_mod_revision=0
+    ):
         """Return ``Success(list of KeyValue)`` in order of keys."""
         start = start_after + "\0" if start_after else prefix
         request = {
@@ -72,6 +74,7 @@
             "range_end": _encode(_end_of_prefix(prefix)),
             "limit": str(limit),
             "keys_only": keys_only,
+            "min_mod_revision": str(min_mod_revision),
         }
         answer = await self._call("/v3/kv/range", request)
         return answer.map(_read_all)
--- a/mangogauge/platform/keyspace.py
+++ b/mangogauge/platform/keyspace.py
@@ -39,12 +39,15 @@
         self.revision = 1
         self.history = deque(maxlen=HISTORY_EVENTS)
 
-    def get_range(self, start, end, limit=0):
+    def get_range(self, start, end, limit=0, min_mod_revision=0):
         """Return the keys from `start` up to, but without, `end`."""
         self.expire_leases()
         found = []
         for key in self._items.irange(start, end, inclusive=(True, False)):
-            found.append(self._items[key])
+            item = self._items[key]
+            if item.mod_revision < min_mod_revision:
+                continue
+            found.append(item)
             if limit and len(found) >= limit:
                 break
         return found
--- a/mangogauge/platform/memory.py
+++ b/mangogauge/platform/memory.py
@@ -28,11 +28,13 @@
         """Return ``Success(KeyValue or None)``."""
         return Success(self.keyspace.get(key))
 
-    async def list_prefix(self, prefix, limit=0, start_after="", keys_only=False):
+    async def list_prefix(
+        self, prefix, limit=0, start_after="", keys_only=False, min_mod_revision=0
+    ):
         """Return ``Success(list of KeyValue)`` in order of keys."""
         start = start_after + "\0" if start_after else prefix
         end = prefix[:-1] + chr(ord(prefix[-1]) + 1)
-        return Success(self.keyspace.get_range(start, end, limit))
+        return Success(self.keyspace.get_range(start, end, limit, min_mod_revision))
 
     async def transact(self, transaction):
         """Return ``Success(TransactionResult)``."""
--- a/mangogauge/platform/records.py
+++ b/mangogauge/platform/records.py
@@ -21,7 +21,7 @@
     Transaction,
 )
 
-__all__ = ["Commit", "Conflict", "RecordStore", "StoredRecord"]
+__all__ = ["Commit", "Conflict", "RecordStore", "StoredRecord", "make_record"]
 
 WRITE_IDS_KEPT = 16
 SETTLE_INTERVAL = 0.2
@@ -90,9 +90,11 @@
         """Return ``Success(StoredRecord or None)``."""
         return (await self.store.get(key)).bind(_decode_optional)
 
-    async def list_prefix(self, prefix, limit=0, start_after=""):
+    async def list_prefix(self, prefix, limit=0, start_after="", min_mod_revision=0):
         """Return ``Success(list of StoredRecord)``."""
-        found = await self.store.list_prefix(prefix, limit, start_after)
+        found = await self.store.list_prefix(
+            prefix, limit, start_after, min_mod_revision=min_mod_revision
+        )
         return found.bind(_decode_all)
 
     async def write(self, key, payload, previous=None, lease=0, extra=()):
@@ -168,18 +170,24 @@
             await curio.sleep(SETTLE_INTERVAL)
 
 
-def _make_transaction(key, payload, previous, lease, extra, write_id):
-    revision = previous.revision if previous else 0
-    earlier = previous.write_ids[: WRITE_IDS_KEPT - 1] if previous else ()
+def make_record(payload, write_id="", earlier_write_ids=()):
+    """Return the bytes of a record, for use in an `Operation` of one's own."""
     record = Record(
-        write_id=write_id,
-        earlier_write_ids=earlier,
+        write_id=write_id or uuid.uuid4().hex,
+        earlier_write_ids=earlier_write_ids,
         checksum=xxhash.xxh3_64_intdigest(payload),
         payload=payload,
     )
+    return record.SerializeToString()
+
+
+def _make_transaction(key, payload, previous, lease, extra, write_id):
+    revision = previous.revision if previous else 0
+    earlier = previous.write_ids[: WRITE_IDS_KEPT - 1] if previous else ()
+    record = make_record(payload, write_id, earlier)
     conditions = [Condition(key, revision)]
     conditions += [part for part in extra if isinstance(part, Condition)]
-    operations = [Operation(key, record.SerializeToString(), lease)]
+    operations = [Operation(key, record, lease)]
     operations += [part for part in extra if isinstance(part, Operation)]
     return Transaction(conditions, operations)
 
--- a/mangogauge/platform/store.py
+++ b/mangogauge/platform/store.py
@@ -149,7 +149,9 @@
         """Return ``Success(KeyValue or None)``."""
 
     @abstractmethod
-    async def list_prefix(self, prefix, limit=0, start_after="", keys_only=False):
+    async def list_prefix(
+        self, prefix, limit=0, start_after="", keys_only=False, min_mod_revision=0
+    ):
         """Return ``Success(list of KeyValue)`` in order of keys.
 
         Parameters
@@ -161,6 +163,8 @@
             Key, with its prefix, after which the list starts.
         keys_only : bool, optional
             Leave the values empty.
+        min_mod_revision : int, optional
+            Only keys that changed at this revision of the store or later.
         """
 
     @abstractmethod
--- a/mangogauge/settings/fleet.py
+++ b/mangogauge/settings/fleet.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from attrs import field, frozen
+from attrs import evolve, field, frozen
 
 from .kinds import (
     AddressKind,
@@ -24,6 +24,7 @@
     "Endpoint",
     "EndpointKind",
     "FleetSettings",
+    "KeySettings",
     "LimitSettings",
     "Model",
     "Route",
@@ -197,6 +198,20 @@
     slots = make_option(IntegerKind(1, 1024), default=16)
 
 
+@frozen
+class KeySettings:
+    """How callers' keys are handled.
+
+    Parameters
+    ----------
+    trust_seconds : float
+        For how long a host that hears neither from the platform nor from a
+        peer that does goes on trusting the keys that it knows.
+    """
+
+    trust_seconds = make_option(NumberKind(10, 30 * DAY_SECONDS, "seconds"), 14_400.0)
+
+
 @frozen
 class FleetSettings:
     """All that is shared, as one data centre sees it.
@@ -208,6 +223,7 @@
     accounts, routes, models, endpoints, data_centres : dict
         By name.
     limits : LimitSettings
+    keys : KeySettings
     """
 
     version = field(default=0)
@@ -217,6 +233,7 @@
     endpoints = field(factory=dict)
     data_centres = field(factory=dict)
     limits = field(factory=LimitSettings)
+    keys = field(factory=KeySettings)
 
 
 NAMED_SECTIONS = {
@@ -226,7 +243,7 @@
     "endpoint": ("endpoints", Endpoint),
     "data_centre": ("data_centres", DataCentre),
 }
-SINGLE_SECTIONS = {"limits": LimitSettings}
+SINGLE_SECTIONS = {"limits": LimitSettings, "keys": KeySettings}
 
 
 def read_fleet(documents, data_centre, version=0):
@@ -263,15 +280,7 @@
         settings = _read_merged(base, {}, BASE_FILE, problems)
     if problems:
         raise SettingsError(dict.fromkeys(problems))
-    return _with_version(settings, version)
-
-
-def _with_version(settings, version):
-    values = {
-        name: getattr(settings, name)
-        for name in ("accounts", "routes", "models", "endpoints", "data_centres")
-    }
-    return FleetSettings(version=version, limits=settings.limits, **values)
+    return evolve(settings, version=version)
 
 
 def _read_merged(base, overlay, file, problems):
@@ -287,10 +296,8 @@
             singles[section] = reader.read(section, options, SINGLE_SECTIONS[section])
         else:
             reader.check_section(section, [*NAMED_SECTIONS, *SINGLE_SECTIONS])
-    settings = FleetSettings(
-        limits=singles.get("limits") or LimitSettings(),
-        **groups,
-    )
+    given = {name: value for name, value in singles.items() if value is not None}
+    settings = FleetSettings(**groups, **given)
     _check_references(settings, SectionReader(file, problems))
     return settings
 
--- a/mangogauge/standins/platform.py
+++ b/mangogauge/standins/platform.py
@@ -94,7 +94,8 @@
         if "range_end" in request:
             end = _decode(request["range_end"])
             limit = int(request.get("limit", 0))
-            items = self.keyspace.get_range(start, end, limit)
+            since = int(request.get("min_mod_revision", 0))
+            items = self.keyspace.get_range(start, end, limit, since)
         else:
             item = self.keyspace.get(start)
             items = [item] if item else []
