Prove distribution of configuration and keys under failure

Cause: two features failed first: a host restarted while the platform was away never became ready, since a peer's empty key replica (position 0) was not ahead of a copy that had never been filled; and a read whose answer was lost was reported as 'not known whether recorded'. Change: a copy that was never filled takes any peer's; a lost answer to a read is 'unavailable'. Ruled out: waiting longer (the restarted host stayed unready for 60 s).

--- a/features/builders/world.py
+++ b/features/builders/world.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 import orjson
+from attrs import field, frozen
 
 from .callers import Caller
 from .processes import Process, wait_until
@@ -20,6 +21,19 @@
 _numbers = itertools.count()
 
 
+@frozen
+class CommandOutcome:
+    """How a command ended."""
+
+    code = field()
+    lines = field()
+    errors = field()
+
+    @property
+    def json(self):
+        return orjson.loads(self.lines[-1])
+
+
 def _make_address():
     # Addresses of 127.0.0.0/8 that no other process uses: no port can clash.
     pid = os.getpid()
@@ -51,6 +65,7 @@
         self.data_centres = ["a", "b"]
         self.extra = ""
         self.overlays = {}
+        self.listens = {}
         self.platform_address = ""
         self._ports = itertools.count(FIRST_PORT)
         self._secret_file = self.folder / "secret"
@@ -113,12 +128,45 @@
             "POST", "/control", orjson.dumps({link: changes})
         )
 
+    def reserve_host(self, name):
+        """Return a host's ports before it starts: callers, peers, operators."""
+        if name not in self.hosts:
+            self.hosts[name] = [self.take_port() for _ in range(3)]
+        return self.hosts[name]
+
+    def start_hosts_behind_proxy(self, **hosts):
+        """Start hosts, name to data centre, whose every link can be cut.
+
+        The links of host ``a1`` are ``a1-platform`` (from it to the platform)
+        and ``a1-peers`` (from its peers to it).
+        """
+        links = {}
+        for name in hosts:
+            peer_port = self.reserve_host(name)[1]
+            links[f"{name}-platform"] = self.platform_address
+            links[f"{name}-peers"] = f"{self.address}:{peer_port}"
+        self.listens = self.start_proxy(**links)
+        for name, data_centre in hosts.items():
+            self.start_host_behind_proxy(name, data_centre, ready=False)
+        for name in hosts:
+            self.wait_until_ready(name)
+
+    def start_host_behind_proxy(self, name, data_centre, ready=True):
+        """Start one of those hosts, or start it again."""
+        return self.start_host(
+            name,
+            data_centre,
+            platform=self.listens[f"{name}-platform"],
+            advertised=self.listens[f"{name}-peers"],
+            seeds=[self.listens[f"{other}-peers"] for other in self.hosts],
+            ready=ready,
+        )
+
     def start_host(
         self, name, data_centre="a", platform="", seeds=(), ready=True, **options
     ):
         """Start an entry host and wait until it is ready."""
-        if name not in self.hosts:
-            self.hosts[name] = [self.take_port() for _ in range(3)]
+        self.reserve_host(name)
         path = self.folder / f"{name}.ini"
         path.write_text(
             make_host_file(
@@ -190,6 +238,17 @@
         lines = done.stdout.splitlines()
         return orjson.loads(lines[-1]) if lines else {}
 
+    def run_for_code(self, *arguments):
+        """Run a command and return its exit code, output lines and errors."""
+        command = [sys.executable, "-m", "mangogauge", *map(str, arguments)]
+        done = subprocess.run(command, capture_output=True, timeout=300)
+        lines = done.stdout.decode().splitlines()
+        return CommandOutcome(done.returncode, lines, done.stderr.decode())
+
+    def read_state(self, host):
+        """Return what a host's operators' port says of it."""
+        return self.get_operator(host).request("GET", "/state").json
+
     def get_caller(self, host, key=""):
         """Return a caller of a host."""
         return Caller(self.address, self.hosts[host][0], key)
--- a/mangogauge/distribution/distributor.py
+++ b/mangogauge/distribution/distributor.py
@@ -115,7 +115,7 @@
         ahead = [
             member
             for member in self._view.list_members(with_leaving=True)
-            if self._read_position(member.name, replica) > replica.position
+            if self._is_ahead(member.name, replica)
         ]
         self._random.shuffle(ahead)
         own = self._view.own
@@ -176,8 +176,12 @@
             for replica in self.replicas
         )
 
-    def _read_position(self, name, replica):
-        return int(self._view.read(name, replica.name) or 0)
+    def _is_ahead(self, name, replica):
+        published = self._view.read(name, replica.name)
+        if published is None:
+            return False
+        # A copy that has never been filled takes any peer's, also an empty one.
+        return not replica.loaded or int(published) > replica.position
 
     def _read_counter(self, name):
         return int(self._view.read(name, READS_ENTRY) or 0)
--- a/mangogauge/platform/gateway.py
+++ b/mangogauge/platform/gateway.py
@@ -28,6 +28,8 @@
 __all__ = ["GatewayStore"]
 
 DEFAULT_TIMEOUT = 2.0
+# What a lost answer means: a read has no effect that could be unknown.
+READ_ERRORS = {"/v3/kv/range": StoreUnavailableError}
 JSON_HEADERS = Headers([("Content-Type", "application/json")])
 
 
@@ -168,7 +170,8 @@
             return Failure(StoreUnavailableError(error.message, step=path, peer=peer))
         except (HTTPError, curio.TaskTimeout) as error:
             self._rotate()
-            return Failure(StoreLostAnswerError(repr(error), step=path, peer=peer))
+            lost = READ_ERRORS.get(path, StoreLostAnswerError)
+            return Failure(lost(repr(error), step=path, peer=peer))
         if response.status != 200:
             message = f"Status {response.status}: {body[:200]!r}."
             return Failure(StoreRefusedError(message, step=path, peer=peer))
