--- a/mangogauge/distribution/confirmations.py
+++ b/mangogauge/distribution/confirmations.py
@@ -41,12 +41,15 @@
     secret : str
         The operators' secret.
     clock : Clock
+    interval : float, optional
+        Seconds between two rounds of questions.
     """
 
-    def __init__(self, roster, secret, clock):
+    def __init__(self, roster, secret, clock, interval=ASK_INTERVAL):
         self._roster = roster
         self._secret = secret
         self._clock = clock
+        self._interval = interval
 
     async def wait(self, replica_name, position, seconds, on_progress=None):
         """Wait until every listed host has reached `position`.
@@ -82,7 +85,7 @@
                 on_progress(outcome)
             if not outcome.missing or outcome.seconds >= seconds:
                 return Success(outcome)
-            await curio.sleep(ASK_INTERVAL)
+            await curio.sleep(self._interval)
 
     async def _ask_all(self, entries, replica_name, position, confirmed):
         async with curio.TaskGroup() as group:
