Limits: ledger, loans and slots, first cut

Cause: each host gave every account its whole rate alone. Ruled out: fractions of every account on every host, since at 410 hosts nearly each fraction is under one token. Change: slots of accounts at the platform, loans between hosts, fleet limiter wired into the host.

--- a/mangogauge/daemon/host.py
+++ b/mangogauge/daemon/host.py
@@ -10,7 +10,16 @@
 from ..gateway import Dispatcher, Front
 from ..http import ClientPool, HTTPServer
 from ..keys import KeyRing, KeyStore, KeyWatcher
-from ..limits import LocalLimiter
+from ..limits import (
+    ClaimPlanner,
+    FleetLimiter,
+    HostBudget,
+    LenderDirectory,
+    LoanExchange,
+    Owner,
+    SlotKeeper,
+    read_machine_identity,
+)
 from ..membership import Member, MembershipExchange, MembershipView, new_incarnation
 from ..platform import GatewayStore, RecordStore
 from ..protocol import ChannelPool, ProtocolServer
@@ -87,7 +96,18 @@
         self.parts.append(exchange)
 
     def _make_limits(self):
-        self.limiter = LocalLimiter(self.clock)
+        settings, member = self.settings, self.member
+        ports = (settings.callers_port, settings.peer_port, settings.operator_port)
+        addresses = [f"{settings.address}:{port}" for port in ports]
+        machine = read_machine_identity(addresses) if all(ports) else ""
+        owner = Owner(member.name, member.incarnation, machine)
+        budget = HostBudget(self.clock, f"{member.name}#{member.incarnation}")
+        planner = ClaimPlanner(owner, self.random, self.clock)
+        keeper = SlotKeeper(budget, planner, self.records, self.view, self.clock)
+        directory = LenderDirectory(self.view, self.clock)
+        exchange = LoanExchange(budget, directory, self.channels, self.clock)
+        self.limiter = FleetLimiter(budget, exchange, self.clock)
+        self.parts += [keeper, exchange]
 
     def _make_routing(self):
         self.router = LeastLoadedRouter(self.settings.data_centre, self.random)
--- a/mangogauge/gateway/front.py
+++ b/mangogauge/gateway/front.py
@@ -90,7 +90,7 @@
         route = self._find_route(exchange)
         labels.route = route.name
         labels.account = self._identify(exchange, route)
-        self._admit(labels.account)
+        await self._admit(labels.account)
         call = await self._read_call(exchange, request_id, route, labels.account)
         await self._dispatcher.dispatch(call, ExchangeSink(exchange, request_id))
 
@@ -127,10 +127,10 @@
             raise Refusal(RefusalCode.KEY_UNKNOWN, "This key does not work.")
         return record
 
-    def _admit(self, account):
+    async def _admit(self, account):
         if not account:
             return
-        admission = self._limiter.admit(account)
+        admission = await self._limiter.admit(account)
         if not admission.admitted:
             raise Refusal(
                 RefusalCode.RATE_EXCEEDED,
--- /dev/null
+++ b/mangogauge/limits/budget.py
@@ -0,0 +1,280 @@
+"""What one host may admit: its rights and loans for all client accounts."""
+
+import itertools
+
+from attrs import define, field, frozen
+
+from .demand import DemandEstimate
+from .ledger import AccountLedger, LoanGrant
+from .rights import HostRights
+
+__all__ = ["HostBudget", "Wanted"]
+
+FLOAT_SECONDS = 0.5
+PREFETCH_SECONDS = 0.3
+STEADY_REQUESTS = 2.0
+HEADROOM = 1.2
+WORTHWHILE_SHARE = 0.1
+BORROWER_SECONDS = 2.0
+IDLE_DEMAND = 0.01
+SHORTEST_REFUSAL = 0.05
+LONGEST_REFUSAL = 0.5
+
+
+@frozen
+class Wanted:
+    """What is to be borrowed: parts of rate and burst, tokens, seconds."""
+
+    rate = field()
+    burst = field()
+    tokens = field()
+    seconds = field()
+    demand = field()
+
+
+@define(eq=False)
+class _Borrower:
+    demand = field(default=0.0)
+    seen_at = field(default=0.0)
+
+
+@define(eq=False)
+class _AccountState:
+    ledger = field()
+    demand = field()
+    borrowers = field(factory=dict)
+    waiting = field(default=0.0)
+    refused_until = field(default=0.0)
+    reach = field(default=0.0)
+
+
+class HostBudget:
+    """Budgets of all accounts at one host.
+
+    Parameters
+    ----------
+    clock : Clock
+    name : str
+        Name of this host's run, told to lenders.
+    """
+
+    def __init__(self, clock, name):
+        self._clock = clock
+        self.name = name
+        self.rights = HostRights()
+        self.loan_seconds = 2.0
+        self._accounts = {}
+        self._removed = set()
+        self._states = {}
+        self._sequences = itertools.count(1)
+
+    def set_accounts(self, accounts):
+        """Take new rates and bursts: ``{name: ClientAccount}``."""
+        now = self._clock.read_elapsed()
+        self._removed |= set(self._accounts) - set(accounts)
+        self._accounts = dict(accounts)
+        for name, state in self._states.items():
+            # The ledger of a removed account stays, empty: what it has lent
+            # out must be known if the account comes back.
+            rate, burst = self._get_terms(name)
+            state.ledger.change(rate, burst, now)
+
+    def knows(self, account):
+        """Return whether there is such an account."""
+        return account in self._accounts
+
+    def covers(self, account):
+        """Return whether this host holds rights for an account."""
+        return bool(self.rights.find(account))
+
+    def take(self, account, cost):
+        """Take from the budget at hand; return whether it was enough."""
+        return self._get_state(account).ledger.take(cost, self._clock.read_elapsed())
+
+    def note_demand(self, account, cost):
+        """Count a request."""
+        now = self._clock.read_elapsed()
+        self._get_state(account).demand.note(cost, now)
+
+    def add_waiting(self, account, cost):
+        """Count tokens that someone waits for; negative when no longer."""
+        state = self._get_state(account)
+        state.waiting = max(0.0, state.waiting + cost)
+
+    def lacks(self, account, amount):
+        """Return whether fewer than `amount` tokens are at hand."""
+        state = self._get_state(account)
+        state.ledger.settle(self._clock.read_elapsed())
+        return state.ledger.tokens < amount
+
+    def get_refusal(self, account):
+        """Return seconds for which asking lenders again is no use; 0 if it is."""
+        now = self._clock.read_elapsed()
+        return max(0.0, self._get_state(account).refused_until - now)
+
+    def estimate_wait(self, account, cost):
+        """Return seconds until a token will be there, over all lenders asked."""
+        now = self._clock.read_elapsed()
+        state = self._get_state(account)
+        rate, _ = state.ledger.get_held(now)
+        reach = min(1.0, max(rate, 0.0) + state.reach)
+        accrual = reach * state.ledger.rate
+        if accrual <= 0:
+            return float("inf")
+        return max(0.0, cost - state.ledger.tokens) / accrual
+
+    def note_short(self, account, cost, reach):
+        """Take note that the lenders asked have not enough just now."""
+        state = self._get_state(account)
+        state.reach = reach
+        wait = self.estimate_wait(account, cost)
+        wait = min(max(wait, SHORTEST_REFUSAL), LONGEST_REFUSAL)
+        state.refused_until = self._clock.read_elapsed() + wait
+
+    def plan_borrowing(self, account):
+        """Return what is to be borrowed now, as `Wanted`, or None."""
+        state = self._get_state(account)
+        ledger, now = state.ledger, self._clock.read_elapsed()
+        ledger.settle(now)
+        if ledger.rate <= 0 or ledger.burst <= 0:
+            return None
+        demand = self._sum_demand(state, now)
+        seconds = min(self.loan_seconds, self.rights.loan_seconds)
+        steady = demand * seconds >= STEADY_REQUESTS
+        rate, burst = ledger.get_held(now)
+        more_rate = 0.0
+        if steady:
+            more_rate = min(1.0, max(0.0, demand * HEADROOM / ledger.rate - rate))
+        stock = min(demand * PREFETCH_SECONDS, ledger.burst) if steady else 0.0
+        target = max(state.waiting, stock)
+        tokens = max(0.0, target - ledger.tokens)
+        if not self._is_worthwhile(state, more_rate, tokens, stock):
+            return None
+        more_burst = max(0.0, max(target, 1.0) / ledger.burst - burst, more_rate)
+        seconds = seconds if steady else min(seconds, FLOAT_SECONDS)
+        return Wanted(more_rate, min(1.0, more_burst), tokens, seconds, demand)
+
+    def list_to_renew(self, account, within):
+        """Return lenders whose loans are still needed and end soon."""
+        state = self._get_state(account)
+        now = self._clock.read_elapsed()
+        if self._sum_demand(state, now) * self.loan_seconds < STEADY_REQUESTS:
+            return []
+        return state.ledger.list_lenders(now, within)
+
+    def list_active(self):
+        """Return accounts with recent demand."""
+        now = self._clock.read_elapsed()
+        return [
+            name
+            for name, state in self._states.items()
+            if self._sum_demand(state, now) > IDLE_DEMAND
+        ]
+
+    def make_request(self, account, lender, wanted=None):
+        """Return the `LoanRequest` to send to `lender`."""
+        state = self._get_state(account)
+        now = self._clock.read_elapsed()
+        state.ledger.settle(now)
+        sequence = next(self._sequences)
+        if wanted is None:
+            demand = self._sum_demand(state, now)
+            wanted = Wanted(0.0, 0.0, 0.0, self.loan_seconds, demand)
+        return state.ledger.make_request(
+            lender,
+            self.name,
+            sequence,
+            rate=wanted.rate,
+            burst=wanted.burst,
+            tokens=wanted.tokens,
+            seconds=wanted.seconds,
+            demand=wanted.demand,
+        )
+
+    def take_grant(self, account, lender, grant, sent_at):
+        """Take in a lender's `LoanGrant`; None if there was no answer."""
+        ledger = self._get_state(account).ledger
+        if grant is None:
+            ledger.drop_request(lender)
+            return
+        ledger.take_grant(lender, grant, sent_at, self._clock.read_elapsed())
+
+    def note_borrower(self, account, borrower, demand):
+        """Take note of a borrower's demand within the data centre."""
+        now = self._clock.read_elapsed()
+        self._get_state(account).borrowers[borrower] = _Borrower(demand, now)
+
+    def lend(self, account, request, reserve):
+        """Answer a `LoanRequest`.
+
+        Parameters
+        ----------
+        account : str
+        request : LoanRequest
+        reserve : bool
+            Whether this host keeps what it and its own borrowers need.
+        """
+        if account not in self._accounts:
+            return LoanGrant(request.sequence)
+        state = self._get_state(account)
+        now = self._clock.read_elapsed()
+        kept_rate = kept_tokens = 0.0
+        if reserve and state.ledger.rate > 0:
+            demand = self._sum_demand(state, now)
+            kept_rate = demand * HEADROOM / state.ledger.rate
+            kept_tokens = state.waiting + demand * PREFETCH_SECONDS
+        longest = min(self.loan_seconds, self.rights.loan_seconds)
+        request = request.shorten(longest)
+        grant = state.ledger.lend(request, now, kept_rate, kept_tokens)
+        return grant or LoanGrant(0)
+
+    def sweep(self):
+        """Forget accounts that are idle; a fresh ledger would be the same."""
+        now = self._clock.read_elapsed()
+        idle = [
+            name
+            for name, state in self._states.items()
+            if name in self._accounts
+            and not state.waiting
+            and name not in self._removed
+            and self._sum_demand(state, now) < IDLE_DEMAND
+            and state.ledger.is_idle(now)
+        ]
+        for name in idle:
+            del self._states[name]
+
+    def _get_state(self, account):
+        state = self._states.get(account)
+        now = self._clock.read_elapsed()
+        rights = self.rights.find(account)
+        if state is None:
+            rate, burst = self._get_terms(account)
+            ledger = AccountLedger(rate, burst, rights, now)
+            if account in self._removed:
+                ledger.empty()
+            state = self._states[account] = _AccountState(ledger, DemandEstimate(now))
+        state.ledger.set_rights(rights, now)
+        return state
+
+    def _get_terms(self, account):
+        known = self._accounts.get(account)
+        return (known.rate, known.burst) if known else (0.0, 0.0)
+
+    def _sum_demand(self, state, now):
+        """Return demand that neither own nor lent rate serves yet."""
+        unmet = 0.0
+        for name, borrower in list(state.borrowers.items()):
+            if now - borrower.seen_at > BORROWER_SECONDS:
+                del state.borrowers[name]
+                continue
+            served = state.ledger.get_lent_rate(name) * state.ledger.rate
+            unmet += max(0.0, borrower.demand - served)
+        return state.demand.read(now) + unmet
+
+    def _is_worthwhile(self, state, more_rate, tokens, stock):
+        if state.waiting > state.ledger.tokens:
+            return True
+        needed = state.demand.read(self._clock.read_elapsed()) * HEADROOM
+        if more_rate * state.ledger.rate > WORTHWHILE_SHARE * max(needed, 1.0):
+            return True
+        return tokens > stock / 2
--- /dev/null
+++ b/mangogauge/limits/claims.py
@@ -0,0 +1,199 @@
+"""Decide what a host does next with its data centre's slots."""
+
+import math
+
+from attrs import evolve, field, frozen
+
+from .ledger import LOAN_MARGIN
+from .placement import target_of_slot
+from .slots import Part, Suspicion
+
+__all__ = ["ClaimPlanner", "Plan"]
+
+DRIFT_SHARE = 0.01
+REFUSAL_SECONDS = 2.0
+
+
+@frozen
+class Plan:
+    """The next table, and the owners whose leases must have lapsed for it.
+
+    Parameters
+    ----------
+    table : SlotTable
+    absent : tuple of Owner
+    """
+
+    table = field()
+    absent = field()
+
+
+class ClaimPlanner:
+    """Plans claims, suspicions and releases of one host.
+
+    Parameters
+    ----------
+    own : Owner
+    random : random.Random
+        Source of suspicions' numbers.
+    clock : Clock
+
+    Notes
+    -----
+    The caller writes a plan's table on condition that the record is as it was
+    read and that the absent owners' lease keys are absent.
+    """
+
+    def __init__(self, own, random, clock):
+        self.own = own
+        self._random = random
+        self._clock = clock
+        self._bound_at = None
+        self._suspected_at = {}
+        self._releasing = {}
+        self._refused_until = {}
+
+    def note_bound(self):
+        """Take note that this process has bound its ports.
+
+        Notes
+        -----
+        An earlier process of the same name on the same machine, which had
+        bound them, has ended by now.
+        """
+        self._bound_at = self._clock.read_elapsed()
+
+    @property
+    def releasing(self):
+        """Slots that this host has stopped using in order to release them."""
+        return frozenset(self._releasing)
+
+    def plan(self, table, live_names, terms, now, leaving=False):
+        """Return a `Plan`, or None if nothing is to be changed.
+
+        Parameters
+        ----------
+        table : SlotTable
+        live_names : collection of str
+            Live hosts of this data centre, this one included.
+        terms : Terms
+            For slots that are wholly free.
+        now : float
+        leaving : bool, optional
+            Whether this host is about to end.
+        """
+        changes, suspects = {}, {}
+        for number, slot in enumerate(table.slots):
+            if leaving or target_of_slot(number, live_names) != self.own.name:
+                changed = self._release(number, slot, now)
+            else:
+                self._releasing.pop(number, None)
+                changed = self._claim(slot, terms)
+                self._suspect(number, changed, live_names, now, suspects)
+            if changed != slot:
+                changes[number] = changed
+        if changes:
+            return Plan(table.with_slots(changes), ())
+        for owner, slots in suspects.items():
+            if self._refused_until.get(owner, now) <= now:
+                return Plan(table.with_slots(slots), (owner,))
+        return None
+
+    def note_refused(self, plan, now):
+        """Take note that a plan was not recorded."""
+        for owner in plan.absent:
+            self._refused_until[owner] = now + REFUSAL_SECONDS
+
+    def note_written(self, table, now):
+        """Take note that a planned table was recorded, at the latest now."""
+        for number, slot in enumerate(table.slots):
+            for part in slot.parts.values():
+                if part.suspicion and part.suspicion.taker == self.own:
+                    self._suspected_at.setdefault(part.suspicion.number, now)
+            if number in self._releasing and not self._owns_any(slot):
+                del self._releasing[number]
+
+    def clear_suspicions(self, table):
+        """Return a table without suspicions of this host, or None if none."""
+        changes = {}
+        for number, slot in enumerate(table.slots):
+            for kind, part in slot.parts.items():
+                if part.owner == self.own and part.suspicion is not None:
+                    slot = slot.with_part(kind, Part(self.own))
+            if slot is not table.slots[number]:
+                changes[number] = slot
+        return table.with_slots(changes) if changes else None
+
+    def is_settled(self, table, live_names):
+        """Return whether all that this host should hold is its own."""
+        if not live_names:
+            return False
+        return all(
+            (target_of_slot(number, live_names) == self.own.name)
+            == (slot.durable.owner == self.own and slot.leased.owner == self.own)
+            for number, slot in enumerate(table.slots)
+        )
+
+    def has_forerunner(self, slot):
+        """Return whether an earlier run of this host owns a part of a slot."""
+        owners = [part.owner for part in slot.parts.values()]
+        return any(owner and self._is_forerunner(owner) for owner in owners)
+
+    def find_start(self, slot):
+        """Return when a slot that was claimed of this host's forerunner starts."""
+        return self._bound_at + slot.terms.loan_seconds + LOAN_MARGIN
+
+    def _claim(self, slot, terms):
+        if slot.is_free:
+            part = Part(self.own)
+            return evolve(slot, durable=part, leased=part, terms=terms)
+        for kind, part in slot.parts.items():
+            if part.owner is None or self._is_forerunner(part.owner):
+                slot = slot.with_part(kind, Part(self.own))
+        return slot
+
+    def _suspect(self, number, slot, live_names, now, suspects):
+        """Add what may be done about parts whose owners seem to be gone."""
+        for kind, part in slot.parts.items():
+            if part.owner == self.own or self._is_live(part.owner, live_names):
+                continue
+            changed = self._judge_suspect(slot, kind, part, now)
+            if changed != part:
+                slots = suspects.setdefault(part.owner, {})
+                slots[number] = slots.get(number, slot).with_part(kind, changed)
+
+    def _judge_suspect(self, slot, kind, part, now):
+        suspicion = part.suspicion
+        if suspicion is None or suspicion.taker != self.own:
+            number = self._random.getrandbits(63)
+            return Part(part.owner, Suspicion(self.own, number))
+        since = self._suspected_at.get(suspicion.number, math.inf)
+        wait = slot.terms.get_wait(kind) * (1 + DRIFT_SHARE) + LOAN_MARGIN
+        return Part(self.own) if now >= since + wait else part
+
+    def _is_live(self, owner, live_names):
+        return owner.name in live_names and owner.name != self.own.name
+
+    def _release(self, number, slot, now):
+        if not self._owns_any(slot):
+            self._releasing.pop(number, None)
+            return slot
+        stopped = self._releasing.setdefault(number, now)
+        if now < stopped + slot.terms.loan_seconds + LOAN_MARGIN:
+            return slot
+        for kind, part in slot.parts.items():
+            if part.owner == self.own:
+                slot = slot.with_part(kind, Part())
+        return slot
+
+    def _is_forerunner(self, owner):
+        return (
+            self._bound_at is not None
+            and bool(self.own.machine)
+            and owner.name == self.own.name
+            and owner.machine == self.own.machine
+            and owner.incarnation < self.own.incarnation
+        )
+
+    def _owns_any(self, slot):
+        return any(part.owner == self.own for part in slot.parts.values())
--- /dev/null
+++ b/mangogauge/limits/directory.py
@@ -0,0 +1,95 @@
+"""Which hosts may lend budget of an account, and whom to ask first."""
+
+import xxhash
+from attrs import field, frozen
+
+from ..protocol.limits_pb2 import HeldSlots
+from .keeper import HELD_SLOTS_ENTRY
+from .placement import find_slots
+
+__all__ = ["Lender", "LenderDirectory"]
+
+REFRESH_SECONDS = 0.5
+
+
+@frozen
+class Lender:
+    """A host that holds slots.
+
+    Parameters
+    ----------
+    key : str
+        Name and incarnation.
+    address : str
+    data_centre : str
+    """
+
+    key = field()
+    address = field()
+    data_centre = field()
+
+
+class LenderDirectory:
+    """Holders of slots by what they say of themselves.
+
+    Parameters
+    ----------
+    view : MembershipView
+    clock : Clock
+
+    Notes
+    -----
+    Only a hint: whether a host may lend is decided by its own rights.
+    """
+
+    def __init__(self, view, clock):
+        self._view = view
+        self._clock = clock
+        self._refreshed_at = None
+        self._holders = {}
+        self._slot_counts = {}
+
+    def find_lenders(self, account):
+        """Return lenders of an account, those to be asked first first."""
+        self._refresh()
+        near, far = [], []
+        for data_centre, count in self._slot_counts.items():
+            group = near if data_centre == self._view.own.data_centre else far
+            for slot in find_slots(account, count):
+                group += self._holders.get((data_centre, slot), [])
+        own = self._view.own.name
+        near = _order(near, f"{own}/{account}")
+        far = _order(far, f"{self._view.own.data_centre}/{account}")
+        return list(dict.fromkeys([*near, *far]))
+
+    def _refresh(self):
+        now = self._clock.read_elapsed()
+        if (
+            self._refreshed_at is not None
+            and now < self._refreshed_at + REFRESH_SECONDS
+        ):
+            return
+        self._refreshed_at = now
+        self._holders, self._slot_counts = {}, {}
+        for member in self._view.list_members():
+            value = self._view.read(member.name, HELD_SLOTS_ENTRY)
+            if value is None or member.name == self._view.own.name:
+                continue
+            self._add(member, HeldSlots.FromString(value))
+
+    def _add(self, member, slots):
+        lender = Lender(
+            f"{member.name}#{member.incarnation}", member.address, member.data_centre
+        )
+        if not slots.slots:
+            return
+        self._slot_counts[member.data_centre] = slots.slots
+        for number in slots.held:
+            self._holders.setdefault((member.data_centre, number), []).append(lender)
+
+
+def _order(lenders, subject):
+    def rank(lender):
+        return xxhash.xxh3_64_intdigest(f"{subject}/{lender.key}")
+
+    return sorted(lenders, key=rank)
--- /dev/null
+++ b/mangogauge/limits/keeper.py
@@ -0,0 +1,295 @@
+"""Keeps a host's lease and its slots at the platform."""
+
+import curio
+from attrs import field, frozen
+from returns.result import Failure
+
+from ..daemon.parts import HostPart
+from ..platform import Condition, Conflict, Operation, StoreRefusedError, Transaction
+from ..protocol.limits_pb2 import DataCentreShare, DataCentreShares, HeldSlots
+from ..telemetry import get_logger
+from .ledger import LOAN_MARGIN
+from .slots import SlotTable, Terms
+
+__all__ = ["HELD_SLOTS_ENTRY", "SlotKeeper", "lease_key"]
+
+SHARES_KEY = "limits/shares"
+HELD_SLOTS_ENTRY = "limits.slots"
+TICK_SECONDS = 0.25
+READ_SECONDS = 30.0
+UNSETTLED_READ_SECONDS = 1.0
+SETTLING_SECONDS = 1.5
+RENEWALS_PER_LEASE = 3
+LONG_AGO_SECONDS = 1e9
+
+log = get_logger("limits")
+
+
+def lease_key(data_centre, owner):
+    """Return the key that hangs on a host's lease."""
+    return f"hosts/{data_centre}/{owner.name}/{owner.incarnation}"
+
+
+@frozen
+class _Contact:
+    """The last certain contact with the platform."""
+
+    lease = field()
+    sent_at = field()
+
+
+class SlotKeeper(HostPart):
+    """Claims, keeps and releases slots of the data centre's budget.
+
+    Parameters
+    ----------
+    budget : HostBudget
+    planner : ClaimPlanner
+    records : RecordStore
+    view : MembershipView
+    clock : Clock
+    """
+
+    def __init__(self, budget, planner, records, view, clock):
+        self._budget = budget
+        self._planner = planner
+        self._own = planner.own
+        self._records = records
+        self._view = view
+        self._clock = clock
+        self._data_centre = view.own.data_centre
+        self._limits = None
+        self._weights = {}
+        self._contact = None
+        self._confirmed = None
+        self._record = None
+        self._table = None
+        self._read_at = None
+        self._leaving = False
+        self._started_at = None
+        self._working = curio.Lock()
+
+    def take_fleet(self, fleet):
+        """Put newer settings in force."""
+        self._limits = fleet.limits
+        self._weights = {d.name: d.weight for d in fleet.data_centres.values()}
+        self._budget.loan_seconds = fleet.limits.loan_seconds
+
+    async def run(self):
+        """Keep the lease and the slots until cancelled."""
+        # A host binds all its ports before its parts run.
+        self._planner.note_bound()
+        async with curio.TaskGroup() as group:
+            await group.spawn(self._keep_lease)
+            await group.spawn(self._keep_slots)
+
+    async def drain(self):
+        """Release all slots once no loan of theirs can be in use."""
+        self._leaving = True
+        if self._limits is None:
+            return
+        async with self._working:
+            await self._step()
+        await curio.sleep(self._limits.loan_seconds + 2 * LOAN_MARGIN)
+        async with self._working:
+            await self._step()
+
+    async def _keep_lease(self):
+        while True:
+            if self._limits is not None:
+                await self._renew()
+            await curio.sleep(TICK_SECONDS)
+
+    async def _keep_slots(self):
+        while True:
+            if self._limits is not None and not self._leaving:
+                async with self._working:
+                    await self._step()
+            await curio.sleep(TICK_SECONDS)
+
+    async def _renew(self):
+        now = self._clock.read_elapsed()
+        contact = self._contact
+        if contact is None:
+            await self._take_lease(now)
+            return
+        if now < contact.sent_at + contact.lease.seconds / RENEWALS_PER_LEASE:
+            return
+        renewed = await self._records.store.renew_lease(contact.lease)
+        if isinstance(renewed, Failure):
+            if isinstance(renewed.failure(), StoreRefusedError):
+                self._contact = self._confirmed = None
+            return
+        self._contact = _Contact(renewed.unwrap(), now)
+        if self._confirmed == contact.lease.lease_id:
+            self._budget.rights.extend(
+                now, renewed.unwrap().valid_until, self._clock.read_elapsed()
+            )
+
+    async def _take_lease(self, now):
+        store = self._records.store
+        granted = await store.grant_lease(self._limits.lease_seconds)
+        if isinstance(granted, Failure):
+            return
+        lease = granted.unwrap()
+        key = lease_key(self._data_centre, self._own)
+        operation = Operation(key, self._own.machine.encode(), lease.lease_id)
+        put = await store.transact(Transaction((), (operation,)))
+        if not isinstance(put, Failure):
+            self._contact = _Contact(lease, now)
+
+    async def _step(self):
+        """Read what is due, confirm what is held, write what is planned."""
+        if self._contact is None or not await self._ensure_share():
+            return
+        if self._confirmed != self._contact.lease.lease_id:
+            await self._confirm()
+            return
+        if self._is_read_due() and not await self._read():
+            return
+        await self._write_plan()
+        self._publish()
+
+    async def _confirm(self):
+        """Hold again, under a new lease, what the record still gives."""
+        lease_id = self._contact.lease.lease_id
+        if not await self._read(hold=False):
+            return
+        cleared = self._planner.clear_suspicions(self._table)
+        if cleared is not None and not await self._write(cleared, ()):
+            return
+        if self._contact and self._contact.lease.lease_id == lease_id:
+            self._confirmed = lease_id
+            self._hold()
+            self._publish()
+
+    def _is_read_due(self):
+        now = self._clock.read_elapsed()
+        if self._read_at is None:
+            return True
+        settled = self._planner.is_settled(self._table, self._list_names())
+        return now >= self._read_at + (
+            READ_SECONDS if settled else UNSETTLED_READ_SECONDS
+        )
+
+    async def _read(self, hold=True):
+        key = f"limits/slots/{self._data_centre}"
+        found = await self._records.read(key)
+        if isinstance(found, Failure):
+            return False
+        self._read_at = self._clock.read_elapsed()
+        self._take_record(found.unwrap())
+        if hold:
+            self._hold()
+        return True
+
+    def _take_record(self, record):
+        self._record = record
+        if record is None:
+            self._table = SlotTable.make_empty(self._limits.slots)
+        else:
+            self._table = SlotTable.from_bytes(record.payload)
+
+    async def _write_plan(self):
+        now = self._clock.read_elapsed()
+        names = self._list_names()
+        if not names:
+            return
+        terms = Terms(
+            self._limits.durable_share,
+            self._limits.outage_horizon,
+            self._limits.loan_seconds,
+            float(self._limits.lease_seconds),
+        )
+        plan = self._planner.plan(self._table, names, terms, now, self._leaving)
+        self._budget.rights.drop(self._planner.releasing)
+        if plan is None:
+            return
+        before = self._table
+        if not await self._write(plan.table, plan.absent):
+            self._planner.note_refused(plan, self._clock.read_elapsed())
+            return
+        log.info("slots recorded", extra={"epoch": self._table.epoch})
+        self._hold(self._find_starts(before))
+
+    async def _write(self, table, absent):
+        """Write a table; return whether it was recorded."""
+        extra = [Condition(lease_key(self._data_centre, owner), 0) for owner in absent]
+        key = f"limits/slots/{self._data_centre}"
+        written = await self._records.write(
+            key, table.to_bytes(), self._record, extra=extra
+        )
+        self._read_at = None
+        if isinstance(written, Failure):
+            return False
+        if isinstance(written.unwrap(), Conflict):
+            self._take_record(written.unwrap().current)
+            return False
+        now = self._clock.read_elapsed()
+        if not await self._read(hold=False):
+            return False
+        self._planner.note_written(self._table, now)
+        return True
+
+    def _find_starts(self, before):
+        """Return when newly held slots start, where not now."""
+        now = self._clock.read_elapsed()
+        starts = {}
+        for number, slot in enumerate(before.slots):
+            if slot.terms is None:
+                starts[number] = now - LONG_AGO_SECONDS
+            elif self._planner.has_forerunner(slot):
+                starts[number] = max(now, self._planner.find_start(slot))
+        return starts
+
+    def _hold(self, starts=None):
+        contact = self._contact
+        if contact is None or self._confirmed != contact.lease.lease_id:
+            return
+        self._budget.rights.replace(
+            self._table,
+            self._own,
+            starts or {},
+            contact.sent_at,
+            contact.lease.valid_until,
+            self._clock.read_elapsed(),
+            without=self._planner.releasing,
+        )
+
+    def _publish(self):
+        rights = self._budget.rights
+        value = HeldSlots(slots=rights.slot_count, held=rights.held)
+        self._view.publish(HELD_SLOTS_ENTRY, value.SerializeToString())
+
+    def _list_names(self):
+        """Return live hosts of the data centre once the view has settled."""
+        now = self._clock.read_elapsed()
+        if self._started_at is None:
+            self._started_at = now
+        if now < self._started_at + SETTLING_SECONDS and not self._leaving:
+            return ()
+        return tuple(m.name for m in self._view.list_members(self._data_centre))
+
+    async def _ensure_share(self):
+        if self._budget.rights.share:
+            return True
+        found = await self._records.read(SHARES_KEY)
+        if isinstance(found, Failure):
+            return False
+        record = found.unwrap()
+        if record is None:
+            await self._records.write(SHARES_KEY, _make_shares(self._weights))
+            return False
+        shares = DataCentreShares.FromString(record.payload).shares
+        known = {share.data_centre: share.share for share in shares}
+        self._budget.rights.share = known.get(self._data_centre, 0.0)
+        return self._budget.rights.share > 0
+
+
+def _make_shares(weights):
+    total = sum(weights.values())
+    shares = [
+        DataCentreShare(data_centre=name, share=weight / total)
+        for name, weight in sorted(weights.items())
+    ]
+    return DataCentreShares(shares=shares).SerializeToString()
--- /dev/null
+++ b/mangogauge/limits/ledger.py
@@ -0,0 +1,344 @@
+"""One host's budget of one client account: rights, loans and tokens.
+
+Over all hosts the parts of rate and burst never add up to more than one, and
+tokens never to more than the burst: a lender gives up a part before its reply
+leaves, and takes it back only when the borrower, who counts from before its
+request was sent, has certainly stopped using it.
+"""
+
+import math
+
+from attrs import define, evolve, field, frozen
+
+from .bucket import TokenBucket
+
+__all__ = ["AccountLedger", "LoanGrant", "LoanRequest"]
+
+LOAN_MARGIN = 0.05
+SHORTEST_LOAN = 0.1
+TOLERANCE = 1e-9
+
+
+@frozen
+class LoanRequest:
+    """What a borrower holds of a lender, and what more it asks for.
+
+    Parameters
+    ----------
+    borrower : str
+        Name and incarnation.
+    sequence : int
+        Grows with each request.
+    held_rate, held_burst : float
+        Parts that the borrower holds; it has given up all above.
+    rate, burst, tokens : float
+        Further parts and tokens that it asks for.
+    seconds : float
+        How long it asks for them.
+    demand : float
+        Requests a second that come to it.
+    """
+
+    borrower = field()
+    sequence = field()
+    held_rate = field(default=0.0)
+    held_burst = field(default=0.0)
+    rate = field(default=0.0)
+    burst = field(default=0.0)
+    tokens = field(default=0.0)
+    seconds = field(default=1.0)
+    demand = field(default=0.0)
+
+    def shorten(self, seconds):
+        """Return this request for at most so many seconds."""
+        return evolve(self, seconds=min(self.seconds, seconds))
+
+
+@frozen
+class LoanGrant:
+    """A lender's answer.
+
+    Parameters
+    ----------
+    sequence : int
+    rate, burst : float
+        Whole parts on loan from now on.
+    tokens : float
+        Tokens that come with this answer.
+    seconds : float
+        End of the loan, counted from before the request was sent; 0 if the
+        end stays as it was.
+    reach : float
+        Part of the account's rate from which the lender's next tokens come.
+    """
+
+    sequence = field()
+    rate = field(default=0.0)
+    burst = field(default=0.0)
+    tokens = field(default=0.0)
+    seconds = field(default=0.0)
+    reach = field(default=0.0)
+
+
+@define(eq=False)
+class _Loan:
+    """A loan as one of its two sides sees it."""
+
+    rate = field(default=0.0)
+    burst = field(default=0.0)
+    until = field(default=-math.inf)
+    sequence = field(default=0)
+    grant = field(default=None)
+
+
+class AccountLedger:
+    """Budget of one account at one host.
+
+    Parameters
+    ----------
+    rate, burst : float
+        Of the account, over the whole fleet.
+    rights : tuple of Right
+    now : float
+        Elapsed time in seconds.
+
+    Notes
+    -----
+    A ledger may be made when its account is first asked for: a right that
+    nobody used has gathered tokens since it began.
+    """
+
+    def __init__(self, rate, burst, rights, now):
+        self.rate = rate
+        self.burst = burst
+        self._rights = rights
+        self._borrowed = {}
+        self._lent = {}
+        self._settled = now
+        tokens = sum(
+            min(right.share * burst, right.share * rate * (now - right.since))
+            for right in rights
+            if right.is_valid(now)
+        )
+        self._bucket = TokenBucket(0.0, 0.0, now)
+        self._apply(now)
+        self._bucket.tokens = min(tokens, self._bucket.burst)
+
+    @property
+    def tokens(self):
+        """Tokens at the last time this ledger was settled."""
+        return self._bucket.tokens
+
+    @property
+    def lends(self):
+        """Whether anything is lent out."""
+        return bool(self._lent)
+
+    def take(self, amount, now):
+        """Take tokens if they are there; return whether they were."""
+        self.settle(now)
+        return self._bucket.take(amount, now)
+
+    def compute_wait(self, amount, now):
+        """Return seconds until `amount` tokens are there; infinite if never."""
+        self.settle(now)
+        return self._bucket.compute_wait(amount)
+
+    def get_held(self, now):
+        """Return the parts of rate and burst that may be used at `now`."""
+        return self._sum_at(now)
+
+    def set_rights(self, rights, now):
+        """Go on with other rights; new ones bring no tokens of before `now`."""
+        if rights is self._rights:
+            return
+        self.settle(now)
+        self._rights = rights
+        self._apply(now)
+
+    def change(self, rate, burst, now):
+        """Go on with another rate and burst of the account."""
+        self.settle(now)
+        self.rate = rate
+        self.burst = burst
+        self._apply(now)
+
+    def empty(self):
+        """Drop all tokens at hand."""
+        self._bucket.tokens = 0.0
+
+    def is_idle(self, now):
+        """Return whether a new ledger would hold no more than this one."""
+        self.settle(now)
+        if self._lent or self._borrowed:
+            return False
+        return self._bucket.tokens >= self._bucket.burst - TOLERANCE
+
+    def settle(self, now):
+        """Apply every right's and loan's end up to `now`, each at its time."""
+        for end in sorted(self._list_changes(now)):
+            self._bucket.accrue(end)
+            self._apply(end)
+        self._bucket.accrue(now)
+        self._settled = max(self._settled, now)
+        self._lent = _keep_running(self._lent, now)
+        self._borrowed = _keep_running(self._borrowed, now)
+
+    def lend(self, request, now, reserve_rate=0.0, reserve_tokens=0.0):
+        """Answer a borrower's request.
+
+        Parameters
+        ----------
+        request : LoanRequest
+        now : float
+        reserve_rate, reserve_tokens : float, optional
+            What this host keeps for itself.
+
+        Returns
+        -------
+        LoanGrant or None
+            None if the request is older than one already answered.
+        """
+        self.settle(now)
+        loan = self._lent.get(request.borrower) or _Loan()
+        if request.sequence <= loan.sequence:
+            return loan.grant if request.sequence == loan.sequence else None
+        # The borrower ignores answers to earlier requests, so what it does
+        # not state as held it can never use.
+        loan.rate = min(loan.rate, request.held_rate)
+        loan.burst = min(loan.burst, request.held_burst)
+        loan.sequence = request.sequence
+        self._lent[request.borrower] = loan
+        seconds = self._extend(loan, request, reserve_rate, now)
+        tokens = self._give_tokens(loan, request, reserve_tokens, now)
+        self._apply(now)
+        reach = max(0.0, self._sum_at(now)[0])
+        loan.grant = LoanGrant(
+            request.sequence, loan.rate, loan.burst, tokens, seconds, reach
+        )
+        return loan.grant
+
+    def make_request(self, lender, borrower, sequence, **wanted):
+        """Return the `LoanRequest` to send to `lender`."""
+        loan = self._borrowed.setdefault(lender, _Loan())
+        loan.sequence = sequence
+        return LoanRequest(borrower, sequence, loan.rate, loan.burst, **wanted)
+
+    def take_grant(self, lender, grant, sent_at, now):
+        """Take in the answer to the last request sent to `lender`.
+
+        Parameters
+        ----------
+        lender : str
+        grant : LoanGrant
+        sent_at : float
+            Elapsed time before the request was sent.
+        now : float
+        """
+        loan = self._borrowed.get(lender)
+        if loan is None or grant.sequence != loan.sequence:
+            return
+        self.settle(now)
+        loan.sequence = 0
+        until = loan.until
+        if grant.seconds:
+            until = max(until, sent_at + grant.seconds)
+        if until <= now:
+            self._borrowed.pop(lender, None)
+            self._apply(now)
+            return
+        loan.rate, loan.burst, loan.until = grant.rate, grant.burst, until
+        self._borrowed[lender] = loan
+        self._apply(now)
+        bucket = self._bucket
+        bucket.tokens = min(bucket.burst, bucket.tokens + grant.tokens)
+
+    def drop_request(self, lender):
+        """Give up waiting for an answer; one that comes later is ignored."""
+        loan = self._borrowed.get(lender)
+        if loan is not None:
+            loan.sequence = 0
+
+    def list_lenders(self, now, ending_within=math.inf):
+        """Return lenders whose loans run but end within so many seconds."""
+        return [
+            lender
+            for lender, loan in self._borrowed.items()
+            if now < loan.until <= now + ending_within
+        ]
+
+    def get_lent_rate(self, borrower):
+        """Return the part of the rate that is lent to `borrower`."""
+        loan = self._lent.get(borrower)
+        return loan.rate if loan else 0.0
+
+    def _extend(self, loan, request, reserve_rate, now):
+        """Grow and prolong a loan as far as possible; return its seconds."""
+        seconds = request.seconds
+        while seconds >= SHORTEST_LOAN:
+            end = max(loan.until, now + seconds + LOAN_MARGIN)
+            rate, burst = self._find_free(loan, now, end)
+            shorter = seconds / 2
+            enough = (
+                loan.burst if shorter < SHORTEST_LOAN else loan.burst + request.burst
+            )
+            if rate >= loan.rate - TOLERANCE and burst >= enough - TOLERANCE:
+                spare = max(loan.rate, rate - reserve_rate)
+                loan.rate = min(loan.rate + request.rate, spare)
+                loan.burst = min(loan.burst + request.burst, max(loan.burst, burst))
+                loan.until = end
+                return seconds
+            seconds = shorter
+        return 0.0
+
+    def _find_free(self, loan, now, end):
+        """Return what could be on this loan from `now` to `end` throughout."""
+        times = [now]
+        times += [right.until for right in self._rights if now < right.until < end]
+        times += [b.until for b in self._borrowed.values() if now < b.until < end]
+        sums = [self._sum_at(time, without=loan) for time in times]
+        return min(rate for rate, _ in sums), min(burst for _, burst in sums)
+
+    def _give_tokens(self, loan, request, reserve, now):
+        """Take the tokens that go with a loan out of the bucket."""
+        bucket = self._bucket
+        tokens = min(request.tokens, bucket.tokens - reserve)
+        # What no longer fits here goes along too.
+        tokens = max(0.0, tokens, bucket.tokens - self._sum_at(now)[1] * self.burst)
+        tokens = min(tokens, loan.burst * self.burst, bucket.tokens)
+        bucket.tokens -= tokens
+        return tokens
+
+    def _list_changes(self, now):
+        times = {loan.until for loan in self._lent.values()}
+        times |= {loan.until for loan in self._borrowed.values()}
+        for right in self._rights:
+            times |= {right.since, right.until}
+        return [time for time in times if self._settled < time <= now]
+
+    def _apply(self, now):
+        rate, burst = self._sum_at(now)
+        self._bucket.change(
+            max(0.0, rate * self.rate), max(0.0, burst * self.burst), now
+        )
+
+    def _sum_at(self, time, without=None):
+        held = sum(right.share for right in self._rights if right.is_valid(time))
+        rate = burst = held
+        for loan in self._borrowed.values():
+            if loan.until > time:
+                rate, burst = rate + loan.rate, burst + loan.burst
+        for loan in self._lent.values():
+            if loan.until > time and loan is not without:
+                rate, burst = rate - loan.rate, burst - loan.burst
+        return rate, burst
+
+
+def _keep_running(loans, now):
+    # A borrowed loan whose request is still under way is kept, so that the
+    # answer can be matched.
+    return {
+        peer: loan
+        for peer, loan in loans.items()
+        if loan.until > now or (loan.sequence and loan.grant is None)
+    }
--- a/mangogauge/limits/limiter.py
+++ b/mangogauge/limits/limiter.py
@@ -1,12 +1,19 @@
 """Limiters decide whether a client account's request is within its rate."""
 
+import math
 from abc import ABC, abstractmethod
 
 from attrs import field, frozen
 
+from ..telemetry import get_logger
 from .bucket import TokenBucket
 
-__all__ = ["Admission", "Limiter", "LocalLimiter"]
+__all__ = ["Admission", "FleetLimiter", "Limiter", "LocalLimiter"]
+
+LONGEST_RETRY_SECONDS = 60.0
+SHORTEST_RETRY_SECONDS = 0.05
+
+log = get_logger("admissions")
 
 
 @frozen
@@ -28,7 +35,7 @@
     """Admits requests of client accounts."""
 
     @abstractmethod
-    def admit(self, account, cost=1.0):
+    async def admit(self, account, cost=1.0):
         """Return an `Admission` for a request of the client account's name."""
 
     @abstractmethod
@@ -36,6 +43,51 @@
         """Take new rates and bursts: ``{name: ClientAccount}``."""
 
 
+class FleetLimiter(Limiter):
+    """All hosts together stay within each account's rate and burst.
+
+    Parameters
+    ----------
+    budget : HostBudget
+    exchange : LoanExchange
+    clock : Clock
+    """
+
+    def __init__(self, budget, exchange, clock):
+        self._budget = budget
+        self._exchange = exchange
+        self._clock = clock
+
+    async def admit(self, account, cost=1.0):
+        """Return an `Admission`; waits briefly where lenders may have budget."""
+        if not self._budget.knows(account):
+            return Admission(False, math.inf)
+        self._budget.note_demand(account, cost)
+        if self._take(account, cost):
+            return Admission(True)
+        if not self._budget.get_refusal(account):
+            await self._exchange.borrow(account, cost)
+            if self._take(account, cost):
+                return Admission(True)
+        wait = self._budget.estimate_wait(account, cost)
+        wait = min(max(wait, SHORTEST_RETRY_SECONDS), LONGEST_RETRY_SECONDS)
+        return Admission(False, wait)
+
+    def set_accounts(self, accounts):
+        """Take new rates and bursts."""
+        self._budget.set_accounts(accounts)
+
+    def _take(self, account, cost):
+        taken = self._budget.take(account, cost)
+        if taken:
+            elapsed = self._clock.read_elapsed()
+            log.info(
+                "admitted",
+                extra={"client_account": account, "cost": cost, "elapsed": elapsed},
+            )
+        return taken
+
+
 class LocalLimiter(Limiter):
     """Each host alone gives out a fixed part of every budget.
 
@@ -51,11 +103,11 @@
         self._share = share
         self._buckets = {}
 
-    def admit(self, account, cost=1.0):
+    async def admit(self, account, cost=1.0):
         """Return an `Admission`."""
         bucket = self._buckets.get(account)
         if bucket is None:
-            return Admission(False, float("inf"))
+            return Admission(False, math.inf)
         if bucket.take(cost, self._clock.read_elapsed()):
             return Admission(True)
         return Admission(False, bucket.compute_wait(cost))
--- /dev/null
+++ b/mangogauge/limits/machine.py
@@ -0,0 +1,30 @@
+"""The identity of the running machine and its network."""
+
+from pathlib import Path
+
+__all__ = ["read_machine_identity"]
+
+BOOT_FILE = "/proc/sys/kernel/random/boot_id"
+NETWORK_NAMESPACE = "/proc/self/ns/net"
+
+
+def read_machine_identity(addresses):
+    """Return what tells this machine, boot and network from all others.
+
+    Parameters
+    ----------
+    addresses : iterable of str
+        Fixed ``host:port`` that the process listens on.
+
+    Returns
+    -------
+    str
+        Empty if it can't be told. A process that has bound the same addresses
+        under the same identity proves that an earlier one there has ended.
+    """
+    try:
+        parts = [Path(BOOT_FILE).read_text().strip()]
+        parts.append(str(Path(NETWORK_NAMESPACE).readlink()))
+    except OSError:
+        return ""
+    return "|".join([*parts, *addresses])
--- /dev/null
+++ b/mangogauge/limits/placement.py
@@ -0,0 +1,37 @@
+"""Which slots cover an account, and which host should hold which slot.
+
+Slots come in pairs: an account's budget in a data centre is covered by the two
+slots of one pair, held by two hosts if there are two, so that no single host's
+end takes all of it.
+"""
+
+import xxhash
+
+__all__ = ["PAIR_SIZE", "find_slots", "rank_hosts", "target_of_slot"]
+
+PAIR_SIZE = 2
+
+
+def find_slots(account, slot_count):
+    """Return the numbers of the slots that cover an account.
+
+    Examples
+    --------
+    >>> find_slots("desk", 2)
+    (0, 1)
+    """
+    if slot_count < PAIR_SIZE:
+        return (0,)
+    pair = xxhash.xxh3_64_intdigest(account) % (slot_count // PAIR_SIZE)
+    return (pair * PAIR_SIZE, pair * PAIR_SIZE + 1)
+
+
+def rank_hosts(subject, names):
+    """Return hosts' names by rendezvous hashing, the first choice first."""
+    return sorted(names, key=lambda name: xxhash.xxh3_64_intdigest(f"{subject}/{name}"))
+
+
+def target_of_slot(slot, names):
+    """Return the name of the host that should hold a slot."""
+    ranked = rank_hosts(slot // PAIR_SIZE, names)
+    return ranked[slot % PAIR_SIZE % len(ranked)]
--- /dev/null
+++ b/mangogauge/limits/rights.py
@@ -0,0 +1,155 @@
+"""Rights to parts of the budget, as the platform's record gives them."""
+
+import math
+
+from attrs import define, field
+
+from .placement import PAIR_SIZE, find_slots
+from .slots import PartKind
+
+__all__ = ["HostRights", "Right"]
+
+DRIFT_SHARE = 0.01
+
+
+@define(eq=False)
+class Right:
+    """A part of every covered account's rate and burst, up to a time.
+
+    Parameters
+    ----------
+    share : float
+        Part of the whole fleet's rate and burst.
+    since : float
+        Elapsed time from which it may be used; it starts without tokens.
+    until : float
+        Elapsed time at which it ends unless it is extended before.
+    """
+
+    share = field()
+    since = field()
+    until = field()
+
+    def is_valid(self, now):
+        """Return whether it may be used at `now`."""
+        return self.since <= now < self.until
+
+    def extend(self, until, now):
+        """Let it end later; return False if it has ended already.
+
+        Notes
+        -----
+        A right that has ended may have been given to another host since. It
+        never comes back: its holder makes a new one, without tokens.
+        """
+        if now >= self.until:
+            return False
+        self.until = max(self.until, until)
+        return True
+
+
+class HostRights:
+    """All rights of one host.
+
+    Parameters
+    ----------
+    share : float
+        Its data centre's part of every budget.
+    """
+
+    def __init__(self, share=0.0):
+        self.share = share
+        self.slot_count = 0
+        self._rights = {}
+        self._terms = {}
+        self._covering = {}
+
+    @property
+    def held(self):
+        """Numbers of the slots that are held."""
+        return tuple(sorted({number for number, _ in self._rights}))
+
+    @property
+    def loan_seconds(self):
+        """Longest time for which anything may be lent."""
+        seconds = [terms.loan_seconds for terms in self._terms.values()]
+        return min(seconds, default=math.inf)
+
+    def find(self, account):
+        """Return the rights that cover an account.
+
+        Notes
+        -----
+        The tuple is the same object until the rights are replaced.
+        """
+        if not self.slot_count:
+            return ()
+        slots = find_slots(account, self.slot_count)
+        found = self._covering.get(slots)
+        if found is None:
+            found = self._covering[slots] = tuple(
+                right for (number, _), right in self._rights.items() if number in slots
+            )
+        return found
+
+    def replace(self, table, own, starts, contact, lease_until, now, without=()):
+        """Hold what a table just read or written gives to `own`.
+
+        Parameters
+        ----------
+        table : SlotTable
+        own : Owner
+        starts : dict of int to float
+            When newly held slots start, where not now.
+        contact : float
+            Elapsed time before the last renewal of the lease was sent.
+        lease_until : float
+            Elapsed time up to which the lease certainly lives.
+        now : float
+        without : collection of int, optional
+            Slots that this host stops using.
+        """
+        self.slot_count = len(table.slots)
+        part = self.share / min(PAIR_SIZE, self.slot_count)
+        rights = {}
+        for number, slot in enumerate(table.slots):
+            for kind, holding in slot.parts.items():
+                if holding.owner != own or number in without:
+                    continue
+                self._terms[number] = slot.terms
+                key = (number, kind)
+                until = _find_end(slot.terms, kind, contact, lease_until)
+                right = self._rights.get(key)
+                if right is None or not right.extend(until, now):
+                    since = starts.get(number, now)
+                    right = Right(part * slot.terms.get_share(kind), since, until)
+                rights[key] = right
+        self._set_rights(rights)
+
+    def extend(self, contact, lease_until, now):
+        """Let all rights end later, after a renewal of the same lease."""
+        for (number, kind), right in self._rights.items():
+            terms = self._terms[number]
+            right.extend(_find_end(terms, kind, contact, lease_until), now)
+
+    def drop(self, numbers):
+        """Stop using some slots."""
+        kept = {k: r for k, r in self._rights.items() if k[0] not in numbers}
+        self._set_rights(kept)
+
+    def _set_rights(self, rights):
+        same = len(rights) == len(self._rights) and all(
+            self._rights.get(key) is right for key, right in rights.items()
+        )
+        if same:
+            return
+        self._rights = rights
+        held = {number for number, _ in rights}
+        self._terms = {n: t for n, t in self._terms.items() if n in held}
+        self._covering = {}
+
+
+def _find_end(terms, kind, contact, lease_until):
+    if kind is PartKind.DURABLE:
+        return contact + terms.outage_horizon * (1 - DRIFT_SHARE)
+    return lease_until - terms.lease_seconds * DRIFT_SHARE
--- a/mangogauge/settings/fleet.py
+++ b/mangogauge/settings/fleet.py
@@ -186,15 +186,24 @@
     outage_horizon : float
         Seconds for which a host may go on so.
     loan_seconds : float
-        How long budget that one host lends another is good for.
+        How long budget that one host lends another is good for, at most.
+    lease_seconds : int
+        Seconds after which the platform counts a silent host's lease as lapsed.
     slots : int
-        Parts into which a data centre's budget is divided among its hosts.
+        Slots that a data centre's hosts divide among themselves, in pairs; an
+        account's budget there lies in one pair. Taken when the platform's
+        record is first made.
+
+    Notes
+    -----
+    The first four are put in force for a slot when a host claims it.
     """
 
     durable_share = make_option(NumberKind(0, 1), default=0.8)
-    outage_horizon = make_option(NumberKind(10, DAY_SECONDS, "seconds"), default=5400.0)
+    outage_horizon = make_option(NumberKind(1, DAY_SECONDS, "seconds"), default=5400.0)
     loan_seconds = make_option(NumberKind(0.2, 60, "seconds"), default=2.0)
-    slots = make_option(IntegerKind(1, 1024), default=16)
+    lease_seconds = make_option(IntegerKind(1, 300, "seconds"), default=20)
+    slots = make_option(IntegerKind(2, 1024), default=16)
 
 
 @frozen
