--- a/mangogauge/daemon/host.py
+++ b/mangogauge/daemon/host.py
@@ -71,7 +71,7 @@
     @property
     def ready(self):
         """Whether callers may be sent here."""
-        return self.fleet is not None and not self.draining
+        return self.fleet is not None and not self.draining and self.limiter.ready
 
     def _make_platform(self):
         platform = self.settings.platform
@@ -106,7 +106,7 @@
         keeper = SlotKeeper(budget, planner, self.records, self.view, self.clock)
         directory = LenderDirectory(self.view, self.clock)
         exchange = LoanExchange(budget, directory, self.channels, self.clock)
-        self.limiter = FleetLimiter(budget, exchange, self.clock)
+        self.limiter = FleetLimiter(budget, exchange, directory, self.clock)
         self.parts += [keeper, exchange]
 
     def _make_routing(self):
--- a/mangogauge/limits/directory.py
+++ b/mangogauge/limits/directory.py
@@ -1,11 +1,10 @@
 """Which hosts may lend budget of an account, and whom to ask first."""
 
-import xxhash
 from attrs import field, frozen
 
 from ..protocol.limits_pb2 import HeldSlots
 from .keeper import HELD_SLOTS_ENTRY
-from .placement import find_slots
+from .placement import find_slots, hash_text
 
 __all__ = ["Lender", "LenderDirectory"]
 
@@ -49,6 +48,12 @@
         self._holders = {}
         self._slot_counts = {}
 
+    @property
+    def has_lenders(self):
+        """Whether any other host holds slots."""
+        self._refresh()
+        return bool(self._holders)
+
     def find_lenders(self, account):
         """Return lenders of an account, those to be asked first first."""
         self._refresh()
@@ -90,6 +95,6 @@
 
 def _order(lenders, subject):
     def rank(lender):
-        return xxhash.xxh3_64_intdigest(f"{subject}/{lender.key}")
+        return hash_text(f"{subject}/{lender.key}")
 
     return sorted(lenders, key=rank)
--- a/mangogauge/limits/limiter.py
+++ b/mangogauge/limits/limiter.py
@@ -12,6 +12,7 @@
 
 LONGEST_RETRY_SECONDS = 60.0
 SHORTEST_RETRY_SECONDS = 0.05
+PATIENCE_SECONDS = 10.0
 
 log = get_logger("admissions")
 
@@ -50,13 +51,23 @@
     ----------
     budget : HostBudget
     exchange : LoanExchange
+    directory : LenderDirectory
     clock : Clock
     """
 
-    def __init__(self, budget, exchange, clock):
+    def __init__(self, budget, exchange, directory, clock):
         self._budget = budget
         self._exchange = exchange
+        self._directory = directory
         self._clock = clock
+        self._started_at = clock.read_elapsed()
+
+    @property
+    def ready(self):
+        """Whether there is budget to give out, or no hope of any soon."""
+        if self._budget.rights.held or self._directory.has_lenders:
+            return True
+        return self._clock.read_elapsed() > self._started_at + PATIENCE_SECONDS
 
     async def admit(self, account, cost=1.0):
         """Return an `Admission`; waits briefly where lenders may have budget."""
--- a/mangogauge/limits/placement.py
+++ b/mangogauge/limits/placement.py
@@ -7,11 +7,16 @@
 
 import xxhash
 
-__all__ = ["PAIR_SIZE", "find_slots", "rank_hosts", "target_of_slot"]
+__all__ = ["PAIR_SIZE", "find_slots", "hash_text", "rank_hosts", "target_of_slot"]
 
 PAIR_SIZE = 2
 
 
+def hash_text(text):
+    """Return a number that every host computes alike."""
+    return xxhash.xxh3_64_intdigest(text.encode())
+
+
 def find_slots(account, slot_count):
     """Return the numbers of the slots that cover an account.
 
@@ -22,13 +27,13 @@
     """
     if slot_count < PAIR_SIZE:
         return (0,)
-    pair = xxhash.xxh3_64_intdigest(account) % (slot_count // PAIR_SIZE)
+    pair = hash_text(account) % (slot_count // PAIR_SIZE)
     return (pair * PAIR_SIZE, pair * PAIR_SIZE + 1)
 
 
 def rank_hosts(subject, names):
     """Return hosts' names by rendezvous hashing, the first choice first."""
-    return sorted(names, key=lambda name: xxhash.xxh3_64_intdigest(f"{subject}/{name}"))
+    return sorted(names, key=lambda name: hash_text(f"{subject}/{name}"))
 
 
 def target_of_slot(slot, names):
