Prove the ledger: checker with a planted violation, state machine of loans

Cause: conservation was claimed, not shown. Change: a checker over all windows, a derandomized hypothesis machine of four ledgers with lost, doubled and late messages and lapsing rights, and cases for pauses and changed rates.

--- /dev/null
+++ b/features/builders/bounds.py
@@ -0,0 +1,45 @@
+"""Check of admissions against rate × window + burst, over every window."""
+
+import orjson
+
+TOLERANCE = 1e-6
+
+
+def compute_excess(admissions, rate, burst):
+    """Return by how much the worst window goes over rate × window + burst.
+
+    A virtual bucket is replayed over the merged admissions: its lowest level
+    is the worst of all windows, in one pass.
+
+    Parameters
+    ----------
+    admissions : iterable of (float, float)
+        Elapsed time and cost, of all hosts.
+    """
+    level, lowest, last = burst, 0.0, None
+    for at, cost in sorted(admissions):
+        if last is not None:
+            level = min(burst, level + rate * (at - last))
+        level -= cost
+        lowest = min(lowest, level)
+        last = at
+    return max(0.0, -lowest)
+
+
+def read_admissions(logs, account):
+    """Return the admissions of an account in hosts' logs (texts)."""
+    found = []
+    for text in logs:
+        for line in text.splitlines():
+            if '"mangogauge.admissions"' not in line:
+                continue
+            entry = orjson.loads(line)
+            if entry["client_account"] == account:
+                found.append((entry["elapsed"], entry["cost"]))
+    return found
+
+
+def check_bound(admissions, rate, burst):
+    """Raise AssertionError if any window is over the bound."""
+    excess = compute_excess(admissions, rate, burst)
+    assert excess <= TOLERANCE, f"{excess:.3f} over rate {rate}, burst {burst}"
--- /dev/null
+++ b/features/builders/lenders.py
@@ -0,0 +1,120 @@
+"""A state machine over ledgers whose messages are lost, doubled and late."""
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from features.builders.bounds import check_bound
+from mangogauge.limits import AccountLedger, Right
+
+HOSTS = range(4)
+RATE, BURST = 10.0, 20.0
+RIGHT_SECONDS = 3.0
+HOST = st.sampled_from(HOSTS)
+PART = st.sampled_from([0.0, 0.05, 0.25, 1.0])
+
+
+class LoanMachine(RuleBasedStateMachine):
+    """Four ledgers of one account; rights lapse and are taken over."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 100.0
+        self.rights = [
+            [Right(1 / len(HOSTS), self.now - 1000, self.now + RIGHT_SECONDS)]
+            for _ in HOSTS
+        ]
+        self.ledgers = [self.make_ledger(host) for host in HOSTS]
+        self.admissions = []
+        self.requests = []
+        self.replies = []
+        self.sequence = 0
+
+    def make_ledger(self, host):
+        return AccountLedger(RATE, BURST, tuple(self.rights[host]), self.now)
+
+    @rule(seconds=st.sampled_from([0.01, 0.2, 1.0, 2.2]))
+    def advance(self, seconds):
+        self.now += seconds
+
+    @rule(host=HOST, count=st.integers(1, 20))
+    def take(self, host, count):
+        for _ in range(count):
+            if self.ledgers[host].take(1.0, self.now):
+                self.admissions.append((self.now, 1.0))
+
+    @rule(
+        borrower=HOST,
+        lender=HOST,
+        rate=PART,
+        burst=PART,
+        tokens=st.sampled_from([0.0, 1.0, 20.0]),
+        seconds=st.sampled_from([0.5, 2.0]),
+    )
+    def ask(self, borrower, lender, rate, burst, tokens, seconds):
+        if borrower == lender:
+            return
+        self.sequence += 1
+        self.ledgers[borrower].settle(self.now)
+        request = self.ledgers[borrower].make_request(
+            lender,
+            borrower,
+            self.sequence,
+            rate=rate,
+            burst=burst,
+            tokens=tokens,
+            seconds=seconds,
+        )
+        self.requests.append((lender, request, self.now))
+
+    @rule(data=st.data(), doubled=st.booleans())
+    def deliver_request(self, data, doubled):
+        if not self.requests:
+            return
+        place = data.draw(st.integers(0, len(self.requests) - 1))
+        lender, request, sent_at = self.requests[place]
+        if not doubled:
+            del self.requests[place]
+        grant = self.ledgers[lender].lend(request, self.now)
+        if grant is not None:
+            self.replies.append((request.borrower, lender, grant, sent_at))
+
+    @rule(data=st.data(), doubled=st.booleans())
+    def deliver_reply(self, data, doubled):
+        if not self.replies:
+            return
+        place = data.draw(st.integers(0, len(self.replies) - 1))
+        borrower, lender, grant, sent_at = self.replies[place]
+        if not doubled:
+            del self.replies[place]
+        self.ledgers[borrower].take_grant(lender, grant, sent_at, self.now)
+
+    @rule(host=HOST)
+    def renew_rights(self, host):
+        for right in self.rights[host]:
+            right.extend(self.now + RIGHT_SECONDS, self.now)
+
+    @rule(host=HOST, taker=HOST)
+    def take_over(self, host, taker):
+        lapsed = [right for right in self.rights[host] if right.until <= self.now]
+        for right in lapsed:
+            self.rights[host].remove(right)
+            self.rights[taker].append(
+                Right(right.share, self.now, self.now + RIGHT_SECONDS)
+            )
+        for changed in {host, taker}:
+            self.ledgers[changed].set_rights(tuple(self.rights[changed]), self.now)
+
+    @rule(host=HOST)
+    def forget_idle(self, host):
+        if self.ledgers[host].is_idle(self.now):
+            self.ledgers[host] = self.make_ledger(host)
+
+    @invariant()
+    def is_within_bound(self):
+        check_bound(self.admissions, RATE, BURST)
+
+    @invariant()
+    def parts_add_up(self):
+        for place in (0, 1):
+            held = [max(0.0, le.get_held(self.now)[place]) for le in self.ledgers]
+            assert sum(held) <= 1 + 1e-9, held
--- /dev/null
+++ b/features/steps/limits_ledger.py
@@ -0,0 +1,132 @@
+"""Steps of the ledgers' features."""
+
+from behave import given, then, when
+from hypothesis import settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from features.builders.bounds import compute_excess
+from features.builders.lenders import LoanMachine
+from mangogauge.limits import AccountLedger, Right
+
+FOREVER = 1e12
+START = 1000.0
+
+
+@given("limits admissions of two hosts that each give out the whole burst")
+def plant_violation(context):
+    one = [(START + i / 100, 1.0) for i in range(20)]
+    two = [(START + i / 100, 1.0) for i in range(20)]
+    context.logs = [one, two]
+
+
+@then("the limits checker finds an excess of one burst")
+def find_planted(context):
+    # 19 hundredths of a second at rate 10 make up for 1.9.
+    excess = compute_excess(sum(context.logs, []), 10, 20)
+    assert abs(excess - 18.1) < 1e-6, excess
+
+
+@then("the limits checker finds none within one host's admissions")
+def find_none(context):
+    assert compute_excess(context.logs[0], 10, 20) == 0
+
+
+@then("no run of the limits loan machine breaks the bound")
+def run_machine(context):
+    run_state_machine_as_test(
+        LoanMachine,
+        settings=settings(
+            derandomize=True,
+            database=None,
+            deadline=None,
+            max_examples=300,
+            stateful_step_count=50,
+        ),
+    )
+
+
+@given("two limits ledgers with half of rate {rate:d} and burst {burst:d} each")
+def make_ledgers(context, rate, burst):
+    context.now = START
+    right = (Right(0.5, 0.0, FOREVER),)
+    context.ledgers = [AccountLedger(rate, burst, right, START) for _ in range(2)]
+
+
+@when("one asks the other for 5 tokens and the request arrives twice")
+def ask_twice(context):
+    borrower, lender = context.ledgers
+    assert borrower.take(10, START)
+    context.first = borrower.make_request("b", "a", 1, burst=0.25, tokens=5.0)
+    context.grants = [lender.lend(context.first, START + t) for t in (0.01, 0.3)]
+
+
+@then("both answers are the same and the lender gave 5 tokens once")
+def check_given_once(context):
+    one, two = context.grants
+    assert one == two and one.tokens == 5, context.grants
+    assert context.ledgers[1].tokens == 5
+
+
+@then("an answer that comes after a newer request is not taken")
+def check_old_answer(context):
+    borrower, lender = context.ledgers
+    borrower.make_request("b", "a", 2, burst=0.25, tokens=5.0)
+    borrower.take_grant("b", context.grants[0], START, START + 0.4)
+    assert borrower.get_held(START + 0.4) == (0.5, 0.5)
+
+
+@when(
+    "one borrows the other's whole half for 2 seconds and then pauses for {seconds:d}"
+)
+def borrow_and_pause(context, seconds):
+    borrower, lender = context.ledgers
+    request = borrower.make_request(
+        "b", "a", 1, rate=0.5, burst=0.5, tokens=10.0, seconds=2.0
+    )
+    grant = lender.lend(request, START)
+    borrower.take_grant("b", grant, START, START)
+    assert borrower.tokens == 20 and not lender.take(0.5, START)
+    context.now = START + seconds
+
+
+@then("it can use no more than its own half on waking")
+def check_own_half(context):
+    borrower = context.ledgers[0]
+    assert not borrower.take(10.5, context.now)
+    assert borrower.take(10, context.now)
+
+
+@then("the lender can use its half again")
+def check_lender(context):
+    assert context.ledgers[1].take(10, context.now)
+
+
+@given("a limits ledger whose right lapses after 10 seconds")
+def make_lapsing(context):
+    context.right = Right(1.0, 0.0, START + 10)
+    context.ledger = AccountLedger(10, 20, (context.right,), START)
+
+
+@when("its host pauses for {seconds:d} seconds")
+def pause(context, seconds):
+    context.now = START + seconds
+
+
+@then("it admits nothing, and nothing after a late renewal")
+def check_lapsed(context):
+    assert not context.ledger.take(1, context.now)
+    assert not context.right.extend(context.now + 10, context.now)
+    assert not context.ledger.take(1, context.now + 1)
+
+
+@when("the account's rate is set to {rate:d} and its burst to {burst:d}")
+def change_rate(context, rate, burst):
+    for ledger in context.ledgers:
+        ledger.change(rate, burst, context.now)
+
+
+@then("both together admit at most {count:d} at once")
+def check_at_once(context, count):
+    admitted = sum(le.take(1, context.now) for le in context.ledgers for _ in range(30))
+    assert admitted <= count, admitted
+    assert count == 0 or admitted > 0, admitted
--- a/mangogauge/limits/budget.py
+++ b/mangogauge/limits/budget.py
@@ -87,9 +87,9 @@
         """Return whether this host holds rights for an account."""
         return bool(self.rights.find(account))
 
-    def take(self, account, cost):
+    def take(self, account, cost, now):
         """Take from the budget at hand; return whether it was enough."""
-        return self._get_state(account).ledger.take(cost, self._clock.read_elapsed())
+        return self._get_state(account).ledger.take(cost, now)
 
     def note_demand(self, account, cost):
         """Count a request."""
--- a/mangogauge/limits/limiter.py
+++ b/mangogauge/limits/limiter.py
@@ -89,14 +89,12 @@
         self._budget.set_accounts(accounts)
 
     def _take(self, account, cost):
-        taken = self._budget.take(account, cost)
-        if taken:
-            elapsed = self._clock.read_elapsed()
-            log.info(
-                "admitted",
-                extra={"client_account": account, "cost": cost, "elapsed": elapsed},
-            )
-        return taken
+        now = self._clock.read_elapsed()
+        if not self._budget.take(account, cost, now):
+            return False
+        fields = {"client_account": account, "cost": cost, "elapsed": now}
+        log.info("admitted", extra=fields)
+        return True
 
 
 class LocalLimiter(Limiter):
