--- a/mangogauge/daemon/host.py
+++ b/mangogauge/daemon/host.py
@@ -11,7 +11,16 @@
 from ..gateway import Dispatcher, Doorkeeper, Front
 from ..http import ClientPool, HTTPServer
 from ..keys import KeyGuard, KeyReplica, KeyRing, KeyTrust
-from ..limits import LocalLimiter
+from ..limits import (
+    ClaimPlanner,
+    FleetLimiter,
+    HostBudget,
+    LenderDirectory,
+    LoanExchange,
+    Owner,
+    SlotKeeper,
+    read_machine_identity,
+)
 from ..membership import Member, MembershipExchange, MembershipView, new_incarnation
 from ..platform import GatewayStore, RecordStore
 from ..protocol import ChannelPool, ProtocolServer
@@ -65,7 +74,8 @@
     @property
     def ready(self):
         """Whether callers may be sent here."""
-        return self.distributor.loaded and not self.draining
+        loaded = self.distributor.loaded and self.limiter.ready
+        return loaded and not self.draining
 
     def _make_platform(self):
         platform = self.settings.platform
@@ -117,7 +127,18 @@
         self.parts += [self.distributor, self.roster]
 
     def _make_limits(self):
-        self.limiter = LocalLimiter(self.clock)
+        settings, member = self.settings, self.member
+        ports = (settings.callers_port, settings.peer_port, settings.operator_port)
+        addresses = [f"{settings.address}:{port}" for port in ports]
+        machine = read_machine_identity(addresses) if all(ports) else ""
+        owner = Owner(member.name, member.incarnation, machine)
+        budget = HostBudget(self.clock, f"{member.name}#{member.incarnation}")
+        planner = ClaimPlanner(owner, self.random, self.clock)
+        keeper = SlotKeeper(budget, planner, self.records, self.view, self.clock)
+        directory = LenderDirectory(self.view, self.clock)
+        exchange = LoanExchange(budget, directory, self.channels, self.clock)
+        self.limiter = FleetLimiter(budget, exchange, directory, self.clock)
+        self.parts += [keeper, exchange]
 
     def _make_routing(self):
         self.router = LeastLoadedRouter(self.settings.data_centre, self.random)
--- a/mangogauge/gateway/front.py
+++ b/mangogauge/gateway/front.py
@@ -97,7 +97,7 @@
         async with self._doorkeeper.hold(exchange) as record:
             labels.account = record.account
             _check_account(route, record)
-            self._admit(record.account)
+            await self._admit(record.account)
             await self._run(exchange, request_id, route, record.account)
 
     async def _run(self, exchange, request_id, route, account):
@@ -115,8 +115,8 @@
             )
         return route
 
-    def _admit(self, account):
-        admission = self._limiter.admit(account)
+    async def _admit(self, account):
+        admission = await self._limiter.admit(account)
         if not admission.admitted:
             raise Refusal(
                 RefusalCode.RATE_EXCEEDED,
