Refuse rough HTTP clearly and keep the daemon serving

Cause: the thin server passed heads above the limit that came in one read, answered HTTP/2's preface as a request, closed in silence on a slow head or body, gave refusals without a request id, closed the connection after each refusal with an unread body, died on an accept error, and left Nagle on, so that a stream's small pieces could wait for an acknowledgement. Ruled out: cancelling idle connections at a drain; a cancel that comes just as a request has been read would hit its handler. Shutting the receiving side only wakes the reader. Change: connection, exchange and limits are modules of their own; the limits are settings of [callers]; a handler's mistake is a 500 and a log line; a drain takes the backlog of the listener and ends idle connections. Also: /v1/models, bounded request ids, no dot segments in paths, the key stripped from every field, internal orders' fields never taken from callers.

--- a/features/builders/settings.py
+++ b/features/builders/settings.py
@@ -52,9 +52,17 @@
 
 
 def make_host_file(
-    name, data_centre, address, ports, platform, secret_file, seeds=(), **options
+    name,
+    data_centre,
+    address,
+    ports,
+    platform,
+    secret_file,
+    seeds=(),
+    caller_limits=None,
+    **options,
 ):
-    """Return a host file's text."""
+    """Return a host file's text; `caller_limits` are the options of [callers]."""
     callers, peer, operator = ports
     return "\n".join(
         [
@@ -70,5 +78,6 @@
             ),
             make_section("platform", addresses=platform, timeout=1.0),
             make_section("peers", secret_file=secret_file, seeds=", ".join(seeds)),
+            make_section("callers", **(caller_limits or {})),
         ]
     )
--- a/mangogauge/daemon/host.py
+++ b/mangogauge/daemon/host.py
@@ -7,8 +7,8 @@
 from ..batch import BatchResource, BatchRunner, FileResource, FileStore, JobStore
 from ..clock import SystemClock
 from ..configuration import ConfigurationStore, ConfigurationWatcher
-from ..gateway import Dispatcher, Front
-from ..http import ClientPool, HTTPServer
+from ..gateway import Dispatcher, Front, ModelResource
+from ..http import ClientPool, HTTPServer, ServerLimits
 from ..keys import KeyRing, KeyStore, KeyWatcher
 from ..limits import LocalLimiter
 from ..membership import Member, MembershipExchange, MembershipView, new_incarnation
@@ -99,6 +99,7 @@
         files = FileStore(self.records, self.clock)
         jobs = JobStore(self.records)
         self.resources = [FileResource(files), BatchResource(jobs, files, self.clock)]
+        self.resources.append(ModelResource())
         runner = BatchRunner(
             self.settings.name, self.records, jobs, files, self.dispatcher, self.clock
         )
@@ -117,12 +118,23 @@
     def _make_ports(self, secret):
         methods = [m for part in self.parts for m in part.protocol_methods()]
         self.protocol = ProtocolServer(methods, secret)
-        self.callers = HTTPServer(self.front.handle)
+        self.callers = HTTPServer(self.front.handle, self._make_limits_of_callers())
         self.operators = OperatorPort(self, secret)
         for part in self.parts:
             for path, handler in part.operator_handlers().items():
                 self.operators.add_handler(path, handler)
 
+    def _make_limits_of_callers(self):
+        callers = self.settings.callers
+        return ServerLimits(
+            header_bytes=callers.head_bytes,
+            body_bytes=callers.body_bytes,
+            header_timeout=callers.head_timeout,
+            body_timeout=callers.body_timeout,
+            write_timeout=callers.write_timeout,
+            connections=callers.connections,
+        )
+
     def bind(self):
         """Bind all ports."""
         address = self.settings.address
@@ -160,6 +172,7 @@
     async def _drain(self):
         while not self.draining:
             await curio.sleep(DRAIN_INTERVAL)
+        self.callers.start_close()
         for part in self.parts:
             await part.drain()
         await curio.sleep(self.settings.drain_seconds)
--- a/mangogauge/gateway/__init__.py
+++ b/mangogauge/gateway/__init__.py
@@ -3,6 +3,7 @@
 from .calls import Call, Priority
 from .dispatch import Dispatcher
 from .front import Front
+from .models import ModelResource
 from .refusals import Refusal, RefusalCode
 from .resources import Resource
 from .routes import RouteTable
@@ -14,6 +15,7 @@
     "ExchangeSink",
     "Front",
     "MemorySink",
+    "ModelResource",
     "Priority",
     "Refusal",
     "RefusalCode",
--- a/mangogauge/gateway/front.py
+++ b/mangogauge/gateway/front.py
@@ -1,7 +1,10 @@
 """Serve callers: find the route, check the key and the rate, dispatch."""
 
+import re
 import uuid
+from urllib.parse import unquote
 
+import curio
 import orjson
 
 from ..http import HTTPError, HTTPRequestError
@@ -15,8 +18,23 @@
 __all__ = ["Front"]
 
 DEADLINE_HEADER = "x-deadline-ms"
-PRIVATE_HEADERS = ("authorization", "host", "content-length", DEADLINE_HEADER)
-STATUS_CODES = {413: RefusalCode.TOO_LARGE}
+REQUEST_ID_PATTERN = re.compile(r"[A-Za-z0-9._:-]{1,128}")
+DEADLINE_PATTERN = re.compile(r"[1-9][0-9]{0,9}")
+DOT_SEGMENTS = frozenset({".", ".."})
+# Fields that this connection, this host or its orders to endpoints own.
+PRIVATE_HEADERS = (
+    "authorization",
+    "content-length",
+    "expect",
+    "host",
+    "x-attempt-id",
+    "x-resume-from",
+    DEADLINE_HEADER,
+)
+STATUS_CODES = {
+    408: RefusalCode.REQUEST_TIMEOUT,
+    413: RefusalCode.TOO_LARGE,
+}
 
 log = get_logger("front")
 
@@ -49,15 +67,17 @@
         """Take new settings."""
         self._settings = settings
         self._routes = RouteTable(settings.routes.values())
+        for resource in self._resources:
+            resource.set_settings(settings)
 
     async def handle(self, exchange):
         """Serve one request."""
         started = self._clock.read_elapsed()
-        request_id = exchange.headers.get("x-request-id") or uuid.uuid4().hex
+        request_id = _read_request_id(exchange)
         labels = _Labels()
         outcome = "answered"
         try:
-            await self._serve(exchange, request_id, labels)
+            await self._serve(exchange, request_id, labels, started)
         except Refusal as refusal:
             outcome = refusal.code.value.code
             await self._refuse(exchange, request_id, refusal, labels)
@@ -72,15 +92,34 @@
             outcome = "broken"
             self._log(request_id, labels, "answer broke off", reason=str(error))
             raise ConnectionAbortedError(str(error)) from error
+        except OSError as error:
+            outcome = "caller_lost"
+            self._log(request_id, labels, "caller lost", reason=repr(error))
+            raise
+        except curio.CancelledError:
+            outcome = "cancelled"
+            self._log(request_id, labels, "caller hung up")
+            raise
+        except Exception as error:
+            outcome = "internal_error"
+            log.exception("request failed", extra={"request_id": request_id})
+            refusal = Refusal(
+                RefusalCode.INTERNAL,
+                "The host failed; the request may have been run.",
+                executed="unknown",
+                step=type(error).__name__,
+            )
+            await self._refuse(exchange, request_id, refusal, labels)
         finally:
             seconds = self._clock.read_elapsed() - started
             self._observe(labels, outcome, seconds)
 
-    async def _serve(self, exchange, request_id, labels):
+    async def _serve(self, exchange, request_id, labels, started):
         if self._settings is None:
             raise Refusal(
                 RefusalCode.SHUTTING_DOWN, "The host is starting.", retry_after=1.0
             )
+        _check_path(exchange.path)
         for resource in self._resources:
             if resource.matches(exchange.path):
                 record = self._authenticate(exchange)
@@ -92,7 +131,14 @@
         labels.account = self._identify(exchange, route)
         self._admit(labels.account)
         call = await self._read_call(exchange, request_id, route, labels.account)
-        await self._dispatcher.dispatch(call, ExchangeSink(exchange, request_id))
+
+        def observe_first():
+            self._metrics.first_token.labels(labels.route, labels.account).observe(
+                self._clock.read_elapsed() - started
+            )
+
+        sink = ExchangeSink(exchange, request_id, observe_first)
+        await self._dispatcher.dispatch(call, sink)
 
     def _find_route(self, exchange):
         route = self._routes.find(exchange.path)
@@ -141,9 +187,8 @@
 
     async def _read_call(self, exchange, request_id, route, account):
         deadline = self._read_deadline(exchange, route)
-        body = await exchange.read_body()
-        headers = exchange.headers.without_hop_by_hop()
-        headers.remove(*PRIVATE_HEADERS)
+        body = await self._read_body(exchange, deadline)
+        headers = _make_passed_headers(exchange)
         call = Call(
             request_id=request_id,
             account=account,
@@ -159,11 +204,23 @@
             self._read_model(call)
         return call
 
+    async def _read_body(self, exchange, deadline):
+        try:
+            async with curio.timeout_after(deadline - self._clock.read_elapsed()):
+                return await exchange.read_body()
+        except curio.TaskTimeout:
+            raise Refusal(
+                RefusalCode.DEADLINE_EXCEEDED,
+                "The deadline passed before the whole request had come.",
+                step="read request",
+                peer=exchange.peer,
+            ) from None
+
     def _read_deadline(self, exchange, route):
         seconds = route.deadline
         given = exchange.headers.get(DEADLINE_HEADER)
         if given is not None:
-            if not given.isdigit() or int(given) == 0:
+            if not DEADLINE_PATTERN.fullmatch(given):
                 raise Refusal(
                     RefusalCode.MALFORMED,
                     "X-Deadline-Ms must be a whole number of milliseconds above 0.",
@@ -174,7 +231,7 @@
     def _read_model(self, call):
         try:
             value = orjson.loads(call.body)
-            call.model = value["model"]
+            call.model = str(value["model"])
             call.streams = bool(value.get("stream"))
         except (ValueError, KeyError, TypeError, AttributeError):
             raise Refusal(
@@ -214,6 +271,31 @@
         )
 
 
+def _read_request_id(exchange):
+    """Return the caller's request id if it is well formed, else a new one."""
+    given = exchange.headers.get("x-request-id", "")
+    return given if REQUEST_ID_PATTERN.fullmatch(given) else uuid.uuid4().hex
+
+
+def _check_path(path):
+    # An endpoint would resolve such a path to another route's.
+    segments = unquote(path).replace("\\", "/").split("/")
+    if DOT_SEGMENTS.intersection(segments):
+        raise Refusal(
+            RefusalCode.MALFORMED, "The path must not have '.' or '..' segments."
+        )
+
+
+def _make_passed_headers(exchange):
+    """Return the header fields that an endpoint may see."""
+    headers = exchange.headers.without_hop_by_hop()
+    headers.remove(*PRIVATE_HEADERS)
+    key = exchange.headers.get("authorization", "").partition(" ")[2].strip()
+    if key:
+        headers.remove(*(name for name, value in headers if key in value))
+    return headers
+
+
 class _Labels:
     """Route and account of an exchange, as far as they are known."""
 
--- a/mangogauge/gateway/refusals.py
+++ b/mangogauge/gateway/refusals.py
@@ -32,6 +32,7 @@
     MODEL_UNKNOWN = RefusalKind(404, "model_unknown")
     NOT_FOUND = RefusalKind(404, "not_found")
     METHOD_FORBIDDEN = RefusalKind(405, "method_forbidden")
+    REQUEST_TIMEOUT = RefusalKind(408, "request_timeout")
     CONFLICT = RefusalKind(409, "conflict")
     TOO_LARGE = RefusalKind(413, "too_large")
     RATE_EXCEEDED = RefusalKind(429, "rate_exceeded")
--- a/mangogauge/gateway/resources.py
+++ b/mangogauge/gateway/resources.py
@@ -16,9 +16,16 @@
     ----------
     name : str
         Label in logs and metrics.
+    settings : FleetSettings or None
+        The newest settings.
     """
 
     name = ""
+    settings = None
+
+    def set_settings(self, settings):
+        """Take newer settings."""
+        self.settings = settings
 
     @abstractmethod
     def matches(self, path):
--- a/mangogauge/gateway/sinks.py
+++ b/mangogauge/gateway/sinks.py
@@ -39,23 +39,27 @@
     ----------
     exchange : Exchange
     request_id : str
+    on_first : callable, optional
+        Called when the first piece of the body is there.
     """
 
-    def __init__(self, exchange, request_id):
+    def __init__(self, exchange, request_id, on_first=None):
         self._exchange = exchange
         self._request_id = request_id
+        self._on_first = on_first
 
     async def start(self, status, headers):
         """Pass on the head."""
         self.started = True
         headers = headers.without_hop_by_hop()
         headers.set("X-Request-Id", self._request_id)
-        if "content-length" not in headers:
-            headers.set("Transfer-Encoding", "chunked")
         await self._exchange.start_response(status, headers)
 
     async def write(self, data):
         """Pass on a piece; waits while the caller's window is full."""
+        on_first, self._on_first = self._on_first, None
+        if on_first is not None:
+            on_first()
         if self._exchange.method != "HEAD":
             await self._exchange.send_data(data)
 
--- a/mangogauge/http/__init__.py
+++ b/mangogauge/http/__init__.py
@@ -8,8 +8,10 @@
     HTTPRequestError,
     HTTPSendError,
 )
+from .exchange import Exchange
 from .headers import HOP_BY_HOP_HEADERS, Headers
-from .server import Exchange, HTTPServer, ServerLimits
+from .limits import ServerLimits
+from .server import HTTPServer
 
 __all__ = [
     "ClientConnection",
--- /dev/null
+++ b/mangogauge/http/connection.py
@@ -0,0 +1,318 @@
+"""A caller's connection: requests one after another, until either side ends it."""
+
+import uuid
+
+import curio
+import h11
+import orjson
+from curio import socket
+
+from ..telemetry import get_logger
+from .errors import HTTPRequestError
+from .exchange import Exchange, make_response
+from .headers import Headers
+
+__all__ = ["ServerConnection", "render_unreadable"]
+
+READ_SIZE_BYTES = 65_536
+PIPELINE_LIMIT_BYTES = 65_536
+LINGER_SECONDS = 0.5
+LINGER_BYTES = 16_777_216
+SKIPPED_BODY_BYTES = 65_536
+SKIP_SECONDS = 0.5
+SPOKEN_VERSIONS = frozenset({b"1.0", b"1.1"})
+UNREADABLE_CODES = {408: "request_timeout", 413: "too_large", 431: "too_large"}
+
+log = get_logger("http")
+
+
+class ServerConnection:
+    """The state of one caller's connection.
+
+    Parameters
+    ----------
+    server : HTTPServer
+    sock : curio.io.Socket
+    peer : str
+
+    Attributes
+    ----------
+    busy : bool
+        Whether a request is being served.
+    """
+
+    def __init__(self, server, sock, peer):
+        self._server = server
+        self.sock = sock
+        self.peer = peer
+        self.limits = server.limits
+        self.busy = False
+        self._h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self.limits.header_bytes
+        )
+        self._broken = False
+        self._skippable = False
+        self._body_done = curio.Event()
+
+    @property
+    def must_close(self):
+        """Whether the connection ends with the answer under way."""
+        if self._server.closing:
+            return True
+        return self._h11.their_state is h11.SEND_BODY and not self._skippable
+
+    async def run(self, handler):
+        """Serve requests until either side ends the connection."""
+        while True:
+            request = await self._read_request()
+            if request is None:
+                return
+            self.busy = True
+            try:
+                await self._serve_request(handler, request)
+            finally:
+                self.busy = False
+            if self._broken or not self._prepare_next():
+                return
+
+    async def end_if_idle(self):
+        """End the connection if no part of a request has come.
+
+        Shutting the receiving side only wakes the reader: what the caller
+        had already sent is still read, and served.
+        """
+        if self.busy or self._h11.trailing_data[0]:
+            return
+        try:
+            await self.sock.shutdown(socket.SHUT_RD)
+        except (OSError, ValueError):
+            pass
+
+    async def close(self):
+        """Close, first reading what the caller still sends.
+
+        Closing with unread data would reset the connection, and the caller
+        could lose an answer that it has not read yet.
+        """
+        try:
+            await self.sock.shutdown(socket.SHUT_WR)
+            async with curio.ignore_after(LINGER_SECONDS):
+                await self._discard_input()
+        except (OSError, ValueError):
+            pass
+        try:
+            await self.sock.close()
+        except OSError:
+            pass
+
+    async def iterate_body(self):
+        """Yield pieces of the current request's body."""
+        while not self._body_done.is_set():
+            event = await self._read_body_event()
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                await self._body_done.set()
+            else:
+                raise HTTPRequestError(
+                    400, "The connection ended within the body.", peer=self.peer
+                )
+
+    async def send_event(self, event):
+        """Send one `h11` event, waiting while the caller's window is full."""
+        data = self._h11.send(event)
+        if not data:
+            return
+        try:
+            async with curio.timeout_after(self.limits.write_timeout):
+                await self.sock.sendall(data)
+        except curio.TaskTimeout:
+            raise ConnectionAbortedError("The caller does not read.") from None
+
+    async def _read_request(self):
+        try:
+            async with curio.timeout_after(self.limits.header_timeout):
+                event = await self._next_event()
+        except h11.RemoteProtocolError as error:
+            await self._refuse_unreadable(error.error_status_hint or 400)
+            return None
+        except curio.TaskTimeout:
+            if self._h11.trailing_data[0]:
+                await self._refuse_unreadable(408)
+            return None
+        if not isinstance(event, h11.Request):
+            return None
+        status = self._judge_head(event)
+        if status:
+            await self._refuse_unreadable(status)
+            return None
+        self._skippable = _has_short_body(event)
+        self._body_done.clear()
+        if not _has_body(event):
+            self._h11.next_event()
+            await self._body_done.set()
+        return event
+
+    def _judge_head(self, request):
+        """Return the status with which a request's head is refused, or 0."""
+        if request.http_version not in SPOKEN_VERSIONS:
+            return 505
+        if _measure_head(request) > self.limits.header_bytes:
+            return 431
+        return 400 if _is_framed_twice(request) else 0
+
+    async def _serve_request(self, handler, request):
+        exchange = Exchange(self, request)
+        async with curio.TaskGroup(wait=any) as group:
+            handling = await group.spawn(self._call_handler, handler, exchange)
+            await group.spawn(self._watch_caller)
+        if not handling.terminated or handling.exception is not None:
+            self._broken = True
+        if not self._broken:
+            await self._skip_body()
+
+    async def _call_handler(self, handler, exchange):
+        try:
+            await handler(exchange)
+        except (OSError, h11.ProtocolError, curio.TaskTimeout):
+            self._broken = True
+        except HTTPRequestError as error:
+            self._broken = True
+            await self._refuse_unreadable(error.status, error.message)
+        except Exception:
+            # A mistake in a handler costs this request, never the daemon.
+            self._broken = True
+            log.exception("handler failed", extra={"peer": self.peer, "step": "handle"})
+            await self._refuse_unreadable(500, "The host failed.", "unknown")
+
+    async def _watch_caller(self):
+        """Return when the caller hangs up; the handler is then cancelled."""
+        await self._body_done.wait()
+        while len(self._h11.trailing_data[0]) < PIPELINE_LIMIT_BYTES:
+            data = await self._receive()
+            if not data:
+                self._broken = True
+                return
+            self._h11.receive_data(data)
+        await curio.Event().wait()
+
+    async def _skip_body(self):
+        """Read the short rest of a body that the handler did not want."""
+        if self._h11.their_state is not h11.SEND_BODY:
+            return
+        skipped = 0
+        try:
+            async with curio.ignore_after(SKIP_SECONDS):
+                async for piece in self.iterate_body():
+                    skipped += len(piece)
+                    if skipped > SKIPPED_BODY_BYTES:
+                        return
+        except HTTPRequestError:
+            self._broken = True
+
+    async def _discard_input(self):
+        discarded = 0
+        while discarded < LINGER_BYTES:
+            data = await self.sock.recv(READ_SIZE_BYTES)
+            if not data:
+                return
+            discarded += len(data)
+
+    async def _receive(self):
+        try:
+            return await self.sock.recv(READ_SIZE_BYTES)
+        except ConnectionError:
+            return b""
+
+    def _prepare_next(self):
+        if self._server.closing:
+            return False
+        if self._h11.our_state is not h11.DONE:
+            return False
+        if self._h11.their_state is not h11.DONE:
+            return False
+        self._h11.start_next_cycle()
+        return True
+
+    async def _read_body_event(self):
+        try:
+            async with curio.timeout_after(self.limits.body_timeout):
+                return await self._next_event()
+        except curio.TaskTimeout:
+            raise HTTPRequestError(
+                408, "The body came too slowly.", peer=self.peer
+            ) from None
+        except h11.RemoteProtocolError as error:
+            raise HTTPRequestError(
+                400, "The body is not framed as HTTP/1.1 asks.", peer=self.peer
+            ) from error
+
+    async def _next_event(self):
+        while True:
+            if self._h11.they_are_waiting_for_100_continue:
+                await self.send_event(
+                    h11.InformationalResponse(status_code=100, headers=[])
+                )
+            event = self._h11.next_event()
+            if event is h11.NEED_DATA:
+                self._h11.receive_data(await self._receive())
+                continue
+            return event
+
+    async def _refuse_unreadable(self, status, message="", executed="no"):
+        if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        headers, body = render_unreadable(status, message, executed)
+        try:
+            await self.send_event(make_response(status, headers))
+            await self.send_event(h11.Data(data=body))
+            await self.send_event(h11.EndOfMessage())
+        except (OSError, h11.ProtocolError):
+            return
+
+
+def render_unreadable(status, message="", executed="no"):
+    """Return header fields and body for a request that can't be handled."""
+    request_id = uuid.uuid4().hex
+    default = "internal_error" if status == 500 else "malformed_request"
+    error = {
+        "code": UNREADABLE_CODES.get(status, default),
+        "message": message or "The request can't be read as HTTP/1.1.",
+        "type": "refusal",
+        "request_id": request_id,
+        "executed": executed,
+    }
+    body = orjson.dumps({"error": error})
+    headers = Headers(
+        [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+            ("X-Request-Id", request_id),
+            ("Connection", "close"),
+        ]
+    )
+    return headers, body
+
+
+def _measure_head(request):
+    fields = sum(len(name) + len(value) for name, value in request.headers)
+    return len(request.target) + fields
+
+
+def _has_body(request):
+    names = {name for name, _ in request.headers}
+    return b"content-length" in names or b"transfer-encoding" in names
+
+
+def _has_short_body(request):
+    """Return whether reading a body that nobody wants is cheap."""
+    headers = Headers.from_raw(request.headers)
+    if "expect" in headers:
+        return False
+    return int(headers.get("content-length", LINGER_BYTES)) <= SKIPPED_BODY_BYTES
+
+
+def _is_framed_twice(request):
+    # A length beside an encoding is how requests are smuggled past a proxy.
+    names = {name for name, _ in request.headers}
+    return b"content-length" in names and b"transfer-encoding" in names
--- a/mangogauge/http/headers.py
+++ b/mangogauge/http/headers.py
@@ -83,7 +83,7 @@
 
     def without_hop_by_hop(self):
         """Return a copy without the fields that concern one connection only."""
-        named = self.get("connection", "")
-        listed = {token.strip().lower() for token in named.split(",")}
+        named = [value for name, value in self._fields if name.lower() == "connection"]
+        listed = {token.strip().lower() for token in ",".join(named).split(",")}
         unwanted = HOP_BY_HOP_HEADERS | listed
         return Headers(f for f in self._fields if f[0].lower() not in unwanted)
--- a/mangogauge/http/server.py
+++ b/mangogauge/http/server.py
@@ -6,127 +6,27 @@
 
 import curio
 import h11
-from attrs import field, frozen
 from curio import socket
 
-from .errors import HTTPRequestError
-from .headers import Headers
+from ..telemetry import get_logger
+from .connection import ServerConnection
+from .limits import ServerLimits
 
-__all__ = ["Exchange", "HTTPServer", "ServerLimits"]
+__all__ = ["HTTPServer"]
 
-READ_SIZE_BYTES = 65_536
 LISTEN_BACKLOG = 1024
-PIPELINE_LIMIT_BYTES = 65_536
-LINGER_SECONDS = 0.5
+DRAIN_INTERVAL = 0.02
+ACCEPT_PAUSE = 0.1
+BUSY_BODY = (
+    b'{"error":{"code":"overloaded","message":"The host has too many connections.",'
+    b'"type":"refusal","executed":"no","retry_after":1.0}}'
+)
+BUSY_ANSWER = (
+    b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\n"
+    b"Content-Type: application/json\r\nContent-Length: %d\r\n\r\n%b"
+) % (len(BUSY_BODY), BUSY_BODY)
 
-
-@frozen
-class ServerLimits:
-    """Bounds on what one connection may ask for.
-
-    Parameters
-    ----------
-    header_bytes : int
-        Largest request head accepted, in bytes.
-    body_bytes : int
-        Largest request body that is read whole into memory, in bytes.
-    header_timeout : float
-        Seconds a caller has to send a request head, idle time included.
-    body_timeout : float
-        Seconds a caller may pause while it sends a body.
-    write_timeout : float
-        Seconds a caller may leave its receive window full.
-    connections : int
-        Largest number of connections open at once.
-    """
-
-    header_bytes = field(default=32_768)
-    body_bytes = field(default=8_388_608)
-    header_timeout = field(default=60.0)
-    body_timeout = field(default=30.0)
-    write_timeout = field(default=60.0)
-    connections = field(default=4096)
-
-
-class Exchange:
-    """One request and its answer.
-
-    Attributes
-    ----------
-    method, target : str
-        The request line.
-    headers : Headers
-        The request's header fields.
-    peer : str
-        The caller's address and port.
-    response_started : bool
-        Whether the head of the answer has been sent.
-    """
-
-    def __init__(self, connection, request):
-        self._connection = connection
-        self.method = request.method.decode("ascii")
-        self.target = request.target.decode("latin-1")
-        self.headers = Headers.from_raw(request.headers.raw_items())
-        self.peer = connection.peer
-        self.response_started = False
-
-    @property
-    def path(self):
-        """The target without its query."""
-        return self.target.partition("?")[0]
-
-    @property
-    def query(self):
-        """The target's query string, without the question mark."""
-        return self.target.partition("?")[2]
-
-    async def iterate_body(self):
-        """Yield the request's body in pieces as they arrive."""
-        async for piece in self._connection.iterate_body():
-            yield piece
-
-    async def read_body(self, limit=None):
-        """Read the whole body.
-
-        Raises
-        ------
-        HTTPRequestError
-            With status 413 if the body is larger than `limit` bytes.
-        """
-        limit = self._connection.limits.body_bytes if limit is None else limit
-        pieces = []
-        size = 0
-        async for piece in self.iterate_body():
-            size += len(piece)
-            if size > limit:
-                raise HTTPRequestError(413, f"The body is larger than {limit} bytes.")
-            pieces.append(piece)
-        return b"".join(pieces)
-
-    async def start_response(self, status, headers):
-        """Send the status line and the header fields."""
-        self.response_started = True
-        await self._connection.send_event(
-            h11.Response(status_code=status, headers=headers.to_raw())
-        )
-
-    async def send_data(self, data):
-        """Send one piece of the answer's body."""
-        await self._connection.send_event(h11.Data(data=data))
-
-    async def finish(self):
-        """End the answer."""
-        await self._connection.send_event(h11.EndOfMessage())
-
-    async def respond(self, status, headers, body):
-        """Send a whole answer."""
-        headers = headers.copy()
-        headers.set("Content-Length", str(len(body)))
-        await self.start_response(status, headers)
-        if body and self.method != "HEAD":
-            await self.send_data(body)
-        await self.finish()
+log = get_logger("http")
 
 
 class HTTPServer:
@@ -147,6 +47,8 @@
         self.limits = limits or ServerLimits()
         self._tls = tls
         self._listener = None
+        self._accepting = None
+        self._group = None
         self._connections = set()
         self._closing = False
 
@@ -165,6 +67,11 @@
         """How many connections are within an exchange."""
         return sum(1 for connection in self._connections if connection.busy)
 
+    @property
+    def closing(self):
+        """Whether connections are closed after their current exchange."""
+        return self._closing
+
     def bind(self, address, port):
         """Bind the listening socket, so that the port is known."""
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -177,205 +84,81 @@
         """Accept connections until cancelled."""
         async with self._listener:
             async with curio.TaskGroup(wait=None) as group:
-                while True:
-                    sock, address = await self._listener.accept()
-                    if len(self._connections) >= self.limits.connections:
-                        await sock.close()
-                        continue
-                    # A daemon task is dropped by the group when it ends.
-                    await group.spawn(
-                        self._serve_connection, sock, address, daemon=True
-                    )
+                self._group = group
+                self._accepting = await group.spawn(self._accept_connections)
+                await curio.Event().wait()
+
+    def start_close(self):
+        """End each connection with its current or next answer."""
+        self._closing = True
 
     async def drain(self):
-        """Stop keep-alive and wait until no exchange is under way."""
+        """Stop listening, and wait until every request that came is answered."""
         self._closing = True
-        while self.busy_count:
-            await curio.sleep(0.02)
+        if self._accepting is not None:
+            await self._accepting.cancel()
+            await self._take_backlog()
+            await self._listener.close()
+        while self._connections:
+            for connection in list(self._connections):
+                await connection.end_if_idle()
+            await curio.sleep(DRAIN_INTERVAL)
+
+    async def _accept_connections(self):
+        while True:
+            try:
+                sock, address = await self._listener.accept()
+            except OSError as error:
+                # Such as too many open files: others may be closed by then.
+                log.error("accept failed", extra={"reason": repr(error)})
+                await curio.sleep(ACCEPT_PAUSE)
+                continue
+            await self._take_connection(sock, address)
 
-    async def _serve_connection(self, sock, address):
+    async def _take_backlog(self):
+        """Accept what the operating system accepted before the listener ends."""
+        waiting = []
+        with self._listener.blocking() as raw:
+            raw.setblocking(False)
+            try:
+                while True:
+                    waiting.append(raw.accept())
+            except OSError:
+                pass
+        for sock, address in waiting:
+            await self._take_connection(curio.io.Socket(sock), address)
+
+    async def _take_connection(self, sock, address):
+        if len(self._connections) >= self.limits.connections:
+            await _send_busy(sock)
+            return
         peer = f"{address[0]}:{address[1]}"
-        connection = _Connection(self, sock, peer)
+        connection = ServerConnection(self, sock, peer)
         self._connections.add(connection)
+        # A daemon task is dropped by the group when it ends.
+        await self._group.spawn(self._serve_connection, connection, daemon=True)
+
+    async def _serve_connection(self, connection):
         try:
+            # Small pieces of a stream must not wait for an acknowledgement.
+            connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             if self._tls is not None:
-                connection.sock = await self._tls.wrap(sock)
+                async with curio.timeout_after(self.limits.header_timeout):
+                    connection.sock = await self._tls.wrap(connection.sock)
             await connection.run(self._handler)
         except (OSError, curio.TaskTimeout, h11.ProtocolError):
             pass
+        except Exception:
+            log.exception("connection failed", extra={"peer": connection.peer})
         finally:
-            self._connections.discard(connection)
             await connection.close()
-
-    @property
-    def closing(self):
-        """Whether connections are closed after their current exchange."""
-        return self._closing
-
-
-class _Connection:
-    """The state of one caller's connection."""
-
-    def __init__(self, server, sock, peer):
-        self._server = server
-        self.sock = sock
-        self.peer = peer
-        self.limits = server.limits
-        self.busy = False
-        self._h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self.limits.header_bytes
-        )
-        self._broken = False
-        self._body_done = curio.Event()
-
-    async def close(self):
-        """Close, first reading what the caller still sends.
-
-        Closing with unread data would reset the connection, and the caller
-        could lose an answer that it has not read yet.
-        """
-        try:
-            await self.sock.shutdown(socket.SHUT_WR)
-            async with curio.ignore_after(LINGER_SECONDS):
-                while await self.sock.recv(READ_SIZE_BYTES):
-                    pass
-        except (OSError, ValueError):
-            pass
-        try:
-            await self.sock.close()
-        except OSError:
-            pass
-
-    async def run(self, handler):
-        """Serve requests until either side ends the connection."""
-        while True:
-            request = await self._read_request()
-            if request is None:
-                return
-            self.busy = True
-            try:
-                await self._serve_request(handler, request)
-            finally:
-                self.busy = False
-            if self._broken or not self._prepare_next():
-                return
-
-    async def _read_request(self):
-        try:
-            async with curio.timeout_after(self.limits.header_timeout):
-                event = await self._next_event()
-        except h11.RemoteProtocolError as error:
-            await self._refuse_malformed(error)
-            return None
-        if not isinstance(event, h11.Request):
-            return None
-        self._body_done.clear()
-        if not _has_body(event):
-            self._h11.next_event()
-            await self._body_done.set()
-        return event
-
-    async def _serve_request(self, handler, request):
-        exchange = Exchange(self, request)
-        async with curio.TaskGroup(wait=any) as group:
-            handling = await group.spawn(self._call_handler, handler, exchange)
-            await group.spawn(self._watch_caller, exchange)
-        if not handling.terminated or handling.exception is not None:
-            self._broken = True
-
-    async def _call_handler(self, handler, exchange):
-        try:
-            await handler(exchange)
-        except (OSError, h11.LocalProtocolError, curio.TaskTimeout):
-            self._broken = True
-        except h11.RemoteProtocolError as error:
-            self._broken = True
-            if not exchange.response_started:
-                await self._refuse_malformed(error)
-
-    async def _watch_caller(self, exchange):
-        """Return when the caller hangs up; the handler is then cancelled."""
-        await self._body_done.wait()
-        while len(self._h11.trailing_data[0]) < PIPELINE_LIMIT_BYTES:
-            data = await self._receive()
-            if not data:
-                self._broken = True
-                return
-            self._h11.receive_data(data)
-        await curio.Event().wait()
-
-    async def _receive(self):
-        try:
-            return await self.sock.recv(READ_SIZE_BYTES)
-        except ConnectionError:
-            return b""
-
-    def _prepare_next(self):
-        if self._server.closing:
-            return False
-        if self._h11.our_state is not h11.DONE:
-            return False
-        if self._h11.their_state is not h11.DONE:
-            return False
-        self._h11.start_next_cycle()
-        return True
-
-    async def iterate_body(self):
-        """Yield pieces of the current request's body."""
-        while not self._body_done.is_set():
-            async with curio.timeout_after(self.limits.body_timeout):
-                event = await self._next_event()
-            if isinstance(event, h11.Data):
-                yield bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                await self._body_done.set()
-            else:
-                raise HTTPRequestError(
-                    400, "The connection ended within the body.", peer=self.peer
-                )
-
-    async def _next_event(self):
-        while True:
-            if self._h11.they_are_waiting_for_100_continue:
-                await self.send_event(
-                    h11.InformationalResponse(status_code=100, headers=[])
-                )
-            event = self._h11.next_event()
-            if event is h11.NEED_DATA:
-                self._h11.receive_data(await self._receive())
-                continue
-            return event
-
-    async def send_event(self, event):
-        """Send one `h11` event, waiting while the caller's window is full."""
-        data = self._h11.send(event)
-        if data:
-            async with curio.timeout_after(self.limits.write_timeout):
-                await self.sock.sendall(data)
-
-    async def _refuse_malformed(self, error):
-        if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            return
-        status = error.error_status_hint or 400
-        body = b'{"error":{"code":"malformed_request","message":"The request is not'
-        body += b' valid HTTP/1.1.","executed":"no"}}'
-        fields = Headers(
-            [
-                ("Content-Type", "application/json"),
-                ("Content-Length", str(len(body))),
-                ("Connection", "close"),
-            ]
-        )
-        try:
-            await self.send_event(
-                h11.Response(status_code=status, headers=fields.to_raw())
-            )
-            await self.send_event(h11.Data(data=body))
-            await self.send_event(h11.EndOfMessage())
-        except (OSError, h11.ProtocolError):
-            return
+            self._connections.discard(connection)
 
 
-def _has_body(request):
-    names = {name for name, _ in request.headers}
-    return b"content-length" in names or b"transfer-encoding" in names
+async def _send_busy(sock):
+    try:
+        async with curio.ignore_after(ACCEPT_PAUSE):
+            await sock.sendall(BUSY_ANSWER)
+        await sock.close()
+    except OSError:
+        pass
--- a/mangogauge/settings/__init__.py
+++ b/mangogauge/settings/__init__.py
@@ -13,11 +13,18 @@
     RouteKind,
     read_fleet,
 )
-from .host import HostSettings, PeerSettings, PlatformSettings, read_host
+from .host import (
+    CallerSettings,
+    HostSettings,
+    PeerSettings,
+    PlatformSettings,
+    read_host,
+)
 from .kinds import Kind
 from .problems import Problem, SettingsError
 
 __all__ = [
+    "CallerSettings",
     "ClientAccount",
     "ConfigurationDocuments",
     "DataCentre",
--- a/mangogauge/settings/host.py
+++ b/mangogauge/settings/host.py
@@ -8,9 +8,17 @@
 from .problems import Problem, SettingsError
 from .sections import SectionReader, make_option, parse_text
 
-__all__ = ["HostSettings", "PeerSettings", "PlatformSettings", "read_host"]
+__all__ = [
+    "CallerSettings",
+    "HostSettings",
+    "PeerSettings",
+    "PlatformSettings",
+    "read_host",
+]
 
 PORT = IntegerKind(0, 65_535)
+MEGABYTE = 1_048_576
+SECONDS = NumberKind(0.1, 3600, "seconds")
 
 
 @frozen
@@ -48,6 +56,36 @@
     seeds = make_option(ListKind(AddressKind()), default=())
 
 
+@frozen
+class CallerSettings:
+    """What callers may ask of one connection.
+
+    Parameters
+    ----------
+    head_bytes : int
+        Largest request head.
+    body_bytes : int
+        Largest request body, uploads of files excepted.
+    head_timeout : float
+        Seconds a caller has to send a request head, idle time included.
+    body_timeout : float
+        Seconds a caller may pause while it sends a body.
+    write_timeout : float
+        Seconds a caller may leave its receive window full.
+    connections : int
+        Largest number of connections open at once.
+    """
+
+    head_bytes = make_option(IntegerKind(1024, MEGABYTE, "bytes"), default=32_768)
+    body_bytes = make_option(
+        IntegerKind(1024, 1024 * MEGABYTE, "bytes"), default=8 * MEGABYTE
+    )
+    head_timeout = make_option(SECONDS, default=60.0)
+    body_timeout = make_option(SECONDS, default=30.0)
+    write_timeout = make_option(SECONDS, default=60.0)
+    connections = make_option(IntegerKind(1, 1_000_000), default=4096)
+
+
 @frozen
 class HostSettings:
     """One host.
@@ -78,6 +116,7 @@
     drain_seconds = make_option(NumberKind(0, 600, "seconds"), default=10.0)
     platform = field(default=None)
     peers = field(default=None)
+    callers = field(factory=CallerSettings)
 
     @property
     def peer_address(self):
@@ -103,14 +142,25 @@
         ) from error
     sections = parse_text(text, file, problems)
     reader = SectionReader(file, problems)
-    known = {"host": HostSettings, "platform": PlatformSettings, "peers": PeerSettings}
+    known = {
+        "host": HostSettings,
+        "platform": PlatformSettings,
+        "peers": PeerSettings,
+        "callers": CallerSettings,
+    }
     for section in sections:
         if section not in known:
             reader.check_section(section, known)
     platform = reader.read("platform", sections.get("platform", {}), PlatformSettings)
     peers = reader.read("peers", sections.get("peers", {}), PeerSettings)
+    callers = reader.read("callers", sections.get("callers", {}), CallerSettings)
     host = reader.read(
-        "host", sections.get("host", {}), HostSettings, platform=platform, peers=peers
+        "host",
+        sections.get("host", {}),
+        HostSettings,
+        platform=platform,
+        peers=peers,
+        callers=callers,
     )
     if problems:
         raise SettingsError(problems)
--- a/mangogauge/standins/service.py
+++ b/mangogauge/standins/service.py
@@ -14,6 +14,9 @@
 
 __all__ = ["Service", "ServiceOptions"]
 
+FLOOD_HEADER = "x-flood-bytes"
+FLOOD_PIECE_BYTES = 65_536
+
 
 @define
 class ServiceOptions:
@@ -44,6 +47,7 @@
         self.options = ServiceOptions()
         self.runs = Counter()
         self.seen_headers = set()
+        self.flooded_bytes = 0
         self.server = HTTPServer(self.handle)
 
     async def handle(self, exchange):
@@ -51,6 +55,9 @@
         if exchange.path == "/control":
             await self._control(exchange)
             return
+        if FLOOD_HEADER in exchange.headers:
+            await self._flood(exchange, int(exchange.headers.get(FLOOD_HEADER)))
+            return
         if exchange.path == "/load":
             await send_json(exchange, 200, {"running": 0, "waiting": 0, "slots": 64})
             return
@@ -73,8 +80,23 @@
         headers.add("X-Method", exchange.method)
         await exchange.respond(200, headers, body or reference.encode())
 
+    async def _flood(self, exchange, size):
+        """Answer with `size` bytes as fast as they are taken."""
+        headers = Headers([("Content-Length", str(size))])
+        await exchange.start_response(200, headers)
+        while size > 0:
+            piece = bytes(min(size, FLOOD_PIECE_BYTES))
+            await exchange.send_data(piece)
+            self.flooded_bytes += len(piece)
+            size -= len(piece)
+        await exchange.finish()
+
     async def _control(self, exchange):
         for name, value in (await read_json(exchange)).items():
             setattr(self.options, name, value)
-        answer = {"runs": dict(self.runs), "headers": sorted(self.seen_headers)}
+        answer = {
+            "runs": dict(self.runs),
+            "headers": sorted(self.seen_headers),
+            "flooded_bytes": self.flooded_bytes,
+        }
         await send_json(exchange, 200, answer)
