Check settings against each other and tell every mistake once, in its file

Cause: a repeated section or option ended the reading; a base's mistake was told once for each overlay and under the overlay's name; a section with a mistake made others refer to nothing; cross-checks were missing. Ruled out: a reader of our own; configparser is asked again with the lines at fault blanked. Calling an option that repeats the base's value a mistake: it would block an urgent change of the base. Change: each option keeps the file it was written in; sections, references and reading are modules of their own; checks of kinds, addresses, paths, methods, overlays' names, ports, folders and the secret's file; a misspelt option no longer tells that the right one is missing as well. Overlays may complete what the base leaves open. Models may have names with capitals and slashes.

--- /dev/null
+++ b/features/steps/settings.py
@@ -0,0 +1,76 @@
+"""Steps of the settings' features."""
+
+import subprocess
+import sys
+
+from behave import then, when
+
+from features.builders.mistakes import BASE, OVERLAYS, find_problems
+from mangogauge.settings import ConfigurationDocuments, SettingsError, read_fleet
+
+
+@then("the settings without a mistake are read without one")
+def check_good(context):
+    for file in ("base.ini", "host.ini"):
+        assert find_problems(file, "", "", context.world.folder) == []
+
+
+@then("each of these mistakes alone has its message")
+def check_mistakes(context):
+    for row in context.table:
+        old, new = (unescape(row[name]) for name in ("instead of", "write"))
+        problems = find_problems(row["file"], old, new, context.world.folder)
+        assert len(problems) == 1, (row["mistake"], [str(p) for p in problems])
+        check_problem(row, problems[0])
+
+
+def unescape(text):
+    return text.replace("\\n", "\n")
+
+
+def check_problem(row, problem):
+    place = (problem.section, problem.option)
+    assert place == (row["section"], row["option"]), (row["mistake"], str(problem))
+    assert problem.file.endswith(row["file"]), (row["mistake"], problem.file)
+    assert row["read"] in ("*", problem.read), (row["mistake"], str(problem))
+    assert row["allowed"] in problem.allowed, (row["mistake"], str(problem))
+
+
+@when("{count:d} mistakes are made at once, of which {base_count:d} are in the base")
+def make_mistakes(context, count, base_count):
+    base = (
+        BASE.replace("rate = 20", "rate = many\nrate = 20")
+        .replace("burst = 10", "bust = 10")
+        .replace("models = small", "models = smal")
+    )
+    overlays = {
+        "west": "[limits]\nslots = 0\n",
+        "east": OVERLAYS["east"].replace("30", "plenty"),
+    }
+    context.documents = ConfigurationDocuments(base, overlays)
+
+
+@then("{count:d} messages come, of which {base_count:d} name the base file")
+def check_all_told(context, count, base_count):
+    try:
+        read_fleet(context.documents, "west")
+    except SettingsError as error:
+        problems = error.problems
+    told = [str(problem) for problem in problems]
+    assert len(set(told)) == len(told) == count, told
+    assert sum(p.file == "base.ini" for p in problems) == base_count, told
+    context.told = told
+
+
+@then("config check prints them all and ends with {code:d}")
+def check_command(context, code):
+    folder = context.world.folder
+    texts = {"base": context.documents.base, **context.documents.overlays}
+    for name, text in texts.items():
+        (folder / f"{name}.ini").write_text(text)
+    files = [str(folder / f"{name}.ini") for name in texts]
+    command = [sys.executable, "-m", "mangogauge", "config", "check", *files]
+    done = subprocess.run(command, capture_output=True, text=True)
+    assert done.returncode == code, done
+    for line in context.told:
+        assert line in done.stderr, (line, done.stderr)
--- a/mangogauge/settings/__init__.py
+++ b/mangogauge/settings/__init__.py
@@ -11,7 +11,6 @@
     Model,
     Route,
     RouteKind,
-    read_fleet,
 )
 from .host import (
     CallerSettings,
@@ -22,6 +21,7 @@
 )
 from .kinds import Kind
 from .problems import Problem, SettingsError
+from .reading import read_fleet
 
 __all__ = [
     "CallerSettings",
--- a/mangogauge/settings/fleet.py
+++ b/mangogauge/settings/fleet.py
@@ -10,13 +10,13 @@
     FlagKind,
     IntegerKind,
     ListKind,
+    MethodKind,
+    ModelNameKind,
     NameKind,
     NumberKind,
     PathKind,
-    TextKind,
 )
-from .problems import SettingsError
-from .sections import SectionReader, make_option, parse_text
+from .sections import make_option
 
 __all__ = [
     "ClientAccount",
@@ -28,10 +28,8 @@
     "Model",
     "Route",
     "RouteKind",
-    "read_fleet",
 ]
 
-BASE_FILE = "base.ini"
 RATE_LIMIT = 1_000_000
 BURST_LIMIT = 10_000_000
 DAY_SECONDS = 86_400
@@ -103,8 +101,8 @@
     endpoints = make_option(ListKind(NameKind()), default=())
     accounts = make_option(ListKind(NameKind()), default=())
     open = make_option(FlagKind(), default=False)
-    methods = make_option(ListKind(TextKind()), default=())
-    repeatable = make_option(ListKind(TextKind()), default=("GET", "HEAD", "OPTIONS"))
+    methods = make_option(ListKind(MethodKind()), default=())
+    repeatable = make_option(ListKind(MethodKind()), default=("GET", "HEAD", "OPTIONS"))
     deadline = make_option(NumberKind(0.01, DAY_SECONDS, "seconds"), default=60.0)
 
     def matches(self, path):
@@ -154,7 +152,7 @@
     address = make_option(AddressKind())
     data_centre = make_option(NameKind())
     kind = make_option(ChoiceKind(EndpointKind))
-    models = make_option(ListKind(NameKind()), default=())
+    models = make_option(ListKind(ModelNameKind()), default=())
     slots = make_option(IntegerKind(1, 100_000, "requests"), default=32)
     checks_fencing = make_option(FlagKind(), default=True)
     resumes = make_option(FlagKind(), default=True)
@@ -217,119 +215,3 @@
     endpoints = field(factory=dict)
     data_centres = field(factory=dict)
     limits = field(factory=LimitSettings)
-
-
-NAMED_SECTIONS = {
-    "account": ("accounts", ClientAccount),
-    "route": ("routes", Route),
-    "model": ("models", Model),
-    "endpoint": ("endpoints", Endpoint),
-    "data_centre": ("data_centres", DataCentre),
-}
-SINGLE_SECTIONS = {"limits": LimitSettings}
-
-
-def read_fleet(documents, data_centre, version=0):
-    """Read base and overlay into settings.
-
-    Parameters
-    ----------
-    documents : ConfigurationDocuments
-    data_centre : str
-        Whose overlay applies.
-    version : int, optional
-
-    Returns
-    -------
-    FleetSettings
-
-    Raises
-    ------
-    SettingsError
-        With every mistake in the base and in all overlays.
-    """
-    problems = []
-    base = parse_text(documents.base, BASE_FILE, problems)
-    overlays = {
-        name: parse_text(text, f"{name}.ini", problems)
-        for name, text in documents.overlays.items()
-    }
-    read = {
-        name: _read_merged(base, overlay, f"{name}.ini", problems)
-        for name, overlay in sorted(overlays.items())
-    }
-    settings = read.get(data_centre)
-    if settings is None or not read:
-        settings = _read_merged(base, {}, BASE_FILE, problems)
-    if problems:
-        raise SettingsError(dict.fromkeys(problems))
-    return _with_version(settings, version)
-
-
-def _with_version(settings, version):
-    values = {
-        name: getattr(settings, name)
-        for name in ("accounts", "routes", "models", "endpoints", "data_centres")
-    }
-    return FleetSettings(version=version, limits=settings.limits, **values)
-
-
-def _read_merged(base, overlay, file, problems):
-    groups = {plural: {} for plural, _ in NAMED_SECTIONS.values()}
-    singles = {}
-    for section in [*base, *(name for name in overlay if name not in base)]:
-        options = {**base.get(section, {}), **overlay.get(section, {})}
-        reader = SectionReader(file if section in overlay else BASE_FILE, problems)
-        kind, _, name = section.partition(" ")
-        if kind in NAMED_SECTIONS:
-            _read_named(reader, section, name.strip(), options, groups)
-        elif section in SINGLE_SECTIONS:
-            singles[section] = reader.read(section, options, SINGLE_SECTIONS[section])
-        else:
-            reader.check_section(section, [*NAMED_SECTIONS, *SINGLE_SECTIONS])
-    settings = FleetSettings(
-        limits=singles.get("limits") or LimitSettings(),
-        **groups,
-    )
-    _check_references(settings, SectionReader(file, problems))
-    return settings
-
-
-def _read_named(reader, section, name, options, groups):
-    kind = section.partition(" ")[0]
-    plural, cls = NAMED_SECTIONS[kind]
-    try:
-        NameKind().read(name)
-    except ValueError:
-        reader.note(section, "", name, f"[{kind} NAME], NAME {NameKind.allowed}")
-        return
-    value = reader.read(section, options, cls, name=name)
-    if value is not None:
-        groups[plural][name] = value
-
-
-def _check_references(settings, reader):
-    for route in settings.routes.values():
-        section = f"route {route.name}"
-        _check_names(reader, section, "accounts", route.accounts, settings.accounts)
-        _check_names(reader, section, "endpoints", route.endpoints, settings.endpoints)
-    for model in settings.models.values():
-        section = f"model {model.name}"
-        _check_names(reader, section, "accounts", model.accounts, settings.accounts)
-    for endpoint in settings.endpoints.values():
-        section = f"endpoint {endpoint.name}"
-        _check_names(reader, section, "models", endpoint.models, settings.models)
-        _check_names(
-            reader,
-            section,
-            "data_centre",
-            (endpoint.data_centre,),
-            settings.data_centres,
-        )
-
-
-def _check_names(reader, section, option, names, known):
-    for name in names:
-        if name not in known:
-            allowed = "a name that has a section: " + (", ".join(sorted(known)) or "-")
-            reader.note(section, option, name, allowed)
--- a/mangogauge/settings/host.py
+++ b/mangogauge/settings/host.py
@@ -35,7 +35,7 @@
         File in which the platform lists hosts; empty for none.
     """
 
-    addresses = make_option(ListKind(AddressKind()))
+    addresses = make_option(ListKind(AddressKind(), least=1))
     timeout = make_option(NumberKind(0.05, 60, "seconds"), default=2.0)
     host_list = make_option(TextKind(), default="")
 
@@ -124,6 +124,15 @@
         return self.advertised or f"{self.address}:{self.peer_port}"
 
 
+SECTIONS = {
+    "host": HostSettings,
+    "platform": PlatformSettings,
+    "peers": PeerSettings,
+    "callers": CallerSettings,
+}
+PORT_OPTIONS = ("callers_port", "peer_port", "operator_port")
+
+
 def read_host(path):
     """Read a host's file.
 
@@ -133,35 +142,51 @@
         With every mistake in it.
     """
     file = str(path)
-    problems = []
     try:
-        text = Path(path).read_text()
-    except OSError as error:
-        raise SettingsError(
-            [Problem(file, read=error.strerror, allowed="a file that can be read")]
-        ) from error
+        text = Path(path).read_text("utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        problem = Problem(file, read=str(error), allowed="a UTF-8 file to be read")
+        raise SettingsError([problem]) from error
+    problems = []
     sections = parse_text(text, file, problems)
-    reader = SectionReader(file, problems)
-    known = {
-        "host": HostSettings,
-        "platform": PlatformSettings,
-        "peers": PeerSettings,
-        "callers": CallerSettings,
-    }
+    reader = SectionReader(problems)
     for section in sections:
-        if section not in known:
-            reader.check_section(section, known)
-    platform = reader.read("platform", sections.get("platform", {}), PlatformSettings)
-    peers = reader.read("peers", sections.get("peers", {}), PeerSettings)
-    callers = reader.read("callers", sections.get("callers", {}), CallerSettings)
-    host = reader.read(
-        "host",
-        sections.get("host", {}),
-        HostSettings,
-        platform=platform,
-        peers=peers,
-        callers=callers,
-    )
+        if section not in SECTIONS:
+            reader.check_section(file, section, SECTIONS)
+    values = {
+        name: reader.read_values(name, sections.get(name, {}), cls, file)
+        for name, cls in SECTIONS.items()
+    }
+    _check_host(values["host"], file, problems)
+    _check_secret(values["peers"], file, problems)
     if problems:
         raise SettingsError(problems)
-    return host
+    parts = {n: c(**values[n]) for n, c in SECTIONS.items() if n != "host"}
+    return HostSettings(**values["host"], **parts)
+
+
+def _check_host(values, file, problems):
+    seen = {}
+    for option in PORT_OPTIONS:
+        port = values.get(option)
+        if port and port in seen:
+            allowed = f"another port than {seen[port]}"
+            problems.append(Problem(file, "host", option, str(port), allowed))
+        seen.setdefault(port, option)
+    folder = values.get("data_folder")
+    if folder and not Path(folder).is_dir():
+        allowed = "a folder that exists"
+        problems.append(Problem(file, "host", "data_folder", folder, allowed))
+
+
+def _check_secret(values, file, problems):
+    path = values.get("secret_file")
+    if path is None:
+        return
+    try:
+        if Path(path).read_text("utf-8").strip():
+            return
+        allowed = "a file with the operators' secret in it"
+    except (OSError, UnicodeDecodeError):
+        allowed = "a file that can be read"
+    problems.append(Problem(file, "peers", "secret_file", path, allowed))
--- a/mangogauge/settings/kinds.py
+++ b/mangogauge/settings/kinds.py
@@ -12,12 +12,16 @@
     "IntegerKind",
     "Kind",
     "ListKind",
+    "MethodKind",
+    "ModelNameKind",
     "NameKind",
     "NumberKind",
     "PathKind",
     "TextKind",
 ]
 
+METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+MODEL_NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:/-]{0,126}")
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
 FLAGS = {"yes": True, "true": True, "on": True, "no": False, "false": False}
 FLAGS["off"] = False
@@ -41,13 +45,13 @@
 
 
 class TextKind(Kind):
-    """Any text that is not empty."""
+    """Any text that is not empty, on one line."""
 
-    allowed = "text that is not empty"
+    allowed = "text that is not empty, on one line"
 
     def read(self, text):
         """Return the text."""
-        if not text:
+        if not text or not text.isprintable():
             raise ValueError(text)
         return text
 
@@ -64,13 +68,40 @@
         return text
 
 
+class ModelNameKind(Kind):
+    """The name of a model, as callers write it."""
+
+    allowed = (
+        "up to 127 letters, digits, '.', '_', ':', '/' and '-', "
+        "starting with a letter or digit"
+    )
+
+    def read(self, text):
+        """Return the name."""
+        if not MODEL_NAME_PATTERN.fullmatch(text):
+            raise ValueError(text)
+        return text
+
+
+class MethodKind(Kind):
+    """An HTTP method."""
+
+    allowed = "one of " + ", ".join(METHODS)
+
+    def read(self, text):
+        """Return the method."""
+        if text not in METHODS:
+            raise ValueError(text)
+        return text
+
+
 class NumberKind(Kind):
     """A number within bounds, with its unit in the message."""
 
     def __init__(self, low, high, unit=""):
         self._low = low
         self._high = high
-        self.allowed = f"a number from {low:g} to {high:g}"
+        self.allowed = f"a number from {low:.12g} to {high:.12g}"
         if unit:
             self.allowed += f" ({unit})"
 
@@ -140,31 +171,49 @@
         if self._with_port:
             host, _, port = text.rpartition(":")
         ipaddress.IPv4Address(host)
-        if not 1 <= int(port) <= PORT_LIMIT:
+        if not port.isdecimal() or not 1 <= int(port) <= PORT_LIMIT:
             raise ValueError(text)
         return text
 
 
 class PathKind(Kind):
-    """The path of a route: starts with a slash."""
+    """The path of a route: starts with a slash, may end with a star."""
 
-    allowed = "a path that starts with '/', with no space, '?' or '#'"
+    allowed = (
+        "a path that starts with '/', with no space, '?' or '#', "
+        "and with '*' at its end only"
+    )
 
     def read(self, text):
         """Return the path."""
-        if not text.startswith("/") or set(text) & set(" ?#"):
+        if not text.startswith("/") or set(text[:-1]) & set(" ?#*"):
+            raise ValueError(text)
+        if text[-1] in " ?#":
             raise ValueError(text)
         return text
 
 
 class ListKind(Kind):
-    """Values of another kind, separated by commas."""
+    """Values of another kind, separated by commas or lines.
 
-    def __init__(self, kind):
+    Parameters
+    ----------
+    kind : Kind
+    least : int, optional
+        Smallest number of values.
+    """
+
+    def __init__(self, kind, least=0):
         self._kind = kind
-        self.allowed = f"a list separated by commas, each {kind.allowed}"
+        self._least = least
+        self.allowed = f"a list separated by commas, each once, each {kind.allowed}"
+        if least:
+            self.allowed += f"; at least {least}"
 
     def read(self, text):
         """Return a tuple."""
-        parts = [part.strip() for part in text.split(",")]
-        return tuple(self._kind.read(part) for part in parts if part)
+        parts = [part.strip() for part in text.replace("\n", ",").split(",")]
+        values = tuple(self._kind.read(part) for part in parts if part)
+        if len(values) < self._least or len(set(values)) < len(values):
+            raise ValueError(text)
+        return values
