--- a/mangogauge/gateway/__init__.py
+++ b/mangogauge/gateway/__init__.py
@@ -4,6 +4,7 @@
 from .dispatch import Dispatcher
 from .doorkeeper import Doorkeeper
 from .front import Front
+from .models import ModelResource
 from .refusals import Refusal, RefusalCode
 from .resources import Resource
 from .routes import RouteTable
@@ -16,6 +17,7 @@
     "ExchangeSink",
     "Front",
     "MemorySink",
+    "ModelResource",
     "Priority",
     "Refusal",
     "RefusalCode",
--- a/mangogauge/settings/__init__.py
+++ b/mangogauge/settings/__init__.py
@@ -12,13 +12,20 @@
     Model,
     Route,
     RouteKind,
-    read_fleet,
 )
-from .host import HostSettings, PeerSettings, PlatformSettings, read_host
+from .host import (
+    CallerSettings,
+    HostSettings,
+    PeerSettings,
+    PlatformSettings,
+    read_host,
+)
 from .kinds import Kind
 from .problems import Problem, SettingsError
+from .reading import read_fleet
 
 __all__ = [
+    "CallerSettings",
     "ClientAccount",
     "ConfigurationDocuments",
     "DataCentre",
--- a/mangogauge/settings/host.py
+++ b/mangogauge/settings/host.py
@@ -8,9 +8,17 @@
 from .problems import Problem, SettingsError
 from .sections import SectionReader, make_option, parse_text
 
-__all__ = ["HostSettings", "PeerSettings", "PlatformSettings", "read_host"]
+__all__ = [
+    "CallerSettings",
+    "HostSettings",
+    "PeerSettings",
+    "PlatformSettings",
+    "read_host",
+]
 
 PORT = IntegerKind(0, 65_535)
+MEGABYTE = 1_048_576
+SECONDS = NumberKind(0.1, 3600, "seconds")
 
 
 @frozen
@@ -27,7 +35,7 @@
         File in which the platform lists hosts; empty for none.
     """
 
-    addresses = make_option(ListKind(AddressKind()))
+    addresses = make_option(ListKind(AddressKind(), least=1))
     timeout = make_option(NumberKind(0.05, 60, "seconds"), default=2.0)
     host_list = make_option(TextKind(), default="")
 
@@ -48,6 +56,36 @@
     seeds = make_option(ListKind(AddressKind()), default=())
 
 
+@frozen
+class CallerSettings:
+    """What callers may ask of one connection.
+
+    Parameters
+    ----------
+    head_bytes : int
+        Largest request head.
+    body_bytes : int
+        Largest request body, uploads of files excepted.
+    head_timeout : float
+        Seconds a caller has to send a request head, idle time included.
+    body_timeout : float
+        Seconds a caller may pause while it sends a body.
+    write_timeout : float
+        Seconds a caller may leave its receive window full.
+    connections : int
+        Largest number of connections open at once.
+    """
+
+    head_bytes = make_option(IntegerKind(1024, MEGABYTE, "bytes"), default=32_768)
+    body_bytes = make_option(
+        IntegerKind(1024, 1024 * MEGABYTE, "bytes"), default=8 * MEGABYTE
+    )
+    head_timeout = make_option(SECONDS, default=60.0)
+    body_timeout = make_option(SECONDS, default=30.0)
+    write_timeout = make_option(SECONDS, default=60.0)
+    connections = make_option(IntegerKind(1, 1_000_000), default=4096)
+
+
 @frozen
 class HostSettings:
     """One host.
@@ -78,6 +116,7 @@
     drain_seconds = make_option(NumberKind(0, 600, "seconds"), default=10.0)
     platform = field(default=None)
     peers = field(default=None)
+    callers = field(factory=CallerSettings)
 
     @property
     def peer_address(self):
@@ -85,6 +124,15 @@
         return self.advertised or f"{self.address}:{self.peer_port}"
 
 
+SECTIONS = {
+    "host": HostSettings,
+    "platform": PlatformSettings,
+    "peers": PeerSettings,
+    "callers": CallerSettings,
+}
+PORT_OPTIONS = ("callers_port", "peer_port", "operator_port")
+
+
 def read_host(path):
     """Read a host's file.
 
@@ -94,24 +142,51 @@
         With every mistake in it.
     """
     file = str(path)
-    problems = []
     try:
-        text = Path(path).read_text()
-    except OSError as error:
-        raise SettingsError(
-            [Problem(file, read=error.strerror, allowed="a file that can be read")]
-        ) from error
+        text = Path(path).read_text("utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        problem = Problem(file, read=str(error), allowed="a UTF-8 file to be read")
+        raise SettingsError([problem]) from error
+    problems = []
     sections = parse_text(text, file, problems)
-    reader = SectionReader(file, problems)
-    known = {"host": HostSettings, "platform": PlatformSettings, "peers": PeerSettings}
+    reader = SectionReader(problems)
     for section in sections:
-        if section not in known:
-            reader.check_section(section, known)
-    platform = reader.read("platform", sections.get("platform", {}), PlatformSettings)
-    peers = reader.read("peers", sections.get("peers", {}), PeerSettings)
-    host = reader.read(
-        "host", sections.get("host", {}), HostSettings, platform=platform, peers=peers
-    )
+        if section not in SECTIONS:
+            reader.check_section(file, section, SECTIONS)
+    values = {
+        name: reader.read_values(name, sections.get(name, {}), cls, file)
+        for name, cls in SECTIONS.items()
+    }
+    _check_host(values["host"], file, problems)
+    _check_secret(values["peers"], file, problems)
     if problems:
         raise SettingsError(problems)
-    return host
+    parts = {n: c(**values[n]) for n, c in SECTIONS.items() if n != "host"}
+    return HostSettings(**values["host"], **parts)
+
+
+def _check_host(values, file, problems):
+    seen = {}
+    for option in PORT_OPTIONS:
+        port = values.get(option)
+        if port and port in seen:
+            allowed = f"another port than {seen[port]}"
+            problems.append(Problem(file, "host", option, str(port), allowed))
+        seen.setdefault(port, option)
+    folder = values.get("data_folder")
+    if folder and not Path(folder).is_dir():
+        allowed = "a folder that exists"
+        problems.append(Problem(file, "host", "data_folder", folder, allowed))
+
+
+def _check_secret(values, file, problems):
+    path = values.get("secret_file")
+    if path is None:
+        return
+    try:
+        if Path(path).read_text("utf-8").strip():
+            return
+        allowed = "a file with the operators' secret in it"
+    except (OSError, UnicodeDecodeError):
+        allowed = "a file that can be read"
+    problems.append(Problem(file, "peers", "secret_file", path, allowed))
