--- /dev/null
+++ b/features/machines/__init__.py
@@ -0,0 +1,14 @@
+"""State machines that run the real classes against the specifications."""
+
+from .batch import BatchMachine, UnfencedBatchMachine
+from .limits import TokenBucketMachine
+from .membership import MembershipMachine
+
+MACHINES = {
+    "batch": BatchMachine,
+    "batch without epochs": UnfencedBatchMachine,
+    "membership": MembershipMachine,
+    "token bucket": TokenBucketMachine,
+}
+
+__all__ = ["MACHINES"]
--- /dev/null
+++ b/features/machines/limits.py
@@ -0,0 +1,67 @@
+"""The real `TokenBucket` against the bound on every window."""
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from mangogauge.limits import TokenBucket
+
+RATES = st.integers(0, 50)
+BURSTS = st.integers(1, 20)
+TOLERANCE = 1e-6
+
+
+class TokenBucketMachine(RuleBasedStateMachine):
+    """Admissions in any window stay within the rates and the burst in force."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.bucket = TokenBucket(10, 5, self.now)
+        self.periods = [(0.0, 10, 5)]
+        self.admitted = []
+
+    @rule(seconds=st.floats(0, 3, allow_nan=False))
+    def wait(self, seconds):
+        self.now += seconds
+
+    @rule(amount=st.integers(1, 6))
+    def take(self, amount):
+        if self.bucket.take(amount, self.now):
+            self.admitted.append((self.now, amount))
+
+    @rule()
+    def wait_as_told(self):
+        wait = self.bucket.compute_wait(1)
+        if wait != float("inf"):
+            self.now += wait + TOLERANCE
+            self.bucket.accrue(self.now)
+            assert self.bucket.compute_wait(1) == 0
+
+    @rule(rate=RATES, burst=BURSTS)
+    def change(self, rate, burst):
+        self.bucket.change(rate, burst, self.now)
+        self.periods.append((self.now, rate, burst))
+
+    @rule(seconds=st.floats(0, 1))
+    def read_an_old_time(self, seconds):
+        self.bucket.accrue(self.now - seconds)
+
+    @invariant()
+    def windows_stay_within_the_bound(self):
+        if not self.admitted:
+            return
+        end = self.admitted[-1][0]
+        total = 0
+        for start, amount in reversed(self.admitted):
+            total += amount
+            assert total <= self._bound(start, end) + TOLERANCE, (start, end, total)
+
+    def _bound(self, start, end):
+        gained = 0.0
+        burst = 0
+        ends = [at for at, _, _ in self.periods[1:]] + [float("inf")]
+        for (begin, rate, limit), finish in zip(self.periods, ends, strict=True):
+            if begin <= end and finish >= start:
+                burst = max(burst, limit)
+                gained += rate * max(0.0, min(end, finish) - max(start, begin))
+        return burst + gained
--- /dev/null
+++ b/features/machines/membership.py
@@ -0,0 +1,100 @@
+"""Views that exchange over a network that loses, repeats and delays."""
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from mangogauge.clock import ManualClock
+from mangogauge.membership import Member, MembershipView
+from mangogauge.protocol.membership_pb2 import ExchangeRequest
+
+HOSTS = ("a1", "a2", "b1")
+HOST = st.sampled_from(HOSTS)
+
+
+class MembershipMachine(RuleBasedStateMachine):
+    """Each host publishes a counter; nobody may see a counter go back."""
+
+    def __init__(self):
+        super().__init__()
+        self.clock = ManualClock()
+        self.incarnations = dict.fromkeys(HOSTS, 0)
+        self.published = {}
+        self.views = {}
+        self.seen = {}
+        self.under_way = []
+        for name in HOSTS:
+            self.restart(name)
+
+    @rule(name=HOST)
+    def restart(self, name):
+        self.incarnations[name] += 1
+        own = Member(name, name[0], f"127.0.0.1:{7000}", self.incarnations[name])
+        self.views[name] = MembershipView(own, self.clock)
+        self.published[name] = 0
+        self.seen = {pair: s for pair, s in self.seen.items() if pair[0] != name}
+        self.publish(name)
+
+    @rule(name=HOST)
+    def publish(self, name):
+        self.published[name] += 1
+        self.views[name].publish("counter", b"%d" % self.published[name])
+
+    @rule(name=HOST, seconds=st.floats(0, 2))
+    def beat(self, name, seconds):
+        self.clock.advance(seconds)
+        self.views[name].beat()
+
+    @rule(name=HOST, peer=HOST, lost=st.booleans())
+    def exchange(self, name, peer, lost):
+        if name == peer:
+            return
+        reply = self._ask(name, peer)
+        self.under_way.append((name, reply))
+        if not lost:
+            self._take(name, reply)
+
+    @rule(data=st.data())
+    def deliver_late(self, data):
+        if self.under_way:
+            number = data.draw(st.integers(0, len(self.under_way) - 1))
+            self._take(*self.under_way[number])
+
+    @rule()
+    def exchange_fairly(self):
+        for _ in HOSTS:
+            for name in HOSTS:
+                self.views[name].beat()
+                for peer in HOSTS:
+                    if peer != name:
+                        self._take(name, self._ask(name, peer))
+        for view in self.views.values():
+            assert [m.name for m in view.list_members()] == list(HOSTS)
+            for name in HOSTS:
+                said = view.read(name, "counter")
+                assert said == b"%d" % self.published[name], (view.own, name, said)
+
+    @invariant()
+    def no_view_goes_back(self):
+        for observer, view in self.views.items():
+            for digest in view.make_digests():
+                said = int(view.read(digest.name, "counter") or 0)
+                state = (digest.incarnation, said)
+                pair = (observer, digest.name)
+                assert state >= self.seen.get(pair, (0, 0)), (pair, state)
+                self.seen[pair] = state
+
+    @invariant()
+    def nobody_else_speaks_for_a_host(self):
+        for name, view in self.views.items():
+            assert view.read(name, "counter") == b"%d" % self.published[name]
+
+    def _ask(self, name, peer):
+        view = self.views[name]
+        request = ExchangeRequest(
+            sender=view.make_own_state(), digests=view.make_digests()
+        )
+        return self.views[peer].make_reply(request)
+
+    def _take(self, name, reply):
+        for state in reply.news:
+            self.views[name].take_state(state)
