Send open-loop load from a seeded plan and measure from the intended start

Cause: no tool to measure harm, fairness and limits. Ruled out: closed-loop callers, which slow down with the server and so leave out the requests that a stall would have hit. Change: mangogauge load with plans in INI, HdrHistogram, samples as JSON lines, batch jobs; progress at a terminal.

--- a/features/builders/__init__.py
+++ b/features/builders/__init__.py
@@ -2,7 +2,7 @@
 
 from .callers import Caller, CallerAnswer
 from .processes import Process, wait_until
-from .settings import make_base, make_overlay
+from .settings import make_base, make_overlay, make_section
 from .world import World
 
 __all__ = [
@@ -12,5 +12,6 @@
     "World",
     "make_base",
     "make_overlay",
+    "make_section",
     "wait_until",
 ]
--- a/mangogauge/commands/application.py
+++ b/mangogauge/commands/application.py
@@ -2,7 +2,7 @@
 
 from cyclopts import App
 
-from . import configuration, keys, serve, standin
+from . import configuration, keys, load, serve, standin
 
 __all__ = ["app", "main"]
 
@@ -14,6 +14,7 @@
 app.command(configuration.app)
 app.command(keys.app)
 app.command(standin.app)
+app.command(load.load)
 
 
 def main():
