--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 ARGS ?=
 
-.PHONY: demo test lint format protocol
+.PHONY: bench demo test lint format protocol
 
 $(VENV)/.ready: requirements.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -28,3 +28,6 @@
 protocol: $(VENV)/.ready
 	$(BIN)/python -m grpc_tools.protoc -I mangogauge/protocol \
 		--python_out=mangogauge/protocol mangogauge/protocol/*.proto
+
+bench: $(VENV)/.ready
+	$(BIN)/python -m bench $(SCENARIO) --seed $(or $(SEED),1) $(ARGS)
--- a/mangogauge/load/plan.py
+++ b/mangogauge/load/plan.py
@@ -32,7 +32,6 @@
 
 WORD_CHARACTERS = 4
 PREFIX_TOKENS = 256
-LENGTH_SPREAD = 0.6
 DAY_SECONDS = 86_400
 BURST_PERIOD_SECONDS = 4.0
 BURST_PART = 0.25
@@ -60,6 +59,8 @@
     model, path : str
     prompt_tokens, output_tokens : int
         Medians; lengths are spread log-normally.
+    length_spread : float
+        Standard deviation of the lengths' logarithms; 0 for equal lengths.
     prefixes : int
         Number of prompt beginnings that requests share.
     prefix_share : float
@@ -79,6 +80,7 @@
     path = make_option(TextKind(), default="/v1/chat/completions")
     prompt_tokens = make_option(IntegerKind(1, 100_000, "tokens"), default=64)
     output_tokens = make_option(IntegerKind(1, 100_000, "tokens"), default=16)
+    length_spread = make_option(NumberKind(0, 3), default=0.6)
     prefixes = make_option(IntegerKind(1, 10_000), default=8)
     prefix_share = make_option(NumberKind(0, 1), default=0.5)
     stream = make_option(FlagKind(), default=True)
@@ -170,7 +172,7 @@
 
 
 def _make_arrival(settings, account, number, at, rng):
-    prompt_tokens = _draw_length(settings.prompt_tokens, rng)
+    prompt_tokens = _draw_length(settings.prompt_tokens, settings, rng)
     words = [f"{rng.randrange(1000):03}" for _ in range(prompt_tokens)]
     if rng.random() < settings.prefix_share:
         prefix = f"{account.name}-{rng.randrange(settings.prefixes)} "
@@ -180,12 +182,12 @@
         account=account.name,
         host=_choose_host(settings, number, at, rng),
         prompt=" ".join(words),
-        max_tokens=_draw_length(settings.output_tokens, rng),
+        max_tokens=_draw_length(settings.output_tokens, settings, rng),
     )
 
 
-def _draw_length(median, rng):
-    return max(1, round(median * math.exp(rng.gauss(0, LENGTH_SPREAD))))
+def _draw_length(median, settings, rng):
+    return max(1, round(median * math.exp(rng.gauss(0, settings.length_spread))))
 
 
 def _choose_host(settings, number, at, rng):
