--- a/mangogauge/commands/application.py
+++ b/mangogauge/commands/application.py
@@ -2,7 +2,7 @@
 
 from cyclopts import App
 
-from . import configuration, keys, roster, serve, standin
+from . import configuration, keys, load, roster, serve, standin
 
 __all__ = ["app", "main"]
 
@@ -15,6 +15,7 @@
 app.command(keys.app)
 app.command(roster.app)
 app.command(standin.app)
+app.command(load.load)
 
 
 def main():
