Accept batch jobs by one write, and run chunks under claims with epochs

The sketch kept whole files in memory, listed every job at each poll, claimed whole jobs under a lease per job and saved results in one go at the end: a lost host lost all work, a resend made a second job, and a cancelled job ran on.

A job is now a manifest over the chunks of its input file, put in force by one write that also holds its index entries. Its id follows from client account and Idempotency-Key, so the record is the mapping. Chunks are claimed by compare-and-swap with an epoch under one lease for each host; results are committed in groups against the chunk's state and the claim's revision. Ruled out: a mapping record beside the job (two writes can part), copying the input into chunks of its own at submission (twice the bytes, and a submission that takes as long as the upload), a lease for each chunk.

--- a/mangogauge/batch/__init__.py
+++ b/mangogauge/batch/__init__.py
@@ -1,17 +1,40 @@
 """Batch jobs: files, acceptance, ownership, running and results."""
 
+from .batch_resource import BatchResource, JobCounter
+from .chunks import ChunkLedger, ChunkState
+from .commits import ChunkStore, CommitOutcome, OwnedChunk
+from .file_resource import FileResource
 from .files import FileRecord, FileStore
-from .jobs import Job, JobState, JobStore
-from .resources import BatchResource, FileResource
-from .runner import BatchRunner
+from .jobs import Job, JobCounts, JobState, JobStore
+from .ownership import Continuation, HostLease, LapsePolicy, LeaseSight
+from .part import BatchPart
+from .results import ResultReader
+from .runner import BatchParts, BatchRunner
+from .scheduling import FairShare, OpenWork
 
 __all__ = [
+    "BatchPart",
+    "BatchParts",
     "BatchResource",
     "BatchRunner",
+    "ChunkLedger",
+    "ChunkState",
+    "ChunkStore",
+    "CommitOutcome",
+    "Continuation",
+    "FairShare",
     "FileRecord",
     "FileResource",
     "FileStore",
+    "HostLease",
     "Job",
+    "JobCounter",
+    "JobCounts",
     "JobState",
     "JobStore",
+    "LapsePolicy",
+    "LeaseSight",
+    "OpenWork",
+    "OwnedChunk",
+    "ResultReader",
 ]
--- /dev/null
+++ b/mangogauge/batch/execution.py
@@ -0,0 +1,277 @@
+"""Start items where there is room, and settle what comes of them."""
+
+import heapq
+from collections import Counter
+
+import curio
+import orjson
+from attrs import define, field
+
+from ..gateway.refusals import Refusal
+from ..gateway.sinks import MemorySink
+from ..http import HTTPError
+from .items import ItemError, ItemReader, Verdict, judge_answer, judge_refusal
+from .packing import PACKED_LIMIT_BYTES, pack
+from .room import HostRoom
+
+__all__ = ["Executor"]
+
+IDLE_SECONDS = 0.02
+BACKOFF_LIMIT_SECONDS = 30.0
+DEFAULT_WORK = 16
+TOO_LARGE = ItemError("too_large", "The answer is too large to be kept.")
+CANCELLED = ItemError(
+    "outcome_unknown", "The item was cancelled; it may have been run."
+)
+
+
+@define(eq=False)
+class _Run:
+    """A claimed chunk with its items."""
+
+    chunk = field()
+    lines = field()
+    tasks = field(factory=dict)
+    failures = field(factory=Counter)
+    delays = field(factory=Counter)
+    delayed = field(factory=list)
+    intending = field(factory=list)
+
+
+@define(eq=False)
+class _Started:
+    """An item that runs."""
+
+    task = field()
+    repeatable = field()
+
+
+class Executor:
+    """Runs the items of the chunks that a host owns.
+
+    Parameters
+    ----------
+    parts : BatchParts
+    share : FairShare
+    may_start : callable
+        Whether an item may be started now.
+    """
+
+    def __init__(self, parts, share, may_start):
+        self._parts = parts
+        self._share = share
+        self._may_start = may_start
+        self._settings = None
+        self._reader = None
+        self._runs = {}
+        self._stopped = False
+        self._woken = curio.Event()
+        self._group = None
+        self._room = HostRoom()
+        self.pending_bytes = 0
+
+    @property
+    def is_hungry(self):
+        """Whether there are fewer items to start than room to run them."""
+        waiting = sum(run.chunk.ledger.waiting_count for run in self._runs.values())
+        return waiting < self._settings.concurrency
+
+    def take_fleet(self, fleet):
+        """Put newer settings in force."""
+        self._settings = fleet.batch
+        self._reader = ItemReader(fleet, self._parts.clock)
+        self._room.set_limit(fleet.batch.concurrency)
+
+    def add(self, chunk, lines):
+        """Run the items of a chunk."""
+        self._runs[chunk] = _Run(chunk, lines)
+
+    def remove(self, chunk):
+        """Forget a chunk that is finished."""
+        self._runs.pop(chunk, None)
+
+    async def drop(self, chunk):
+        """Start nothing more of a chunk, and cancel what runs of it."""
+        run = self._runs.pop(chunk, None)
+        chunk.ledger.wanted_intents.clear()
+        if run is not None:
+            await _cancel([started.task for started in run.tasks.values()])
+
+    async def stop_repeatable(self, chunk):
+        """Cancel a chunk's running items that may be run again."""
+        run = self._runs.get(chunk)
+        if run is not None:
+            started = [s for s in run.tasks.values() if s.repeatable]
+            await _cancel([s.task for s in started])
+
+    def stop_starting(self):
+        """Start nothing more at all."""
+        self._stopped = True
+
+    async def wait_idle(self):
+        """Wait until nothing runs."""
+        while any(run.tasks for run in self._runs.values()):
+            await curio.sleep(IDLE_SECONDS)
+
+    def note_commit(self):
+        """Count anew what waits to be committed."""
+        self.pending_bytes = sum(
+            len(result.line)
+            for run in self._runs.values()
+            for result in run.chunk.ledger.results.values()
+        )
+
+    def settle_failure(self, chunk, index, error):
+        """Give an item that is not to be run its result."""
+        item = self._read(self._runs[chunk], index)
+        chunk.ledger.settle(item.make_failure(index, error))
+        self._count(chunk, "failed")
+
+    async def run(self):
+        """Start items until cancelled."""
+        async with curio.TaskGroup(wait=None) as group:
+            while True:
+                if not await self._start_next(group):
+                    async with curio.ignore_after(IDLE_SECONDS):
+                        await self._woken.wait()
+                    self._woken.clear()
+
+    async def _start_next(self, group):
+        """Start one item; return whether one was started or settled."""
+        if self._stopped or not self._runs or not self._may_start():
+            return False
+        for run in self._list_runs():
+            self._wake_delayed(run)
+            index = self._take_index(run)
+            if index is not None:
+                return await self._start(group, run, index)
+        return False
+
+    def _list_runs(self):
+        """Return runs that may start items, the most urgent first."""
+        runs = [run for run in self._runs.values() if run.chunk.claim_revision]
+        rank = self._share.get_rank({run.chunk.job.account for run in runs})
+        runs.sort(key=lambda r: (rank(r.chunk.job.account), r.chunk.job.due_at))
+        return runs
+
+    def _wake_delayed(self, run):
+        now = self._parts.clock.read_elapsed()
+        while run.delayed and run.delayed[0][0] <= now:
+            run.chunk.ledger.put_back(heapq.heappop(run.delayed)[1])
+
+    def _take_index(self, run):
+        ledger = run.chunk.ledger
+        for index in run.intending:
+            if ledger.has_intent(index):
+                run.intending.remove(index)
+                return index
+        if len(run.intending) + len(run.tasks) >= self._settings.concurrency:
+            return None
+        return ledger.take_next()
+
+    async def _start(self, group, run, index):
+        ledger = run.chunk.ledger
+        item = self._read(run, index)
+        if item.error is not None:
+            self.settle_failure(run.chunk, index, item.error)
+            return True
+        if not item.call.repeatable and not ledger.has_intent(index):
+            ledger.wanted_intents.add(index)
+            run.intending.append(index)
+            return True
+        endpoint = self._room.take(item.call)
+        if endpoint is None:
+            ledger.put_back(index)
+            return False
+        item.call.endpoint = endpoint
+        attempt_id = ledger.begin(index)
+        work = _estimate_work(run.lines[index])
+        self._share.charge(run.chunk.job.account, work)
+        task = await group.spawn(
+            self._run_item, run, index, item, attempt_id, work, daemon=True
+        )
+        run.tasks[index] = _Started(task, item.call.repeatable)
+        return True
+
+    async def _run_item(self, run, index, item, attempt_id, work):
+        ledger, call = run.chunk.ledger, item.call
+        sink = MemorySink()
+        try:
+            verdict, error = await self._dispatch(call, sink)
+        except curio.CancelledError:
+            if call.repeatable:
+                ledger.put_back(index)
+            else:
+                self._keep(run, attempt_id, item.make_failure(index, CANCELLED))
+            raise
+        finally:
+            self._room.give(call.endpoint)
+            run.tasks.pop(index, None)
+        if verdict is Verdict.DONE:
+            result = item.make_result(index, sink)
+            self._share.charge(run.chunk.job.account, result.tokens - work)
+            self._keep(run, attempt_id, result, item)
+        else:
+            self._settle_failed(run, index, item, attempt_id, verdict, error)
+        await self._woken.set()
+
+    async def _dispatch(self, call, sink):
+        """Run a call; return a `Verdict` and the `ItemError` if it failed."""
+        try:
+            await self._parts.dispatcher.dispatch(call, sink)
+        except Refusal as refusal:
+            error = ItemError(refusal.code.value.code, refusal.message)
+            return judge_refusal(refusal, call.repeatable), error
+        except HTTPError as broken:
+            error = ItemError("outcome_unknown", broken.message)
+            return Verdict.AGAIN if call.repeatable else Verdict.FAILED, error
+        error = ItemError("endpoint_failed", f"The endpoint answered {sink.status}.")
+        return judge_answer(sink.status, call.repeatable), error
+
+    def _settle_failed(self, run, index, item, attempt_id, verdict, error):
+        """Try again later, or give the item its error as its result."""
+        run.failures[index] += verdict is Verdict.AGAIN
+        late = self._parts.clock.read_calendar() > run.chunk.job.due_at
+        final = (
+            verdict is Verdict.FAILED
+            or run.failures[index] >= self._settings.attempts
+            or (late and verdict is Verdict.LATER)
+        )
+        if final:
+            self._keep(run, attempt_id, item.make_failure(index, error))
+            return
+        run.delays[index] += 1
+        pause = self._settings.backoff_seconds * 2 ** min(run.delays[index] - 1, 16)
+        pause = min(pause, BACKOFF_LIMIT_SECONDS) * (0.5 + self._parts.random.random())
+        due = self._parts.clock.read_elapsed() + pause
+        heapq.heappush(run.delayed, (due, index))
+
+    def _keep(self, run, attempt_id, result, item=None):
+        if len(result.line) > PACKED_LIMIT_BYTES and item is not None:
+            if len(pack([result.line])) > PACKED_LIMIT_BYTES:
+                result = item.make_failure(result.index, TOO_LARGE)
+        if run.chunk.ledger.accept(attempt_id, result):
+            self.pending_bytes += len(result.line)
+            self._count(run.chunk, "completed" if result.good else "failed")
+
+    def _read(self, run, index):
+        chunk = run.chunk
+        return self._reader.read(chunk.job, chunk.number, index, run.lines[index])
+
+    def _count(self, chunk, outcome):
+        self._parts.metrics.batch_items.labels(chunk.job.account, outcome).inc()
+
+
+async def _cancel(tasks):
+    for task in tasks:
+        await task.cancel(blocking=False)
+    for task in tasks:
+        await task.wait()
+
+
+def _estimate_work(line):
+    """Return the tokens that an item may take, before it has run."""
+    try:
+        return int(orjson.loads(line)["body"]["max_tokens"])
+    except (ValueError, KeyError, TypeError):
+        return DEFAULT_WORK
--- a/mangogauge/batch/runner.py
+++ b/mangogauge/batch/runner.py
@@ -1,153 +1,291 @@
-"""Claim jobs and run their items."""
+"""Runs a host's part of the batch jobs: claim, run, commit, give way."""
 
 import curio
-import orjson
-from attrs import evolve
+from attrs import field, frozen
 from returns.result import Failure
 
 from ..daemon.parts import HostPart
-from ..gateway.calls import Call, Priority
-from ..gateway.refusals import Refusal
-from ..gateway.routes import RouteTable
-from ..gateway.sinks import MemorySink
-from ..http import Headers, HTTPError
-from ..platform import Conflict
+from ..settings import BatchSettings
 from ..telemetry import get_logger
-from .jobs import Job, JobState
+from .claiming import Claimer
+from .commits import CommitOutcome
+from .execution import Executor
+from .items import ItemError
+from .ownership import (
+    Continuation,
+    HostLease,
+    LapsePolicy,
+    LeaseSight,
+    PlatformSight,
+)
+from .scheduling import FairShare
 
-__all__ = ["BatchRunner"]
+__all__ = ["BatchParts", "BatchRunner"]
 
-POLL_SECONDS = 0.5
-CLAIM_SECONDS = 10
-ITEM_SECONDS = 600.0
-CONCURRENCY = 8
-CLAIMS_PREFIX = "claims/"
+PLATFORM_ENTRY = "platform-seen"
+SEEN, UNSEEN = b"1", b"0"
+CHUNKS_OWNED = 8
+CANCEL_POLL_SECONDS = 2.0
+INTENT_SECONDS = 0.1
+TICK_SECONDS = 0.05
+RETRY_COMMIT_SECONDS = 0.5
+DRAIN_SECONDS = 10.0
+EARLY_COMMIT_BYTES = 500_000
+LOST_OUTCOME = ItemError(
+    "outcome_unknown", "The item may have been run; its outcome was lost."
+)
 
 log = get_logger("batch")
 
 
-class BatchRunner(HostPart):
-    """Runs jobs on this host.
+@frozen
+class BatchParts:
+    """What a `BatchRunner` works with.
 
     Parameters
     ----------
     host : str
+        Name of this host.
     records : RecordStore
     jobs : JobStore
     files : FileStore
+    chunks : ChunkStore
     dispatcher : Dispatcher
+    view : MembershipView
     clock : Clock
+    random : random.Random
+    metrics : HostMetrics
+    """
+
+    host = field()
+    records = field()
+    jobs = field()
+    files = field()
+    chunks = field()
+    dispatcher = field()
+    view = field()
+    clock = field()
+    random = field()
+    metrics = field()
+
+
+class BatchRunner(HostPart):
+    """Runs jobs on this host.
+
+    Parameters
+    ----------
+    parts : BatchParts
     """
 
-    def __init__(self, host, records, jobs, files, dispatcher, clock):
-        self._host = host
-        self._records = records
-        self._jobs = jobs
-        self._files = files
-        self._dispatcher = dispatcher
-        self._clock = clock
-        self._routes = RouteTable()
+    def __init__(self, parts):
+        self._parts = parts
+        self._settings = BatchSettings()
+        self._owned = {}
+        self._draining = False
+        self._share = FairShare()
+        self._sight = PlatformSight(parts.clock)
+        self._lease = HostLease(parts.records.store, parts.clock, self._sight)
+        self._lease_id = 0
+        self._claimer = Claimer(parts, self._share, self._sight, self._is_owner_sound)
+        self._executor = Executor(parts, self._share, self._may_start)
+        self._write_lock = curio.Lock()
+        self._committed_at = 0.0
+        self._policy = LapsePolicy(0, 0)
 
     def take_fleet(self, fleet):
         """Put newer settings in force."""
-        self._routes = RouteTable(fleet.routes.values())
+        self._settings = settings = fleet.batch
+        self._policy = LapsePolicy(settings.outage_seconds, settings.held_items)
+        self._share.set_weights({a.name: a.weight for a in fleet.accounts.values()})
+        self._executor.take_fleet(fleet)
 
     async def run(self):
-        """Claim and run jobs until cancelled."""
+        """Claim, run and commit until cancelled."""
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(self._keep_lease)
+            await group.spawn(self._find_work)
+            await group.spawn(self._commit_often)
+            await group.spawn(self._watch_cancels)
+            await group.spawn(self._executor.run)
+        if group.exception is not None:
+            raise group.exception
+
+    async def drain(self):
+        """Commit what is done and give every claim back."""
+        self._draining = True
+        self._executor.stop_starting()
+        for chunk in list(self._owned.values()):
+            await self._executor.stop_repeatable(chunk)
+        async with curio.ignore_after(DRAIN_SECONDS):
+            await self._executor.wait_idle()
+        await self._flush(list(self._owned.values()))
+        self._owned.clear()
+        await self._lease.release()
+
+    async def _keep_lease(self):
         while True:
-            await curio.sleep(POLL_SECONDS)
-            rows = await self._jobs.list_all()
-            if isinstance(rows, Failure):
-                continue
-            for row in rows.unwrap():
-                job = Job.from_bytes(row.payload)
-                if job.state is JobState.IN_PROGRESS and await self._claim(job):
-                    await self._run_job(job, row)
-
-    async def _claim(self, job):
-        lease = await self._records.store.grant_lease(CLAIM_SECONDS)
-        if isinstance(lease, Failure):
-            return False
-        claimed = await self._records.write(
-            CLAIMS_PREFIX + job.job_id,
-            self._host.encode(),
-            lease=lease.unwrap().lease_id,
-        )
-        if isinstance(claimed, Failure):
-            return False
-        return not isinstance(claimed.unwrap(), Conflict)
+            if self._owned and not self._draining:
+                await self._lease.ensure(self._settings.lease_seconds)
+                self._note_lease()
+            seen = SEEN if self._sight.answers else UNSEEN
+            self._parts.view.publish(PLATFORM_ENTRY, seen)
+            await self._stop_if_lapsed()
+            await curio.sleep(min(1.0, self._settings.lease_seconds / 10))
 
-    async def _run_job(self, job, row):
-        record = (await self._files.find(job.account, job.input_file)).value_or(None)
-        if record is None:
+    def _note_lease(self):
+        """Count claims as gone that hung on an earlier lease."""
+        if self._lease.lease_id in (0, self._lease_id):
             return
-        data = (await self._files.read_all(record)).value_or(None)
-        if data is None:
-            return
-        lines = [line for line in data.splitlines() if line.strip()]
-        results = [None] * len(lines)
-        pending = iter(enumerate(lines))
-        async with curio.TaskGroup() as group:
-            for _ in range(CONCURRENCY):
-                await group.spawn(self._run_items, job, pending, results)
-        await self._finish(job, row, results)
-
-    async def _run_items(self, job, pending, results):
-        for index, line in pending:
-            results[index] = await self._run_item(job, line)
-
-    async def _run_item(self, job, line):
-        item = orjson.loads(line)
-        call = self._make_call(job, item)
-        sink = MemorySink()
-        answer = {"id": call.request_id, "custom_id": item["custom_id"]}
-        try:
-            await self._dispatcher.dispatch(call, sink)
-        except (Refusal, HTTPError) as error:
-            return {**answer, "response": None, "error": {"message": error.message}}
-        response = {
-            "status_code": sink.status,
-            "request_id": call.request_id,
-            "body": orjson.loads(sink.body),
-        }
-        return {**answer, "response": response, "error": None}
-
-    def _make_call(self, job, item):
-        body = item["body"]
-        return Call(
-            request_id=f"{job.job_id}-{item['custom_id']}",
-            account=job.account,
-            route=self._routes.find(item["url"]),
-            method=item["method"],
-            target=item["url"],
-            headers=Headers([("Content-Type", "application/json")]),
-            body=orjson.dumps(body),
-            deadline=self._clock.read_elapsed() + ITEM_SECONDS,
-            model=body.get("model", ""),
-            priority=Priority.BATCH,
-        )
+        self._lease_id = self._lease.lease_id
+        for chunk in self._owned.values():
+            chunk.claim_revision = 0
+
+    async def _stop_if_lapsed(self):
+        if self._policy.decide(self._read_sight()) is Continuation.STOP:
+            for chunk in list(self._owned.values()):
+                await self._executor.stop_repeatable(chunk)
 
-    async def _finish(self, job, row, results):
-        saved = await self._files.save(
-            job.account, "output.jsonl", "batch_output", _iterate_lines(results)
+    def _may_start(self):
+        """Return whether items may be started, by the clock as it is now."""
+        return self._policy.may_start(self._read_sight())
+
+    def _read_sight(self):
+        return LeaseSight(
+            lease_valid=self._lease.is_valid,
+            silent_seconds=self._sight.silent_seconds,
+            peer_sees_platform=self._peer_sees_platform(),
+            held=sum(len(c.ledger.results) for c in self._owned.values()),
         )
-        if isinstance(saved, Failure):
+
+    def _peer_sees_platform(self):
+        view = self._parts.view
+        own = view.own.name
+        names = [m.name for m in view.list_members() if m.name != own]
+        return any(view.read(name, PLATFORM_ENTRY) == SEEN for name in names)
+
+    def _is_owner_sound(self, name):
+        view = self._parts.view
+        return view.is_live(name) and view.read(name, PLATFORM_ENTRY) != UNSEEN
+
+    async def _find_work(self):
+        fruitless = 0
+        while True:
+            pause = self._settings.poll_seconds * 2 ** min(fruitless, 2)
+            await curio.sleep(pause * (0.5 + self._parts.random.random()))
+            if self._draining or len(self._owned) >= CHUNKS_OWNED:
+                continue
+            chunk = await self._claim_one()
+            fruitless = 0 if chunk else fruitless + 1
+            while chunk and self._executor.is_hungry and not self._draining:
+                chunk = await self._claim_one()
+
+    async def _claim_one(self):
+        """Claim a chunk; one of a job not owned here unless short of items."""
+        if not await self._lease.ensure(self._settings.lease_seconds):
+            return None
+        self._note_lease()
+        owned = () if self._executor.is_hungry else self._owned.values()
+        jobs = {chunk.job.job_id for chunk in owned}
+        chunk = await self._claimer.find(self._lease.lease_id, self._settings, jobs)
+        if chunk is not None:
+            await self._take_chunk(chunk)
+        return chunk
+
+    async def _take_chunk(self, chunk):
+        lines = await self._claimer.read_lines(chunk)
+        if lines is None:
+            await self._parts.chunks.release(chunk)
             return
-        good = sum(
-            1 for r in results if (r["response"] or {}).get("status_code") == 200
-        )
-        ended = evolve(
-            job,
-            state=JobState.COMPLETED,
-            output_file=saved.unwrap().file_id,
-            total=len(results),
-            completed=good,
-            failed=len(results) - good,
+        self._executor.add(chunk, lines)
+        for index in chunk.ledger.list_lost():
+            self._executor.settle_failure(chunk, index, LOST_OUTCOME)
+        self._owned[chunk.name] = chunk
+        log.info("chunk claimed", extra={"step": "claim", "peer": chunk.name})
+
+    async def _commit_often(self):
+        while True:
+            await curio.sleep(TICK_SECONDS)
+            chunks = self._list_due()
+            if not chunks:
+                continue
+            reached = await self._flush(chunks)
+            await curio.sleep(0 if reached else RETRY_COMMIT_SECONDS)
+
+    def _list_due(self):
+        """Return the chunks to commit now; all dirty ones if any is urgent."""
+        dirty = [c for c in self._owned.values() if _needs_commit(c)]
+        now = self._parts.clock.read_elapsed()
+        waited = now - self._committed_at
+        urgent = (
+            waited >= self._settings.commit_seconds
+            or any(c.ledger.has_all_results for c in dirty)
+            or self._executor.pending_bytes >= EARLY_COMMIT_BYTES
         )
-        await self._jobs.update(ended, row)
-        log.info("job finished", extra={"job": job.job_id, "items": len(results)})
+        wanted = any(c.ledger.wanted_intents or not c.claim_revision for c in dirty)
+        if dirty and (urgent or (wanted and waited >= INTENT_SECONDS)):
+            self._committed_at = now
+            return dirty
+        return []
+
+    async def _flush(self, chunks):
+        """Commit; return whether the platform was reached."""
+        async with self._write_lock:
+            chunks = [c for c in chunks if _needs_commit(c)]
+            if not chunks:
+                return True
+            await self._lease.ensure(self._settings.lease_seconds)
+            self._note_lease()
+            outcomes = await self._parts.chunks.commit(chunks, self._lease.lease_id)
+        self._executor.note_commit()
+        reached = CommitOutcome.AWAY not in outcomes.values()
+        self._sight.note_answer(reached)
+        for chunk, outcome in outcomes.items():
+            await self._take_outcome(chunk, outcome)
+        return reached
+
+    async def _take_outcome(self, chunk, outcome):
+        if outcome is CommitOutcome.LOST:
+            log.warning("chunk lost", extra={"step": "commit", "peer": chunk.name})
+            await self._drop(chunk)
+            return
+        if outcome is CommitOutcome.AWAY:
+            return
+        if chunk.ledger.is_finished:
+            self._owned.pop(chunk.name, None)
+            self._executor.remove(chunk)
+            self._claimer.work.note_free(chunk.job.job_id)
+            await self._claimer.advance(chunk.job.job_id)
+
+    async def _drop(self, chunk):
+        self._owned.pop(chunk.name, None)
+        await self._executor.drop(chunk)
+        self._claimer.work.note_free(chunk.job.job_id)
+
+    async def _watch_cancels(self):
+        while True:
+            pause = CANCEL_POLL_SECONDS * (0.5 + self._parts.random.random())
+            await curio.sleep(pause)
+            listed = self._sight.note(await self._parts.jobs.list_cancels())
+            if not isinstance(listed, Failure):
+                await self._take_cancels(listed.unwrap())
+
+    async def stop_job(self, job_id):
+        """Start no further item of a job, and cancel those that run."""
+        chunks = [c for c in self._owned.values() if c.job.job_id == job_id]
+        for chunk in chunks:
+            await self._executor.drop(chunk)
+        await self._flush(chunks)
+        for chunk in chunks:
+            if self._owned.pop(chunk.name, None) and not chunk.ledger.is_dirty:
+                await self._parts.chunks.release(chunk)
+
+    async def _take_cancels(self, job_ids):
+        for job_id in {c.job.job_id for c in self._owned.values()} & job_ids:
+            await self.stop_job(job_id)
+        if job_ids:
+            # Each host ends one of them, so that many cost few calls.
+            await self._claimer.advance(self._parts.random.choice(sorted(job_ids)))
 
 
-async def _iterate_lines(results):
-    for result in results:
-        yield orjson.dumps(result) + b"\n"
+def _needs_commit(chunk):
+    return chunk.ledger.is_dirty or not chunk.claim_revision
--- /dev/null
+++ b/mangogauge/batch/scheduling.py
@@ -0,0 +1,130 @@
+"""Which job a host takes work from, and which of its chunks runs next."""
+
+from attrs import define, field
+
+__all__ = ["FairShare", "OpenWork"]
+
+UNSEEN_WEIGHT = 1.0
+# Every so many looks go to the smallest job first, so that a large one that is
+# due earlier doesn't hold up small ones of the same account.
+SMALL_JOB_TURN = 4
+RECHECK_SECONDS = 30.0
+FORGET_SECONDS = 600.0
+
+
+class FairShare:
+    """Weighted-fair order of client accounts, by the work done for each.
+
+    An account's virtual time grows with the work that it got, divided by its
+    weight; the one that is furthest behind goes first. One that comes back
+    after a pause starts level with the others: unused time isn't saved up.
+
+    Examples
+    --------
+    >>> share = FairShare()
+    >>> share.set_weights({"a": 1.0, "b": 2.0})
+    >>> share.charge("a", 10), share.charge("b", 10)
+    (None, None)
+    >>> sorted(["a", "b"], key=share.get_rank(["a", "b"]))
+    ['b', 'a']
+    """
+
+    def __init__(self):
+        self._weights = {}
+        self._times = {}
+        self._floor = 0.0
+
+    def set_weights(self, weights):
+        """Take new weights: ``{account: float}``."""
+        self._weights = dict(weights)
+
+    def charge(self, account, work):
+        """Note that `work` was done for an account."""
+        weight = self._weights.get(account, UNSEEN_WEIGHT)
+        self._times[account] = self._read_time(account) + work / weight
+
+    def get_rank(self, active):
+        """Return a key function of accounts for sorting.
+
+        Parameters
+        ----------
+        active : iterable of str
+            The accounts that want work done now.
+        """
+        times = [self._times[name] for name in active if name in self._times]
+        self._floor = max(self._floor, min(times, default=self._floor))
+        return self._read_time
+
+    def _read_time(self, account):
+        return max(self._floor, self._times.get(account, 0.0))
+
+
+@define
+class _Note:
+    """What was seen when a job's chunks were last listed."""
+
+    checked_at = field()
+    owners = field()
+
+
+class OpenWork:
+    """Which open jobs are worth a look.
+
+    A job all of whose chunks were claimed is looked at again once an owner
+    no longer seems to live, or after a while; so a fleet that waits costs the
+    platform few calls.
+
+    Parameters
+    ----------
+    share : FairShare
+    clock : Clock
+    """
+
+    def __init__(self, share, clock):
+        self._share = share
+        self._clock = clock
+        self._notes = {}
+        self._turn = 0
+
+    def choose(self, jobs, is_owner_sound, limit):
+        """Return up to `limit` of `jobs`, the most urgent first.
+
+        Parameters
+        ----------
+        jobs : list of OpenJob
+        is_owner_sound : callable
+            Whether a host, by name, seems to live and to reach the platform.
+        limit : int
+        """
+        worth = [job for job in jobs if self._is_worth(job, is_owner_sound)]
+        rank = self._share.get_rank({job.account for job in worth})
+        self._turn = (self._turn + 1) % SMALL_JOB_TURN
+        by_size = self._turn == 0
+        worth.sort(
+            key=lambda job: (
+                rank(job.account),
+                job.items if by_size else job.due_at,
+            )
+        )
+        return worth[:limit]
+
+    def note_claimed(self, job_id, owners):
+        """Note that nothing of a job is free; `owners` hold its chunks."""
+        self._notes[job_id] = _Note(self._clock.read_elapsed(), frozenset(owners))
+        self._forget()
+
+    def note_free(self, job_id):
+        """Note that a job may have free chunks."""
+        self._notes.pop(job_id, None)
+
+    def _is_worth(self, job, is_owner_sound):
+        note = self._notes.get(job.job_id)
+        if note is None or not all(map(is_owner_sound, note.owners)):
+            return True
+        return self._clock.read_elapsed() - note.checked_at > RECHECK_SECONDS
+
+    def _forget(self):
+        oldest = self._clock.read_elapsed() - FORGET_SECONDS
+        for job_id, note in list(self._notes.items()):
+            if note.checked_at < oldest:
+                del self._notes[job_id]
--- a/mangogauge/daemon/host.py
+++ b/mangogauge/daemon/host.py
@@ -4,7 +4,7 @@
 
 import curio
 
-from ..batch import BatchResource, BatchRunner, FileResource, FileStore, JobStore
+from ..batch import BatchPart
 from ..clock import SystemClock
 from ..configuration import ConfigurationStore, ConfigurationWatcher
 from ..gateway import Dispatcher, Front
@@ -96,13 +96,17 @@
         )
 
     def _make_batch(self):
-        files = FileStore(self.records, self.clock)
-        jobs = JobStore(self.records)
-        self.resources = [FileResource(files), BatchResource(jobs, files, self.clock)]
-        runner = BatchRunner(
-            self.settings.name, self.records, jobs, files, self.dispatcher, self.clock
+        self.batch = BatchPart(
+            self.settings.name,
+            self.records,
+            self.dispatcher,
+            self.view,
+            self.clock,
+            self.random,
+            self.metrics,
         )
-        self.parts.append(runner)
+        self.resources = self.batch.resources
+        self.parts.append(self.batch)
 
     def _make_front(self):
         self.front = Front(
--- a/mangogauge/gateway/calls.py
+++ b/mangogauge/gateway/calls.py
@@ -39,6 +39,8 @@
     priority : Priority
     streams : bool
         Whether the caller wants the answer as a stream.
+    endpoint : str
+        Name of the one endpoint that may run it; empty for any.
     """
 
     request_id = field()
@@ -53,9 +55,12 @@
     repeatable = field(default=True)
     priority = field(default=Priority.ONLINE)
     streams = field(default=False)
+    endpoint = field(default="")
 
     def suits(self, endpoint):
         """Return whether `endpoint` can run this call."""
+        if self.endpoint and endpoint.name != self.endpoint:
+            return False
         if self.route.kind is RouteKind.MODEL:
             return (
                 endpoint.kind is EndpointKind.ENGINE and self.model in endpoint.models
--- a/mangogauge/platform/__init__.py
+++ b/mangogauge/platform/__init__.py
@@ -3,7 +3,7 @@
 from .gateway import GatewayStore
 from .hostlist import FileHostList, HostList, HostListing, ListedState
 from .memory import MemoryStore
-from .records import Commit, Conflict, RecordStore, StoredRecord
+from .records import Commit, Conflict, RecordStore, StoredRecord, encode_record
 from .store import (
     Condition,
     KeyValue,
@@ -42,4 +42,5 @@
     "Transaction",
     "TransactionResult",
     "WatchEvent",
+    "encode_record",
 ]
--- a/mangogauge/platform/records.py
+++ b/mangogauge/platform/records.py
@@ -21,7 +21,7 @@
     Transaction,
 )
 
-__all__ = ["Commit", "Conflict", "RecordStore", "StoredRecord"]
+__all__ = ["Commit", "Conflict", "RecordStore", "StoredRecord", "encode_record"]
 
 WRITE_IDS_KEPT = 16
 SETTLE_INTERVAL = 0.2
@@ -168,8 +168,16 @@
             await curio.sleep(SETTLE_INTERVAL)
 
 
-def _make_transaction(key, payload, previous, lease, extra, write_id):
-    revision = previous.revision if previous else 0
+def encode_record(payload, write_id, previous=None):
+    """Return a record's bytes, for an operation beside the one that is settled.
+
+    Parameters
+    ----------
+    payload : bytes
+    write_id : str
+    previous : StoredRecord, optional
+        What it follows.
+    """
     earlier = previous.write_ids[: WRITE_IDS_KEPT - 1] if previous else ()
     record = Record(
         write_id=write_id,
@@ -177,9 +185,14 @@
         checksum=xxhash.xxh3_64_intdigest(payload),
         payload=payload,
     )
+    return record.SerializeToString()
+
+
+def _make_transaction(key, payload, previous, lease, extra, write_id):
+    revision = previous.revision if previous else 0
     conditions = [Condition(key, revision)]
     conditions += [part for part in extra if isinstance(part, Condition)]
-    operations = [Operation(key, record.SerializeToString(), lease)]
+    operations = [Operation(key, encode_record(payload, write_id, previous), lease)]
     operations += [part for part in extra if isinstance(part, Operation)]
     return Transaction(conditions, operations)
 
--- a/mangogauge/settings/__init__.py
+++ b/mangogauge/settings/__init__.py
@@ -2,6 +2,7 @@
 
 from .documents import ConfigurationDocuments
 from .fleet import (
+    BatchSettings,
     ClientAccount,
     DataCentre,
     Endpoint,
@@ -18,6 +19,7 @@
 from .problems import Problem, SettingsError
 
 __all__ = [
+    "BatchSettings",
     "ClientAccount",
     "ConfigurationDocuments",
     "DataCentre",
--- a/mangogauge/settings/fleet.py
+++ b/mangogauge/settings/fleet.py
@@ -19,6 +19,7 @@
 from .sections import SectionReader, make_option, parse_text
 
 __all__ = [
+    "BatchSettings",
     "ClientAccount",
     "DataCentre",
     "Endpoint",
@@ -197,6 +198,52 @@
     slots = make_option(IntegerKind(1, 1024), default=16)
 
 
+@frozen
+class BatchSettings:
+    """How batch jobs are kept and run.
+
+    Parameters
+    ----------
+    chunk_items : int
+        Largest number of items in one chunk.
+    concurrency : int
+        Largest number of items that one host runs at once.
+    lease_seconds : float
+        How long a host's claims outlive it.
+    poll_seconds : float
+        Mean time between a host's looks for open work.
+    commit_seconds : float
+        Longest time that a result waits to be committed with others.
+    attempts : int
+        Failed runs after which an item ends in an error.
+    held_items : int
+        Results that a host holds while the platform is away.
+    outage_seconds : float
+        How long a host that neither reaches the platform nor a peer that
+        does goes on starting items.
+    backoff_seconds : float
+        Mean pause before an item is tried again.
+    retention_seconds : float
+        How long files, jobs and results are kept.
+    upload_seconds : float
+        Longest time that an upload may take.
+    """
+
+    chunk_items = make_option(IntegerKind(1, 10_000, "items"), default=500)
+    concurrency = make_option(IntegerKind(1, 10_000, "items"), default=64)
+    lease_seconds = make_option(NumberKind(1, 600, "seconds"), default=15.0)
+    poll_seconds = make_option(NumberKind(0.05, 60, "seconds"), default=1.0)
+    commit_seconds = make_option(NumberKind(0.05, 60, "seconds"), default=5.0)
+    attempts = make_option(IntegerKind(1, 100, "runs"), default=3)
+    held_items = make_option(IntegerKind(1, 1_000_000, "items"), default=20_000)
+    outage_seconds = make_option(NumberKind(0, DAY_SECONDS, "seconds"), default=120.0)
+    backoff_seconds = make_option(NumberKind(0.01, 600, "seconds"), default=1.0)
+    retention_seconds = make_option(
+        NumberKind(1, 400 * DAY_SECONDS, "seconds"), default=30.0 * DAY_SECONDS
+    )
+    upload_seconds = make_option(NumberKind(1, DAY_SECONDS, "seconds"), default=3600.0)
+
+
 @frozen
 class FleetSettings:
     """All that is shared, as one data centre sees it.
@@ -208,6 +255,7 @@
     accounts, routes, models, endpoints, data_centres : dict
         By name.
     limits : LimitSettings
+    batch : BatchSettings
     """
 
     version = field(default=0)
@@ -217,6 +265,7 @@
     endpoints = field(factory=dict)
     data_centres = field(factory=dict)
     limits = field(factory=LimitSettings)
+    batch = field(factory=BatchSettings)
 
 
 NAMED_SECTIONS = {
@@ -226,7 +275,7 @@
     "endpoint": ("endpoints", Endpoint),
     "data_centre": ("data_centres", DataCentre),
 }
-SINGLE_SECTIONS = {"limits": LimitSettings}
+SINGLE_SECTIONS = {"limits": LimitSettings, "batch": BatchSettings}
 
 
 def read_fleet(documents, data_centre, version=0):
@@ -271,7 +320,9 @@
         name: getattr(settings, name)
         for name in ("accounts", "routes", "models", "endpoints", "data_centres")
     }
-    return FleetSettings(version=version, limits=settings.limits, **values)
+    return FleetSettings(
+        version=version, limits=settings.limits, batch=settings.batch, **values
+    )
 
 
 def _read_merged(base, overlay, file, problems):
@@ -289,6 +340,7 @@
             reader.check_section(section, [*NAMED_SECTIONS, *SINGLE_SECTIONS])
     settings = FleetSettings(
         limits=singles.get("limits") or LimitSettings(),
+        batch=singles.get("batch") or BatchSettings(),
         **groups,
     )
     _check_references(settings, SectionReader(file, problems))
