--- a/mangogauge/batch/files.py
+++ b/mangogauge/batch/files.py
@@ -7,7 +7,7 @@
 from attrs import asdict, field, frozen
 from returns.result import Failure, Success
 
-from ..platform import Condition, Conflict, Operation
+from ..platform import Condition, Conflict, Operation, StoreUnavailableError
 from .keys import (
     make_expiry_key,
     make_file_key,
@@ -120,6 +120,10 @@
         returns.result.Result
             ``Success`` of `FileRecord`, `FileMismatch` or `UploadExpired`.
         """
+        # Refuses at once while the platform is away, before taking the body.
+        probe = await self._records.store.get(make_file_key("probe"))
+        if isinstance(probe, Failure):
+            return Failure(_make_harmless(probe.failure()))
         started = self._clock.read_calendar()
         upload = _Upload(self._records, make_upload_id(started))
         packer = LinePacker(settings.chunk_items)
@@ -190,7 +194,7 @@
             key = make_input_key(self.upload_id, len(self.counts))
             written = await self._records.write(key, chunk.data)
             if isinstance(written, Failure):
-                return written
+                return Failure(_make_harmless(written.failure()))
             if not self.counts:
                 self.first_revision = written.unwrap().revision
             self.counts.append(chunk.count)
@@ -212,6 +216,11 @@
         )
 
 
+def _make_harmless(error):
+    # A chunk that did reach the platform is no file: nothing is in force.
+    return StoreUnavailableError(error.message, step="write chunk", peer=error.peer)
+
+
 def _check_account(row, account):
     if row is None or FileRecord.from_bytes(row.payload).account != account:
         return None
