Run calls with an Idempotency-Key once across the fleet

A booking sent twice was booked twice. Its intent is now recorded by compare-and-swap before it runs; a resend on any host gets the recorded whole answer, waits for the running one, or is told "outcome_unknown" if it was lost with its host. The run is a task of its own, so a caller that hangs up and asks again finds the answer.

Three hundred keyed calls a second at one write for the intent and one for the outcome are 600 writes: more than the platform takes. Grouping on each of 410 hosts gathers nothing at 0.7 calls a second, so hosts of a data centre write through one of them, chosen by rendezvous hashing; the platform's conditions decide, so hosts that choose differently do no harm. Ruled out: forwarding the call itself to an owner host (the answer crosses a hop more and dies with it).

While the platform is away, calls that may not be repeated are refused, executed "no"; those that may be repeated run unrecorded.

--- a/mangogauge/daemon/host.py
+++ b/mangogauge/daemon/host.py
@@ -9,6 +9,7 @@
 from ..configuration import ConfigurationStore, ConfigurationWatcher
 from ..gateway import Dispatcher, Front
 from ..http import ClientPool, HTTPServer
+from ..idempotency import KeyedCalls
 from ..keys import KeyRing, KeyStore, KeyWatcher
 from ..limits import LocalLimiter
 from ..membership import Member, MembershipExchange, MembershipView, new_incarnation
@@ -56,6 +57,7 @@
         self._make_limits()
         self._make_routing()
         self._make_batch()
+        self._make_keyed()
         self._make_front()
         self._make_ports(secret)
 
@@ -108,11 +110,17 @@
         self.resources = self.batch.resources
         self.parts.append(self.batch)
 
+    def _make_keyed(self):
+        self.keyed = KeyedCalls(
+            self.dispatcher, self.records, self.view, self.channels, self.clock
+        )
+        self.parts.append(self.keyed)
+
     def _make_front(self):
         self.front = Front(
             self.ring,
             self.limiter,
-            self.dispatcher,
+            self.keyed.dispatcher,
             self.clock,
             self.metrics,
             self.resources,
@@ -168,3 +176,4 @@
             await part.drain()
         await curio.sleep(self.settings.drain_seconds)
         await self.callers.drain()
+        await self.keyed.finish()
--- a/mangogauge/gateway/calls.py
+++ b/mangogauge/gateway/calls.py
@@ -41,6 +41,8 @@
         Whether the caller wants the answer as a stream.
     endpoint : str
         Name of the one endpoint that may run it; empty for any.
+    idempotency_key : str
+        The caller's ``Idempotency-Key``; empty for none.
     """
 
     request_id = field()
@@ -56,6 +58,7 @@
     priority = field(default=Priority.ONLINE)
     streams = field(default=False)
     endpoint = field(default="")
+    idempotency_key = field(default="")
 
     def suits(self, endpoint):
         """Return whether `endpoint` can run this call."""
--- a/mangogauge/gateway/front.py
+++ b/mangogauge/gateway/front.py
@@ -16,6 +16,9 @@
 
 DEADLINE_HEADER = "x-deadline-ms"
 PRIVATE_HEADERS = ("authorization", "host", "content-length", DEADLINE_HEADER)
+IDEMPOTENCY_HEADER = "idempotency-key"
+KEY_LIMIT = 255
+SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 STATUS_CODES = {413: RefusalCode.TOO_LARGE}
 
 log = get_logger("front")
@@ -154,6 +157,7 @@
             body=body,
             deadline=deadline,
             repeatable=exchange.method in route.repeatable,
+            idempotency_key=_read_idempotency_key(exchange),
         )
         if route.kind is RouteKind.MODEL:
             self._read_model(call)
@@ -214,6 +218,17 @@
         )
 
 
+def _read_idempotency_key(exchange):
+    """Return the caller's key; safe methods need none, so theirs is left out."""
+    key = exchange.headers.get(IDEMPOTENCY_HEADER, "")
+    if len(key) > KEY_LIMIT:
+        raise Refusal(
+            RefusalCode.MALFORMED,
+            f"Idempotency-Key is longer than {KEY_LIMIT} characters.",
+        )
+    return "" if exchange.method in SAFE_METHODS else key
+
+
 class _Labels:
     """Route and account of an exchange, as far as they are known."""
 
--- /dev/null
+++ b/mangogauge/idempotency/dispatcher.py
@@ -0,0 +1,281 @@
+"""Run calls with an ``Idempotency-Key`` once across the fleet."""
+
+import curio
+from returns.result import Failure
+
+from ..gateway.refusals import Refusal, RefusalCode
+from ..http import HTTPError, HTTPReceiveError
+from ..protocol.idempotency_pb2 import KeyedEntry
+from ..telemetry import get_logger
+from .entries import (
+    BODY_LIMIT_BYTES,
+    compute_fingerprint,
+    make_end,
+    make_intent,
+    make_key,
+    make_recording,
+    make_unknown,
+)
+from .grouping import KeyWrite
+from .recording import Recording, RecordingSink
+
+__all__ = ["KeyedDispatcher"]
+
+# How long after its deadline a run's outcome may still come.
+OUTCOME_GRACE_SECONDS = 10.0
+# Lets a run that ends at its deadline say how it ended.
+LATE_SECONDS = 0.5
+POLL_SECONDS = 0.2
+POLL_LIMIT_SECONDS = 2.0
+GONE_POLLS = 5
+OUTCOME_TRIES = 8
+OUTCOME_PAUSE_SECONDS = 1.0
+RETRY_AFTER_SECONDS = 2.0
+
+log = get_logger("idempotency")
+
+
+class KeyedDispatcher:
+    """Dispatches calls; those with a key are run once.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        Runs the calls.
+    records : RecordStore
+    writer : FleetWriter
+    view : MembershipView
+    clock : Clock
+    """
+
+    def __init__(self, dispatcher, records, writer, view, clock):
+        self._dispatcher = dispatcher
+        self._records = records
+        self._writer = writer
+        self._view = view
+        self._clock = clock
+        self._running = {}
+
+    @property
+    def running_count(self):
+        """Number of keyed calls under way, outcomes still to be kept included."""
+        return len(self._running)
+
+    async def dispatch(self, call, sink):
+        """Run `call`, or pass on the answer that its key has already.
+
+        Raises
+        ------
+        Refusal
+            As the inner dispatcher; also if the key was used for another
+            request, its outcome was lost, or the platform is away.
+        HTTPError
+            If the answer broke off after some of it had been passed on.
+        """
+        if not call.idempotency_key:
+            await self._dispatcher.dispatch(call, sink)
+            return
+        fingerprint = compute_fingerprint(call)
+        key = make_key(call, fingerprint)
+        try:
+            async with curio.timeout_after(self._read_left(call) + LATE_SECONDS):
+                await self._serve(call, key, fingerprint, sink)
+        except curio.TaskTimeout:
+            raise _make_late_error(sink) from None
+
+    async def _serve(self, call, key, fingerprint, sink):
+        while True:
+            recording = self._running.get(key)
+            if recording is None:
+                # Set before anything is awaited: a second call on this host
+                # follows the first.
+                recording = self._running[key] = Recording(fingerprint)
+                await curio.spawn(self._run, call, key, recording, daemon=True)
+            _check_fingerprint(recording.fingerprint, fingerprint)
+            try:
+                await recording.follow(sink)
+                return
+            except _RunsElsewhere as elsewhere:
+                _check_fingerprint(elsewhere.entry.fingerprint, fingerprint)
+            kept = await self._wait_for_outcome(call, key)
+            if kept is not None:
+                await kept.follow(sink)
+                return
+
+    async def _wait_for_outcome(self, call, key):
+        """Return the `Recording` of an answer; None if the key is free again."""
+        polls = 0
+        while True:
+            polls += 1
+            await curio.sleep(min(POLL_LIMIT_SECONDS, POLL_SECONDS * polls))
+            found = await self._records.read(key)
+            if isinstance(found, Failure):
+                continue
+            row = found.unwrap()
+            if row is None:
+                return None
+            entry = KeyedEntry.FromString(row.payload)
+            if entry.ended and not entry.unknown:
+                return await make_recording(entry)
+            if not entry.ended and not self._is_lost(entry, polls):
+                continue
+            if not call.repeatable:
+                raise _make_unknown_refusal()
+            await self._writer.write(KeyWrite(key, b"", row.revision))
+
+    def _is_lost(self, entry, polls):
+        """Return whether nobody will record the outcome of a call any more."""
+        if self._clock.read_calendar() > entry.ends_at + OUTCOME_GRACE_SECONDS:
+            return True
+        lives = any(
+            member.name == entry.host and member.incarnation == entry.incarnation
+            for member in self._view.list_members(with_leaving=True)
+        )
+        return not lives and polls >= GONE_POLLS
+
+    async def _run(self, call, key, recording):
+        """Record the intent, run the call, record its outcome.
+
+        A task of its own: a caller that hangs up doesn't end the run, so a
+        resend finds the answer.
+        """
+        try:
+            await self._run_recorded(call, key, recording)
+        except Exception as error:
+            log.exception("keyed call failed", extra={"step": "run keyed call"})
+            await recording.end(error)
+        finally:
+            del self._running[key]
+
+    async def _run_recorded(self, call, key, recording):
+        left = self._read_left(call)
+        ends_at = self._clock.read_calendar() + left
+        intent = make_intent(self._view.own, recording.fingerprint, ends_at)
+        granted = await self._writer.write(KeyWrite(key, intent.SerializeToString()))
+        if isinstance(granted, Failure):
+            await self._run_without_platform(call, key, intent, recording)
+            return
+        outcome = granted.unwrap()
+        if not outcome.written:
+            entry = KeyedEntry.FromString(outcome.current)
+            await self._answer_from(entry, key, outcome.revision, call, recording)
+            return
+        await self._run_once(call, key, intent, outcome.revision, recording)
+
+    async def _answer_from(self, entry, key, revision, call, recording):
+        """Answer from what the platform has under the key."""
+        if entry.fingerprint != recording.fingerprint or not entry.ended:
+            await recording.end(_RunsElsewhere(entry))
+        elif entry.unknown:
+            await recording.end(_make_unknown_refusal())
+        else:
+            kept = await make_recording(entry)
+            await recording.start(kept.status, kept.headers)
+            await recording.add(kept.body)
+            await recording.end()
+
+    async def _run_once(self, call, key, intent, revision, recording):
+        error = None
+        try:
+            await self._dispatcher.dispatch(call, RecordingSink(recording))
+        except (Refusal, HTTPError) as raised:
+            error = raised
+        kept = self._choose_entry(call, intent, recording, error)
+        # The answer goes out before its record is written: a host lost in
+        # between leaves an intent, and a resend is told "unknown".
+        await recording.end(error)
+        await self._keep(KeyWrite(key, kept, revision))
+
+    def _choose_entry(self, call, intent, recording, error):
+        """Return the payload to keep; empty if the call may be run again."""
+        if error is None:
+            if len(recording.body) > BODY_LIMIT_BYTES:
+                return b"" if call.repeatable else _encode(make_unknown(intent))
+            return _encode(make_end(intent, recording))
+        not_run = isinstance(error, Refusal) and error.executed == "no"
+        if not_run or call.repeatable:
+            return b""
+        return _encode(make_unknown(intent))
+
+    async def _keep(self, write):
+        for _ in range(OUTCOME_TRIES):
+            kept = await self._writer.write(write)
+            if not isinstance(kept, Failure):
+                return
+            await curio.sleep(OUTCOME_PAUSE_SECONDS)
+        log.error("outcome not kept", extra={"step": "keep outcome", "peer": write.key})
+
+    async def _run_without_platform(self, call, key, intent, recording):
+        """Run a call that may be repeated; refuse any other."""
+        if call.repeatable:
+            error = None
+            try:
+                await self._dispatcher.dispatch(call, RecordingSink(recording))
+            except (Refusal, HTTPError) as raised:
+                error = raised
+            await recording.end(error)
+            return
+        await recording.end(
+            Refusal(
+                RefusalCode.PLATFORM_AWAY,
+                "The platform's store, which keeps keyed calls apart, is away.",
+                executed="no",
+                retry_after=RETRY_AFTER_SECONDS,
+                step="record intent",
+            )
+        )
+        await self._take_back(key, intent)
+
+    async def _take_back(self, key, intent):
+        """Remove an intent that may have reached the platform after all."""
+        for _ in range(OUTCOME_TRIES):
+            found = await self._records.read(key)
+            if isinstance(found, Failure):
+                await curio.sleep(OUTCOME_PAUSE_SECONDS)
+                continue
+            row = found.unwrap()
+            if row is not None and row.payload == intent.SerializeToString():
+                await self._writer.write(KeyWrite(key, b"", row.revision))
+            return
+
+    def _read_left(self, call):
+        return max(0.001, call.deadline - self._clock.read_elapsed())
+
+
+def _make_late_error(sink):
+    message = "No answer before the deadline."
+    if sink.started:
+        return HTTPReceiveError(message, step="follow run")
+    return Refusal(
+        RefusalCode.DEADLINE_EXCEEDED, message, executed="unknown", step="follow run"
+    )
+
+
+class _RunsElsewhere(Exception):
+    """Another host runs the call, or the key belongs to another request."""
+
+    def __init__(self, entry):
+        super().__init__(entry.host)
+        self.entry = entry
+
+
+def _check_fingerprint(kept, given):
+    if kept != given:
+        raise Refusal(
+            RefusalCode.CONFLICT,
+            "This Idempotency-Key was used for another request.",
+            step="compare request",
+        )
+
+
+def _make_unknown_refusal():
+    return Refusal(
+        RefusalCode.OUTCOME_UNKNOWN,
+        "The request may have been run; its outcome was lost.",
+        executed="unknown",
+        step="read outcome",
+    )
+
+
+def _encode(entry):
+    return entry.SerializeToString()
--- /dev/null
+++ b/mangogauge/idempotency/grouping.py
@@ -0,0 +1,191 @@
+"""Many small conditional writes in few calls to the platform."""
+
+import curio
+from attrs import define, field, frozen
+from returns.result import Failure, Success
+
+from ..platform import (
+    Condition,
+    Operation,
+    StoreLostAnswerError,
+    Transaction,
+    encode_record,
+)
+
+__all__ = ["GroupWriter", "KeyWrite", "WriteOutcome"]
+
+GROUP_WRITES = 40
+GROUP_BYTES = 800_000
+SETTLE_TRIES = 8
+SETTLE_PAUSE = 0.2
+EXPIRY_PREFIX = "key-expiry/"
+
+
+@frozen
+class KeyWrite:
+    """One write: `payload` at `key` if its revision is still `revision`.
+
+    Parameters
+    ----------
+    key : str
+    payload : bytes
+        Differs from that of every other write, so that reading it back tells
+        whose write took effect; empty to delete the key.
+    revision : int, optional
+        0 if the key must be absent.
+    """
+
+    key = field()
+    payload = field()
+    revision = field(default=0)
+
+
+@frozen
+class WriteOutcome:
+    """What became of a write.
+
+    Parameters
+    ----------
+    written : bool
+    revision : int
+        Revision of the key; 0 if it is absent or not known.
+    current : bytes
+        The payload that is there if the write was refused.
+    """
+
+    written = field()
+    revision = field(default=0)
+    current = field(default=b"")
+
+
+@define(eq=False)
+class _Waiting:
+    write = field()
+    done = field(factory=curio.Event)
+    result = field(default=None)
+
+
+class GroupWriter:
+    """Gathers writes and sends them together.
+
+    The first write after a quiet time goes at once; those that follow within
+    `interval` share the next call.
+
+    Parameters
+    ----------
+    records : RecordStore
+    clock : Clock
+    name : str
+        Name of this host; part of the names of expiry notes.
+    """
+
+    def __init__(self, records, clock, name):
+        self._records = records
+        self._clock = clock
+        self._name = name
+        self._waiting = []
+        self._woken = curio.Event()
+        self.interval = 0.1
+        self.retention_seconds = 86_400.0
+        self.calls = 0
+        self.writes = 0
+
+    async def write(self, write):
+        """Return ``Success(WriteOutcome)``, or the store's failure."""
+        waiting = _Waiting(write)
+        self._waiting.append(waiting)
+        await self._woken.set()
+        await waiting.done.wait()
+        return waiting.result
+
+    async def run(self):
+        """Send groups until cancelled."""
+        while True:
+            await self._woken.wait()
+            self._woken.clear()
+            while self._waiting:
+                group = self._take_group()
+                await self._send(group)
+                await curio.sleep(self.interval)
+
+    def _take_group(self):
+        """Return writes to different keys that fit into one call."""
+        group, left, keys, size = [], [], set(), 0
+        for waiting in self._waiting:
+            write = waiting.write
+            size += len(write.payload)
+            fits = len(group) < GROUP_WRITES and (size <= GROUP_BYTES or not group)
+            if fits and write.key not in keys:
+                group.append(waiting)
+                keys.add(write.key)
+            else:
+                left.append(waiting)
+        self._waiting = left
+        return group
+
+    async def _send(self, group):
+        """Send a group; halve it while its conditions don't all hold."""
+        answer = await self._transact(group)
+        if isinstance(answer, Failure):
+            await self._finish_all(group, answer)
+        elif answer.unwrap().succeeded:
+            outcome = WriteOutcome(True, answer.unwrap().revision)
+            await self._finish_all(group, Success(outcome))
+        elif len(group) > 1:
+            middle = len(group) // 2
+            await self._send(group[:middle])
+            await self._send(group[middle:])
+        else:
+            await self._finish_all(group, await self._read_back(group[0].write))
+
+    async def _transact(self, group):
+        transaction = self._make_transaction([w.write for w in group])
+        self.calls += 1
+        self.writes += len(group)
+        answer = await self._records.store.transact(transaction)
+        # The first may still be on its way. The conditions let only one of
+        # all that are sent take effect, and reading back tells.
+        for _ in range(SETTLE_TRIES):
+            lost = isinstance(answer, Failure) and isinstance(
+                answer.failure(), StoreLostAnswerError
+            )
+            if not lost:
+                return answer
+            await curio.sleep(SETTLE_PAUSE)
+            repeated = await self._records.store.transact(transaction)
+            answer = repeated if isinstance(repeated, Success) else answer
+        return answer
+
+    def _make_transaction(self, writes):
+        conditions = [Condition(w.key, w.revision) for w in writes]
+        operations = [_make_operation(w) for w in writes]
+        created = [w.key for w in writes if w.payload and not w.revision]
+        if created:
+            end = int(self._clock.read_calendar() + self.retention_seconds)
+            # Named after one of the keys, so that repeating it changes nothing.
+            note = f"{EXPIRY_PREFIX}{end:010x}/{self._name}/{created[0]}"
+            operations.append(Operation(note, "\n".join(created).encode()))
+        return Transaction(conditions, operations)
+
+    async def _read_back(self, write):
+        found = await self._records.read(write.key)
+        return found.map(lambda row: _judge(row, write))
+
+    async def _finish_all(self, group, result):
+        for waiting in group:
+            waiting.result = result
+            await waiting.done.set()
+
+
+def _make_operation(write):
+    if not write.payload:
+        return Operation(write.key)
+    return Operation(write.key, encode_record(write.payload, ""))
+
+
+def _judge(row, write):
+    if row is None:
+        return WriteOutcome(not write.payload)
+    if row.payload == write.payload:
+        return WriteOutcome(True, row.revision)
+    return WriteOutcome(False, row.revision, row.payload)
--- a/mangogauge/settings/fleet.py
+++ b/mangogauge/settings/fleet.py
@@ -25,6 +25,7 @@
     "Endpoint",
     "EndpointKind",
     "FleetSettings",
+    "IdempotencySettings",
     "LimitSettings",
     "Model",
     "Route",
@@ -244,6 +245,24 @@
     upload_seconds = make_option(NumberKind(1, DAY_SECONDS, "seconds"), default=3600.0)
 
 
+@frozen
+class IdempotencySettings:
+    """How calls with an ``Idempotency-Key`` are kept.
+
+    Parameters
+    ----------
+    group_seconds : float
+        Least time between the writes of one data centre's writer.
+    retention_seconds : float
+        How long an answer is kept for resends.
+    """
+
+    group_seconds = make_option(NumberKind(0, 5, "seconds"), default=0.1)
+    retention_seconds = make_option(
+        NumberKind(1, 400 * DAY_SECONDS, "seconds"), default=float(DAY_SECONDS)
+    )
+
+
 @frozen
 class FleetSettings:
     """All that is shared, as one data centre sees it.
@@ -256,6 +275,7 @@
         By name.
     limits : LimitSettings
     batch : BatchSettings
+    idempotency : IdempotencySettings
     """
 
     version = field(default=0)
@@ -266,6 +286,7 @@
     data_centres = field(factory=dict)
     limits = field(factory=LimitSettings)
     batch = field(factory=BatchSettings)
+    idempotency = field(factory=IdempotencySettings)
 
 
 NAMED_SECTIONS = {
@@ -275,7 +296,11 @@
     "endpoint": ("endpoints", Endpoint),
     "data_centre": ("data_centres", DataCentre),
 }
-SINGLE_SECTIONS = {"limits": LimitSettings, "batch": BatchSettings}
+SINGLE_SECTIONS = {
+    "limits": LimitSettings,
+    "batch": BatchSettings,
+    "idempotency": IdempotencySettings,
+}
 
 
 def read_fleet(documents, data_centre, version=0):
@@ -320,9 +345,8 @@
         name: getattr(settings, name)
         for name in ("accounts", "routes", "models", "endpoints", "data_centres")
     }
-    return FleetSettings(
-        version=version, limits=settings.limits, batch=settings.batch, **values
-    )
+    singles = {name: getattr(settings, name) for name in SINGLE_SECTIONS}
+    return FleetSettings(version=version, **singles, **values)
 
 
 def _read_merged(base, overlay, file, problems):
@@ -338,11 +362,8 @@
             singles[section] = reader.read(section, options, SINGLE_SECTIONS[section])
         else:
             reader.check_section(section, [*NAMED_SECTIONS, *SINGLE_SECTIONS])
-    settings = FleetSettings(
-        limits=singles.get("limits") or LimitSettings(),
-        batch=singles.get("batch") or BatchSettings(),
-        **groups,
-    )
+    known = {name: singles.get(name) or cls() for name, cls in SINGLE_SECTIONS.items()}
+    settings = FleetSettings(**known, **groups)
     _check_references(settings, SectionReader(file, problems))
     return settings
 
