--- a/features/settings/mistakes.feature
+++ b/features/settings/mistakes.feature
@@ -36,7 +36,7 @@
     Then each of these mistakes alone has its message
       | mistake                    | file     | instead of           | write                   | section             | option        | read            | allowed                      |
       | a section misspelt         | base.ini | [limits]             | [limit]                 | limit               |               | limit           | did you mean 'limits'?       |
-      | a section of another sort  | base.ini |                      | [teapot x]              | teapot x            |               | teapot x        | one of account, data_centre  |
+      | a section of another sort  | base.ini |                      | [teapot x]              | teapot x            |               | teapot x        | one of account, batch, data_c|
       | a section twice            | base.ini |                      | [account desk]          | account desk        |               | account desk    | each section once            |
       | an option twice            | base.ini | rate = 20            | rate = 20\nrate = 21    | account desk        | rate          | rate = 21       | each option once             |
       | a line of another form     | base.ini | rate = 20            | rate = 20\nfaster!      | account desk        |               | faster!         | option = value               |
--- a/mangogauge/configuration/store.py
+++ b/mangogauge/configuration/store.py
@@ -1,12 +1,14 @@
 """The configuration in the platform's store, one version after another."""
 
+import uuid
+
 import orjson
 import zstandard
 from attrs import field, frozen
 from returns.result import Failure, Success
 
 from ..distribution.replica import CHANGES_PREFIX
-from ..platform import Conflict, Operation, make_record
+from ..platform import Conflict, Operation, encode_record
 from ..settings import ConfigurationDocuments
 
 __all__ = ["ConfigurationStore", "VersionedConfiguration"]
@@ -129,7 +131,7 @@
 
 
 def _make_extra(version, payload):
-    history = make_record(payload)
+    history = encode_record(payload, uuid.uuid4().hex)
     operations = [
         Operation(CHANGES_KEY, str(version).encode()),
         Operation(_history_key(version), history),
--- a/mangogauge/daemon/host.py
+++ b/mangogauge/daemon/host.py
@@ -4,12 +4,13 @@
 
 import curio
 
-from ..batch import BatchResource, BatchRunner, FileResource, FileStore, JobStore
+from ..batch import BatchPart
 from ..clock import SystemClock
 from ..configuration import ConfigurationReplica, ConfigurationStore
 from ..distribution import Distributor, Roster, RosterEntry, RosterKeeper
 from ..gateway import Dispatcher, Doorkeeper, Front, ModelResource
 from ..http import ClientPool, HTTPServer, ServerLimits
+from ..idempotency import KeyedCalls
 from ..keys import KeyGuard, KeyReplica, KeyRing, KeyTrust
 from ..limits import (
     ClaimPlanner,
@@ -68,6 +69,7 @@
         self._make_limits()
         self._make_routing()
         self._make_batch()
+        self._make_keyed()
         self._make_front()
         self._make_ports(secret)
 
@@ -147,20 +149,29 @@
         )
 
     def _make_batch(self):
-        files = FileStore(self.records, self.clock)
-        jobs = JobStore(self.records)
-        self.resources = [FileResource(files), BatchResource(jobs, files, self.clock)]
-        self.resources.append(ModelResource())
-        runner = BatchRunner(
-            self.settings.name, self.records, jobs, files, self.dispatcher, self.clock
+        self.batch = BatchPart(
+            self.settings.name,
+            self.records,
+            self.dispatcher,
+            self.view,
+            self.clock,
+            self.random,
+            self.metrics,
+        )
+        self.resources = [*self.batch.resources, ModelResource()]
+        self.parts.append(self.batch)
+
+    def _make_keyed(self):
+        self.keyed = KeyedCalls(
+            self.dispatcher, self.records, self.view, self.channels, self.clock
         )
-        self.parts.append(runner)
+        self.parts.append(self.keyed)
 
     def _make_front(self):
         self.front = Front(
             Doorkeeper(self.ring, self.guard, self.trust),
             self.limiter,
-            self.dispatcher,
+            self.keyed.dispatcher,
             self.clock,
             self.metrics,
             self.resources,
@@ -229,4 +240,5 @@
             await part.drain()
         await curio.sleep(self.settings.drain_seconds)
         await self.callers.drain()
+        await self.keyed.finish()
         await self.roster.leave()
--- a/mangogauge/gateway/front.py
+++ b/mangogauge/gateway/front.py
@@ -35,6 +35,9 @@
     408: RefusalCode.REQUEST_TIMEOUT,
     413: RefusalCode.TOO_LARGE,
 }
+IDEMPOTENCY_HEADER = "idempotency-key"
+KEY_LIMIT = 255
+SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 
 log = get_logger("front")
 
@@ -184,6 +187,7 @@
             body=body,
             deadline=deadline,
             repeatable=exchange.method in route.repeatable,
+            idempotency_key=_read_idempotency_key(exchange),
         )
         if route.kind is RouteKind.MODEL:
             self._read_model(call)
@@ -286,6 +290,17 @@
     return headers
 
 
+def _read_idempotency_key(exchange):
+    """Return the caller's key; safe methods need none, so theirs is left out."""
+    key = exchange.headers.get(IDEMPOTENCY_HEADER, "")
+    if len(key) > KEY_LIMIT:
+        raise Refusal(
+            RefusalCode.MALFORMED,
+            f"Idempotency-Key is longer than {KEY_LIMIT} characters.",
+        )
+    return "" if exchange.method in SAFE_METHODS else key
+
+
 class _Labels:
     """Route and account of an exchange, as far as they are known."""
 
--- a/mangogauge/load/plan.py
+++ b/mangogauge/load/plan.py
@@ -143,16 +143,18 @@
         With every mistake in it.
     """
     problems = []
-    sections = parse_text(Path(path).read_text(), str(path), problems)
-    reader = SectionReader(str(path), problems)
-    settings = reader.read("load", sections.pop("load", {}), LoadSettings)
+    file = str(path)
+    sections = parse_text(Path(path).read_text(), file, problems)
+    reader = SectionReader(problems)
+    settings = reader.read("load", sections.pop("load", {}), LoadSettings, file)
     accounts = []
     for section, options in sections.items():
         kind, _, name = section.partition(" ")
         if kind != "account":
-            reader.check_section(section, ["load", "account"])
+            reader.check_section(file, section, ["load", "account"])
             continue
-        accounts.append(reader.read(section, options, LoadAccount, name=name.strip()))
+        account = reader.read(section, options, LoadAccount, file, name=name.strip())
+        accounts.append(account)
     if problems:
         raise SettingsError(problems)
     return LoadPlan(settings, accounts)
--- a/mangogauge/platform/records.py
+++ b/mangogauge/platform/records.py
@@ -21,7 +21,7 @@
     Transaction,
 )
 
-__all__ = ["Commit", "Conflict", "RecordStore", "StoredRecord", "make_record"]
+__all__ = ["Commit", "Conflict", "RecordStore", "StoredRecord", "encode_record"]
 
 WRITE_IDS_KEPT = 16
 SETTLE_INTERVAL = 0.2
@@ -170,11 +170,20 @@
             await curio.sleep(SETTLE_INTERVAL)
 
 
-def make_record(payload, write_id="", earlier_write_ids=()):
-    """Return the bytes of a record, for use in an `Operation` of one's own."""
+def encode_record(payload, write_id, previous=None):
+    """Return a record's bytes, for an operation beside the one that is settled.
+
+    Parameters
+    ----------
+    payload : bytes
+    write_id : str
+    previous : StoredRecord, optional
+        What it follows.
+    """
+    earlier = previous.write_ids[: WRITE_IDS_KEPT - 1] if previous else ()
     record = Record(
-        write_id=write_id or uuid.uuid4().hex,
-        earlier_write_ids=earlier_write_ids,
+        write_id=write_id,
+        earlier_write_ids=earlier,
         checksum=xxhash.xxh3_64_intdigest(payload),
         payload=payload,
     )
@@ -183,11 +192,9 @@
 
 def _make_transaction(key, payload, previous, lease, extra, write_id):
     revision = previous.revision if previous else 0
-    earlier = previous.write_ids[: WRITE_IDS_KEPT - 1] if previous else ()
-    record = make_record(payload, write_id, earlier)
     conditions = [Condition(key, revision)]
     conditions += [part for part in extra if isinstance(part, Condition)]
-    operations = [Operation(key, record, lease)]
+    operations = [Operation(key, encode_record(payload, write_id, previous), lease)]
     operations += [part for part in extra if isinstance(part, Operation)]
     return Transaction(conditions, operations)
 
--- a/mangogauge/settings/__init__.py
+++ b/mangogauge/settings/__init__.py
@@ -2,11 +2,13 @@
 
 from .documents import ConfigurationDocuments
 from .fleet import (
+    BatchSettings,
     ClientAccount,
     DataCentre,
     Endpoint,
     EndpointKind,
     FleetSettings,
+    IdempotencySettings,
     KeySettings,
     LimitSettings,
     Model,
@@ -26,6 +28,7 @@
 
 __all__ = [
     "CallerSettings",
+    "BatchSettings",
     "ClientAccount",
     "ConfigurationDocuments",
     "DataCentre",
@@ -34,6 +37,7 @@
     "FleetSettings",
     "HostSettings",
     "KeySettings",
+    "IdempotencySettings",
     "Kind",
     "LimitSettings",
     "Model",
--- a/mangogauge/settings/fleet.py
+++ b/mangogauge/settings/fleet.py
@@ -19,12 +19,14 @@
 from .sections import make_option
 
 __all__ = [
+    "BatchSettings",
     "ClientAccount",
     "DataCentre",
     "Endpoint",
     "EndpointKind",
     "FleetSettings",
     "KeySettings",
+    "IdempotencySettings",
     "LimitSettings",
     "Model",
     "Route",
@@ -219,6 +221,70 @@
     trust_seconds = make_option(NumberKind(10, 30 * DAY_SECONDS, "seconds"), 14_400.0)
 
 
+@frozen
+class BatchSettings:
+    """How batch jobs are kept and run.
+
+    Parameters
+    ----------
+    chunk_items : int
+        Largest number of items in one chunk.
+    concurrency : int
+        Largest number of items that one host runs at once.
+    lease_seconds : float
+        How long a host's claims outlive it.
+    poll_seconds : float
+        Mean time between a host's looks for open work.
+    commit_seconds : float
+        Longest time that a result waits to be committed with others.
+    attempts : int
+        Failed runs after which an item ends in an error.
+    held_items : int
+        Results that a host holds while the platform is away.
+    outage_seconds : float
+        How long a host that neither reaches the platform nor a peer that
+        does goes on starting items.
+    backoff_seconds : float
+        Mean pause before an item is tried again.
+    retention_seconds : float
+        How long files, jobs and results are kept.
+    upload_seconds : float
+        Longest time that an upload may take.
+    """
+
+    chunk_items = make_option(IntegerKind(1, 10_000, "items"), default=500)
+    concurrency = make_option(IntegerKind(1, 10_000, "items"), default=64)
+    lease_seconds = make_option(NumberKind(1, 600, "seconds"), default=15.0)
+    poll_seconds = make_option(NumberKind(0.05, 60, "seconds"), default=1.0)
+    commit_seconds = make_option(NumberKind(0.05, 60, "seconds"), default=5.0)
+    attempts = make_option(IntegerKind(1, 100, "runs"), default=3)
+    held_items = make_option(IntegerKind(1, 1_000_000, "items"), default=20_000)
+    outage_seconds = make_option(NumberKind(0, DAY_SECONDS, "seconds"), default=120.0)
+    backoff_seconds = make_option(NumberKind(0.01, 600, "seconds"), default=1.0)
+    retention_seconds = make_option(
+        NumberKind(1, 400 * DAY_SECONDS, "seconds"), default=30.0 * DAY_SECONDS
+    )
+    upload_seconds = make_option(NumberKind(1, DAY_SECONDS, "seconds"), default=3600.0)
+
+
+@frozen
+class IdempotencySettings:
+    """How calls with an ``Idempotency-Key`` are kept.
+
+    Parameters
+    ----------
+    group_seconds : float
+        Least time between the writes of one data centre's writer.
+    retention_seconds : float
+        How long an answer is kept for resends.
+    """
+
+    group_seconds = make_option(NumberKind(0, 5, "seconds"), default=0.1)
+    retention_seconds = make_option(
+        NumberKind(1, 400 * DAY_SECONDS, "seconds"), default=float(DAY_SECONDS)
+    )
+
+
 @frozen
 class FleetSettings:
     """All that is shared, as one data centre sees it.
@@ -231,6 +297,8 @@
         By name.
     limits : LimitSettings
     keys : KeySettings
+    batch : BatchSettings
+    idempotency : IdempotencySettings
     """
 
     version = field(default=0)
@@ -241,3 +309,5 @@
     data_centres = field(factory=dict)
     limits = field(factory=LimitSettings)
     keys = field(factory=KeySettings)
+    batch = field(factory=BatchSettings)
+    idempotency = field(factory=IdempotencySettings)
--- a/mangogauge/settings/reading.py
+++ b/mangogauge/settings/reading.py
@@ -1,10 +1,12 @@
 """Read the base file and the overlays into settings of the fleet."""
 
 from .fleet import (
+    BatchSettings,
     ClientAccount,
     DataCentre,
     Endpoint,
     FleetSettings,
+    IdempotencySettings,
     KeySettings,
     LimitSettings,
     Model,
@@ -25,7 +27,12 @@
     "endpoint": ("endpoints", Endpoint, NameKind()),
     "data_centre": ("data_centres", DataCentre, NameKind()),
 }
-SINGLE_SECTIONS = {"limits": LimitSettings, "keys": KeySettings}
+SINGLE_SECTIONS = {
+    "limits": LimitSettings,
+    "keys": KeySettings,
+    "batch": BatchSettings,
+    "idempotency": IdempotencySettings,
+}
 SECTIONS = (*NAMED_SECTIONS, *SINGLE_SECTIONS)
 
 
