--- a/features/steps/limits_ledger.py
+++ b/features/steps/limits_ledger.py
@@ -39,8 +39,8 @@
             derandomize=True,
             database=None,
             deadline=None,
-            max_examples=300,
-            stateful_step_count=50,
+            max_examples=200,
+            stateful_step_count=40,
         ),
     )
 
--- a/mangogauge/limits/keeper.py
+++ b/mangogauge/limits/keeper.py
@@ -5,6 +5,7 @@
 from returns.result import Failure
 
 from ..daemon.parts import HostPart
+from ..gateway.resources import send_json
 from ..platform import Condition, Conflict, Operation, StoreRefusedError, Transaction
 from ..protocol.limits_pb2 import DataCentreShare, DataCentreShares, HeldSlots
 from ..telemetry import get_logger
@@ -69,6 +70,10 @@
         self._started_at = None
         self._working = curio.Lock()
 
+    def operator_handlers(self):
+        """Return the operators' view of the slots."""
+        return {"/limits": self._show_limits}
+
     def take_fleet(self, fleet):
         """Put newer settings in force."""
         self._limits = fleet.limits
@@ -261,6 +266,18 @@
         value = HeldSlots(slots=rights.slot_count, held=rights.held)
         self._view.publish(HELD_SLOTS_ENTRY, value.SerializeToString())
 
+    async def _show_limits(self, exchange):
+        rights = self._budget.rights
+        table = self._table
+        value = {
+            "share": rights.share,
+            "slots": rights.slot_count,
+            "held": rights.held_parts,
+            "epoch": table.epoch if table else 0,
+            "platform_contact": self._contact is not None,
+        }
+        await send_json(exchange, value, "")
+
     def _list_names(self):
         """Return live hosts of the data centre once the view has settled."""
         now = self._clock.read_elapsed()
--- a/mangogauge/limits/ledger.py
+++ b/mangogauge/limits/ledger.py
@@ -148,6 +148,11 @@
         """Return the parts of rate and burst that may be used at `now`."""
         return self._sum_at(now)
 
+    def list_ends(self):
+        """Return the times at which rights and loans end."""
+        loans = [*self._lent.values(), *self._borrowed.values()]
+        return [part.until for part in [*self._rights, *loans]]
+
     def set_rights(self, rights, now):
         """Go on with other rights; new ones bring no tokens of before `now`."""
         if rights is self._rights:
--- a/mangogauge/limits/rights.py
+++ b/mangogauge/limits/rights.py
@@ -69,6 +69,14 @@
         """Numbers of the slots that are held."""
         return tuple(sorted({number for number, _ in self._rights}))
 
+    @property
+    def held_parts(self):
+        """Numbers of the slots held by kind of part, for operators."""
+        parts = {kind.value: [] for kind in PartKind}
+        for number, kind in self._rights:
+            parts[kind.value].append(number)
+        return parts
+
     @property
     def loan_seconds(self):
         """Longest time for which anything may be lent."""
