--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: product and baselines side by side on small deployments."""
--- a/mangogauge/limits/budget.py
+++ b/mangogauge/limits/budget.py
@@ -5,12 +5,12 @@
 from attrs import define, field, frozen
 
 from .demand import DemandEstimate
-from .ledger import AccountLedger, LoanGrant
+from .ledger import NO_RESERVE, AccountLedger, LoanGrant, Reserve
 from .rights import HostRights
 
 __all__ = ["HostBudget", "Wanted"]
 
-FLOAT_SECONDS = 0.5
+FLOAT_SECONDS = 0.25
 PREFETCH_SECONDS = 0.3
 STEADY_REQUESTS = 2.0
 HEADROOM = 1.2
@@ -132,6 +132,27 @@
         wait = min(max(wait, SHORTEST_REFUSAL), LONGEST_REFUSAL)
         state.refused_until = self._clock.read_elapsed() + wait
 
+    def get_burst(self, account):
+        """Return the account's burst over the whole fleet."""
+        return self._get_terms(account)[1]
+
+    def plan_collecting(self, account):
+        """Return a `Wanted` for all that lenders can spare, or None.
+
+        Notes
+        -----
+        For an account with so small a burst that its parts are of no use where
+        they lie.
+        """
+        state = self._get_state(account)
+        now = self._clock.read_elapsed()
+        state.ledger.settle(now)
+        if state.waiting <= state.ledger.tokens:
+            return None
+        seconds = min(self.loan_seconds, self.rights.loan_seconds)
+        demand = self._sum_demand(state, now)
+        return Wanted(1.0, 1.0, state.ledger.burst, seconds, demand)
+
     def plan_borrowing(self, account):
         """Return what is to be borrowed now, as `Wanted`, or None."""
         state = self._get_state(account)
@@ -236,16 +257,37 @@
             return LoanGrant(request.sequence)
         state = self._get_state(account)
         now = self._clock.read_elapsed()
-        kept_rate = kept_tokens = 0.0
-        if reserve and state.ledger.rate > 0:
-            demand = self._sum_demand(state, now)
-            kept_rate = demand * HEADROOM / state.ledger.rate
-            kept_tokens = state.waiting + demand * PREFETCH_SECONDS
+        state.ledger.settle(now)
+        kept = self._compute_reserve(state, now) if reserve else NO_RESERVE
         longest = min(self.loan_seconds, self.rights.loan_seconds)
-        request = request.shorten(longest)
-        grant = state.ledger.lend(request, now, kept_rate, kept_tokens)
+        request = request.limit(longest, self._compute_fair_rate(state, request, now))
+        grant = state.ledger.lend(request, now, kept)
         return grant or LoanGrant(0)
 
+    def _compute_reserve(self, state, now):
+        demand = self._sum_demand(state, now)
+        ledger = state.ledger
+        if demand * self.loan_seconds < STEADY_REQUESTS or ledger.rate <= 0:
+            return Reserve(tokens=state.waiting)
+        rate = demand * HEADROOM / ledger.rate
+        tokens = state.waiting + demand * PREFETCH_SECONDS
+        return Reserve(rate, max(rate, tokens / ledger.burst), tokens)
+
+    def _compute_fair_rate(self, state, request, now):
+        """Return how much more rate a borrower may have beside the others."""
+        if state.ledger.rate <= 0:
+            return 0.0
+        others = sum(
+            borrower.demand
+            for name, borrower in state.borrowers.items()
+            if name != request.borrower
+        )
+        total = request.demand + others + state.demand.read(now)
+        if total <= state.ledger.rate:
+            return request.rate
+        fair = request.demand / total
+        return max(0.0, fair - state.ledger.get_lent_rate(request.borrower))
+
     def sweep(self):
         """Forget accounts that are idle; a fresh ledger would be the same."""
         now = self._clock.read_elapsed()
--- a/mangogauge/limits/directory.py
+++ b/mangogauge/limits/directory.py
@@ -67,6 +67,27 @@
         far = _order(far, f"{self._view.own.data_centre}/{account}")
         return list(dict.fromkeys([*near, *far]))
 
+    def rank_all(self, account):
+        """Return all holders of an account's slots, this host's included.
+
+        Returns
+        -------
+        list of Lender
+            In an order that all hosts share; the first is the account's home.
+        """
+        lenders = self.find_lenders(account)
+        if self._holds(account):
+            own = self._view.own
+            key = f"{own.name}#{own.incarnation}"
+            lenders.append(Lender(key, own.address, own.data_centre))
+        return _order(lenders, account)
+
+    def _holds(self, account):
+        value = self._view.read(self._view.own.name, HELD_SLOTS_ENTRY)
+        slots = HeldSlots.FromString(value or b"")
+        covering = find_slots(account, slots.slots) if slots.slots else ()
+        return bool(set(covering) & set(slots.held))
+
     def _refresh(self):
         now = self._clock.read_elapsed()
         if (
--- a/mangogauge/limits/ledger.py
+++ b/mangogauge/limits/ledger.py
@@ -12,7 +12,7 @@
 
 from .bucket import TokenBucket
 
-__all__ = ["AccountLedger", "LoanGrant", "LoanRequest"]
+__all__ = ["NO_RESERVE", "AccountLedger", "LoanGrant", "LoanRequest", "Reserve"]
 
 LOAN_MARGIN = 0.05
 SHORTEST_LOAN = 0.1
@@ -52,9 +52,11 @@
     demand = field(default=0.0)
     returned = field(default=0.0)
 
-    def shorten(self, seconds):
-        """Return this request for at most so many seconds."""
-        return evolve(self, seconds=min(self.seconds, seconds))
+    def limit(self, seconds, rate):
+        """Return this request for at most so many seconds and so much rate."""
+        return evolve(
+            self, seconds=min(self.seconds, seconds), rate=min(self.rate, rate)
+        )
 
 
 @frozen
@@ -83,6 +85,18 @@
     reach = field(default=0.0)
 
 
+@frozen
+class Reserve:
+    """What a lender keeps: parts of rate and burst, and tokens."""
+
+    rate = field(default=0.0)
+    burst = field(default=0.0)
+    tokens = field(default=0.0)
+
+
+NO_RESERVE = Reserve()
+
+
 @define(eq=False)
 class _Loan:
     """A loan as one of its two sides sees it."""
@@ -192,14 +206,14 @@
         self._lent = _keep_running(self._lent, now)
         self._borrowed = _keep_running(self._borrowed, now)
 
-    def lend(self, request, now, reserve_rate=0.0, reserve_tokens=0.0):
+    def lend(self, request, now, reserve=NO_RESERVE):
         """Answer a borrower's request.
 
         Parameters
         ----------
         request : LoanRequest
         now : float
-        reserve_rate, reserve_tokens : float, optional
+        reserve : Reserve, optional
             What this host keeps for itself.
 
         Returns
@@ -217,8 +231,8 @@
         loan.burst = min(loan.burst, request.held_burst)
         loan.sequence = request.sequence
         self._lent[request.borrower] = loan
-        seconds = self._extend(loan, request, reserve_rate, now)
-        tokens = self._give_tokens(loan, request, reserve_tokens, now)
+        seconds = self._extend(loan, request, reserve, now)
+        tokens = self._give_tokens(loan, request, reserve.tokens, now)
         self._apply(now)
         self._add_tokens(request.returned)
         reach = max(0.0, self._sum_at(now)[0])
@@ -299,7 +313,7 @@
         loan = self._lent.get(borrower)
         return loan.rate if loan else 0.0
 
-    def _extend(self, loan, request, reserve_rate, now):
+    def _extend(self, loan, request, reserve, now):
         """Grow and prolong a loan as far as possible; return its seconds."""
         seconds = request.seconds
         while seconds >= SHORTEST_LOAN:
@@ -310,9 +324,10 @@
                 loan.burst if shorter < SHORTEST_LOAN else loan.burst + request.burst
             )
             if rate >= loan.rate - TOLERANCE and burst >= enough - TOLERANCE:
-                spare = max(loan.rate, rate - reserve_rate)
+                spare = max(loan.rate, rate - reserve.rate)
                 loan.rate = min(loan.rate + request.rate, spare)
-                loan.burst = min(loan.burst + request.burst, max(loan.burst, burst))
+                spare = max(loan.burst, burst - reserve.burst)
+                loan.burst = min(loan.burst + request.burst, spare)
                 loan.until = end
                 return seconds
             seconds = shorter
--- a/mangogauge/limits/lending.py
+++ b/mangogauge/limits/lending.py
@@ -10,6 +10,7 @@
 __all__ = ["LoanExchange"]
 
 BORROW_METHOD = "/mangogauge.Limits/Borrow"
+SMALL_TOKENS = 4.0
 CALL_TIMEOUT = 0.25
 WAIT_SECONDS = 0.1
 OWNER_WAIT_SECONDS = 0.08
@@ -90,20 +91,38 @@
             await ended.set()
 
     async def _ask_lenders(self, account):
+        plan = self._choose_plan(account)
         reach = 0.0
         for lender in self._list_lenders(account):
-            wanted = self._budget.plan_borrowing(account)
+            wanted = plan(account)
             if wanted is None:
                 return
             grant = await self._ask(account, lender, wanted)
             reach += grant.reach if grant else 0.0
-        if self._budget.plan_borrowing(account) is not None:
+        if plan(account) is not None:
             self._budget.note_short(account, 1.0, reach)
 
+    def _choose_plan(self, account):
+        if self._is_home(account):
+            return self._budget.plan_collecting
+        return self._budget.plan_borrowing
+
+    def _is_home(self, account):
+        """Return whether this host collects a small account's budget."""
+        ranked = self._rank_small(account)
+        return bool(ranked) and ranked[0].key == self._budget.name
+
+    def _rank_small(self, account):
+        """Return an account's holders, its home first; none if it isn't small."""
+        ranked = self._directory.rank_all(account)
+        if self._budget.get_burst(account) < SMALL_TOKENS * len(ranked):
+            return self._without_paused(ranked)
+        return []
+
     async def _borrow_ahead(self, account):
         if account in self._rounds or self._budget.get_refusal(account):
             return
-        steady = self._budget.is_steady(account)
+        steady = self._budget.is_steady(account) or self._is_home(account)
         ending = self._budget.list_ending(account, RENEWAL_WINDOW)
         if ending:
             lenders = {lender.key: lender for lender in self._list_lenders(account)}
@@ -111,17 +130,28 @@
             for key in ending:
                 if key in lenders:
                     await curio.spawn(settle, account, lenders[key], daemon=True)
-        elif self._budget.plan_borrowing(account) is not None:
+        elif self._choose_plan(account)(account) is not None:
             await self._start_round(account)
 
     def _list_lenders(self, account):
+        """Return whom to ask, in order; a small account's home comes first."""
+        ranked = self._rank_small(account)
+        if not ranked:
+            return self._without_paused(self._directory.find_lenders(account))
+        return [lender for lender in ranked if lender.key != self._budget.name]
+
+    def _without_paused(self, lenders):
         now = self._clock.read_elapsed()
         return [
             lender
-            for lender in self._directory.find_lenders(account)
+            for lender in lenders
             if self._paused_until.get(lender.address, now) <= now
         ]
 
+    def _asks_home(self, account, lender):
+        ranked = self._rank_small(account)
+        return bool(ranked) and ranked[0] == lender
+
     async def _ask(self, account, lender, wanted=None):
         """Ask one lender, to renew a loan at least; return a `LoanGrant` or None."""
         request = self._budget.make_request(account, lender.key, wanted)
@@ -137,7 +167,8 @@
             await self._send(account, lender, request)
 
     async def _send(self, account, lender, request):
-        message = _encode_request(account, request, not self._budget.covers(account))
+        gather = not self._budget.covers(account) or self._asks_home(account, lender)
+        message = _encode_request(account, request, gather)
         self.call_count += 1
         try:
             reply = await self._channels.get(lender.address).call(
@@ -160,11 +191,17 @@
 
     def _is_worth_gathering(self, account, tokens):
         return (
-            self._budget.covers(account)
+            self._gathers(account)
             and self._budget.lacks(account, tokens)
             and not self._budget.get_refusal(account)
         )
 
+    def _gathers(self, account):
+        ranked = self._rank_small(account)
+        if ranked:
+            return ranked[0].key == self._budget.name
+        return self._budget.covers(account)
+
 
 def _encode_request(account, request, gather):
     name, _, incarnation = request.borrower.rpartition("#")
