--- a/mangogauge/limits/budget.py
+++ b/mangogauge/limits/budget.py
@@ -5,18 +5,19 @@
 from attrs import define, field, frozen
 
 from .demand import DemandEstimate
-from .ledger import AccountLedger, LoanGrant
+from .ledger import NO_RESERVE, AccountLedger, LoanGrant, Reserve
 from .rights import HostRights
 
 __all__ = ["HostBudget", "Wanted"]
 
-FLOAT_SECONDS = 0.5
+FLOAT_SECONDS = 0.25
 PREFETCH_SECONDS = 0.3
 STEADY_REQUESTS = 2.0
 HEADROOM = 1.2
 WORTHWHILE_SHARE = 0.1
 BORROWER_SECONDS = 2.0
 IDLE_DEMAND = 0.01
+WORTH_RETURNING_TOKENS = 0.5
 SHORTEST_REFUSAL = 0.05
 LONGEST_REFUSAL = 0.5
 
@@ -131,6 +132,27 @@
         wait = min(max(wait, SHORTEST_REFUSAL), LONGEST_REFUSAL)
         state.refused_until = self._clock.read_elapsed() + wait
 
+    def get_burst(self, account):
+        """Return the account's burst over the whole fleet."""
+        return self._get_terms(account)[1]
+
+    def plan_collecting(self, account):
+        """Return a `Wanted` for all that lenders can spare, or None.
+
+        Notes
+        -----
+        For an account with so small a burst that its parts are of no use where
+        they lie.
+        """
+        state = self._get_state(account)
+        now = self._clock.read_elapsed()
+        state.ledger.settle(now)
+        if state.waiting <= state.ledger.tokens:
+            return None
+        seconds = min(self.loan_seconds, self.rights.loan_seconds)
+        demand = self._sum_demand(state, now)
+        return Wanted(1.0, 1.0, state.ledger.burst, seconds, demand)
+
     def plan_borrowing(self, account):
         """Return what is to be borrowed now, as `Wanted`, or None."""
         state = self._get_state(account)
@@ -154,13 +176,30 @@
         seconds = seconds if steady else min(seconds, FLOAT_SECONDS)
         return Wanted(more_rate, min(1.0, more_burst), tokens, seconds, demand)
 
-    def list_to_renew(self, account, within):
-        """Return lenders whose loans are still needed and end soon."""
+    def list_ending(self, account, within):
+        """Return lenders whose loans end within so many seconds."""
+        now = self._clock.read_elapsed()
+        return self._get_state(account).ledger.list_lenders(now, within)
+
+    def is_steady(self, account):
+        """Return whether requests keep coming, so that loans are renewed."""
         state = self._get_state(account)
+        demand = self._sum_demand(state, self._clock.read_elapsed())
+        return demand * self.loan_seconds >= STEADY_REQUESTS
+
+    def give_back(self, account, lender):
+        """Return the `LoanRequest` that ends a loan early, or None."""
+        ledger = self._get_state(account).ledger
         now = self._clock.read_elapsed()
-        if self._sum_demand(state, now) * self.loan_seconds < STEADY_REQUESTS:
-            return []
-        return state.ledger.list_lenders(now, within)
+        ledger.settle(now)
+        if ledger.tokens < WORTH_RETURNING_TOKENS:
+            return None
+        return ledger.give_back(lender, self.name, next(self._sequences), now)
+
+    def describe(self):
+        """Return the accounts lately in use, for operators."""
+        now = self._clock.read_elapsed()
+        return {name: self._describe(name, now) for name in list(self._states)}
 
     def list_active(self):
         """Return accounts with recent demand."""
@@ -218,16 +257,37 @@
             return LoanGrant(request.sequence)
         state = self._get_state(account)
         now = self._clock.read_elapsed()
-        kept_rate = kept_tokens = 0.0
-        if reserve and state.ledger.rate > 0:
-            demand = self._sum_demand(state, now)
-            kept_rate = demand * HEADROOM / state.ledger.rate
-            kept_tokens = state.waiting + demand * PREFETCH_SECONDS
+        state.ledger.settle(now)
+        kept = self._compute_reserve(state, now) if reserve else NO_RESERVE
         longest = min(self.loan_seconds, self.rights.loan_seconds)
-        request = request.shorten(longest)
-        grant = state.ledger.lend(request, now, kept_rate, kept_tokens)
+        request = request.limit(longest, self._compute_fair_rate(state, request, now))
+        grant = state.ledger.lend(request, now, kept)
         return grant or LoanGrant(0)
 
+    def _compute_reserve(self, state, now):
+        demand = self._sum_demand(state, now)
+        ledger = state.ledger
+        if demand * self.loan_seconds < STEADY_REQUESTS or ledger.rate <= 0:
+            return Reserve(tokens=state.waiting)
+        rate = demand * HEADROOM / ledger.rate
+        tokens = state.waiting + demand * PREFETCH_SECONDS
+        return Reserve(rate, max(rate, tokens / ledger.burst), tokens)
+
+    def _compute_fair_rate(self, state, request, now):
+        """Return how much more rate a borrower may have beside the others."""
+        if state.ledger.rate <= 0:
+            return 0.0
+        others = sum(
+            borrower.demand
+            for name, borrower in state.borrowers.items()
+            if name != request.borrower
+        )
+        total = request.demand + others + state.demand.read(now)
+        if total <= state.ledger.rate:
+            return request.rate
+        fair = request.demand / total
+        return max(0.0, fair - state.ledger.get_lent_rate(request.borrower))
+
     def sweep(self):
         """Forget accounts that are idle; a fresh ledger would be the same."""
         now = self._clock.read_elapsed()
@@ -256,6 +316,17 @@
         state.ledger.set_rights(rights, now)
         return state
 
+    def _describe(self, account, now):
+        state = self._get_state(account)
+        state.ledger.settle(now)
+        rate, burst = state.ledger.get_held(now)
+        return {
+            "rate_share": round(rate, 4),
+            "burst_share": round(burst, 4),
+            "tokens": round(state.ledger.tokens, 3),
+            "demand": round(self._sum_demand(state, now), 3),
+        }
+
     def _get_terms(self, account):
         known = self._accounts.get(account)
         return (known.rate, known.burst) if known else (0.0, 0.0)
--- a/mangogauge/limits/ledger.py
+++ b/mangogauge/limits/ledger.py
@@ -12,7 +12,7 @@
 
 from .bucket import TokenBucket
 
-__all__ = ["AccountLedger", "LoanGrant", "LoanRequest"]
+__all__ = ["NO_RESERVE", "AccountLedger", "LoanGrant", "LoanRequest", "Reserve"]
 
 LOAN_MARGIN = 0.05
 SHORTEST_LOAN = 0.1
@@ -37,6 +37,8 @@
         How long it asks for them.
     demand : float
         Requests a second that come to it.
+    returned : float
+        Tokens that it gives back and no longer holds.
     """
 
     borrower = field()
@@ -48,10 +50,13 @@
     tokens = field(default=0.0)
     seconds = field(default=1.0)
     demand = field(default=0.0)
+    returned = field(default=0.0)
 
-    def shorten(self, seconds):
-        """Return this request for at most so many seconds."""
-        return evolve(self, seconds=min(self.seconds, seconds))
+    def limit(self, seconds, rate):
+        """Return this request for at most so many seconds and so much rate."""
+        return evolve(
+            self, seconds=min(self.seconds, seconds), rate=min(self.rate, rate)
+        )
 
 
 @frozen
@@ -80,6 +85,18 @@
     reach = field(default=0.0)
 
 
+@frozen
+class Reserve:
+    """What a lender keeps: parts of rate and burst, and tokens."""
+
+    rate = field(default=0.0)
+    burst = field(default=0.0)
+    tokens = field(default=0.0)
+
+
+NO_RESERVE = Reserve()
+
+
 @define(eq=False)
 class _Loan:
     """A loan as one of its two sides sees it."""
@@ -148,6 +165,11 @@
         """Return the parts of rate and burst that may be used at `now`."""
         return self._sum_at(now)
 
+    def list_ends(self):
+        """Return the times at which rights and loans end."""
+        loans = [*self._lent.values(), *self._borrowed.values()]
+        return [part.until for part in [*self._rights, *loans]]
+
     def set_rights(self, rights, now):
         """Go on with other rights; new ones bring no tokens of before `now`."""
         if rights is self._rights:
@@ -184,14 +206,14 @@
         self._lent = _keep_running(self._lent, now)
         self._borrowed = _keep_running(self._borrowed, now)
 
-    def lend(self, request, now, reserve_rate=0.0, reserve_tokens=0.0):
+    def lend(self, request, now, reserve=NO_RESERVE):
         """Answer a borrower's request.
 
         Parameters
         ----------
         request : LoanRequest
         now : float
-        reserve_rate, reserve_tokens : float, optional
+        reserve : Reserve, optional
             What this host keeps for itself.
 
         Returns
@@ -209,9 +231,10 @@
         loan.burst = min(loan.burst, request.held_burst)
         loan.sequence = request.sequence
         self._lent[request.borrower] = loan
-        seconds = self._extend(loan, request, reserve_rate, now)
-        tokens = self._give_tokens(loan, request, reserve_tokens, now)
+        seconds = self._extend(loan, request, reserve, now)
+        tokens = self._give_tokens(loan, request, reserve.tokens, now)
         self._apply(now)
+        self._add_tokens(request.returned)
         reach = max(0.0, self._sum_at(now)[0])
         loan.grant = LoanGrant(
             request.sequence, loan.rate, loan.burst, tokens, seconds, reach
@@ -250,8 +273,26 @@
         loan.rate, loan.burst, loan.until = grant.rate, grant.burst, until
         self._borrowed[lender] = loan
         self._apply(now)
-        bucket = self._bucket
-        bucket.tokens = min(bucket.burst, bucket.tokens + grant.tokens)
+        self._add_tokens(grant.tokens)
+
+    def give_back(self, lender, borrower, sequence, now):
+        """Stop using a loan; return the `LoanRequest` that says so, or None.
+
+        Notes
+        -----
+        None where the loan has ended or is needed for what is lent on.
+        """
+        self.settle(now)
+        loan = self._borrowed.pop(lender, None)
+        if loan is None or loan.until <= now or loan.sequence:
+            return None
+        if not self._is_covered(now):
+            self._borrowed[lender] = loan
+            return None
+        tokens = min(self._bucket.tokens, loan.burst * self.burst)
+        self._bucket.tokens -= tokens
+        self._apply(now)
+        return LoanRequest(borrower, sequence, returned=tokens)
 
     def drop_request(self, lender):
         """Give up waiting for an answer; one that comes later is ignored."""
@@ -272,7 +313,7 @@
         loan = self._lent.get(borrower)
         return loan.rate if loan else 0.0
 
-    def _extend(self, loan, request, reserve_rate, now):
+    def _extend(self, loan, request, reserve, now):
         """Grow and prolong a loan as far as possible; return its seconds."""
         seconds = request.seconds
         while seconds >= SHORTEST_LOAN:
@@ -283,9 +324,10 @@
                 loan.burst if shorter < SHORTEST_LOAN else loan.burst + request.burst
             )
             if rate >= loan.rate - TOLERANCE and burst >= enough - TOLERANCE:
-                spare = max(loan.rate, rate - reserve_rate)
+                spare = max(loan.rate, rate - reserve.rate)
                 loan.rate = min(loan.rate + request.rate, spare)
-                loan.burst = min(loan.burst + request.burst, max(loan.burst, burst))
+                spare = max(loan.burst, burst - reserve.burst)
+                loan.burst = min(loan.burst + request.burst, spare)
                 loan.until = end
                 return seconds
             seconds = shorter
@@ -309,6 +351,15 @@
         bucket.tokens -= tokens
         return tokens
 
+    def _add_tokens(self, tokens):
+        bucket = self._bucket
+        bucket.tokens = min(bucket.burst, bucket.tokens + tokens)
+
+    def _is_covered(self, now):
+        """Return whether nothing is lent that is not held, now and later."""
+        times = [now, *(end for end in self.list_ends() if end > now)]
+        return all(min(self._sum_at(time)) >= -TOLERANCE for time in times)
+
     def _list_changes(self, now):
         times = {loan.until for loan in self._lent.values()}
         times |= {loan.until for loan in self._borrowed.values()}
