A host is ready once its own data centre's budget is there

Cause: b1 called itself ready 1.1 s after its start because a1, in the other data centre, held slots; b1 claimed its own 2.7 s later. When a1 was killed in between, b1 had nothing: 429, retry after 60 s (features/idempotency, 'The host that runs a booking is killed', failing before). Change: lenders of the own data centre count, others don't. The keyed feature sends 120 requests at once on an account with burst 100: its fleet now has 1000, since the limits have become real and the scenario is not about rates. Ruled out: a shorter settling time alone (two hosts starting together would fight).

--- a/features/steps/batch.py
+++ b/features/steps/batch.py
@@ -43,6 +43,8 @@
         }
     )
     world.extra = SETTINGS
+    # Far above what any scenario sends at once: these are not about rates.
+    world.accounts = [("desk", 1000, 1000)]
     world.apply_configuration()
     world.start_host("a1", "a")
     world.start_host("b1", "b")
--- a/mangogauge/limits/directory.py
+++ b/mangogauge/limits/directory.py
@@ -50,9 +50,10 @@
 
     @property
     def has_lenders(self):
-        """Whether any other host holds slots."""
+        """Whether another host of this data centre holds slots."""
         self._refresh()
-        return bool(self._holders)
+        own = self._view.own.data_centre
+        return any(data_centre == own for data_centre, _ in self._holders)
 
     def find_lenders(self, account):
         """Return lenders of an account, those to be asked first first."""
