--- a/mangogauge/limits/budget.py
+++ b/mangogauge/limits/budget.py
@@ -18,7 +18,7 @@
 BORROWER_SECONDS = 2.0
 IDLE_DEMAND = 0.01
 WORTH_RETURNING_TOKENS = 0.5
-SHORTEST_REFUSAL = 0.05
+SHORTEST_REFUSAL = 0.02
 LONGEST_REFUSAL = 0.5
 
 
@@ -153,6 +153,19 @@
         demand = self._sum_demand(state, now)
         return Wanted(1.0, 1.0, state.ledger.burst, seconds, demand)
 
+    def plan_floating(self, account):
+        """Return a `Wanted` for no more than the tokens waited for, or None."""
+        state = self._get_state(account)
+        ledger, now = state.ledger, self._clock.read_elapsed()
+        ledger.settle(now)
+        tokens = state.waiting - ledger.tokens
+        if tokens <= 0 or ledger.burst <= 0:
+            return None
+        _, burst = ledger.get_held(now)
+        more_burst = max(0.0, min(1.0, state.waiting / ledger.burst) - max(burst, 0.0))
+        demand = state.demand.read(now)
+        return Wanted(0.0, more_burst, tokens, FLOAT_SECONDS, demand)
+
     def plan_borrowing(self, account):
         """Return what is to be borrowed now, as `Wanted`, or None."""
         state = self._get_state(account)
--- a/mangogauge/limits/demand.py
+++ b/mangogauge/limits/demand.py
@@ -4,7 +4,7 @@
 
 __all__ = ["DemandEstimate"]
 
-MEMORY_SECONDS = 1.0
+MEMORY_SECONDS = 0.5
 
 
 class DemandEstimate:
--- a/mangogauge/limits/lending.py
+++ b/mangogauge/limits/lending.py
@@ -105,6 +105,8 @@
     def _choose_plan(self, account):
         if self._is_home(account):
             return self._budget.plan_collecting
+        if self._rank_small(account):
+            return self._budget.plan_floating
         return self._budget.plan_borrowing
 
     def _is_home(self, account):
@@ -186,7 +188,9 @@
             self._budget.note_borrower(account, request.borrower, request.demand)
             if self._is_worth_gathering(account, request.tokens):
                 await self.borrow(account, request.tokens, OWNER_WAIT_SECONDS)
-        grant = self._budget.lend(account, request, reserve=not message.gather)
+        # A small account's home may have all, whatever comes in elsewhere.
+        reserve = not message.gather and not self._rank_small(account)
+        grant = self._budget.lend(account, request, reserve)
         await context.send(_encode_grant(grant))
 
     def _is_worth_gathering(self, account, tokens):
