Limits: whole tokens, longer collections, no renewal of floats

Cause: a trace of refusals showed tokens cut to the size of the loan's own burst though they fit beside the borrower's, sums just under one token, collections asked for more than could be had and so got the shortest time, hosts asking all lenders after a home that had asked them already, and one-off floats renewed for seconds.

--- a/mangogauge/limits/bucket.py
+++ b/mangogauge/limits/bucket.py
@@ -2,6 +2,9 @@
 
 __all__ = ["TokenBucket"]
 
+# Tokens that are put together of parts may add up to a little less.
+ROUNDING = 1e-9
+
 
 class TokenBucket:
     """Tokens that accrue at a rate up to a burst.
@@ -33,9 +36,9 @@
     def take(self, amount, now):
         """Take `amount` tokens if they are there; return whether they were."""
         self.accrue(now)
-        if self.tokens < amount:
+        if self.tokens < amount - ROUNDING:
             return False
-        self.tokens -= amount
+        self.tokens = max(0.0, self.tokens - amount)
         return True
 
     def accrue(self, now):
--- a/mangogauge/limits/budget.py
+++ b/mangogauge/limits/budget.py
@@ -12,7 +12,7 @@
 
 FLOAT_SECONDS = 0.25
 PREFETCH_SECONDS = 0.3
-STEADY_REQUESTS = 2.0
+STEADY_REQUESTS = 6.0
 HEADROOM = 1.2
 WORTHWHILE_SHARE = 0.1
 BORROWER_SECONDS = 2.0
@@ -274,6 +274,9 @@
         kept = self._compute_reserve(state, now) if reserve else NO_RESERVE
         longest = min(self.loan_seconds, self.rights.loan_seconds)
         request = request.limit(longest, self._compute_fair_rate(state, request, now))
+        if not reserve and not request.rate and state.ledger.tokens < request.tokens:
+            # Less than was asked for would be of no use there.
+            request = request.decline()
         grant = state.ledger.lend(request, now, kept)
         return grant or LoanGrant(0)
 
@@ -352,7 +355,8 @@
                 del state.borrowers[name]
                 continue
             served = state.ledger.get_lent_rate(name) * state.ledger.rate
-            unmet += max(0.0, borrower.demand - served)
+            freshness = 1 - (now - borrower.seen_at) / BORROWER_SECONDS
+            unmet += max(0.0, borrower.demand * freshness - served)
         return state.demand.read(now) + unmet
 
     def _is_worthwhile(self, state, more_rate, tokens, stock):
--- a/mangogauge/limits/directory.py
+++ b/mangogauge/limits/directory.py
@@ -47,6 +47,8 @@
         self._refreshed_at = None
         self._holders = {}
         self._slot_counts = {}
+        self._found = {}
+        self._ranked = {}
 
     @property
     def has_lenders(self):
@@ -57,6 +59,26 @@
     def find_lenders(self, account):
         """Return lenders of an account, those to be asked first first."""
         self._refresh()
+        found = self._found.get(account)
+        if found is None:
+            found = self._found[account] = self._find_lenders(account)
+        return found
+
+    def rank_all(self, account):
+        """Return all holders of an account's slots, this host's included.
+
+        Returns
+        -------
+        list of Lender
+            In an order that all hosts share; the first is the account's home.
+        """
+        self._refresh()
+        ranked = self._ranked.get(account)
+        if ranked is None:
+            ranked = self._ranked[account] = self._rank_all(account)
+        return ranked
+
+    def _find_lenders(self, account):
         near, far = [], []
         for data_centre, count in self._slot_counts.items():
             group = near if data_centre == self._view.own.data_centre else far
@@ -67,15 +89,8 @@
         far = _order(far, f"{self._view.own.data_centre}/{account}")
         return list(dict.fromkeys([*near, *far]))
 
-    def rank_all(self, account):
-        """Return all holders of an account's slots, this host's included.
-
-        Returns
-        -------
-        list of Lender
-            In an order that all hosts share; the first is the account's home.
-        """
-        lenders = self.find_lenders(account)
+    def _rank_all(self, account):
+        lenders = list(self.find_lenders(account))
         if self._holds(account):
             own = self._view.own
             key = f"{own.name}#{own.incarnation}"
@@ -97,6 +112,7 @@
             return
         self._refreshed_at = now
         self._holders, self._slot_counts = {}, {}
+        self._found, self._ranked = {}, {}
         for member in self._view.list_members():
             value = self._view.read(member.name, HELD_SLOTS_ENTRY)
             if value is None or member.name == self._view.own.name:
--- a/mangogauge/limits/ledger.py
+++ b/mangogauge/limits/ledger.py
@@ -52,6 +52,10 @@
     demand = field(default=0.0)
     returned = field(default=0.0)
 
+    def decline(self):
+        """Return this request without what it asks for."""
+        return evolve(self, rate=0.0, burst=0.0, tokens=0.0)
+
     def limit(self, seconds, rate):
         """Return this request for at most so many seconds and so much rate."""
         return evolve(
@@ -315,22 +319,22 @@
 
     def _extend(self, loan, request, reserve, now):
         """Grow and prolong a loan as far as possible; return its seconds."""
+        _, most = self._find_free(loan, now, now + SHORTEST_LOAN)
+        enough = max(loan.burst, min(loan.burst + request.burst, most))
         seconds = request.seconds
         while seconds >= SHORTEST_LOAN:
             end = max(loan.until, now + seconds + LOAN_MARGIN)
             rate, burst = self._find_free(loan, now, end)
-            shorter = seconds / 2
-            enough = (
-                loan.burst if shorter < SHORTEST_LOAN else loan.burst + request.burst
-            )
-            if rate >= loan.rate - TOLERANCE and burst >= enough - TOLERANCE:
+            last = seconds / 2 < SHORTEST_LOAN
+            needed = loan.burst if last else enough
+            if rate >= loan.rate - TOLERANCE and burst >= needed - TOLERANCE:
                 spare = max(loan.rate, rate - reserve.rate)
                 loan.rate = min(loan.rate + request.rate, spare)
                 spare = max(loan.burst, burst - reserve.burst)
                 loan.burst = min(loan.burst + request.burst, spare)
                 loan.until = end
                 return seconds
-            seconds = shorter
+            seconds /= 2
         return 0.0
 
     def _find_free(self, loan, now, end):
@@ -344,10 +348,11 @@
     def _give_tokens(self, loan, request, reserve, now):
         """Take the tokens that go with a loan out of the bucket."""
         bucket = self._bucket
-        tokens = min(request.tokens, bucket.tokens - reserve)
-        # What no longer fits here goes along too.
-        tokens = max(0.0, tokens, bucket.tokens - self._sum_at(now)[1] * self.burst)
-        tokens = min(tokens, loan.burst * self.burst, bucket.tokens)
+        wanted = min(request.tokens, bucket.tokens - reserve)
+        # What no longer fits here goes along, as far as it fits there.
+        excess = bucket.tokens - self._sum_at(now)[1] * self.burst
+        tokens = max(0.0, wanted, min(excess, loan.burst * self.burst))
+        tokens = min(tokens, bucket.tokens)
         bucket.tokens -= tokens
         return tokens
 
--- a/mangogauge/limits/lending.py
+++ b/mangogauge/limits/lending.py
@@ -99,6 +99,9 @@
                 return
             grant = await self._ask(account, lender, wanted)
             reach += grant.reach if grant else 0.0
+            if grant and self._asks_home(account, lender):
+                # The home has asked all others.
+                break
         if plan(account) is not None:
             self._budget.note_short(account, 1.0, reach)
 
@@ -124,7 +127,9 @@
     async def _borrow_ahead(self, account):
         if account in self._rounds or self._budget.get_refusal(account):
             return
-        steady = self._budget.is_steady(account) or self._is_home(account)
+        small = bool(self._rank_small(account))
+        steady = not small and self._budget.is_steady(account)
+        steady = steady or self._is_home(account)
         ending = self._budget.list_ending(account, RENEWAL_WINDOW)
         if ending:
             lenders = {lender.key: lender for lender in self._list_lenders(account)}
