--- a/mangogauge/limits/budget.py
+++ b/mangogauge/limits/budget.py
@@ -12,13 +12,13 @@
 
 FLOAT_SECONDS = 0.25
 PREFETCH_SECONDS = 0.3
-STEADY_REQUESTS = 2.0
+STEADY_REQUESTS = 6.0
 HEADROOM = 1.2
 WORTHWHILE_SHARE = 0.1
 BORROWER_SECONDS = 2.0
 IDLE_DEMAND = 0.01
 WORTH_RETURNING_TOKENS = 0.5
-SHORTEST_REFUSAL = 0.05
+SHORTEST_REFUSAL = 0.02
 LONGEST_REFUSAL = 0.5
 
 
@@ -153,6 +153,19 @@
         demand = self._sum_demand(state, now)
         return Wanted(1.0, 1.0, state.ledger.burst, seconds, demand)
 
+    def plan_floating(self, account):
+        """Return a `Wanted` for no more than the tokens waited for, or None."""
+        state = self._get_state(account)
+        ledger, now = state.ledger, self._clock.read_elapsed()
+        ledger.settle(now)
+        tokens = state.waiting - ledger.tokens
+        if tokens <= 0 or ledger.burst <= 0:
+            return None
+        _, burst = ledger.get_held(now)
+        more_burst = max(0.0, min(1.0, state.waiting / ledger.burst) - max(burst, 0.0))
+        demand = state.demand.read(now)
+        return Wanted(0.0, more_burst, tokens, FLOAT_SECONDS, demand)
+
     def plan_borrowing(self, account):
         """Return what is to be borrowed now, as `Wanted`, or None."""
         state = self._get_state(account)
@@ -261,6 +274,9 @@
         kept = self._compute_reserve(state, now) if reserve else NO_RESERVE
         longest = min(self.loan_seconds, self.rights.loan_seconds)
         request = request.limit(longest, self._compute_fair_rate(state, request, now))
+        if not reserve and not request.rate and state.ledger.tokens < request.tokens:
+            # Less than was asked for would be of no use there.
+            request = request.decline()
         grant = state.ledger.lend(request, now, kept)
         return grant or LoanGrant(0)
 
@@ -339,7 +355,8 @@
                 del state.borrowers[name]
                 continue
             served = state.ledger.get_lent_rate(name) * state.ledger.rate
-            unmet += max(0.0, borrower.demand - served)
+            freshness = 1 - (now - borrower.seen_at) / BORROWER_SECONDS
+            unmet += max(0.0, borrower.demand * freshness - served)
         return state.demand.read(now) + unmet
 
     def _is_worthwhile(self, state, more_rate, tokens, stock):
--- a/mangogauge/limits/lending.py
+++ b/mangogauge/limits/lending.py
@@ -99,12 +99,17 @@
                 return
             grant = await self._ask(account, lender, wanted)
             reach += grant.reach if grant else 0.0
+            if grant and self._asks_home(account, lender):
+                # The home has asked all others.
+                break
         if plan(account) is not None:
             self._budget.note_short(account, 1.0, reach)
 
     def _choose_plan(self, account):
         if self._is_home(account):
             return self._budget.plan_collecting
+        if self._rank_small(account):
+            return self._budget.plan_floating
         return self._budget.plan_borrowing
 
     def _is_home(self, account):
@@ -122,7 +127,9 @@
     async def _borrow_ahead(self, account):
         if account in self._rounds or self._budget.get_refusal(account):
             return
-        steady = self._budget.is_steady(account) or self._is_home(account)
+        small = bool(self._rank_small(account))
+        steady = not small and self._budget.is_steady(account)
+        steady = steady or self._is_home(account)
         ending = self._budget.list_ending(account, RENEWAL_WINDOW)
         if ending:
             lenders = {lender.key: lender for lender in self._list_lenders(account)}
@@ -186,7 +193,9 @@
             self._budget.note_borrower(account, request.borrower, request.demand)
             if self._is_worth_gathering(account, request.tokens):
                 await self.borrow(account, request.tokens, OWNER_WAIT_SECONDS)
-        grant = self._budget.lend(account, request, reserve=not message.gather)
+        # A small account's home may have all, whatever comes in elsewhere.
+        reserve = not message.gather and not self._rank_small(account)
+        grant = self._budget.lend(account, request, reserve)
         await context.send(_encode_grant(grant))
 
     def _is_worth_gathering(self, account, tokens):
