--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -1,5 +1,7 @@
 """Steps of the callers' front."""
 
+from contextlib import asynccontextmanager
+
 import curio
 import orjson
 from behave import given, then, when
@@ -9,7 +11,6 @@
 from mangogauge.clock import SystemClock
 from mangogauge.gateway import Front
 from mangogauge.http import Headers, HTTPServer, open_response
-from mangogauge.keys import KeyRing
 from mangogauge.settings import ConfigurationDocuments, read_fleet
 from mangogauge.telemetry import HostMetrics
 
@@ -301,19 +302,19 @@
     base += "[route chat]\npath = /v1/chat/completions\nkind = model\n"
     base += "[endpoint e]\naddress = 127.0.0.1:9\ndata_centre = a\nkind = engine\n"
     fleet = read_fleet(ConfigurationDocuments(base + "models = small\n"), "a")
-    front = Front(_OneKey("desk"), FailingLimiter(), None, SystemClock(), HostMetrics())
+    front = Front(OneKey(), FailingLimiter(), None, SystemClock(), HostMetrics())
     front.set_settings(fleet)
     context.handler = front.handle
 
 
-class _OneKey(KeyRing):
-    """Every key is the client account's."""
+class OneKey:
+    """A doorkeeper to whom every key is the client account's."""
 
-    def __init__(self, account):
-        self.account = account
+    account = "desk"
 
-    def find(self, key):
-        return self
+    @asynccontextmanager
+    async def hold(self, exchange):
+        yield self
 
 
 @when("a caller asks that front for a chat")
--- a/mangogauge/gateway/__init__.py
+++ b/mangogauge/gateway/__init__.py
@@ -2,6 +2,7 @@
 
 from .calls import Call, Priority
 from .dispatch import Dispatcher
+from .doorkeeper import Doorkeeper
 from .front import Front
 from .models import ModelResource
 from .refusals import Refusal, RefusalCode
@@ -12,6 +13,7 @@
 __all__ = [
     "Call",
     "Dispatcher",
+    "Doorkeeper",
     "ExchangeSink",
     "Front",
     "MemorySink",
--- a/mangogauge/platform/gateway.py
+++ b/mangogauge/platform/gateway.py
@@ -28,6 +28,8 @@
 __all__ = ["GatewayStore"]
 
 DEFAULT_TIMEOUT = 2.0
+# What a lost answer means: a read has no effect that could be unknown.
+READ_ERRORS = {"/v3/kv/range": StoreUnavailableError}
 JSON_HEADERS = Headers([("Content-Type", "application/json")])
 
 
@@ -64,7 +66,9 @@
         answer = await self._call("/v3/kv/range", {"key": _encode(key)})
         return answer.map(_read_first)
 
-    async def list_prefix(self, prefix, limit=0, start_after="", keys_only=False):
+    async def list_prefix(
+        self, prefix, limit=0, start_after="", keys_only=False, min_mod_revision=0
+    ):
         """Return ``Success(list of KeyValue)`` in order of keys."""
         start = start_after + "\0" if start_after else prefix
         request = {
@@ -72,6 +76,7 @@
             "range_end": _encode(_end_of_prefix(prefix)),
             "limit": str(limit),
             "keys_only": keys_only,
+            "min_mod_revision": str(min_mod_revision),
         }
         answer = await self._call("/v3/kv/range", request)
         return answer.map(_read_all)
@@ -165,7 +170,8 @@
             return Failure(StoreUnavailableError(error.message, step=path, peer=peer))
         except (HTTPError, curio.TaskTimeout) as error:
             self._rotate()
-            return Failure(StoreLostAnswerError(repr(error), step=path, peer=peer))
+            lost = READ_ERRORS.get(path, StoreLostAnswerError)
+            return Failure(lost(repr(error), step=path, peer=peer))
         if response.status != 200:
             message = f"Status {response.status}: {body[:200]!r}."
             return Failure(StoreRefusedError(message, step=path, peer=peer))
--- a/mangogauge/settings/fleet.py
+++ b/mangogauge/settings/fleet.py
@@ -24,6 +24,7 @@
     "Endpoint",
     "EndpointKind",
     "FleetSettings",
+    "KeySettings",
     "LimitSettings",
     "Model",
     "Route",
@@ -195,6 +196,20 @@
     slots = make_option(IntegerKind(1, 1024), default=16)
 
 
+@frozen
+class KeySettings:
+    """How callers' keys are handled.
+
+    Parameters
+    ----------
+    trust_seconds : float
+        For how long a host that hears neither from the platform nor from a
+        peer that does goes on trusting the keys that it knows.
+    """
+
+    trust_seconds = make_option(NumberKind(10, 30 * DAY_SECONDS, "seconds"), 14_400.0)
+
+
 @frozen
 class FleetSettings:
     """All that is shared, as one data centre sees it.
@@ -206,6 +221,7 @@
     accounts, routes, models, endpoints, data_centres : dict
         By name.
     limits : LimitSettings
+    keys : KeySettings
     """
 
     version = field(default=0)
@@ -215,3 +231,14 @@
     endpoints = field(factory=dict)
     data_centres = field(factory=dict)
     limits = field(factory=LimitSettings)
+    keys = field(factory=KeySettings)
+
+
+NAMED_SECTIONS = {
+    "account": ("accounts", ClientAccount),
+    "route": ("routes", Route),
+    "model": ("models", Model),
+    "endpoint": ("endpoints", Endpoint),
+    "data_centre": ("data_centres", DataCentre),
+}
+SINGLE_SECTIONS = {"limits": LimitSettings, "keys": KeySettings}
