Add the job, hosts and endpoints commands, and the demo in one process

Cause: operators had no way to look at jobs, hosts and endpoints, and the README's first command was missing. Ruled out: jobs by the operators' way. They belong to a client account, so the commands use the callers' port and a key, from a file or the environment, never from the command line, where other users of a machine would see it. A header that HTTP can't carry was an error of h11's; it is one that says nothing was sent.

--- a/mangogauge/commands/application.py
+++ b/mangogauge/commands/application.py
@@ -2,18 +2,25 @@
 
 from cyclopts import App
 
-from . import configuration, keys, roster, serve, standin
+from . import configuration, jobs, keys, roster, serve, standin, state
+from .demo import demo
+from .exits import EXIT_HELP
 
 __all__ = ["app", "main"]
 
 app = App(
     name="mangogauge",
     help="Serve online requests and batch jobs on one inference fleet.",
+    help_epilogue=EXIT_HELP,
 )
 app.command(serve.serve)
 app.command(configuration.app)
 app.command(keys.app)
+app.command(jobs.app)
+app.command(state.hosts)
+app.command(state.endpoints)
 app.command(roster.app)
+app.command(demo)
 app.command(standin.app)
 
 
--- a/mangogauge/daemon/operators.py
+++ b/mangogauge/daemon/operators.py
@@ -74,8 +74,34 @@
             "positions": host.distributor.positions,
             "keys_age": round(host.trust.age, 3),
             "members": [member.name for member in host.view.list_members()],
+            "hosts": [_show_member(m) for m in host.view.list_members()],
+            "endpoints": [_show_endpoint(e) for e in _list_endpoints(host)],
         }
         await send_json(exchange, value, "")
 
     async def _show_key_uses(self, exchange):
         await send_json(exchange, self._host.ring.list_uses(), "")
+
+
+def _list_endpoints(host):
+    return host.fleet.endpoints.values() if host.fleet else ()
+
+
+def _show_member(member):
+    return {
+        "name": member.name,
+        "data_centre": member.data_centre,
+        "peer_address": member.address,
+        "incarnation": member.incarnation,
+    }
+
+
+def _show_endpoint(endpoint):
+    return {
+        "name": endpoint.name,
+        "data_centre": endpoint.data_centre,
+        "kind": endpoint.kind.value,
+        "address": endpoint.address,
+        "models": list(endpoint.models),
+        "slots": endpoint.slots,
+    }
--- a/mangogauge/http/client.py
+++ b/mangogauge/http/client.py
@@ -117,6 +117,8 @@
 
         Raises
         ------
+        HTTPConnectError
+            If the request is none that HTTP can carry; nothing was sent.
         HTTPSendError
             If the connection breaks first.
         """
@@ -125,12 +127,7 @@
             headers.set("Host", self.address)
         if body or method in ("POST", "PUT", "PATCH"):
             headers.set("Content-Length", str(len(body)))
-        data = self._h11.send(
-            h11.Request(method=method, target=target, headers=headers.to_raw())
-        )
-        if body:
-            data += self._h11.send(h11.Data(data=body))
-        data += self._h11.send(h11.EndOfMessage())
+        data = self._frame_request(method, target, headers, body)
         try:
             await self._sock.sendall(data)
         except OSError as error:
@@ -138,6 +135,21 @@
                 f"Sending failed: {error!r}.", step="send", peer=self.address
             ) from error
 
+    def _frame_request(self, method, target, headers, body):
+        try:
+            data = self._h11.send(
+                h11.Request(method=method, target=target, headers=headers.to_raw())
+            )
+            if body:
+                data += self._h11.send(h11.Data(data=body))
+            return data + self._h11.send(h11.EndOfMessage())
+        except (h11.LocalProtocolError, UnicodeError) as error:
+            raise HTTPConnectError(
+                f"The request can't be written as HTTP: {error}.",
+                step="send",
+                peer=self.address,
+            ) from error
+
     async def read_head(self):
         """Return the answer's status and header fields."""
         while True:
--- a/mangogauge/http/connection.py
+++ b/mangogauge/http/connection.py
@@ -88,16 +88,22 @@
         except (OSError, ValueError):
             pass
 
-    async def close(self):
+    async def close(self, linger=True):
         """Close, first reading what the caller still sends.
 
         Closing with unread data would reset the connection, and the caller
         could lose an answer that it has not read yet.
+
+        Parameters
+        ----------
+        linger : bool, optional
+            Wait for the caller's data, where some is to be expected.
         """
         try:
             await self.sock.shutdown(socket.SHUT_WR)
-            async with curio.ignore_after(LINGER_SECONDS):
-                await self._discard_input()
+            if linger and self._expects_input:
+                async with curio.ignore_after(LINGER_SECONDS):
+                    await self._discard_input()
         except (OSError, ValueError):
             pass
         try:
@@ -105,6 +111,11 @@
         except OSError:
             pass
 
+    @property
+    def _expects_input(self):
+        state = self._h11.their_state
+        return state in (h11.SEND_BODY, h11.ERROR) or bool(self._h11.trailing_data[0])
+
     async def iterate_body(self):
         """Yield pieces of the current request's body."""
         while not self._body_done.is_set():
--- a/mangogauge/http/server.py
+++ b/mangogauge/http/server.py
@@ -139,6 +139,7 @@
         await self._group.spawn(self._serve_connection, connection, daemon=True)
 
     async def _serve_connection(self, connection):
+        linger = False
         try:
             # Small pieces of a stream must not wait for an acknowledgement.
             connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -146,12 +147,13 @@
                 async with curio.timeout_after(self.limits.header_timeout):
                     connection.sock = await self._tls.wrap(connection.sock)
             await connection.run(self._handler)
+            linger = True
         except (OSError, curio.TaskTimeout, h11.ProtocolError):
             pass
         except Exception:
             log.exception("connection failed", extra={"peer": connection.peer})
         finally:
-            await connection.close()
+            await connection.close(linger)
             self._connections.discard(connection)
 
 
--- a/mangogauge/protocol/channel.py
+++ b/mangogauge/protocol/channel.py
@@ -65,14 +65,18 @@
         CallError
             If the peer answers with a status other than OK.
         """
+        answers = []
         try:
+            # Read to the end: a generator that is left early is not finalized.
             async with curio.timeout_after(timeout):
                 async for message in self.stream(method, request, response_type):
-                    return message
+                    answers.append(message)
         except curio.TaskTimeout:
             raise ChannelError(
                 f"No answer within {timeout} s.", step=method, peer=self.address
             ) from None
+        if answers:
+            return answers[0]
         raise CallError(
             CallStatus.UNKNOWN, "No answer.", step=method, peer=self.address
         )
