--- a/features/steps/settings.py
+++ b/features/steps/settings.py
@@ -2,11 +2,19 @@
 
 import subprocess
 import sys
+from pathlib import Path
 
 from behave import then, when
 
 from features.builders.mistakes import BASE, OVERLAYS, find_problems
-from mangogauge.settings import ConfigurationDocuments, SettingsError, read_fleet
+from mangogauge.settings import (
+    ConfigurationDocuments,
+    SettingsError,
+    read_fleet,
+    read_host,
+)
+
+DEPLOYMENT = Path(__file__).resolve().parents[2] / "docs" / "deployment"
 
 
 @then("the settings without a mistake are read without one")
@@ -69,8 +77,30 @@
     for name, text in texts.items():
         (folder / f"{name}.ini").write_text(text)
     files = [str(folder / f"{name}.ini") for name in texts]
-    command = [sys.executable, "-m", "mangogauge", "config", "check", *files]
-    done = subprocess.run(command, capture_output=True, text=True)
+    done = run_check(*files)
     assert done.returncode == code, done
     for line in context.told:
         assert line in done.stderr, (line, done.stderr)
+
+
+def run_check(*paths):
+    command = [sys.executable, "-m", "mangogauge", "config", "check", *map(str, paths)]
+    return subprocess.run(command, capture_output=True, text=True)
+
+
+@then("the deployment's base file and its {count:d} overlays pass config check")
+def check_deployment(context, count):
+    overlays = [DEPLOYMENT / f"{name}.ini" for name in ("north", "south", "west")]
+    assert len(overlays) == count
+    done = run_check(DEPLOYMENT / "base.ini", *overlays)
+    assert done.returncode == 0, done
+
+
+@then("the deployment's host file is read without a mistake")
+def check_deployment_host(context):
+    secret = context.world.folder / "secret"
+    text = (DEPLOYMENT / "north-1.ini").read_text()
+    path = context.world.folder / "north-1.ini"
+    path.write_text(text.replace("/etc/mangogauge/secret", str(secret)))
+    settings = read_host(path)
+    assert (settings.name, settings.callers.body_bytes) == ("north-1", 8388608)
