--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -1,5 +1,6 @@
 """Steps of the callers' front."""
 
+
 import curio
 import orjson
 from behave import given, then, when
--- a/mangogauge/gateway/front.py
+++ b/mangogauge/gateway/front.py
@@ -134,20 +134,21 @@
         route = self._find_route(exchange)
         labels.route = route.name
         if route.open:
-            await self._run(exchange, request_id, route, "", started)
+            await self._run(exchange, request_id, route, labels, started)
             return
         async with self._doorkeeper.hold(exchange) as record:
             labels.account = record.account
             _check_account(route, record)
             await self._admit(record.account)
-            await self._run(exchange, request_id, route, record.account, started)
+            await self._run(exchange, request_id, route, labels, started)
 
-    async def _run(self, exchange, request_id, route, account, started):
-        call = await self._read_call(exchange, request_id, route, account)
-        first_token = self._metrics.first_token.labels(route.name, account)
+    async def _run(self, exchange, request_id, route, labels, started):
+        call = await self._read_call(exchange, request_id, route, labels.account)
 
         def observe_first():
-            first_token.observe(self._clock.read_elapsed() - started)
+            seconds = self._clock.read_elapsed() - started
+            names = (labels.route, labels.account)
+            self._metrics.first_token.labels(*names).observe(seconds)
 
         sink = ExchangeSink(exchange, request_id, observe_first)
         await self._dispatcher.dispatch(call, sink)
@@ -260,11 +261,6 @@
         )
 
 
-def _check_account(route, record):
-    if route.accounts and record.account not in route.accounts:
-        raise Refusal(RefusalCode.ROUTE_FORBIDDEN, "This key may not use this route.")
-
-
 def _read_request_id(exchange):
     """Return the caller's request id if it is well formed, else a new one."""
     given = exchange.headers.get("x-request-id", "")
@@ -301,6 +297,11 @@
     return "" if exchange.method in SAFE_METHODS else key
 
 
+def _check_account(route, record):
+    if route.accounts and record.account not in route.accounts:
+        raise Refusal(RefusalCode.ROUTE_FORBIDDEN, "This key may not use this route.")
+
+
 class _Labels:
     """Route and account of an exchange, as far as they are known."""
 
--- a/mangogauge/http/client.py
+++ b/mangogauge/http/client.py
@@ -13,6 +13,7 @@
 
 READ_SIZE_BYTES = 65_536
 IDLE_PER_ADDRESS = 64
+PIECES_PER_TURN = 16
 DEFAULT_CONNECT_TIMEOUT = 2.0
 
 
@@ -42,8 +43,13 @@
         HTTPReceiveError
             If the connection breaks before the answer is whole.
         """
+        pieces = 0
         async for piece in self._connection.iterate_body():
             yield piece
+            pieces += 1
+            if pieces % PIECES_PER_TURN == 0:
+                # A fast sender must not keep the kernel to itself.
+                await curio.sleep(0)
         self.complete = True
         await self.close()
 
@@ -117,6 +123,8 @@
 
         Raises
         ------
+        HTTPConnectError
+            If the request is none that HTTP can carry; nothing was sent.
         HTTPSendError
             If the connection breaks first.
         """
@@ -125,12 +133,7 @@
             headers.set("Host", self.address)
         if body or method in ("POST", "PUT", "PATCH"):
             headers.set("Content-Length", str(len(body)))
-        data = self._h11.send(
-            h11.Request(method=method, target=target, headers=headers.to_raw())
-        )
-        if body:
-            data += self._h11.send(h11.Data(data=body))
-        data += self._h11.send(h11.EndOfMessage())
+        data = self._frame_request(method, target, headers, body)
         try:
             await self._sock.sendall(data)
         except OSError as error:
@@ -138,6 +141,21 @@
                 f"Sending failed: {error!r}.", step="send", peer=self.address
             ) from error
 
+    def _frame_request(self, method, target, headers, body):
+        try:
+            data = self._h11.send(
+                h11.Request(method=method, target=target, headers=headers.to_raw())
+            )
+            if body:
+                data += self._h11.send(h11.Data(data=body))
+            return data + self._h11.send(h11.EndOfMessage())
+        except (h11.LocalProtocolError, UnicodeError) as error:
+            raise HTTPConnectError(
+                f"The request can't be written as HTTP: {error}.",
+                step="send",
+                peer=self.address,
+            ) from error
+
     async def read_head(self):
         """Return the answer's status and header fields."""
         while True:
--- a/mangogauge/http/connection.py
+++ b/mangogauge/http/connection.py
@@ -1,5 +1,6 @@
 """A caller's connection: requests one after another, until either side ends it."""
 
+import os
 import uuid
 
 import curio
@@ -88,16 +89,22 @@
         except (OSError, ValueError):
             pass
 
-    async def close(self):
+    async def close(self, linger=True):
         """Close, first reading what the caller still sends.
 
         Closing with unread data would reset the connection, and the caller
         could lose an answer that it has not read yet.
+
+        Parameters
+        ----------
+        linger : bool, optional
+            Wait for the caller's data, where some is to be expected.
         """
         try:
             await self.sock.shutdown(socket.SHUT_WR)
-            async with curio.ignore_after(LINGER_SECONDS):
-                await self._discard_input()
+            if linger and self._expects_input:
+                async with curio.ignore_after(LINGER_SECONDS):
+                    await self._discard_input()
         except (OSError, ValueError):
             pass
         try:
@@ -105,6 +112,11 @@
         except OSError:
             pass
 
+    @property
+    def _expects_input(self):
+        state = self._h11.their_state
+        return state in (h11.SEND_BODY, h11.ERROR) or bool(self._h11.trailing_data[0])
+
     async def iterate_body(self):
         """Yield pieces of the current request's body."""
         while not self._body_done.is_set():
@@ -121,14 +133,27 @@
     async def send_event(self, event):
         """Send one `h11` event, waiting while the caller's window is full."""
         data = self._h11.send(event)
-        if not data:
+        sent = self._send_at_once(data)
+        if sent == len(data):
             return
         try:
             async with curio.timeout_after(self.limits.write_timeout):
-                await self.sock.sendall(data)
+                await self.sock.sendall(data[sent:])
         except curio.TaskTimeout:
             raise ConnectionAbortedError("The caller does not read.") from None
 
+    def _send_at_once(self, data):
+        """Send what fits into the socket's buffer; return how many bytes.
+
+        Most pieces of a stream fit, and then need no timer of their own.
+        """
+        if not data or self._server.tls is not None:
+            return 0
+        try:
+            return os.write(self.sock.fileno(), data)
+        except BlockingIOError:
+            return 0
+
     async def _read_request(self):
         try:
             async with curio.timeout_after(self.limits.header_timeout):
--- a/mangogauge/settings/fleet.py
+++ b/mangogauge/settings/fleet.py
@@ -311,3 +311,18 @@
     keys = field(factory=KeySettings)
     batch = field(factory=BatchSettings)
     idempotency = field(factory=IdempotencySettings)
+
+
+NAMED_SECTIONS = {
+    "account": ("accounts", ClientAccount),
+    "route": ("routes", Route),
+    "model": ("models", Model),
+    "endpoint": ("endpoints", Endpoint),
+    "data_centre": ("data_centres", DataCentre),
+}
+SINGLE_SECTIONS = {
+    "limits": LimitSettings,
+    "keys": KeySettings,
+    "batch": BatchSettings,
+    "idempotency": IdempotencySettings,
+}
--- a/mangogauge/settings/reading.py
+++ b/mangogauge/settings/reading.py
@@ -1,17 +1,6 @@
 """Read the base file and the overlays into settings of the fleet."""
 
-from .fleet import (
-    BatchSettings,
-    ClientAccount,
-    DataCentre,
-    Endpoint,
-    FleetSettings,
-    IdempotencySettings,
-    KeySettings,
-    LimitSettings,
-    Model,
-    Route,
-)
+from .fleet import NAMED_SECTIONS, SINGLE_SECTIONS, FleetSettings
 from .kinds import ModelNameKind, NameKind
 from .problems import Problem, SettingsError
 from .references import check_references
@@ -20,19 +9,8 @@
 __all__ = ["read_fleet"]
 
 BASE_FILE = "base.ini"
-NAMED_SECTIONS = {
-    "account": ("accounts", ClientAccount, NameKind()),
-    "route": ("routes", Route, NameKind()),
-    "model": ("models", Model, ModelNameKind()),
-    "endpoint": ("endpoints", Endpoint, NameKind()),
-    "data_centre": ("data_centres", DataCentre, NameKind()),
-}
-SINGLE_SECTIONS = {
-    "limits": LimitSettings,
-    "keys": KeySettings,
-    "batch": BatchSettings,
-    "idempotency": IdempotencySettings,
-}
+PLAIN_NAME = NameKind()
+NAME_KINDS = {"model": ModelNameKind()}
 SECTIONS = (*NAMED_SECTIONS, *SINGLE_SECTIONS)
 
 
@@ -126,7 +104,7 @@
         self._reader = SectionReader(problems)
         self._base = base
         self._overlay_file = overlay_file
-        self.values = {plural: {} for plural, _, _ in NAMED_SECTIONS.values()}
+        self.values = {plural: {} for plural, _ in NAMED_SECTIONS.values()}
         self.settings = {plural: {} for plural in self.values}
 
     def find_file(self, section):
@@ -148,7 +126,8 @@
             self._reader.check_section(file, section, SECTIONS)
 
     def _read_named(self, kind, name, section, options, file):
-        plural, cls, name_kind = NAMED_SECTIONS[kind]
+        plural, cls = NAMED_SECTIONS[kind]
+        name_kind = NAME_KINDS.get(kind, PLAIN_NAME)
         try:
             name_kind.read(name)
         except ValueError:
