Report how fast service level budgets burn

Ruled out: reading Prometheus itself, since the report has to work without one. Conclusion: done but for the series that hosts do not yet feed: first token, between tokens, batch jobs, refused within rate.

--- a/mangogauge/commands/application.py
+++ b/mangogauge/commands/application.py
@@ -2,7 +2,7 @@
 
 from cyclopts import App
 
-from . import configuration, keys, load, serve, standin
+from . import configuration, keys, load, report, serve, standin
 
 __all__ = ["app", "main"]
 
@@ -15,6 +15,7 @@
 app.command(keys.app)
 app.command(standin.app)
 app.command(load.load)
+app.command(report.app)
 
 
 def main():
--- a/mangogauge/commands/exits.py
+++ b/mangogauge/commands/exits.py
@@ -15,3 +15,4 @@
     CONFLICT = 4
     UNAVAILABLE = 5
     UNKNOWN = 6
+    ALERT = 7
--- a/mangogauge/settings/fleet.py
+++ b/mangogauge/settings/fleet.py
@@ -26,6 +26,8 @@
     "FleetSettings",
     "LimitSettings",
     "Model",
+    "Objective",
+    "ObjectiveKind",
     "Route",
     "RouteKind",
     "read_fleet",
@@ -197,6 +199,44 @@
     slots = make_option(IntegerKind(1, 1024), default=16)
 
 
+class ObjectiveKind(enum.Enum):
+    """What an objective is about."""
+
+    AVAILABILITY = "availability"
+    WHOLE_ANSWER = "whole_answer"
+    FIRST_TOKEN = "first_token"
+    BETWEEN_TOKENS = "between_tokens"
+    BATCH_DUE = "batch_due"
+    REFUSED_WITHIN_RATE = "refused_within_rate"
+
+
+@frozen
+class Objective:
+    """A service level that the operators hold the system to.
+
+    Parameters
+    ----------
+    name : str
+    kind : ObjectiveKind
+    target : float
+        Part of the requests, gaps or jobs that must be good.
+    threshold : float
+        Seconds within which one counts as good, for kinds that are about time.
+    route, account : str
+        What it is about; empty for all.
+    period_days : float
+        Days over which the budget is counted.
+    """
+
+    name = field()
+    kind = make_option(ChoiceKind(ObjectiveKind))
+    target = make_option(NumberKind(0.5, 0.99999))
+    threshold = make_option(NumberKind(0.001, DAY_SECONDS, "seconds"), default=1.0)
+    route = make_option(TextKind(), default="")
+    account = make_option(NameKind(), default="")
+    period_days = make_option(NumberKind(0.01, 366, "days"), default=30.0)
+
+
 @frozen
 class FleetSettings:
     """All that is shared, as one data centre sees it.
@@ -205,7 +245,7 @@
     ----------
     version : int
         Version of the configuration; 0 if read from files.
-    accounts, routes, models, endpoints, data_centres : dict
+    accounts, routes, models, endpoints, data_centres, objectives : dict
         By name.
     limits : LimitSettings
     """
@@ -216,6 +256,7 @@
     models = field(factory=dict)
     endpoints = field(factory=dict)
     data_centres = field(factory=dict)
+    objectives = field(factory=dict)
     limits = field(factory=LimitSettings)
 
 
@@ -225,6 +266,7 @@
     "model": ("models", Model),
     "endpoint": ("endpoints", Endpoint),
     "data_centre": ("data_centres", DataCentre),
+    "objective": ("objectives", Objective),
 }
 SINGLE_SECTIONS = {"limits": LimitSettings}
 
@@ -268,8 +310,7 @@
 
 def _with_version(settings, version):
     values = {
-        name: getattr(settings, name)
-        for name in ("accounts", "routes", "models", "endpoints", "data_centres")
+        plural: getattr(settings, plural) for plural, _ in NAMED_SECTIONS.values()
     }
     return FleetSettings(version=version, limits=settings.limits, **values)
 
@@ -326,6 +367,10 @@
             (endpoint.data_centre,),
             settings.data_centres,
         )
+    for objective in settings.objectives.values():
+        section = f"objective {objective.name}"
+        accounts = (objective.account,) if objective.account else ()
+        _check_names(reader, section, "account", accounts, settings.accounts)
 
 
 def _check_names(reader, section, option, names, known):
--- a/mangogauge/telemetry/metrics.py
+++ b/mangogauge/telemetry/metrics.py
@@ -60,6 +60,25 @@
             buckets=LATENCY_BUCKETS,
             registry=self.registry,
         )
+        self.between_tokens = Histogram(
+            "mangogauge_between_tokens_seconds",
+            "Time between two pieces of a streamed answer.",
+            labels,
+            buckets=LATENCY_BUCKETS,
+            registry=self.registry,
+        )
+        self.refused_within_rate = Counter(
+            "mangogauge_refused_within_rate",
+            "Refusals for rate although the client account was within it.",
+            labels,
+            registry=self.registry,
+        )
+        self.batch_jobs = Counter(
+            "mangogauge_batch_jobs",
+            "Batch jobs that ended, in_time or late.",
+            ["client_account", "outcome"],
+            registry=self.registry,
+        )
         self.attempts = Counter(
             "mangogauge_attempts",
             "Attempts at endpoints by outcome.",
