--- a/mangogauge/standins/proxy.py
+++ b/mangogauge/standins/proxy.py
@@ -10,6 +10,7 @@
 import curio
 from attrs import asdict, define, field, fields
 from curio import socket
+from curio.meta import finalize
 
 from ..http import HTTPServer
 from .answers import read_json, send_json
@@ -136,22 +137,25 @@
             await curio.sleep(POLL_INTERVAL)
 
     async def _pass_forward(self, source, sink):
-        async for data in self._read_delayed(source, "cut_forward"):
-            self.bytes_forward += len(data)
-            await sink.sendall(data)
+        # Without an explicit end the reader would go on with a closed socket.
+        async with finalize(self._read_delayed(source, "cut_forward")) as pieces:
+            async for data in pieces:
+                self.bytes_forward += len(data)
+                await sink.sendall(data)
 
     async def _pass_backward(self, source, sink, losing):
         passed = 0
-        async for data in self._read_delayed(source, "cut_backward"):
-            if losing:
-                return
-            limit = self.faults.truncate_after
-            if limit and passed + len(data) > limit:
-                await sink.sendall(data[: limit - passed])
-                return
-            passed += len(data)
-            self.bytes_backward += len(data)
-            await sink.sendall(data)
+        async with finalize(self._read_delayed(source, "cut_backward")) as pieces:
+            async for data in pieces:
+                if losing:
+                    return
+                limit = self.faults.truncate_after
+                if limit and passed + len(data) > limit:
+                    await sink.sendall(data[: limit - passed])
+                    return
+                passed += len(data)
+                self.bytes_backward += len(data)
+                await sink.sendall(data)
 
     async def _read_delayed(self, source, cut):
         """Yield data in order, each piece after its delay, none while cut."""
@@ -196,14 +200,20 @@
     def __init__(self, links):
         self.links = {link.name: link for link in links}
         self.server = HTTPServer(self.handle)
+        self._schedules = curio.Queue()
 
     async def serve(self):
         """Serve all links and the control port until cancelled."""
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(self.server.serve)
+            await group.spawn(self._follow_schedules)
             for link in self.links.values():
                 await group.spawn(link.serve)
 
+    async def _follow_schedules(self):
+        while True:
+            await self.run_schedule(await self._schedules.get())
+
     async def run_schedule(self, steps):
         """Apply `steps` as `make_schedule` returns them."""
         now = 0.0
@@ -213,8 +223,17 @@
             self.links[step.link].set_faults(**step.changes)
 
     async def handle(self, exchange):
-        """Change faults: ``{"link name": {"fault": value}}``; show all links."""
+        """Change faults: ``{"link name": {"fault": value}}``; show all links.
+
+        ``/schedule`` takes ``{"seed": ..., "links": [...], "seconds": ...}``,
+        answers with the steps and follows them.
+        """
         request = await read_json(exchange)
+        if exchange.path == "/schedule":
+            steps = make_schedule(**request)
+            await self._schedules.put(steps)
+            await send_json(exchange, 200, [asdict(step) for step in steps])
+            return
         known = {attribute.name for attribute in fields(LinkFaults)}
         for name, changes in request.items():
             if name not in self.links or not known.issuperset(changes):
