--- a/bench/scenarios/__init__.py
+++ b/bench/scenarios/__init__.py
@@ -5,6 +5,7 @@
 from .faults import FaultsExperiment
 from .harm import HarmExperiment
 from .limits import LimitsExperiment
+from .parts import PartsExperiment
 from .proxy import ProxyExperiment
 from .throughput import BatchExperiment
 
@@ -17,6 +18,7 @@
         BatchExperiment,
         FaultsExperiment,
         ControlExperiment,
+        PartsExperiment,
         ProxyExperiment,
     )
 }
