--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -1,6 +1,5 @@
 """Steps of the callers' front."""
 
-
 import curio
 import orjson
 from behave import given, then, when
--- a/mangogauge/commands/application.py
+++ b/mangogauge/commands/application.py
@@ -2,7 +2,7 @@
 
 from cyclopts import App
 
-from . import configuration, jobs, keys, load, roster, serve, standin, state
+from . import configuration, jobs, keys, load, report, roster, serve, standin, state
 from .demo import demo
 from .exits import EXIT_HELP
 
@@ -23,6 +23,7 @@
 app.command(demo)
 app.command(standin.app)
 app.command(load.load)
+app.command(report.app)
 
 
 def main():
--- a/mangogauge/commands/exits.py
+++ b/mangogauge/commands/exits.py
@@ -36,11 +36,12 @@
     UNAVAILABLE = 5
     UNKNOWN = 6
     PARTIAL = 7
+    ALERT = 8
 
 
 EXIT_HELP = (
     "Exit codes: 0 done; 1 what was asked for did not hold; 2 wrong command line "
     "or file; 3 refused; 4 another change was first; 5 the other side can't be "
     "reached or is busy, nothing was done; 6 no answer, it may have been done; "
-    "7 done, but not confirmed by every host."
+    "7 done, but not confirmed by every host; 8 an alert would fire."
 )
--- a/mangogauge/settings/__init__.py
+++ b/mangogauge/settings/__init__.py
@@ -12,6 +12,8 @@
     KeySettings,
     LimitSettings,
     Model,
+    Objective,
+    ObjectiveKind,
     Route,
     RouteKind,
 )
@@ -41,6 +43,8 @@
     "Kind",
     "LimitSettings",
     "Model",
+    "Objective",
+    "ObjectiveKind",
     "PeerSettings",
     "PlatformSettings",
     "Problem",
--- a/mangogauge/settings/fleet.py
+++ b/mangogauge/settings/fleet.py
@@ -15,6 +15,7 @@
     NameKind,
     NumberKind,
     PathKind,
+    TextKind,
 )
 from .sections import make_option
 
@@ -29,6 +30,8 @@
     "IdempotencySettings",
     "LimitSettings",
     "Model",
+    "Objective",
+    "ObjectiveKind",
     "Route",
     "RouteKind",
 ]
@@ -285,6 +288,44 @@
     )
 
 
+class ObjectiveKind(enum.Enum):
+    """What an objective is about."""
+
+    AVAILABILITY = "availability"
+    WHOLE_ANSWER = "whole_answer"
+    FIRST_TOKEN = "first_token"
+    BETWEEN_TOKENS = "between_tokens"
+    BATCH_DUE = "batch_due"
+    REFUSED_WITHIN_RATE = "refused_within_rate"
+
+
+@frozen
+class Objective:
+    """A service level that the operators hold the system to.
+
+    Parameters
+    ----------
+    name : str
+    kind : ObjectiveKind
+    target : float
+        Part of the requests, gaps or jobs that must be good.
+    threshold : float
+        Seconds within which one counts as good, for kinds that are about time.
+    route, account : str
+        What it is about; empty for all.
+    period_days : float
+        Days over which the budget is counted.
+    """
+
+    name = field()
+    kind = make_option(ChoiceKind(ObjectiveKind))
+    target = make_option(NumberKind(0.5, 0.99999))
+    threshold = make_option(NumberKind(0.001, DAY_SECONDS, "seconds"), default=1.0)
+    route = make_option(TextKind(), default="")
+    account = make_option(NameKind(), default="")
+    period_days = make_option(NumberKind(0.01, 366, "days"), default=30.0)
+
+
 @frozen
 class FleetSettings:
     """All that is shared, as one data centre sees it.
@@ -293,7 +334,7 @@
     ----------
     version : int
         Version of the configuration; 0 if read from files.
-    accounts, routes, models, endpoints, data_centres : dict
+    accounts, routes, models, endpoints, data_centres, objectives : dict
         By name.
     limits : LimitSettings
     keys : KeySettings
@@ -307,6 +348,7 @@
     models = field(factory=dict)
     endpoints = field(factory=dict)
     data_centres = field(factory=dict)
+    objectives = field(factory=dict)
     limits = field(factory=LimitSettings)
     keys = field(factory=KeySettings)
     batch = field(factory=BatchSettings)
@@ -319,6 +361,7 @@
     "model": ("models", Model),
     "endpoint": ("endpoints", Endpoint),
     "data_centre": ("data_centres", DataCentre),
+    "objective": ("objectives", Objective),
 }
 SINGLE_SECTIONS = {
     "limits": LimitSettings,
--- a/mangogauge/settings/references.py
+++ b/mangogauge/settings/references.py
@@ -14,6 +14,7 @@
     ("models", "model", "accounts", "accounts"),
     ("endpoints", "endpoint", "models", "models"),
     ("endpoints", "endpoint", "data_centre", "data_centres"),
+    ("objectives", "objective", "account", "accounts"),
 )
 
 
@@ -67,7 +68,8 @@
 def _check_names(notes, section, option, options, known):
     names = options.get(option, ())
     for name in (names,) if isinstance(names, str) else names:
-        if name not in known:
+        # An option that may be left out names nothing when it is.
+        if name and name not in known:
             allowed = "a name that has a section" + suggest_name(name, known)
             notes.add(section, option, allowed, read=name)
 
