Prove that an online burst cancels batch items, which then run later

Cause: only the decision was proved, not that items are cancelled at the engine and complete afterwards.

--- a/features/steps/batch.py
+++ b/features/steps/batch.py
@@ -346,3 +346,39 @@
 @then('the audit says "{sentence}"')
 def check_sentence(context, sentence):
     assert context.faults == ([] if sentence == "nothing" else [sentence])
+
+
+@when(
+    'a batch job of {chats:d} chats with {tokens:d} tokens each is accepted by "{host}"'
+)
+def submit_long_job(context, chats, tokens, host):
+    context.plan = JobPlan(chats, 0, 0, max_tokens=tokens)
+    file = context.jobs.upload(host, context.plan.make_items()).json
+    context.job_id = context.jobs.submit(host, file["id"]).json["id"]
+
+
+@when("batch items fill an engine")
+def wait_for_batch(context):
+    engine = context.world.get_standin("engine-a")
+    wait_until(lambda: engine.control()["running"] >= 6, "batch items run")
+
+
+@when('{count:d} online chats of {tokens:d} tokens are sent to "{host}" at once')
+def send_burst(context, count, tokens, host):
+    caller = context.jobs.get_caller(host)
+    context.burst = []
+
+    def send(number):
+        context.burst.append(caller.chat(f"online {number}", max_tokens=tokens))
+
+    threads = [threading.Thread(target=send, args=(n,)) for n in range(count)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+@then("all online chats are answered, and batch items were cancelled for them")
+def check_burst(context):
+    assert {answer.status for answer in context.burst} == {200}
+    assert _count(context, "cancelled") > 0
