--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks that start real processes."""
--- a/features/builders/jobs.py
+++ b/features/builders/jobs.py
@@ -96,10 +96,10 @@
 
     def __init__(self, world, key):
         self._world = world
-        self._key = key
+        self.key = key
 
     def get_caller(self, host):
-        return self._world.get_caller(host, self._key)
+        return self._world.get_caller(host, self.key)
 
     def upload(self, host, items):
         data = b"".join(orjson.dumps(item) + b"\n" for item in items)
