Hand over items that were intended but not run when a host ends

A host that was told to end left intents of items that it had recorded but not started; the next owner had to count them as "outcome_unknown". Its last commit now takes those back. Withdrawing them before the commit was tried and failed: a commit already on its way put them back. Jobs that will miss their due time are shown in the job and as a metric.

--- a/features/batch/durability.feature
+++ b/features/batch/durability.feature
@@ -66,6 +66,28 @@
     Then the batch job ends as "cancelled" with a partial result
     And nothing of the batch job runs any more
 
+  Scenario: A job is cancelled while the platform loses answers
+    Given the platform answers after 0.05 s and loses every 5th write's answer
+    When a batch job of 200 chats, 40 bookings and 0 bad items is accepted by "a1"
+    And the batch job is cancelled through "b1" once 10 items are settled
+    Then the batch job ends as "cancelled" with a partial result
+    And nothing of the batch job runs any more
+
+  Scenario: An owner is cut off from the platform while another reaches it
+    Given a batch host "a2" that reaches the platform through a proxy
+    When a batch job of 160 chats with 150 tokens each is accepted by "a1"
+    And the batch host "a2" is cut off from the platform once it owns a chunk
+    Then the batch job completes and passes the audit through "b1"
+    And batch items were cancelled at the engines
+    When the batch host "a2" reaches the platform again
+    Then the batch job passes the audit again and no claim is left
+
+  Scenario: An owner is told to end, and hands its chunks over
+    When a batch job of 80 chats, 20 bookings and 0 bad items is accepted by "b1"
+    And an owner of the batch job is terminated once 5 items are settled
+    Then the batch job completes and passes the audit through a host that is left
+    And 0 items of the batch job end as "outcome_unknown"
+
   Scenario: A cancel races completion
     When 6 batch jobs of 4 chats are cancelled around their completion
     Then each batch job ends in one state, and stays in it
--- a/features/steps/batch.py
+++ b/features/steps/batch.py
@@ -113,7 +113,12 @@
     context.struck = sorted(owners.values())[0]
     context.left = next(name for name in world.hosts if name != context.struck)
     process = world.processes[context.struck]
-    {"killed": process.kill, "paused": process.pause}[what]()
+    strikes = {
+        "killed": process.kill,
+        "paused": process.pause,
+        "terminated": process.terminate,
+    }
+    strikes[what]()
 
 
 @when('the engine "{name}" is killed once {count:d} items are settled')
@@ -382,3 +387,35 @@
 def check_burst(context):
     assert {answer.status for answer in context.burst} == {200}
     assert _count(context, "cancelled") > 0
+
+
+@given('a batch host "{host}" that reaches the platform through a proxy')
+def start_proxied_host(context, host):
+    world = context.world
+    listens = world.start_proxy(platform=world.platform_address)
+    world.start_host(host, "a", platform=listens["platform"])
+
+
+@when('the batch host "{host}" is cut off from the platform once it owns a chunk')
+def cut_off_owner(context, host):
+    world = context.world
+    wait_until(
+        lambda: host in read_owners(world, context.job_id).values(),
+        f"{host} owns a chunk",
+    )
+    world.set_faults("platform", cut_forward=True, cut_backward=True)
+
+
+@when('the batch host "{host}" reaches the platform again')
+def reconnect_owner(context, host):
+    world = context.world
+    world.set_faults("platform", cut_forward=False, cut_backward=False, reset=True)
+    wait_until(
+        lambda: context.jobs.read_job(host, context.job_id).get("id"),
+        f"{host} reads the job",
+    )
+
+
+@then("batch items were cancelled at the engines")
+def check_items_cancelled(context):
+    assert _count(context, "cancelled") > 0
--- a/mangogauge/batch/__init__.py
+++ b/mangogauge/batch/__init__.py
@@ -12,7 +12,7 @@
 from .results import ResultReader
 from .room import FixedRoom, RoomLimits, SpareRoom, choose_host
 from .runner import BatchParts, BatchRunner
-from .scheduling import FairShare, OpenWork
+from .scheduling import FairShare, JobOutlook, OpenWork, RiskBoard
 
 __all__ = [
     "BatchPart",
@@ -33,6 +33,7 @@
     "Job",
     "JobCounter",
     "JobCounts",
+    "JobOutlook",
     "JobState",
     "JobStore",
     "LapsePolicy",
@@ -41,6 +42,7 @@
     "OpenWork",
     "OwnedChunk",
     "ResultReader",
+    "RiskBoard",
     "RoomLimits",
     "SpareRoom",
     "choose_host",
--- a/mangogauge/batch/answers.py
+++ b/mangogauge/batch/answers.py
@@ -6,6 +6,7 @@
 from ..platform import StoreLostAnswerError
 from .jobs import JobState
 from .results import make_error_id, make_output_id
+from .scheduling import JobOutlook
 
 __all__ = ["show_file", "show_job", "show_result_file", "take_read", "take_write"]
 
@@ -97,16 +98,15 @@
 
 def _show_progress(job, counts, now):
     settled = counts.completed + counts.failed
-    seconds = max(1.0, (job.ended_at or now) - job.created_at)
-    rate = settled / seconds
-    left = job.total - settled if job.is_open else 0
-    expected = job.ended_at or (now + left / rate if rate else None)
-    at_risk = job.is_open and (expected is None or expected > job.due_at)
+    outlook = JobOutlook(
+        job.total, settled, job.created_at, job.due_at, job.ended_at or now
+    )
+    expected = job.ended_at or outlook.expected_end
     return {
-        "items_per_second": round(rate, 3),
+        "items_per_second": round(outlook.rate, 3),
         "tokens": counts.tokens,
         "expected_end": expected and int(expected),
-        "at_risk": bool(at_risk and settled),
+        "at_risk": job.is_open and outlook.is_at_risk,
     }
 
 
--- a/mangogauge/batch/chunks.py
+++ b/mangogauge/batch/chunks.py
@@ -104,6 +104,7 @@
         self.state = state
         self.results = {}
         self.wanted_intents = set()
+        self.is_closing = False
         self._running = {}
         self._waiting = [i for i in reversed(range(total)) if not self._has(i)]
 
@@ -120,7 +121,8 @@
     @property
     def is_dirty(self):
         """Whether something waits to be committed."""
-        return bool(self.results or self.wanted_intents)
+        unused = self.is_closing and self._find_unused_intents()
+        return bool(self.results or self.wanted_intents or unused)
 
     @property
     def waiting_count(self):
@@ -149,6 +151,10 @@
         self._running.pop(index, None)
         self._waiting.append(index)
 
+    def stop(self, index):
+        """Note that an item's attempt has ended without a result."""
+        self._running.pop(index, None)
+
     def begin(self, index):
         """Note that an item starts; return the attempt's id."""
         self._running[index] = uuid.uuid4().hex
@@ -159,7 +165,7 @@
         index = result.index
         if self._running.get(index) != attempt_id or index in self.results:
             return False
-        del self._running[index]
+        self._running.pop(index)
         if self._has(index):
             return False
         self.results[index] = result
@@ -173,6 +179,15 @@
         """Return whether it is committed that the item may be run."""
         return bool(self.state.intended >> index & 1)
 
+    def close(self):
+        """Start nothing more, and let the next owner run what was not run.
+
+        An item that has an intent, but neither a result nor an attempt that
+        runs, was then certainly not run.
+        """
+        self.is_closing = True
+        self.wanted_intents.clear()
+
     def make_next_state(self, results, intents):
         """Return the state once `results` and `intents` are committed."""
         done, intended = self.state.done, self.state.intended
@@ -180,6 +195,8 @@
             done |= 1 << result.index
         for index in intents:
             intended |= 1 << index
+        if self.is_closing:
+            intended &= ~self._find_unused_intents()
         counts = sum_counts([self.state.counts, *map(_count_result, results)])
         groups = self.state.groups + bool(results)
         return evolve(
@@ -193,6 +210,12 @@
             self.results.pop(result.index, None)
         self.wanted_intents -= set(intents)
 
+    def _find_unused_intents(self):
+        unused = self.state.intended & ~self.state.done
+        for index in (*self.results, *self._running):
+            unused &= ~(1 << index)
+        return unused
+
     def _has(self, index):
         return bool(self.state.done >> index & 1)
 
--- a/mangogauge/batch/claiming.py
+++ b/mangogauge/batch/claiming.py
@@ -5,7 +5,7 @@
 from ..telemetry import get_logger
 from .chunks import ChunkState, sum_counts
 from .jobs import Job, JobState
-from .scheduling import OpenWork
+from .scheduling import JobOutlook, OpenWork, RiskBoard
 
 __all__ = ["Claimer"]
 
@@ -32,6 +32,7 @@
         self._parts = parts
         self._sight = sight
         self._is_owner_sound = is_owner_sound
+        self._risks = RiskBoard(parts.metrics.batch_jobs_at_risk)
         self.work = OpenWork(share, parts.clock)
 
     async def find(self, lease_id, settings, without=()):
@@ -74,8 +75,20 @@
         work = self._sight.note(await self._parts.chunks.list_work(job_id))
         if isinstance(work, Failure):
             return None, None
+        self._note_risk(Job.from_bytes(row.payload), work.unwrap())
         return row, work.unwrap()
 
+    def _note_risk(self, job, work):
+        done = sum_counts(work.list_counts())
+        outlook = JobOutlook(
+            job.total,
+            done.completed + done.failed,
+            job.created_at,
+            job.due_at,
+            self._parts.clock.read_calendar(),
+        )
+        self._risks.note(job.job_id, job.account, job.is_open and outlook.is_at_risk)
+
     async def _claim_from(self, job_id, lease_id, settings):
         row, work = await self._look(job_id)
         if row is None:
@@ -121,6 +134,7 @@
         done = sum_counts(work.list_counts())
         now = self._parts.clock.read_calendar()
         await self._parts.jobs.end(row, state, done, now)
+        self._risks.note(job.job_id, job.account, False)
         log.info("job ended", extra={"step": state.value, "peer": job.job_id})
 
 
--- a/mangogauge/batch/execution.py
+++ b/mangogauge/batch/execution.py
@@ -299,6 +299,7 @@
         if final:
             self._keep(run, attempt_id, item.make_failure(index, error))
             return
+        run.chunk.ledger.stop(index)
         run.delays[index] += 1
         pause = self._settings.backoff_seconds * 2 ** min(run.delays[index] - 1, 16)
         pause = min(pause, BACKOFF_LIMIT_SECONDS) * (0.5 + self._parts.random.random())
--- a/mangogauge/batch/runner.py
+++ b/mangogauge/batch/runner.py
@@ -121,6 +121,8 @@
             await self._executor.stop_repeatable(chunk)
         async with curio.ignore_after(DRAIN_SECONDS):
             await self._executor.wait_idle()
+        for chunk in self._owned.values():
+            chunk.ledger.close()
         await self._flush(list(self._owned.values()))
         self._owned.clear()
         await self._lease.release()
--- a/mangogauge/batch/scheduling.py
+++ b/mangogauge/batch/scheduling.py
@@ -1,8 +1,8 @@
 """Which job a host takes work from, and which of its chunks runs next."""
 
-from attrs import define, field
+from attrs import define, field, frozen
 
-__all__ = ["FairShare", "OpenWork"]
+__all__ = ["FairShare", "JobOutlook", "OpenWork", "RiskBoard"]
 
 UNSEEN_WEIGHT = 1.0
 # Every so many looks go to the smallest job first, so that a large one that is
@@ -10,6 +10,8 @@
 SMALL_JOB_TURN = 4
 RECHECK_SECONDS = 30.0
 FORGET_SECONDS = 600.0
+# A job of which nothing is done yet is at risk once so much of its time is gone.
+IDLE_RISK_PART = 0.5
 
 
 class FairShare:
@@ -130,3 +132,71 @@
         for job_id, note in list(self._notes.items()):
             if note.checked_at < oldest:
                 del self._notes[job_id]
+
+
+@frozen
+class JobOutlook:
+    """How a job is getting on.
+
+    Parameters
+    ----------
+    total, settled : int
+        Items, and those that have a committed result.
+    created_at, due_at, now : float
+        Seconds since the Unix epoch.
+
+    Examples
+    --------
+    >>> outlook = JobOutlook(100, 10, created_at=0, due_at=500, now=100)
+    >>> outlook.expected_end, outlook.is_at_risk
+    (1000.0, True)
+    """
+
+    total = field()
+    settled = field()
+    created_at = field()
+    due_at = field()
+    now = field()
+
+    @property
+    def rate(self):
+        """Items a second so far."""
+        return self.settled / max(1.0, self.now - self.created_at)
+
+    @property
+    def expected_end(self):
+        """When it will end at this rate, in calendar time; None if not known."""
+        if not self.settled:
+            return None
+        return self.now + (self.total - self.settled) / self.rate
+
+    @property
+    def is_at_risk(self):
+        """Whether it will miss its due time as things go."""
+        if self.expected_end is not None:
+            return self.expected_end > self.due_at
+        window = self.due_at - self.created_at
+        return self.now > self.created_at + window * IDLE_RISK_PART
+
+
+class RiskBoard:
+    """Jobs that this host has seen to be at risk, by client account.
+
+    Parameters
+    ----------
+    gauge : prometheus_client.Gauge
+        Labelled by client account.
+    """
+
+    def __init__(self, gauge):
+        self._gauge = gauge
+        self._jobs = {}
+
+    def note(self, job_id, account, at_risk):
+        """Take in how a job was seen to stand."""
+        jobs = self._jobs.setdefault(account, set())
+        if at_risk:
+            jobs.add(job_id)
+        else:
+            jobs.discard(job_id)
+        self._gauge.labels(account).set(len(jobs))
--- a/mangogauge/telemetry/metrics.py
+++ b/mangogauge/telemetry/metrics.py
@@ -72,6 +72,12 @@
             ["client_account", "outcome"],
             registry=self.registry,
         )
+        self.batch_jobs_at_risk = Gauge(
+            "mangogauge_batch_jobs_at_risk",
+            "Batch jobs that this host last saw to be missing their due time.",
+            ["client_account"],
+            registry=self.registry,
+        )
         self.configuration_version = Gauge(
             "mangogauge_configuration_version",
             "Version of the configuration in force.",
