--- a/features/steps/batch.py
+++ b/features/steps/batch.py
@@ -42,9 +42,9 @@
             "endpoints": "desk-service",
         }
     )
-    world.extra = SETTINGS
     # Far above what any scenario sends at once: these are not about rates.
     world.accounts = [("desk", 1000, 1000)]
+    world.extra = SETTINGS + getattr(context, "batch_extra", "")
     world.apply_configuration()
     world.start_host("a1", "a")
     world.start_host("b1", "b")
@@ -94,7 +94,10 @@
     context.plan = JobPlan(chats, bookings, bad)
     file = context.jobs.upload(host, context.plan.make_items())
     assert file.status == 200, file
-    answer = context.jobs.submit(host, file.json["id"], key="job-1")
+    window = "1s" if hasattr(context, "batch_extra") else "24h"
+    answer = context.jobs.submit(
+        host, file.json["id"], key="job-1", completion_window=window
+    )
     assert answer.status == 200, answer
     context.job_id = answer.json["id"]
 
@@ -112,7 +115,12 @@
     context.struck = sorted(owners.values())[0]
     context.left = next(name for name in world.hosts if name != context.struck)
     process = world.processes[context.struck]
-    {"killed": process.kill, "paused": process.pause}[what]()
+    strikes = {
+        "killed": process.kill,
+        "paused": process.pause,
+        "terminated": process.terminate,
+    }
+    strikes[what]()
 
 
 @when('the engine "{name}" is killed once {count:d} items are settled')
@@ -345,3 +353,71 @@
 @then('the audit says "{sentence}"')
 def check_sentence(context, sentence):
     assert context.faults == ([] if sentence == "nothing" else [sentence])
+
+
+@when(
+    'a batch job of {chats:d} chats with {tokens:d} tokens each is accepted by "{host}"'
+)
+def submit_long_job(context, chats, tokens, host):
+    context.plan = JobPlan(chats, 0, 0, max_tokens=tokens)
+    file = context.jobs.upload(host, context.plan.make_items()).json
+    context.job_id = context.jobs.submit(host, file["id"]).json["id"]
+
+
+@when("batch items fill an engine")
+def wait_for_batch(context):
+    engine = context.world.get_standin("engine-a")
+    wait_until(lambda: engine.control()["running"] >= 6, "batch items run")
+
+
+@when('{count:d} online chats of {tokens:d} tokens are sent to "{host}" at once')
+def send_burst(context, count, tokens, host):
+    caller = context.jobs.get_caller(host)
+    context.burst = []
+
+    def send(number):
+        context.burst.append(caller.chat(f"online {number}", max_tokens=tokens))
+
+    threads = [threading.Thread(target=send, args=(n,)) for n in range(count)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+@then("all online chats are answered, and batch items were cancelled for them")
+def check_burst(context):
+    assert {answer.status for answer in context.burst} == {200}
+    assert _count(context, "cancelled") > 0
+
+
+@given('a batch host "{host}" that reaches the platform through a proxy')
+def start_proxied_host(context, host):
+    world = context.world
+    listens = world.start_proxy(platform=world.platform_address)
+    world.start_host(host, "a", platform=listens["platform"])
+
+
+@when('the batch host "{host}" is cut off from the platform once it owns a chunk')
+def cut_off_owner(context, host):
+    world = context.world
+    wait_until(
+        lambda: host in read_owners(world, context.job_id).values(),
+        f"{host} owns a chunk",
+    )
+    world.set_faults("platform", cut_forward=True, cut_backward=True)
+
+
+@when('the batch host "{host}" reaches the platform again')
+def reconnect_owner(context, host):
+    world = context.world
+    world.set_faults("platform", cut_forward=False, cut_backward=False, reset=True)
+    wait_until(
+        lambda: context.jobs.read_job(host, context.job_id).get("id"),
+        f"{host} reads the job",
+    )
+
+
+@then("batch items were cancelled at the engines")
+def check_items_cancelled(context):
+    assert _count(context, "cancelled") > 0
--- a/mangogauge/daemon/host.py
+++ b/mangogauge/daemon/host.py
@@ -4,7 +4,7 @@
 
 import curio
 
-from ..batch import BatchPart
+from ..batch import BatchPart, ObservedRouter
 from ..clock import SystemClock
 from ..configuration import ConfigurationReplica, ConfigurationStore
 from ..distribution import Distributor, Roster, RosterEntry, RosterKeeper
@@ -143,7 +143,9 @@
         self.parts += [keeper, exchange]
 
     def _make_routing(self):
-        self.router = LeastLoadedRouter(self.settings.data_centre, self.random)
+        self.router = ObservedRouter(
+            LeastLoadedRouter(self.settings.data_centre, self.random)
+        )
         self.dispatcher = Dispatcher(
             self.router, RetryPolicy(), ClientPool(), self.clock, self.metrics
         )
@@ -153,6 +155,7 @@
             self.settings.name,
             self.records,
             self.dispatcher,
+            self.router,
             self.view,
             self.clock,
             self.random,
--- a/mangogauge/settings/__init__.py
+++ b/mangogauge/settings/__init__.py
@@ -14,6 +14,7 @@
     Model,
     Objective,
     ObjectiveKind,
+    RoomKind,
     Route,
     RouteKind,
 )
@@ -48,6 +49,7 @@
     "PeerSettings",
     "PlatformSettings",
     "Problem",
+    "RoomKind",
     "Route",
     "RouteKind",
     "SettingsError",
