Decide on retries by what is known, and resume streams that break

Cause: the thin dispatcher took any 429 or 503 as not run, waited out the whole deadline on a hung engine, had no retry budget, and lost every stream whose connection broke. Change: progress follows transport facts and, for engines only, statuses; a plain service's error reaches the caller of a non-repeatable call unchanged. Attempts wait for a multiple of measured times. Retries are paid from a budget for each account and route, a tenth of successes plus a small reserve; attempts that were never sent are free. Small answers are held until whole; token streams are cut into events, counted, and go on at another endpoint by X-Resume-From, with usage put right. The engine stand-in no longer makes a token beyond max_tokens when resumed at the end. Found on the way: a socket closed while another task waits on it ends curio's kernel. It ended the fault proxy (losing answers), and could have ended a host through protocol.Link; both now wake the waiting task first.

--- a/features/builders/__init__.py
+++ b/features/builders/__init__.py
@@ -3,14 +3,26 @@
 from .callers import Caller, CallerAnswer
 from .processes import Process, wait_until
 from .settings import make_base, make_overlay
+from .streams import (
+    StreamReader,
+    join_stream,
+    make_text,
+    read_events,
+    run_together,
+)
 from .world import World
 
 __all__ = [
     "Caller",
     "CallerAnswer",
     "Process",
+    "StreamReader",
     "World",
+    "join_stream",
     "make_base",
     "make_overlay",
+    "make_text",
+    "read_events",
+    "run_together",
     "wait_until",
 ]
--- a/mangogauge/daemon/host.py
+++ b/mangogauge/daemon/host.py
@@ -14,7 +14,7 @@
 from ..membership import Member, MembershipExchange, MembershipView, new_incarnation
 from ..platform import GatewayStore, RecordStore
 from ..protocol import ChannelPool, ProtocolServer
-from ..routing import LeastLoadedRouter, RetryPolicy
+from ..routing import AnswerTimes, LeastLoadedRouter, RetryBudgets, RetryPolicy
 from ..telemetry import HostMetrics, get_logger
 from .operators import OperatorPort
 
@@ -92,7 +92,13 @@
     def _make_routing(self):
         self.router = LeastLoadedRouter(self.settings.data_centre, self.random)
         self.dispatcher = Dispatcher(
-            self.router, RetryPolicy(), ClientPool(), self.clock, self.metrics
+            self.router,
+            RetryPolicy(RetryBudgets(self.clock)),
+            AnswerTimes(),
+            ClientPool(),
+            self.clock,
+            self.random,
+            self.metrics,
         )
 
     def _make_batch(self):
--- /dev/null
+++ b/mangogauge/gateway/attempts.py
@@ -0,0 +1,164 @@
+"""One attempt at running a call, at an endpoint."""
+
+import uuid
+from abc import ABC, abstractmethod
+
+import curio
+
+from ..http import HTTPConnectError, HTTPError
+from ..routing import Progress, find_failure
+
+__all__ = ["Attempt", "AttemptFailed", "EndpointAttempt"]
+
+ATTEMPT_HEADER = "X-Attempt-Id"
+RESUME_HEADER = "X-Resume-From"
+STALL_FACTOR = 20.0
+SHORTEST_STALL_SECONDS = 2.0
+UNBOUNDED_SECONDS = 86_400.0
+
+
+class AttemptFailed(Exception):
+    """One attempt failed.
+
+    Parameters
+    ----------
+    progress : Progress
+        How far it got.
+    message : str
+    broken : bool, optional
+        Whether a connection ended that had carried the request.
+    retry_after : float, optional
+        Seconds after which the peer says that it can take work again.
+    """
+
+    def __init__(self, progress, message, *, broken=False, retry_after=None):
+        super().__init__(message)
+        self.progress = progress
+        self.broken = broken
+        self.retry_after = retry_after
+
+
+class Attempt(ABC):
+    """An attempt, not yet made.
+
+    Attributes
+    ----------
+    attempt_id : str
+    peer : str
+        Name of the endpoint or host that it is made at.
+    """
+
+    def __init__(self, call, peer):
+        self.call = call
+        self.peer = peer
+        self.attempt_id = uuid.uuid4().hex
+
+    @abstractmethod
+    async def run(self, relay, bound, may_retry):
+        """Run the call and pass its answer to `relay`.
+
+        Parameters
+        ----------
+        relay : AnswerRelay
+        bound : float
+            Seconds until the first byte of the answer.
+        may_retry : callable
+            Tells whether another attempt could follow; an endpoint's error is
+            passed on as it is when none could.
+
+        Raises
+        ------
+        AttemptFailed
+        """
+
+
+class EndpointAttempt(Attempt):
+    """An attempt at an endpoint of this data centre.
+
+    Parameters
+    ----------
+    call : Call
+    endpoint : Endpoint
+    pool : ClientPool
+    times : AnswerTimes
+    clock : Clock
+    """
+
+    def __init__(self, call, endpoint, pool, times, clock):
+        super().__init__(call, endpoint.name)
+        self._endpoint = endpoint
+        self._pool = pool
+        self._times = times
+        self._clock = clock
+
+    async def run(self, relay, bound, may_retry):
+        """Run the call at the endpoint."""
+        started = self._clock.read_elapsed()
+        response = await self._request(relay, bound)
+        self._times.note(self.call.timing_class, self._clock.read_elapsed() - started)
+        try:
+            progress = find_failure(self.call, response.status)
+            if progress is not None and (relay.started or may_retry(progress)):
+                raise AttemptFailed(progress, f"Status {response.status}.")
+            pieces = self._iterate(response)
+            await relay.take(response.status, response.headers, pieces)
+        except HTTPError as error:
+            raise AttemptFailed(Progress.MAYBE_RUN, str(error), broken=True) from error
+        finally:
+            await response.close()
+
+    async def _request(self, relay, bound):
+        arguments = (
+            self._endpoint.address,
+            self.call.method,
+            self.call.target,
+            self._make_headers(relay),
+            self.call.body,
+        )
+        fresh = not self.call.repeatable
+        try:
+            async with curio.timeout_after(bound):
+                return await self._pool.request(*arguments, fresh=fresh)
+        except curio.TaskTimeout:
+            raise AttemptFailed(
+                Progress.MAYBE_RUN, f"No answer within {bound:.3f} s."
+            ) from None
+        except HTTPConnectError as error:
+            raise AttemptFailed(Progress.NOT_SENT, str(error)) from error
+        except HTTPError as error:
+            raise AttemptFailed(Progress.MAYBE_RUN, str(error), broken=True) from error
+
+    def _make_headers(self, relay):
+        headers = self.call.headers.copy()
+        headers.remove(RESUME_HEADER)
+        headers.set("Host", self._endpoint.address)
+        headers.set("X-Request-Id", self.call.request_id)
+        headers.set(ATTEMPT_HEADER, self.attempt_id)
+        first = relay.tokens + self.call.resume_from
+        if first:
+            headers.set(RESUME_HEADER, str(first))
+        return headers
+
+    async def _iterate(self, response):
+        """Yield the body; a stream that stands still counts as broken."""
+        pieces = response.iterate()
+        gap_class = ("gap", *self.call.timing_class)
+        while True:
+            started = self._clock.read_elapsed()
+            try:
+                async with curio.timeout_after(self._compute_stall(gap_class)):
+                    piece = await anext(pieces, None)
+            except curio.TaskTimeout:
+                raise AttemptFailed(
+                    Progress.MAYBE_RUN, "The answer stands still."
+                ) from None
+            if piece is None:
+                return
+            self._times.note(gap_class, self._clock.read_elapsed() - started)
+            yield piece
+
+    def _compute_stall(self, gap_class):
+        if not (self.call.repeatable and self.call.streams):
+            return UNBOUNDED_SECONDS
+        usual = self._times.estimate(gap_class)
+        return max(SHORTEST_STALL_SECONDS, STALL_FACTOR * (usual or 0.0))
--- a/mangogauge/gateway/calls.py
+++ b/mangogauge/gateway/calls.py
@@ -39,6 +39,14 @@
     priority : Priority
     streams : bool
         Whether the caller wants the answer as a stream.
+    token_limit : int
+        Most tokens that are asked for; 0 if not said.
+    resume_from : int
+        Tokens of the answer that have already reached the caller.
+    resuming : bool
+        Whether only endpoints that can resume a stream will do.
+    forwarded : bool
+        Whether another data centre's host passed the call on to this one.
     """
 
     request_id = field()
@@ -53,9 +61,26 @@
     repeatable = field(default=True)
     priority = field(default=Priority.ONLINE)
     streams = field(default=False)
+    token_limit = field(default=0)
+    resume_from = field(default=0)
+    resuming = field(default=False)
+    forwarded = field(default=False)
+
+    @property
+    def timing_class(self):
+        """Calls of one class take about as long as each other."""
+        return (
+            self.route.name,
+            self.model,
+            self.method,
+            self.streams,
+            self.token_limit.bit_length(),
+        )
 
     def suits(self, endpoint):
         """Return whether `endpoint` can run this call."""
+        if self.resuming and not endpoint.resumes:
+            return False
         if self.route.kind is RouteKind.MODEL:
             return (
                 endpoint.kind is EndpointKind.ENGINE and self.model in endpoint.models
--- a/mangogauge/gateway/dispatch.py
+++ b/mangogauge/gateway/dispatch.py
@@ -1,30 +1,22 @@
-"""Run a call at an endpoint, trying others as the retry table allows."""
-
-import uuid
+"""Run a call, trying again as the retry table and the budget allow."""
 
 import curio
 
-from ..http import HTTPConnectError, HTTPError
+from ..http import HTTPReceiveError
 from ..routing import Decision, Progress
 from ..telemetry import get_logger
+from .attempts import AttemptFailed, EndpointAttempt
 from .refusals import Refusal, RefusalCode
+from .relays import AnswerRelay
 
 __all__ = ["Dispatcher"]
 
 RETRY_AFTER_NO_ENDPOINT = 1.0
-BUSY_STATUSES = frozenset({429, 503})
+BACKOFF_SECONDS = 0.02
 
 log = get_logger("dispatch")
 
 
-class AttemptFailed(Exception):
-    """One attempt failed with this `Progress`."""
-
-    def __init__(self, progress, message):
-        super().__init__(message)
-        self.progress = progress
-
-
 class Dispatcher:
     """Run calls.
 
@@ -32,17 +24,21 @@
     ----------
     router : Router
     retry_policy : RetryPolicy
+    times : AnswerTimes
     pool : ClientPool
         Connections to endpoints.
     clock : Clock
+    random : random.Random
     metrics : HostMetrics
     """
 
-    def __init__(self, router, retry_policy, pool, clock, metrics):
+    def __init__(self, router, retry_policy, times, pool, clock, random, metrics):
         self._router = router
         self._retry_policy = retry_policy
+        self._times = times
         self._pool = pool
         self._clock = clock
+        self._random = random
         self._metrics = metrics
 
     async def dispatch(self, call, sink):
@@ -55,119 +51,145 @@
         HTTPError
             If the answer broke off after some of it had been passed on.
         """
-        tried = []
-        worst = Progress.NOT_SENT
+        run = _Run(call, AnswerRelay(call, sink))
         while True:
-            endpoint = self._router.choose(call, tried)
-            if endpoint is None:
-                raise self._refuse_unserved(call, worst)
-            tried.append(endpoint.name)
+            attempt = await self._choose_attempt(run)
+            run.begin(attempt)
             try:
-                await self._attempt(call, endpoint, sink)
-                return
+                await self._make_attempt(run, attempt)
             except AttemptFailed as error:
-                if error.progress.executed == "unknown":
-                    worst = error.progress
-                self._log_failure(call, endpoint, error)
-                left = call.deadline - self._clock.read_elapsed()
-                decision = self._retry_policy.decide(
-                    error.progress, call.repeatable, len(tried), left
-                )
-                if decision is Decision.REFUSE:
-                    raise self._refuse_failed(error, worst, endpoint, left) from error
-
-    async def _attempt(self, call, endpoint, sink):
-        left = call.deadline - self._clock.read_elapsed()
+                run.note_failure(error)
+                self._log_failure(call, attempt, error)
+                self._continue(run, attempt, error)
+            else:
+                self._retry_policy.note_success(call)
+                return
+
+    async def _choose_attempt(self, run):
+        call = run.call
+        endpoint = self._router.choose(call, run.tried)
+        if endpoint is None and run.tried:
+            # Every endpoint has failed once; the fault may have passed.
+            await curio.sleep(self._compute_backoff(len(run.tried)))
+            endpoint = self._router.choose(call)
+        if endpoint is None:
+            raise self._refuse_unserved(run)
+        return EndpointAttempt(call, endpoint, self._pool, self._times, self._clock)
+
+    async def _make_attempt(self, run, attempt):
+        left = run.call.deadline - self._clock.read_elapsed()
         if left <= 0:
             raise AttemptFailed(Progress.NOT_SENT, "The deadline has passed.")
-        self._router.begin(endpoint)
+        self._router.begin(attempt.peer)
         progress = None
         try:
             async with curio.timeout_after(left):
-                await self._run(call, endpoint, sink)
-            self._count(endpoint, "answered")
+                bound = self._compute_bound(run, left)
+                await attempt.run(run.relay, bound, lambda p: self._decide(run, p))
+            self._count(attempt, "answered")
         except curio.TaskTimeout:
             progress = Progress.MAYBE_RUN
             raise AttemptFailed(progress, "No answer before the deadline.") from None
         except AttemptFailed as error:
             progress = error.progress
-            self._count(endpoint, progress.value)
+            self._count(attempt, progress.value)
             raise
         finally:
-            self._router.end(endpoint, progress)
+            self._router.end(attempt.peer, progress)
 
-    async def _run(self, call, endpoint, sink):
-        headers = call.headers.copy()
-        headers.set("Host", endpoint.address)
-        headers.set("X-Request-Id", call.request_id)
-        headers.set("X-Attempt-Id", uuid.uuid4().hex)
-        try:
-            response = await self._pool.request(
-                endpoint.address,
-                call.method,
-                call.target,
-                headers,
-                call.body,
-                fresh=not call.repeatable,
-            )
-        except HTTPConnectError as error:
-            raise AttemptFailed(Progress.NOT_SENT, str(error)) from error
-        except HTTPError as error:
-            raise AttemptFailed(Progress.MAYBE_RUN, str(error)) from error
-        try:
-            await self._pass_answer(response, sink)
-        finally:
-            await response.close()
+    def _compute_bound(self, run, left):
+        if not run.call.repeatable or self._router.choose(run.call, run.tried) is None:
+            return left
+        return self._times.compute_bound(
+            run.call.timing_class, left, len(run.tried) - 1
+        )
 
-    async def _pass_answer(self, response, sink):
-        if response.status in BUSY_STATUSES:
-            raise AttemptFailed(Progress.NOT_RUN, f"Status {response.status}.")
-        try:
-            await sink.start(response.status, response.headers)
-            async for piece in response.iterate():
-                await sink.write(piece)
-            await sink.finish()
-        except HTTPError as error:
-            if sink.started:
-                raise
-            raise AttemptFailed(Progress.MAYBE_RUN, str(error)) from error
-
-    def _refuse_unserved(self, call, worst):
+    def _decide(self, run, progress):
+        """Return whether there may be another attempt; asked once for each."""
+        if run.decision is None:
+            left = run.call.deadline - self._clock.read_elapsed()
+            run.decision = self._retry_policy.decide(
+                progress, run.call, len(run.tried), left
+            )
+        return run.decision is Decision.RETRY
+
+    def _continue(self, run, attempt, error):
+        """Return if the call may go on with another attempt, else raise."""
+        relay = run.relay
+        resumes = relay.can_resume or not relay.started
+        if resumes and self._decide(run, error.progress):
+            run.call.resuming = relay.started
+            return
+        if relay.started:
+            raise HTTPReceiveError(
+                f"The answer broke off: {error}", step="run", peer=attempt.peer
+            ) from error
+        raise self._refuse_failed(run, attempt) from error
+
+    def _refuse_unserved(self, run):
+        if run.relay.started:
+            return HTTPReceiveError("No endpoint can resume the stream.", step="resume")
         return Refusal(
             RefusalCode.NO_ENDPOINT,
             "No endpoint can run this request now.",
-            executed=worst.executed,
+            executed=run.worst.executed,
             retry_after=RETRY_AFTER_NO_ENDPOINT,
             step="choose endpoint",
         )
 
-    def _refuse_failed(self, error, worst, endpoint, left):
+    def _refuse_failed(self, run, attempt):
+        executed = run.worst.executed
         code = RefusalCode.ENDPOINT_FAILED
-        if worst.executed == "unknown":
+        if executed == "unknown":
             code = RefusalCode.OUTCOME_UNKNOWN
-        if left <= 0:
+        if run.call.deadline <= self._clock.read_elapsed():
             code = RefusalCode.DEADLINE_EXCEEDED
         return Refusal(
             code,
             "The endpoint gave no answer.",
-            executed=worst.executed,
-            retry_after=RETRY_AFTER_NO_ENDPOINT if worst.executed == "no" else None,
+            executed=executed,
+            retry_after=RETRY_AFTER_NO_ENDPOINT if executed == "no" else None,
             step="run",
-            peer=endpoint.name,
+            peer=attempt.peer,
         )
 
-    def _count(self, endpoint, outcome):
-        self._metrics.attempts.labels(endpoint.name, outcome).inc()
+    def _compute_backoff(self, attempts):
+        return BACKOFF_SECONDS * 2**attempts * (0.5 + self._random.random())
+
+    def _count(self, attempt, outcome):
+        self._metrics.attempts.labels(attempt.peer, outcome).inc()
 
-    def _log_failure(self, call, endpoint, error):
+    def _log_failure(self, call, attempt, error):
         log.warning(
             "attempt failed",
             extra={
                 "request_id": call.request_id,
+                "attempt_id": attempt.attempt_id,
                 "client_account": call.account,
-                "peer": endpoint.name,
+                "peer": attempt.peer,
                 "step": "attempt",
                 "progress": error.progress.value,
                 "reason": str(error),
             },
         )
+
+
+class _Run:
+    """The state of one call between its attempts."""
+
+    def __init__(self, call, relay):
+        self.call = call
+        self.relay = relay
+        self.tried = []
+        self.worst = Progress.NOT_SENT
+        self.decision = None
+
+    def begin(self, attempt):
+        """Note that another attempt starts."""
+        self.tried.append(attempt.peer)
+        self.decision = None
+
+    def note_failure(self, error):
+        """Keep the worst that is known of all attempts."""
+        if error.progress.executed == "unknown":
+            self.worst = error.progress
--- a/mangogauge/gateway/front.py
+++ b/mangogauge/gateway/front.py
@@ -176,6 +176,7 @@
             value = orjson.loads(call.body)
             call.model = value["model"]
             call.streams = bool(value.get("stream"))
+            call.token_limit = max(0, int(value.get("max_tokens") or 0))
         except (ValueError, KeyError, TypeError, AttributeError):
             raise Refusal(
                 RefusalCode.MALFORMED, "The body must be JSON with a 'model'."
--- a/mangogauge/protocol/channel.py
+++ b/mangogauge/protocol/channel.py
@@ -5,6 +5,7 @@
 import h2.events
 import h2.exceptions
 from curio import socket
+from curio.meta import finalize
 
 from .errors import CallError, CallStatus, ChannelError
 from .framing import Link, StreamState, encode_message
@@ -67,8 +68,10 @@
         """
         try:
             async with curio.timeout_after(timeout):
-                async for message in self.stream(method, request, response_type):
-                    return message
+                stream = self.stream(method, request, response_type)
+                async with finalize(stream):
+                    async for message in stream:
+                        return message
         except curio.TaskTimeout:
             raise ChannelError(
                 f"No answer within {timeout} s.", step=method, peer=self.address
--- a/mangogauge/protocol/framing.py
+++ b/mangogauge/protocol/framing.py
@@ -9,6 +9,7 @@
 import h2.exceptions
 import h2.settings
 from attrs import define, field
+from curio import socket
 
 from .errors import ChannelError
 
@@ -100,6 +101,7 @@
         self.sent_bytes = 0
         self._sock = sock
         self._write_lock = curio.Lock()
+        self._reading = False
 
     async def start(self):
         """Exchange settings."""
@@ -126,7 +128,7 @@
 
     async def read_events(self):
         """Return the next batch of events; empty when the peer has closed."""
-        data = await self._sock.recv(READ_SIZE_BYTES)
+        data = await self._receive()
         if not data:
             return []
         self.received_bytes += len(data)
@@ -164,6 +166,26 @@
             stream.reset = True
             await stream.window.set()
             await stream.payloads.put(None)
+        # A socket that is closed while another task waits on it breaks
+        # curio's kernel, so that task is woken first, and a reader closes.
+        try:
+            await self._sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+        async with self._write_lock:
+            if not self._reading:
+                await self._close_socket()
+
+    async def _receive(self):
+        self._reading = True
+        try:
+            return await self._sock.recv(READ_SIZE_BYTES)
+        finally:
+            self._reading = False
+            if self.closed:
+                await self._close_socket()
+
+    async def _close_socket(self):
         try:
             await self._sock.close()
         except OSError:
--- a/mangogauge/routing/choice.py
+++ b/mangogauge/routing/choice.py
@@ -25,11 +25,11 @@
         """
 
     @abstractmethod
-    def begin(self, endpoint):
-        """Note that an attempt starts at `endpoint`."""
+    def begin(self, name):
+        """Note that an attempt starts at the endpoint of this name."""
 
     @abstractmethod
-    def end(self, endpoint, progress=None):
+    def end(self, name, progress=None):
         """Note that an attempt ended; `progress` tells how it failed, if so."""
 
 
@@ -65,13 +65,13 @@
             return None
         return min(candidates, key=self._rank)
 
-    def begin(self, endpoint):
+    def begin(self, name):
         """Note that an attempt starts."""
-        self._running[endpoint.name] += 1
+        self._running[name] += 1
 
-    def end(self, endpoint, progress=None):
+    def end(self, name, progress=None):
         """Note that an attempt ended."""
-        self._running[endpoint.name] -= 1
+        self._running[name] -= 1
 
     def _rank(self, endpoint):
         return (
--- a/mangogauge/routing/retry.py
+++ b/mangogauge/routing/retry.py
@@ -29,26 +29,32 @@
     (Progress.RUN, False): Decision.REFUSE,
 }
 
+# An attempt that was never sent has loaded no endpoint, so that its retry is
+# bounded by the number of attempts alone.
+FREE_PROGRESS = frozenset({Progress.NOT_SENT})
+
 
 class RetryPolicy:
     """Decide on failed attempts.
 
     Parameters
     ----------
+    budgets : RetryBudgets
     attempt_limit : int, optional
         Largest number of attempts for one call.
     """
 
-    def __init__(self, attempt_limit=ATTEMPT_LIMIT):
+    def __init__(self, budgets, attempt_limit=ATTEMPT_LIMIT):
+        self.budgets = budgets
         self._attempt_limit = attempt_limit
 
-    def decide(self, progress, repeatable, attempts, time_left):
-        """Return a `Decision`.
+    def decide(self, progress, call, attempts, time_left):
+        """Return a `Decision`; a retry is paid from the call's budget.
 
         Parameters
         ----------
         progress : Progress
-        repeatable : bool
+        call : Call
         attempts : int
             Attempts made so far.
         time_left : float
@@ -56,4 +62,13 @@
         """
         if attempts >= self._attempt_limit or time_left < MINIMUM_TIME_LEFT:
             return Decision.REFUSE
-        return DECISIONS[progress, repeatable]
+        decision = DECISIONS[progress, call.repeatable]
+        if decision is Decision.REFUSE or progress in FREE_PROGRESS:
+            return decision
+        if self.budgets.take(call.account, call.route.name):
+            return Decision.RETRY
+        return Decision.REFUSE
+
+    def note_success(self, call):
+        """Note that a call was answered, which earns a part of a retry."""
+        self.budgets.note_success(call.account, call.route.name)
--- a/mangogauge/standins/engine.py
+++ b/mangogauge/standins/engine.py
@@ -198,7 +198,10 @@
             produced=int(exchange.headers.get("x-resume-from", 0)),
             prompt_tokens=max(1, len(prompt) // CHARACTERS_PER_TOKEN),
         )
-        self._waiting.append(generation)
+        if generation.produced < generation.max_tokens:
+            self._waiting.append(generation)
+        else:
+            await generation.tokens.put(None)
         try:
             answer = _Answer(exchange, request, generation)
             await answer.send()
--- a/mangogauge/standins/proxy.py
+++ b/mangogauge/standins/proxy.py
@@ -10,6 +10,7 @@
 import curio
 from attrs import asdict, define, field, fields
 from curio import socket
+from curio.meta import finalize
 
 from ..http import HTTPServer
 from .answers import read_json, send_json
@@ -136,22 +137,24 @@
             await curio.sleep(POLL_INTERVAL)
 
     async def _pass_forward(self, source, sink):
-        async for data in self._read_delayed(source, "cut_forward"):
-            self.bytes_forward += len(data)
-            await sink.sendall(data)
+        async with finalize(self._read_delayed(source, "cut_forward")) as pieces:
+            async for data in pieces:
+                self.bytes_forward += len(data)
+                await sink.sendall(data)
 
     async def _pass_backward(self, source, sink, losing):
         passed = 0
-        async for data in self._read_delayed(source, "cut_backward"):
-            if losing:
-                return
-            limit = self.faults.truncate_after
-            if limit and passed + len(data) > limit:
-                await sink.sendall(data[: limit - passed])
-                return
-            passed += len(data)
-            self.bytes_backward += len(data)
-            await sink.sendall(data)
+        async with finalize(self._read_delayed(source, "cut_backward")) as pieces:
+            async for data in pieces:
+                if losing:
+                    return
+                limit = self.faults.truncate_after
+                if limit and passed + len(data) > limit:
+                    await sink.sendall(data[: limit - passed])
+                    return
+                passed += len(data)
+                self.bytes_backward += len(data)
+                await sink.sendall(data)
 
     async def _read_delayed(self, source, cut):
         """Yield data in order, each piece after its delay, none while cut."""
