Drain in order: announce, wait out the balancer, end requests, hand over

Cause: parts handed over what they held before the balancer's lag had passed, so that requests still to come could be refused; keep-alive connections ended without a word. HostPart.busy keeps a host alive for work of other hosts. Ruled out: closing connections whose answer had not said so; a caller's next request on it would be lost.

--- a/features/builders/__init__.py
+++ b/features/builders/__init__.py
@@ -1,5 +1,6 @@
 """Builders of test data and of whole small deployments of real processes."""
 
+from .balancer import BalancedLoad, Balancer, make_mixed_request
 from .callers import Caller, CallerAnswer
 from .processes import Process, wait_until
 from .settings import make_base, make_overlay
@@ -13,6 +14,8 @@
 from .world import World
 
 __all__ = [
+    "BalancedLoad",
+    "Balancer",
     "Caller",
     "CallerAnswer",
     "Process",
@@ -20,6 +23,7 @@
     "World",
     "join_stream",
     "make_base",
+    "make_mixed_request",
     "make_overlay",
     "make_text",
     "read_events",
--- a/mangogauge/daemon/host.py
+++ b/mangogauge/daemon/host.py
@@ -21,6 +21,7 @@
 __all__ = ["Host"]
 
 DRAIN_INTERVAL = 0.05
+QUIET_SECONDS = 0.1
 
 log = get_logger("host")
 
@@ -166,7 +167,23 @@
     async def _drain(self):
         while not self.draining:
             await curio.sleep(DRAIN_INTERVAL)
+        log.info("draining", extra={"step": "drain"})
         for part in self.parts:
-            await part.drain()
+            part.announce_drain()
+        # From here each connection ends after its current exchange; new ones
+        # are still served until the balancer must have noticed.
+        closing = await curio.spawn(self.callers.drain, daemon=True)
         await curio.sleep(self.settings.drain_seconds)
-        await self.callers.drain()
+        await closing.join()
+        await self._wait_until_quiet()
+        for part in self.parts:
+            await part.drain()
+        log.info("drained", extra={"step": "drain"})
+
+    async def _wait_until_quiet(self):
+        """Wait until no request runs here, one that has just come included."""
+        quiet_since = self.clock.read_elapsed()
+        while self.clock.read_elapsed() - quiet_since < QUIET_SECONDS:
+            await curio.sleep(DRAIN_INTERVAL)
+            if self.callers.busy_count or any(part.busy for part in self.parts):
+                quiet_since = self.clock.read_elapsed()
--- a/mangogauge/daemon/parts.py
+++ b/mangogauge/daemon/parts.py
@@ -23,5 +23,13 @@
         """Work until cancelled; runs in a task of its own."""
         await curio.Event().wait()
 
+    @property
+    def busy(self):
+        """Whether work for others runs here that must not be cut off."""
+        return False
+
+    def announce_drain(self):
+        """Take on no new work: the host is about to drain."""
+
     async def drain(self):
-        """Hand over what this host holds; callers' requests still run."""
+        """Hand over what this host holds; no request runs here any more."""
--- a/mangogauge/http/server.py
+++ b/mangogauge/http/server.py
@@ -107,6 +107,10 @@
     async def start_response(self, status, headers):
         """Send the status line and the header fields."""
         self.response_started = True
+        if self._connection.closing:
+            headers = headers.copy()
+            headers.set("Connection", "close")
+            self._connection.close_announced = True
         await self._connection.send_event(
             h11.Response(status_code=status, headers=headers.to_raw())
         )
@@ -225,9 +229,15 @@
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self.limits.header_bytes
         )
+        self.close_announced = False
         self._broken = False
         self._body_done = curio.Event()
 
+    @property
+    def closing(self):
+        """Whether this connection ends after its current exchange."""
+        return self._server.closing
+
     async def close(self):
         """Close, first reading what the caller still sends.
 
@@ -311,7 +321,7 @@
             return b""
 
     def _prepare_next(self):
-        if self._server.closing:
+        if self.close_announced:
             return False
         if self._h11.our_state is not h11.DONE:
             return False
--- a/mangogauge/membership/exchange.py
+++ b/mangogauge/membership/exchange.py
@@ -44,7 +44,7 @@
                 await self._exchange(address)
             await curio.sleep(EXCHANGE_SECONDS * (0.5 + self._random.random()))
 
-    async def drain(self):
+    def announce_drain(self):
         """Tell the peers that this host is about to end."""
         self.view.set_leaving()
 
