Reach endpoints from their own data centre, and pass calls on in one hop

Cause: the thin router sent calls straight to other data centres' endpoints, knew nothing of dead, leaving, slow or failing ones, and counted only its own attempts. Change: BalancedRouter takes the endpoints of its data centre alone: shared counts (a byte for each endpoint), the engines' lagging reports for work that no host counts, prefix affinity with bounded loads, else the better of two; slow start; ejection after three failures in a row, never of more than half; circuits shared, two peers needed to believe them. Each endpoint is watched by two hosts, engines by /load, services by a bare connection. What can't run here, or runs elsewhere better by more than a margin, goes through the other data centre's entry host by one gRPC stream: deadline and attempt id with it, no key, reset to cancel, never a second hop. Ruled out: watching every endpoint from every host (80 endpoints at 2 Hz are 160 requests a second for each host at full size).

--- a/features/builders/settings.py
+++ b/features/builders/settings.py
@@ -52,10 +52,19 @@
 
 
 def make_host_file(
-    name, data_centre, address, ports, platform, secret_file, seeds=(), **options
+    name,
+    data_centre,
+    address,
+    ports,
+    platform,
+    secret_file,
+    seeds=(),
+    host_list="",
+    **options,
 ):
     """Return a host file's text."""
     callers, peer, operator = ports
+    listed = {"host_list": host_list} if host_list else {}
     return "\n".join(
         [
             make_section(
@@ -68,7 +77,7 @@
                 operator_port=operator,
                 **{"drain_seconds": 0.3, **options},
             ),
-            make_section("platform", addresses=platform, timeout=1.0),
+            make_section("platform", addresses=platform, timeout=1.0, **listed),
             make_section("peers", secret_file=secret_file, seeds=", ".join(seeds)),
         ]
     )
--- /dev/null
+++ b/features/steps/leaving.py
@@ -0,0 +1,79 @@
+"""Steps of endpoints that leave."""
+
+import orjson
+from behave import given, then, when
+
+from features.builders import wait_until
+
+
+@given('leaving: {count:d} hosts before engines "{engines}" and a platform\'s list')
+def start(context, count, engines):
+    world = context.world
+    context.list_path = world.folder / "hosts.jsonl"
+    context.list_path.write_text("")
+    world.start_platform()
+    for name in engines.split(", "):
+        world.start_engine(name, options=("--load-lag", 0.5))
+    world.apply_configuration()
+    for number in range(count):
+        world.start_host(f"a{number}", "a", host_list=context.list_path)
+    key = world.grant_key()
+    context.callers = {h: world.get_caller(h, key) for h in world.hosts}
+    for host, caller in context.callers.items():
+        wait_until(
+            lambda caller=caller: caller.request("GET", "/v1/batches").status == 200,
+            f"the key works at {host}",
+        )
+
+
+@when('leaving: the engine says that "{name}" is leaving')
+def say_by_engine(context, name):
+    context.world.get_standin(name).control(leaving=True)
+
+
+@when('leaving: the list says that "{name}" is leaving')
+def say_by_list(context, name):
+    endpoint = context.world.endpoints[name]
+    row = {"name": name, "state": "leaving"}
+    row |= {"address": endpoint["address"], "data_centre": "a"}
+    context.list_path.write_bytes(orjson.dumps(row) + b"\n")
+
+
+@when('leaving: the configuration says that "{name}" is leaving')
+def say_by_configuration(context, name):
+    context.world.endpoints.pop(name)
+    context.world.apply_configuration()
+
+
+@then("leaving: every host keeps it from new work")
+def check_noticed(context):
+    for host in context.world.hosts:
+        operator = context.world.get_operator(host)
+        wait_until(
+            lambda operator=operator: not is_used(operator, "engine-1"),
+            f"{host} knows that the engine leaves",
+        )
+    engine = context.world.get_standin("engine-1").control()
+    context.before = len(engine["records"])
+
+
+def is_used(operator, name):
+    rows = operator.request("GET", "/endpoints").json["endpoints"]
+    found = [row for row in rows if row["endpoint"] == name]
+    return any(not row["leaving"] for row in found)
+
+
+@when("leaving: {count:d} chats are asked for at the hosts")
+def ask(context, count):
+    hosts = list(context.callers)
+    context.answers = [
+        context.callers[hosts[n % len(hosts)]].chat(f"question {n}", max_tokens=2)
+        for n in range(count)
+    ]
+
+
+@then('leaving: all were answered and none ran at "{name}"')
+def check_unused(context, name):
+    assert [a.status for a in context.answers] == [200] * len(context.answers)
+    records = context.world.get_standin(name).control()["records"]
+    assert len(records) == context.before, records
--- a/mangogauge/daemon/host.py
+++ b/mangogauge/daemon/host.py
@@ -7,14 +7,22 @@
 from ..batch import BatchResource, BatchRunner, FileResource, FileStore, JobStore
 from ..clock import SystemClock
 from ..configuration import ConfigurationStore, ConfigurationWatcher
-from ..gateway import Dispatcher, Front
+from ..gateway import Dispatcher, ForwardService, Front
 from ..http import ClientPool, HTTPServer
 from ..keys import KeyRing, KeyStore, KeyWatcher
 from ..limits import LocalLimiter
 from ..membership import Member, MembershipExchange, MembershipView, new_incarnation
-from ..platform import GatewayStore, RecordStore
+from ..platform import FileHostList, GatewayStore, RecordStore
 from ..protocol import ChannelPool, ProtocolServer
-from ..routing import AnswerTimes, LeastLoadedRouter, RetryBudgets, RetryPolicy
+from ..routing import (
+    AnswerTimes,
+    BalancedRouter,
+    EndpointBoard,
+    RetryBudgets,
+    RetryPolicy,
+    SpillChooser,
+)
+from ..routing.watch import EndpointWatch
 from ..telemetry import HostMetrics, get_logger
 from .operators import OperatorPort
 
@@ -91,9 +99,13 @@
         self.limiter = LocalLimiter(self.clock)
 
     def _make_routing(self):
-        self.router = LeastLoadedRouter(self.settings.data_centre, self.random)
+        data_centre = self.settings.data_centre
+        self.router = BalancedRouter(data_centre, self.clock, self.random)
+        self.spill = SpillChooser(self.view, self.router, self.random)
         self.dispatcher = Dispatcher(
             self.router,
+            self.spill,
+            self.channels,
             RetryPolicy(RetryBudgets(self.clock)),
             AnswerTimes(),
             ClientPool(),
@@ -101,6 +113,13 @@
             self.random,
             self.metrics,
         )
+        board = EndpointBoard(self.router, self.clock)
+        path = self.settings.platform.host_list
+        host_list = FileHostList(path) if path else None
+        self.parts.append(
+            EndpointWatch(board, self.router, self.view, host_list, self.random)
+        )
+        self.parts.append(ForwardService(self.dispatcher, self.clock))
 
     def _make_batch(self):
         files = FileStore(self.records, self.clock)
@@ -158,6 +177,7 @@
         self.fleet = fleet
         self.limiter.set_accounts(fleet.accounts)
         self.router.set_endpoints(fleet.endpoints)
+        self.spill.set_endpoints(fleet.endpoints)
         self.front.set_settings(fleet)
         for part in self.parts:
             part.take_fleet(fleet)
--- a/mangogauge/gateway/__init__.py
+++ b/mangogauge/gateway/__init__.py
@@ -2,6 +2,7 @@
 
 from .calls import Call, Priority
 from .dispatch import Dispatcher
+from .forwarding import ForwardService
 from .front import Front
 from .refusals import Refusal, RefusalCode
 from .resources import Resource
@@ -12,6 +13,7 @@
     "Call",
     "Dispatcher",
     "ExchangeSink",
+    "ForwardService",
     "Front",
     "MemorySink",
     "Priority",
--- a/mangogauge/gateway/attempts.py
+++ b/mangogauge/gateway/attempts.py
@@ -27,14 +27,19 @@
     message : str
     broken : bool, optional
         Whether a connection ended that had carried the request.
+    blames : bool, optional
+        Whether the peer is at fault.
     retry_after : float, optional
         Seconds after which the peer says that it can take work again.
     """
 
-    def __init__(self, progress, message, *, broken=False, retry_after=None):
+    def __init__(
+        self, progress, message, *, broken=False, blames=True, retry_after=None
+    ):
         super().__init__(message)
         self.progress = progress
         self.broken = broken
+        self.blames = blames
         self.retry_after = retry_after
 
 
@@ -79,14 +84,16 @@
     ----------
     call : Call
     endpoint : Endpoint
+    router : Router
     pool : ClientPool
     times : AnswerTimes
     clock : Clock
     """
 
-    def __init__(self, call, endpoint, pool, times, clock):
+    def __init__(self, call, endpoint, router, pool, times, clock):
         super().__init__(call, endpoint.name)
-        self._endpoint = endpoint
+        self.endpoint = endpoint
+        self._router = router
         self._pool = pool
         self._times = times
         self._clock = clock
@@ -95,11 +102,12 @@
         """Run the call at the endpoint."""
         started = self._clock.read_elapsed()
         response = await self._request(relay, bound)
-        self._times.note(self.call.timing_class, self._clock.read_elapsed() - started)
         try:
             progress = find_failure(self.call, response.status)
-            if progress is not None and (relay.started or may_retry(progress)):
-                raise AttemptFailed(progress, f"Status {response.status}.")
+            if progress is not None:
+                self._take_error(progress, response, relay, may_retry)
+            else:
+                self._note_time(self._clock.read_elapsed() - started)
             pieces = self._iterate(response)
             await relay.take(response.status, response.headers, pieces)
         except HTTPError as error:
@@ -107,9 +115,22 @@
         finally:
             await response.close()
 
+    def _take_error(self, progress, response, relay, may_retry):
+        """Raise if there can be another attempt; else the error is passed on."""
+        if progress is not Progress.NOT_RUN:
+            self._router.note_failure(self.peer)
+        if relay.started or may_retry(progress):
+            raise AttemptFailed(progress, f"Status {response.status}.", blames=False)
+
+    def _note_time(self, seconds):
+        usual = self._times.estimate(self.call.timing_class, 0.5)
+        if usual:
+            self._router.note_slowness(self.peer, seconds / usual)
+        self._times.note(self.call.timing_class, seconds)
+
     async def _request(self, relay, bound):
         arguments = (
-            self._endpoint.address,
+            self.endpoint.address,
             self.call.method,
             self.call.target,
             self._make_headers(relay),
@@ -131,7 +152,7 @@
     def _make_headers(self, relay):
         headers = self.call.headers.copy()
         headers.remove(RESUME_HEADER)
-        headers.set("Host", self._endpoint.address)
+        headers.set("Host", self.endpoint.address)
         headers.set("X-Request-Id", self.call.request_id)
         headers.set(ATTEMPT_HEADER, self.attempt_id)
         first = relay.tokens + self.call.resume_from
--- a/mangogauge/gateway/calls.py
+++ b/mangogauge/gateway/calls.py
@@ -2,12 +2,16 @@
 
 import enum
 
+import orjson
+import xxhash
 from attrs import define, field
 
 from ..settings import EndpointKind, RouteKind
 
 __all__ = ["Call", "Priority"]
 
+PREFIX_CHARACTERS = 256
+
 
 class Priority(enum.Enum):
     """What a call may displace."""
@@ -47,6 +51,8 @@
         Whether only endpoints that can resume a stream will do.
     forwarded : bool
         Whether another data centre's host passed the call on to this one.
+    affinity : int
+        Same for calls whose prompts begin alike; 0 for none.
     """
 
     request_id = field()
@@ -65,6 +71,8 @@
     resume_from = field(default=0)
     resuming = field(default=False)
     forwarded = field(default=False)
+    affinity = field(default=0)
+    _fingerprint = field(default="", init=False)
 
     @property
     def timing_class(self):
@@ -77,6 +85,34 @@
             self.token_limit.bit_length(),
         )
 
+    @property
+    def fingerprint(self):
+        """Same for every sending of the same request by the same account."""
+        if not self._fingerprint:
+            digest = xxhash.xxh3_128()
+            for part in (self.account, self.method, self.target):
+                digest.update(part.encode() + b"\0")
+            digest.update(self.body)
+            self._fingerprint = digest.hexdigest()
+        return self._fingerprint
+
+    def read_body(self):
+        """Take model, streaming and the prompt's beginning from the JSON body.
+
+        Raises
+        ------
+        ValueError, KeyError, TypeError, AttributeError
+            If the body is not JSON with a model.
+        """
+        value = orjson.loads(self.body)
+        self.model = value["model"]
+        self.streams = bool(value.get("stream"))
+        self.token_limit = max(0, int(value.get("max_tokens") or 0))
+        prefix = _read_prefix(value)
+        self.affinity = xxhash.xxh3_64_intdigest(f"{self.model}\n{prefix}".encode()) | 1
+        # Generation has no side effect, so a model call may be repeated.
+        self.repeatable = True
+
     def suits(self, endpoint):
         """Return whether `endpoint` can run this call."""
         if self.resuming and not endpoint.resumes:
@@ -86,3 +122,8 @@
                 endpoint.kind is EndpointKind.ENGINE and self.model in endpoint.models
             )
         return endpoint.name in self.route.endpoints
+
+
+def _read_prefix(value):
+    messages = value.get("messages") or [{"content": value.get("prompt", "")}]
+    return "\n".join(str(m.get("content", "")) for m in messages)[:PREFIX_CHARACTERS]
--- a/mangogauge/gateway/dispatch.py
+++ b/mangogauge/gateway/dispatch.py
@@ -6,6 +6,7 @@
 from ..routing import Decision, Progress
 from ..telemetry import get_logger
 from .attempts import AttemptFailed, EndpointAttempt
+from .forwarding import ForwardAttempt
 from .refusals import Refusal, RefusalCode
 from .relays import AnswerRelay
 
@@ -23,6 +24,10 @@
     Parameters
     ----------
     router : Router
+    spill : SpillChooser
+        Finds hosts of other data centres.
+    channels : ChannelPool
+        Connections to them.
     retry_policy : RetryPolicy
     times : AnswerTimes
     pool : ClientPool
@@ -32,8 +37,21 @@
     metrics : HostMetrics
     """
 
-    def __init__(self, router, retry_policy, times, pool, clock, random, metrics):
+    def __init__(
+        self,
+        router,
+        spill,
+        channels,
+        retry_policy,
+        times,
+        pool,
+        clock,
+        random,
+        metrics,
+    ):
         self._router = router
+        self._spill = spill
+        self._channels = channels
         self._retry_policy = retry_policy
         self._times = times
         self._pool = pool
@@ -58,52 +76,80 @@
             try:
                 await self._make_attempt(run, attempt)
             except AttemptFailed as error:
-                run.note_failure(error)
-                self._log_failure(call, attempt, error)
+                self._note_failure(run, attempt, error)
                 self._continue(run, attempt, error)
             else:
                 self._retry_policy.note_success(call)
                 return
 
     async def _choose_attempt(self, run):
+        """Return the next attempt: here, in another data centre, or again here."""
         call = run.call
+        if not run.tried and self._can_forward(call) and self._spill.spills(call):
+            member = self._spill.choose(call)
+            if member is not None:
+                return self._make_forward(call, member)
         endpoint = self._router.choose(call, run.tried)
+        if endpoint is None and self._can_forward(call):
+            member = self._spill.choose(call, run.tried)
+            if member is not None:
+                return self._make_forward(call, member)
         if endpoint is None and run.tried:
-            # Every endpoint has failed once; the fault may have passed.
+            # Every way has failed once; the fault may have passed.
             await curio.sleep(self._compute_backoff(len(run.tried)))
-            endpoint = self._router.choose(call)
+        if endpoint is None:
+            endpoint = self._router.choose(call, desperate=True)
         if endpoint is None:
             raise self._refuse_unserved(run)
-        return EndpointAttempt(call, endpoint, self._pool, self._times, self._clock)
+        return EndpointAttempt(
+            call, endpoint, self._router, self._pool, self._times, self._clock
+        )
+
+    def _can_forward(self, call):
+        return not call.forwarded
+
+    def _make_forward(self, call, member):
+        return ForwardAttempt(call, member, self._channels, self._clock)
 
     async def _make_attempt(self, run, attempt):
         left = run.call.deadline - self._clock.read_elapsed()
         if left <= 0:
             raise AttemptFailed(Progress.NOT_SENT, "The deadline has passed.")
         self._router.begin(attempt.peer)
-        progress = None
         try:
             async with curio.timeout_after(left):
                 bound = self._compute_bound(run, left)
                 await attempt.run(run.relay, bound, lambda p: self._decide(run, p))
-            self._count(attempt, "answered")
         except curio.TaskTimeout:
-            progress = Progress.MAYBE_RUN
-            raise AttemptFailed(progress, "No answer before the deadline.") from None
-        except AttemptFailed as error:
-            progress = error.progress
-            self._count(attempt, progress.value)
-            raise
+            raise AttemptFailed(
+                Progress.MAYBE_RUN, "No answer before the deadline.", blames=False
+            ) from None
+        else:
+            self._router.note_success(attempt.peer)
+            self._count(attempt, "answered")
         finally:
-            self._router.end(attempt.peer, progress)
+            self._router.end(attempt.peer)
 
     def _compute_bound(self, run, left):
-        if not run.call.repeatable or self._router.choose(run.call, run.tried) is None:
+        if not run.call.repeatable or not self._has_other(run):
             return left
         return self._times.compute_bound(
             run.call.timing_class, left, len(run.tried) - 1
         )
 
+    def _has_other(self, run):
+        if self._router.choose(run.call, run.tried) is not None:
+            return True
+        can_forward = self._can_forward(run.call)
+        return can_forward and self._spill.choose(run.call, run.tried) is not None
+
+    def _note_failure(self, run, attempt, error):
+        run.note_failure(error)
+        if error.blames:
+            self._router.note_failure(attempt.peer)
+        self._count(attempt, error.progress.value)
+        self._log_failure(run.call, attempt, error)
+
     def _decide(self, run, progress):
         """Return whether there may be another attempt; asked once for each."""
         if run.decision is None:
--- a/mangogauge/gateway/front.py
+++ b/mangogauge/gateway/front.py
@@ -2,8 +2,6 @@
 
 import uuid
 
-import orjson
-
 from ..http import HTTPError, HTTPRequestError
 from ..settings import RouteKind
 from ..telemetry import get_logger
@@ -173,10 +171,7 @@
 
     def _read_model(self, call):
         try:
-            value = orjson.loads(call.body)
-            call.model = value["model"]
-            call.streams = bool(value.get("stream"))
-            call.token_limit = max(0, int(value.get("max_tokens") or 0))
+            call.read_body()
         except (ValueError, KeyError, TypeError, AttributeError):
             raise Refusal(
                 RefusalCode.MALFORMED, "The body must be JSON with a 'model'."
@@ -186,8 +181,6 @@
             raise Refusal(
                 RefusalCode.MODEL_UNKNOWN, f"There is no model {call.model!r} here."
             )
-        # Generation has no side effect, so a model call may be repeated.
-        call.repeatable = True
 
     async def _refuse(self, exchange, request_id, refusal, labels):
         code = refusal.code.value.code
--- a/mangogauge/membership/view.py
+++ b/mangogauge/membership/view.py
@@ -43,7 +43,7 @@
         now = clock.read_elapsed()
         self._known = {own.name: _Known(own, heartbeat=1, advanced_at=now)}
 
-    def publish(self, name, value):
+    def publish(self, name, value, wide=True):
         """Say something of this host to all others.
 
         Parameters
@@ -52,6 +52,9 @@
             Name of the entry.
         value : bytes
             Replaces the entry's value; nothing is sent if it is the same.
+        wide : bool, optional
+            Whether hosts of other data centres are told as well. What changes
+            often should stay within the data centre.
         """
         known = self._known[self.own.name]
         old = known.entries.get(name)
--- /dev/null
+++ b/mangogauge/routing/balanced.py
@@ -0,0 +1,151 @@
+"""The router in use: bounded loads, prefix affinity, circuits with a cap."""
+
+import math
+
+import xxhash
+
+from .choice import Router
+from .states import EndpointState
+
+__all__ = ["BalancedRouter"]
+
+BOUND_FACTOR = 1.25
+EJECTED_SHARE_LIMIT = 0.5
+EJECTING_PEERS = 2
+
+
+class BalancedRouter(Router):
+    """Chooses among the endpoints of one data centre.
+
+    Calls that share a prompt's prefix go to the same endpoint as long as its
+    load stays within a bound; other calls take the less loaded of two.
+
+    Parameters
+    ----------
+    data_centre : str
+        Only endpoints there are chosen.
+    clock : Clock
+    random : random.Random
+    """
+
+    def __init__(self, data_centre, clock, random):
+        self._data_centre = data_centre
+        self._clock = clock
+        self._random = random
+        self._states = {}
+        self._has_endpoints = False
+
+    @property
+    def names(self):
+        """Names of the data centre's endpoints, in order."""
+        return tuple(sorted(self._states))
+
+    def get_state(self, name):
+        """Return the `EndpointState`, or None."""
+        return self._states.get(name)
+
+    def set_endpoints(self, endpoints):
+        """Take the endpoints; those that are new start slowly."""
+        now = self._clock.read_elapsed()
+        since = now if self._has_endpoints else float("-inf")
+        states = {}
+        for name, endpoint in endpoints.items():
+            if endpoint.data_centre != self._data_centre:
+                continue
+            state = self._states.get(name)
+            if state is None or state.endpoint.address != endpoint.address:
+                state = EndpointState(endpoint, since)
+            state.endpoint = endpoint
+            states[name] = state
+        self._states = states
+        self._has_endpoints = True
+
+    def choose(self, call, excluded=(), desperate=False):
+        """Return an `Endpoint`, or None."""
+        now = self._clock.read_elapsed()
+        suitable = [
+            state
+            for state in self._states.values()
+            if call.suits(state.endpoint) and not state.is_leaving(now)
+        ]
+        usable = self._cut_circuits(suitable, now, desperate)
+        usable = [s for s in usable if s.endpoint.name not in excluded]
+        if not usable:
+            return None
+        if call.affinity:
+            return self._choose_near(call.affinity, usable, now).endpoint
+        return self._choose_of_two(usable, now).endpoint
+
+    def begin(self, name):
+        """Note that an attempt starts."""
+        if name in self._states:
+            self._states[name].running += 1
+
+    def end(self, name):
+        """Note that an attempt ended."""
+        state = self._states.get(name)
+        if state is not None:
+            state.running = max(0, state.running - 1)
+
+    def note_success(self, name):
+        """Note that the endpoint answered."""
+        if name in self._states:
+            self._states[name].note_success(self._clock.read_elapsed())
+
+    def note_failure(self, name):
+        """Note that the endpoint failed."""
+        if name in self._states:
+            self._states[name].note_failure(self._clock.read_elapsed())
+
+    def note_slowness(self, name, slowness):
+        """Note an answer's time."""
+        if name in self._states:
+            self._states[name].note_slowness(slowness)
+
+    def measure_models(self):
+        """Return ``{model: (slots, load)}`` of endpoints that take work."""
+        now = self._clock.read_elapsed()
+        totals = {}
+        for state in self._states.values():
+            if state.is_leaving(now) or state.is_down(now) or state.is_ejected(now):
+                continue
+            for model in state.endpoint.models:
+                slots, load = totals.get(model, (0, 0))
+                slots += state.endpoint.slots
+                totals[model] = (slots, load + state.estimate_load(now))
+        return totals
+
+    def _cut_circuits(self, suitable, now, desperate):
+        """Return states whose circuit is closed, or enough others with them."""
+        up = [state for state in suitable if desperate or not state.is_down(now)]
+        closed = [s for s in up if not s.is_shunned(now, EJECTING_PEERS)]
+        needed = math.ceil(len(up) * (1 - EJECTED_SHARE_LIMIT))
+        if len(closed) < needed:
+            open_ones = [s for s in up if s not in closed]
+            open_ones.sort(key=lambda state: state.ejected_until)
+            closed += open_ones[: needed - len(closed)]
+        return closed
+
+    def _choose_of_two(self, states, now):
+        pair = self._random.sample(states, min(2, len(states)))
+        return min(pair, key=lambda state: _rank(state, now))
+
+    def _choose_near(self, affinity, states, now):
+        """Return the first in the key's order whose load is within its bound."""
+        total = 1 + sum(state.estimate_load(now) for state in states)
+        capacity = sum(state.compute_capacity(now) for state in states)
+        order = sorted(states, key=lambda state: _hash(affinity, state.endpoint.name))
+        for state in order:
+            share = state.compute_capacity(now) / capacity
+            bound = math.ceil(BOUND_FACTOR * total * share)
+            if state.estimate_load(now) < bound:
+                return state
+        return min(states, key=lambda state: _rank(state, now))
+
+
+def _rank(state, now):
+    return (state.estimate_load(now) + 1) / state.compute_capacity(now)
+
+
+def _hash(affinity, name):
+    return xxhash.xxh3_64_intdigest(name.encode(), seed=affinity & 0xFFFFFFFF)
--- a/mangogauge/routing/choice.py
+++ b/mangogauge/routing/choice.py
@@ -1,9 +1,8 @@
-"""Choosing an endpoint."""
+"""Choosing an endpoint: the interface of routers."""
 
 from abc import ABC, abstractmethod
-from collections import Counter
 
-__all__ = ["LeastLoadedRouter", "Router"]
+__all__ = ["Router"]
 
 
 class Router(ABC):
@@ -14,14 +13,16 @@
         """Take the endpoints: ``{name: Endpoint}``."""
 
     @abstractmethod
-    def choose(self, call, excluded=()):
-        """Return an `Endpoint` for `call`, or None.
+    def choose(self, call, excluded=(), desperate=False):
+        """Return an `Endpoint` of this data centre for `call`, or None.
 
         Parameters
         ----------
         call : Call
         excluded : collection of str
             Names of endpoints that were tried already.
+        desperate : bool, optional
+            Whether an endpoint that is thought to be down is better than none.
         """
 
     @abstractmethod
@@ -29,53 +30,17 @@
         """Note that an attempt starts at the endpoint of this name."""
 
     @abstractmethod
-    def end(self, name, progress=None):
-        """Note that an attempt ended; `progress` tells how it failed, if so."""
+    def end(self, name):
+        """Note that an attempt ended there, however it did."""
 
+    @abstractmethod
+    def note_success(self, name):
+        """Note that the endpoint answered."""
 
-class LeastLoadedRouter(Router):
-    """Takes the endpoint with the fewest attempts of this host for its slots.
-
-    Parameters
-    ----------
-    data_centre : str
-        Endpoints there go before others.
-    random : random.Random
-        Breaks ties.
-    """
-
-    def __init__(self, data_centre, random):
-        self._data_centre = data_centre
-        self._random = random
-        self._endpoints = {}
-        self._running = Counter()
-
-    def set_endpoints(self, endpoints):
-        """Take the endpoints."""
-        self._endpoints = dict(endpoints)
-
-    def choose(self, call, excluded=()):
-        """Return the least loaded endpoint, or None."""
-        candidates = [
-            endpoint
-            for endpoint in self._endpoints.values()
-            if endpoint.name not in excluded and call.suits(endpoint)
-        ]
-        if not candidates:
-            return None
-        return min(candidates, key=self._rank)
-
-    def begin(self, name):
-        """Note that an attempt starts."""
-        self._running[name] += 1
-
-    def end(self, name, progress=None):
-        """Note that an attempt ended."""
-        self._running[name] -= 1
+    @abstractmethod
+    def note_failure(self, name):
+        """Note that the endpoint failed an attempt by its own fault."""
 
-    def _rank(self, endpoint):
-        return (
-            endpoint.data_centre != self._data_centre,
-            self._running[endpoint.name] / endpoint.slots,
-            self._random.random(),
-        )
+    @abstractmethod
+    def note_slowness(self, name, slowness):
+        """Note an answer's time, as a multiple of what is usual."""
--- /dev/null
+++ b/mangogauge/routing/sharing.py
@@ -0,0 +1,125 @@
+"""What hosts of a data centre tell each other of its endpoints, in few bytes."""
+
+import xxhash
+
+from ..protocol.routing_pb2 import DataCentreLoad, EndpointReport, HostLoad, ModelLoad
+from .states import LoadReport
+
+__all__ = ["LOAD_ENTRY", "SUMMARY_ENTRY", "EndpointBoard"]
+
+LOAD_ENTRY = "endpoint-load"
+SUMMARY_ENTRY = "data-centre-load"
+COUNT_LIMIT = 255
+
+
+class EndpointBoard:
+    """Puts a router's knowledge into messages, and takes peers' in.
+
+    Parameters
+    ----------
+    router : BalancedRouter
+    clock : Clock
+    """
+
+    def __init__(self, router, clock):
+        self._router = router
+        self._clock = clock
+        self._own_reports = {}
+
+    def read_now(self):
+        """Return the elapsed time that the router goes by."""
+        return self._clock.read_elapsed()
+
+    def take_own_report(self, name, report):
+        """Take a report that this host got from an endpoint itself."""
+        self._own_reports[name] = report
+        state = self._router.get_state(name)
+        if state is not None:
+            state.take_report(report, self._clock.read_elapsed())
+
+    def keep_reports(self, names):
+        """Forget reports of endpoints that this host no longer watches."""
+        self._own_reports = {n: r for n, r in self._own_reports.items() if n in names}
+
+    def make_host_load(self):
+        """Return this host's `HostLoad` as bytes."""
+        now = self._clock.read_elapsed()
+        names = self._router.names
+        states = [self._router.get_state(name) for name in names]
+        bits = sum(state.is_ejected(now) << i for i, state in enumerate(states))
+        load = HostLoad(
+            endpoints_digest=_digest(names),
+            running=bytes(min(COUNT_LIMIT, state.running) for state in states),
+            ejected=bits.to_bytes((len(names) + 7) // 8, "little"),
+            reports=[_encode(n, r) for n, r in sorted(self._own_reports.items())],
+        )
+        return load.SerializeToString()
+
+    def take_host_loads(self, loads, seen):
+        """Put what the peers said last in place of what they said before.
+
+        Parameters
+        ----------
+        loads : dict of str to bytes
+            Host name to its `HostLoad`.
+        seen : dict of str to bytes
+            What was taken in before; changed in place. A report counts as
+            fresh only when its host has said something new.
+        """
+        names = self._router.names
+        digest = _digest(names)
+        running = [0] * len(names)
+        ejecting = [0] * len(names)
+        for host, raw in loads.items():
+            load = HostLoad.FromString(raw)
+            if seen.get(host) != raw:
+                self._take_reports(load)
+            if load.endpoints_digest == digest:
+                _add_counts(load, running, ejecting)
+        seen.clear()
+        seen.update(loads)
+        for i, name in enumerate(names):
+            state = self._router.get_state(name)
+            state.peers_running = running[i]
+            state.peers_ejecting = ejecting[i]
+
+    def make_summary(self):
+        """Return this data centre's `DataCentreLoad` as bytes."""
+        models = [
+            ModelLoad(model=model, slots=slots, running=round(load))
+            for model, (slots, load) in sorted(self._router.measure_models().items())
+        ]
+        return DataCentreLoad(models=models).SerializeToString()
+
+    def _take_reports(self, load):
+        now = self._clock.read_elapsed()
+        for row in load.reports:
+            state = self._router.get_state(row.endpoint)
+            if state is not None and row.endpoint not in self._own_reports:
+                state.take_report(_decode(row), now)
+
+
+def _add_counts(load, running, ejecting):
+    bits = int.from_bytes(load.ejected, "little")
+    for i, count in enumerate(load.running):
+        running[i] += count
+        ejecting[i] += bits >> i & 1
+
+
+def _encode(name, report):
+    return EndpointReport(
+        endpoint=name,
+        running=report.running,
+        waiting=report.waiting,
+        leaving=report.leaving,
+        down=report.down,
+        measured=report.measured,
+    )
+
+
+def _decode(row):
+    return LoadReport(row.running, row.waiting, row.leaving, row.down, row.measured)
+
+
+def _digest(names):
+    return xxhash.xxh3_64_intdigest("\n".join(names).encode())
--- /dev/null
+++ b/mangogauge/routing/spill.py
@@ -0,0 +1,94 @@
+"""Whether a call goes to another data centre, and through which of its hosts."""
+
+from ..protocol.routing_pb2 import DataCentreLoad
+from .sharing import SUMMARY_ENTRY
+
+__all__ = ["SpillChooser"]
+
+# Requests for each slot by which the other data centre must be better off:
+# what the path and the age of its report may cost.
+SPILL_MARGIN = 0.5
+PRESSURE_FROM = 1.0
+
+
+class SpillChooser:
+    """Chooses entry hosts of other data centres.
+
+    Parameters
+    ----------
+    view : MembershipView
+    router : BalancedRouter
+    random : random.Random
+    """
+
+    def __init__(self, view, router, random):
+        self._view = view
+        self._router = router
+        self._random = random
+        self._endpoints = {}
+
+    def set_endpoints(self, endpoints):
+        """Take all data centres' endpoints: ``{name: Endpoint}``."""
+        self._endpoints = dict(endpoints)
+
+    def choose(self, call, excluded=()):
+        """Return a `Member` elsewhere that can run `call`, or None.
+
+        Parameters
+        ----------
+        call : Call
+        excluded : collection of str
+            Names of hosts that were tried already.
+        """
+        own = self._view.own.data_centre
+        suiting = {e.data_centre for e in self._endpoints.values() if call.suits(e)}
+        pressures = {
+            name: self._read_pressure(name, call.model) for name in suiting - {own}
+        }
+        for name in sorted(
+            pressures, key=lambda n: (pressures[n], self._random.random())
+        ):
+            members = [
+                member
+                for member in self._view.list_members(name)
+                if member.name not in excluded
+            ]
+            if members:
+                return self._random.choice(members)
+        return None
+
+    def spills(self, call):
+        """Return whether `call` is better off elsewhere though it could run here.
+
+        Notes
+        -----
+        The answer is drawn in proportion to the gain, so that hosts which see
+        the same old report do not all send their calls the same way.
+        """
+        if not call.model:
+            return False
+        slots, load = self._router.measure_models().get(call.model, (0, 0))
+        here = load / slots if slots else 0.0
+        if here < PRESSURE_FROM:
+            return False
+        own = self._view.own.data_centre
+        others = {e.data_centre for e in self._endpoints.values() if call.suits(e)} - {
+            own
+        }
+        there = min(
+            (self._read_pressure(name, call.model) for name in others),
+            default=float("inf"),
+        )
+        gain = here - there - SPILL_MARGIN
+        return gain > 0 and self._random.random() < gain / (2 * here)
+
+    def _read_pressure(self, data_centre, model):
+        """Return requests for each slot there; infinite if nobody says."""
+        for member in self._view.list_members(data_centre):
+            raw = self._view.read(member.name, SUMMARY_ENTRY)
+            if raw is None:
+                continue
+            for row in DataCentreLoad.FromString(raw).models:
+                if row.model == model and row.slots:
+                    return row.running / row.slots
+        return float("inf")
--- /dev/null
+++ b/mangogauge/routing/states.py
@@ -0,0 +1,140 @@
+"""What a host knows of one endpoint: counts, reports, circuit, slow start."""
+
+from attrs import define, field, frozen
+
+__all__ = ["EndpointState", "LoadReport"]
+
+FAILURES_TO_EJECT = 3
+EJECTION_SECONDS = 2.0
+LONGEST_EJECTION_SECONDS = 30.0
+SLOW_START_SECONDS = 8.0
+SLOW_START_SHARE = 0.1
+REPORT_SECONDS = 8.0
+LEAVING_SECONDS = 30.0
+SLOWNESS_WEIGHT = 0.1
+SLOWNESS_LIMIT = 10.0
+
+
+@frozen
+class LoadReport:
+    """What an endpoint said of itself, some time ago.
+
+    Parameters
+    ----------
+    running, waiting : int
+    leaving : bool
+        Whether it takes no new work.
+    down : bool
+        Whether it could not be reached at all.
+    measured : bool
+        Whether the counts are its own.
+    """
+
+    running = field(default=0)
+    waiting = field(default=0)
+    leaving = field(default=False)
+    down = field(default=False)
+    measured = field(default=False)
+
+
+@define(eq=False)
+class EndpointState:
+    """One endpoint as this host sees it.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+    available_since : float
+        Elapsed time at which it came, or came back.
+    """
+
+    endpoint = field()
+    available_since = field()
+    running = field(default=0)
+    peers_running = field(default=0)
+    peers_ejecting = field(default=0)
+    report = field(factory=LoadReport)
+    reported_at = field(default=float("-inf"))
+    listed_leaving = field(default=False)
+    failures = field(default=0)
+    ejections = field(default=0)
+    ejected_until = field(default=float("-inf"))
+    slowness = field(default=1.0)
+    answered_at = field(default=float("-inf"))
+
+    def is_leaving(self, now):
+        """Return whether it must get no new work, whoever said so."""
+        fresh = now - self.reported_at < LEAVING_SECONDS
+        return self.listed_leaving or (self.report.leaving and fresh)
+
+    def is_down(self, now):
+        """Return whether it can't be reached, by the last that is known."""
+        if not self.report.down or now - self.reported_at > REPORT_SECONDS:
+            return False
+        # An answer that came after the report speaks for the endpoint.
+        return self.answered_at < self.reported_at
+
+    def is_ejected(self, now):
+        """Return whether this host has ejected it."""
+        return now < self.ejected_until
+
+    def is_shunned(self, now, quorum):
+        """Return whether this host, or enough of its peers, have ejected it."""
+        if self.is_ejected(now):
+            return True
+        return self.peers_ejecting >= quorum and self.answered_at < now - 1.0
+
+    def estimate_load(self, now):
+        """Return how many requests run or wait there.
+
+        Notes
+        -----
+        The report is older than the counts that the hosts exchange, so it
+        only tells of work that no host counts.
+        """
+        counted = self.running + self.peers_running
+        if not self.report.measured or now - self.reported_at > REPORT_SECONDS:
+            return counted
+        if self.peers_running:
+            return counted
+        return max(counted, self.report.running + self.report.waiting)
+
+    def compute_capacity(self, now):
+        """Return its slots, less while it is new or when it is slow."""
+        age = now - self.available_since
+        ramp = SLOW_START_SHARE + (1 - SLOW_START_SHARE) * age / SLOW_START_SECONDS
+        return self.endpoint.slots * min(1.0, ramp) / max(1.0, self.slowness)
+
+    def note_success(self, now):
+        """Close the circuit again."""
+        self.failures = 0
+        self.answered_at = now
+        if now > self.ejected_until + LONGEST_EJECTION_SECONDS:
+            self.ejections = 0
+
+    def note_failure(self, now):
+        """Count a failure; eject the endpoint after several in a row."""
+        self.failures += 1
+        if self.failures < FAILURES_TO_EJECT or self.is_ejected(now):
+            return
+        seconds = EJECTION_SECONDS * 2**self.ejections
+        self.ejected_until = now + min(LONGEST_EJECTION_SECONDS, seconds)
+        self.ejections = min(self.ejections + 1, 8)
+        # After the ejection one failure is enough to eject it again, and it
+        # starts slowly.
+        self.failures = FAILURES_TO_EJECT - 1
+        self.available_since = self.ejected_until
+
+    def note_slowness(self, slowness):
+        """Take an answer's time, as a multiple of what is usual."""
+        bounded = min(slowness, SLOWNESS_LIMIT)
+        self.slowness += SLOWNESS_WEIGHT * (bounded - self.slowness)
+
+    def take_report(self, report, now):
+        """Take a report; an endpoint that was down comes back slowly."""
+        if self.report.down and not report.down:
+            self.available_since = now
+            self.failures = 0
+            self.ejected_until = float("-inf")
+        self.report = report
+        self.reported_at = now
--- /dev/null
+++ b/mangogauge/routing/watch.py
@@ -0,0 +1,193 @@
+"""Ask the data centre's endpoints how they are, and share it with its hosts.
+
+Each endpoint is watched by two hosts, chosen by hashing, so that the cost of
+watching does not grow with the number of hosts.
+"""
+
+import curio
+import orjson
+import xxhash
+from returns.result import Failure
+
+from ..daemon.parts import HostPart
+from ..http import ClientPool, Headers, HTTPConnectError, HTTPError
+from ..platform import ListedState
+from ..settings import EndpointKind
+from .sharing import LOAD_ENTRY, SUMMARY_ENTRY
+from .states import LoadReport
+
+__all__ = ["EndpointWatch"]
+
+WATCH_SECONDS = 0.5
+PROBE_TIMEOUT = 1.0
+WATCHERS = 2
+SPEAKERS = 2
+TIMEOUTS_TO_DOWN = 3
+LIST_SECONDS = 2.0
+
+
+class EndpointWatch(HostPart):
+    """Keeps an `EndpointBoard` up to date.
+
+    Parameters
+    ----------
+    board : EndpointBoard
+    router : BalancedRouter
+    view : MembershipView
+    host_list : HostList, optional
+        The platform's list, which may also name endpoints.
+    random : random.Random
+    """
+
+    def __init__(self, board, router, view, host_list, random):
+        self._board = board
+        self._router = router
+        self._view = view
+        self._host_list = host_list
+        self._random = random
+        self._pool = ClientPool(connect_timeout=PROBE_TIMEOUT)
+        self._timeouts = {}
+        self._seen = {}
+        self._leaving = frozenset()
+
+    def operator_handlers(self):
+        """Return the path that shows endpoints."""
+        return {"/endpoints": self._show}
+
+    async def run(self):
+        """Watch until cancelled."""
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(self._watch)
+            await group.spawn(self._follow_list)
+        raise group.exception
+
+    async def _watch(self):
+        while True:
+            await self._probe_all()
+            self._share()
+            await curio.sleep(WATCH_SECONDS * (0.75 + self._random.random() / 2))
+
+    async def _probe_all(self):
+        mine = [n for n in self._router.names if self._is_watched_here(n)]
+        self._board.keep_reports(frozenset(mine))
+        self._timeouts = {n: c for n, c in self._timeouts.items() if n in mine}
+        async with curio.TaskGroup() as group:
+            for name in mine:
+                await group.spawn(self._probe, name)
+
+    async def _probe(self, name):
+        state = self._router.get_state(name)
+        if state is None:
+            return
+        report = await self._ask(state.endpoint)
+        if report is not None:
+            self._timeouts.pop(name, None)
+            self._board.take_own_report(name, report)
+            return
+        self._timeouts[name] = self._timeouts.get(name, 0) + 1
+        if self._timeouts[name] >= TIMEOUTS_TO_DOWN:
+            self._board.take_own_report(name, LoadReport(down=True))
+
+    async def _ask(self, endpoint):
+        """Return a `LoadReport`, or None if there was no answer in time."""
+        try:
+            async with curio.timeout_after(PROBE_TIMEOUT):
+                return await PROBES[endpoint.kind](self._pool, endpoint)
+        except HTTPConnectError as error:
+            refused = isinstance(error.__cause__, ConnectionRefusedError)
+            return LoadReport(down=True) if refused else None
+        except (HTTPError, curio.TaskTimeout):
+            return None
+
+    def _is_watched_here(self, name):
+        own = self._view.own
+        members = self._view.list_members(own.data_centre)
+        ranked = sorted(
+            members, key=lambda m: xxhash.xxh3_64_intdigest(f"{m.name} {name}".encode())
+        )
+        return own.name in [member.name for member in ranked[:WATCHERS]]
+
+    def _share(self):
+        own = self._view.own
+        members = self._view.list_members(own.data_centre)
+        self._view.publish(LOAD_ENTRY, self._board.make_host_load(), wide=False)
+        if own.name in [member.name for member in members[:SPEAKERS]]:
+            self._view.publish(SUMMARY_ENTRY, self._board.make_summary())
+        loads = {
+            member.name: self._view.read(member.name, LOAD_ENTRY)
+            for member in members
+            if member.name != own.name
+        }
+        known = {name: raw for name, raw in loads.items() if raw is not None}
+        self._board.take_host_loads(known, self._seen)
+        for name in self._router.names:
+            self._router.get_state(name).listed_leaving = name in self._leaving
+
+    async def _follow_list(self):
+        while True:
+            if self._host_list is not None:
+                listed = await self._host_list.read()
+                if not isinstance(listed, Failure):
+                    self._take_list(listed.unwrap())
+            await curio.sleep(LIST_SECONDS)
+
+    def _take_list(self, listings):
+        # GONE is no proof: the list is old, and the endpoint's own answers
+        # tell sooner whether it is there.
+        self._leaving = frozenset(
+            row.name for row in listings if row.state is ListedState.LEAVING
+        )
+
+    async def _show(self, exchange):
+        now = self._board.read_now()
+        rows = [_describe(self._router.get_state(n), now) for n in self._router.names]
+        headers = Headers([("Content-Type", "application/json")])
+        await exchange.respond(200, headers, orjson.dumps({"endpoints": rows}))
+
+
+async def _probe_engine(pool, endpoint):
+    response = await pool.request(endpoint.address, "GET", "/load", Headers())
+    body = await response.read()
+    if response.status != 200:
+        return LoadReport()
+    try:
+        value = orjson.loads(body)
+        return LoadReport(
+            running=int(value["running"]),
+            waiting=int(value["waiting"]),
+            leaving=bool(value.get("leaving")),
+            measured=True,
+        )
+    except (ValueError, KeyError, TypeError):
+        return LoadReport()
+
+
+async def _probe_service(pool, endpoint):
+    # A plain service may have no path that can be asked without effect.
+    host, _, port = endpoint.address.rpartition(":")
+    try:
+        sock = await curio.open_connection(host, int(port))
+    except OSError as error:
+        raise HTTPConnectError(
+            f"No connection: {error!r}.", step="probe", peer=endpoint.address
+        ) from error
+    await sock.close()
+    return LoadReport()
+
+
+PROBES = {
+    EndpointKind.ENGINE: _probe_engine,
+    EndpointKind.SERVICE: _probe_service,
+}
+
+
+def _describe(state, now):
+    return {
+        "endpoint": state.endpoint.name,
+        "load": state.estimate_load(now),
+        "running_here": state.running,
+        "leaving": state.is_leaving(now),
+        "down": state.is_down(now),
+        "ejected": state.is_ejected(now),
+        "slowness": round(state.slowness, 3),
+    }
