Refuse requests that crash endpoints, and spare those that died with them

Cause: a request that ends its engine was sent on to the next one, up to four times, and again with each resend by its caller. Change: what ran at an endpoint whose port is gone is suspect; suspects run again one at a time at an endpoint, granted by the data centre's first host; condemned is who was on trial, or present at two crashes with no other suspect at the same two; its crashes then clear the others. Findings go to all hosts, expire, are shown at /quarantine, and an entry host elsewhere says so to the host that passed a call on. Limit: an engine that is back before the probe (a connection right after the break) is not seen to have crashed.

--- /dev/null
+++ b/features/steps/quarantine.py
@@ -0,0 +1,200 @@
+"""Steps of requests that crash endpoints."""
+
+from threading import Thread
+
+from behave import given, then, when
+
+from features.builders import make_text, run_together, wait_until
+from mangogauge.clock import ManualClock
+from mangogauge.routing import Quarantine, Standing
+
+CRASHING = "please CRASH-ENGINE now"
+TOKENS = 8
+
+
+def split_names(text):
+    return text.split(", ")
+
+
+@given(
+    'quarantine: hosts "{hosts}" and "{other}" before {count:d} engines in "a" '
+    'and {others:d} in "b"'
+)
+def start(context, hosts, other, count, others):
+    world = context.world
+    world.start_platform()
+    for data_centre, number in (("a", count), ("b", others)):
+        for n in range(number):
+            options = ("--step-seconds", 0.03)
+            world.start_engine(f"engine-{data_centre}{n}", data_centre, options)
+    world.apply_configuration()
+    for host in [*split_names(hosts), other]:
+        world.start_host(host, host[0])
+    key = world.grant_key()
+    context.callers = {h: world.get_caller(h, key) for h in world.hosts}
+    for host, caller in context.callers.items():
+        wait_until(
+            lambda caller=caller: caller.request("GET", "/v1/batches").status == 200,
+            f"the key works at {host}",
+        )
+        wait_until(
+            lambda host=host: (
+                len(read_operator(context, host, "/state")["members"])
+                == len(world.hosts)
+            ),
+            f"{host} knows all hosts",
+        )
+
+
+def read_operator(context, host, path):
+    return context.world.get_operator(host).request("GET", path).json
+
+
+@when('quarantine: a request that crashes engines is sent at "{host}"')
+def send_crashing(context, host):
+    context.answer = context.callers[host].chat(CRASHING, max_tokens=TOKENS)
+
+
+@then("quarantine: it is refused as quarantined")
+def check_refused(context):
+    assert context.answer.code == "request_quarantined", context.answer
+    assert context.answer.json["error"]["executed"] == "unknown", context.answer
+
+
+@then("quarantine: at most {count:d} engines have crashed")
+def check_crashes(context, count):
+    world = context.world
+    crashed = [n for n in world.endpoints if not world.processes[n].is_running]
+    assert len(crashed) <= count, crashed
+
+
+@then("quarantine: every host shows it as condemned")
+def check_shown(context):
+    for host in context.world.hosts:
+        wait_until(
+            lambda host=host: read_operator(context, host, "/quarantine")["condemned"],
+            f"{host} knows it",
+        )
+
+
+@when('quarantine: the caller sends it again at "{hosts}"')
+def send_again(context, hosts):
+    context.answers = [
+        context.callers[h].chat(CRASHING, max_tokens=TOKENS) for h in split_names(hosts)
+    ]
+
+
+@then('quarantine: each is refused as quarantined with executed "{executed}"')
+def check_all_refused(context, executed):
+    for answer in context.answers:
+        assert answer.code == "request_quarantined", answer
+        assert answer.json["error"]["executed"] == executed, answer
+
+
+@when("quarantine: the engines are started again and {count:d} chats are asked for")
+def restart_and_ask(context, count):
+    world = context.world
+    for name in world.endpoints:
+        if not world.processes[name].is_running:
+            world.processes[name].start()
+    context.chats = ask_chats(context, count)
+
+
+def ask_chats(context, count):
+    hosts = list(context.callers)
+
+    def ask(number):
+        caller = context.callers[hosts[number % len(hosts)]]
+        prompt = f"innocent question {number}"
+        return prompt, caller.chat(prompt, max_tokens=TOKENS)
+
+    return run_together(ask, range(count), 12)
+
+
+@then("quarantine: each chat was answered")
+def check_chats(context):
+    for prompt, answer in context.chats:
+        assert answer.status == 200, (prompt, answer)
+        text = answer.json["choices"][0]["message"]["content"]
+        assert text == make_text(prompt, TOKENS), (prompt, answer)
+
+
+@when("quarantine: {count:d} chats run while a request that crashes engines is sent")
+def run_beside(context, count):
+    def crash():
+        context.answer = context.callers["a1"].chat(CRASHING, max_tokens=TOKENS)
+
+    thread = Thread(target=crash, daemon=True)
+    thread.start()
+    context.chats = ask_chats(context, count)
+    thread.join()
+
+
+@then("quarantine: the crashing one is refused and each chat was answered")
+def check_both(context):
+    check_refused(context)
+    check_chats(context)
+
+
+@given("quarantine: a quarantine by hand")
+def make_quarantine(context):
+    context.clock = ManualClock()
+    context.quarantine = Quarantine("here", context.clock)
+
+
+@given("quarantine: another quarantine elsewhere")
+def make_other(context):
+    context.other = Quarantine("elsewhere", context.clock)
+
+
+@when('quarantine: "{names}" ran at a crash of "{endpoint}"')
+def crash(context, names, endpoint):
+    context.quarantine.note_crash(endpoint, split_names(names))
+    context.quarantine.settle(endpoint)
+
+
+@when('quarantine: elsewhere "{names}" ran at a crash of "{endpoint}"')
+def crash_elsewhere(context, names, endpoint):
+    context.other.note_crash(endpoint, split_names(names))
+    context.other.settle(endpoint)
+
+
+@when("quarantine: each takes in what the other knows")
+def exchange(context):
+    here, there = context.quarantine.export(), context.other.export()
+    context.quarantine.merge(there)
+    context.other.merge(here)
+
+
+@when('quarantine: "{name}" is answered on its trial at "{endpoint}"')
+def answer_trial(context, name, endpoint):
+    assert context.quarantine.begin_trial(name, endpoint)
+    context.quarantine.end_trial(name, endpoint, answered=True)
+
+
+@when('quarantine: trial of "{name}" at "{endpoint}", which crashed under "{names}"')
+def crash_trial(context, name, endpoint, names):
+    assert context.quarantine.begin_trial(name, endpoint)
+    crash(context, names, endpoint)
+
+
+@when("quarantine: {seconds:d} seconds pass")
+def advance(context, seconds):
+    context.clock.advance(seconds)
+
+
+@then('quarantine: "{first}" and "{second}" are suspects')
+def check_suspects(context, first, second):
+    for name in (first, second):
+        assert context.quarantine.judge(name) is Standing.SUSPECT, name
+
+
+@then('quarantine: only one of them may run at "{endpoint}" at a time')
+def check_alone(context, endpoint):
+    assert context.quarantine.begin_trial("x", endpoint)
+    assert not context.quarantine.begin_trial("y", endpoint)
+
+
+@then('quarantine: "{name}" is {standing}')
+def check_standing(context, name, standing):
+    assert context.quarantine.judge(name) is Standing(standing), name
--- a/mangogauge/daemon/host.py
+++ b/mangogauge/daemon/host.py
@@ -7,7 +7,7 @@
 from ..batch import BatchResource, BatchRunner, FileResource, FileStore, JobStore
 from ..clock import SystemClock
 from ..configuration import ConfigurationStore, ConfigurationWatcher
-from ..gateway import Dispatcher, ForwardService, Front
+from ..gateway import CrashWatch, Dispatcher, ForwardService, Front
 from ..http import ClientPool, HTTPServer
 from ..keys import KeyRing, KeyStore, KeyWatcher
 from ..limits import LocalLimiter
@@ -18,6 +18,7 @@
     AnswerTimes,
     BalancedRouter,
     EndpointBoard,
+    Quarantine,
     RetryBudgets,
     RetryPolicy,
     SpillChooser,
@@ -102,10 +103,14 @@
         data_centre = self.settings.data_centre
         self.router = BalancedRouter(data_centre, self.clock, self.random)
         self.spill = SpillChooser(self.view, self.router, self.random)
+        quarantine = Quarantine(self.settings.name, self.clock)
+        crashes = CrashWatch(quarantine, self.view, self.channels, self.clock)
+        self.parts.append(crashes)
         self.dispatcher = Dispatcher(
             self.router,
             self.spill,
             self.channels,
+            crashes,
             RetryPolicy(RetryBudgets(self.clock)),
             AnswerTimes(),
             ClientPool(),
--- a/mangogauge/gateway/__init__.py
+++ b/mangogauge/gateway/__init__.py
@@ -1,6 +1,7 @@
 """The callers' front: keys, routes, limits, dispatch, refusals."""
 
 from .calls import Call, Priority
+from .crashes import CrashWatch
 from .dispatch import Dispatcher
 from .forwarding import ForwardService
 from .front import Front
@@ -11,6 +12,7 @@
 
 __all__ = [
     "Call",
+    "CrashWatch",
     "Dispatcher",
     "ExchangeSink",
     "ForwardService",
--- a/mangogauge/gateway/attempts.py
+++ b/mangogauge/gateway/attempts.py
@@ -29,14 +29,24 @@
         Whether a connection ended that had carried the request.
     blames : bool, optional
         Whether the peer is at fault.
+    quarantined : bool, optional
+        Whether the peer refused a request that crashes endpoints.
     retry_after : float, optional
         Seconds after which the peer says that it can take work again.
     """
 
     def __init__(
-        self, progress, message, *, broken=False, blames=True, retry_after=None
+        self,
+        progress,
+        message,
+        *,
+        broken=False,
+        blames=True,
+        quarantined=False,
+        retry_after=None,
     ):
         super().__init__(message)
+        self.quarantined = quarantined
         self.progress = progress
         self.broken = broken
         self.blames = blames
@@ -51,8 +61,12 @@
     attempt_id : str
     peer : str
         Name of the endpoint or host that it is made at.
+    endpoint : Endpoint or None
+        The endpoint, if it is one of this data centre.
     """
 
+    endpoint = None
+
     def __init__(self, call, peer):
         self.call = call
         self.peer = peer
--- a/mangogauge/gateway/dispatch.py
+++ b/mangogauge/gateway/dispatch.py
@@ -28,6 +28,7 @@
         Finds hosts of other data centres.
     channels : ChannelPool
         Connections to them.
+    crashes : CrashWatch
     retry_policy : RetryPolicy
     times : AnswerTimes
     pool : ClientPool
@@ -42,6 +43,7 @@
         router,
         spill,
         channels,
+        crashes,
         retry_policy,
         times,
         pool,
@@ -52,6 +54,7 @@
         self._router = router
         self._spill = spill
         self._channels = channels
+        self._crashes = crashes
         self._retry_policy = retry_policy
         self._times = times
         self._pool = pool
@@ -69,6 +72,7 @@
         HTTPError
             If the answer broke off after some of it had been passed on.
         """
+        self._crashes.check(call)
         run = _Run(call, AnswerRelay(call, sink))
         while True:
             attempt = await self._choose_attempt(run)
@@ -119,7 +123,7 @@
         try:
             async with curio.timeout_after(left):
                 bound = self._compute_bound(run, left)
-                await attempt.run(run.relay, bound, lambda p: self._decide(run, p))
+                await self._run_watched(run, attempt, bound)
         except curio.TaskTimeout:
             raise AttemptFailed(
                 Progress.MAYBE_RUN, "No answer before the deadline.", blames=False
@@ -130,6 +134,29 @@
         finally:
             self._router.end(attempt.peer)
 
+    async def _run_watched(self, run, attempt, bound):
+        """Run an attempt; one at an endpoint is watched for a crash."""
+
+        def may_retry(progress):
+            return self._decide(run, progress)
+
+        endpoint = attempt.endpoint
+        if endpoint is None:
+            await attempt.run(run.relay, bound, may_retry)
+            return
+        executed = run.worst.executed
+        on_trial = await self._crashes.enter(run.call, endpoint, executed)
+        answered = False
+        try:
+            await attempt.run(run.relay, bound, may_retry)
+            answered = True
+        except AttemptFailed as error:
+            if error.broken:
+                await self._crashes.examine(run.call, endpoint)
+            raise
+        finally:
+            await self._crashes.leave(run.call, endpoint, on_trial, answered)
+
     def _compute_bound(self, run, left):
         if not run.call.repeatable or not self._has_other(run):
             return left
@@ -162,6 +189,8 @@
     def _continue(self, run, attempt, error):
         """Return if the call may go on with another attempt, else raise."""
         relay = run.relay
+        if error.quarantined or not relay.started:
+            self._check_quarantine(run, error)
         resumes = relay.can_resume or not relay.started
         if resumes and self._decide(run, error.progress):
             run.call.resuming = relay.started
@@ -172,6 +201,16 @@
             ) from error
         raise self._refuse_failed(run, attempt) from error
 
+    def _check_quarantine(self, run, error):
+        self._crashes.check(run.call, run.worst.executed)
+        if error.quarantined:
+            raise Refusal(
+                RefusalCode.QUARANTINED,
+                "This request has crashed the endpoints that ran it.",
+                executed=run.worst.executed,
+                step="forward",
+            )
+
     def _refuse_unserved(self, run):
         if run.relay.started:
             return HTTPReceiveError("No endpoint can resume the stream.", step="resume")
--- a/mangogauge/gateway/forwarding.py
+++ b/mangogauge/gateway/forwarding.py
@@ -24,12 +24,13 @@
 from ..settings import RouteKind
 from .attempts import Attempt, AttemptFailed
 from .calls import Call
-from .refusals import Refusal
+from .refusals import Refusal, RefusalCode
 from .sinks import Sink
 
 __all__ = ["ForwardAttempt", "ForwardService"]
 
 FORWARD_METHOD = "/mangogauge.Gateway/Forward"
+BROKEN_CODE = "answer_broken"
 UNRUN_STATUSES = frozenset({CallStatus.UNIMPLEMENTED, CallStatus.UNAUTHENTICATED})
 
 TO_WIRE = {
@@ -169,9 +170,11 @@
             call = self._make_call(request)
             await self._dispatcher.dispatch(call, sink)
         except Refusal as refusal:
-            await sink.fail(EXECUTED[refusal.executed], refusal, refusal.retry_after)
+            code = refusal.code.value.code
+            progress = EXECUTED[refusal.executed]
+            await sink.fail(progress, refusal, code, refusal.retry_after)
         except HTTPError as error:
-            await sink.fail(Progress.MAYBE_RUN, error)
+            await sink.fail(Progress.MAYBE_RUN, error, BROKEN_CODE)
         finally:
             self._running -= 1
 
@@ -218,11 +221,11 @@
     async def finish(self):
         await self._send(end=True)
 
-    async def fail(self, progress, error, retry_after=None):
+    async def fail(self, progress, error, code, retry_after=None):
         """Tell how far the call got."""
         failure = AttemptFailure(
             progress=TO_WIRE[progress],
-            code=type(error).__name__,
+            code=code,
             message=str(error),
             retry_after_milliseconds=int((retry_after or 0) * 1000),
         )
@@ -235,4 +238,9 @@
 def _read_failure(failure):
     progress = FROM_WIRE.get(failure.progress, Progress.MAYBE_RUN)
     seconds = failure.retry_after_milliseconds / 1000
-    return AttemptFailed(progress, failure.message, retry_after=seconds or None)
+    return AttemptFailed(
+        progress,
+        failure.message,
+        quarantined=failure.code == RefusalCode.QUARANTINED.value.code,
+        retry_after=seconds or None,
+    )
--- a/mangogauge/routing/__init__.py
+++ b/mangogauge/routing/__init__.py
@@ -4,6 +4,7 @@
 from .budget import RetryBudget, RetryBudgets
 from .choice import Router
 from .progress import Progress
+from .quarantine import Quarantine, Standing
 from .retry import Decision, RetryPolicy
 from .sharing import EndpointBoard
 from .spill import SpillChooser
@@ -19,10 +20,12 @@
     "EndpointState",
     "LoadReport",
     "Progress",
+    "Quarantine",
     "RetryBudget",
     "RetryBudgets",
     "RetryPolicy",
     "Router",
     "SpillChooser",
+    "Standing",
     "find_failure",
 ]
