Queue by client account, fair by work, and refuse what can't be met

Cause: engines admit whatever comes in order of arrival, so that a flood of one account held up all others, and a request that could not be met was found out at its deadline only. Change: a host starts no more than its part of the suiting slots (more while its peers use less); the rest waits in start-time fair queues by account and weight, charged with measured work. Whether a request can start and end before its deadline is estimated from its account's share; if not it is refused at once with the time to come back, executed "no". Queues are bounded by account and in all.

--- a/mangogauge/daemon/host.py
+++ b/mangogauge/daemon/host.py
@@ -14,6 +14,7 @@
 from ..membership import Member, MembershipExchange, MembershipView, new_incarnation
 from ..platform import FileHostList, GatewayStore, RecordStore
 from ..protocol import ChannelPool, ProtocolServer
+from ..queueing import CapacityGate
 from ..routing import (
     AnswerTimes,
     BalancedRouter,
@@ -106,13 +107,17 @@
         quarantine = Quarantine(self.settings.name, self.clock)
         crashes = CrashWatch(quarantine, self.view, self.channels, self.clock)
         self.parts.append(crashes)
+        times = AnswerTimes()
+        gate = CapacityGate(self.router, self.view, times, self.clock)
+        self.parts.append(gate)
         self.dispatcher = Dispatcher(
             self.router,
             self.spill,
             self.channels,
             crashes,
+            gate,
             RetryPolicy(RetryBudgets(self.clock)),
-            AnswerTimes(),
+            times,
             ClientPool(),
             self.clock,
             self.random,
--- a/mangogauge/gateway/attempts.py
+++ b/mangogauge/gateway/attempts.py
@@ -33,6 +33,11 @@
         Whether the peer refused a request that crashes endpoints.
     retry_after : float, optional
         Seconds after which the peer says that it can take work again.
+
+    Attributes
+    ----------
+    attempt : Attempt
+        The one that failed.
     """
 
     def __init__(
@@ -46,6 +51,7 @@
         retry_after=None,
     ):
         super().__init__(message)
+        self.attempt = None
         self.quarantined = quarantined
         self.progress = progress
         self.broken = broken
--- a/mangogauge/gateway/dispatch.py
+++ b/mangogauge/gateway/dispatch.py
@@ -29,6 +29,7 @@
     channels : ChannelPool
         Connections to them.
     crashes : CrashWatch
+    gate : CapacityGate
     retry_policy : RetryPolicy
     times : AnswerTimes
     pool : ClientPool
@@ -44,6 +45,7 @@
         spill,
         channels,
         crashes,
+        gate,
         retry_policy,
         times,
         pool,
@@ -55,6 +57,7 @@
         self._spill = spill
         self._channels = channels
         self._crashes = crashes
+        self._gate = gate
         self._retry_policy = retry_policy
         self._times = times
         self._pool = pool
@@ -75,17 +78,37 @@
         self._crashes.check(call)
         run = _Run(call, AnswerRelay(call, sink))
         while True:
-            attempt = await self._choose_attempt(run)
-            run.begin(attempt)
             try:
-                await self._make_attempt(run, attempt)
+                attempt = await self._try_once(run)
             except AttemptFailed as error:
-                self._note_failure(run, attempt, error)
-                self._continue(run, attempt, error)
+                self._note_failure(run, error.attempt, error)
+                self._continue(run, error.attempt, error)
             else:
+                self._router.note_success(attempt.peer)
                 self._retry_policy.note_success(call)
+                self._count(attempt, "answered")
                 return
 
+    async def _try_once(self, run):
+        """Make one attempt and return it."""
+        entry = None
+        if self._router.choose(run.call, run.tried) is not None:
+            entry = await self._gate.enter(run.call, urgent=bool(run.tried))
+        try:
+            attempt = await self._choose_attempt(run)
+            if attempt.endpoint is None and entry is not None:
+                entry = await self._gate.leave(entry)
+            run.begin(attempt)
+            try:
+                await self._make_attempt(run, attempt)
+            except AttemptFailed as error:
+                error.attempt = attempt
+                raise
+            return attempt
+        finally:
+            if entry is not None:
+                await self._gate.leave(entry)
+
     async def _choose_attempt(self, run):
         """Return the next attempt: here, in another data centre, or again here."""
         call = run.call
@@ -128,9 +151,6 @@
             raise AttemptFailed(
                 Progress.MAYBE_RUN, "No answer before the deadline.", blames=False
             ) from None
-        else:
-            self._router.note_success(attempt.peer)
-            self._count(attempt, "answered")
         finally:
             self._router.end(attempt.peer)
 
--- a/mangogauge/routing/balanced.py
+++ b/mangogauge/routing/balanced.py
@@ -102,6 +102,18 @@
         if name in self._states:
             self._states[name].note_slowness(slowness)
 
+    def measure_group(self, call):
+        """Return slots that suit `call`, and how many of them peers use."""
+        now = self._clock.read_elapsed()
+        slots = 0
+        peers_running = 0
+        for state in self._states.values():
+            if not call.suits(state.endpoint) or state.is_down(now):
+                continue
+            slots += state.endpoint.slots
+            peers_running += state.peers_running
+        return slots, peers_running
+
     def measure_models(self):
         """Return ``{model: (slots, load)}`` of endpoints that take work."""
         now = self._clock.read_elapsed()
