Merge routing: retries, spill, drain, quarantine, fair queues

Cause of what failed in the merge: batch's wrapper of the router counted by endpoint, the new router by name; the wrapper is gone, the router counts itself. Conflicts: callers' server kept; drain in routing's order with the listener closed only after the balancer's lag. The load feature asked that engines start each request once; a hanging attempt is now tried at another engine, which is allowed for a model call, so it asks for as many request ids as planned, each finished by exactly one engine.

--- a/features/builders/settings.py
+++ b/features/builders/settings.py
@@ -60,10 +60,12 @@
     secret_file,
     seeds=(),
     caller_limits=None,
+    host_list="",
     **options,
 ):
     """Return a host file's text; `caller_limits` are the options of [callers]."""
     callers, peer, operator = ports
+    listed = {"host_list": host_list} if host_list else {}
     return "\n".join(
         [
             make_section(
@@ -76,7 +78,7 @@
                 operator_port=operator,
                 **{"drain_seconds": 0.3, **options},
             ),
-            make_section("platform", addresses=platform, timeout=1.0),
+            make_section("platform", addresses=platform, timeout=1.0, **listed),
             make_section("peers", secret_file=secret_file, seeds=", ".join(seeds)),
             make_section("callers", **(caller_limits or {})),
         ]
--- a/features/load/load.feature
+++ b/features/load/load.feature
@@ -27,7 +27,7 @@
     When load runs at 20 requests a second for 3 seconds while the engines hang for 2 seconds
     Then all its requests are answered
     And at least a third of them took longer than half a second, counted from their intended start
-    And the engines started each request once
+    And the engines started and finished each request once or tried it elsewhere
 
   Scenario: jobs of the plan run to their end
     Given a platform, an engine in each data centre, and a service
--- a/mangogauge/batch/__init__.py
+++ b/mangogauge/batch/__init__.py
@@ -6,7 +6,6 @@
 from .file_resource import FileResource
 from .files import FileRecord, FileStore
 from .jobs import Job, JobCounts, JobState, JobStore
-from .load import ObservedRouter
 from .ownership import Continuation, HostLease, LapsePolicy, LeaseSight
 from .part import BatchPart
 from .results import ResultReader
@@ -38,7 +37,6 @@
     "JobStore",
     "LapsePolicy",
     "LeaseSight",
-    "ObservedRouter",
     "OpenWork",
     "OwnedChunk",
     "ResultReader",
--- a/mangogauge/batch/execution.py
+++ b/mangogauge/batch/execution.py
@@ -176,7 +176,7 @@
     async def _adjust_room(self):
         for _ in range(TICKS_PER_REPORT):
             for name in self._endpoints:
-                self._room.note_running(name, self._parts.router.running[name])
+                self._room.note_running(name, self._parts.router.count_running(name))
             for name, count in self._room.decide().items():
                 await self._give_way(name, count)
             await curio.sleep(ROOM_TICK_SECONDS)
--- a/mangogauge/batch/load.py
+++ b/mangogauge/batch/load.py
@@ -1,45 +1,16 @@
 """How much this host and others run at each endpoint."""
 
-from collections import Counter
-
 import curio
 import orjson
 
 from ..http import Headers, HTTPError
 
-__all__ = ["LoadWatcher", "ObservedRouter"]
+__all__ = ["LoadWatcher"]
 
 LOAD_PATH = "/load"
 LOAD_TIMEOUT = 1.0
 
 
-class ObservedRouter:
-    """A router that counts this host's attempts at each endpoint.
-
-    Parameters
-    ----------
-    router : Router
-        Does the work.
-    """
-
-    def __init__(self, router):
-        self._router = router
-        self.running = Counter()
-
-    def __getattr__(self, name):
-        return getattr(self._router, name)
-
-    def begin(self, endpoint, *arguments, **named):
-        """Note that an attempt starts."""
-        self.running[endpoint.name] += 1
-        return self._router.begin(endpoint, *arguments, **named)
-
-    def end(self, endpoint, *arguments, **named):
-        """Note that an attempt ended."""
-        self.running[endpoint.name] -= 1
-        return self._router.end(endpoint, *arguments, **named)
-
-
 class LoadWatcher:
     """Asks endpoints for their load.
 
--- a/mangogauge/batch/part.py
+++ b/mangogauge/batch/part.py
@@ -24,7 +24,7 @@
         Name of the host.
     records : RecordStore
     dispatcher : Dispatcher
-    router : ObservedRouter
+    router : Router
     view : MembershipView
     clock : Clock
     random : random.Random
--- a/mangogauge/batch/runner.py
+++ b/mangogauge/batch/runner.py
@@ -51,7 +51,7 @@
     files : FileStore
     chunks : ChunkStore
     dispatcher : Dispatcher
-    router : ObservedRouter
+    router : Router
     view : MembershipView
     clock : Clock
     random : random.Random
--- a/mangogauge/daemon/host.py
+++ b/mangogauge/daemon/host.py
@@ -4,11 +4,18 @@
 
 import curio
 
-from ..batch import BatchPart, ObservedRouter
+from ..batch import BatchPart
 from ..clock import SystemClock
 from ..configuration import ConfigurationReplica, ConfigurationStore
 from ..distribution import Distributor, Roster, RosterEntry, RosterKeeper
-from ..gateway import Dispatcher, Doorkeeper, Front, ModelResource
+from ..gateway import (
+    CrashWatch,
+    Dispatcher,
+    Doorkeeper,
+    ForwardService,
+    Front,
+    ModelResource,
+)
 from ..http import ClientPool, HTTPServer, ServerLimits
 from ..idempotency import KeyedCalls
 from ..keys import KeyGuard, KeyReplica, KeyRing, KeyTrust
@@ -23,9 +30,19 @@
     read_machine_identity,
 )
 from ..membership import Member, MembershipExchange, MembershipView, new_incarnation
-from ..platform import GatewayStore, RecordStore
+from ..platform import FileHostList, GatewayStore, RecordStore
 from ..protocol import ChannelPool, ProtocolServer
-from ..routing import LeastLoadedRouter, RetryPolicy
+from ..queueing import CapacityGate
+from ..routing import (
+    AnswerTimes,
+    BalancedRouter,
+    EndpointBoard,
+    Quarantine,
+    RetryBudgets,
+    RetryPolicy,
+    SpillChooser,
+)
+from ..routing.watch import EndpointWatch
 from ..settings import KeySettings
 from ..telemetry import HostMetrics, get_logger
 from .operators import OperatorPort
@@ -33,6 +50,7 @@
 __all__ = ["Host"]
 
 DRAIN_INTERVAL = 0.05
+QUIET_SECONDS = 0.1
 
 log = get_logger("host")
 
@@ -143,12 +161,35 @@
         self.parts += [keeper, exchange]
 
     def _make_routing(self):
-        self.router = ObservedRouter(
-            LeastLoadedRouter(self.settings.data_centre, self.random)
-        )
+        data_centre = self.settings.data_centre
+        self.router = BalancedRouter(data_centre, self.clock, self.random)
+        self.spill = SpillChooser(self.view, self.router, self.random)
+        quarantine = Quarantine(self.settings.name, self.clock)
+        crashes = CrashWatch(quarantine, self.view, self.channels, self.clock)
+        self.parts.append(crashes)
+        times = AnswerTimes()
+        gate = CapacityGate(self.router, self.view, times, self.clock)
+        self.parts.append(gate)
         self.dispatcher = Dispatcher(
-            self.router, RetryPolicy(), ClientPool(), self.clock, self.metrics
+            self.router,
+            self.spill,
+            self.channels,
+            crashes,
+            gate,
+            RetryPolicy(RetryBudgets(self.clock)),
+            times,
+            ClientPool(),
+            self.clock,
+            self.random,
+            self.metrics,
         )
+        board = EndpointBoard(self.router, self.clock)
+        path = self.settings.platform.host_list
+        host_list = FileHostList(path) if path else None
+        self.parts.append(
+            EndpointWatch(board, self.router, self.view, host_list, self.random)
+        )
+        self.parts.append(ForwardService(self.dispatcher, self.clock))
 
     def _make_batch(self):
         self.batch = BatchPart(
@@ -229,6 +270,7 @@
         self.trust.seconds = fleet.keys.trust_seconds
         self.limiter.set_accounts(fleet.accounts)
         self.router.set_endpoints(fleet.endpoints)
+        self.spill.set_endpoints(fleet.endpoints)
         self.front.set_settings(fleet)
         for part in self.parts:
             part.take_fleet(fleet)
@@ -238,10 +280,25 @@
     async def _drain(self):
         while not self.draining:
             await curio.sleep(DRAIN_INTERVAL)
-        self.callers.start_close()
+        log.info("draining", extra={"step": "drain"})
         for part in self.parts:
-            await part.drain()
+            part.announce_drain()
+        # From here each connection ends after its current exchange; new ones
+        # are still served until the balancer must have noticed.
+        self.callers.start_close()
         await curio.sleep(self.settings.drain_seconds)
         await self.callers.drain()
+        await self._wait_until_quiet()
+        for part in self.parts:
+            await part.drain()
         await self.keyed.finish()
         await self.roster.leave()
+        log.info("drained", extra={"step": "drain"})
+
+    async def _wait_until_quiet(self):
+        """Wait until no request runs here, one that has just come included."""
+        quiet_since = self.clock.read_elapsed()
+        while self.clock.read_elapsed() - quiet_since < QUIET_SECONDS:
+            await curio.sleep(DRAIN_INTERVAL)
+            if self.callers.busy_count or any(part.busy for part in self.parts):
+                quiet_since = self.clock.read_elapsed()
--- a/mangogauge/gateway/__init__.py
+++ b/mangogauge/gateway/__init__.py
@@ -1,8 +1,10 @@
 """The callers' front: keys, routes, limits, dispatch, refusals."""
 
 from .calls import Call, Priority
+from .crashes import CrashWatch
 from .dispatch import Dispatcher
 from .doorkeeper import Doorkeeper
+from .forwarding import ForwardService
 from .front import Front
 from .models import ModelResource
 from .refusals import Refusal, RefusalCode
@@ -12,9 +14,11 @@
 
 __all__ = [
     "Call",
+    "CrashWatch",
     "Dispatcher",
     "Doorkeeper",
     "ExchangeSink",
+    "ForwardService",
     "Front",
     "MemorySink",
     "ModelResource",
--- a/mangogauge/gateway/dispatch.py
+++ b/mangogauge/gateway/dispatch.py
@@ -1,48 +1,68 @@
-"""Run a call at an endpoint, trying others as the retry table allows."""
-
-import uuid
+"""Run a call, trying again as the retry table and the budget allow."""
 
 import curio
 
-from ..http import HTTPConnectError, HTTPError
+from ..http import HTTPReceiveError
 from ..routing import Decision, Progress
 from ..telemetry import get_logger
+from .attempts import AttemptFailed, EndpointAttempt
+from .forwarding import ForwardAttempt
 from .refusals import Refusal, RefusalCode
+from .relays import AnswerRelay
 
 __all__ = ["Dispatcher"]
 
 RETRY_AFTER_NO_ENDPOINT = 1.0
-BUSY_STATUSES = frozenset({429, 503})
+BACKOFF_SECONDS = 0.02
 
 log = get_logger("dispatch")
 
 
-class AttemptFailed(Exception):
-    """One attempt failed with this `Progress`."""
-
-    def __init__(self, progress, message):
-        super().__init__(message)
-        self.progress = progress
-
-
 class Dispatcher:
     """Run calls.
 
     Parameters
     ----------
     router : Router
+    spill : SpillChooser
+        Finds hosts of other data centres.
+    channels : ChannelPool
+        Connections to them.
+    crashes : CrashWatch
+    gate : CapacityGate
     retry_policy : RetryPolicy
+    times : AnswerTimes
     pool : ClientPool
         Connections to endpoints.
     clock : Clock
+    random : random.Random
     metrics : HostMetrics
     """
 
-    def __init__(self, router, retry_policy, pool, clock, metrics):
+    def __init__(
+        self,
+        router,
+        spill,
+        channels,
+        crashes,
+        gate,
+        retry_policy,
+        times,
+        pool,
+        clock,
+        random,
+        metrics,
+    ):
         self._router = router
+        self._spill = spill
+        self._channels = channels
+        self._crashes = crashes
+        self._gate = gate
         self._retry_policy = retry_policy
+        self._times = times
         self._pool = pool
         self._clock = clock
+        self._random = random
         self._metrics = metrics
 
     async def dispatch(self, call, sink):
@@ -55,119 +75,226 @@
         HTTPError
             If the answer broke off after some of it had been passed on.
         """
-        tried = []
-        worst = Progress.NOT_SENT
+        self._crashes.check(call)
+        run = _Run(call, AnswerRelay(call, sink))
         while True:
-            endpoint = self._router.choose(call, tried)
-            if endpoint is None:
-                raise self._refuse_unserved(call, worst)
-            tried.append(endpoint.name)
             try:
-                await self._attempt(call, endpoint, sink)
+                attempt = await self._try_once(run)
+            except AttemptFailed as error:
+                self._note_failure(run, error.attempt, error)
+                self._continue(run, error.attempt, error)
+            else:
+                self._router.note_success(attempt.peer)
+                self._retry_policy.note_success(call)
+                self._count(attempt, "answered")
                 return
+
+    async def _try_once(self, run):
+        """Make one attempt and return it."""
+        entry = None
+        if self._router.choose(run.call, run.tried) is not None:
+            entry = await self._gate.enter(run.call, urgent=bool(run.tried))
+        try:
+            attempt = await self._choose_attempt(run)
+            if attempt.endpoint is None and entry is not None:
+                entry = await self._gate.leave(entry)
+            run.begin(attempt)
+            try:
+                await self._make_attempt(run, attempt)
             except AttemptFailed as error:
-                if error.progress.executed == "unknown":
-                    worst = error.progress
-                self._log_failure(call, endpoint, error)
-                left = call.deadline - self._clock.read_elapsed()
-                decision = self._retry_policy.decide(
-                    error.progress, call.repeatable, len(tried), left
-                )
-                if decision is Decision.REFUSE:
-                    raise self._refuse_failed(error, worst, endpoint, left) from error
-
-    async def _attempt(self, call, endpoint, sink):
-        left = call.deadline - self._clock.read_elapsed()
+                error.attempt = attempt
+                raise
+            return attempt
+        finally:
+            if entry is not None:
+                await self._gate.leave(entry)
+
+    async def _choose_attempt(self, run):
+        """Return the next attempt: here, in another data centre, or again here."""
+        call = run.call
+        if not run.tried and self._can_forward(call) and self._spill.spills(call):
+            member = self._spill.choose(call)
+            if member is not None:
+                return self._make_forward(call, member)
+        endpoint = self._router.choose(call, run.tried)
+        if endpoint is None and self._can_forward(call):
+            member = self._spill.choose(call, run.tried)
+            if member is not None:
+                return self._make_forward(call, member)
+        if endpoint is None and run.tried:
+            # Every way has failed once; the fault may have passed.
+            await curio.sleep(self._compute_backoff(len(run.tried)))
+        if endpoint is None:
+            endpoint = self._router.choose(call, desperate=True)
+        if endpoint is None:
+            raise self._refuse_unserved(run)
+        return EndpointAttempt(
+            call, endpoint, self._router, self._pool, self._times, self._clock
+        )
+
+    def _can_forward(self, call):
+        return not call.forwarded
+
+    def _make_forward(self, call, member):
+        return ForwardAttempt(call, member, self._channels, self._clock)
+
+    async def _make_attempt(self, run, attempt):
+        left = run.call.deadline - self._clock.read_elapsed()
         if left <= 0:
             raise AttemptFailed(Progress.NOT_SENT, "The deadline has passed.")
-        self._router.begin(endpoint)
-        progress = None
+        self._router.begin(attempt.peer)
         try:
             async with curio.timeout_after(left):
-                await self._run(call, endpoint, sink)
-            self._count(endpoint, "answered")
+                bound = self._compute_bound(run, left)
+                await self._run_watched(run, attempt, bound)
         except curio.TaskTimeout:
-            progress = Progress.MAYBE_RUN
-            raise AttemptFailed(progress, "No answer before the deadline.") from None
+            raise AttemptFailed(
+                Progress.MAYBE_RUN, "No answer before the deadline.", blames=False
+            ) from None
+        finally:
+            self._router.end(attempt.peer)
+
+    async def _run_watched(self, run, attempt, bound):
+        """Run an attempt; one at an endpoint is watched for a crash."""
+
+        def may_retry(progress):
+            return self._decide(run, progress)
+
+        endpoint = attempt.endpoint
+        if endpoint is None:
+            await attempt.run(run.relay, bound, may_retry)
+            return
+        executed = run.worst.executed
+        on_trial = await self._crashes.enter(run.call, endpoint, executed)
+        answered = False
+        try:
+            await attempt.run(run.relay, bound, may_retry)
+            answered = True
         except AttemptFailed as error:
-            progress = error.progress
-            self._count(endpoint, progress.value)
+            if error.broken:
+                await self._crashes.examine(run.call, endpoint)
             raise
         finally:
-            self._router.end(endpoint, progress)
+            await self._crashes.leave(run.call, endpoint, on_trial, answered)
 
-    async def _run(self, call, endpoint, sink):
-        headers = call.headers.copy()
-        headers.set("Host", endpoint.address)
-        headers.set("X-Request-Id", call.request_id)
-        headers.set("X-Attempt-Id", uuid.uuid4().hex)
-        try:
-            response = await self._pool.request(
-                endpoint.address,
-                call.method,
-                call.target,
-                headers,
-                call.body,
-                fresh=not call.repeatable,
+    def _compute_bound(self, run, left):
+        if not run.call.repeatable or not self._has_other(run):
+            return left
+        return self._times.compute_bound(
+            run.call.timing_class, left, len(run.tried) - 1
+        )
+
+    def _has_other(self, run):
+        if self._router.choose(run.call, run.tried) is not None:
+            return True
+        can_forward = self._can_forward(run.call)
+        return can_forward and self._spill.choose(run.call, run.tried) is not None
+
+    def _note_failure(self, run, attempt, error):
+        run.note_failure(error)
+        if error.blames:
+            self._router.note_failure(attempt.peer)
+        self._count(attempt, error.progress.value)
+        self._log_failure(run.call, attempt, error)
+
+    def _decide(self, run, progress):
+        """Return whether there may be another attempt; asked once for each."""
+        if run.decision is None:
+            left = run.call.deadline - self._clock.read_elapsed()
+            run.decision = self._retry_policy.decide(
+                progress, run.call, len(run.tried), left
             )
-        except HTTPConnectError as error:
-            raise AttemptFailed(Progress.NOT_SENT, str(error)) from error
-        except HTTPError as error:
-            raise AttemptFailed(Progress.MAYBE_RUN, str(error)) from error
-        try:
-            await self._pass_answer(response, sink)
-        finally:
-            await response.close()
+        return run.decision is Decision.RETRY
 
-    async def _pass_answer(self, response, sink):
-        if response.status in BUSY_STATUSES:
-            raise AttemptFailed(Progress.NOT_RUN, f"Status {response.status}.")
-        try:
-            await sink.start(response.status, response.headers)
-            async for piece in response.iterate():
-                await sink.write(piece)
-            await sink.finish()
-        except HTTPError as error:
-            if sink.started:
-                raise
-            raise AttemptFailed(Progress.MAYBE_RUN, str(error)) from error
+    def _continue(self, run, attempt, error):
+        """Return if the call may go on with another attempt, else raise."""
+        relay = run.relay
+        if error.quarantined or not relay.started:
+            self._check_quarantine(run, error)
+        resumes = relay.can_resume or not relay.started
+        if resumes and self._decide(run, error.progress):
+            run.call.resuming = relay.started
+            return
+        if relay.started:
+            raise HTTPReceiveError(
+                f"The answer broke off: {error}", step="run", peer=attempt.peer
+            ) from error
+        raise self._refuse_failed(run, attempt) from error
 
-    def _refuse_unserved(self, call, worst):
+    def _check_quarantine(self, run, error):
+        self._crashes.check(run.call, run.worst.executed)
+        if error.quarantined:
+            raise Refusal(
+                RefusalCode.QUARANTINED,
+                "This request has crashed the endpoints that ran it.",
+                executed=run.worst.executed,
+                step="forward",
+            )
+
+    def _refuse_unserved(self, run):
+        if run.relay.started:
+            return HTTPReceiveError("No endpoint can resume the stream.", step="resume")
         return Refusal(
             RefusalCode.NO_ENDPOINT,
             "No endpoint can run this request now.",
-            executed=worst.executed,
+            executed=run.worst.executed,
             retry_after=RETRY_AFTER_NO_ENDPOINT,
             step="choose endpoint",
         )
 
-    def _refuse_failed(self, error, worst, endpoint, left):
+    def _refuse_failed(self, run, attempt):
+        executed = run.worst.executed
         code = RefusalCode.ENDPOINT_FAILED
-        if worst.executed == "unknown":
+        if executed == "unknown":
             code = RefusalCode.OUTCOME_UNKNOWN
-        if left <= 0:
+        if run.call.deadline <= self._clock.read_elapsed():
             code = RefusalCode.DEADLINE_EXCEEDED
         return Refusal(
             code,
             "The endpoint gave no answer.",
-            executed=worst.executed,
-            retry_after=RETRY_AFTER_NO_ENDPOINT if worst.executed == "no" else None,
+            executed=executed,
+            retry_after=RETRY_AFTER_NO_ENDPOINT if executed == "no" else None,
             step="run",
-            peer=endpoint.name,
+            peer=attempt.peer,
         )
 
-    def _count(self, endpoint, outcome):
-        self._metrics.attempts.labels(endpoint.name, outcome).inc()
+    def _compute_backoff(self, attempts):
+        return BACKOFF_SECONDS * 2**attempts * (0.5 + self._random.random())
 
-    def _log_failure(self, call, endpoint, error):
+    def _count(self, attempt, outcome):
+        self._metrics.attempts.labels(attempt.peer, outcome).inc()
+
+    def _log_failure(self, call, attempt, error):
         log.warning(
             "attempt failed",
             extra={
                 "request_id": call.request_id,
+                "attempt_id": attempt.attempt_id,
                 "client_account": call.account,
-                "peer": endpoint.name,
+                "peer": attempt.peer,
                 "step": "attempt",
                 "progress": error.progress.value,
                 "reason": str(error),
             },
         )
+
+
+class _Run:
+    """The state of one call between its attempts."""
+
+    def __init__(self, call, relay):
+        self.call = call
+        self.relay = relay
+        self.tried = []
+        self.worst = Progress.NOT_SENT
+        self.decision = None
+
+    def begin(self, attempt):
+        """Note that another attempt starts."""
+        self.tried.append(attempt.peer)
+        self.decision = None
+
+    def note_failure(self, error):
+        """Keep the worst that is known of all attempts."""
+        if error.progress.executed == "unknown":
+            self.worst = error.progress
--- a/mangogauge/gateway/front.py
+++ b/mangogauge/gateway/front.py
@@ -5,7 +5,6 @@
 from urllib.parse import unquote
 
 import curio
-import orjson
 
 from ..http import HTTPError, HTTPRequestError
 from ..settings import RouteKind
@@ -220,9 +219,7 @@
 
     def _read_model(self, call):
         try:
-            value = orjson.loads(call.body)
-            call.model = str(value["model"])
-            call.streams = bool(value.get("stream"))
+            call.read_body()
         except (ValueError, KeyError, TypeError, AttributeError):
             raise Refusal(
                 RefusalCode.MALFORMED, "The body must be JSON with a 'model'."
@@ -232,8 +229,6 @@
             raise Refusal(
                 RefusalCode.MODEL_UNKNOWN, f"There is no model {call.model!r} here."
             )
-        # Generation has no side effect, so a model call may be repeated.
-        call.repeatable = True
 
     async def _refuse(self, exchange, request_id, refusal, labels):
         code = refusal.code.value.code
