Serve callers by TLS and hosts by mutual TLS, with certificates that may change

Cause: asked for by the issue; until now all ports were plain. Ruled out: a signal that reloads (operators replace files by other tools, and one host would be forgotten); looking at the files by a timer (a new connection is the moment that matters). Change: mangogauge.tls; [callers] and [peers] name PEM files, which are checked with the rest of the host's file; commands take https://IP:PORT; a drain wakes idle connections by a twin of the socket, since TLS has its own shutdown.

--- a/features/builders/settings.py
+++ b/features/builders/settings.py
@@ -60,9 +60,13 @@
     secret_file,
     seeds=(),
     caller_limits=None,
+    peer_options=None,
     **options,
 ):
-    """Return a host file's text; `caller_limits` are the options of [callers]."""
+    """Return a host file's text.
+
+    `caller_limits` are the options of [callers], `peer_options` more of [peers].
+    """
     callers, peer, operator = ports
     return "\n".join(
         [
@@ -77,7 +81,12 @@
                 **{"drain_seconds": 0.3, **options},
             ),
             make_section("platform", addresses=platform, timeout=1.0),
-            make_section("peers", secret_file=secret_file, seeds=", ".join(seeds)),
+            make_section(
+                "peers",
+                secret_file=secret_file,
+                seeds=", ".join(seeds),
+                **(peer_options or {}),
+            ),
             make_section("callers", **(caller_limits or {})),
         ]
     )
--- a/features/settings/mistakes.feature
+++ b/features/settings/mistakes.feature
@@ -89,6 +89,9 @@
       | a seed without a port      | host.ini | 192.0.2.11:8081      | 192.0.2.11              | peers               | seeds         | 192.0.2.11      | and a port from 1            |
       | a head that is too small   | host.ini | head_bytes = 32768   | head_bytes = 10         | callers             | head_bytes    | 10              | (bytes)                      |
       | a section misspelt         | host.ini | [callers]            | [caller]                | caller              |               | caller          | did you mean 'callers'?      |
+      | a certificate, no key      | host.ini | head_bytes = 32768   | tls_certificate = /no   | callers             | tls_key       |                 | since tls_certificate is given |
+      | TLS without authorities    | host.ini | seeds = 192.0.2.11:8081 | tls_certificate = /no\ntls_key = /no | peers | tls_authorities |              | since tls_certificate, tls_key |
+      | certificates not there     | host.ini | head_bytes = 32768   | tls_certificate = /no\ntls_key = /no | callers | tls_certificate | *             | PEM files that can be read   |
 
   Scenario: All mistakes are told in one run, each once and in its own file
     When 6 mistakes are made at once, of which 4 are in the base
--- a/mangogauge/commands/ports.py
+++ b/mangogauge/commands/ports.py
@@ -1,6 +1,7 @@
 """How commands ask a host: its callers' port with a key, or its operator port."""
 
 import os
+import ssl
 import sys
 from pathlib import Path
 from typing import Annotated
@@ -23,13 +24,17 @@
     "read_key",
 ]
 
+TLS_SCHEME = "https://"
 KEY_VARIABLE = "MANGOGAUGE_KEY"
 ANSWER_SECONDS = 120
 
 AsJSON = Annotated[
     bool, Parameter(name="--json", negative="", help="Print lines of JSON.")
 ]
-HostAddress = Annotated[str, Parameter(help="Address of a host's port, IP:PORT.")]
+HostAddress = Annotated[
+    str,
+    Parameter(help="Address of a host's port: IP:PORT, or https://IP:PORT for TLS."),
+]
 KeyFile = Annotated[
     Path | None,
     Parameter(help=f"File with the caller's key; else {KEY_VARIABLE} is taken."),
@@ -94,8 +99,13 @@
 
 
 async def _ask(address, method, target, headers, body):
+    tls = None
+    if address.startswith(TLS_SCHEME):
+        # SSL_CERT_FILE names the authorities if the system's won't do.
+        tls = ssl.create_default_context()
+    address = address.removeprefix(TLS_SCHEME)
     async with curio.timeout_after(ANSWER_SECONDS):
-        response = await open_response(address, method, target, headers, body)
+        response = await open_response(address, method, target, headers, body, tls)
         return PortAnswer(response.status, response.headers, await response.read())
 
 
--- a/mangogauge/daemon/host.py
+++ b/mangogauge/daemon/host.py
@@ -1,6 +1,7 @@
 """One entry host: its parts, its ports, and its life from start to drain."""
 
 import random
+from ssl import Purpose
 
 import curio
 
@@ -18,6 +19,7 @@
 from ..routing import LeastLoadedRouter, RetryPolicy
 from ..settings import KeySettings
 from ..telemetry import HostMetrics, get_logger
+from ..tls import HTTP_PROTOCOL, PEER_PROTOCOL, TLSContext
 from .operators import OperatorPort
 
 __all__ = ["Host"]
@@ -52,7 +54,9 @@
         self.fleet = None
         self.draining = False
         self.parts = []
-        self.channels = ChannelPool(secret)
+        self.channels = ChannelPool(
+            secret, self._make_tls(settings.peers, Purpose.SERVER_AUTH, PEER_PROTOCOL)
+        )
         self._make_platform()
         self._make_membership()
         self._make_distribution()
@@ -147,13 +151,25 @@
 
     def _make_ports(self, secret):
         methods = [m for part in self.parts for m in part.protocol_methods()]
-        self.protocol = ProtocolServer(methods, secret)
-        self.callers = HTTPServer(self.front.handle, self._make_limits_of_callers())
+        settings, purpose = self.settings, Purpose.CLIENT_AUTH
+        self.protocol = ProtocolServer(
+            methods, secret, self._make_tls(settings.peers, purpose, PEER_PROTOCOL)
+        )
+        self.callers = HTTPServer(
+            self.front.handle,
+            self._make_limits_of_callers(),
+            self._make_tls(settings.callers, purpose, HTTP_PROTOCOL),
+        )
         self.operators = OperatorPort(self, secret)
         for part in self.parts:
             for path, handler in part.operator_handlers().items():
                 self.operators.add_handler(path, handler)
 
+    def _make_tls(self, part, purpose, protocol):
+        """Return a `TLSContext` if a part of the settings names certificates."""
+        files = part.certificates
+        return TLSContext(files, purpose, protocol) if files else None
+
     def _make_limits_of_callers(self):
         callers = self.settings.callers
         return ServerLimits(
--- a/mangogauge/http/client.py
+++ b/mangogauge/http/client.py
@@ -84,7 +84,9 @@
         host, _, port = address.rpartition(":")
         try:
             async with curio.timeout_after(timeout):
-                sock = await curio.open_connection(host, int(port), ssl=tls)
+                sock = await curio.open_connection(
+                    host, int(port), ssl=tls, server_hostname=host if tls else None
+                )
         except (OSError, curio.TaskTimeout) as error:
             raise HTTPConnectError(
                 f"No connection: {error!r}.", step="connect", peer=address
--- a/mangogauge/http/connection.py
+++ b/mangogauge/http/connection.py
@@ -2,6 +2,7 @@
 
 import os
 import uuid
+from socket import socket as make_socket
 
 import curio
 import h11
@@ -85,7 +86,9 @@
         if self.busy or self._h11.trailing_data[0]:
             return
         try:
-            await self.sock.shutdown(socket.SHUT_RD)
+            # A twin of the socket, since TLS would end with its own shutdown.
+            with make_socket(fileno=os.dup(self.sock.fileno())) as twin:
+                twin.shutdown(socket.SHUT_RD)
         except (OSError, ValueError):
             pass
 
--- a/mangogauge/http/server.py
+++ b/mangogauge/http/server.py
@@ -39,7 +39,7 @@
     limits : ServerLimits, optional
         Bounds for each connection.
     tls : TLSContext, optional
-        Object with a ``wrap(sock)`` coroutine; plain TCP if absent.
+        Plain TCP if absent.
     """
 
     def __init__(self, handler, limits=None, tls=None):
@@ -138,14 +138,27 @@
         # A daemon task is dropped by the group when it ends.
         await self._group.spawn(self._serve_connection, connection, daemon=True)
 
+    async def _wrap(self, connection):
+        """Return whether the caller's handshake succeeded."""
+        wrapped = False
+        try:
+            connection.sock = await self.tls.wrap(connection.sock)
+            wrapped = True
+        except OSError as error:
+            extra = {"peer": connection.peer, "reason": repr(error)}
+            log.info("handshake failed", extra=extra)
+        finally:
+            if not wrapped:
+                self._connections.discard(connection)
+        return wrapped
+
     async def _serve_connection(self, connection):
+        if self.tls is not None and not await self._wrap(connection):
+            return
         linger = False
         try:
             # Small pieces of a stream must not wait for an acknowledgement.
             connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            if self.tls is not None:
-                async with curio.timeout_after(self.limits.header_timeout):
-                    connection.sock = await self.tls.wrap(connection.sock)
             await connection.run(self._handler)
             linger = True
         except (OSError, curio.TaskTimeout, h11.ProtocolError):
--- a/mangogauge/protocol/channel.py
+++ b/mangogauge/protocol/channel.py
@@ -24,8 +24,8 @@
         ``host:port`` of the peer's port for hosts.
     secret : str
         The operators' secret, which peers ask for.
-    tls : ssl.SSLContext, optional
-        Context for mutual TLS; plain TCP if absent.
+    tls : TLSContext, optional
+        For mutual TLS; plain TCP if absent.
     """
 
     def __init__(self, address, secret, tls=None):
@@ -113,7 +113,7 @@
             try:
                 async with curio.timeout_after(CONNECT_TIMEOUT):
                     sock = await curio.open_connection(
-                        host, int(port), ssl=self._tls, alpn_protocols=self._alpn
+                        host, int(port), **self._make_tls_options(host)
                     )
             except (OSError, curio.TaskTimeout) as error:
                 raise ChannelError(
@@ -129,9 +129,10 @@
             self._reader = await curio.spawn(self._read_link, link, daemon=True)
             return link
 
-    @property
-    def _alpn(self):
-        return ["h2"] if self._tls else None
+    def _make_tls_options(self, host):
+        if self._tls is None:
+            return {}
+        return {"ssl": self._tls.get(), "server_hostname": host}
 
     async def _send_request(self, link, method, request):
         try:
@@ -226,8 +227,8 @@
     ----------
     secret : str
         The operators' secret.
-    tls : ssl.SSLContext, optional
-        Context for mutual TLS.
+    tls : TLSContext, optional
+        For mutual TLS.
     """
 
     def __init__(self, secret, tls=None):
--- a/mangogauge/protocol/server.py
+++ b/mangogauge/protocol/server.py
@@ -71,7 +71,7 @@
     secret : str
         The operators' secret; callers without it are refused.
     tls : TLSContext, optional
-        Object with a ``wrap(sock)`` coroutine; plain TCP if absent.
+        For mutual TLS; plain TCP if absent.
     """
 
     def __init__(self, methods, secret, tls=None):
--- a/mangogauge/settings/host.py
+++ b/mangogauge/settings/host.py
@@ -1,9 +1,11 @@
 """Settings of one host: its addresses, data centre, platform and peers."""
 
+import ssl
 from pathlib import Path
 
 from attrs import field, frozen
 
+from ..tls import HTTP_PROTOCOL, CertificateFiles
 from .kinds import AddressKind, IntegerKind, ListKind, NameKind, NumberKind, TextKind
 from .problems import Problem, SettingsError
 from .sections import SectionReader, make_option, parse_text
@@ -50,10 +52,24 @@
         File that holds the operators' secret.
     seeds : tuple of str
         Addresses of some hosts' peer ports, to start from.
+    tls_certificate, tls_key, tls_authorities : str
+        PEM files for mutual TLS between hosts; empty for none.
     """
 
     secret_file = make_option(TextKind())
     seeds = make_option(ListKind(AddressKind()), default=())
+    tls_certificate = make_option(TextKind(), default="")
+    tls_key = make_option(TextKind(), default="")
+    tls_authorities = make_option(TextKind(), default="")
+
+    @property
+    def certificates(self):
+        """`CertificateFiles`, or None without TLS."""
+        if not self.tls_certificate:
+            return None
+        return CertificateFiles(
+            self.tls_certificate, self.tls_key, self.tls_authorities
+        )
 
 
 @frozen
@@ -74,6 +90,8 @@
         Seconds a caller may leave its receive window full.
     connections : int
         Largest number of connections open at once.
+    tls_certificate, tls_key : str
+        PEM files for TLS on the callers' port; empty for none.
     """
 
     head_bytes = make_option(IntegerKind(1024, MEGABYTE, "bytes"), default=32_768)
@@ -84,6 +102,15 @@
     body_timeout = make_option(SECONDS, default=30.0)
     write_timeout = make_option(SECONDS, default=60.0)
     connections = make_option(IntegerKind(1, 1_000_000), default=4096)
+    tls_certificate = make_option(TextKind(), default="")
+    tls_key = make_option(TextKind(), default="")
+
+    @property
+    def certificates(self):
+        """`CertificateFiles`, or None without TLS."""
+        if not self.tls_certificate:
+            return None
+        return CertificateFiles(self.tls_certificate, self.tls_key)
 
 
 @frozen
@@ -130,6 +157,10 @@
     "peers": PeerSettings,
     "callers": CallerSettings,
 }
+TLS_OPTIONS = {
+    "callers": ("tls_certificate", "tls_key"),
+    "peers": ("tls_certificate", "tls_key", "tls_authorities"),
+}
 PORT_OPTIONS = ("callers_port", "peer_port", "operator_port")
 
 
@@ -159,6 +190,8 @@
     }
     _check_host(values["host"], file, problems)
     _check_secret(values["peers"], file, problems)
+    for section, options in TLS_OPTIONS.items():
+        _check_tls(section, values[section], options, file, problems)
     if problems:
         raise SettingsError(problems)
     parts = {n: c(**values[n]) for n, c in SECTIONS.items() if n != "host"}
@@ -190,3 +223,22 @@
     except (OSError, UnicodeDecodeError):
         allowed = "a file that can be read"
     problems.append(Problem(file, "peers", "secret_file", path, allowed))
+
+
+def _check_tls(section, values, options, file, problems):
+    given = [option for option in options if values.get(option)]
+    if not given:
+        return
+    missing = [option for option in options if option not in given]
+    for option in missing:
+        allowed = "a PEM file, since " + ", ".join(given) + " is given"
+        problems.append(Problem(file, section, option, "", allowed))
+    if missing:
+        return
+    files = CertificateFiles(*(values[option] for option in options))
+    try:
+        files.load(ssl.Purpose.CLIENT_AUTH, HTTP_PROTOCOL)
+    except OSError as error:
+        read = f"{files.certificate} ({error})"
+        allowed = "PEM files that can be read, with the key of the certificate"
+        problems.append(Problem(file, section, options[0], read, allowed))
