--- a/mangogauge/http/client.py
+++ b/mangogauge/http/client.py
@@ -84,9 +84,7 @@
         host, _, port = address.rpartition(":")
         try:
             async with curio.timeout_after(timeout):
-                sock = await curio.open_connection(
-                    host, int(port), ssl=tls, server_hostname=host if tls else None
-                )
+                sock = await _connect(host, int(port), tls)
         except (OSError, curio.TaskTimeout) as error:
             raise HTTPConnectError(
                 f"No connection: {error!r}.", step="connect", peer=address
@@ -267,6 +265,20 @@
         await connection.close()
 
 
+async def _connect(host, port, tls):
+    if tls is not None:
+        return await curio.open_connection(host, port, ssl=tls, server_hostname=host)
+    # Not by open_connection, which looks every host up in a thread: it is an
+    # IP number here.
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        await sock.connect((host, port))
+    except BaseException:
+        await sock.close()
+        raise
+    return sock
+
+
 async def open_response(address, method, target, headers=None, body=b"", tls=None):
     """Send one request on a connection of its own.
 
