--- a/features/settings/mistakes.feature
+++ b/features/settings/mistakes.feature
@@ -17,7 +17,7 @@
       | a burst below one          | base.ini | burst = 40           | burst = 0               | account desk        | burst         | 0               | a number from 1 to           |
       | a weight of nothing        | base.ini | weight = 2           | weight = 0              | data_centre west    | weight        | 0               | a number from 0.001          |
       | an option misspelt         | base.ini | burst = 40           | brust = 40              | account desk        | brust         | brust           | did you mean 'burst'?        |
-      | slots that are no integer  | base.ini | slots = 16           | slots = 1.5             | limits              | slots         | 1.5             | a whole number from 1        |
+      | slots that are no integer  | base.ini | slots = 16           | slots = 1.5             | limits              | slots         | 1.5             | a whole number from 2        |
       | too many slots             | base.ini | slots = 16           | slots = 99999           | limits              | slots         | 99999           | to 1024                      |
       | a kind that does not exist | base.ini | kind = model         | kind = modell           | route chat          | kind          | modell          | one of model, service        |
       | a flag that is neither     | base.ini | open = yes           | open = maybe            | route notices       | open          | maybe           | yes or no                    |
@@ -36,7 +36,7 @@
     Then each of these mistakes alone has its message
       | mistake                    | file     | instead of           | write                   | section             | option        | read            | allowed                      |
       | a section misspelt         | base.ini | [limits]             | [limit]                 | limit               |               | limit           | did you mean 'limits'?       |
-      | a section of another sort  | base.ini |                      | [teapot x]              | teapot x            |               | teapot x        | one of account, data_centre  |
+      | a section of another sort  | base.ini |                      | [teapot x]              | teapot x            |               | teapot x        | one of account, batch, data_c|
       | a section twice            | base.ini |                      | [account desk]          | account desk        |               | account desk    | each section once            |
       | an option twice            | base.ini | rate = 20            | rate = 20\nrate = 21    | account desk        | rate          | rate = 21       | each option once             |
       | a line of another form     | base.ini | rate = 20            | rate = 20\nfaster!      | account desk        |               | faster!         | option = value               |
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -1,7 +1,5 @@
 """Steps of the callers' front."""
 
-from contextlib import asynccontextmanager
-
 import curio
 import orjson
 from behave import given, then, when
@@ -9,8 +7,9 @@
 from features.builders import wait_until
 from features.builders.wire import RawCaller, make_request
 from mangogauge.clock import SystemClock
-from mangogauge.gateway import Front
+from mangogauge.gateway import Doorkeeper, Front
 from mangogauge.http import Headers, HTTPServer, open_response
+from mangogauge.keys import KeyGuard, KeyRecord, KeyRing, KeyTrust, hash_key, make_key
 from mangogauge.settings import ConfigurationDocuments, read_fleet
 from mangogauge.telemetry import HostMetrics
 
@@ -292,7 +291,7 @@
 class FailingLimiter:
     """A limiter with a mistake in it."""
 
-    def admit(self, account, cost=1.0):
+    async def admit(self, account, cost=1.0):
         raise ZeroDivisionError(account)
 
 
@@ -302,24 +301,19 @@
     base += "[route chat]\npath = /v1/chat/completions\nkind = model\n"
     base += "[endpoint e]\naddress = 127.0.0.1:9\ndata_centre = a\nkind = engine\n"
     fleet = read_fleet(ConfigurationDocuments(base + "models = small\n"), "a")
-    front = Front(OneKey(), FailingLimiter(), None, SystemClock(), HostMetrics())
+    ring = KeyRing(SystemClock())
+    context.key = make_key()
+    ring.take(KeyRecord(hash_key(context.key), "desk"), 1)
+    trust = KeyTrust(SystemClock(), 60)
+    doorkeeper = Doorkeeper(ring, KeyGuard(), trust)
+    front = Front(doorkeeper, FailingLimiter(), None, SystemClock(), HostMetrics())
     front.set_settings(fleet)
     context.handler = front.handle
 
 
-class OneKey:
-    """A doorkeeper to whom every key is the client account's."""
-
-    account = "desk"
-
-    @asynccontextmanager
-    async def hold(self, exchange):
-        yield self
-
-
 @when("a caller asks that front for a chat")
 def ask_front(context):
-    headers = [("Authorization", "Bearer any")]
+    headers = [("Authorization", f"Bearer {context.key}")]
     request = ("POST", "/v1/chat/completions", headers, chat_body(1, False))
     context.answers = curio.run(ask_in_turn, context.handler, [request])
 
--- a/mangogauge/commands/application.py
+++ b/mangogauge/commands/application.py
@@ -2,7 +2,7 @@
 
 from cyclopts import App
 
-from . import configuration, jobs, keys, roster, serve, standin, state
+from . import configuration, jobs, keys, load, report, roster, serve, standin, state
 from .demo import demo
 from .exits import EXIT_HELP
 
@@ -22,6 +22,8 @@
 app.command(roster.app)
 app.command(demo)
 app.command(standin.app)
+app.command(load.load)
+app.command(report.app)
 
 
 def main():
--- a/mangogauge/daemon/host.py
+++ b/mangogauge/daemon/host.py
@@ -5,14 +5,24 @@
 
 import curio
 
-from ..batch import BatchResource, BatchRunner, FileResource, FileStore, JobStore
+from ..batch import BatchPart, ObservedRouter
 from ..clock import SystemClock
 from ..configuration import ConfigurationReplica, ConfigurationStore
 from ..distribution import Distributor, Roster, RosterEntry, RosterKeeper
 from ..gateway import Dispatcher, Doorkeeper, Front, ModelResource
 from ..http import ClientPool, HTTPServer, ServerLimits
+from ..idempotency import KeyedCalls
 from ..keys import KeyGuard, KeyReplica, KeyRing, KeyTrust
-from ..limits import LocalLimiter
+from ..limits import (
+    ClaimPlanner,
+    FleetLimiter,
+    HostBudget,
+    LenderDirectory,
+    LoanExchange,
+    Owner,
+    SlotKeeper,
+    read_machine_identity,
+)
 from ..membership import Member, MembershipExchange, MembershipView, new_incarnation
 from ..platform import GatewayStore, RecordStore
 from ..protocol import ChannelPool, ProtocolServer
@@ -63,13 +73,15 @@
         self._make_limits()
         self._make_routing()
         self._make_batch()
+        self._make_keyed()
         self._make_front()
         self._make_ports(secret)
 
     @property
     def ready(self):
         """Whether callers may be sent here."""
-        return self.distributor.loaded and not self.draining
+        loaded = self.distributor.loaded and self.limiter.ready
+        return loaded and not self.draining
 
     def _make_platform(self):
         platform = self.settings.platform
@@ -121,29 +133,52 @@
         self.parts += [self.distributor, self.roster]
 
     def _make_limits(self):
-        self.limiter = LocalLimiter(self.clock)
+        settings, member = self.settings, self.member
+        ports = (settings.callers_port, settings.peer_port, settings.operator_port)
+        addresses = [f"{settings.address}:{port}" for port in ports]
+        machine = read_machine_identity(addresses) if all(ports) else ""
+        owner = Owner(member.name, member.incarnation, machine)
+        budget = HostBudget(self.clock, f"{member.name}#{member.incarnation}")
+        planner = ClaimPlanner(owner, self.random, self.clock)
+        keeper = SlotKeeper(budget, planner, self.records, self.view, self.clock)
+        directory = LenderDirectory(self.view, self.clock)
+        exchange = LoanExchange(budget, directory, self.channels, self.clock)
+        self.limiter = FleetLimiter(budget, exchange, directory, self.clock)
+        self.parts += [keeper, exchange]
 
     def _make_routing(self):
-        self.router = LeastLoadedRouter(self.settings.data_centre, self.random)
+        self.router = ObservedRouter(
+            LeastLoadedRouter(self.settings.data_centre, self.random)
+        )
         self.dispatcher = Dispatcher(
             self.router, RetryPolicy(), ClientPool(), self.clock, self.metrics
         )
 
     def _make_batch(self):
-        files = FileStore(self.records, self.clock)
-        jobs = JobStore(self.records)
-        self.resources = [FileResource(files), BatchResource(jobs, files, self.clock)]
-        self.resources.append(ModelResource())
-        runner = BatchRunner(
-            self.settings.name, self.records, jobs, files, self.dispatcher, self.clock
+        self.batch = BatchPart(
+            self.settings.name,
+            self.records,
+            self.dispatcher,
+            self.router,
+            self.view,
+            self.clock,
+            self.random,
+            self.metrics,
         )
-        self.parts.append(runner)
+        self.resources = [*self.batch.resources, ModelResource()]
+        self.parts.append(self.batch)
+
+    def _make_keyed(self):
+        self.keyed = KeyedCalls(
+            self.dispatcher, self.records, self.view, self.channels, self.clock
+        )
+        self.parts.append(self.keyed)
 
     def _make_front(self):
         self.front = Front(
             Doorkeeper(self.ring, self.guard, self.trust),
             self.limiter,
-            self.dispatcher,
+            self.keyed.dispatcher,
             self.clock,
             self.metrics,
             self.resources,
@@ -224,4 +259,5 @@
             await part.drain()
         await curio.sleep(self.settings.drain_seconds)
         await self.callers.drain()
+        await self.keyed.finish()
         await self.roster.leave()
--- a/mangogauge/gateway/front.py
+++ b/mangogauge/gateway/front.py
@@ -35,6 +35,9 @@
     408: RefusalCode.REQUEST_TIMEOUT,
     413: RefusalCode.TOO_LARGE,
 }
+IDEMPOTENCY_HEADER = "idempotency-key"
+KEY_LIMIT = 255
+SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 
 log = get_logger("front")
 
@@ -136,7 +139,7 @@
         async with self._doorkeeper.hold(exchange) as record:
             labels.account = record.account
             _check_account(route, record)
-            self._admit(record.account)
+            await self._admit(record.account)
             await self._run(exchange, request_id, route, labels, started)
 
     async def _run(self, exchange, request_id, route, labels, started):
@@ -161,8 +164,8 @@
             )
         return route
 
-    def _admit(self, account):
-        admission = self._limiter.admit(account)
+    async def _admit(self, account):
+        admission = await self._limiter.admit(account)
         if not admission.admitted:
             raise Refusal(
                 RefusalCode.RATE_EXCEEDED,
@@ -185,6 +188,7 @@
             body=body,
             deadline=deadline,
             repeatable=exchange.method in route.repeatable,
+            idempotency_key=_read_idempotency_key(exchange),
         )
         if route.kind is RouteKind.MODEL:
             self._read_model(call)
@@ -282,6 +286,17 @@
     return headers
 
 
+def _read_idempotency_key(exchange):
+    """Return the caller's key; safe methods need none, so theirs is left out."""
+    key = exchange.headers.get(IDEMPOTENCY_HEADER, "")
+    if len(key) > KEY_LIMIT:
+        raise Refusal(
+            RefusalCode.MALFORMED,
+            f"Idempotency-Key is longer than {KEY_LIMIT} characters.",
+        )
+    return "" if exchange.method in SAFE_METHODS else key
+
+
 def _check_account(route, record):
     if route.accounts and record.account not in route.accounts:
         raise Refusal(RefusalCode.ROUTE_FORBIDDEN, "This key may not use this route.")
--- a/mangogauge/settings/__init__.py
+++ b/mangogauge/settings/__init__.py
@@ -2,14 +2,19 @@
 
 from .documents import ConfigurationDocuments
 from .fleet import (
+    BatchSettings,
     ClientAccount,
     DataCentre,
     Endpoint,
     EndpointKind,
     FleetSettings,
+    IdempotencySettings,
     KeySettings,
     LimitSettings,
     Model,
+    Objective,
+    ObjectiveKind,
+    RoomKind,
     Route,
     RouteKind,
 )
@@ -26,6 +31,7 @@
 
 __all__ = [
     "CallerSettings",
+    "BatchSettings",
     "ClientAccount",
     "ConfigurationDocuments",
     "DataCentre",
@@ -34,12 +40,16 @@
     "FleetSettings",
     "HostSettings",
     "KeySettings",
+    "IdempotencySettings",
     "Kind",
     "LimitSettings",
     "Model",
+    "Objective",
+    "ObjectiveKind",
     "PeerSettings",
     "PlatformSettings",
     "Problem",
+    "RoomKind",
     "Route",
     "RouteKind",
     "SettingsError",
--- a/mangogauge/settings/fleet.py
+++ b/mangogauge/settings/fleet.py
@@ -15,18 +15,24 @@
     NameKind,
     NumberKind,
     PathKind,
+    TextKind,
 )
 from .sections import make_option
 
 __all__ = [
+    "BatchSettings",
     "ClientAccount",
     "DataCentre",
     "Endpoint",
     "EndpointKind",
     "FleetSettings",
     "KeySettings",
+    "IdempotencySettings",
     "LimitSettings",
     "Model",
+    "Objective",
+    "ObjectiveKind",
+    "RoomKind",
     "Route",
     "RouteKind",
 ]
@@ -43,6 +49,13 @@
     SERVICE = "service"
 
 
+class RoomKind(enum.Enum):
+    """How a host decides how many batch items an endpoint may run."""
+
+    SPARE = "spare"
+    FIXED = "fixed"
+
+
 class EndpointKind(enum.Enum):
     """What an endpoint is."""
 
@@ -185,15 +198,24 @@
     outage_horizon : float
         Seconds for which a host may go on so.
     loan_seconds : float
-        How long budget that one host lends another is good for.
+        How long budget that one host lends another is good for, at most.
+    lease_seconds : int
+        Seconds after which the platform counts a silent host's lease as lapsed.
     slots : int
-        Parts into which a data centre's budget is divided among its hosts.
+        Slots that a data centre's hosts divide among themselves, in pairs; an
+        account's budget there lies in one pair. Taken when the platform's
+        record is first made.
+
+    Notes
+    -----
+    The first four are put in force for a slot when a host claims it.
     """
 
     durable_share = make_option(NumberKind(0, 1), default=0.8)
-    outage_horizon = make_option(NumberKind(10, DAY_SECONDS, "seconds"), default=5400.0)
+    outage_horizon = make_option(NumberKind(1, DAY_SECONDS, "seconds"), default=5400.0)
     loan_seconds = make_option(NumberKind(0.2, 60, "seconds"), default=2.0)
-    slots = make_option(IntegerKind(1, 1024), default=16)
+    lease_seconds = make_option(IntegerKind(1, 300, "seconds"), default=20)
+    slots = make_option(IntegerKind(2, 1024), default=16)
 
 
 @frozen
@@ -210,6 +232,120 @@
     trust_seconds = make_option(NumberKind(10, 30 * DAY_SECONDS, "seconds"), 14_400.0)
 
 
+@frozen
+class BatchSettings:
+    """How batch jobs are kept and run.
+
+    Parameters
+    ----------
+    chunk_items : int
+        Largest number of items in one chunk.
+    concurrency : int
+        Largest number of items that one host runs at once.
+    room : RoomKind
+        Whether batch work gives way to online requests, or not.
+    fixed_items : int
+        Items that a host runs at each endpoint with fixed room.
+    spare_share : float
+        Part of an endpoint's slots that batch and online work fill together.
+    load_lag : float
+        Age of endpoints' load reports in seconds.
+    lease_seconds : float
+        How long a host's claims outlive it.
+    poll_seconds : float
+        Mean time between a host's looks for open work.
+    commit_seconds : float
+        Longest time that a result waits to be committed with others.
+    attempts : int
+        Failed runs after which an item ends in an error.
+    held_items : int
+        Results that a host holds while the platform is away.
+    outage_seconds : float
+        How long a host that neither reaches the platform nor a peer that
+        does goes on starting items.
+    backoff_seconds : float
+        Mean pause before an item is tried again.
+    retention_seconds : float
+        How long files, jobs and results are kept.
+    upload_seconds : float
+        Longest time that an upload may take.
+    """
+
+    chunk_items = make_option(IntegerKind(1, 10_000, "items"), default=500)
+    concurrency = make_option(IntegerKind(1, 10_000, "items"), default=64)
+    room = make_option(ChoiceKind(RoomKind), default=RoomKind.SPARE)
+    fixed_items = make_option(IntegerKind(1, 10_000, "items"), default=8)
+    spare_share = make_option(NumberKind(0, 1), default=0.9)
+    load_lag = make_option(NumberKind(0, 60, "seconds"), default=1.0)
+    lease_seconds = make_option(NumberKind(1, 600, "seconds"), default=15.0)
+    poll_seconds = make_option(NumberKind(0.05, 60, "seconds"), default=1.0)
+    commit_seconds = make_option(NumberKind(0.05, 60, "seconds"), default=5.0)
+    attempts = make_option(IntegerKind(1, 100, "runs"), default=3)
+    held_items = make_option(IntegerKind(1, 1_000_000, "items"), default=20_000)
+    outage_seconds = make_option(NumberKind(0, DAY_SECONDS, "seconds"), default=120.0)
+    backoff_seconds = make_option(NumberKind(0.01, 600, "seconds"), default=1.0)
+    retention_seconds = make_option(
+        NumberKind(1, 400 * DAY_SECONDS, "seconds"), default=30.0 * DAY_SECONDS
+    )
+    upload_seconds = make_option(NumberKind(1, DAY_SECONDS, "seconds"), default=3600.0)
+
+
+@frozen
+class IdempotencySettings:
+    """How calls with an ``Idempotency-Key`` are kept.
+
+    Parameters
+    ----------
+    group_seconds : float
+        Least time between the writes of one data centre's writer.
+    retention_seconds : float
+        How long an answer is kept for resends.
+    """
+
+    group_seconds = make_option(NumberKind(0, 5, "seconds"), default=0.1)
+    retention_seconds = make_option(
+        NumberKind(1, 400 * DAY_SECONDS, "seconds"), default=float(DAY_SECONDS)
+    )
+
+
+class ObjectiveKind(enum.Enum):
+    """What an objective is about."""
+
+    AVAILABILITY = "availability"
+    WHOLE_ANSWER = "whole_answer"
+    FIRST_TOKEN = "first_token"
+    BETWEEN_TOKENS = "between_tokens"
+    BATCH_DUE = "batch_due"
+    REFUSED_WITHIN_RATE = "refused_within_rate"
+
+
+@frozen
+class Objective:
+    """A service level that the operators hold the system to.
+
+    Parameters
+    ----------
+    name : str
+    kind : ObjectiveKind
+    target : float
+        Part of the requests, gaps or jobs that must be good.
+    threshold : float
+        Seconds within which one counts as good, for kinds that are about time.
+    route, account : str
+        What it is about; empty for all.
+    period_days : float
+        Days over which the budget is counted.
+    """
+
+    name = field()
+    kind = make_option(ChoiceKind(ObjectiveKind))
+    target = make_option(NumberKind(0.5, 0.99999))
+    threshold = make_option(NumberKind(0.001, DAY_SECONDS, "seconds"), default=1.0)
+    route = make_option(TextKind(), default="")
+    account = make_option(NameKind(), default="")
+    period_days = make_option(NumberKind(0.01, 366, "days"), default=30.0)
+
+
 @frozen
 class FleetSettings:
     """All that is shared, as one data centre sees it.
@@ -218,10 +354,12 @@
     ----------
     version : int
         Version of the configuration; 0 if read from files.
-    accounts, routes, models, endpoints, data_centres : dict
+    accounts, routes, models, endpoints, data_centres, objectives : dict
         By name.
     limits : LimitSettings
     keys : KeySettings
+    batch : BatchSettings
+    idempotency : IdempotencySettings
     """
 
     version = field(default=0)
@@ -230,8 +368,11 @@
     models = field(factory=dict)
     endpoints = field(factory=dict)
     data_centres = field(factory=dict)
+    objectives = field(factory=dict)
     limits = field(factory=LimitSettings)
     keys = field(factory=KeySettings)
+    batch = field(factory=BatchSettings)
+    idempotency = field(factory=IdempotencySettings)
 
 
 NAMED_SECTIONS = {
@@ -240,5 +381,11 @@
     "model": ("models", Model),
     "endpoint": ("endpoints", Endpoint),
     "data_centre": ("data_centres", DataCentre),
+    "objective": ("objectives", Objective),
+}
+SINGLE_SECTIONS = {
+    "limits": LimitSettings,
+    "keys": KeySettings,
+    "batch": BatchSettings,
+    "idempotency": IdempotencySettings,
 }
-SINGLE_SECTIONS = {"limits": LimitSettings, "keys": KeySettings}
