--- a/features/gateway/front.feature
+++ b/features/gateway/front.feature
@@ -62,3 +62,9 @@
   Scenario: A drain cuts off no request, also on connections that were kept
     When a stream is under way and an idle connection is kept, and the host drains
     Then the stream is whole, the kept connection has ended, and the host ended with 0
+
+  Scenario: Logs are lines of JSON that lead to a request, and never hold a key
+    When a caller hangs up within a stream
+    And a caller gives the request id "desk-logged"
+    And a caller gives the deadline "soon"
+    Then the host's log is JSON, names the request that was left, and holds no key
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -323,3 +323,23 @@
     (found, body), error = context.answers[0], None
     error = orjson.loads(body)["error"]
     assert (found, error["code"], error["executed"]) == (status, code, executed), body
+
+
+@then("the host's log is JSON, names the request that was left, and holds no key")
+def check_log(context):
+    process = context.world.processes["a1"]
+    wait_until(lambda: "caller hung up" in process.read_log(), "the cancel is logged")
+    text = process.read_log()
+    assert context.key not in text and "Bearer" not in text
+    lines = [orjson.loads(line) for line in text.splitlines()]
+    left = [line for line in lines if line["message"] == "caller hung up"]
+    for name, value in (
+        ("request_id", "left-in-stream"),
+        ("client_account", "desk"),
+        ("route", "chat"),
+        ("host", "a1"),
+        ("data_centre", "a"),
+    ):
+        assert left[0][name] == value, left
+    refused = [line for line in lines if line["message"] == "refused"]
+    assert "malformed_request" in {line["code"] for line in refused}, refused
--- a/mangogauge/telemetry/logs.py
+++ b/mangogauge/telemetry/logs.py
@@ -9,6 +9,9 @@
 
 LINE_FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
 
+# What curio says of a time-out that came as the work was done is no news.
+LOGGERS = {"mangogauge": logging.NOTSET, "curio": logging.ERROR}
+
 
 def configure_logs(level="INFO", stream=None, **fields):
     """Write logs as JSON lines.
@@ -23,10 +26,12 @@
     """
     handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(JsonFormatter(LINE_FORMAT, static_fields=fields))
-    root = logging.getLogger("mangogauge")
-    root.handlers[:] = [handler]
-    root.setLevel(level)
-    root.propagate = False
+    for name, least in LOGGERS.items():
+        logger = logging.getLogger(name)
+        logger.handlers[:] = [handler]
+        logger.setLevel(level)
+        logger.setLevel(max(logger.level, least))
+        logger.propagate = False
 
 
 def get_logger(name):
