--- a/features/builders/settings.py
+++ b/features/builders/settings.py
@@ -61,9 +61,13 @@
     seeds=(),
     caller_limits=None,
     host_list="",
+    peer_options=None,
     **options,
 ):
-    """Return a host file's text; `caller_limits` are the options of [callers]."""
+    """Return a host file's text.
+
+    `caller_limits` are the options of [callers], `peer_options` more of [peers].
+    """
     callers, peer, operator = ports
     listed = {"host_list": host_list} if host_list else {}
     return "\n".join(
@@ -79,7 +83,12 @@
                 **{"drain_seconds": 0.3, **options},
             ),
             make_section("platform", addresses=platform, timeout=1.0, **listed),
-            make_section("peers", secret_file=secret_file, seeds=", ".join(seeds)),
+            make_section(
+                "peers",
+                secret_file=secret_file,
+                seeds=", ".join(seeds),
+                **(peer_options or {}),
+            ),
             make_section("callers", **(caller_limits or {})),
         ]
     )
