--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,7 +4,7 @@
 
 from cyclopts import App
 
-from .records import write_record
+from .records import collect_rows, write_record
 from .scenarios import SCENARIOS
 
 OUTPUT = Path("output/bench")
@@ -39,7 +39,7 @@
     if scenario not in SCENARIOS:
         raise SystemExit(f"no such scenario; one of: {', '.join(SCENARIOS)}")
     experiment = SCENARIOS[scenario]()
-    rows = experiment.run(seed, seconds, rounds)
+    rows = collect_rows(output / scenario, experiment.run(seed, seconds, rounds))
     write_record(output / scenario, experiment, rows, seed, seconds, rounds)
 
 
--- a/bench/records.py
+++ b/bench/records.py
@@ -27,12 +27,22 @@
 
     @abstractmethod
     def run(self, seed, seconds, rounds):
-        """Run it; return rows as dicts, each with deployment and variant."""
+        """Run it; yield rows as dicts, each with deployment and variant."""
+
+
+def collect_rows(folder, rows):
+    """Return all rows; each is also appended to a file as soon as it is there."""
+    folder.mkdir(parents=True, exist_ok=True)
+    collected = []
+    with (folder / "rows.jsonl").open("wb", buffering=0) as file:
+        for row in rows:
+            file.write(orjson.dumps(row) + b"\n")
+            collected.append(row)
+    return collected
 
 
 def write_record(folder, experiment, rows, seed, seconds, rounds):
     """Write ``record.json``, ``table.md`` and ``plot.png``; show the table."""
-    folder.mkdir(parents=True, exist_ok=True)
     record = {
         "scenario": experiment.name,
         "question": experiment.question,
--- a/bench/scenarios/control.py
+++ b/bench/scenarios/control.py
@@ -34,31 +34,21 @@
     plotted = ("core %", "memory MB", "peer KB/s", "platform calls/s")
 
     def run(self, seed, seconds, rounds):
-        rows = []
         for variant, sizes in POINTS.items():
-            rows += _measure_point(variant, dict(sizes), seconds, rounds)
-        return rows
+            yield from _measure_point(variant, dict(sizes), seconds, rounds)
 
 
 def _measure_point(variant, sizes, seconds, rounds):
     jobs = sizes.pop("jobs", 0)
     if "accounts" in sizes:
         sizes["accounts"] = [(f"account{n}", 5) for n in range(sizes["accounts"])]
-    rows = []
     with Deployment(YARDIMELI, **sizes) as deployment:
         _submit_jobs(deployment, jobs)
         time.sleep(SETTLE_SECONDS)
         for number in range(rounds):
             row = _measure(deployment, seconds)
-            rows.append(
-                {
-                    "deployment": YARDIMELI.name,
-                    "variant": variant,
-                    **row,
-                    "round": number,
-                }
-            )
-    return rows
+            named = {"deployment": YARDIMELI.name, "variant": variant}
+            yield {**named, **row, "round": number}
 
 
 def _measure(deployment, seconds):
--- a/bench/scenarios/fair.py
+++ b/bench/scenarios/fair.py
@@ -16,7 +16,6 @@
     plotted = ("worst share", "worst p99")
 
     def run(self, seed, seconds, rounds):
-        rows = []
         for kind in KINDS:
             with Deployment(kind, burst=2, headroom=1.0) as deployment:
                 for number in range(rounds):
@@ -24,15 +23,12 @@
                         row = _measure(
                             deployment, factor, direct, seconds, seed + number
                         )
-                        rows.append(
-                            {
-                                "deployment": kind.name,
-                                "variant": variant,
-                                **row,
-                                "round": number,
-                            }
-                        )
-        return rows
+                        yield {
+                            "deployment": kind.name,
+                            "variant": variant,
+                            **row,
+                            "round": number,
+                        }
 
 
 def _measure(deployment, factor, direct, seconds, seed):
--- a/bench/scenarios/faults.py
+++ b/bench/scenarios/faults.py
@@ -19,14 +19,12 @@
     plotted = ("errors", "recovery")
 
     def run(self, seed, seconds, rounds):
-        rows = []
         for kind in KINDS:
             with Deployment(kind, burst=10, headroom=10) as deployment:
                 for number in range(rounds):
                     for variant in FAULTS:
                         row = _measure(deployment, variant, seconds, seed + number)
-                        rows.append({"deployment": kind.name, **row, "round": number})
-        return rows
+                        yield {"deployment": kind.name, **row, "round": number}
 
 
 def _measure(deployment, variant, seconds, seed):
--- a/bench/scenarios/harm.py
+++ b/bench/scenarios/harm.py
@@ -1,5 +1,7 @@
 """How much batch work harms the online tail."""
 
+import time
+
 from ..deployment import KINDS, Deployment
 from ..loads import Load
 from ..records import Experiment
@@ -9,6 +11,7 @@
 FIXED_CAP_RATE = 12
 UNCAPPED_RATE = 60
 OUTPUT_TOKENS = 16
+IDLE_SECONDS = 15.0
 
 
 class HarmExperiment(Experiment):
@@ -19,14 +22,12 @@
     plotted = ("p99", "first p99")
 
     def run(self, seed, seconds, rounds):
-        rows = []
         for kind in KINDS:
             with Deployment(kind, burst=10, headroom=20) as deployment:
                 for number in range(rounds):
                     for variant in VARIANTS:
                         row = _measure(deployment, variant, seconds, seed + number)
-                        rows.append({"deployment": kind.name, **row, "round": number})
-        return rows
+                        yield {"deployment": kind.name, **row, "round": number}
 
 
 def _measure(deployment, variant, seconds, seed):
@@ -38,6 +39,7 @@
     other = batch.finish() if batch else None
     if other is not None and other.summary["jobs"]:
         cancel_jobs(deployment)
+    wait_until_idle(deployment)
     return {
         "variant": variant,
         "p50": result.get_percentile("p50"),
@@ -97,6 +99,17 @@
     return total
 
 
+def wait_until_idle(deployment):
+    """Wait until the engines run nothing, so that variants don't meet."""
+    engines = [deployment.world.get_standin(n) for n in list_engines(deployment)]
+    ends = time.monotonic() + IDLE_SECONDS
+    while time.monotonic() < ends:
+        loads = [engine.control() for engine in engines]
+        if not any(load["running"] or load["waiting"] for load in loads):
+            return
+        time.sleep(0.2)
+
+
 def cancel_jobs(deployment):
     name = deployment.accounts[0][0]
     caller = deployment.world.get_caller("a1", deployment.keys[name])
--- a/bench/scenarios/limits.py
+++ b/bench/scenarios/limits.py
@@ -26,22 +26,18 @@
     plotted = ("refused within rate", "overshoot")
 
     def run(self, seed, seconds, rounds):
-        rows = []
         for kind in KINDS:
             with Deployment(kind, burst=BURST_SECONDS, slots=32) as deployment:
                 for number in range(rounds):
                     for traffic in TRAFFIC:
                         measured = _measure(deployment, traffic, seconds, seed + number)
                         for variant, row in measured.items():
-                            rows.append(
-                                {
-                                    "deployment": kind.name,
-                                    "variant": f"{variant}, {traffic}",
-                                    **row,
-                                    "round": number,
-                                }
-                            )
-        return rows
+                            yield {
+                                "deployment": kind.name,
+                                "variant": f"{variant}, {traffic}",
+                                **row,
+                                "round": number,
+                            }
 
 
 def _measure(deployment, traffic, seconds, seed):
--- a/bench/scenarios/parts.py
+++ b/bench/scenarios/parts.py
@@ -34,16 +34,14 @@
     plotted = ("ms", "KB", "memory MB")
 
     def run(self, seed, seconds, rounds):
-        rows = []
         for number in range(rounds):
             measured = [_measure_exchange(count) for count in MEMBERS]
             measured += [_measure_configuration(count) for count in ACCOUNTS]
             measured += [_measure_ring(count) for count in ACCOUNTS]
             measured.append(_measure_buckets())
             for variant, row in measured:
-                rows.append({"deployment": "one process", "variant": variant, **row})
-                rows[-1]["round"] = number
-        return rows
+                named = {"deployment": "one process", "variant": variant}
+                yield {**named, **row, "round": number}
 
 
 def _measure_exchange(count):
--- a/bench/scenarios/proxy.py
+++ b/bench/scenarios/proxy.py
@@ -18,7 +18,6 @@
     plotted = ("p50", "processor ms a request")
 
     def run(self, seed, seconds, rounds):
-        rows = []
         with Deployment(YARDIMELI, 10, 50, ENGINES_SLOTS) as deployment:
             for number in range(rounds):
                 for tokens in OUTPUT_TOKENS:
@@ -30,15 +29,12 @@
                             deployment, hosts, tokens, seconds, seed + number
                         )
                         name = f"{variant}, {tokens} tokens"
-                        rows.append(
-                            {
-                                "deployment": YARDIMELI.name,
-                                "variant": name,
-                                **row,
-                                "round": number,
-                            }
-                        )
-        return rows
+                        yield {
+                            "deployment": YARDIMELI.name,
+                            "variant": name,
+                            **row,
+                            "round": number,
+                        }
 
 
 def _measure(deployment, hosts, tokens, seconds, seed):
--- a/bench/scenarios/throughput.py
+++ b/bench/scenarios/throughput.py
@@ -5,14 +5,13 @@
 from ..deployment import KINDS, Deployment
 from ..loads import Load
 from ..records import Experiment
-from .harm import cancel_jobs, count_finished
+from .harm import cancel_jobs, count_finished, wait_until_idle
 
 JOB_ITEMS = 4000
 JOBS = 4
 CLOSED_RATE = 400
 OUTPUT_TOKENS = 16
 WARM_SECONDS = 3.0
-DRAIN_SECONDS = 2.0
 
 
 class BatchExperiment(Experiment):
@@ -23,17 +22,15 @@
     plotted = ("items/s", "share of capacity")
 
     def run(self, seed, seconds, rounds):
-        rows = []
         for kind in KINDS:
             with Deployment(kind, burst=10, headroom=50) as deployment:
                 for number in range(rounds):
-                    rows += _measure(deployment, seconds, seed + number, number)
-        return rows
+                    yield from _measure(deployment, seconds, seed + number, number)
 
 
 def _measure(deployment, seconds, seed, number):
     capacity = _flood(deployment, seconds, seed)
-    time.sleep(DRAIN_SECONDS)
+    wait_until_idle(deployment)
     jobs, writes = _run_jobs(deployment, seconds, seed)
     rows = [("engines flooded", capacity, 0), ("product", jobs, writes)]
     return [
@@ -80,6 +77,7 @@
     writes = platform.control()["counts"].get("write", 0)
     load.finish()
     cancel_jobs(deployment)
+    wait_until_idle(deployment)
     return items / (seconds - WARM_SECONDS), writes / seconds
 
 
