--- a/mangogauge/commands/report.py
+++ b/mangogauge/commands/report.py
@@ -21,6 +21,7 @@
 )
 from ..report.render import make_page, make_table, make_value
 from ..settings import ConfigurationDocuments, SettingsError, read_fleet
+from ..settings.reference import make_reference
 from .exits import ExitCode
 from .output import print_error, print_json
 
@@ -116,6 +117,12 @@
     print(orjson.dumps(value, option=orjson.OPT_INDENT_2).decode())
 
 
+@app.command
+def settings():
+    """Print the reference of all settings as Markdown."""
+    print(make_reference(), end="")
+
+
 def _print_table(burns, missing):
     console = Console()
     console.print(make_table(burns))
