--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -20,6 +20,7 @@
     seconds: float = 8.0,
     rounds: int = 2,
     output: Path = OUTPUT,
+    only: str = "",
 ):
     """Run one experiment on each deployment it is for.
 
@@ -35,10 +36,13 @@
         How many times each variant runs, interleaved with the others.
     output
         Folder of the JSON record, the table and the plot.
+    only
+        For `control`: leave out points whose name does not begin so.
     """
     if scenario not in SCENARIOS:
         raise SystemExit(f"no such scenario; one of: {', '.join(SCENARIOS)}")
     experiment = SCENARIOS[scenario]()
+    experiment.only = only
     rows = collect_rows(output / scenario, experiment.run(seed, seconds, rounds))
     write_record(output / scenario, experiment, rows, seed, seconds, rounds)
 
--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -14,6 +14,7 @@
 LARGE_ACCOUNTS = 3
 ACCOUNTS = 8
 HOSTS = 4
+GRANTERS = 32
 
 
 @frozen
@@ -134,10 +135,16 @@
     async def _grant_keys(self):
         store = GatewayStore([self.world.platform_address])
         keys = KeyStore(RecordStore(store), SystemClock())
-        for name, _ in self.accounts:
+        pending = iter(self.accounts)
+        async with curio.TaskGroup() as group:
+            for _ in range(GRANTERS):
+                await group.spawn(self._grant_some, keys, pending)
+        await store.close()
+
+    async def _grant_some(self, keys, pending):
+        for name, _ in pending:
             granted = (await keys.grant(name, "bench")).unwrap()
             self.keys[name] = granted[0]
-        await store.close()
 
     def _name_endpoints(self):
         running = list(self.world.endpoints.values())
--- a/bench/records.py
+++ b/bench/records.py
@@ -19,11 +19,14 @@
     question : str
     plotted : tuple of str
         Columns that the plot shows.
+    only : str
+        Leave out points whose name does not begin so; for `control`.
     """
 
     name = ""
     question = ""
     plotted = ()
+    only = ""
 
     @abstractmethod
     def run(self, seed, seconds, rounds):
--- a/bench/scenarios/control.py
+++ b/bench/scenarios/control.py
@@ -36,6 +36,8 @@
 
     def run(self, seed, seconds, rounds):
         for variant, sizes in POINTS.items():
+            if not variant.startswith(self.only):
+                continue
             yield from _measure_point(variant, dict(sizes), seconds, rounds)
 
 
