Keep jobs that can't be run from holding up others, and claim where there is room

An item without room was put back at the head of its chunk, so it barred all items behind it, and a chunk without room barred the other chunks of its host. A host with eight chunks of a model that no engine serves ran nothing else. And any host claimed any job: of 410 hosts, most would have run items at endpoints that other hosts fill.

Items without room now let others go first, chunks of which nothing could be started are given back, and what no endpoint serves ends in an error when it is due. The index says what a job's first chunk asks for; hosts that fill no endpoint of that kind leave it alone. Ruled out: a queue for each endpoint at the platform (a write more for each chunk, and endpoints come and go).

Result files are read in pages sized by their groups, 2 to 64 a call.

Run: "Items that no endpoint serves end when they are due" failed on the code before (60 s, job of the other model not ended), passes now.

--- a/features/batch/durability.feature
+++ b/features/batch/durability.feature
@@ -88,6 +88,13 @@
     Then the batch job completes and passes the audit through a host that is left
     And 0 items of the batch job end as "outcome_unknown"
 
+  Scenario: Items that no endpoint serves end when they are due, and hold up nothing
+    Given the batch model "absent" is in the settings and at no engine
+    When 10 batch jobs of 20 items for the model "absent" due in 20 s are accepted
+    And a batch job of 30 chats, 5 bookings and 0 bad items is accepted by "a1"
+    Then the batch job completes and passes the audit through "b1"
+    And the jobs for the absent model end with 200 errors "no_endpoint"
+
   Scenario: A cancel races completion
     When 6 batch jobs of 4 chats are cancelled around their completion
     Then each batch job ends in one state, and stays in it
--- a/features/steps/batch.py
+++ b/features/steps/batch.py
@@ -418,3 +418,44 @@
 @then("batch items were cancelled at the engines")
 def check_items_cancelled(context):
     assert _count(context, "cancelled") > 0
+
+
+@given('the batch model "{model}" is in the settings and at no engine')
+def add_absent_model(context, model):
+    world = context.world
+    world.extra += f"[model {model}]\n"
+    version = world.apply_configuration()
+    for host in world.hosts:
+        operator = world.get_operator(host)
+        wait_until(
+            lambda o=operator: (
+                o.request("GET", "/state").json["configuration_version"] >= version
+            ),
+            f"{host} has the configuration",
+        )
+
+
+@when(
+    '{jobs:d} batch jobs of {count:d} items for the model "{model}" '
+    "due in {seconds:d} s are accepted"
+)
+def submit_absent(context, jobs, count, model, seconds):
+    items = JobPlan(count).make_items()
+    for item in items:
+        item["body"]["model"] = model
+    file = context.jobs.upload("a1", items).json
+    answers = [
+        context.jobs.submit("a1", file["id"], completion_window=f"{seconds}s")
+        for _ in range(jobs)
+    ]
+    context.absent = [answer.json["id"] for answer in answers]
+
+
+@then('the jobs for the absent model end with {count:d} errors "{code}"')
+def check_absent(context, count, code):
+    results = []
+    for job_id in context.absent:
+        job = context.jobs.wait_until_ended("b1", job_id)
+        results += context.jobs.read_results("b1", job)
+    codes = [result["error"]["code"] for result in results]
+    assert codes == [code] * count, codes
--- a/mangogauge/batch/batch_resource.py
+++ b/mangogauge/batch/batch_resource.py
@@ -11,6 +11,7 @@
 from .answers import show_job, take_read, take_write
 from .chunks import sum_counts
 from .files import FileRecord
+from .items import list_needs
 from .jobs import Job, compute_fingerprint
 from .keys import make_identity
 
@@ -132,8 +133,10 @@
         if file_row is None:
             raise Refusal(RefusalCode.NOT_FOUND, "There is no such input file.")
         key = exchange.headers.get(KEY_HEADER, "")
-        job = self._make_job(request, FileRecord.from_bytes(file_row.payload), key)
-        accepted = take_write(await self._jobs.create(job, file_row))
+        file = FileRecord.from_bytes(file_row.payload)
+        job = self._make_job(request, file, key)
+        lines = take_read(await self._files.read_chunk(file.upload_id, 0)) or ()
+        accepted = take_write(await self._jobs.create(job, file_row, list_needs(lines)))
         if accepted is None:
             raise Refusal(RefusalCode.CONFLICT, "The input file has just changed.")
         if accepted.fingerprint != job.fingerprint:
--- a/mangogauge/batch/claiming.py
+++ b/mangogauge/batch/claiming.py
@@ -35,13 +35,15 @@
         self._risks = RiskBoard(parts.metrics.batch_jobs_at_risk)
         self.work = OpenWork(share, parts.clock)
 
-    async def find(self, lease_id, settings, without=()):
+    async def find(self, lease_id, settings, can_run, without=()):
         """Return an `OwnedChunk` of the most urgent job, or None.
 
         Parameters
         ----------
         lease_id : int
         settings : BatchSettings
+        can_run : callable
+            Whether this host should run an `OpenJob`.
         without : collection of str
             Jobs that are left out.
         """
@@ -49,7 +51,9 @@
         listed = self._sight.note(await self._parts.jobs.list_open(start))
         if isinstance(listed, Failure):
             return None
-        jobs = [job for job in listed.unwrap() if job.job_id not in without]
+        jobs = [
+            job for job in listed.unwrap() if job.job_id not in without and can_run(job)
+        ]
         for entry in self.work.choose(jobs, self._is_owner_sound, JOBS_PER_LOOK):
             chunk = await self._claim_from(entry.job_id, lease_id, settings)
             if chunk is not None:
--- a/mangogauge/batch/execution.py
+++ b/mangogauge/batch/execution.py
@@ -21,11 +21,14 @@
 
 IDLE_SECONDS = 0.02
 ROOM_TICK_SECONDS = 0.05
+ROOM_PAUSE_SECONDS = 0.05
+STALL_SECONDS = 10.0
 TICKS_PER_REPORT = 5
 BACKOFF_LIMIT_SECONDS = 30.0
 DEFAULT_WORK = 16
 FAILURES = frozenset({Verdict.LATER, Verdict.AGAIN})
 TOO_LARGE = ItemError("too_large", "The answer is too large to be kept.")
+NO_ENDPOINT = ItemError("no_endpoint", "No endpoint served the item until it was due.")
 CANCELLED = ItemError(
     "outcome_unknown", "The item was cancelled; it may have been run."
 )
@@ -42,6 +45,7 @@
     delays = field(factory=Counter)
     delayed = field(factory=list)
     intending = field(factory=list)
+    started_at = field(default=0.0)
 
 
 @define(eq=False)
@@ -106,7 +110,8 @@
 
     def add(self, chunk, lines):
         """Run the items of a chunk."""
-        self._runs[chunk] = _Run(chunk, lines)
+        now = self._parts.clock.read_elapsed()
+        self._runs[chunk] = _Run(chunk, lines, started_at=now)
 
     def remove(self, chunk):
         """Forget a chunk that is finished."""
@@ -126,6 +131,28 @@
             started = [s for s in run.tasks.values() if s.repeatable]
             await _cancel([s.task for s in started])
 
+    def can_run(self, entry):
+        """Return whether this host fills an endpoint that an open job needs.
+
+        Hosts that don't leave the job to those that do. Items that can't run
+        anywhere need no endpoint, and what is past due ends anyhow.
+        """
+        probes = [self._reader.make_probe(need) for need in entry.needs]
+        if not probes or None in probes:
+            return True
+        if self._parts.clock.read_calendar() > entry.due_at:
+            return True
+        return any(map(self._room.fills_place, probes))
+
+    def list_stalled(self):
+        """Return chunks of which nothing could be started for a while."""
+        oldest = self._parts.clock.read_elapsed() - STALL_SECONDS
+        return [
+            run.chunk
+            for run in self._runs.values()
+            if not run.tasks and run.started_at < oldest
+        ]
+
     def stop_starting(self):
         """Start nothing more at all."""
         self._stopped = True
@@ -199,8 +226,8 @@
         for run in self._list_runs():
             self._wake_delayed(run)
             index = self._take_index(run)
-            if index is not None:
-                return await self._start(group, run, index)
+            if index is not None and await self._start(group, run, index):
+                return True
         return False
 
     def _list_runs(self):
@@ -237,8 +264,8 @@
             return True
         endpoint = self._room.take(item.call)
         if endpoint is None:
-            ledger.put_back(index)
-            return False
+            return self._pass_over(run, index, item)
+        run.started_at = self._parts.clock.read_elapsed()
         item.call.endpoint = endpoint
         attempt_id = ledger.begin(index)
         work = _estimate_work(run.lines[index])
@@ -251,6 +278,16 @@
         )
         return True
 
+    def _pass_over(self, run, index, item):
+        """Let others go first while an item has no room; end it if none comes."""
+        late = self._parts.clock.read_calendar() > run.chunk.job.due_at
+        if late and not self._room.has_place(item.call):
+            run.chunk.ledger.settle(item.make_failure(index, NO_ENDPOINT))
+            return True
+        due = self._parts.clock.read_elapsed() + ROOM_PAUSE_SECONDS
+        heapq.heappush(run.delayed, (due, index))
+        return False
+
     async def _run_item(self, run, index, item, attempt_id, work):
         ledger, call, room = run.chunk.ledger, item.call, self._room
         sink = MemorySink()
--- a/mangogauge/batch/items.py
+++ b/mangogauge/batch/items.py
@@ -10,6 +10,7 @@
 from ..gateway.routes import RouteTable
 from ..http import Headers
 from ..settings import RouteKind
+from .jobs import Need
 
 __all__ = [
     "Item",
@@ -19,9 +20,11 @@
     "Verdict",
     "judge_answer",
     "judge_refusal",
+    "list_needs",
 ]
 
 JSON_HEADERS = (("Content-Type", "application/json"),)
+NEEDS_LIMIT = 8
 REFERENCE_HEADER = "X-Reference"
 
 
@@ -139,6 +142,16 @@
         problem = self._check(job, call)
         return Item(request_id, custom_id, None if problem else call, problem)
 
+    def make_probe(self, need):
+        """Return a `Call` to ask which endpoints suit, or None if none could."""
+        route = self._routes.find(need.target.partition("?")[0])
+        if route is None:
+            return None
+        if route.kind is RouteKind.MODEL and need.model not in self._models:
+            return None
+        headers = Headers(JSON_HEADERS)
+        return Call("", "", route, "POST", need.target, headers, b"", 0.0, need.model)
+
     def _make_call(self, job, request_id, value):
         target = value["url"]
         method = value.get("method", "POST")
@@ -180,6 +193,24 @@
         return None
 
 
+def list_needs(lines):
+    """Return the distinct `Need` of some lines, at most a few."""
+    needs = {}
+    for line in lines:
+        try:
+            value = orjson.loads(line)
+            body = value.get("body")
+            model = body.get("model", "") if isinstance(body, dict) else ""
+            # A service's targets may differ for each item; its path's first
+            # part is enough to find the route.
+            needs.setdefault((_cut_target(value["url"]), str(model)), value["url"])
+        except (ValueError, KeyError, TypeError, AttributeError):
+            continue
+        if len(needs) >= NEEDS_LIMIT:
+            break
+    return [Need(target, model) for (_, model), target in needs.items()]
+
+
 def judge_answer(status, repeatable):
     """Return a `Verdict` on a whole answer with this status."""
     if status >= 500 and repeatable:
@@ -200,6 +231,10 @@
     return Verdict.AGAIN if repeatable else Verdict.FAILED
 
 
+def _cut_target(target):
+    return target.partition("?")[0].rpartition("/")[0]
+
+
 def _read_body(data):
     try:
         body = orjson.loads(data)
--- a/mangogauge/batch/jobs.py
+++ b/mangogauge/batch/jobs.py
@@ -20,7 +20,15 @@
     make_open_key,
 )
 
-__all__ = ["Job", "JobCounts", "JobState", "JobStore", "OpenJob", "compute_fingerprint"]
+__all__ = [
+    "Job",
+    "JobCounts",
+    "JobState",
+    "JobStore",
+    "Need",
+    "OpenJob",
+    "compute_fingerprint",
+]
 
 CREATE_TRIES = 8
 OPEN_PAGE = 128
@@ -116,6 +124,22 @@
         return orjson.dumps({**asdict(self), "state": self.state.value})
 
 
+@frozen
+class Need:
+    """What some items of a job ask for.
+
+    Parameters
+    ----------
+    target : str
+        Path.
+    model : str
+        Empty on service routes.
+    """
+
+    target = field()
+    model = field(default="")
+
+
 @frozen
 class OpenJob:
     """What the index of open work says of a job.
@@ -126,12 +150,25 @@
     due_at : int
         Seconds since the Unix epoch.
     items : int
+    needs : tuple of Need
+        Those of its first chunk; empty if it has none.
     """
 
     job_id = field()
     account = field()
     due_at = field()
     items = field()
+    needs = field(default=(), converter=tuple)
+
+    @classmethod
+    def from_bytes(cls, data):
+        """Decode what `to_bytes` returned."""
+        value = orjson.loads(data)
+        return cls(**{**value, "needs": [Need(**need) for need in value["needs"]]})
+
+    def to_bytes(self):
+        """Encode for the platform's store."""
+        return orjson.dumps(asdict(self))
 
 
 def compute_fingerprint(digest, target, window, metadata):
@@ -158,9 +195,16 @@
     def __init__(self, records):
         self._records = records
 
-    async def create(self, job, file_row):
+    async def create(self, job, file_row, needs):
         """Put a new job in force, with its index entries, by one write.
 
+        Parameters
+        ----------
+        job : Job
+        file_row : StoredRecord
+            The input file as it was read.
+        needs : iterable of Need
+
         Returns
         -------
         returns.result.Result
@@ -171,7 +215,7 @@
             written = await self._records.write(
                 make_job_key(job.job_id),
                 job.to_bytes(),
-                extra=_make_entries(job, file_row),
+                extra=_make_entries(job, file_row, needs),
             )
             if isinstance(written, Failure):
                 return written
@@ -227,7 +271,7 @@
             if isinstance(listed, Failure):
                 return listed
             items = {i.key: i for i in [*items, *listed.unwrap()]}.values()
-        return Success([OpenJob(**orjson.loads(item.value)) for item in items])
+        return Success([OpenJob.from_bytes(item.value) for item in items])
 
     async def list_cancels(self):
         """Return ``Success(set of str)``: jobs that are being cancelled."""
@@ -271,18 +315,18 @@
         return await self._records.write(row.key, ended.to_bytes(), row, extra=extra)
 
 
-def _make_entries(job, file_row):
+def _make_entries(job, file_row, needs):
     """Return what is written along with a new job."""
     file = FileRecord.from_bytes(file_row.payload)
     # Its record changes, so that the collector can't remove it meanwhile.
     kept = evolve(file, expires_at=max(file.expires_at, job.expires_at))
     data = encode_record(kept.to_bytes(), uuid.uuid4().hex, file_row)
-    entry = OpenJob(job.job_id, job.account, job.due_at, job.total)
+    entry = OpenJob(job.job_id, job.account, job.due_at, job.total, needs)
     listed = make_account_key(job.account, job.created_at, job.job_id)
     return [
         Condition(file_row.key, file_row.revision),
         Operation(file_row.key, data),
-        Operation(make_open_key(job.job_id), orjson.dumps(asdict(entry))),
+        Operation(make_open_key(job.job_id), entry.to_bytes()),
         Operation(listed, b"-"),
         Operation(make_expiry_key(job.expires_at, "job", job.job_id), b"-"),
     ]
--- a/mangogauge/batch/results.py
+++ b/mangogauge/batch/results.py
@@ -14,7 +14,9 @@
 OUTPUT_PREFIX = "file-output-"
 ERROR_PREFIX = "file-error-"
 MARKS = {OUTPUT_PREFIX: GOOD_MARK, ERROR_PREFIX: BAD_MARK}
-GROUPS_PER_READ = 2
+FIRST_READ_GROUPS = 2
+MOST_READ_GROUPS = 64
+READ_BYTES = 2_000_000
 READ_TRIES = 5
 READ_PAUSE = 0.3
 
@@ -76,20 +78,20 @@
             If the platform stays away.
         """
         prefix = f"{RESULTS_PREFIX}{file.job.job_id}/"
-        after = ""
+        after, limit = "", FIRST_READ_GROUPS
         while True:
-            rows = await self._read_page(prefix, after)
+            rows = await self._read_page(prefix, after, limit)
             for row in rows:
                 piece = _select_lines(unpack(row.payload), file.mark)
                 if piece:
                     yield piece
-            if len(rows) < GROUPS_PER_READ:
+            if len(rows) < limit:
                 return
-            after = rows[-1].key
+            after, limit = rows[-1].key, _choose_limit(rows)
 
-    async def _read_page(self, prefix, after):
+    async def _read_page(self, prefix, after, limit):
         for attempt in range(READ_TRIES):
-            rows = await self._records.list_prefix(prefix, GROUPS_PER_READ, after)
+            rows = await self._records.list_prefix(prefix, limit, after)
             if not isinstance(rows, Failure):
                 return rows.unwrap()
             await curio.sleep(READ_PAUSE * (attempt + 1))
@@ -103,5 +105,11 @@
     return ResultFile(file_id, job, mark)
 
 
+def _choose_limit(rows):
+    """Return how many groups to read next, by the size of the last ones."""
+    mean = max(1, sum(len(row.payload) for row in rows) // len(rows))
+    return min(MOST_READ_GROUPS, max(FIRST_READ_GROUPS, READ_BYTES // mean))
+
+
 def _select_lines(lines, mark):
     return b"".join(line[1:] + b"\n" for line in lines if line.startswith(mark))
--- a/mangogauge/batch/room.py
+++ b/mangogauge/batch/room.py
@@ -35,6 +35,14 @@
     def give(self, endpoint):
         """Take back what `take` returned."""
 
+    @abstractmethod
+    def has_place(self, call):
+        """Return whether any endpoint could ever run an item."""
+
+    @abstractmethod
+    def fills_place(self, call):
+        """Return whether this host fills an endpoint that could run an item."""
+
     @abstractmethod
     def note_outcome(self, endpoint, worked):
         """Take in whether an endpoint ran an item."""
@@ -181,6 +189,17 @@
         place.batch += 1
         return place.endpoint.name
 
+    def has_place(self, call):
+        """Return whether an endpoint suits, full or not."""
+        return any(call.suits(place.endpoint) for place in self._places.values())
+
+    def fills_place(self, call):
+        """Return whether an endpoint that this host fills suits."""
+        return any(
+            place.assigned and call.suits(place.endpoint)
+            for place in self._places.values()
+        )
+
     def give(self, endpoint):
         """Count one item less at an endpoint."""
         self._places[endpoint].batch -= 1
@@ -272,6 +291,14 @@
         self._running[name] += 1
         return name
 
+    def has_place(self, call):
+        """Return whether an endpoint of this host suits, full or not."""
+        return any(map(call.suits, self._endpoints.values()))
+
+    def fills_place(self, call):
+        """Return whether an endpoint of this host suits."""
+        return self.has_place(call)
+
     def give(self, endpoint):
         """Count one item less."""
         self._running[endpoint] -= 1
--- a/mangogauge/batch/runner.py
+++ b/mangogauge/batch/runner.py
@@ -181,6 +181,7 @@
         while True:
             pause = self._settings.poll_seconds * 2 ** min(fruitless, 2)
             await curio.sleep(pause * (0.5 + self._parts.random.random()))
+            await self._release_stalled()
             if self._draining or len(self._owned) >= CHUNKS_OWNED:
                 continue
             chunk = await self._claim_one()
@@ -188,6 +189,15 @@
             while chunk and self._executor.is_hungry and not self._draining:
                 chunk = await self._claim_one()
 
+    async def _release_stalled(self):
+        """Make room for chunks that can be run; these are looked at again later."""
+        for chunk in self._executor.list_stalled():
+            if chunk.ledger.is_dirty or chunk.name not in self._owned:
+                continue
+            await self._drop(chunk)
+            await self._parts.chunks.release(chunk)
+            self._claimer.work.note_claimed(chunk.job.job_id, ())
+
     async def _claim_one(self):
         """Claim a chunk; one of a job not owned here unless short of items."""
         if not await self._lease.ensure(self._settings.lease_seconds):
@@ -195,7 +205,9 @@
         self._note_lease()
         owned = () if self._executor.is_hungry else self._owned.values()
         jobs = {chunk.job.job_id for chunk in owned}
-        chunk = await self._claimer.find(self._lease.lease_id, self._settings, jobs)
+        chunk = await self._claimer.find(
+            self._lease.lease_id, self._settings, self._executor.can_run, jobs
+        )
         if chunk is not None:
             await self._take_chunk(chunk)
         return chunk
