Let no host that is cut off from the platform fill an endpoint

A host that can't claim chunks was still the one to fill its endpoints, so jobs that need just those would have waited for it. Members that say that the platform does not answer them are left out of the choice, unless all say so.

Run: "cut off from the platform", "owner is killed", "goes down": 3 passed.

--- a/features/batch/durability.feature
+++ b/features/batch/durability.feature
@@ -74,12 +74,12 @@
     And nothing of the batch job runs any more
 
   Scenario: An owner is cut off from the platform while another reaches it
-    Given a batch host "a2" that reaches the platform through a proxy
+    Given a batch host "a3" that reaches the platform through a proxy
     When a batch job of 160 chats with 150 tokens each is accepted by "a1"
-    And the batch host "a2" is cut off from the platform once it owns a chunk
+    And the batch host "a3" is cut off from the platform once it owns a chunk
     Then the batch job completes and passes the audit through "b1"
     And batch items were cancelled at the engines
-    When the batch host "a2" reaches the platform again
+    When the batch host "a3" reaches the platform again
     Then the batch job passes the audit again and no claim is left
 
   Scenario: An owner is told to end, and hands its chunks over
--- a/mangogauge/batch/execution.py
+++ b/mangogauge/batch/execution.py
@@ -67,12 +67,15 @@
     share : FairShare
     may_start : callable
         Whether an item may be started now.
+    is_sound : callable
+        Whether a host, by name, seems to live and to reach the platform.
     """
 
-    def __init__(self, parts, share, may_start):
+    def __init__(self, parts, share, may_start, is_sound):
         self._parts = parts
         self._share = share
         self._may_start = may_start
+        self._is_sound = is_sound
         self._settings = None
         self._reader = None
         self._runs = {}
@@ -189,6 +192,8 @@
         """Follow what online requests leave, and give way, until cancelled."""
         while True:
             members = self._parts.view.list_members()
+            # A host that can't claim chunks fills nothing, unless none can.
+            members = [m for m in members if self._is_sound(m.name)] or members
             own = self._parts.host
             assigned = {
                 endpoint.name
--- a/mangogauge/batch/runner.py
+++ b/mangogauge/batch/runner.py
@@ -90,7 +90,9 @@
         self._lease = HostLease(parts.records.store, parts.clock, self._sight)
         self._lease_id = 0
         self._claimer = Claimer(parts, self._share, self._sight, self._is_owner_sound)
-        self._executor = Executor(parts, self._share, self._may_start)
+        self._executor = Executor(
+            parts, self._share, self._may_start, self._is_owner_sound
+        )
         self._write_lock = curio.Lock()
         self._committed_at = 0.0
         self._policy = LapsePolicy(0, 0)
