--- a/features/batch/durability.feature
+++ b/features/batch/durability.feature
@@ -74,12 +74,12 @@
     And nothing of the batch job runs any more
 
   Scenario: An owner is cut off from the platform while another reaches it
-    Given a batch host "a2" that reaches the platform through a proxy
+    Given a batch host "a3" that reaches the platform through a proxy
     When a batch job of 160 chats with 150 tokens each is accepted by "a1"
-    And the batch host "a2" is cut off from the platform once it owns a chunk
+    And the batch host "a3" is cut off from the platform once it owns a chunk
     Then the batch job completes and passes the audit through "b1"
     And batch items were cancelled at the engines
-    When the batch host "a2" reaches the platform again
+    When the batch host "a3" reaches the platform again
     Then the batch job passes the audit again and no claim is left
 
   Scenario: An owner is told to end, and hands its chunks over
@@ -88,6 +88,13 @@
     Then the batch job completes and passes the audit through a host that is left
     And 0 items of the batch job end as "outcome_unknown"
 
+  Scenario: Items that no endpoint serves end when they are due, and hold up nothing
+    Given the batch model "absent" is in the settings and at no engine
+    When 10 batch jobs of 20 items for the model "absent" due in 20 s are accepted
+    And a batch job of 30 chats, 5 bookings and 0 bad items is accepted by "a1"
+    Then the batch job completes and passes the audit through "b1"
+    And the jobs for the absent model end with 200 errors "no_endpoint"
+
   Scenario: A cancel races completion
     When 6 batch jobs of 4 chats are cancelled around their completion
     Then each batch job ends in one state, and stays in it
--- a/mangogauge/batch/runner.py
+++ b/mangogauge/batch/runner.py
@@ -28,6 +28,7 @@
 CANCEL_POLL_SECONDS = 2.0
 INTENT_SECONDS = 0.1
 TICK_SECONDS = 0.05
+LAPSE_TICK_SECONDS = 0.1
 RETRY_COMMIT_SECONDS = 0.5
 DRAIN_SECONDS = 10.0
 EARLY_COMMIT_BYTES = 500_000
@@ -89,7 +90,9 @@
         self._lease = HostLease(parts.records.store, parts.clock, self._sight)
         self._lease_id = 0
         self._claimer = Claimer(parts, self._share, self._sight, self._is_owner_sound)
-        self._executor = Executor(parts, self._share, self._may_start)
+        self._executor = Executor(
+            parts, self._share, self._may_start, self._is_owner_sound
+        )
         self._write_lock = curio.Lock()
         self._committed_at = 0.0
         self._policy = LapsePolicy(0, 0)
@@ -105,6 +108,7 @@
         """Claim, run and commit until cancelled."""
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(self._keep_lease)
+            await group.spawn(self._watch_lease)
             await group.spawn(self._find_work)
             await group.spawn(self._commit_often)
             await group.spawn(self._watch_cancels)
@@ -134,7 +138,6 @@
                 self._note_lease()
             seen = SEEN if self._sight.answers else UNSEEN
             self._parts.view.publish(PLATFORM_ENTRY, seen)
-            await self._stop_if_lapsed()
             await curio.sleep(min(1.0, self._settings.lease_seconds / 10))
 
     def _note_lease(self):
@@ -145,10 +148,13 @@
         for chunk in self._owned.values():
             chunk.claim_revision = 0
 
-    async def _stop_if_lapsed(self):
-        if self._policy.decide(self._read_sight()) is Continuation.STOP:
-            for chunk in list(self._owned.values()):
-                await self._executor.stop_repeatable(chunk)
+    async def _watch_lease(self):
+        """Cancel items once the lease has ended, also while a renewal hangs."""
+        while True:
+            await curio.sleep(LAPSE_TICK_SECONDS)
+            if self._policy.decide(self._read_sight()) is Continuation.STOP:
+                for chunk in list(self._owned.values()):
+                    await self._executor.stop_repeatable(chunk)
 
     def _may_start(self):
         """Return whether items may be started, by the clock as it is now."""
@@ -177,6 +183,7 @@
         while True:
             pause = self._settings.poll_seconds * 2 ** min(fruitless, 2)
             await curio.sleep(pause * (0.5 + self._parts.random.random()))
+            await self._release_stalled()
             if self._draining or len(self._owned) >= CHUNKS_OWNED:
                 continue
             chunk = await self._claim_one()
@@ -184,6 +191,15 @@
             while chunk and self._executor.is_hungry and not self._draining:
                 chunk = await self._claim_one()
 
+    async def _release_stalled(self):
+        """Make room for chunks that can be run; these are looked at again later."""
+        for chunk in self._executor.list_stalled():
+            if chunk.ledger.is_dirty or chunk.name not in self._owned:
+                continue
+            await self._drop(chunk)
+            await self._parts.chunks.release(chunk)
+            self._claimer.work.note_claimed(chunk.job.job_id, ())
+
     async def _claim_one(self):
         """Claim a chunk; one of a job not owned here unless short of items."""
         if not await self._lease.ensure(self._settings.lease_seconds):
@@ -191,7 +207,9 @@
         self._note_lease()
         owned = () if self._executor.is_hungry else self._owned.values()
         jobs = {chunk.job.job_id for chunk in owned}
-        chunk = await self._claimer.find(self._lease.lease_id, self._settings, jobs)
+        chunk = await self._claimer.find(
+            self._lease.lease_id, self._settings, self._executor.can_run, jobs
+        )
         if chunk is not None:
             await self._take_chunk(chunk)
         return chunk
