--- a/mangogauge/limits/budget.py
+++ b/mangogauge/limits/budget.py
@@ -12,7 +12,8 @@
 
 FLOAT_SECONDS = 0.25
 PREFETCH_SECONDS = 0.3
-STEADY_REQUESTS = 6.0
+STEADY_DEMAND = 3.0
+STEADY_SECONDS = 2.0
 HEADROOM = 1.2
 WORTHWHILE_SHARE = 0.1
 BORROWER_SECONDS = 2.0
@@ -174,8 +175,8 @@
         if ledger.rate <= 0 or ledger.burst <= 0:
             return None
         demand = self._sum_demand(state, now)
-        seconds = min(self.loan_seconds, self.rights.loan_seconds)
-        steady = demand * seconds >= STEADY_REQUESTS
+        seconds = min(self.loan_seconds, self.rights.loan_seconds, STEADY_SECONDS)
+        steady = demand >= STEADY_DEMAND
         rate, burst = ledger.get_held(now)
         more_rate = 0.0
         if steady:
@@ -198,7 +199,7 @@
         """Return whether requests keep coming, so that loans are renewed."""
         state = self._get_state(account)
         demand = self._sum_demand(state, self._clock.read_elapsed())
-        return demand * self.loan_seconds >= STEADY_REQUESTS
+        return demand >= STEADY_DEMAND
 
     def give_back(self, account, lender):
         """Return the `LoanRequest` that ends a loan early, or None."""
@@ -283,7 +284,7 @@
     def _compute_reserve(self, state, now):
         demand = self._sum_demand(state, now)
         ledger = state.ledger
-        if demand * self.loan_seconds < STEADY_REQUESTS or ledger.rate <= 0:
+        if demand < STEADY_DEMAND or ledger.rate <= 0:
             return Reserve(tokens=state.waiting)
         rate = demand * HEADROOM / ledger.rate
         tokens = state.waiting + demand * PREFETCH_SECONDS
--- a/mangogauge/limits/directory.py
+++ b/mangogauge/limits/directory.py
@@ -49,6 +49,7 @@
         self._slot_counts = {}
         self._found = {}
         self._ranked = {}
+        self._told = None
 
     @property
     def has_lenders(self):
@@ -111,13 +112,18 @@
         ):
             return
         self._refreshed_at = now
+        told = [
+            (member, self._view.read(member.name, HELD_SLOTS_ENTRY))
+            for member in self._view.list_members()
+        ]
+        if told == self._told:
+            return
+        self._told = told
         self._holders, self._slot_counts = {}, {}
         self._found, self._ranked = {}, {}
-        for member in self._view.list_members():
-            value = self._view.read(member.name, HELD_SLOTS_ENTRY)
-            if value is None or member.name == self._view.own.name:
-                continue
-            self._add(member, HeldSlots.FromString(value))
+        for member, value in told:
+            if value is not None and member.name != self._view.own.name:
+                self._add(member, HeldSlots.FromString(value))
 
     def _add(self, member, slots):
         lender = Lender(
--- a/mangogauge/limits/lending.py
+++ b/mangogauge/limits/lending.py
@@ -125,20 +125,24 @@
         return []
 
     async def _borrow_ahead(self, account):
-        if account in self._rounds or self._budget.get_refusal(account):
+        if account in self._rounds:
             return
-        small = bool(self._rank_small(account))
-        steady = not small and self._budget.is_steady(account)
-        steady = steady or self._is_home(account)
         ending = self._budget.list_ending(account, RENEWAL_WINDOW)
+        small = bool(self._rank_small(account))
         if ending:
-            lenders = {lender.key: lender for lender in self._list_lenders(account)}
-            settle = self._ask if steady else self._give_back
-            for key in ending:
-                if key in lenders:
-                    await curio.spawn(settle, account, lenders[key], daemon=True)
-        elif self._choose_plan(account)(account) is not None:
-            await self._start_round(account)
+            await self._end_or_renew(account, ending, small)
+        elif not small and not self._budget.get_refusal(account):
+            if self._budget.plan_borrowing(account) is not None:
+                await self._start_round(account)
+
+    async def _end_or_renew(self, account, ending, small):
+        """Renew loans that are still needed; give the others back."""
+        needed = self._is_home(account) if small else self._budget.is_steady(account)
+        settle = self._ask if needed else self._give_back
+        lenders = {lender.key: lender for lender in self._list_lenders(account)}
+        for key in ending:
+            if key in lenders:
+                await curio.spawn(settle, account, lenders[key], daemon=True)
 
     def _list_lenders(self, account):
         """Return whom to ask, in order; a small account's home comes first."""
@@ -148,6 +152,8 @@
         return [lender for lender in ranked if lender.key != self._budget.name]
 
     def _without_paused(self, lenders):
+        if not self._paused_until:
+            return lenders
         now = self._clock.read_elapsed()
         return [
             lender
--- a/mangogauge/settings/fleet.py
+++ b/mangogauge/settings/fleet.py
@@ -201,7 +201,7 @@
 
     durable_share = make_option(NumberKind(0, 1), default=0.8)
     outage_horizon = make_option(NumberKind(1, DAY_SECONDS, "seconds"), default=5400.0)
-    loan_seconds = make_option(NumberKind(0.2, 60, "seconds"), default=2.0)
+    loan_seconds = make_option(NumberKind(0.2, 60, "seconds"), default=5.0)
     lease_seconds = make_option(IntegerKind(1, 300, "seconds"), default=20)
     slots = make_option(IntegerKind(2, 1024), default=16)
 
