--- a/mangogauge/limits/budget.py
+++ b/mangogauge/limits/budget.py
@@ -272,20 +272,24 @@
         state = self._get_state(account)
         now = self._clock.read_elapsed()
         state.ledger.settle(now)
-        kept = self._compute_reserve(state, now) if reserve else NO_RESERVE
+        kept = self._compute_reserve(state, now, reserve)
         longest = min(self.loan_seconds, self.rights.loan_seconds)
         request = request.limit(longest, self._compute_fair_rate(state, request, now))
-        if not reserve and not request.rate and state.ledger.tokens < request.tokens:
+        spare = state.ledger.tokens - kept.tokens
+        if not reserve and not request.rate and spare < request.tokens:
             # Less than was asked for would be of no use there.
             request = request.decline()
         grant = state.ledger.lend(request, now, kept)
         return grant or LoanGrant(0)
 
-    def _compute_reserve(self, state, now):
-        demand = self._sum_demand(state, now)
+    def _compute_reserve(self, state, now, ahead):
+        """Return what waits here, and if `ahead` what will soon be needed."""
         ledger = state.ledger
-        if demand < STEADY_DEMAND or ledger.rate <= 0:
-            return Reserve(tokens=state.waiting)
+        if ledger.rate <= 0 or ledger.burst <= 0:
+            return NO_RESERVE
+        demand = self._sum_demand(state, now)
+        if not ahead or demand < STEADY_DEMAND:
+            return Reserve(0.0, state.waiting / ledger.burst, state.waiting)
         rate = demand * HEADROOM / ledger.rate
         tokens = state.waiting + demand * PREFETCH_SECONDS
         return Reserve(rate, max(rate, tokens / ledger.burst), tokens)
