Limits: tokens go only where they fit; burst is kept for prefetch, not for rate

Cause: a trace of moving traffic showed 4 tokens sent to a host with room for one, and idle hosts keeping burst for traffic that had left.

--- a/mangogauge/limits/budget.py
+++ b/mangogauge/limits/budget.py
@@ -292,7 +292,7 @@
             return Reserve(0.0, state.waiting / ledger.burst, state.waiting)
         rate = demand * HEADROOM / ledger.rate
         tokens = state.waiting + demand * PREFETCH_SECONDS
-        return Reserve(rate, max(rate, tokens / ledger.burst), tokens)
+        return Reserve(rate, tokens / ledger.burst, tokens)
 
     def _compute_fair_rate(self, state, request, now):
         """Return how much more rate a borrower may have beside the others."""
--- a/mangogauge/limits/ledger.py
+++ b/mangogauge/limits/ledger.py
@@ -39,6 +39,8 @@
         Requests a second that come to it.
     returned : float
         Tokens that it gives back and no longer holds.
+    room : float
+        Tokens that fit at the borrower without more burst.
     """
 
     borrower = field()
@@ -51,6 +53,7 @@
     seconds = field(default=1.0)
     demand = field(default=0.0)
     returned = field(default=0.0)
+    room = field(default=0.0)
 
     def decline(self):
         """Return this request without what it asks for."""
@@ -235,8 +238,10 @@
         loan.burst = min(loan.burst, request.held_burst)
         loan.sequence = request.sequence
         self._lent[request.borrower] = loan
+        before = loan.burst
         seconds = self._extend(loan, request, reserve, now)
-        tokens = self._give_tokens(loan, request, reserve.tokens, now)
+        room = request.room + (loan.burst - before) * self.burst
+        tokens = self._give_tokens(request, room, reserve.tokens, now)
         self._apply(now)
         self._add_tokens(request.returned)
         reach = max(0.0, self._sum_at(now)[0])
@@ -249,7 +254,10 @@
         """Return the `LoanRequest` to send to `lender`."""
         loan = self._borrowed.setdefault(lender, _Loan())
         loan.sequence = sequence
-        return LoanRequest(borrower, sequence, loan.rate, loan.burst, **wanted)
+        room = self._bucket.burst - self._bucket.tokens
+        return LoanRequest(
+            borrower, sequence, loan.rate, loan.burst, room=room, **wanted
+        )
 
     def take_grant(self, lender, grant, sent_at, now):
         """Take in the answer to the last request sent to `lender`.
@@ -345,14 +353,13 @@
         sums = [self._sum_at(time, without=loan) for time in times]
         return min(rate for rate, _ in sums), min(burst for _, burst in sums)
 
-    def _give_tokens(self, loan, request, reserve, now):
+    def _give_tokens(self, request, room, reserve, now):
         """Take the tokens that go with a loan out of the bucket."""
         bucket = self._bucket
-        wanted = min(request.tokens, bucket.tokens - reserve)
         # What no longer fits here goes along, as far as it fits there.
         excess = bucket.tokens - self._sum_at(now)[1] * self.burst
-        tokens = max(0.0, wanted, min(excess, loan.burst * self.burst))
-        tokens = min(tokens, bucket.tokens)
+        wanted = max(excess, min(request.tokens, bucket.tokens - reserve))
+        tokens = max(0.0, min(wanted, room, bucket.tokens))
         bucket.tokens -= tokens
         return tokens
 
--- a/mangogauge/limits/lending.py
+++ b/mangogauge/limits/lending.py
@@ -228,6 +228,7 @@
         held_rate=request.held_rate,
         held_burst=request.held_burst,
         returned=request.returned,
+        room=request.room,
         rate=request.rate,
         burst=request.burst,
         tokens=request.tokens,
@@ -249,6 +250,7 @@
         seconds=message.seconds,
         demand=message.demand,
         returned=message.returned,
+        room=message.room,
     )
 
 
