Limits: a successor waits for its forerunner's loans also after a lost answer; decisions about slots proved

Cause: on reading, a claim of a forerunner's slots whose answer was lost was later taken for any other, so its rights would have begun before the forerunner's loans had ended. Change: once anything was claimed of a forerunner all rights wait.

--- a/bench/limits.py
+++ b/bench/limits.py
@@ -245,6 +245,7 @@
                 "way": way.name,
                 "offered": self.offered,
                 "admitted": admitted,
+                "admitted_by_one_bucket": self.ideal_admitted,
                 "refused_within_rate": round(
                     way.refused_within / self.ideal_admitted, 5
                 ),
--- a/features/limits/ledger.feature
+++ b/features/limits/ledger.feature
@@ -35,3 +35,9 @@
     Then both together admit at most 0 at once
     When the account's rate is set to 10 and its burst to 20
     Then both together admit at most 0 at once
+
+  Scenario: What has been lent on is not given back
+    Given two limits ledgers with half of rate 10 and burst 20 each
+    When one borrows the other's whole half for 2 seconds and then pauses for 0
+    And it lends all it has to a third
+    Then it gives nothing back
--- /dev/null
+++ b/features/steps/limits_claims.py
@@ -0,0 +1,104 @@
+"""Steps of the decisions about slots."""
+
+import random
+
+from behave import given, then, when
+
+from mangogauge.clock import ManualClock
+from mangogauge.limits import (
+    ClaimPlanner,
+    Owner,
+    Part,
+    PartKind,
+    Slot,
+    SlotTable,
+    Terms,
+)
+
+TERMS = Terms(0.8, 5400.0, 5.0, 20.0)
+OWNERS = {
+    '"a2"': Owner("a2", 1, "m2"),
+    'an earlier "a1"': Owner("a1", 1, "m1"),
+    '"a1" elsewhere': Owner("a1", 1, "m9"),
+}
+
+
+@given('a limits planner of host "a1" and a table owned by {owner}')
+def make_planner(context, owner):
+    context.clock = ManualClock(1000.0)
+    context.planner = ClaimPlanner(
+        Owner("a1", 7, "m1"), random.Random(1), context.clock
+    )
+    context.planner.note_bound()
+    part = Part(OWNERS[owner])
+    context.slot_table = SlotTable([Slot(part, part, TERMS)] * 2)
+
+
+@when('only "a1" is seen live')
+def plan_alone(context):
+    context.plan = make_plan(context)
+    record(context, context.plan)
+
+
+@when('"a2" comes back and clears its suspicions')
+def clear_suspicions(context):
+    owner = ClaimPlanner(OWNERS['"a2"'], random.Random(2), context.clock)
+    context.slot_table = owner.clear_suspicions(context.slot_table)
+
+
+@then('the limits plan suspects "a2" and needs its lease key absent')
+def check_suspicion(context):
+    assert context.plan.absent == (OWNERS['"a2"'],), context.plan
+    assert owners_of(context, PartKind.LEASED) == {"a2"}
+
+
+@then("the {kind} part is taken after {seconds:d} seconds, not before")
+def check_taken(context, kind, seconds):
+    kind = PartKind(kind)
+    move_to(context, 1000.0 + seconds)
+    assert owners_of(context, kind) == {"a2"}, "taken too early"
+    move_to(context, 1000.0 + seconds * 1.02)
+    assert owners_of(context, kind) == {"a1"}, "not taken"
+
+
+@then('"a1" takes nothing after {seconds:d} seconds without a new suspicion')
+def check_nothing_taken(context, seconds):
+    move_to(context, 1000.0 + seconds)
+    assert owners_of(context, PartKind.LEASED) == {"a2"}
+    assert context.slot_table.slots[0].leased.suspicion is not None
+
+
+@then("all parts are claimed at once, and start when loans have ended")
+def check_succession(context):
+    assert context.plan.absent == ()
+    assert owners_of(context, PartKind.DURABLE) == {"a1"}
+    start = context.planner.find_start(context.slot_table.slots[0], 1000.0)
+    assert start >= 1000.0 + TERMS.loan_seconds, start
+
+
+@then("nothing is claimed at once")
+def check_no_claim(context):
+    assert owners_of(context, PartKind.DURABLE) == {"a1"}
+    incarnations = {slot.durable.owner.incarnation for slot in context.slot_table.slots}
+    assert incarnations == {1}, incarnations
+
+
+def make_plan(context):
+    now = context.clock.read_elapsed()
+    return context.planner.plan(context.slot_table, ("a1",), TERMS, now)
+
+
+def record(context, plan):
+    """Let a plan be recorded, and read it back as a store would give it."""
+    if plan is not None:
+        context.slot_table = SlotTable.from_bytes(plan.table.to_bytes())
+        context.planner.note_written(context.slot_table, context.clock.read_elapsed())
+
+
+def move_to(context, elapsed):
+    context.clock.advance(elapsed - context.clock.read_elapsed())
+    record(context, make_plan(context))
+
+
+def owners_of(context, kind):
+    return {slot.parts[kind].owner.name for slot in context.slot_table.slots}
--- a/features/steps/limits_ledger.py
+++ b/features/steps/limits_ledger.py
@@ -120,6 +120,19 @@
     assert not context.ledger.take(1, context.now + 1)
 
 
+@when("it lends all it has to a third")
+def lend_on(context):
+    third = AccountLedger(10, 20, (), START)
+    request = third.make_request("a", "c", 1, rate=1.0, burst=1.0, seconds=1.0)
+    grant = context.ledgers[0].lend(request, START)
+    assert grant.rate == 1.0, grant
+
+
+@then("it gives nothing back")
+def check_no_give_back(context):
+    assert context.ledgers[0].give_back("b", "a", 2, START + 0.1) is None
+
+
 @when("the account's rate is set to {rate:d} and its burst to {burst:d}")
 def change_rate(context, rate, burst):
     for ledger in context.ledgers:
--- a/mangogauge/limits/__init__.py
+++ b/mangogauge/limits/__init__.py
@@ -6,9 +6,10 @@
 from .demand import DemandEstimate
 from .directory import Lender, LenderDirectory
 from .keeper import SlotKeeper, lease_key
-from .ledger import AccountLedger, LoanGrant, LoanRequest
+from .ledger import AccountLedger
 from .lending import LoanExchange
 from .limiter import Admission, FleetLimiter, Limiter, LocalLimiter
+from .loans import LoanGrant, LoanRequest, Reserve
 from .machine import read_machine_identity
 from .rights import HostRights, Right
 from .slots import Owner, Part, PartKind, Slot, SlotTable, Suspicion, Terms
@@ -32,6 +33,7 @@
     "Part",
     "PartKind",
     "Plan",
+    "Reserve",
     "Right",
     "Slot",
     "SlotKeeper",
--- a/mangogauge/limits/budget.py
+++ b/mangogauge/limits/budget.py
@@ -5,7 +5,8 @@
 from attrs import define, field, frozen
 
 from .demand import DemandEstimate
-from .ledger import NO_RESERVE, AccountLedger, LoanGrant, Reserve
+from .ledger import AccountLedger
+from .loans import NO_RESERVE, LoanGrant, Reserve
 from .rights import HostRights
 
 __all__ = ["HostBudget", "Wanted"]
--- a/mangogauge/limits/claims.py
+++ b/mangogauge/limits/claims.py
@@ -52,6 +52,7 @@
         self._suspected_at = {}
         self._releasing = {}
         self._refused_until = {}
+        self._succeeds = False
 
     def note_bound(self):
         """Take note that this process has bound its ports.
@@ -134,21 +135,28 @@
             for number, slot in enumerate(table.slots)
         )
 
-    def has_forerunner(self, slot):
-        """Return whether an earlier run of this host owns a part of a slot."""
-        owners = [part.owner for part in slot.parts.values()]
-        return any(owner and self._is_forerunner(owner) for owner in owners)
+    def find_start(self, slot, now):
+        """Return when newly held rights to a slot may be used.
 
-    def find_start(self, slot):
-        """Return when a slot that was claimed of this host's forerunner starts."""
-        return self._bound_at + slot.terms.loan_seconds + LOAN_MARGIN
+        Notes
+        -----
+        Once anything was claimed of a forerunner, which may have lent it out,
+        all rights wait until its loans have ended: a claim whose answer was
+        lost is only seen later, and then looks like any other.
+        """
+        if not self._succeeds:
+            return now
+        return max(now, self._bound_at + slot.terms.loan_seconds + LOAN_MARGIN)
 
     def _claim(self, slot, terms):
         if slot.is_free:
             part = Part(self.own)
             return evolve(slot, durable=part, leased=part, terms=terms)
         for kind, part in slot.parts.items():
-            if part.owner is None or self._is_forerunner(part.owner):
+            if part.owner is None:
+                slot = slot.with_part(kind, Part(self.own))
+            elif self._is_forerunner(part.owner):
+                self._succeeds = True
                 slot = slot.with_part(kind, Part(self.own))
         return slot
 
--- a/mangogauge/limits/keeper.py
+++ b/mangogauge/limits/keeper.py
@@ -215,7 +215,7 @@
             self._planner.note_refused(plan, self._clock.read_elapsed())
             return
         log.info("slots recorded", extra={"epoch": self._table.epoch})
-        self._hold(self._find_starts(before))
+        self._hold(before)
 
     async def _write(self, table, absent):
         """Write a table; return whether it was recorded."""
@@ -236,31 +236,33 @@
         self._planner.note_written(self._table, now)
         return True
 
-    def _find_starts(self, before):
-        """Return when newly held slots start, where not now."""
-        now = self._clock.read_elapsed()
-        starts = {}
-        for number, slot in enumerate(before.slots):
-            if slot.terms is None:
-                starts[number] = now - LONG_AGO_SECONDS
-            elif self._planner.has_forerunner(slot):
-                starts[number] = max(now, self._planner.find_start(slot))
-        return starts
-
-    def _hold(self, starts=None):
+    def _hold(self, before=None):
+        """Hold what the table gives; `before` is the one that was replaced."""
         contact = self._contact
         if contact is None or self._confirmed != contact.lease.lease_id:
             return
         self._budget.rights.replace(
             self._table,
             self._own,
-            starts or {},
+            self._find_starts(before),
             contact.sent_at,
             contact.lease.valid_until,
             self._clock.read_elapsed(),
             without=self._planner.releasing,
         )
 
+    def _find_starts(self, before):
+        """Return when newly held slots start: those never owned are full."""
+        now = self._clock.read_elapsed()
+        fresh = now - LONG_AGO_SECONDS
+        starts = {}
+        for number, slot in enumerate(self._table.slots):
+            if before is not None and before.slots[number].terms is None:
+                starts[number] = fresh
+            elif slot.terms is not None:
+                starts[number] = self._planner.find_start(slot, now)
+        return starts
+
     def _publish(self):
         rights = self._budget.rights
         value = HeldSlots(slots=rights.slot_count, held=rights.held)
--- a/mangogauge/limits/lending.py
+++ b/mangogauge/limits/lending.py
@@ -5,7 +5,7 @@
 from ..daemon.parts import HostPart
 from ..protocol import CallError, ChannelError, Method
 from ..protocol.limits_pb2 import BorrowReply, BorrowRequest
-from .ledger import LoanGrant, LoanRequest
+from .loans import LoanGrant, LoanRequest
 
 __all__ = ["LoanExchange"]
 
--- a/mangogauge/limits/limiter.py
+++ b/mangogauge/limits/limiter.py
@@ -35,6 +35,11 @@
 class Limiter(ABC):
     """Admits requests of client accounts."""
 
+    @property
+    def ready(self):
+        """Whether callers may be sent here."""
+        return True
+
     @abstractmethod
     async def admit(self, account, cost=1.0):
         """Return an `Admission` for a request of the client account's name."""
