--- a/features/steps/limits_ledger.py
+++ b/features/steps/limits_ledger.py
@@ -55,7 +55,7 @@
 @when("one asks the other for 5 tokens and the request arrives twice")
 def ask_twice(context):
     borrower, lender = context.ledgers
-    assert borrower.take(10, START)
+    assert borrower.take(10, START) and lender.take(2, START)
     context.first = borrower.make_request("b", "a", 1, burst=0.25, tokens=5.0)
     context.grants = [lender.lend(context.first, START + t) for t in (0.01, 0.3)]
 
@@ -64,7 +64,8 @@
 def check_given_once(context):
     one, two = context.grants
     assert one == two and one.tokens == 5, context.grants
-    assert context.ledgers[1].tokens == 5
+    # 8 and what accrued at half of the rate until the second request, less 5.
+    assert abs(context.ledgers[1].tokens - (8 + 5 * 0.3 - 5)) < 1e-6
 
 
 @then("an answer that comes after a newer request is not taken")
@@ -119,6 +120,19 @@
     assert not context.ledger.take(1, context.now + 1)
 
 
+@when("it lends all it has to a third")
+def lend_on(context):
+    third = AccountLedger(10, 20, (), START)
+    request = third.make_request("a", "c", 1, rate=1.0, burst=1.0, seconds=1.0)
+    grant = context.ledgers[0].lend(request, START)
+    assert grant.rate == 1.0, grant
+
+
+@then("it gives nothing back")
+def check_no_give_back(context):
+    assert context.ledgers[0].give_back("b", "a", 2, START + 0.1) is None
+
+
 @when("the account's rate is set to {rate:d} and its burst to {burst:d}")
 def change_rate(context, rate, burst):
     for ledger in context.ledgers:
--- a/mangogauge/limits/budget.py
+++ b/mangogauge/limits/budget.py
@@ -5,14 +5,16 @@
 from attrs import define, field, frozen
 
 from .demand import DemandEstimate
-from .ledger import NO_RESERVE, AccountLedger, LoanGrant, Reserve
+from .ledger import AccountLedger
+from .loans import NO_RESERVE, LoanGrant, Reserve
 from .rights import HostRights
 
 __all__ = ["HostBudget", "Wanted"]
 
 FLOAT_SECONDS = 0.25
 PREFETCH_SECONDS = 0.3
-STEADY_REQUESTS = 6.0
+STEADY_DEMAND = 3.0
+STEADY_SECONDS = 2.0
 HEADROOM = 1.2
 WORTHWHILE_SHARE = 0.1
 BORROWER_SECONDS = 2.0
@@ -174,8 +176,8 @@
         if ledger.rate <= 0 or ledger.burst <= 0:
             return None
         demand = self._sum_demand(state, now)
-        seconds = min(self.loan_seconds, self.rights.loan_seconds)
-        steady = demand * seconds >= STEADY_REQUESTS
+        seconds = min(self.loan_seconds, self.rights.loan_seconds, STEADY_SECONDS)
+        steady = demand >= STEADY_DEMAND
         rate, burst = ledger.get_held(now)
         more_rate = 0.0
         if steady:
@@ -198,7 +200,7 @@
         """Return whether requests keep coming, so that loans are renewed."""
         state = self._get_state(account)
         demand = self._sum_demand(state, self._clock.read_elapsed())
-        return demand * self.loan_seconds >= STEADY_REQUESTS
+        return demand >= STEADY_DEMAND
 
     def give_back(self, account, lender):
         """Return the `LoanRequest` that ends a loan early, or None."""
@@ -271,23 +273,27 @@
         state = self._get_state(account)
         now = self._clock.read_elapsed()
         state.ledger.settle(now)
-        kept = self._compute_reserve(state, now) if reserve else NO_RESERVE
+        kept = self._compute_reserve(state, now, reserve)
         longest = min(self.loan_seconds, self.rights.loan_seconds)
         request = request.limit(longest, self._compute_fair_rate(state, request, now))
-        if not reserve and not request.rate and state.ledger.tokens < request.tokens:
+        spare = state.ledger.tokens - kept.tokens
+        if not reserve and not request.rate and spare < request.tokens:
             # Less than was asked for would be of no use there.
             request = request.decline()
         grant = state.ledger.lend(request, now, kept)
         return grant or LoanGrant(0)
 
-    def _compute_reserve(self, state, now):
-        demand = self._sum_demand(state, now)
+    def _compute_reserve(self, state, now, ahead):
+        """Return what waits here, and if `ahead` what will soon be needed."""
         ledger = state.ledger
-        if demand * self.loan_seconds < STEADY_REQUESTS or ledger.rate <= 0:
-            return Reserve(tokens=state.waiting)
+        if ledger.rate <= 0 or ledger.burst <= 0:
+            return NO_RESERVE
+        demand = self._sum_demand(state, now)
+        if not ahead or demand < STEADY_DEMAND:
+            return Reserve(0.0, state.waiting / ledger.burst, state.waiting)
         rate = demand * HEADROOM / ledger.rate
         tokens = state.waiting + demand * PREFETCH_SECONDS
-        return Reserve(rate, max(rate, tokens / ledger.burst), tokens)
+        return Reserve(rate, tokens / ledger.burst, tokens)
 
     def _compute_fair_rate(self, state, request, now):
         """Return how much more rate a borrower may have beside the others."""
