Know members by rosters abroad, by deltas at home, and forget the dead

Cause: every host exchanged digests of all hosts; a peer that still had a dead member gave it back to those that had forgotten it; a member first heard of when dead looked live; a restart behind its own clock was ignored. Change: states carry their age, so news is never younger than it is, and the dead are not taken back. Within a data centre digests are of its members alone and known members' news goes by a hash of the name. Other data centres are known by rosters, fetched by the first two hosts and passed on at home; an unchanged roster is a hash. Entries may stay within the data centre. Intervals and timeouts grow with the data centre. A host that hears of a later run of itself takes a higher incarnation.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each prints JSON lines."""
--- a/mangogauge/membership/exchange.py
+++ b/mangogauge/membership/exchange.py
@@ -1,16 +1,25 @@
-"""Exchange of views between hosts: one call to a random peer at a time."""
+"""Exchange of views between hosts: one call to a random peer at a time.
+
+Each host exchanges with hosts of its own data centre. The first few of each
+data centre, in order of name, also ask the other data centres for rosters.
+"""
 
 import curio
 
 from ..daemon.parts import HostPart
 from ..protocol import CallError, ChannelError, Method
 from ..protocol.membership_pb2 import ExchangeReply, ExchangeRequest
+from .view import EXCHANGE_SECONDS, FORGET_SECONDS
 
 __all__ = ["MembershipExchange"]
 
 EXCHANGE_METHOD = "/mangogauge.Membership/Exchange"
-EXCHANGE_SECONDS = 0.3
+ABROAD_SECONDS = 1.0
 EXCHANGE_TIMEOUT = 1.0
+SPEAKERS = 2
+# How often a seed is asked though other hosts are known, so that parts which
+# lost sight of each other find together again.
+SEED_PROBABILITY = 0.1
 
 
 class MembershipExchange(HostPart):
@@ -28,8 +37,9 @@
     def __init__(self, view, channels, seeds, random):
         self.view = view
         self._channels = channels
-        self._seeds = tuple(seeds)
+        self._seeds = sorted(set(seeds) - {view.own.address})
         self._random = random
+        self._missed = {}
 
     def protocol_methods(self):
         """Return the method that peers call."""
@@ -37,35 +47,84 @@
 
     async def run(self):
         """Exchange views until cancelled."""
-        while True:
-            self.view.beat()
-            address = self._choose_peer()
-            if address:
-                await self._exchange(address)
-            await curio.sleep(EXCHANGE_SECONDS * (0.5 + self._random.random()))
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(self._exchange_here)
+            await group.spawn(self._exchange_abroad)
+        raise group.exception
 
     def announce_drain(self):
         """Tell the peers that this host is about to end."""
         self.view.set_leaving()
 
+    async def _exchange_here(self):
+        while True:
+            self.view.beat()
+            await self._forget_channels()
+            peer = self._choose_peer()
+            if peer is not None:
+                await self._exchange(peer.address, peer.data_centre)
+            elif self._seeds:
+                await self._exchange(self._random.choice(self._seeds), None)
+            await curio.sleep(self._draw(EXCHANGE_SECONDS * self.view.pace))
+
+    async def _exchange_abroad(self):
+        while True:
+            await curio.sleep(self._draw(ABROAD_SECONDS))
+            for data_centre, address in self.view.take_contacts().items():
+                await self._exchange(address, data_centre)
+            if not self._is_speaker():
+                continue
+            for data_centre in self.view.rosters.list_data_centres():
+                members = self.view.rosters.list_members(data_centre, True)
+                if members:
+                    member = self._random.choice(members)
+                    await self._exchange(member.address, data_centre)
+            if self._seeds and self._draw_seed():
+                await self._exchange(self._random.choice(self._seeds), None)
+
     def _choose_peer(self):
-        members = self.view.list_members(with_leaving=True)
-        addresses = {member.address for member in members} | set(self._seeds)
-        addresses.discard(self.view.own.address)
-        return self._random.choice(sorted(addresses)) if addresses else None
-
-    async def _exchange(self, address):
-        request = ExchangeRequest(
-            sender=self.view.make_own_state(), digests=self.view.make_digests()
-        )
+        """Return a member of this data centre; None if a seed's turn has come."""
+        own = self.view.own
+        members = self.view.list_members(own.data_centre, with_leaving=True)
+        others = [member for member in members if member.name != own.name]
+        if not others or self._random.random() < SEED_PROBABILITY:
+            return None
+        return self._random.choice(others)
+
+    def _draw_seed(self):
+        known = self.view.rosters.list_data_centres()
+        return not known or self._random.random() < SEED_PROBABILITY * 3
+
+    def _is_speaker(self):
+        own = self.view.own
+        members = self.view.list_members(own.data_centre)[:SPEAKERS]
+        return own.name in [member.name for member in members]
+
+    def _draw(self, seconds):
+        return seconds * (0.5 + self._random.random())
+
+    async def _exchange(self, address, data_centre):
+        request = self.view.make_request(data_centre)
         try:
             reply = await self._channels.get(address).call(
                 EXCHANGE_METHOD, request, ExchangeReply, EXCHANGE_TIMEOUT
             )
         except (ChannelError, CallError):
             return
-        for state in reply.news:
-            self.view.take_state(state)
+        self.view.take_reply(reply)
+
+    async def _forget_channels(self):
+        """Close connections to hosts that have long been members no more.
+
+        A host that is only suspected may still be answering calls.
+        """
+        now = self.view.read_now()
+        for member in self.view.list_members(with_leaving=True):
+            self._missed[member.address] = now
+        for address, seen_at in list(self._missed.items()):
+            if now - seen_at > FORGET_SECONDS:
+                del self._missed[address]
+                await self._channels.forget(address)
 
     async def _serve_exchange(self, request, context):
         await context.send(self.view.make_reply(request))
--- a/mangogauge/routing/watch.py
+++ b/mangogauge/routing/watch.py
@@ -65,7 +65,8 @@
         while True:
             await self._probe_all()
             self._share()
-            await curio.sleep(WATCH_SECONDS * (0.75 + self._random.random() / 2))
+            pace = WATCH_SECONDS * self._view.pace
+            await curio.sleep(pace * (0.75 + self._random.random() / 2))
 
     async def _probe_all(self):
         mine = [n for n in self._router.names if self._is_watched_here(n)]
