--- a/mangogauge/routing/balanced.py
+++ b/mangogauge/routing/balanced.py
@@ -12,6 +12,7 @@
 BOUND_FACTOR = 1.25
 EJECTED_SHARE_LIMIT = 0.5
 EJECTING_PEERS = 2
+OTHERS_WEIGHT = 0.1
 
 
 class BalancedRouter(Router):
@@ -26,10 +27,14 @@
         Only endpoints there are chosen.
     clock : Clock
     random : random.Random
+    others_weight : float, optional
+        What a request that others count adds to an endpoint's load, beside
+        one of this host.
     """
 
-    def __init__(self, data_centre, clock, random):
+    def __init__(self, data_centre, clock, random, others_weight=OTHERS_WEIGHT):
         self._data_centre = data_centre
+        self._others_weight = others_weight
         self._clock = clock
         self._random = random
         self._states = {}
@@ -140,23 +145,24 @@
 
     def _choose_of_two(self, states, now):
         pair = self._random.sample(states, min(2, len(states)))
-        return min(pair, key=lambda state: _rank(state, now))
+        return min(pair, key=lambda state: self._rank(state, now))
 
     def _choose_near(self, affinity, states, now):
         """Return the first in the key's order whose load is within its bound."""
-        total = 1 + sum(state.estimate_load(now) for state in states)
+        weight = self._others_weight
+        total = 1 + sum(state.weigh_load(now, weight) for state in states)
         capacity = sum(state.compute_capacity(now) for state in states)
         order = sorted(states, key=lambda state: _hash(affinity, state.endpoint.name))
         for state in order:
             share = state.compute_capacity(now) / capacity
             bound = math.ceil(BOUND_FACTOR * total * share)
-            if state.estimate_load(now) < bound:
+            if state.weigh_load(now, weight) < bound:
                 return state
-        return min(states, key=lambda state: _rank(state, now))
+        return min(states, key=lambda state: self._rank(state, now))
 
-
-def _rank(state, now):
-    return (state.estimate_load(now) + 1) / state.compute_capacity(now)
+    def _rank(self, state, now):
+        load = state.weigh_load(now, self._others_weight)
+        return (load + 1) / state.compute_capacity(now)
 
 
 def _hash(affinity, name):
--- a/mangogauge/routing/states.py
+++ b/mangogauge/routing/states.py
@@ -99,6 +99,19 @@
             return counted
         return max(counted, self.report.running + self.report.waiting)
 
+    def weigh_load(self, now, others_weight):
+        """Return the load that choices go by.
+
+        Parameters
+        ----------
+        now : float
+        others_weight : float
+            What a request of others counts beside one of this host. Others'
+            counts are old; taken in full they make all hosts choose alike.
+        """
+        others = self.estimate_load(now) - self.running
+        return self.running + others_weight * others
+
     def compute_capacity(self, now):
         """Return its slots, less while it is new or when it is slow."""
         age = now - self.available_since
