--- a/features/gateway/mistakes.feature
+++ b/features/gateway/mistakes.feature
@@ -8,3 +8,6 @@
     Given a front whose limiter fails
     When a caller asks that front for a chat
     Then the front answers 500 as "internal_error", executed "unknown"
+
+  Scenario: Callers can look every code up
+    Then the callers' guide has every code with its status
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -1,5 +1,7 @@
 """Steps of the callers' front."""
 
+from pathlib import Path
+
 import curio
 import orjson
 from behave import given, then, when
@@ -7,7 +9,7 @@
 from features.builders import wait_until
 from features.builders.wire import RawCaller, make_request
 from mangogauge.clock import SystemClock
-from mangogauge.gateway import Doorkeeper, Front
+from mangogauge.gateway import Doorkeeper, Front, RefusalCode
 from mangogauge.http import Headers, HTTPServer, open_response
 from mangogauge.keys import KeyGuard, KeyRecord, KeyRing, KeyTrust, hash_key, make_key
 from mangogauge.settings import ConfigurationDocuments, read_fleet
@@ -343,3 +345,13 @@
         assert left[0][name] == value, left
     refused = [line for line in lines if line["message"] == "refused"]
     assert "malformed_request" in {line["code"] for line in refused}, refused
+
+
+@then("the callers' guide has every code with its status")
+def check_guide(context):
+    guide = Path(__file__).resolve().parents[2] / "docs" / "callers.md"
+    lines = [line for line in guide.read_text().splitlines() if line.startswith("| ")]
+    for code in RefusalCode:
+        status, name = code.value.status, f"`{code.value.code}`"
+        found = [line for line in lines if name in line]
+        assert found and str(status) in found[0].split("|")[1], (status, name, found)
