Count an endpoint's 5xx that is passed on as a failure of availability

Cause: since routing passes an engine's own 5xx on, the front counted it as answered; the burn report said 105 good of 105 where load had 82 answered (features/report/burn.feature, live run, failed first). Change: outcome endpoint_error; it and keys_stale burn the availability budget. Ruled out: load's reading of the answer (it has no code since it is the engine's). Measured: features/report/burn.feature 8 passed, 0 failed.

--- a/mangogauge/gateway/front.py
+++ b/mangogauge/gateway/front.py
@@ -36,6 +36,7 @@
 }
 IDEMPOTENCY_HEADER = "idempotency-key"
 KEY_LIMIT = 255
+FIRST_SERVER_ERROR = 500
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 
 log = get_logger("front")
@@ -78,7 +79,7 @@
         started = self._clock.read_elapsed()
         request_id = _read_request_id(exchange)
         labels = _Labels()
-        outcome = "answered"
+        outcome = ""
         try:
             await self._serve(exchange, request_id, labels, started)
         except Refusal as refusal:
@@ -115,7 +116,7 @@
             await self._refuse(exchange, request_id, refusal, labels)
         finally:
             seconds = self._clock.read_elapsed() - started
-            self._observe(labels, outcome, seconds)
+            self._observe(labels, outcome or labels.outcome, seconds)
 
     async def _serve(self, exchange, request_id, labels, started):
         if self._settings is None:
@@ -151,6 +152,8 @@
 
         sink = ExchangeSink(exchange, request_id, observe_first)
         await self._dispatcher.dispatch(call, sink)
+        if sink.status >= FIRST_SERVER_ERROR:
+            labels.outcome = "endpoint_error"
 
     def _find_route(self, exchange):
         route = self._routes.find(exchange.path)
@@ -298,8 +301,9 @@
 
 
 class _Labels:
-    """Route and account of an exchange, as far as they are known."""
+    """Route, account and outcome of an exchange, as far as they are known."""
 
     def __init__(self):
+        self.outcome = "answered"
         self.route = ""
         self.account = ""
--- a/mangogauge/gateway/sinks.py
+++ b/mangogauge/gateway/sinks.py
@@ -41,9 +41,15 @@
     request_id : str
     on_first : callable, optional
         Called when the first piece of the body is there.
+
+    Attributes
+    ----------
+    status : int
+        Status of the answer; 0 until it starts.
     """
 
     def __init__(self, exchange, request_id, on_first=None):
+        self.status = 0
         self._exchange = exchange
         self._request_id = request_id
         self._on_first = on_first
@@ -51,6 +57,7 @@
     async def start(self, status, headers):
         """Pass on the head."""
         self.started = True
+        self.status = status
         headers = headers.without_hop_by_hop()
         headers.set("X-Request-Id", self._request_id)
         await self._exchange.start_response(status, headers)
--- a/mangogauge/report/measures.py
+++ b/mangogauge/report/measures.py
@@ -12,7 +12,9 @@
 SYSTEM_OUTCOMES = (
     "broken",
     "internal_error",
+    "endpoint_error",
     "endpoint_failed",
+    "keys_stale",
     "outcome_unknown",
     "overloaded",
     "no_endpoint",
