--- a/features/limits/ledger.feature
+++ b/features/limits/ledger.feature
@@ -41,3 +41,9 @@
     When one borrows the other's whole half for 2 seconds and then pauses for 0
     And it lends all it has to a third
     Then it gives nothing back
+
+  Scenario: A lender that releases its slots gives no more than it has
+    Given two limits ledgers with half of rate 10 and burst 20 each
+    When one borrows the other's whole half for 2 seconds and then pauses for 0
+    And the lender stops using its slots
+    Then a third that asks the lender gets no token
--- a/features/steps/limits_ledger.py
+++ b/features/steps/limits_ledger.py
@@ -128,6 +128,19 @@
     assert grant.rate == 1.0, grant
 
 
+@when("the lender stops using its slots")
+def stop_using(context):
+    context.ledgers[1].set_rights((), START)
+
+
+@then("a third that asks the lender gets no token")
+def check_no_token(context):
+    third = AccountLedger(10, 20, (Right(0.5, START, FOREVER),), START)
+    request = third.make_request("b", "c", 1, burst=0.25, tokens=5.0)
+    assert request.room == 10, request
+    assert context.ledgers[1].lend(request, START).tokens == 0
+
+
 @then("it gives nothing back")
 def check_no_give_back(context):
     assert context.ledgers[0].give_back("b", "a", 2, START + 0.1) is None
