--- a/features/queueing/overload.feature
+++ b/features/queueing/overload.feature
@@ -18,6 +18,12 @@
     And queueing: "big" and "small" add 4 requests each
     Then queueing: the first 4 served have 2 of "small"
 
+  Scenario: What an account did not use gives it no precedence
+    Given queueing: a fair queue with accounts "big, small" of weights "1, 1"
+    When queueing: "big" adds 12 requests of cost 4 and 6 served ones cost nothing
+    And queueing: "small" adds 3 requests
+    Then queueing: the first 4 served have 3 of "small"
+
   Scenario: A flood of one account does not hold up another
     Given queueing: a host before an engine with 4 slots
     When queueing: "flood" sends 48 chats at once and "quiet" sends 4, one by one
--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -52,6 +52,22 @@
         assert context.queue.remove(ticket)
 
 
+@when(
+    'queueing: "{account}" adds {count:d} requests of cost {cost:d} '
+    "and {served:d} served ones cost nothing"
+)
+def add_and_refund(context, account, count, cost, served):
+    add(context, account, count, cost)
+    taken = [context.queue.take_next() for _ in range(served)]
+    for ticket in taken:
+        context.queue.correct(ticket, 0.0)
+
+
+@when('queueing: "{account}" adds {count:d} requests')
+def add_some(context, account, count):
+    add(context, account, count)
+
+
 @when('queueing: "{a}" and "{b}" add {count:d} requests each')
 def add_both(context, a, b, count):
     add(context, a, count)
--- a/mangogauge/queueing/fair.py
+++ b/mangogauge/queueing/fair.py
@@ -115,10 +115,7 @@
             return False
         flow.waiting.remove(ticket)
         self._size -= 1
-        flow.finish -= ticket.cost / ticket.weight
-        for later in flow.waiting:
-            if later.start > ticket.start:
-                later.start -= ticket.cost / ticket.weight
+        self._shift(flow, -ticket.cost / ticket.weight, ticket.start)
         return True
 
     def correct(self, ticket, cost):
@@ -126,15 +123,26 @@
         flow = self._flows.get(ticket.account)
         if flow is None:
             return
-        difference = (cost - ticket.cost) / ticket.weight
-        flow.finish += difference
-        for waiting in flow.waiting:
-            waiting.start += difference
+        self._shift(flow, (cost - ticket.cost) / ticket.weight, float("-inf"))
 
     def _tag(self, flow, ticket):
         ticket.start = max(self._virtual_time, flow.finish)
         flow.finish = ticket.start + ticket.cost / ticket.weight
 
+    def _shift(self, flow, difference, after):
+        """Move the tags of requests that start after `after`.
+
+        None falls behind the virtual time: what an account did not use in the
+        past gives it no precedence over the others now.
+        """
+        flow.finish += difference
+        earliest = self._virtual_time
+        for ticket in flow.waiting:
+            if ticket.start > after:
+                ticket.start = max(earliest, ticket.start + difference)
+            earliest = ticket.start + ticket.cost / ticket.weight
+            flow.finish = earliest
+
     def _forget_idle(self):
         """Drop accounts that are owed nothing and owe nothing."""
         idle = [
--- a/mangogauge/queueing/gate.py
+++ b/mangogauge/queueing/gate.py
@@ -23,6 +23,7 @@
 UNKNOWN_SECONDS = 0.05
 PUMP_SECONDS = 0.1
 TYPICAL_SHARE = 0.5
+SAFE_SHARE = 0.95
 
 
 @define(eq=False)
@@ -42,6 +43,7 @@
     ticket = field(default=None)
     started = field(factory=curio.Event)
     started_at = field(default=0.0)
+    too_late = field(default=False)
 
 
 class CapacityGate(HostPart):
@@ -116,23 +118,28 @@
     def _make_ticket(self, entry):
         account = entry.call.account
         weight = self._weights.get(account, 1.0)
-        return Ticket(account, weight, self._estimate_seconds(entry.call), entry)
+        cost = self._estimate_seconds(entry.call, TYPICAL_SHARE)
+        return Ticket(account, weight, cost, entry)
 
-    def _estimate_seconds(self, call):
-        usual = self._times.estimate(_find_class(call), TYPICAL_SHARE)
-        return usual or UNKNOWN_SECONDS
+    def _estimate_seconds(self, call, share):
+        return self._times.estimate(_find_class(call), share) or UNKNOWN_SECONDS
+
+    def _is_too_late(self, call, wait=0.0):
+        """Return whether `call` would likely miss its deadline after `wait`."""
+        left = call.deadline - self._clock.read_elapsed()
+        return wait + self._estimate_seconds(call, SAFE_SHARE) > left
 
     def _check_admission(self, call, queue, ticket):
         slots = max(1.0, self._measure_room(call))
         weights = queue.sum_weights(call.account, ticket.weight)
         waiting = queue.count(call.account)
         wait = estimate_wait(waiting, ticket.weight, weights, slots, ticket.cost)
-        left = call.deadline - self._clock.read_elapsed()
         if call.priority is Priority.BATCH:
             fits = waiting < ACCOUNT_QUEUE_LIMIT
         else:
             fits = wait <= LONGEST_WAIT_SECONDS and waiting < ACCOUNT_QUEUE_LIMIT
-        if fits and len(queue) < GROUP_QUEUE_LIMIT and wait + ticket.cost <= left:
+        fits = fits and len(queue) < GROUP_QUEUE_LIMIT
+        if fits and not self._is_too_late(call, wait):
             return
         raise _refuse(wait)
 
@@ -143,12 +150,14 @@
                 await entry.started.wait()
         except curio.TaskTimeout:
             if queue.remove(entry.ticket):
-                raise _refuse(LONGEST_WAIT_SECONDS) from None
+                raise _refuse(entry.ticket.cost) from None
         except BaseException:
             # The caller has hung up, perhaps just as the call was started.
-            if not queue.remove(entry.ticket):
+            if not queue.remove(entry.ticket) and not entry.too_late:
                 await self.leave(entry)
             raise
+        if entry.too_late:
+            raise _refuse(entry.ticket.cost)
 
     async def _pump(self, group):
         for priority in Priority:
@@ -158,7 +167,12 @@
                 if not self._has_room(group, head.call):
                     break
                 entry = queue.take_next().item
-                self._start(entry)
+                if self._is_too_late(entry.call):
+                    # Running it would take a slot from one that can be met.
+                    entry.too_late = True
+                    queue.correct(entry.ticket, 0.0)
+                else:
+                    self._start(entry)
                 await entry.started.set()
 
     def _start(self, entry):
