Give an ejected endpoint that is used nevertheless a positive capacity

Cause: its slow start begins when the ejection ends, so before that its age was negative, its capacity too, and with every endpoint ejected all calls went to one.

--- a/mangogauge/routing/states.py
+++ b/mangogauge/routing/states.py
@@ -114,7 +114,7 @@
 
     def compute_capacity(self, now):
         """Return its slots, less while it is new or when it is slow."""
-        age = now - self.available_since
+        age = max(0.0, now - self.available_since)
         ramp = SLOW_START_SHARE + (1 - SLOW_START_SHARE) * age / SLOW_START_SECONDS
         return self.endpoint.slots * min(1.0, ramp) / max(1.0, self.slowness)
 
