Let an idle host rest: batch and drain polls only while there is work

Cause: an idle host of a fleet of four took 3.8% of a core against the 1% that control may cost: 178 wake-ups a second, most of them batch looking for items 20 to 50 times a second without owning a chunk, and polls of the drain flag. Change: without a chunk batch rests 0.25 s and samples rooms twice a second; the drain waits on an event; signals are looked at five times a second. Ruled out: the relay's poll and the views (0.07 s of 25 s each by cProfile).

--- a/mangogauge/batch/execution.py
+++ b/mangogauge/batch/execution.py
@@ -21,6 +21,9 @@
 
 IDLE_SECONDS = 0.02
 ROOM_TICK_SECONDS = 0.05
+# A host without a chunk looks this seldom: idle hosts must cost little.
+RESTING_SECONDS = 0.25
+RESTING_ROOM_TICK_SECONDS = 0.5
 ROOM_PAUSE_SECONDS = 0.05
 STALL_SECONDS = 10.0
 TICKS_PER_REPORT = 5
@@ -184,7 +187,8 @@
         async with curio.TaskGroup(wait=None) as group:
             while True:
                 if not await self._start_next(group):
-                    async with curio.ignore_after(IDLE_SECONDS):
+                    idle = IDLE_SECONDS if self._runs else RESTING_SECONDS
+                    async with curio.ignore_after(idle):
                         await self._woken.wait()
                     self._woken.clear()
 
@@ -211,6 +215,9 @@
                 self._room.note_running(name, self._parts.router.count_running(name))
             for name, count in self._room.decide().items():
                 await self._give_way(name, count)
+            if not self._runs:
+                await curio.sleep(RESTING_ROOM_TICK_SECONDS)
+                return
             await curio.sleep(ROOM_TICK_SECONDS)
 
     async def _give_way(self, endpoint, count):
--- a/mangogauge/batch/runner.py
+++ b/mangogauge/batch/runner.py
@@ -29,6 +29,7 @@
 INTENT_SECONDS = 0.1
 TICK_SECONDS = 0.05
 LAPSE_TICK_SECONDS = 0.1
+RESTING_SECONDS = 0.25
 RETRY_COMMIT_SECONDS = 0.5
 DRAIN_SECONDS = 10.0
 EARLY_COMMIT_BYTES = 500_000
@@ -154,7 +155,7 @@
     async def _watch_lease(self):
         """Cancel items once the lease has ended, also while a renewal hangs."""
         while True:
-            await curio.sleep(LAPSE_TICK_SECONDS)
+            await curio.sleep(LAPSE_TICK_SECONDS if self._owned else RESTING_SECONDS)
             if self._policy.decide(self._read_sight()) is Continuation.STOP:
                 for chunk in list(self._owned.values()):
                     await self._executor.stop_repeatable(chunk)
@@ -230,7 +231,7 @@
 
     async def _commit_often(self):
         while True:
-            await curio.sleep(TICK_SECONDS)
+            await curio.sleep(TICK_SECONDS if self._owned else RESTING_SECONDS)
             chunks = self._list_due()
             if not chunks:
                 continue
--- a/mangogauge/commands/serve.py
+++ b/mangogauge/commands/serve.py
@@ -14,7 +14,7 @@
 
 __all__ = ["serve"]
 
-SIGNAL_INTERVAL = 0.05
+SIGNAL_INTERVAL = 0.2
 
 
 def serve(host: Path, *, log_level: str = "INFO"):
@@ -59,7 +59,7 @@
     """Drain at the first signal, return at the second."""
     while not signals.count:
         await curio.sleep(SIGNAL_INTERVAL)
-    host.start_drain()
+    await host.start_drain()
     while signals.count < 2:
         await curio.sleep(SIGNAL_INTERVAL)
 
--- a/mangogauge/daemon/host.py
+++ b/mangogauge/daemon/host.py
@@ -81,6 +81,7 @@
         self.metrics = HostMetrics()
         self.fleet = None
         self.draining = False
+        self._drain_asked = curio.Event()
         self.parts = []
         self.channels = ChannelPool(
             secret, self._make_tls(settings.peers, Purpose.SERVER_AUTH, PEER_PROTOCOL)
@@ -276,9 +277,10 @@
         if group.exception is not None:
             raise group.exception
 
-    def start_drain(self):
+    async def start_drain(self):
         """Begin to end without cutting off any request."""
         self.draining = True
+        await self._drain_asked.set()
 
     def take_fleet(self, fleet):
         """Put a newer configuration in force, whole."""
@@ -294,8 +296,7 @@
         log.info("configuration in force", extra={"version": fleet.version})
 
     async def _drain(self):
-        while not self.draining:
-            await curio.sleep(DRAIN_INTERVAL)
+        await self._drain_asked.wait()
         log.info("draining", extra={"step": "drain"})
         for part in self.parts:
             part.announce_drain()
--- a/mangogauge/demo/deployment.py
+++ b/mangogauge/demo/deployment.py
@@ -115,7 +115,7 @@
 
     async def drain(self, name):
         """Drain a host and wait for its end."""
-        self.hosts[name].start_drain()
+        await self.hosts[name].start_drain()
         await self._tasks.pop(name).join()
 
     async def grant_key(self, account):
