Hold a newer configuration back until another host of the data centre has it

Cause: the model (specification/configuration.py) breaks 'never reverts' in six steps: a host that alone had the newest version ends, starts again while the platform is away, and takes an older one from its peers. Change: a version is staged and offered to peers; it is put in force once one other host of the data centre has it, at once if none is there, and after 3 s all the same, so that a peer that can't fetch it does not hold it up. A host that starts from peers waits until all it knows have said what they have. Also: the limits scenario of a cut data centre had its only service in the other one, which that data centre rightly no longer reaches; it now has its own. Ruled out: waiting without a bound (a one-way cut would keep it from being in force within 7 s).

--- a/features/configuration/relay.feature
+++ b/features/configuration/relay.feature
@@ -16,3 +16,18 @@
     Given trust in keys for 60 seconds
     When news of age 5 that was asked for 50 seconds ago arrives
     Then keys are trusted, and 10 seconds later no more
+
+  Scenario Outline: A newer version waits until another host has it: <case>
+    Given a version 2 from <source> at a host that <state>
+    When its data centre's other hosts have "<versions>"
+    Then the version <outcome>
+
+    Examples:
+      | case                       | source       | state        | versions | outcome           |
+      | nobody else has it         | the platform | runs         | 1 1      | is not in force   |
+      | one other has it           | the platform | runs         | 1 2      | is in force       |
+      | nobody else is there       | the platform | runs         | none     | is in force       |
+      | a peer has not answered    | a peer       | just started | 2 ?      | is not in force   |
+      | all peers have answered    | a peer       | just started | 2 1      | is in force       |
+      | a peer has a newer one     | a peer       | just started | 3 1      | is not in force   |
+      | nobody takes it for 3 s    | the platform | runs         | 1 late   | is in force       |
--- a/features/run.py
+++ b/features/run.py
@@ -21,7 +21,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 TEST_PREFIX = "test: "
-DEFAULT_JOBS = 4
+DEFAULT_JOBS = 8
 WORKER = "--worker"
 BEHAVE_DEFAULTS = ("--no-color", "--format", "progress2", "--no-capture-hooks")
 
--- a/features/steps/limits_fleet.py
+++ b/features/steps/limits_fleet.py
@@ -28,13 +28,15 @@
 def start_fleet(context, hosts, rate, burst):
     world = context.world
     world.start_platform()
+    # Endpoints are reached from their own data centre; each has one.
     world.start_service("desk-service", "a")
+    world.start_service("desk-service-b", "b")
     world.routes.append(
         {
             "name": "bookings",
             "path": "/bookings/*",
             "kind": "service",
-            "endpoints": "desk-service",
+            "endpoints": "desk-service, desk-service-b",
             "repeatable": "GET",
         }
     )
--- a/features/steps/relay.py
+++ b/features/steps/relay.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 
 from mangogauge.clock import ManualClock
+from mangogauge.configuration import Staging
 from mangogauge.distribution import RelayDuty, rank_relays
 from mangogauge.keys import KeyTrust
 
@@ -72,3 +73,28 @@
     assert context.trust.holds
     context.clock.advance(seconds + STEP_SECONDS)
     assert not context.trust.holds
+
+
+@given("a version {version:d} from {source} at a host that {state}")
+def stage_version(context, version, source, state):
+    context.clock = ManualClock()
+    context.staging = Staging(context.clock)
+    context.starting = state == "just started"
+    context.staged = context.staging.stage(version, None, source == "the platform")
+
+
+@when('its data centre\'s other hosts have "{versions}"')
+def take_peers(context, versions):
+    words = versions.split()
+    if "late" in words:
+        words.remove("late")
+        context.clock.advance(3)
+    numbers = [int(word) if word != "?" else None for word in words if word != "none"]
+    context.entered = context.staging.may_enter(
+        context.staged, numbers, context.starting
+    )
+
+
+@then("the version {outcome} in force")
+def check_entered(context, outcome):
+    assert context.entered == (outcome == "is"), context.entered
--- a/mangogauge/configuration/replica.py
+++ b/mangogauge/configuration/replica.py
@@ -29,26 +29,48 @@
         Whose overlay applies.
     take_fleet : callable
         Called with the `FleetSettings` of each newer version.
+    staging : Staging
     """
 
     name = "configuration"
 
-    def __init__(self, configuration, data_centre, take_fleet):
+    def __init__(self, configuration, data_centre, take_fleet, staging):
         self._configuration = configuration
         self._data_centre = data_centre
         self._take_fleet = take_fleet
+        self._staging = staging
+        self._staged = None
+        self._in_force = 0
         self._version = 0
         self._packed = b""
 
     @property
     def position(self):
-        """Version in force."""
+        """Newest version that this host has, in force or staged."""
         return self._version
 
+    @property
+    def in_force(self):
+        """Version in force."""
+        return self._in_force
+
     @property
     def loaded(self):
         """Whether any version is in force."""
-        return self._version > 0
+        return self._in_force > 0
+
+    def settle(self, peer_positions):
+        """Put the staged version in force once a peer has it too."""
+        staged = self._staged
+        if staged is None:
+            return False
+        starting = not self._in_force
+        if not self._staging.may_enter(staged, peer_positions, starting):
+            return False
+        self._staged = None
+        self._in_force = staged.version
+        self._take_fleet(staged.fleet)
+        return True
 
     async def read_platform(self, changed_at):
         """Read the recorded version."""
@@ -57,7 +79,7 @@
         found = await self._configuration.read()
         if isinstance(found, Failure) or found.unwrap() is None:
             return found
-        await self._take(found.unwrap().to_bytes())
+        await self._take(found.unwrap().to_bytes(), from_platform=True)
         return Success(None)
 
     async def fetch(self, channel):
@@ -67,7 +89,8 @@
             FETCH_METHOD, request, ConfigurationReply, FETCH_TIMEOUT
         )
         if reply.version > self._version:
-            await self._take(zstandard.decompress(reply.configuration))
+            data = zstandard.decompress(reply.configuration)
+            await self._take(data, from_platform=False)
 
     def protocol_methods(self):
         """Return the method by which peers fetch."""
@@ -79,7 +102,7 @@
             reply.configuration = self._packed
         await context.send(reply)
 
-    async def _take(self, data):
+    async def _take(self, data, from_platform):
         current = VersionedConfiguration.from_bytes(data)
         if current.version <= self._version:
             return
@@ -92,10 +115,9 @@
         except SettingsError as error:
             log.error("configuration refused", extra={"reason": str(error)})
             return
-        # Another task may have put a later version in force while this one
-        # was being read.
+        # Another task may have taken a later version while this was read.
         if current.version <= self._version:
             return
         self._version = current.version
         self._packed = zstandard.compress(data)
-        self._take_fleet(fleet)
+        self._staged = self._staging.stage(current.version, fleet, from_platform)
--- a/mangogauge/daemon/host.py
+++ b/mangogauge/daemon/host.py
@@ -7,7 +7,7 @@
 
 from ..batch import BatchPart
 from ..clock import SystemClock
-from ..configuration import ConfigurationReplica, ConfigurationStore
+from ..configuration import ConfigurationReplica, ConfigurationStore, Staging
 from ..distribution import Distributor, Roster, RosterEntry, RosterKeeper
 from ..gateway import (
     CrashWatch,
@@ -127,6 +127,7 @@
             ConfigurationStore(self.records, self.clock),
             self.settings.data_centre,
             self.take_fleet,
+            Staging(self.clock),
         )
         keys = KeyReplica(self.records, self.ring, self.guard)
         self.distributor = Distributor(
--- a/mangogauge/distribution/distributor.py
+++ b/mangogauge/distribution/distributor.py
@@ -60,8 +60,8 @@
 
     @property
     def positions(self):
-        """How far each replica is: ``{name: position}``."""
-        return {replica.name: replica.position for replica in self.replicas}
+        """How far what is in force is: ``{replica's name: position}``."""
+        return {replica.name: replica.in_force for replica in self.replicas}
 
     def protocol_methods(self):
         """Return the methods by which peers fetch."""
@@ -74,6 +74,7 @@
             await self._read_platform_if_due()
             await self._fetch_from_peers()
             self._publish()
+            self._settle()
             await self._ask_age_if_due()
             await curio.sleep(STEP_SECONDS)
 
@@ -137,9 +138,16 @@
             return False
         return True
 
+    def _settle(self):
+        own = self._view.own
+        others = [m for m in self._view.list_members(own.data_centre) if m != own]
+        for replica in self.replicas:
+            published = [self._view.read(m.name, replica.name) for m in others]
+            replica.settle([int(raw) if raw else None for raw in published])
+
     def _publish(self):
         for replica in self.replicas:
-            if replica.loaded:
+            if replica.loaded or replica.position:
                 self._view.publish(replica.name, str(replica.position).encode())
         # Only this data centre's hosts ask whether their relay still reads.
         self._view.publish(READS_ENTRY, str(self._reads).encode(), wide=False)
--- a/mangogauge/distribution/replica.py
+++ b/mangogauge/distribution/replica.py
@@ -26,6 +26,27 @@
     def position(self):
         """How far this copy is; a number that never falls."""
 
+    @property
+    def in_force(self):
+        """How far what this host acts by is; never beyond `position`."""
+        return self.position
+
+    def settle(self, peer_positions):
+        """Put in force what waited for a peer to have it too.
+
+        Parameters
+        ----------
+        peer_positions : list of int or None
+            Positions that the other live hosts of this data centre publish;
+            None for one that has published none.
+
+        Returns
+        -------
+        bool
+            Whether anything was put in force.
+        """
+        return False
+
     @property
     @abstractmethod
     def loaded(self):
