--- a/features/steps/pages.py
+++ b/features/steps/pages.py
@@ -9,7 +9,9 @@
 
 ROOT = Path(__file__).parent.parent.parent
 FEATURE_PATTERN = re.compile(r"features/[\w/]+\.feature")
-RUN_PATTERN = re.compile(r"`(control|parts|proxy|harm|fair|limits|batch|faults)`")
+RUN_PATTERN = re.compile(
+    r"`((?:bench\.\w+)|control|parts|proxy|harm|fair|limits|batch|faults)`"
+)
 
 
 def read_rows(path):
