--- a/features/builders/world.py
+++ b/features/builders/world.py
@@ -100,6 +100,21 @@
         self.add_endpoint(name, port, data_centre, "service", **endpoint)
         return self._start_standin(name, "service", port)
 
+    def start_backends(self):
+        """Start the platform, an engine in each data centre, and a service."""
+        self.start_platform()
+        self.start_engine("engine-a", "a")
+        self.start_engine("engine-b", "b")
+        self.start_service("desk-service", "a")
+        self.routes.append(
+            {
+                "name": "bookings",
+                "path": "/bookings/*",
+                "kind": "service",
+                "endpoints": "desk-service",
+            }
+        )
+
     def add_endpoint(self, name, port, data_centre, kind, **options):
         self.endpoints[name] = {
             "name": name,
--- a/features/steps/batch.py
+++ b/features/steps/batch.py
@@ -30,18 +30,7 @@
 @given("a batch fleet with hosts in two data centres")
 def start_fleet(context):
     world = context.world
-    world.start_platform()
-    world.start_engine("engine-a", "a")
-    world.start_engine("engine-b", "b")
-    world.start_service("desk-service", "a")
-    world.routes.append(
-        {
-            "name": "bookings",
-            "path": "/bookings/*",
-            "kind": "service",
-            "endpoints": "desk-service",
-        }
-    )
+    world.start_backends()
     # Far above what any scenario sends at once: these are not about rates.
     world.accounts = [("desk", 1000, 1000)]
     world.extra = SETTINGS + getattr(context, "batch_extra", "")
--- a/features/steps/path.py
+++ b/features/steps/path.py
@@ -9,18 +9,7 @@
 @given("a platform, an engine in each data centre, and a service")
 def start_backends(context):
     world = context.world
-    world.start_platform()
-    world.start_engine("engine-a", "a")
-    world.start_engine("engine-b", "b")
-    world.start_service("desk-service", "a")
-    world.routes.append(
-        {
-            "name": "bookings",
-            "path": "/bookings/*",
-            "kind": "service",
-            "endpoints": "desk-service",
-        }
-    )
+    world.start_backends()
     world.apply_configuration()
 
 
