--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -6,7 +6,7 @@
 from features.builders import World, wait_until
 from mangogauge.clock import SystemClock
 from mangogauge.keys import KeyStore
-from mangogauge.platform import GatewayStore, RecordStore
+from mangogauge.store import GatewayStore, RecordStore
 
 DATA_CENTRES = ("a", "b", "c", "d")
 LARGE_RATE = 24
--- a/bench/distribution.py
+++ b/bench/distribution.py
@@ -19,9 +19,9 @@
 from mangogauge.configuration import ConfigurationStore
 from mangogauge.distribution import Confirmations, Roster
 from mangogauge.keys import KeyStore
-from mangogauge.platform import GatewayStore, RecordStore
 from mangogauge.settings import ConfigurationDocuments
 from mangogauge.standins.proxy import make_schedule
+from mangogauge.store import GatewayStore, RecordStore
 
 HOSTS = {"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
 SECRET_FILE = "secret"
--- a/features/machines/batch.py
+++ b/features/machines/batch.py
@@ -10,7 +10,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from mangogauge.clock import ManualClock
-from mangogauge.platform import Commit, RecordStore, records
+from mangogauge.store import Commit, RecordStore, records
 
 from .stores import Fate, LossyStore
 
--- a/features/machines/chunks.py
+++ b/features/machines/chunks.py
@@ -16,7 +16,7 @@
 from mangogauge.batch.keys import RESULTS_PREFIX, make_job_key, make_state_key
 from mangogauge.batch.packing import unpack
 from mangogauge.clock import ManualClock
-from mangogauge.platform import Conflict, Operation, RecordStore, records
+from mangogauge.store import Conflict, Operation, RecordStore, records
 
 from .stores import Fate, LossyStore
 
--- a/features/machines/stores.py
+++ b/features/machines/stores.py
@@ -4,7 +4,7 @@
 
 from returns.result import Failure
 
-from mangogauge.platform import MemoryStore, StoreLostAnswerError
+from mangogauge.store import MemoryStore, StoreLostAnswerError
 
 
 class Fate(enum.Enum):
--- a/features/steps/grouping.py
+++ b/features/steps/grouping.py
@@ -7,7 +7,7 @@
 
 from mangogauge.clock import SystemClock
 from mangogauge.idempotency import GroupWriter, KeyWrite
-from mangogauge.platform import MemoryStore, RecordStore
+from mangogauge.store import MemoryStore, RecordStore
 
 
 @when("{rate:d} writes a second go to one group writer for {seconds:d} s")
--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -10,10 +10,10 @@
 
 from features.builders import make_text, run_together, wait_until
 from mangogauge.clock import ManualClock
-from mangogauge.gateway import Call, Priority
+from mangogauge.gateway import Call, CapacityGate, Priority
 from mangogauge.http import Headers
 from mangogauge.membership import Member, MembershipView
-from mangogauge.queueing import CapacityGate, FairQueue, Ticket
+from mangogauge.queueing import FairQueue, Ticket
 from mangogauge.routing import AnswerTimes, BalancedRouter
 from mangogauge.settings import Endpoint, EndpointKind, Route, RouteKind
 
--- a/features/steps/standins.py
+++ b/features/steps/standins.py
@@ -11,7 +11,9 @@
 from returns.result import Failure, Success
 
 from features.builders import Caller, wait_until
-from mangogauge.platform import (
+from mangogauge.standins import LinkFaults
+from mangogauge.standins.proxy import make_schedule
+from mangogauge.store import (
     Commit,
     GatewayStore,
     Lease,
@@ -19,8 +21,6 @@
     StoreLostAnswerError,
     StoreUnavailableError,
 )
-from mangogauge.standins import LinkFaults
-from mangogauge.standins.proxy import make_schedule
 
 LINK = "service"
 SHORT_SECONDS = 0.3
--- a/mangogauge/batch/answers.py
+++ b/mangogauge/batch/answers.py
@@ -2,8 +2,8 @@
 
 from returns.result import Failure
 
-from ..gateway.refusals import Refusal, RefusalCode
-from ..platform import StoreLostAnswerError
+from ..refusals import Refusal, RefusalCode
+from ..store import StoreLostAnswerError
 from .jobs import JobState
 from .results import make_error_id, make_output_id
 from .scheduling import JobOutlook
--- a/mangogauge/batch/batch_resource.py
+++ b/mangogauge/batch/batch_resource.py
@@ -6,8 +6,8 @@
 import orjson
 from returns.result import Success
 
-from ..gateway.refusals import Refusal, RefusalCode
 from ..gateway.resources import Resource, send_json
+from ..refusals import Refusal, RefusalCode
 from .answers import show_job, take_read, take_write
 from .chunks import sum_counts
 from .files import FileRecord
--- a/mangogauge/batch/collector.py
+++ b/mangogauge/batch/collector.py
@@ -7,7 +7,7 @@
 from returns.result import Failure, Success
 
 from ..daemon.parts import HostPart
-from ..platform import Condition, Operation, Transaction
+from ..store import Condition, Operation, Transaction
 from ..telemetry import get_logger
 from .files import FileRecord
 from .jobs import Job
--- a/mangogauge/batch/commits.py
+++ b/mangogauge/batch/commits.py
@@ -6,7 +6,7 @@
 from attrs import define, field, frozen
 from returns.result import Failure, Success
 
-from ..platform import (
+from ..store import (
     Commit,
     Condition,
     Conflict,
--- a/mangogauge/batch/execution.py
+++ b/mangogauge/batch/execution.py
@@ -8,9 +8,9 @@
 import orjson
 from attrs import define, field
 
-from ..gateway.refusals import Refusal
 from ..gateway.sinks import MemorySink
 from ..http import ClientPool, HTTPError
+from ..refusals import Refusal
 from ..settings import RoomKind
 from .items import ItemError, ItemReader, Verdict, judge_answer, judge_refusal
 from .load import LoadWatcher
--- a/mangogauge/batch/file_resource.py
+++ b/mangogauge/batch/file_resource.py
@@ -2,10 +2,10 @@
 
 from python_multipart.exceptions import FormParserError
 
-from ..gateway.refusals import Refusal, RefusalCode
 from ..gateway.resources import Resource, send_json
 from ..http import Headers
-from ..platform import StoreError
+from ..refusals import Refusal, RefusalCode
+from ..store import StoreError
 from .answers import show_file, show_result_file, take_read, take_write
 from .files import FileMismatch, FileRecord, UploadExpired, UploadRequest
 from .packing import LineTooLongError
--- a/mangogauge/batch/files.py
+++ b/mangogauge/batch/files.py
@@ -7,7 +7,7 @@
 from attrs import asdict, field, frozen
 from returns.result import Failure, Success
 
-from ..platform import Condition, Conflict, Operation, StoreUnavailableError
+from ..store import Condition, Conflict, Operation, StoreUnavailableError
 from .keys import (
     make_expiry_key,
     make_file_key,
--- a/mangogauge/batch/items.py
+++ b/mangogauge/batch/items.py
@@ -6,9 +6,9 @@
 from attrs import field, frozen
 
 from ..gateway.calls import Call, Priority
-from ..gateway.refusals import RefusalCode
 from ..gateway.routes import RouteTable
 from ..http import Headers
+from ..refusals import RefusalCode
 from ..settings import RouteKind
 from .jobs import Need
 
--- a/mangogauge/batch/jobs.py
+++ b/mangogauge/batch/jobs.py
@@ -8,7 +8,7 @@
 from attrs import asdict, evolve, field, frozen
 from returns.result import Failure, Success
 
-from ..platform import Condition, Conflict, Operation, encode_record
+from ..store import Condition, Conflict, Operation, encode_record
 from .files import FileRecord
 from .keys import (
     ACCOUNT_JOBS_PREFIX,
--- a/mangogauge/batch/ownership.py
+++ b/mangogauge/batch/ownership.py
@@ -6,7 +6,7 @@
 from attrs import field, frozen
 from returns.result import Failure
 
-from ..platform import StoreRefusedError
+from ..store import StoreRefusedError
 
 __all__ = ["Continuation", "HostLease", "LapsePolicy", "LeaseSight", "PlatformSight"]
 
--- a/mangogauge/batch/uploads.py
+++ b/mangogauge/batch/uploads.py
@@ -2,7 +2,7 @@
 
 from python_multipart.multipart import MultipartParser, parse_options_header
 
-from ..gateway.refusals import Refusal, RefusalCode
+from ..refusals import Refusal, RefusalCode
 
 __all__ = ["MultipartUpload"]
 
--- a/mangogauge/commands/configuration.py
+++ b/mangogauge/commands/configuration.py
@@ -8,8 +8,8 @@
 from returns.result import Failure
 
 from ..configuration import ConfigurationStore, describe_difference
-from ..platform import Conflict
 from ..settings import ConfigurationDocuments, SettingsError, read_fleet
+from ..store import Conflict
 from .exits import ExitCode
 from .options import PlatformOption, SecretFileOption, read_secret
 from .output import print_error, print_json
--- a/mangogauge/commands/platform.py
+++ b/mangogauge/commands/platform.py
@@ -6,7 +6,7 @@
 from returns.result import Failure
 
 from ..clock import SystemClock
-from ..platform import (
+from ..store import (
     GatewayStore,
     RecordStore,
     StoreLostAnswerError,
--- a/mangogauge/commands/serve.py
+++ b/mangogauge/commands/serve.py
@@ -1,12 +1,12 @@
 """``mangogauge serve``: run one host."""
 
-import signal
 import sys
 from pathlib import Path
 
 import curio
 
 from ..daemon.host import Host
+from ..daemon.signals import EndSignals
 from ..settings import SettingsError, read_host
 from ..telemetry import configure_logs
 from .exits import ExitCode
@@ -14,8 +14,6 @@
 
 __all__ = ["serve"]
 
-SIGNAL_INTERVAL = 0.2
-
 
 def serve(host: Path, *, log_level: str = "INFO"):
     """Run one host until it is told to end.
@@ -47,30 +45,16 @@
             "operator_port": host.operators.server.port,
         }
     )
-    signals = _SignalCount(signal.SIGTERM, signal.SIGINT)
+    signals = EndSignals()
     async with curio.TaskGroup(wait=any) as group:
         await group.spawn(host.run)
-        await group.spawn(_wait_for_signals, signals, host)
+        await group.spawn(_drain_on_signal, signals, host)
     if group.exception is not None:
         raise group.exception
 
 
-async def _wait_for_signals(signals, host):
+async def _drain_on_signal(signals, host):
     """Drain at the first signal, return at the second."""
-    while not signals.count:
-        await curio.sleep(SIGNAL_INTERVAL)
+    await signals.wait(1)
     await host.start_drain()
-    while signals.count < 2:
-        await curio.sleep(SIGNAL_INTERVAL)
-
-
-class _SignalCount:
-    """How many of the named signals have come."""
-
-    def __init__(self, *numbers):
-        self.count = 0
-        for number in numbers:
-            signal.signal(number, self._note)
-
-    def _note(self, number, frame):
-        self.count += 1
+    await signals.wait(2)
--- a/mangogauge/configuration/store.py
+++ b/mangogauge/configuration/store.py
@@ -8,8 +8,8 @@
 from returns.result import Failure, Success
 
 from ..distribution.replica import CHANGES_PREFIX
-from ..platform import Conflict, Operation, encode_record
 from ..settings import ConfigurationDocuments
+from ..store import Conflict, Operation, encode_record
 
 __all__ = ["ConfigurationStore", "VersionedConfiguration"]
 
--- a/mangogauge/daemon/host.py
+++ b/mangogauge/daemon/host.py
@@ -10,6 +10,7 @@
 from ..configuration import ConfigurationReplica, ConfigurationStore, Staging
 from ..distribution import Distributor, Roster, RosterEntry, RosterKeeper
 from ..gateway import (
+    CapacityGate,
     CrashWatch,
     Dispatcher,
     Doorkeeper,
@@ -31,9 +32,7 @@
     read_machine_identity,
 )
 from ..membership import Member, MembershipExchange, MembershipView, new_incarnation
-from ..platform import FileHostList, GatewayStore, RecordStore
 from ..protocol import ChannelPool, ProtocolServer
-from ..queueing import CapacityGate
 from ..routing import (
     AnswerTimes,
     BalancedRouter,
@@ -45,6 +44,7 @@
 )
 from ..routing.watch import EndpointWatch
 from ..settings import KeySettings
+from ..store import FileHostList, GatewayStore, RecordStore
 from ..telemetry import HostMetrics, get_logger
 from ..tls import HTTP_PROTOCOL, PEER_PROTOCOL, TLSContext
 from .operators import OperatorPort
--- /dev/null
+++ b/mangogauge/daemon/serving.py
@@ -0,0 +1,282 @@
+"""One host that serves a fleet from the platform's store: its parts and its life."""
+
+import os
+import random
+import uuid
+
+import curio
+from attrs import field, frozen
+
+from ..clock import SystemClock
+from ..entry import EndpointAttempt, FleetFront, OnlineDispatcher
+from ..fleet import (
+    EndpointDirectory,
+    FleetMember,
+    FleetState,
+    Follower,
+    FollowPace,
+    MemberDirectory,
+    OrderListener,
+    Registration,
+)
+from ..http import ClientPool, Headers, HTTPServer, ServerLimits
+from ..placement import EndpointChooser, EndpointHealth, SlotQueue
+from ..routing import RetryBudgets, RetryPolicy
+from ..sharing import LoadBoard, ReportExchange, SharedQuota
+from ..telemetry import get_logger
+from .signals import EndSignals
+
+__all__ = ["ServingBackends", "ServingHost", "run_host"]
+
+# Operators' orders have to be in force within seconds, also where a connection
+# falls silent while a call waits on it.
+ORDERS_PACE = FollowPace(wait_seconds=5.0)
+# Endpoints write to the store all the time; reading them once a second bounds
+# the calls, and how late it is known that one leaves.
+ENDPOINTS_PACE = FollowPace(wait_seconds=1.0, pause_seconds=1.0)
+MEMBERS_PACE = FollowPace(wait_seconds=5.0, pause_seconds=0.2)
+PUMP_SECONDS = 0.02
+IDLE_MARGIN = 1.2
+# Part of the time to drain after which connections are no longer awaited.
+DRAIN_SHARE = 0.9
+
+log = get_logger("host")
+
+
+@frozen
+class ServingBackends:
+    """What a host talks to, and how.
+
+    Parameters
+    ----------
+    store : Store
+    feed : ChangeFeed
+    source : FleetSource
+    callers : CallerDialect
+    endpoints : EndpointDialect
+    jobs : JobDialect
+    metrics : ServingMetrics
+    """
+
+    store = field()
+    feed = field()
+    source = field()
+    callers = field()
+    endpoints = field()
+    jobs = field()
+    metrics = field()
+
+
+class ServingHost:
+    """A host.
+
+    Parameters
+    ----------
+    settings : ServingSettings
+    backends : ServingBackends
+    clock : Clock, optional
+    """
+
+    def __init__(self, settings, backends, clock=None):
+        self.settings = settings
+        self.backends = backends
+        self.clock = clock or SystemClock()
+        self.random = random.Random()
+        self.metrics = backends.metrics
+        self.draining = False
+        self._drain_asked = curio.Event()
+        self.incarnation = uuid.uuid4().hex[:12]
+        self._make_sharing()
+        self._make_fleet()
+        self._make_entry()
+        self._make_ports()
+
+    @property
+    def ready(self):
+        """Whether callers may be sent here."""
+        return self.state.loaded and not self.draining
+
+    def _make_sharing(self):
+        settings, clock = self.settings, self.clock
+        self.board = LoadBoard(settings.name, self.incarnation, clock)
+        self.quota = SharedQuota(clock)
+        self.health = EndpointHealth(clock)
+        own = FleetMember(settings.name, self.incarnation)
+        self.members = MemberDirectory(own, clock)
+        self.exchange = ReportExchange(
+            self.board, self.members, self._make_report, self._take_report
+        )
+        ports = range(settings.first_report_port, settings.last_report_port + 1)
+        self.exchange.bind(settings.address, ports)
+        self.member = FleetMember(
+            settings.name,
+            self.incarnation,
+            settings.data_centre,
+            f"{settings.address}:{self.exchange.port}",
+            settings.serves_callers,
+            settings.runs_batch,
+        )
+        self.members.own = self.member
+
+    def _make_fleet(self):
+        backends, clock = self.backends, self.clock
+        source = backends.source
+        self.directory = EndpointDirectory(
+            source.read_endpoint, source.name_endpoint, clock
+        )
+        self.state = FleetState(self.directory, self.members, self.board)
+        orders = OrderListener(
+            source, self.state, self._take_configuration, self._take_retirement
+        )
+        feed = backends.feed
+        self.followers = [
+            Follower(feed, source.orders_prefix, orders, ORDERS_PACE, clock),
+            Follower(
+                feed, source.endpoints_prefix, self.directory, ENDPOINTS_PACE, clock
+            ),
+            Follower(feed, self.members.prefix, self.members, MEMBERS_PACE, clock),
+        ]
+        self.registration = Registration(
+            backends.store, self.member, clock, self.settings.store.lease_seconds
+        )
+
+    def _make_entry(self):
+        clock = self.clock
+        chooser = EndpointChooser(
+            self.directory,
+            self.board,
+            self.health,
+            self.settings.data_centre,
+            self.random,
+        )
+        self.slots = SlotQueue(
+            chooser, self.board, self.exchange.note_change, clock, self.random
+        )
+        self.dispatcher = OnlineDispatcher(
+            self.slots,
+            EndpointAttempt(ClientPool(), self.backends.endpoints, clock),
+            self.health,
+            RetryPolicy(RetryBudgets(clock)),
+            clock,
+            self.random,
+            self.metrics,
+        )
+        self.front = FleetFront(
+            self.state,
+            self.backends.callers,
+            self.quota,
+            self.dispatcher,
+            None,
+            self.exchange.note_change,
+            clock,
+            self.metrics,
+        )
+
+    def _make_ports(self):
+        settings = self.settings
+        self.servers = []
+        self.callers = HTTPServer(self.front.handle)
+        if settings.serves_callers:
+            self._bind(self.callers, settings.callers_address)
+        if settings.readiness_address:
+            self._bind(HTTPServer(self._show_readiness), settings.readiness_address)
+        self._bind(
+            HTTPServer(self._show_metrics),
+            f"{settings.address}:{settings.metrics_port}",
+        )
+
+    def _bind(self, server, address):
+        host, _, port = address.rpartition(":")
+        server.bind(host, int(port))
+        self.servers.append(server)
+
+    async def run(self):
+        """Serve until drained."""
+        async with curio.TaskGroup(wait=any) as group:
+            for server in self.servers:
+                await group.spawn(server.serve)
+            for follower in self.followers:
+                await group.spawn(follower.run)
+            await group.spawn(self.registration.run)
+            await group.spawn(self.exchange.run)
+            await group.spawn(self._pump)
+            await group.spawn(self._drain)
+        if group.exception is not None:
+            raise group.exception
+
+    async def start_drain(self):
+        """Begin to end without cutting off any request."""
+        self.draining = True
+        await self._drain_asked.set()
+
+    async def _drain(self):
+        await self._drain_asked.wait()
+        log.info("draining", extra={"step": "drain"})
+        await self.registration.leave()
+        self.callers.start_close()
+        async with curio.ignore_after(self.settings.drain_seconds * DRAIN_SHARE):
+            await curio.sleep(self.settings.drain_seconds / 3)
+            await self.callers.drain()
+        log.info("drained", extra={"step": "drain"})
+
+    async def _pump(self):
+        """Give out slots that others' reports, or time, have freed."""
+        while True:
+            await curio.sleep(PUMP_SECONDS)
+            if len(self.slots):
+                await self.slots.pump()
+
+    def _make_report(self):
+        return self.board.make_report(
+            self.quota.count_own(), self.health.list_shunned()
+        )
+
+    async def _take_report(self, report):
+        if self.state.routes is not None:
+            self.quota.take_report(report, self.state.routes)
+        if len(self.slots):
+            await self.slots.pump()
+
+    def _take_configuration(self, configuration):
+        self.metrics.configuration.set(configuration.version)
+        self.callers.limits = ServerLimits(
+            header_bytes=configuration.header_bytes,
+            body_bytes=configuration.body_bytes,
+            # A request's head is awaited from the end of the one before.
+            header_timeout=configuration.idle_timeout * IDLE_MARGIN,
+        )
+
+    def _take_retirement(self, order):
+        log.info("retirement asked for", extra={"member": order.host})
+
+    async def _show_readiness(self, exchange):
+        status = 200 if self.ready else 503
+        await exchange.respond(status, Headers(), b"")
+
+    async def _show_metrics(self, exchange):
+        headers = Headers([("Content-Type", "text/plain; version=0.0.4")])
+        await exchange.respond(200, headers, self.metrics.render())
+
+
+def run_host(settings, backends):
+    """Run one host until it is told to end."""
+    log.info("starting", extra={"pid": os.getpid()})
+    curio.run(_run, settings, backends)
+    log.info("ended", extra={"pid": os.getpid()})
+
+
+async def _run(settings, backends):
+    host = ServingHost(settings, backends)
+    signals = EndSignals()
+    async with curio.TaskGroup(wait=any) as group:
+        await group.spawn(host.run)
+        await group.spawn(_drain_on_signal, signals, host)
+    if group.exception is not None:
+        raise group.exception
+
+
+async def _drain_on_signal(signals, host):
+    """Drain at the first signal, return at the second."""
+    await signals.wait(1)
+    await host.start_drain()
+    await signals.wait(2)
--- a/mangogauge/demo/deployment.py
+++ b/mangogauge/demo/deployment.py
@@ -8,7 +8,6 @@
 from ..configuration import ConfigurationStore
 from ..daemon.host import Host
 from ..keys import KeyStore
-from ..platform import GatewayStore, RecordStore
 from ..settings import (
     ConfigurationDocuments,
     HostSettings,
@@ -16,6 +15,7 @@
     PlatformSettings,
 )
 from ..standins import Engine, EngineOptions, PlatformServer, Service
+from ..store import GatewayStore, RecordStore
 
 __all__ = ["Deployment"]
 
--- /dev/null
+++ b/mangogauge/entry/__init__.py
@@ -0,0 +1,25 @@
+"""Online requests: from a caller's request to an endpoint's answer."""
+
+from .attempt import AttemptFailure, EndpointAttempt
+from .calls import IncomingRequest, OnlineCall
+from .dialect import AnswerKind, CallerDialect, EndpointDialect, EndpointOrder
+from .dispatch import OnlineDispatcher
+from .events import EventCutter, StreamPiece
+from .front import FleetFront
+from .relay import AnswerRelay
+
+__all__ = [
+    "AnswerKind",
+    "AnswerRelay",
+    "AttemptFailure",
+    "CallerDialect",
+    "EndpointAttempt",
+    "EndpointDialect",
+    "EndpointOrder",
+    "EventCutter",
+    "FleetFront",
+    "IncomingRequest",
+    "OnlineCall",
+    "OnlineDispatcher",
+    "StreamPiece",
+]
--- /dev/null
+++ b/mangogauge/entry/attempt.py
@@ -0,0 +1,146 @@
+"""One sending of a request to one endpoint, up to the head of its answer."""
+
+import curio
+from attrs import field, frozen
+
+from ..http import HTTPConnectError, HTTPError
+from ..routing import Progress
+from .dialect import AnswerKind, EndpointOrder
+
+__all__ = ["AttemptFailure", "EndpointAttempt", "KeptAnswer"]
+
+CONNECT_SECONDS = 0.4
+# Body of a failure that is read whole, to be passed on if nothing better comes.
+KEPT_BYTES = 262_144
+
+# What an answer that is no success tells of how far the request got.
+PROGRESS = {
+    AnswerKind.NOT_RUN: Progress.NOT_RUN,
+    AnswerKind.MISPLACED: Progress.NOT_RUN,
+    AnswerKind.FAILURE: Progress.RUN,
+    AnswerKind.REJECTED: Progress.RUN,
+    AnswerKind.GARBLED: Progress.MAYBE_RUN,
+}
+
+
+@frozen
+class KeptAnswer:
+    """An endpoint's whole answer that is no success."""
+
+    status = field()
+    headers = field()
+    body = field()
+
+
+class AttemptFailure(Exception):
+    """An attempt failed.
+
+    Parameters
+    ----------
+    progress : Progress
+    reason : str
+    blames : bool, optional
+        Whether the endpoint is at fault, so that it is left alone for a while.
+    kind : AnswerKind, optional
+        What the endpoint answered, if it did.
+    answer : KeptAnswer, optional
+    """
+
+    def __init__(self, progress, reason, blames=False, kind=None, answer=None):
+        super().__init__(reason)
+        self.progress = progress
+        self.reason = reason
+        self.blames = blames
+        self.kind = kind
+        self.answer = answer
+
+
+class EndpointAttempt:
+    """Sends requests to endpoints.
+
+    Parameters
+    ----------
+    pool : ClientPool
+    dialect : EndpointDialect
+    clock : Clock
+    """
+
+    def __init__(self, pool, dialect, clock):
+        self._pool = pool
+        self._dialect = dialect
+        self._clock = clock
+
+    async def open(self, call, endpoint, last_event, silence_seconds):
+        """Send `call` and return a successful `ClientResponse`, its body unread.
+
+        Parameters
+        ----------
+        call : OnlineCall
+        endpoint : FleetEndpoint
+        last_event : int or None
+            Number of the event after which the answer is to go on.
+        silence_seconds : float
+            How long the endpoint may take to begin its answer.
+
+        Raises
+        ------
+        AttemptFailure
+            If there is no answer, or no success.
+        """
+        order = EndpointOrder(
+            call.request_id,
+            endpoint,
+            call.account,
+            call.headers,
+            call.deadline - self._clock.read_elapsed(),
+            last_event,
+        )
+        try:
+            async with curio.timeout_after(silence_seconds):
+                response = await self._send(call, order)
+        except HTTPConnectError as error:
+            raise AttemptFailure(Progress.NOT_SENT, str(error), blames=True) from error
+        except HTTPError as error:
+            raise AttemptFailure(Progress.MAYBE_RUN, str(error), blames=True) from error
+        except curio.TaskTimeout:
+            reason = f"no answer within {silence_seconds:.3f} s"
+            raise AttemptFailure(Progress.MAYBE_RUN, reason, blames=True) from None
+        kind = self._dialect.judge(response.status, response.headers)
+        if kind is AnswerKind.SUCCESS:
+            return response
+        raise await self._make_failure(kind, response)
+
+    async def _send(self, call, order):
+        return await self._pool.request(
+            order.endpoint.address,
+            call.method,
+            call.target,
+            self._dialect.make_headers(order),
+            call.body,
+            is_answer=lambda fields: self._dialect.is_answer(call.request_id, fields),
+        )
+
+    async def _make_failure(self, kind, response):
+        """Read an answer that is no success."""
+        answer = None
+        reason = f"{kind.value}: status {response.status}"
+        try:
+            body = await _read_bounded(response)
+            answer = KeptAnswer(response.status, response.headers, body)
+        except HTTPError as error:
+            reason = f"{reason}, then {error}"
+        finally:
+            await response.close()
+        blames = kind in (AnswerKind.GARBLED, AnswerKind.MISPLACED)
+        return AttemptFailure(PROGRESS[kind], reason, blames, kind, answer)
+
+
+async def _read_bounded(response):
+    pieces = []
+    size = 0
+    async for piece in response.iterate():
+        pieces.append(piece)
+        size += len(piece)
+        if size > KEPT_BYTES:
+            break
+    return b"".join(pieces)
--- /dev/null
+++ b/mangogauge/entry/front.py
@@ -0,0 +1,217 @@
+"""Take callers' requests: route, key, rate, and on to the dispatcher."""
+
+import curio
+
+from ..fleet import RouteNature
+from ..http import HTTPError, HTTPRequestError
+from ..refusals import Refusal, RefusalCode
+from ..telemetry import get_logger
+from .calls import OnlineCall
+
+__all__ = ["FleetFront"]
+
+FORBIDDEN_SEGMENTS = ("/../", "/./")
+UNREADABLE_CODES = {
+    408: RefusalCode.REQUEST_TIMEOUT,
+    413: RefusalCode.TOO_LARGE,
+}
+STARTING_RETRY_SECONDS = 0.5
+
+log = get_logger("front")
+
+
+class _Account:
+    """What is known of a request so far, for its log line."""
+
+    def __init__(self):
+        self.request_id = ""
+        self.route = ""
+        self.account = ""
+        self.outcome = "answered"
+
+
+class FleetFront:
+    """Serves the callers of one host.
+
+    Parameters
+    ----------
+    state : FleetState
+        Routes, accounts and hosts in force.
+    dialect : CallerDialect
+    quota : SharedQuota
+    dispatcher : OnlineDispatcher
+    jobs : JobFront or None
+        Takes batch jobs.
+    notify : async callable
+        Called after an admission, which other hosts should hear of.
+    clock : Clock
+    metrics : ServingMetrics
+    """
+
+    def __init__(self, state, dialect, quota, dispatcher, jobs, notify, clock, metrics):
+        self._state = state
+        self._dialect = dialect
+        self._quota = quota
+        self._dispatcher = dispatcher
+        self._jobs = jobs
+        self._notify = notify
+        self._clock = clock
+        self._metrics = metrics
+
+    async def handle(self, exchange):
+        """Serve one request."""
+        started = self._clock.read_elapsed()
+        note = _Account()
+        try:
+            await self._serve(exchange, note, started)
+        except Refusal as refusal:
+            note.outcome = refusal.code.value.code
+            await self._refuse(exchange, note, refusal)
+        except HTTPRequestError as error:
+            code = UNREADABLE_CODES.get(error.status, RefusalCode.MALFORMED)
+            note.outcome = code.value.code
+            await self._refuse(exchange, note, Refusal(code, error.message))
+        except HTTPError as error:
+            # The caller has a part of the answer: only the connection's end
+            # without the last chunk tells that it is not whole.
+            note.outcome = "broken"
+            self._log(note, "answer broke off", reason=str(error))
+            raise ConnectionAbortedError(str(error)) from error
+        except OSError as error:
+            note.outcome = "caller_lost"
+            self._log(note, "caller lost", reason=repr(error))
+            raise
+        except curio.CancelledError:
+            note.outcome = "cancelled"
+            self._log(note, "caller hung up")
+            raise
+        finally:
+            seconds = self._clock.read_elapsed() - started
+            self._observe(note, seconds)
+
+    async def _serve(self, exchange, note, started):
+        request = self._dialect.read_request(exchange)
+        note.request_id = request.request_id
+        routes = self._state.routes
+        if routes is None:
+            raise Refusal(
+                RefusalCode.SHUTTING_DOWN,
+                "The host is starting.",
+                retry_after=STARTING_RETRY_SECONDS,
+                step="start",
+            )
+        _check_path(request.path)
+        if self._jobs is not None and self._jobs.matches(exchange):
+            account = self._find_account(routes, request)
+            note.route, note.account = "jobs", account.name
+            await self._jobs.serve(exchange, account)
+            return
+        route = routes.find(request.host, request.path)
+        if route is None:
+            raise Refusal(RefusalCode.ROUTE_UNKNOWN, "There is no such route.")
+        note.route = route.name
+        account = None
+        if not route.open and routes.asks_for_keys:
+            account = self._find_account(routes, request)
+            note.account = account.name
+        if route.nature is RouteNature.BATCH:
+            await self._jobs.submit(exchange, request, route, account, started)
+            return
+        await self._run(exchange, request, route, account, started)
+
+    async def _run(self, exchange, request, route, account, started):
+        if account is not None:
+            await self._admit(account)
+        patience = route.timeout
+        if request.patience is not None:
+            patience = min(patience, request.patience)
+        body = await self._read_body(exchange, started + patience)
+        call = OnlineCall(
+            request.request_id,
+            route,
+            account.name if account else "",
+            exchange.method,
+            exchange.target,
+            request.headers,
+            body,
+            started,
+            started + patience,
+            request.last_event,
+            _find_priority(route, account),
+        )
+        await self._dispatcher.run(call, exchange)
+
+    def _find_account(self, routes, request):
+        account = routes.find_account(request.key)
+        if account is None:
+            code = RefusalCode.KEY_UNKNOWN if request.key else RefusalCode.KEY_MISSING
+            raise Refusal(code, "The key is not known." if request.key else "No key.")
+        return account
+
+    async def _admit(self, account):
+        admission = self._quota.admit(account, self._state.measure_share())
+        if not admission.admitted:
+            raise Refusal(
+                RefusalCode.RATE_EXCEEDED,
+                "The client account's rate is used up.",
+                retry_after=admission.retry_after,
+                step="admit",
+            )
+        if account.rate:
+            await self._notify()
+
+    async def _read_body(self, exchange, deadline):
+        try:
+            async with curio.timeout_after(deadline - self._clock.read_elapsed()):
+                return await exchange.read_body()
+        except curio.TaskTimeout:
+            raise Refusal(
+                RefusalCode.REQUEST_TIMEOUT,
+                "The deadline passed before the whole request had come.",
+                step="read request",
+            ) from None
+
+    async def _refuse(self, exchange, note, refusal):
+        self._metrics.refusals.labels(note.route, refusal.code.value.code).inc()
+        self._log(
+            note,
+            "refused",
+            code=refusal.code.value.code,
+            executed=refusal.executed,
+            step=refusal.step,
+            reason=refusal.message,
+            retry_after=refusal.retry_after,
+        )
+        if exchange.response_started:
+            raise ConnectionAbortedError(refusal.message)
+        await self._dialect.refuse(exchange, refusal, note.request_id)
+
+    def _observe(self, note, seconds):
+        self._metrics.requests.labels(note.route, note.outcome).inc()
+        self._metrics.request_seconds.labels(note.route).observe(seconds)
+
+    def _log(self, note, message, **extra):
+        log.info(
+            message,
+            extra={
+                "request_id": note.request_id,
+                "client_account": note.account,
+                "route": note.route,
+                "configuration": self._state.version,
+                **extra,
+            },
+        )
+
+
+def _check_path(path):
+    # An endpoint could resolve such a path to another route's.
+    if any(segment in path + "/" for segment in FORBIDDEN_SEGMENTS):
+        raise Refusal(
+            RefusalCode.MALFORMED, "The path must not have '.' or '..' segments."
+        )
+
+
+def _find_priority(route, account):
+    if account is not None and account.priority is not None:
+        return account.priority
+    return route.priority
--- /dev/null
+++ b/mangogauge/fleet/__init__.py
@@ -0,0 +1,40 @@
+"""What a host knows of the fleet: routes, client accounts, endpoints, hosts."""
+
+from .directory import EndpointDirectory
+from .follower import Follower, FollowPace, Listener
+from .members import FleetMember, MemberDirectory, Registration
+from .records import (
+    Account,
+    Configuration,
+    Engine,
+    FleetEndpoint,
+    PrefixRoute,
+    RouteNature,
+    ServiceShare,
+)
+from .routes import PrefixRoutes
+from .source import FleetSource, OrdersRead, RetirementOrder
+from .state import FleetState, OrderListener
+
+__all__ = [
+    "Account",
+    "Configuration",
+    "EndpointDirectory",
+    "Engine",
+    "FleetEndpoint",
+    "FleetMember",
+    "FleetSource",
+    "FleetState",
+    "FollowPace",
+    "Follower",
+    "Listener",
+    "MemberDirectory",
+    "OrderListener",
+    "OrdersRead",
+    "PrefixRoute",
+    "PrefixRoutes",
+    "Registration",
+    "RetirementOrder",
+    "RouteNature",
+    "ServiceShare",
+]
--- /dev/null
+++ b/mangogauge/fleet/lapsing.py
@@ -0,0 +1,99 @@
+"""Entries that hang on leases, told apart from those that merely lapsed."""
+
+from attrs import define, field
+
+__all__ = ["LapsingEntries"]
+
+# What lapsed while the store was away is written again within this time of its
+# return, by whoever lives.
+GRACE_SECONDS = 2.0
+
+
+@define
+class _Entry:
+    """A value, and until when it is kept although it is missing."""
+
+    value = field()
+    kept_until = field(default=None)
+
+
+class LapsingEntries:
+    """Values by name; those found missing after an outage are kept for a while.
+
+    Parameters
+    ----------
+    clock : Clock
+
+    Examples
+    --------
+    >>> from mangogauge.clock import ManualClock
+    >>> clock = ManualClock()
+    >>> entries = LapsingEntries(clock)
+    >>> entries.put("a", 1)
+    >>> entries.note_regained()
+    >>> entries.drop("a")
+    >>> entries.get("a")
+    1
+    >>> clock.advance(2.5)
+    >>> entries.get("a")
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._entries = {}
+        self._grace_until = float("-inf")
+
+    def __iter__(self):
+        self._forget()
+        return iter(list(self._entries))
+
+    def __len__(self):
+        self._forget()
+        return len(self._entries)
+
+    def list_values(self):
+        """Return all values."""
+        self._forget()
+        return [entry.value for entry in self._entries.values()]
+
+    def get(self, name):
+        """Return a value, or None."""
+        self._forget()
+        entry = self._entries.get(name)
+        return entry.value if entry else None
+
+    def put(self, name, value):
+        """Set a value; return the one before, or None."""
+        known = self._entries.get(name)
+        self._entries[name] = _Entry(value)
+        return known.value if known else None
+
+    def drop(self, name, at_once=False):
+        """Remove a value, or keep it if it may only have lapsed.
+
+        Parameters
+        ----------
+        name : str
+        at_once : bool, optional
+            Whether it is known that it has left.
+        """
+        entry = self._entries.get(name)
+        if entry is None or entry.kept_until is not None:
+            return
+        if not at_once and self._clock.read_elapsed() < self._grace_until:
+            entry.kept_until = self._grace_until
+        else:
+            del self._entries[name]
+
+    def note_regained(self):
+        """The store answers again; what it misses may only have lapsed."""
+        self._grace_until = self._clock.read_elapsed() + GRACE_SECONDS
+
+    def _forget(self):
+        now = self._clock.read_elapsed()
+        for name in [n for n, e in self._entries.items() if _is_over(e, now)]:
+            del self._entries[name]
+
+
+def _is_over(entry, now):
+    return entry.kept_until is not None and now >= entry.kept_until
--- /dev/null
+++ b/mangogauge/fleet/members.py
@@ -0,0 +1,212 @@
+"""The hosts of the fleet: each registers under a lease, and reads the others."""
+
+import curio
+import orjson
+from attrs import asdict, field, frozen
+from returns.result import Failure
+
+from ..store import Operation, StoreRefusedError, Transaction
+from ..telemetry import get_logger
+from .follower import Listener
+from .lapsing import LapsingEntries
+
+__all__ = ["FleetMember", "MemberDirectory", "Registration"]
+
+MEMBERS_PREFIX = "members/"
+RETRY_SECONDS = 0.25
+# Renewals within one lease: one may be lost without harm.
+RENEWALS_PER_LEASE = 3.0
+
+log = get_logger("members")
+
+
+@frozen
+class FleetMember:
+    """One host.
+
+    Parameters
+    ----------
+    name : str
+    incarnation : str
+        New at each start of its process.
+    data_centre : str
+    address : str
+        Where it takes other hosts' reports, ``host:port``.
+    serves_callers : bool
+    runs_batch : bool
+    """
+
+    name = field()
+    incarnation = field()
+    data_centre = field(default="")
+    address = field(default="")
+    serves_callers = field(default=True)
+    runs_batch = field(default=False)
+
+    @property
+    def key(self):
+        """Where the store keeps it."""
+        return MEMBERS_PREFIX + self.name
+
+    @classmethod
+    def from_bytes(cls, data):
+        """Decode what `to_bytes` returned; raise ValueError if it can't be."""
+        try:
+            return cls(**orjson.loads(data))
+        except TypeError as error:
+            raise ValueError(str(error)) from error
+
+    def to_bytes(self):
+        """Encode for the store."""
+        return orjson.dumps(asdict(self))
+
+
+class MemberDirectory(Listener):
+    """The hosts that are registered.
+
+    Parameters
+    ----------
+    own : FleetMember
+    clock : Clock
+    """
+
+    prefix = MEMBERS_PREFIX
+
+    def __init__(self, own, clock):
+        self.own = own
+        self._members = LapsingEntries(clock)
+        self.loaded = False
+
+    def list_others(self):
+        """Return the other hosts, in order of name."""
+        members = [m for m in self._members.list_values() if m.name != self.own.name]
+        return sorted(members, key=lambda member: member.name)
+
+    def get(self, name):
+        """Return a `FleetMember`, or None."""
+        return self._members.get(name)
+
+    def list_runners(self):
+        """Return the names of the hosts that run batch work, in order."""
+        members = [*self.list_others(), self.own]
+        return sorted(member.name for member in members if member.runs_batch)
+
+    def take_snapshot(self, items):
+        """Replace the hosts by those of `items`."""
+        names = {item.key.removeprefix(MEMBERS_PREFIX) for item in items}
+        for name in self._members:
+            if name not in names:
+                self._drop(name)
+        for item in items:
+            self._put(item)
+        self.loaded = True
+
+    def take_changes(self, events):
+        """Take in hosts that came or went."""
+        for event in events:
+            if event.value is None:
+                self._drop(event.key.removeprefix(MEMBERS_PREFIX))
+            else:
+                self._put(event)
+
+    def note_regained(self):
+        """From now on, for a moment, a missing entry may only have lapsed."""
+        self._members.note_regained()
+
+    def _drop(self, name):
+        self._members.drop(name)
+        log.info("host's entry gone", extra={"member": name})
+
+    def _put(self, item):
+        try:
+            member = FleetMember.from_bytes(item.value)
+        except ValueError as error:
+            log.warning(
+                "host's entry can't be read",
+                extra={"key": item.key, "reason": str(error)},
+            )
+            return
+        if self._members.put(member.name, member) != member:
+            log.info(
+                "host registered",
+                extra={"member": member.name, "address": member.address},
+            )
+
+
+class Registration:
+    """Keeps one host registered for as long as it runs.
+
+    Parameters
+    ----------
+    store : Store
+    member : FleetMember
+    clock : Clock
+    lease_seconds : float
+
+    Attributes
+    ----------
+    lease : Lease or None
+        The lease on which this host's claims hang; None while there is none.
+    """
+
+    def __init__(self, store, member, clock, lease_seconds):
+        self._store = store
+        self._member = member
+        self._clock = clock
+        self._lease_seconds = lease_seconds
+        self._ended = False
+        self.lease = None
+
+    @property
+    def is_valid(self):
+        """Whether the lease certainly lives, by this host's clock."""
+        lease = self.lease
+        return lease is not None and self._clock.read_elapsed() < lease.valid_until
+
+    async def run(self):
+        """Register, renew, and register again after a lapse."""
+        while not self._ended:
+            renewed = await (self._renew() if self.lease else self._register())
+            interval = self._lease_seconds / RENEWALS_PER_LEASE
+            await curio.sleep(interval if renewed else RETRY_SECONDS)
+
+    async def leave(self):
+        """End the lease, and with it the registration and all claims."""
+        self._ended = True
+        lease, self.lease = self.lease, None
+        if lease is not None:
+            answer = await self._store.revoke_lease(lease)
+            if isinstance(answer, Failure):
+                log.warning(
+                    "lease not ended, it will lapse",
+                    extra={"reason": str(answer.failure())},
+                )
+
+    async def _register(self):
+        granted = await self._store.grant_lease(self._lease_seconds)
+        if isinstance(granted, Failure):
+            return False
+        lease = granted.unwrap()
+        entry = Operation(
+            self._member.key, self._member.to_bytes(), lease=lease.lease_id
+        )
+        written = await self._store.transact(Transaction((), (entry,)))
+        if isinstance(written, Failure):
+            await self._store.revoke_lease(lease)
+            return False
+        self.lease = lease
+        log.info("registered", extra={"lease": lease.lease_id})
+        return True
+
+    async def _renew(self):
+        lease = self.lease
+        renewed = await self._store.renew_lease(lease)
+        if not isinstance(renewed, Failure):
+            if self.lease is lease:
+                self.lease = renewed.unwrap()
+            return True
+        error = renewed.failure()
+        if isinstance(error, StoreRefusedError) and self.lease is lease:
+            log.warning("lease lapsed", extra={"lease": lease.lease_id})
+            self.lease = None
+        return False
--- /dev/null
+++ b/mangogauge/fleet/routes.py
@@ -0,0 +1,59 @@
+"""Find the route of a request, and the client account of a key."""
+
+__all__ = ["PrefixRoutes"]
+
+
+class PrefixRoutes:
+    """The routes of one configuration, by host name and longest prefix.
+
+    Parameters
+    ----------
+    configuration : Configuration
+
+    Examples
+    --------
+    >>> from mangogauge.fleet import Configuration, PrefixRoute, RouteNature
+    >>> routes = [
+    ...     PrefixRoute(name, "a.example", prefix, RouteNature.ONCE, ())
+    ...     for name, prefix in (("short", "/x/"), ("long", "/x/y/"))
+    ... ]
+    >>> PrefixRoutes(Configuration(1, routes)).find("a.example", "/x/y/z").name
+    'long'
+    """
+
+    def __init__(self, configuration):
+        self.configuration = configuration
+        self._by_host = {}
+        for route in configuration.routes:
+            self._by_host.setdefault(route.host, []).append(route)
+        for routes in self._by_host.values():
+            routes.sort(key=lambda route: len(route.prefix), reverse=True)
+        self._accounts = {
+            key: account for account in configuration.accounts for key in account.keys
+        }
+        self._by_name = {account.name: account for account in configuration.accounts}
+
+    @property
+    def asks_for_keys(self):
+        """Whether requests on routes that aren't open need a key."""
+        return bool(self._by_name)
+
+    def find(self, host, path):
+        """Return the `PrefixRoute`, or None."""
+        name = host.partition(":")[0].lower()
+        for route in self._by_host.get(name, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def knows_host(self, host):
+        """Return whether any route has this host name."""
+        return host.partition(":")[0].lower() in self._by_host
+
+    def find_account(self, key):
+        """Return the `Account` that holds a key, or None."""
+        return self._accounts.get(key)
+
+    def get_account(self, name):
+        """Return the `Account` of a name, or None."""
+        return self._by_name.get(name)
--- /dev/null
+++ b/mangogauge/fleet/state.py
@@ -0,0 +1,113 @@
+"""What is in force on one host, and how sure it can be of it."""
+
+from ..telemetry import get_logger
+from .follower import Listener
+from .routes import PrefixRoutes
+
+__all__ = ["FleetState", "OrderListener"]
+
+log = get_logger("fleet")
+
+
+class FleetState:
+    """Routes, accounts, endpoints and hosts, as this host knows them.
+
+    Parameters
+    ----------
+    directory : EndpointDirectory
+    members : MemberDirectory
+    board : LoadBoard
+
+    Attributes
+    ----------
+    routes : PrefixRoutes or None
+        None until a configuration has been read.
+    """
+
+    def __init__(self, directory, members, board):
+        self.directory = directory
+        self.members = members
+        self._board = board
+        self.routes = None
+
+    @property
+    def version(self):
+        """Version of the configuration in force; 0 for none."""
+        return self.routes.configuration.version if self.routes else 0
+
+    @property
+    def loaded(self):
+        """Whether all that is needed to serve callers has been read."""
+        known = self.directory.loaded and self.members.loaded
+        return self.routes is not None and known
+
+    def take_configuration(self, configuration):
+        """Put a configuration in force, unless a newer one already is."""
+        if self.routes is not None and configuration.version <= self.version:
+            return False
+        log.info(
+            "configuration in force",
+            extra={"version": configuration.version, "before": self.version},
+        )
+        self.routes = PrefixRoutes(configuration)
+        return True
+
+    def measure_share(self):
+        """Return which part of the hosts that serve callers this one hears.
+
+        Notes
+        -----
+        Those that are registered but not heard may be admitting requests on
+        their own, so their part of each rate is left to them.
+        """
+        fronts = [m for m in self.members.list_others() if m.serves_callers]
+        heard = sum(self._board.hears(member.name) for member in fronts)
+        return (heard + 1) / (len(fronts) + 1)
+
+
+class OrderListener(Listener):
+    """Takes in what operators wrote.
+
+    Parameters
+    ----------
+    source : FleetSource
+    state : FleetState
+    on_configuration : callable
+        Called after a newer configuration is in force.
+    on_retirement : callable
+        Called with each `RetirementOrder`.
+    """
+
+    def __init__(self, source, state, on_configuration, on_retirement):
+        self._source = source
+        self._state = state
+        self._on_configuration = on_configuration
+        self._on_retirement = on_retirement
+
+    def take_snapshot(self, items):
+        """Take in everything that is there."""
+        for item in items:
+            self._take(item)
+
+    def take_changes(self, events):
+        """Take in what was written; nothing that was deleted is undone."""
+        for event in events:
+            if event.value is not None:
+                self._take(event)
+
+    def note_regained(self):
+        """Nothing here hangs on a lease."""
+
+    def _take(self, item):
+        try:
+            read = self._source.read_orders(item)
+        except ValueError as error:
+            log.error(
+                "order can't be read", extra={"key": item.key, "reason": str(error)}
+            )
+            return
+        if read.configuration is not None:
+            if self._state.take_configuration(read.configuration):
+                self._on_configuration(read.configuration)
+        if read.retirement is not None:
+            self._on_retirement(read.retirement)
--- a/mangogauge/gateway/crashes.py
+++ b/mangogauge/gateway/crashes.py
@@ -19,10 +19,10 @@
     TrialRequest,
     TrialStep,
 )
+from ..refusals import Refusal, RefusalCode
 from ..routing.quarantine import Standing
 from ..settings import RouteKind
 from ..telemetry import get_logger
-from .refusals import Refusal, RefusalCode
 
 __all__ = ["CrashWatch"]
 
--- a/mangogauge/gateway/dispatch.py
+++ b/mangogauge/gateway/dispatch.py
@@ -3,11 +3,11 @@
 import curio
 
 from ..http import HTTPReceiveError
+from ..refusals import Refusal, RefusalCode
 from ..routing import Decision, Progress
 from ..telemetry import get_logger
 from .attempts import AttemptFailed, EndpointAttempt
 from .forwarding import ForwardAttempt
-from .refusals import Refusal, RefusalCode
 from .relays import AnswerRelay
 
 __all__ = ["Dispatcher"]
--- a/mangogauge/gateway/doorkeeper.py
+++ b/mangogauge/gateway/doorkeeper.py
@@ -3,7 +3,7 @@
 from contextlib import asynccontextmanager
 
 from ..keys import KeyWithdrawnCancel
-from .refusals import Refusal, RefusalCode
+from ..refusals import Refusal, RefusalCode
 
 __all__ = ["Doorkeeper"]
 
--- a/mangogauge/gateway/forwarding.py
+++ b/mangogauge/gateway/forwarding.py
@@ -20,11 +20,11 @@
     ResponseHead,
 )
 from ..protocol.forward_pb2 import Progress as WireProgress
+from ..refusals import Refusal, RefusalCode
 from ..routing import Progress
 from ..settings import RouteKind
 from .attempts import Attempt, AttemptFailed
 from .calls import Call
-from .refusals import Refusal, RefusalCode
 from .sinks import Sink
 
 __all__ = ["ForwardAttempt", "ForwardService"]
--- a/mangogauge/gateway/front.py
+++ b/mangogauge/gateway/front.py
@@ -7,10 +7,10 @@
 import curio
 
 from ..http import HTTPError, HTTPRequestError
+from ..refusals import Refusal, RefusalCode, render_refusal
 from ..settings import RouteKind
 from ..telemetry import get_logger
 from .calls import Call
-from .refusals import Refusal, RefusalCode, render_refusal
 from .routes import RouteTable
 from .sinks import ExchangeSink
 
--- a/mangogauge/queueing/gate.py
+++ b/mangogauge/gateway/gate.py
@@ -10,10 +10,10 @@
 from attrs import define, field
 
 from ..daemon.parts import HostPart
-from ..gateway.calls import Priority
-from ..gateway.refusals import Refusal, RefusalCode
-from .admission import estimate_wait
-from .fair import FairQueue, Ticket
+from ..queueing.admission import estimate_wait
+from ..queueing.fair import FairQueue, Ticket
+from ..refusals import Refusal, RefusalCode
+from .calls import Priority
 
 __all__ = ["CapacityGate"]
 
--- a/mangogauge/gateway/models.py
+++ b/mangogauge/gateway/models.py
@@ -1,6 +1,6 @@
 """``/v1/models``: the models that a client account may name."""
 
-from .refusals import Refusal, RefusalCode
+from ..refusals import Refusal, RefusalCode
 from .resources import Resource, send_json
 
 __all__ = ["ModelResource"]
--- a/mangogauge/http/client.py
+++ b/mangogauge/http/client.py
@@ -1,6 +1,8 @@
 """HTTP/1.1 client: pooled connections and streamed answers."""
 
+import re
 import select
+import time
 
 import curio
 import h11
@@ -9,10 +11,26 @@
 from .errors import HTTPConnectError, HTTPReceiveError, HTTPSendError
 from .headers import Headers
 
-__all__ = ["ClientConnection", "ClientPool", "ClientResponse", "open_response"]
+__all__ = [
+    "ClientConnection",
+    "ClientPool",
+    "ClientResponse",
+    "detect_dead_peer",
+    "open_response",
+]
 
 READ_SIZE_BYTES = 65_536
 IDLE_PER_ADDRESS = 64
+# How long before the server's own time-out an idle connection is given up.
+IDLE_MARGIN_SECONDS = 0.75
+IDLE_SECONDS = 30.0
+KEEP_ALIVE_IDLE_SECONDS = 2
+KEEP_ALIVE_PROBES = 2
+SILENCE_MILLISECONDS = 4000
+KEEP_ALIVE_PATTERN = re.compile(r"timeout=(\d+)")
+# A body beyond this may fill the server's window, so that it is sent while the
+# answer is awaited: a server may answer before it has read it.
+EAGER_BODY_BYTES = 32_768
 PIECES_PER_TURN = 16
 DEFAULT_CONNECT_TIMEOUT = 2.0
 
@@ -61,7 +79,7 @@
         """Give the connection back, or end it if the answer is not whole."""
         connection, self._connection = self._connection, None
         if connection is not None:
-            await self._release(connection, reusable=self.complete)
+            await self._release(connection, self.complete, self.headers)
 
 
 class ClientConnection:
@@ -77,6 +95,8 @@
         self.address = address
         self._sock = sock
         self._h11 = h11.Connection(h11.CLIENT)
+        self._sending = None
+        self._idle_until = 0.0
 
     @classmethod
     async def open(cls, address, timeout=DEFAULT_CONNECT_TIMEOUT, tls=None):
@@ -90,31 +110,54 @@
                 f"No connection: {error!r}.", step="connect", peer=address
             ) from error
         try:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        except OSError:
-            pass
+            detect_dead_peer(sock)
+        except OSError as error:
+            await sock.close()
+            raise HTTPConnectError(
+                f"The connection ended at once: {error!r}.",
+                step="connect",
+                peer=address,
+            ) from error
         return cls(address, sock)
 
     @property
     def is_stale(self):
-        """Whether the server has closed, or spoken out of turn."""
+        """Whether the server has closed, is about to, or spoke out of turn."""
+        if time.monotonic() > self._idle_until:
+            return True
         poller = select.poll()
         poller.register(self._sock.fileno(), select.POLLIN)
         return bool(poller.poll(0))
 
     async def close(self):
         """Close the connection."""
+        if self._sending is not None:
+            await self._sending.cancel()
+            self._sending = None
         try:
             await self._sock.close()
         except OSError:
             pass
 
-    def prepare_next(self):
-        """Return whether another request may be sent, and get ready for it."""
+    def prepare_next(self, headers):
+        """Return whether another request may be sent, and get ready for it.
+
+        Parameters
+        ----------
+        headers : Headers
+            Of the answer just read; they may say how long the server waits.
+        """
+        if self._sending is not None and not self._sending.terminated:
+            return False
         if self._h11.our_state is not h11.DONE:
             return False
         if self._h11.their_state is not h11.DONE:
             return False
+        if self._h11.trailing_data[0]:
+            # More came than the answer: what follows can't be trusted.
+            return False
+        self._sending = None
+        self._idle_until = time.monotonic() + _read_idle_seconds(headers)
         self._h11.start_next_cycle()
         return True
 
@@ -134,6 +177,9 @@
         if body or method in ("POST", "PUT", "PATCH"):
             headers.set("Content-Length", str(len(body)))
         data = self._frame_request(method, target, headers, body)
+        if len(body) > EAGER_BODY_BYTES:
+            self._sending = await curio.spawn(self._send, data, daemon=True)
+            return
         try:
             await self._sock.sendall(data)
         except OSError as error:
@@ -156,6 +202,27 @@
                 peer=self.address,
             ) from error
 
+    async def _send(self, data):
+        try:
+            await self._sock.sendall(data)
+        except OSError:
+            # Whoever awaits the answer finds the connection broken.
+            return
+
+    async def skip_response(self):
+        """Read past an answer that belongs to no request of this connection."""
+        async for _ in self.iterate_body():
+            pass
+        rest, ended = self._h11.trailing_data
+        self._h11 = h11.Connection(h11.CLIENT)
+        # The request under way was sent before; only the parser is told again.
+        self._h11.send(h11.Request(method="GET", target="/", headers=[("Host", "-")]))
+        self._h11.send(h11.EndOfMessage())
+        if rest:
+            self._h11.receive_data(rest)
+        if ended:
+            self._h11.receive_data(b"")
+
     async def read_head(self):
         """Return the answer's status and header fields."""
         while True:
@@ -210,7 +277,16 @@
         self._tls = tls
         self._idle = {}
 
-    async def request(self, address, method, target, headers, body=b"", fresh=False):
+    async def request(
+        self,
+        address,
+        method,
+        target,
+        headers,
+        body=b"",
+        fresh=False,
+        is_answer=None,
+    ):
         """Send a request and return the head of its answer.
 
         Parameters
@@ -218,6 +294,9 @@
         fresh : bool, optional
             Never reuse a connection: a server may close an idle connection
             just as a request is sent, which leaves its outcome unknown.
+        is_answer : callable, optional
+            Whether header fields belong to this request's answer; answers that
+            don't are read and dropped.
 
         Returns
         -------
@@ -236,6 +315,9 @@
         try:
             await connection.send_request(method, target, headers, body)
             status, fields = await connection.read_head()
+            while is_answer is not None and not is_answer(fields):
+                await connection.skip_response()
+                status, fields = await connection.read_head()
         except BaseException:
             await connection.close()
             raise
@@ -257,14 +339,35 @@
             await connection.close()
         return None
 
-    async def _release(self, connection, reusable):
+    async def _release(self, connection, reusable, headers):
         idle = self._idle.setdefault(connection.address, [])
-        if reusable and len(idle) < IDLE_PER_ADDRESS and connection.prepare_next():
+        reusable = reusable and len(idle) < IDLE_PER_ADDRESS
+        if reusable and connection.prepare_next(headers):
             idle.append(connection)
             return
         await connection.close()
 
 
+def detect_dead_peer(sock):
+    """Have the kernel end a connection whose other side has gone silent."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_IDLE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_MILLISECONDS)
+
+
+def _read_idle_seconds(headers):
+    """Return how long an idle connection may be kept, by the server's words."""
+    if (headers.get("connection") or "").lower() == "close":
+        return 0.0
+    stated = KEEP_ALIVE_PATTERN.search(headers.get("keep-alive") or "")
+    if stated is None:
+        return IDLE_SECONDS
+    return min(IDLE_SECONDS, int(stated[1]) - IDLE_MARGIN_SECONDS)
+
+
 async def _connect(host, port, tls):
     if tls is not None:
         return await curio.open_connection(host, port, ssl=tls, server_hostname=host)
@@ -295,5 +398,5 @@
     return response
 
 
-async def _close_connection(connection, reusable):
+async def _close_connection(connection, reusable, headers):
     await connection.close()
--- a/mangogauge/http/server.py
+++ b/mangogauge/http/server.py
@@ -9,6 +9,7 @@
 from curio import socket
 
 from ..telemetry import get_logger
+from .client import detect_dead_peer
 from .connection import ServerConnection
 from .limits import ServerLimits
 
@@ -157,8 +158,7 @@
             return
         linger = False
         try:
-            # Small pieces of a stream must not wait for an acknowledgement.
-            connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            detect_dead_peer(connection.sock)
             await connection.run(self._handler)
             linger = True
         except (OSError, curio.TaskTimeout, h11.ProtocolError):
--- a/mangogauge/idempotency/dispatcher.py
+++ b/mangogauge/idempotency/dispatcher.py
@@ -3,9 +3,9 @@
 import curio
 from returns.result import Failure
 
-from ..gateway.refusals import Refusal, RefusalCode
 from ..http import HTTPError, HTTPReceiveError
 from ..protocol.idempotency_pb2 import KeyedEntry
+from ..refusals import Refusal, RefusalCode
 from ..telemetry import get_logger
 from .entries import (
     BODY_LIMIT_BYTES,
--- a/mangogauge/idempotency/grouping.py
+++ b/mangogauge/idempotency/grouping.py
@@ -4,7 +4,7 @@
 from attrs import define, field, frozen
 from returns.result import Failure, Success
 
-from ..platform import (
+from ..store import (
     Condition,
     Operation,
     StoreLostAnswerError,
--- a/mangogauge/idempotency/writing.py
+++ b/mangogauge/idempotency/writing.py
@@ -4,9 +4,9 @@
 
 from returns.result import Failure, Success
 
-from ..platform import StoreLostAnswerError, StoreUnavailableError
 from ..protocol import CallError, ChannelError, Method
 from ..protocol.idempotency_pb2 import WriteReply, WriteRequest
+from ..store import StoreLostAnswerError, StoreUnavailableError
 from .grouping import KeyWrite, WriteOutcome
 
 __all__ = ["FleetWriter", "choose_writer"]
--- a/mangogauge/keys/store.py
+++ b/mangogauge/keys/store.py
@@ -4,7 +4,7 @@
 from returns.result import Failure, Success
 
 from ..distribution.replica import CHANGES_PREFIX
-from ..platform import Conflict, Operation, StoreRefusedError
+from ..store import Conflict, Operation, StoreRefusedError
 from .records import KeyRecord, hash_key, make_key
 
 __all__ = ["KEYS_PREFIX", "KeyStore", "KeyWrite"]
--- a/mangogauge/limits/keeper.py
+++ b/mangogauge/limits/keeper.py
@@ -6,8 +6,8 @@
 
 from ..daemon.parts import HostPart
 from ..gateway.resources import send_json
-from ..platform import Condition, Conflict, Operation, StoreRefusedError, Transaction
 from ..protocol.limits_pb2 import DataCentreShare, DataCentreShares, HeldSlots
+from ..store import Condition, Conflict, Operation, StoreRefusedError, Transaction
 from ..telemetry import get_logger
 from .ledger import LOAN_MARGIN
 from .slots import SlotTable, Terms
--- /dev/null
+++ b/mangogauge/placement/__init__.py
@@ -0,0 +1,8 @@
+"""Where requests and items run: choice, health, queue, room for batch work."""
+
+from .choice import EndpointChooser
+from .health import EndpointHealth
+from .queue import SlotQueue
+from .room import BatchRoom
+
+__all__ = ["BatchRoom", "EndpointChooser", "EndpointHealth", "SlotQueue"]
--- /dev/null
+++ b/mangogauge/placement/choice.py
@@ -0,0 +1,76 @@
+"""Choose the endpoint of an online request.
+
+The load this answers: several hosts share engines that know no priorities and
+admit in order of arrival. All hosts know within milliseconds what the others
+run, so each takes the endpoint with the most free slots; where none is free, a
+request may queue at an endpoint only as far as its objective allows.
+"""
+
+__all__ = ["EndpointChooser"]
+
+# Requests that may wait at an endpoint beyond its slots: one slot in eight is
+# freed soon enough to start well within the objective.
+QUEUED_PER_SLOT = 0.125
+
+
+class EndpointChooser:
+    """Chooses by load, health and place.
+
+    Parameters
+    ----------
+    directory : EndpointDirectory
+    board : LoadBoard
+    health : EndpointHealth
+    data_centre : str
+        Of this host; among equals, an endpoint there is taken.
+    random : random.Random
+    """
+
+    def __init__(self, directory, board, health, data_centre, random):
+        self._directory = directory
+        self._board = board
+        self._health = health
+        self._data_centre = data_centre
+        self._random = random
+
+    def choose(self, service, excluded=()):
+        """Return a `FleetEndpoint` with room for an online request, or None.
+
+        Parameters
+        ----------
+        service : str
+        excluded : collection of str
+            Endpoints that were tried already.
+        """
+        usable = self.list_usable(service, excluded)
+        usable = [endpoint for endpoint in usable if self._has_room(endpoint)]
+        return min(usable, key=self._rank, default=None)
+
+    def list_usable(self, service, excluded=()):
+        """Return the endpoints that may get requests, loaded ones included."""
+        staying = [
+            endpoint
+            for endpoint in self._directory.list_endpoints()
+            if endpoint.service == service
+            and not endpoint.leaving
+            and endpoint.name not in excluded
+        ]
+        sound = [e for e in staying if not self._is_shunned(e.name)]
+        # If all of them seem unsound, the fault may be this host's own view.
+        return sound or staying
+
+    def count_slots(self, service):
+        """Return the slots of all endpoints that may get requests."""
+        return sum(endpoint.slots for endpoint in self.list_usable(service))
+
+    def _is_shunned(self, name):
+        return self._health.is_shunned(name) or self._board.is_shunned(name)
+
+    def _has_room(self, endpoint):
+        limit = endpoint.slots * (1 + QUEUED_PER_SLOT)
+        return self._board.measure(endpoint.name).total < limit
+
+    def _rank(self, endpoint):
+        load = (self._board.measure(endpoint.name).total + 1) / endpoint.slots
+        distance = endpoint.data_centre != self._data_centre
+        return (load, distance, self._random.random())
--- /dev/null
+++ b/mangogauge/placement/health.py
@@ -0,0 +1,78 @@
+"""Which endpoints this host had better leave alone, and for how long.
+
+The load this answers: endpoints that crash, fall silent or become unreachable
+while requests go on arriving. Each failure shuns an endpoint for a while, and
+each further one in a row for longer; one answer clears it.
+"""
+
+from attrs import define, field
+
+__all__ = ["EndpointHealth"]
+
+FIRST_SHUN_SECONDS = 0.5
+LONGEST_SHUN_SECONDS = 4.0
+SHUN_GROWTH = 2.0
+
+
+@define
+class _Record:
+    """Failures in a row, and until when the endpoint is shunned."""
+
+    failures = field(default=0)
+    shunned_until = field(default=float("-inf"))
+
+
+class EndpointHealth:
+    """Failures of endpoints, as this host has seen them.
+
+    Parameters
+    ----------
+    clock : Clock
+
+    Examples
+    --------
+    >>> from mangogauge.clock import ManualClock
+    >>> clock = ManualClock()
+    >>> health = EndpointHealth(clock)
+    >>> health.note_failure("e")
+    >>> health.is_shunned("e")
+    True
+    >>> clock.advance(0.6)
+    >>> health.is_shunned("e")
+    False
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._records = {}
+
+    def note_answer(self, name):
+        """Note that an endpoint answered."""
+        self._records.pop(name, None)
+
+    def note_failure(self, name):
+        """Note that an endpoint could not be reached, or fell silent."""
+        now = self._clock.read_elapsed()
+        record = self._records.setdefault(name, _Record())
+        if now < record.shunned_until:
+            # Requests that were under way together fail together.
+            return
+        seconds = FIRST_SHUN_SECONDS * SHUN_GROWTH**record.failures
+        record.failures += 1
+        record.shunned_until = now + min(LONGEST_SHUN_SECONDS, seconds)
+
+    def is_shunned(self, name):
+        """Return whether an endpoint should get nothing for now."""
+        record = self._records.get(name)
+        if record is None:
+            return False
+        return self._clock.read_elapsed() < record.shunned_until
+
+    def list_shunned(self):
+        """Return the names of shunned endpoints."""
+        return [name for name in self._records if self.is_shunned(name)]
+
+    def keep_only(self, names):
+        """Forget endpoints that are not among `names`."""
+        for name in [n for n in self._records if n not in names]:
+            del self._records[name]
--- a/mangogauge/platform/__init__.py
+++ b/mangogauge/platform/__init__.py
@@ -1,46 +1,20 @@
-"""What the platform gives: a key-value store and a lagging list of hosts."""
+"""The users' platform: its names and formats, decoded once into typed messages.
 
-from .gateway import GatewayStore
-from .hostlist import FileHostList, HostList, HostListing, ListedState
-from .memory import MemoryStore
-from .records import Commit, Conflict, RecordStore, StoredRecord, encode_record
-from .store import (
-    Condition,
-    KeyValue,
-    Lease,
-    Operation,
-    Store,
-    StoreError,
-    StoreLostAnswerError,
-    StoreRefusedError,
-    StoreUnavailableError,
-    Transaction,
-    TransactionResult,
-    WatchEvent,
-)
+Nothing here decides anything. The classes implement the product's own
+interfaces: `ChangeFeed` and `Store`, `FleetSource`, `CallerDialect`,
+`EndpointDialect` and `JobDialect`.
+"""
+
+from .callers import PlatformCallers
+from .endpoints import PlatformEndpoints
+from .jobs import PlatformJobs
+from .source import PlatformSource
+from .store import PlatformStore
 
 __all__ = [
-    "Commit",
-    "Condition",
-    "Conflict",
-    "FileHostList",
-    "GatewayStore",
-    "HostList",
-    "HostListing",
-    "KeyValue",
-    "Lease",
-    "ListedState",
-    "MemoryStore",
-    "Operation",
-    "RecordStore",
-    "Store",
-    "StoreError",
-    "StoreLostAnswerError",
-    "StoreRefusedError",
-    "StoreUnavailableError",
-    "StoredRecord",
-    "Transaction",
-    "TransactionResult",
-    "WatchEvent",
-    "encode_record",
+    "PlatformCallers",
+    "PlatformEndpoints",
+    "PlatformJobs",
+    "PlatformSource",
+    "PlatformStore",
 ]
--- /dev/null
+++ b/mangogauge/platform/__main__.py
@@ -0,0 +1,53 @@
+"""Run one host of the fleet on the platform: ``python3 -m mangogauge.platform``."""
+
+import os
+import sys
+
+from ..daemon.serving import ServingBackends, run_host
+from ..settings.problems import SettingsError
+from ..settings.serving import read_serving
+from ..telemetry import ServingMetrics, configure_logs
+from . import (
+    PlatformCallers,
+    PlatformEndpoints,
+    PlatformJobs,
+    PlatformSource,
+    PlatformStore,
+)
+
+SETTINGS_VARIABLE = "MANGOGAUGE_SETTINGS"
+USAGE_EXIT = 2
+
+
+def main():
+    """Read the settings that the platform has written, and serve."""
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if path is None:
+        print(f"{SETTINGS_VARIABLE} is not set.", file=sys.stderr)
+        sys.exit(USAGE_EXIT)
+    try:
+        settings = read_serving(path)
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        sys.exit(USAGE_EXIT)
+    configure_logs(
+        stream=sys.stdout, host=settings.name, data_centre=settings.data_centre
+    )
+    run_host(settings, _make_backends(settings))
+
+
+def _make_backends(settings):
+    metrics = ServingMetrics()
+    store = PlatformStore(settings.store.address, on_call=metrics.note_store_call)
+    return ServingBackends(
+        store=store,
+        feed=store,
+        source=PlatformSource(),
+        callers=PlatformCallers(),
+        endpoints=PlatformEndpoints(),
+        jobs=PlatformJobs(),
+        metrics=metrics,
+    )
+
+
+main()
--- /dev/null
+++ b/mangogauge/platform/endpoints.py
@@ -0,0 +1,44 @@
+"""Orders to endpoints and their answers, as the platform writes them."""
+
+from ..entry import AnswerKind, EndpointDialect
+from .names import HEADERS
+
+__all__ = ["PlatformEndpoints"]
+
+OTHER_ENDPOINT_STATUS = 421
+# Statuses for which an endpoint states that the request itself can't be run.
+REJECTING_STATUSES = frozenset({400, 404, 413, 422})
+
+
+class PlatformEndpoints(EndpointDialect):
+    """Writes orders and judges answers."""
+
+    def make_headers(self, order):
+        """Return the header fields of an order."""
+        headers = order.headers.copy()
+        patience = max(1, int(order.seconds_left * 1000))
+        headers.add(HEADERS.patience, str(patience))
+        headers.add(HEADERS.expected_endpoint, order.endpoint.name)
+        if order.account:
+            headers.add(HEADERS.account, order.account)
+        if order.last_event is not None:
+            headers.add(HEADERS.last_event, str(order.last_event))
+        return headers
+
+    def is_answer(self, request_id, headers):
+        """Return whether an answer names the request, or names none."""
+        return headers.get(HEADERS.request_id, request_id) == request_id
+
+    def judge(self, status, headers):
+        """Return what the head of an answer means."""
+        if status == OTHER_ENDPOINT_STATUS:
+            return AnswerKind.MISPLACED
+        if HEADERS.not_run in headers:
+            return AnswerKind.NOT_RUN
+        if HEADERS.stamp not in headers:
+            return AnswerKind.GARBLED
+        if 200 <= status < 300:
+            return AnswerKind.SUCCESS
+        if status in REJECTING_STATUSES:
+            return AnswerKind.REJECTED
+        return AnswerKind.FAILURE
--- /dev/null
+++ b/mangogauge/platform/names.py
@@ -0,0 +1,28 @@
+"""Header fields that the platform's clients and servers use."""
+
+from attrs import field, frozen
+
+__all__ = ["HEADERS", "PlatformHeaders"]
+
+
+@frozen
+class PlatformHeaders:
+    """Names of header fields, in the case in which they are sent."""
+
+    request_id = field(default="X-Request-Id")
+    # Milliseconds that the sender will wait, not a point in time.
+    patience = field(default="X-Deadline-Ms")
+    last_event = field(default="Last-Event-Id")
+    # Proves that an answer is an endpoint's own.
+    stamp = field(default="X-Server-Stamp")
+    account = field(default="X-Tenant")
+    # An endpoint of another name refuses the request.
+    expected_endpoint = field(default="X-Expect-Instance")
+    not_run = field(default="X-Not-Run")
+    retry_after = field(default="Retry-After")
+    # How long a reader of results will wait for the first one.
+    wait = field(default="X-Wait-Ms")
+    key = field(default="X-Api-Key")
+
+
+HEADERS = PlatformHeaders()
--- /dev/null
+++ b/mangogauge/platform/source.py
@@ -0,0 +1,159 @@
+"""Configuration, orders and endpoints, as the platform's store keeps them."""
+
+import orjson
+
+from ..fleet import (
+    Account,
+    Configuration,
+    Engine,
+    FleetEndpoint,
+    FleetSource,
+    OrdersRead,
+    PrefixRoute,
+    RetirementOrder,
+    RouteNature,
+    ServiceShare,
+)
+from ..store import Operation
+from ..telemetry import get_logger
+
+__all__ = ["PlatformSource"]
+
+CONFIGURATION_KEY = "op/config"
+RETIREMENT_PREFIX = "op/retire/"
+RETIREMENT_REPORT_PREFIX = "status/retire/"
+LEAVING_STATES = {"ready": False, "draining": True}
+NATURES = {
+    "safe": RouteNature.REPEATABLE,
+    "unsafe": RouteNature.ONCE,
+    "stream": RouteNature.STREAM,
+    "batch": RouteNature.BATCH,
+}
+
+log = get_logger("platform")
+
+
+class PlatformSource(FleetSource):
+    """Reads items of the operators' and of the endpoints' prefixes."""
+
+    orders_prefix = "op/"
+    endpoints_prefix = "servers/"
+
+    def read_orders(self, item):
+        """Return the `OrdersRead` of an item."""
+        try:
+            if item.key == CONFIGURATION_KEY:
+                value = orjson.loads(item.value)
+                return OrdersRead(configuration=_read_configuration(value))
+            if item.key.startswith(RETIREMENT_PREFIX):
+                host = item.key.removeprefix(RETIREMENT_PREFIX)
+                seconds = float(orjson.loads(item.value)["duration_s"])
+                return OrdersRead(retirement=RetirementOrder(host, seconds))
+        except (LookupError, TypeError, AttributeError) as error:
+            raise ValueError(f"a field is missing or of another type: {error!r}") from (
+                error
+            )
+        return OrdersRead()
+
+    def read_endpoint(self, item):
+        """Return the `FleetEndpoint` of an item, or None."""
+        name = self.name_endpoint(item.key)
+        try:
+            return _read_endpoint(name, orjson.loads(item.value))
+        except (LookupError, TypeError, ValueError, AttributeError) as error:
+            log.warning(
+                "endpoint's entry can't be used",
+                extra={"endpoint": name, "reason": repr(error)},
+            )
+            return None
+
+    def name_endpoint(self, key):
+        """Return the name of the endpoint that has a key."""
+        return key.removeprefix(self.endpoints_prefix)
+
+    def report_retirement(self, host, done):
+        """Return the `Operation` that tells how far a host is emptied."""
+        state = "done" if done else "running"
+        key = RETIREMENT_REPORT_PREFIX + host
+        return Operation(key, orjson.dumps({"state": state}))
+
+
+def _read_configuration(value):
+    limits = value["limits"]
+    return Configuration(
+        version=value["version"],
+        routes=[_read_route(route) for route in value["routes"]],
+        accounts=[_read_account(account) for account in value.get("tenants", ())],
+        engines={s["name"]: _read_engine(s) for s in value["services"]},
+        header_bytes=limits["max_header_bytes"],
+        body_bytes=limits["max_body_bytes"],
+        header_timeout=limits["header_timeout_ms"] / 1000,
+        idle_timeout=limits["idle_timeout_ms"] / 1000,
+    )
+
+
+def _read_route(value):
+    return PrefixRoute(
+        name=value["name"],
+        host=value["host"].lower(),
+        prefix=value["prefix"],
+        nature=NATURES[value["kind"]],
+        shares=_read_shares(value),
+        timeout=value["timeout_ms"] / 1000,
+        objective=value["slo_ms"] / 1000,
+        gap_objective=value.get("gap_aim_ms", value["slo_ms"]) / 1000,
+        attempt_limit=value["max_attempts"],
+        priority=value["priority"],
+        open=value.get("public", False),
+        resumable=value.get("can_resume", False),
+        due=value.get("due_ms", value["timeout_ms"]) / 1000,
+        abandon_after=float(value.get("max_wait_s", value["timeout_ms"] / 1000)),
+        # Counts tokens that wait, in spite of its name.
+        waiting_token_limit=value.get("max_count", 0),
+    )
+
+
+def _read_shares(value):
+    if "service" in value:
+        return [ServiceShare(value["service"])]
+    return [ServiceShare(s["service"], s["weight"]) for s in value["backends"]]
+
+
+def _read_account(value):
+    return Account(
+        name=value["name"],
+        keys=value["api_keys"],
+        rate=value.get("rate_per_s", 0),
+        burst=value.get("burst", 0),
+        priority=value.get("priority"),
+    )
+
+
+def _read_engine(value):
+    engine = value.get("engine", {})
+    return Engine(
+        service=value["name"],
+        health_path=value["health_path"],
+        connection_limit=value.get("max_conns", 0),
+        token_capacity=engine.get("kv_capacity_tokens", 0),
+    )
+
+
+def _read_endpoint(name, value):
+    address, slots = value["address"], value["slots"]
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdecimal():
+        raise ValueError(f"{address!r} is no address")
+    if type(slots) is not int or slots < 1:
+        raise ValueError(f"{slots!r} is no number of slots")
+    if type(value["service"]) is not str:
+        raise ValueError(f"{value['service']!r} is no service")
+    return FleetEndpoint(
+        name=name,
+        service=value["service"],
+        address=address,
+        data_centre=value.get("zone", ""),
+        slots=slots,
+        leaving=LEAVING_STATES[value["state"]],
+        born=value.get("born", 0),
+    )
--- a/mangogauge/platform/store.py
+++ b/mangogauge/platform/store.py
@@ -1,201 +1,253 @@
-"""The platform's key-value store as an abstract base class.
+"""Client of the platform's key-value store."""
 
-Every method returns a `returns` result: ``Success`` with a value, or
-``Failure`` with a `StoreError` that says whether a write may have taken effect.
-"""
-
-from abc import ABC, abstractmethod
+import base64
+from urllib.parse import urlencode
 
+import curio
+import orjson
 from attrs import field, frozen
-
-from ..errors import PeerError
-
-__all__ = [
-    "Condition",
-    "KeyValue",
-    "Lease",
-    "Operation",
-    "Store",
-    "StoreError",
-    "StoreLostAnswerError",
-    "StoreRefusedError",
-    "StoreUnavailableError",
-    "Transaction",
-    "TransactionResult",
-    "VALUE_LIMIT_BYTES",
-    "WatchEvent",
-]
-
-VALUE_LIMIT_BYTES = 1_000_000
-
-
-class StoreError(PeerError):
-    """A call to the store failed."""
-
-
-class StoreUnavailableError(StoreError):
-    """The store was not reached; nothing took effect."""
-
-
-class StoreLostAnswerError(StoreError):
-    """The call was sent and no answer came; a write may have taken effect."""
-
-
-class StoreRefusedError(StoreError):
-    """The store refused the call; nothing took effect."""
-
-
-@frozen
-class KeyValue:
-    """A key with its value and the store's revisions of it.
+from returns.result import Failure, Success
+
+from ..clock import SystemClock
+from ..http import ClientPool, Headers, HTTPConnectError, HTTPError
+from ..store import (
+    ChangeFeed,
+    Changes,
+    KeyValue,
+    Lease,
+    Snapshot,
+    Store,
+    StoreCompactedError,
+    StoreLostAnswerError,
+    StoreRefusedError,
+    StoreUnavailableError,
+    TransactionResult,
+    WatchEvent,
+)
+
+__all__ = ["PlatformStore"]
+
+DEFAULT_TIMEOUT = 1.2
+JSON_HEADERS = Headers([("Content-Type", "application/json")])
+# Nothing was done: the store is too busy, or away.
+UNAVAILABLE_STATUSES = frozenset({429, 503})
+OK, NOT_FOUND, GONE, CONDITION_FAILED = 200, 404, 410, 412
+READ = "GET"
+
+
+class PlatformStore(Store, ChangeFeed):
+    """Client of the store.
 
     Parameters
     ----------
-    key : str
-    value : bytes
-    create_revision, mod_revision : int
-        Revision of the store at which the key was made, and last changed.
-    lease : int
-        Lease that the key hangs on; 0 for none.
+    address : str
+        ``host:port``.
+    timeout : float, optional
+        Seconds until a call counts as lost.
+    clock : Clock, optional
+    on_call : callable, optional
+        Called with the path and the status of each call; 0 where none came.
     """
 
-    key = field()
-    value = field()
-    create_revision = field(default=0)
-    mod_revision = field(default=0)
-    lease = field(default=0)
-
+    def __init__(self, address, timeout=DEFAULT_TIMEOUT, clock=None, on_call=None):
+        self._address = address
+        self._timeout = timeout
+        self._clock = clock or SystemClock()
+        self._pool = ClientPool(connect_timeout=timeout)
+        self._on_call = on_call or (lambda path, status: None)
 
-@frozen
-class Condition:
-    """A key's revision of last change must be `mod_revision`; 0 means absent."""
-
-    key = field()
-    mod_revision = field()
-
-
-@frozen
-class Operation:
-    """Put `value` at `key`, or delete the key if `value` is None."""
-
-    key = field()
-    value = field(default=None)
-    lease = field(default=0)
+    async def close(self):
+        """Close idle connections."""
+        await self._pool.close()
 
+    async def get(self, key):
+        """Return ``Success(KeyValue or None)``."""
+        query = urlencode({"key": key})
+        answer = await self._call(READ, f"/api/kv-key?{query}", {OK, NOT_FOUND})
+        return answer.map(
+            lambda a: None if a.status == NOT_FOUND else _read_item(a.body)
+        )
 
-@frozen
-class Transaction:
-    """Operations that take effect together if all conditions hold.
+    async def list_prefix(
+        self, prefix, limit=0, start_after="", keys_only=False, min_mod_revision=0
+    ):
+        """Return ``Success(list of KeyValue)`` in order of keys."""
+        answer = await self.read_snapshot(prefix, start_after)
+        items = answer.map(
+            lambda s: [i for i in s.items if i.mod_revision >= min_mod_revision]
+        )
+        return items.map(lambda found: found[:limit] if limit else found)
+
+    async def read_snapshot(self, prefix, start_after=""):
+        """Return ``Success(Snapshot)``."""
+        items, revision = [], None
+        while True:
+            query = {"prefix": prefix}
+            if start_after:
+                query["after"] = start_after
+            answer = await self._call(READ, f"/api/kv-range?{urlencode(query)}", {OK})
+            if isinstance(answer, Failure):
+                return answer
+            body = answer.unwrap().body
+            # Pages are of different moments: all that changed after the first
+            # has to be read from the history.
+            revision = body["as_of"] if revision is None else revision
+            items += [_read_item(item) for item in body["items"]]
+            if not body["truncated"]:
+                return Success(Snapshot(items, revision))
+            start_after = items[-1].key
+
+    async def read_changes(self, prefix, revision, wait_seconds):
+        """Return ``Success(Changes)`` that followed `revision`."""
+        query = {
+            "prefix": prefix,
+            "after": revision,
+            "wait_ms": int(wait_seconds * 1000),
+        }
+        answer = await self._call(
+            READ,
+            f"/api/kv-watch?{urlencode(query)}",
+            {OK, GONE},
+            timeout=self._timeout + wait_seconds,
+        )
+        return answer.bind(_read_changes)
 
-    Parameters
-    ----------
-    conditions : tuple of Condition
-    operations : tuple of Operation
-    """
+    async def transact(self, transaction):
+        """Return ``Success(TransactionResult)``."""
+        operations = transaction.operations
+        body = {
+            "expect": [
+                {"key": c.key, "rev": c.mod_revision} for c in transaction.conditions
+            ],
+            "puts": [_encode_put(o) for o in operations if o.value is not None],
+            "delete": [o.key for o in operations if o.value is None],
+        }
+        answer = await self._call(
+            "POST", "/api/kv-txn", {OK, CONDITION_FAILED, NOT_FOUND}, body
+        )
+        return answer.bind(_read_transaction)
 
-    conditions = field(converter=tuple)
-    operations = field(converter=tuple)
+    async def grant_lease(self, seconds):
+        """Return ``Success(Lease)``."""
+        asked = self._clock.read_elapsed()
+        body = {"ttl_ms": int(seconds * 1000)}
+        answer = await self._call("POST", "/api/kv-lease", {OK}, body)
+        return answer.map(lambda a: _make_lease(a.body["lease"], a.body, asked))
 
+    async def renew_lease(self, lease):
+        """Return ``Success(Lease)``, or a refusal if it has lapsed."""
+        asked = self._clock.read_elapsed()
+        path = f"/api/kv-keep/{lease.lease_id}"
+        answer = await self._call("POST", path, {OK, NOT_FOUND})
+        return answer.bind(lambda a: _read_renewal(a, lease, asked))
 
-@frozen
-class TransactionResult:
-    """Whether the conditions held, and the store's revision afterwards."""
+    async def revoke_lease(self, lease):
+        """Return ``Success(None)``; keys that hang on the lease are deleted."""
+        path = f"/api/kv-lease-end/{lease.lease_id}"
+        answer = await self._call("DELETE", path, {OK, NOT_FOUND})
+        return answer.map(lambda a: None)
 
-    succeeded = field()
-    revision = field()
+    def watch(self, prefix, start_revision=0):
+        """Return an asynchronous iterator of `WatchEvent`."""
+        return self._watch(prefix, start_revision)
+
+    async def _watch(self, prefix, start_revision):
+        revision = start_revision - 1
+        while True:
+            answer = await self.read_changes(prefix, revision, self._timeout)
+            if isinstance(answer, Failure):
+                raise answer.failure()
+            for event in answer.unwrap().events:
+                yield event
+            revision = answer.unwrap().revision
+
+    async def _call(self, method, path, expected, body=None, timeout=None):
+        """Return ``Success(_Answer)`` with one of the `expected` statuses."""
+        step = path.partition("?")[0]
+        data = b"" if body is None else orjson.dumps(body)
+        try:
+            async with curio.timeout_after(timeout or self._timeout):
+                response = await self._pool.request(
+                    self._address, method, path, JSON_HEADERS, data
+                )
+                read = await response.read()
+        except HTTPConnectError as error:
+            self._on_call(step, 0)
+            return self._fail(StoreUnavailableError, error.message, step)
+        except (HTTPError, curio.TaskTimeout) as error:
+            self._on_call(step, 0)
+            # A read has no effect that could be unknown.
+            lost = StoreUnavailableError if method == READ else StoreLostAnswerError
+            return self._fail(lost, repr(error), step)
+        status = response.status
+        self._on_call(step, status)
+        if status in expected:
+            return Success(_Answer(status, orjson.loads(read) if read else {}))
+        message = f"status {status}: {read[:200]!r}"
+        if status in UNAVAILABLE_STATUSES or method == READ:
+            return self._fail(StoreUnavailableError, message, step)
+        if status >= 500:
+            return self._fail(StoreLostAnswerError, message, step)
+        return self._fail(StoreRefusedError, message, step)
+
+    def _fail(self, error, message, step):
+        return Failure(error(message, step=step, peer=self._address))
 
 
 @frozen
-class Lease:
-    """A granted lease.
-
-    Parameters
-    ----------
-    lease_id : int
-    seconds : float
-        How long it lives after each renewal.
-    valid_until : float
-        Elapsed time, by this process's clock, up to which it certainly lives;
-        counted from before the request for it was sent.
-    """
-
-    lease_id = field()
-    seconds = field()
-    valid_until = field()
+class _Answer:
+    """Status and body of one call."""
 
+    status = field()
+    body = field()
 
-@frozen
-class WatchEvent:
-    """A change under a watched prefix.
 
-    Parameters
-    ----------
-    key : str
-    value : bytes or None
-        None if the key was deleted.
-    mod_revision : int
-    """
+def _read_item(value):
+    return KeyValue(
+        value["key"],
+        base64.b64decode(value["value"]),
+        value.get("create_rev", 0),
+        value["rev"],
+        value.get("lease", 0),
+    )
 
-    key = field()
-    value = field()
-    mod_revision = field()
 
+def _read_changes(answer):
+    if answer.status == GONE:
+        return Failure(StoreCompactedError("The history is gone.", step="watch"))
+    events = [_read_event(event) for event in answer.body["events"]]
+    return Success(Changes(events, answer.body["as_of"]))
 
-class Store(ABC):
-    """Get, transactions, leases and watches."""
 
-    @abstractmethod
-    async def get(self, key):
-        """Return ``Success(KeyValue or None)``."""
+def _read_event(value):
+    gone = value.get("tombstone", False)
+    data = None if gone else base64.b64decode(value["value"])
+    return WatchEvent(value["key"], data, value["rev"])
 
-    @abstractmethod
-    async def list_prefix(
-        self, prefix, limit=0, start_after="", keys_only=False, min_mod_revision=0
-    ):
-        """Return ``Success(list of KeyValue)`` in order of keys.
-
-        Parameters
-        ----------
-        prefix : str
-        limit : int, optional
-            Largest number returned; 0 for all.
-        start_after : str, optional
-            Key, with its prefix, after which the list starts.
-        keys_only : bool, optional
-            Leave the values empty.
-        min_mod_revision : int, optional
-            Only keys that changed at this revision of the store or later.
-        """
-
-    @abstractmethod
-    async def transact(self, transaction):
-        """Return ``Success(TransactionResult)``."""
 
-    @abstractmethod
-    async def grant_lease(self, seconds):
-        """Return ``Success(Lease)``."""
+def _encode_put(operation):
+    return {
+        "key": operation.key,
+        "value": base64.b64encode(operation.value).decode("ascii"),
+        "lease": operation.lease,
+    }
 
-    @abstractmethod
-    async def renew_lease(self, lease):
-        """Return ``Success(Lease)``, or a refusal if it has lapsed."""
 
-    @abstractmethod
-    async def revoke_lease(self, lease):
-        """Return ``Success(None)``; keys that hang on the lease are deleted."""
+def _read_transaction(answer):
+    if answer.status == NOT_FOUND:
+        return Failure(StoreRefusedError("The lease has lapsed.", step="transact"))
+    if answer.status == CONDITION_FAILED:
+        current = [_read_item(i) for i in answer.body["items"] if "value" in i]
+        return Success(TransactionResult(False, 0, current))
+    return Success(TransactionResult(True, answer.body["rev"]))
 
-    @abstractmethod
-    def watch(self, prefix, start_revision=0):
-        """Return an asynchronous iterator of `WatchEvent`.
 
-        It raises `StoreError` when the watch breaks; the caller reads the
-        prefix again and watches from the revision after that.
-        """
+def _make_lease(lease_id, body, asked):
+    seconds = body["ttl_ms"] / 1000
+    return Lease(lease_id, seconds, asked + seconds)
 
-    async def put(self, key, value, lease=0):
-        """Put one key without conditions."""
-        operation = Operation(key, value, lease)
-        return await self.transact(Transaction((), (operation,)))
 
-    async def delete(self, key):
-        """Delete one key without conditions."""
-        return await self.transact(Transaction((), (Operation(key),)))
+def _read_renewal(answer, lease, asked):
+    if answer.status == NOT_FOUND:
+        return Failure(StoreRefusedError("The lease has lapsed.", step="renew lease"))
+    return Success(_make_lease(lease.lease_id, answer.body, asked))
--- a/mangogauge/queueing/__init__.py
+++ b/mangogauge/queueing/__init__.py
@@ -2,6 +2,5 @@
 
 from .admission import estimate_wait
 from .fair import FairQueue, Ticket
-from .gate import CapacityGate
 
-__all__ = ["CapacityGate", "FairQueue", "Ticket", "estimate_wait"]
+__all__ = ["FairQueue", "Ticket", "estimate_wait"]
--- a/mangogauge/gateway/refusals.py
+++ b/mangogauge/refusals.py
@@ -6,8 +6,8 @@
 import orjson
 from attrs import field, frozen
 
-from ..errors import MangogaugeError
-from ..http import Headers
+from .errors import MangogaugeError
+from .http import Headers
 
 __all__ = ["Refusal", "RefusalCode", "RefusalKind", "render_refusal"]
 
--- a/mangogauge/routing/__init__.py
+++ b/mangogauge/routing/__init__.py
@@ -1,15 +1,11 @@
 """Which endpoint runs a call, and what happens when an attempt fails."""
 
-from .balanced import BalancedRouter
+from ..lazy import attach_lazily
 from .budget import RetryBudget, RetryBudgets
 from .choice import Router
 from .progress import Progress
-from .quarantine import Quarantine, Standing
 from .retry import Decision, RetryPolicy
-from .sharing import EndpointBoard
-from .spill import SpillChooser
 from .states import EndpointState, LoadReport
-from .statuses import find_failure
 from .timing import AnswerTimes
 
 __all__ = [
@@ -29,3 +25,14 @@
     "Standing",
     "find_failure",
 ]
+
+__getattr__ = attach_lazily(
+    __name__,
+    {
+        "balanced": ("BalancedRouter",),
+        "quarantine": ("Quarantine", "Standing"),
+        "sharing": ("EndpointBoard",),
+        "spill": ("SpillChooser",),
+        "statuses": ("find_failure",),
+    },
+)
--- a/mangogauge/routing/watch.py
+++ b/mangogauge/routing/watch.py
@@ -11,8 +11,8 @@
 
 from ..daemon.parts import HostPart
 from ..http import ClientPool, Headers, HTTPConnectError, HTTPError
-from ..platform import ListedState
 from ..settings import EndpointKind
+from ..store import ListedState
 from .sharing import LOAD_ENTRY, SUMMARY_ENTRY
 from .states import LoadReport
 
--- /dev/null
+++ b/mangogauge/settings/serving.py
@@ -0,0 +1,106 @@
+"""Settings of one host that serves a fleet from the platform's store."""
+
+from pathlib import Path
+
+from attrs import field, frozen
+
+from .kinds import AddressKind, FlagKind, IntegerKind, NameKind, NumberKind, TextKind
+from .problems import Problem, SettingsError
+from .sections import SectionReader, make_option, parse_text
+
+__all__ = ["ServingSettings", "StoreSettings", "read_serving"]
+
+PORT = IntegerKind(1, 65_535)
+
+
+@frozen
+class StoreSettings:
+    """Where the platform's store is.
+
+    Parameters
+    ----------
+    address : str
+    lease_seconds : float
+        How long a host that has gone silent stays registered.
+    value_bytes : int
+        Largest value that the store takes.
+    """
+
+    address = make_option(AddressKind())
+    lease_seconds = make_option(NumberKind(1, 600, "seconds"), default=4.0)
+    value_bytes = make_option(IntegerKind(1024, 1 << 30, "bytes"), default=1_000_000)
+
+
+@frozen
+class ServingSettings:
+    """One host.
+
+    Parameters
+    ----------
+    name, data_centre : str
+    address : str
+        IP number that it listens on.
+    first_report_port, last_report_port : int
+        Ports, of which one is used for other hosts' reports.
+    callers_address, readiness_address : str
+        Where callers and the balancer's question whether it is ready come in;
+        empty on a host that serves no callers.
+    metrics_port : int
+    runs_batch : bool
+        Whether it runs items of batch jobs.
+    drain_seconds : float
+        Time between SIGTERM and the end of the process.
+    status_seconds : float
+        How long a batch job can be read after it was submitted.
+    store : StoreSettings
+    """
+
+    name = make_option(NameKind())
+    data_centre = make_option(NameKind())
+    address = make_option(AddressKind(with_port=False))
+    first_report_port = make_option(PORT)
+    last_report_port = make_option(PORT)
+    callers_address = make_option(TextKind(), default="")
+    readiness_address = make_option(TextKind(), default="")
+    metrics_port = make_option(PORT, default=9464)
+    runs_batch = make_option(FlagKind(), default=False)
+    drain_seconds = make_option(NumberKind(0.1, 600, "seconds"), default=8.0)
+    status_seconds = make_option(NumberKind(1, 864_000, "seconds"), default=3600.0)
+    store = field(default=None)
+
+    @property
+    def serves_callers(self):
+        """Whether callers come here."""
+        return bool(self.callers_address)
+
+
+SECTIONS = {"host": ServingSettings, "store": StoreSettings}
+
+
+def read_serving(path):
+    """Read a host's file.
+
+    Raises
+    ------
+    SettingsError
+        With every mistake in it.
+    """
+    file = str(path)
+    try:
+        text = Path(path).read_text("utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        problem = Problem(file, read=str(error), allowed="a UTF-8 file to be read")
+        raise SettingsError([problem]) from error
+    problems = []
+    sections = parse_text(text, file, problems)
+    reader = SectionReader(problems)
+    for section in sections:
+        if section not in SECTIONS:
+            reader.check_section(file, section, SECTIONS)
+    store = reader.read("store", sections.get("store", {}), StoreSettings, file)
+    host = reader.read(
+        "host", sections.get("host", {}), ServingSettings, file, store=store
+    )
+    if problems:
+        raise SettingsError(problems)
+    return host
--- /dev/null
+++ b/mangogauge/sharing/__init__.py
@@ -0,0 +1,16 @@
+"""What hosts tell each other many times a second: running work, admissions."""
+
+from .board import LoadBoard
+from .exchange import ReportExchange
+from .quota import Admission, SharedQuota
+from .reports import EndpointLoad, HostReport, ReportError
+
+__all__ = [
+    "Admission",
+    "EndpointLoad",
+    "HostReport",
+    "LoadBoard",
+    "ReportError",
+    "ReportExchange",
+    "SharedQuota",
+]
--- /dev/null
+++ b/mangogauge/sharing/board.py
@@ -0,0 +1,139 @@
+"""What runs at each endpoint, by this host's own counts and others' reports."""
+
+from attrs import define, field, frozen
+
+from .reports import EndpointLoad, HostReport
+
+__all__ = ["LoadBoard"]
+
+# A report that is older says nothing any more.
+REPORT_SECONDS = 1.5
+SHUN_QUORUM = 2
+NOTHING = EndpointLoad()
+
+
+@frozen
+class _Heard:
+    """A report and when it came."""
+
+    report = field()
+    at = field()
+
+
+@define
+class _OwnCount:
+    """What this host runs at one endpoint."""
+
+    online = field(default=0)
+    batch = field(default=0)
+
+
+class LoadBoard:
+    """Counts of running work over the whole fleet.
+
+    Parameters
+    ----------
+    host, incarnation : str
+        Of this host.
+    clock : Clock
+
+    Attributes
+    ----------
+    waiting : int
+        Online requests that wait at this host for a free slot.
+    """
+
+    def __init__(self, host, incarnation, clock):
+        self._host = host
+        self._incarnation = incarnation
+        self._clock = clock
+        self._own = {}
+        self._heard = {}
+        self._number = 0
+        self.waiting = 0
+
+    def begin(self, endpoint, batch=False):
+        """Count a request, or an item, that is sent to an endpoint."""
+        count = self._own.setdefault(endpoint, _OwnCount())
+        if batch:
+            count.batch += 1
+        else:
+            count.online += 1
+
+    def end(self, endpoint, batch=False):
+        """Count one as ended, however it did."""
+        count = self._own[endpoint]
+        if batch:
+            count.batch -= 1
+        else:
+            count.online -= 1
+        if not count.online and not count.batch:
+            del self._own[endpoint]
+
+    def take_report(self, report):
+        """Take another host's report; return whether it was news."""
+        if report.host == self._host:
+            return False
+        known = self._heard.get(report.host)
+        if known is not None and known.report.incarnation == report.incarnation:
+            if report.number <= known.report.number:
+                return False
+        self._heard[report.host] = _Heard(report, self._clock.read_elapsed())
+        return True
+
+    def list_heard(self):
+        """Return the fresh reports of other hosts."""
+        oldest = self._clock.read_elapsed() - REPORT_SECONDS
+        for name in [n for n, heard in self._heard.items() if heard.at < oldest]:
+            del self._heard[name]
+        return [heard.report for heard in self._heard.values()]
+
+    def hears(self, host):
+        """Return whether a fresh report of the host is there."""
+        heard = self._heard.get(host)
+        if heard is None:
+            return False
+        return self._clock.read_elapsed() - heard.at <= REPORT_SECONDS
+
+    def get_own(self, endpoint):
+        """Return the `EndpointLoad` of this host alone."""
+        count = self._own.get(endpoint)
+        return EndpointLoad(count.online, count.batch) if count else NOTHING
+
+    def measure(self, endpoint):
+        """Return the `EndpointLoad` of all hosts together."""
+        own = self.get_own(endpoint)
+        online, batch = own.online, own.batch
+        for report in self.list_heard():
+            load = report.loads.get(endpoint, NOTHING)
+            online += load.online
+            batch += load.batch
+        return EndpointLoad(online, batch)
+
+    def count_waiting(self):
+        """Return how many online requests wait for a slot, over all hosts."""
+        return self.waiting + sum(report.waiting for report in self.list_heard())
+
+    def is_shunned(self, endpoint):
+        """Return whether several other hosts can't use an endpoint."""
+        shunning = sum(endpoint in report.shunned for report in self.list_heard())
+        return shunning >= SHUN_QUORUM
+
+    def make_report(self, admitted, shunned):
+        """Return this host's next `HostReport`.
+
+        Parameters
+        ----------
+        admitted : dict of str to int
+        shunned : iterable of str
+        """
+        self._number += 1
+        return HostReport(
+            self._host,
+            self._incarnation,
+            self._number,
+            {name: self.get_own(name) for name in self._own},
+            admitted,
+            self.waiting,
+            shunned,
+        )
--- /dev/null
+++ b/mangogauge/sharing/quota.py
@@ -0,0 +1,137 @@
+"""Rates of client accounts that all hosts keep together.
+
+Every host counts what it admits and reports the totals; each takes the others'
+admissions into its own bucket as they become known. A host that does not hear
+some of the others leaves them their part of the rate.
+
+The load this answers: an account sends many times its rate through all hosts
+at once, while reports are late or hosts are cut off from each other.
+"""
+
+from attrs import define, field, frozen
+
+__all__ = ["Admission", "SharedQuota"]
+
+# Requests that a bucket holds beyond the account's burst: reports of other
+# hosts come a little late, and within rate nobody should be refused for that.
+SPARE_REQUESTS = 4.0
+# A host that has just started doesn't know what was admitted before.
+STARTING_SHARE = 0.5
+# An account that has not been heard of for this long is forgotten.
+FORGET_SECONDS = 60.0
+
+
+@frozen
+class Admission:
+    """Whether a request is admitted; if not, when one would be."""
+
+    admitted = field()
+    retry_after = field(default=0.0)
+
+
+@define
+class _Bucket:
+    """Requests admitted by all hosts that the rate has not yet paid for."""
+
+    level = field()
+    updated_at = field()
+    own_count = field(default=0)
+
+
+class SharedQuota:
+    """Admits requests of client accounts at their rates over all hosts.
+
+    Parameters
+    ----------
+    clock : Clock
+
+    Examples
+    --------
+    >>> from mangogauge.clock import ManualClock
+    >>> from mangogauge.fleet import Account
+    >>> quota = SharedQuota(ManualClock())
+    >>> account = Account("a", (), rate=1.0, burst=4.0)
+    >>> [quota.admit(account, 1.0).admitted for _ in range(8)]
+    [True, True, True, True, True, True, False, False]
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._buckets = {}
+        self._others = {}
+
+    def admit(self, account, share):
+        """Count a request against its account's rate.
+
+        Parameters
+        ----------
+        account : Account
+        share : float
+            Part of the hosts that this one hears, itself included: it may use
+            up no more than that part of the rate.
+
+        Returns
+        -------
+        Admission
+        """
+        if not account.rate:
+            return Admission(True)
+        bucket = self._update(account, share)
+        missing = bucket.level + 1.0 - _compute_capacity(account)
+        if missing > 0:
+            return Admission(False, missing / (account.rate * share))
+        bucket.level += 1.0
+        bucket.own_count += 1
+        return Admission(True)
+
+    def count_own(self):
+        """Return ``{account: int}``: what this host has admitted so far."""
+        return {
+            name: bucket.own_count
+            for name, bucket in self._buckets.items()
+            if bucket.own_count
+        }
+
+    def take_report(self, report, accounts):
+        """Count what another host has admitted since its last report.
+
+        Parameters
+        ----------
+        report : HostReport
+        accounts : PrefixRoutes
+            Knows the accounts of the configuration in force.
+        """
+        before = self._others.get(report.host)
+        self._others[report.host] = report
+        known = {}
+        if before is not None and before.incarnation == report.incarnation:
+            known = before.admitted
+        for name, count in report.admitted.items():
+            account = accounts.get_account(name)
+            fresh = count - known.get(name, 0 if before else count)
+            if account is None or not account.rate or fresh <= 0:
+                continue
+            self._update(account, 1.0).level += fresh
+
+    def forget_idle(self):
+        """Drop the buckets of accounts that have long asked for nothing."""
+        oldest = self._clock.read_elapsed() - FORGET_SECONDS
+        for name, bucket in list(self._buckets.items()):
+            if bucket.updated_at < oldest:
+                del self._buckets[name]
+
+    def _update(self, account, share):
+        """Return the account's bucket, emptied by what the rate has paid."""
+        now = self._clock.read_elapsed()
+        bucket = self._buckets.get(account.name)
+        if bucket is None:
+            level = STARTING_SHARE * account.burst
+            bucket = self._buckets[account.name] = _Bucket(level, now)
+        paid = (now - bucket.updated_at) * account.rate * share
+        bucket.level = max(0.0, bucket.level - paid)
+        bucket.updated_at = now
+        return bucket
+
+
+def _compute_capacity(account):
+    return max(1.0, account.burst) + SPARE_REQUESTS
--- /dev/null
+++ b/mangogauge/sharing/reports.py
@@ -0,0 +1,107 @@
+"""The report that a host sends to the others, and its form on the wire.
+
+A report is one datagram. It holds totals, never differences, so that one that
+is lost, doubled or overtaken does no harm.
+"""
+
+import orjson
+from attrs import field, frozen
+
+from ..errors import MangogaugeError
+
+__all__ = ["EndpointLoad", "HostReport", "ReportError"]
+
+FORMAT = 1
+
+
+class ReportError(MangogaugeError):
+    """A datagram is no report."""
+
+
+@frozen
+class EndpointLoad:
+    """What one host runs at one endpoint.
+
+    Parameters
+    ----------
+    online, batch : int
+        Requests and items that were sent and have not ended.
+    """
+
+    online = field(default=0)
+    batch = field(default=0)
+
+    @property
+    def total(self):
+        """Both together."""
+        return self.online + self.batch
+
+
+@frozen
+class HostReport:
+    """What one host tells the others.
+
+    Parameters
+    ----------
+    host, incarnation : str
+    number : int
+        Grows with each report of one incarnation.
+    loads : dict of str to EndpointLoad
+        By endpoint's name.
+    admitted : dict of str to int
+        Requests admitted since the host's start, by client account.
+    waiting : int
+        Online requests that wait at the host for a free slot.
+    shunned : tuple of str
+        Endpoints that the host can't reach or that don't answer it.
+    """
+
+    host = field()
+    incarnation = field()
+    number = field()
+    loads = field(factory=dict)
+    admitted = field(factory=dict)
+    waiting = field(default=0)
+    shunned = field(default=(), converter=tuple)
+
+    @classmethod
+    def from_bytes(cls, data):
+        """Decode a datagram.
+
+        Raises
+        ------
+        ReportError
+            If it is none.
+        """
+        try:
+            form, host, incarnation, number, loads, admitted, waiting, shunned = (
+                orjson.loads(data)
+            )
+            if form != FORMAT:
+                raise ReportError(f"Reports of format {form} are not known.")
+            return cls(
+                str(host),
+                str(incarnation),
+                int(number),
+                {str(n): EndpointLoad(int(o), int(b)) for n, o, b in loads},
+                {str(name): int(count) for name, count in admitted},
+                int(waiting),
+                [str(name) for name in shunned],
+            )
+        except (ValueError, TypeError) as error:
+            raise ReportError(f"The datagram is no report: {error}.") from error
+
+    def to_bytes(self):
+        """Encode as a datagram."""
+        return orjson.dumps(
+            [
+                FORMAT,
+                self.host,
+                self.incarnation,
+                self.number,
+                [[name, load.online, load.batch] for name, load in self.loads.items()],
+                list(self.admitted.items()),
+                self.waiting,
+                self.shunned,
+            ]
+        )
--- a/mangogauge/standins/platform.py
+++ b/mangogauge/standins/platform.py
@@ -13,8 +13,8 @@
 
 from ..clock import SystemClock
 from ..http import Headers, HTTPServer, ServerLimits
-from ..platform.keyspace import Keyspace
-from ..platform.store import Condition, Operation, Transaction
+from ..store.base import Condition, Operation, Transaction
+from ..store.keyspace import Keyspace
 from .answers import read_json, send_json
 
 __all__ = ["PlatformFaults", "PlatformServer"]
--- a/mangogauge/platform/gateway.py
+++ b/mangogauge/store/gateway.py
@@ -13,7 +13,7 @@
     HTTPConnectError,
     HTTPError,
 )
-from .store import (
+from .base import (
     VALUE_LIMIT_BYTES,
     KeyValue,
     Lease,
--- a/mangogauge/platform/hostlist.py
+++ b/mangogauge/store/hostlist.py
@@ -8,7 +8,7 @@
 from attrs import field, frozen
 from returns.result import Failure, Success
 
-from .store import StoreUnavailableError
+from .base import StoreUnavailableError
 
 __all__ = ["FileHostList", "HostList", "HostListing", "ListedState"]
 
--- a/mangogauge/platform/keyspace.py
+++ b/mangogauge/store/keyspace.py
@@ -8,7 +8,7 @@
 from attrs import define, evolve, field
 from sortedcontainers import SortedDict
 
-from .store import KeyValue, TransactionResult, WatchEvent
+from .base import KeyValue, TransactionResult, WatchEvent
 
 __all__ = ["Keyspace"]
 
--- a/mangogauge/platform/memory.py
+++ b/mangogauge/store/memory.py
@@ -4,15 +4,15 @@
 from returns.result import Failure, Success
 
 from ..clock import SystemClock
+from .base import ChangeFeed, Changes, Lease, Snapshot, Store, StoreRefusedError
 from .keyspace import Keyspace
-from .store import Lease, Store, StoreRefusedError
 
 __all__ = ["MemoryStore"]
 
 WATCH_INTERVAL = 0.01
 
 
-class MemoryStore(Store):
+class MemoryStore(Store, ChangeFeed):
     """A `Store` whose contents live in this process.
 
     Parameters
@@ -74,3 +74,19 @@
                 yield event
             following = self.keyspace.revision + 1
             await curio.sleep(WATCH_INTERVAL)
+
+    async def read_snapshot(self, prefix, start_after=""):
+        """Return ``Success(Snapshot)``."""
+        listed = await self.list_prefix(prefix, start_after=start_after)
+        return listed.map(lambda items: Snapshot(items, self.keyspace.revision))
+
+    async def read_changes(self, prefix, revision, wait_seconds):
+        """Return ``Success(Changes)`` that followed `revision`."""
+        end = prefix[:-1] + chr(ord(prefix[-1]) + 1)
+        until = self._clock.read_elapsed() + wait_seconds
+        while True:
+            self.keyspace.expire_leases()
+            events = self.keyspace.read_history(prefix, end, revision + 1)
+            if events or self._clock.read_elapsed() >= until:
+                return Success(Changes(events, self.keyspace.revision))
+            await curio.sleep(WATCH_INTERVAL)
--- a/mangogauge/platform/records.py
+++ b/mangogauge/store/records.py
@@ -13,7 +13,7 @@
 from returns.result import Failure, Success
 
 from ..protocol.records_pb2 import Record
-from .store import (
+from .base import (
     Condition,
     Operation,
     StoreError,
--- a/mangogauge/telemetry/__init__.py
+++ b/mangogauge/telemetry/__init__.py
@@ -2,5 +2,6 @@
 
 from .logs import configure_logs, get_logger
 from .metrics import HostMetrics
+from .serving import ServingMetrics
 
-__all__ = ["HostMetrics", "configure_logs", "get_logger"]
+__all__ = ["HostMetrics", "ServingMetrics", "configure_logs", "get_logger"]
--- /dev/null
+++ b/mangogauge/telemetry/serving.py
@@ -0,0 +1,74 @@
+"""Metrics of a host that serves a fleet from the platform's store."""
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+from .metrics import LATENCY_BUCKETS
+
+__all__ = ["ServingMetrics"]
+
+
+class ServingMetrics:
+    """Counters and histograms of one host.
+
+    Attributes
+    ----------
+    registry : prometheus_client.CollectorRegistry
+    """
+
+    def __init__(self):
+        self.registry = CollectorRegistry()
+        self.requests = self._count(
+            "requests", "Requests by outcome.", "route", "outcome"
+        )
+        self.refusals = self._count("refusals", "Refusals by code.", "route", "code")
+        self.request_seconds = self._time(
+            "request_seconds", "Time to the whole answer.", "route"
+        )
+        self.first_piece = self._time(
+            "first_piece_seconds", "Time to the first piece of an answer.", "route"
+        )
+        self.attempt_failures = self._count(
+            "attempt_failures", "Failed attempts by how far they got.", "progress"
+        )
+        self.store_calls = self._count(
+            "store_calls", "Calls to the store; status 0 for none.", "call", "status"
+        )
+        self.items = self._count("items", "Batch items by outcome.", "outcome")
+        self.jobs = self._count("jobs", "Batch jobs by outcome.", "outcome")
+        self.items_running = self._gauge("items_running", "Items that run.")
+        self.items_waiting = self._gauge("items_waiting", "Items that wait here.")
+        self.lines_dropped = self._count(
+            "log_lines_dropped", "Log lines that could not be written."
+        )
+        self.configuration = self._gauge(
+            "configuration_version", "Version of the configuration in force."
+        )
+
+    def render(self):
+        """Return the text that Prometheus reads, as bytes."""
+        return generate_latest(self.registry)
+
+    def note_store_call(self, call, status):
+        """Count a call to the store."""
+        self.store_calls.labels(call, str(status)).inc()
+
+    def _count(self, name, text, *labels):
+        return Counter(f"mangogauge_{name}", text, labels, registry=self.registry)
+
+    def _gauge(self, name, text):
+        return Gauge(f"mangogauge_{name}", text, registry=self.registry)
+
+    def _time(self, name, text, *labels):
+        return Histogram(
+            f"mangogauge_{name}",
+            text,
+            labels,
+            buckets=LATENCY_BUCKETS,
+            registry=self.registry,
+        )
