Share the freshness of copies between hosts; end the registration last

Change: SharedFreshness: hosts tell each other a digest of their copies and when it was confirmed; whoever holds the same digest need not read. Orders and endpoints are read whole, in turn, every 0.7 to 1 s by the whole fleet, and at once by whoever hears of a newer copy. The registration's task stays, and the lease ends after the callers have been drained.

--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -14,10 +14,11 @@
     FleetMember,
     FleetState,
     Follower,
-    FollowPace,
     MemberDirectory,
     OrderListener,
     Registration,
+    SharedSchedule,
+    SteadySchedule,
 )
 from ..http import ClientPool, Headers, HTTPServer, ServerLimits
 from ..jobs import JobAcceptance, JobFront, JobReader, JobRunner, WorkBoard
@@ -26,24 +27,25 @@
 from ..jobs.running import ItemRunner
 from ..placement import BatchRoom, EndpointChooser, EndpointHealth, SlotQueue
 from ..routing import RetryBudgets, RetryPolicy
-from ..sharing import LoadBoard, ReportExchange, SharedQuota
+from ..sharing import LoadBoard, ReportExchange, SharedFreshness, SharedQuota
 from ..telemetry import get_logger
 from .signals import EndSignals
 
 __all__ = ["ServingBackends", "ServingHost", "run_host"]
 
-# Operators' orders have to be in force within seconds, also where a connection
-# falls silent while a call waits on it.
-ORDERS_PACE = FollowPace(wait_seconds=5.0)
-# Endpoints write to the store all the time; reading them once a second bounds
-# the calls, and how late it is known that one leaves.
-ENDPOINTS_PACE = FollowPace(wait_seconds=1.0, pause_seconds=1.0)
-MEMBERS_PACE = FollowPace(wait_seconds=5.0, pause_seconds=0.2)
-WORK_PACE = FollowPace(wait_seconds=5.0, pause_seconds=0.05)
+# How old a copy of the operators' orders and of the endpoints' entries may grow
+# before some host reads them again.
+FRESH_SECONDS = 0.7
+# Entries of hosts and of open jobs are awaited at the store.
+WAIT_SECONDS = 5.0
+MEMBERS_PAUSE_SECONDS = 0.2
+WORK_PAUSE_SECONDS = 0.05
 PUMP_SECONDS = 0.02
 IDLE_MARGIN = 1.2
 # Part of the time to drain after which connections are no longer awaited.
 DRAIN_SHARE = 0.9
+# Part of it in which the balancer must have noticed that the host isn't ready.
+NOTICE_SHARE = 0.35
 
 log = get_logger("host")
 
@@ -108,6 +110,7 @@
         self.board = LoadBoard(settings.name, self.incarnation, clock)
         self.quota = SharedQuota(clock)
         self.health = EndpointHealth(clock)
+        self.freshness = SharedFreshness(clock, self.random, FRESH_SECONDS)
         own = FleetMember(settings.name, self.incarnation)
         self.members = MemberDirectory(own, clock)
         self.exchange = ReportExchange(
@@ -135,18 +138,29 @@
         orders = OrderListener(
             source, self.state, self._take_configuration, self._take_retirement
         )
-        feed = backends.feed
+        self.schedules = {}
         self.followers = [
-            Follower(feed, source.orders_prefix, orders, ORDERS_PACE, clock),
-            Follower(
-                feed, source.endpoints_prefix, self.directory, ENDPOINTS_PACE, clock
-            ),
-            Follower(feed, self.members.prefix, self.members, MEMBERS_PACE, clock),
+            self._follow_shared(source.orders_prefix, orders),
+            self._follow_shared(source.endpoints_prefix, self.directory),
+            self._follow(self.members.prefix, self.members, MEMBERS_PAUSE_SECONDS),
         ]
         self.registration = Registration(
             backends.store, self.member, clock, self.settings.store.lease_seconds
         )
 
+    def _follow_shared(self, prefix, listener):
+        """Return a follower that reads in turn with the other hosts."""
+        schedule = SharedSchedule(self.freshness, prefix, self.exchange.note_change)
+        self.schedules[prefix] = schedule
+        feed, clock = self.backends.feed, self.clock
+        return Follower(feed, prefix, listener, schedule, clock, whole=True)
+
+    def _follow(self, prefix, listener, pause_seconds):
+        """Return a follower that waits at the store for changes."""
+        schedule = SteadySchedule(pause_seconds)
+        feed, clock = self.backends.feed, self.clock
+        return Follower(feed, prefix, listener, schedule, clock, WAIT_SECONDS)
+
     def _make_placement(self):
         self.chooser = EndpointChooser(
             self.directory,
@@ -181,7 +195,7 @@
         if not self.settings.runs_batch:
             return
         work = WorkBoard(clock)
-        self.followers.append(Follower(feed, WORK_PREFIX, work, WORK_PACE, clock))
+        self.followers.append(self._follow(WORK_PREFIX, work, WORK_PAUSE_SECONDS))
         claimant = f"{self.settings.name}#{self.incarnation}"
         self.runner = JobRunner(
             self.settings.name,
@@ -263,13 +277,18 @@
         log.info("draining", extra={"step": "drain"})
         if self.runner is not None:
             await self.runner.stop()
+        if self.settings.serves_callers:
+            async with curio.ignore_after(self.settings.drain_seconds * DRAIN_SHARE):
+                await self._drain_callers()
         await self.registration.leave()
-        self.callers.start_close()
-        async with curio.ignore_after(self.settings.drain_seconds * DRAIN_SHARE):
-            await curio.sleep(self.settings.drain_seconds / 3)
-            await self.callers.drain()
         log.info("drained", extra={"step": "drain"})
 
+    async def _drain_callers(self):
+        """Serve on until the balancer has noticed, then finish what came."""
+        self.callers.start_close()
+        await curio.sleep(self.settings.drain_seconds * NOTICE_SHARE)
+        await self.callers.drain()
+
     async def _pump(self):
         """Give out slots that others' reports, or time, have freed."""
         while True:
@@ -279,10 +298,14 @@
 
     def _make_report(self):
         return self.board.make_report(
-            self.quota.count_own(), self.health.list_shunned()
+            self.quota.count_own(),
+            self.health.list_shunned(),
+            self.freshness.make_report(),
         )
 
     async def _take_report(self, report):
+        for topic in self.freshness.take_report(report.copies):
+            await self.schedules[topic].wake()
         if self.state.routes is not None:
             self.quota.take_report(report, self.state.routes)
         if len(self.slots):
--- a/mangogauge/fleet/__init__.py
+++ b/mangogauge/fleet/__init__.py
@@ -1,7 +1,7 @@
 """What a host knows of the fleet: routes, client accounts, endpoints, hosts."""
 
 from .directory import EndpointDirectory
-from .follower import Follower, FollowPace, Listener
+from .follower import Follower, Listener
 from .members import FleetMember, MemberDirectory, Registration
 from .records import (
     Account,
@@ -13,6 +13,7 @@
     ServiceShare,
 )
 from .routes import PrefixRoutes
+from .schedule import ReadSchedule, SharedSchedule, SteadySchedule
 from .source import FleetSource, OrdersRead, RetirementOrder
 from .state import FleetState, OrderListener
 
@@ -25,7 +26,6 @@
     "FleetMember",
     "FleetSource",
     "FleetState",
-    "FollowPace",
     "Follower",
     "Listener",
     "MemberDirectory",
@@ -33,8 +33,11 @@
     "OrdersRead",
     "PrefixRoute",
     "PrefixRoutes",
+    "ReadSchedule",
     "Registration",
     "RetirementOrder",
     "RouteNature",
     "ServiceShare",
+    "SharedSchedule",
+    "SteadySchedule",
 ]
--- a/mangogauge/fleet/directory.py
+++ b/mangogauge/fleet/directory.py
@@ -1,5 +1,7 @@
 """The endpoints of the fleet, by what they last said of themselves."""
 
+import xxhash
+
 from ..telemetry import get_logger
 from .follower import Listener
 from .lapsing import LapsingEntries
@@ -36,6 +38,12 @@
         self._entries = LapsingEntries(clock)
         self.loaded = False
 
+    @property
+    def digest(self):
+        """Digest of all that is known of the endpoints."""
+        texts = sorted(repr(endpoint) for endpoint in self._entries.list_values())
+        return xxhash.xxh3_64_hexdigest("\n".join(texts).encode())
+
     def list_endpoints(self):
         """Return the endpoints that are there, those that leave included."""
         return self._entries.list_values()
--- a/mangogauge/fleet/follower.py
+++ b/mangogauge/fleet/follower.py
@@ -3,13 +3,12 @@
 from abc import ABC, abstractmethod
 
 import curio
-from attrs import field, frozen
 from returns.result import Failure
 
 from ..store import StoreCompactedError
 from ..telemetry import get_logger
 
-__all__ = ["FollowPace", "Follower", "Listener"]
+__all__ = ["Follower", "Listener"]
 
 FIRST_RETRY_SECONDS = 0.05
 LONGEST_RETRY_SECONDS = 0.5
@@ -21,6 +20,11 @@
 class Listener(ABC):
     """Is told what a `Follower` reads."""
 
+    @property
+    def digest(self):
+        """Same for copies that mean the same; empty if nobody compares them."""
+        return ""
+
     @abstractmethod
     def take_snapshot(self, items):
         """Replace all that was known by these `KeyValue` objects."""
@@ -34,23 +38,6 @@
         """The store answers again; called before what it says is taken in."""
 
 
-@frozen
-class FollowPace:
-    """How often a prefix is read.
-
-    Parameters
-    ----------
-    wait_seconds : float
-        How long one call waits at the store for a change.
-    pause_seconds : float
-        Least time between two calls; where changes come all the time, it
-        bounds the number of calls, and how old the copy may be.
-    """
-
-    wait_seconds = field()
-    pause_seconds = field(default=0.0)
-
-
 class Follower:
     """Reads a prefix and then its changes, for as long as it runs.
 
@@ -59,31 +46,45 @@
     feed : ChangeFeed
     prefix : str
     listener : Listener
-    pace : FollowPace
+    schedule : ReadSchedule
     clock : Clock
+    wait_seconds : float, optional
+        How long a read waits at the store for a change.
+    whole : bool, optional
+        Read everything each time; what changes is few, and must not depend on
+        the store's history.
 
     Attributes
     ----------
     confirmed_at : float or None
-        Elapsed time at which the copy was last known to be whole; None until
-        it was first read.
+        Elapsed time at which this host's copy was last read; None until it was.
     """
 
-    def __init__(self, feed, prefix, listener, pace, clock):
+    def __init__(
+        self,
+        feed,
+        prefix,
+        listener,
+        schedule,
+        clock,
+        wait_seconds=0.0,
+        whole=False,
+    ):
         self._feed = feed
         self._prefix = prefix
         self._listener = listener
-        self._pace = pace
+        self._schedule = schedule
         self._clock = clock
+        self._wait_seconds = wait_seconds
+        self._whole = whole
         self._revision = None
         self._reachable = True
         self._retry_seconds = FIRST_RETRY_SECONDS
-        self._woken = curio.Event()
         self.confirmed_at = None
 
     @property
     def age(self):
-        """Seconds since the copy was last known to be whole."""
+        """Seconds since this host's copy was last read."""
         if self.confirmed_at is None:
             return float("inf")
         return self._clock.read_elapsed() - self.confirmed_at
@@ -95,30 +96,20 @@
             if await self._step():
                 self.confirmed_at = asked_at
                 self._retry_seconds = FIRST_RETRY_SECONDS
-                await self._pause(asked_at)
+                self._schedule.note_read(self._listener.digest, asked_at)
+                await self._schedule.wait()
             else:
                 await curio.sleep(self._retry_seconds)
                 longer = self._retry_seconds * RETRY_GROWTH
                 self._retry_seconds = min(LONGEST_RETRY_SECONDS, longer)
 
-    async def wake(self):
-        """Read again now rather than after the pause."""
-        await self._woken.set()
-
-    async def _pause(self, asked_at):
-        left = asked_at + self._pace.pause_seconds - self._clock.read_elapsed()
-        if left > 0:
-            async with curio.ignore_after(left):
-                await self._woken.wait()
-        self._woken.clear()
-
     async def _step(self):
         """Read the prefix or its changes; return whether the store answered."""
         if self._revision is None:
             answer = await self._feed.read_snapshot(self._prefix)
         else:
             answer = await self._feed.read_changes(
-                self._prefix, self._revision, self._pace.wait_seconds
+                self._prefix, self._revision, self._wait_seconds
             )
         if isinstance(answer, Failure):
             self._note_failure(answer.failure())
@@ -129,7 +120,7 @@
             self._listener.take_snapshot(read.items)
         elif read.events:
             self._listener.take_changes(read.events)
-        self._revision = read.revision
+        self._revision = None if self._whole else read.revision
         return True
 
     def _note_failure(self, error):
--- a/mangogauge/fleet/members.py
+++ b/mangogauge/fleet/members.py
@@ -170,6 +170,8 @@
             renewed = await (self._renew() if self.lease else self._register())
             interval = self._lease_seconds / RENEWALS_PER_LEASE
             await curio.sleep(interval if renewed else RETRY_SECONDS)
+        # The host ends later than its registration.
+        await curio.Event().wait()
 
     async def leave(self):
         """End the lease, and with it the registration and all claims."""
--- /dev/null
+++ b/mangogauge/fleet/schedule.py
@@ -0,0 +1,76 @@
+"""When a follower reads again."""
+
+from abc import ABC, abstractmethod
+
+import curio
+
+__all__ = ["ReadSchedule", "SharedSchedule", "SteadySchedule"]
+
+
+class ReadSchedule(ABC):
+    """Decides how long a follower waits between two reads."""
+
+    @abstractmethod
+    async def wait(self):
+        """Return when it is time to read."""
+
+    def note_read(self, digest, asked_at):
+        """Note a read that succeeded: digest of the copy, and when it was asked."""
+        return None
+
+
+class SteadySchedule(ReadSchedule):
+    """Reads again after the same pause each time.
+
+    Parameters
+    ----------
+    pause_seconds : float
+    """
+
+    def __init__(self, pause_seconds):
+        self._pause_seconds = pause_seconds
+
+    async def wait(self):
+        """Pause."""
+        await curio.sleep(self._pause_seconds)
+
+
+class SharedSchedule(ReadSchedule):
+    """Reads when no host has lately, or when another has a newer copy.
+
+    Parameters
+    ----------
+    freshness : SharedFreshness
+    topic : str
+    notify : async callable
+        Called after a read, which other hosts should hear of.
+    """
+
+    def __init__(self, freshness, topic, notify):
+        self._freshness = freshness
+        self.topic = topic
+        self._notify = notify
+        self._woken = curio.Event()
+        self._told = True
+
+    async def wait(self):
+        """Return when the copy is due."""
+        if not self._told:
+            self._told = True
+            await self._notify()
+        while True:
+            seconds = self._freshness.measure_wait(self.topic)
+            if seconds <= 0:
+                return
+            self._woken.clear()
+            async with curio.ignore_after(seconds):
+                await self._woken.wait()
+
+    async def wake(self):
+        """Look again whether the copy is due."""
+        await self._woken.set()
+
+    def note_read(self, digest, asked_at):
+        """Note a read for this host and, with its next report, for all."""
+        self._freshness.note_read(self.topic, digest, asked_at)
+        self._told = False
--- a/mangogauge/fleet/state.py
+++ b/mangogauge/fleet/state.py
@@ -83,6 +83,12 @@
         self._state = state
         self._on_configuration = on_configuration
         self._on_retirement = on_retirement
+        self._revisions = {}
+
+    @property
+    def digest(self):
+        """The newest revision of all orders."""
+        return str(max(self._revisions.values(), default=0))
 
     def take_snapshot(self, items):
         """Take in everything that is there."""
@@ -99,6 +105,9 @@
         """Nothing here hangs on a lease."""
 
     def _take(self, item):
+        if self._revisions.get(item.key) == item.mod_revision:
+            return
+        self._revisions[item.key] = item.mod_revision
         try:
             read = self._source.read_orders(item)
         except ValueError as error:
--- a/mangogauge/sharing/__init__.py
+++ b/mangogauge/sharing/__init__.py
@@ -2,15 +2,18 @@
 
 from .board import LoadBoard
 from .exchange import ReportExchange
+from .freshness import CopyReport, SharedFreshness
 from .quota import Admission, SharedQuota
 from .reports import EndpointLoad, HostReport, ReportError
 
 __all__ = [
     "Admission",
+    "CopyReport",
     "EndpointLoad",
     "HostReport",
     "LoadBoard",
     "ReportError",
     "ReportExchange",
+    "SharedFreshness",
     "SharedQuota",
 ]
--- a/mangogauge/sharing/board.py
+++ b/mangogauge/sharing/board.py
@@ -119,13 +119,14 @@
         shunning = sum(endpoint in report.shunned for report in self.list_heard())
         return shunning >= SHUN_QUORUM
 
-    def make_report(self, admitted, shunned):
+    def make_report(self, admitted, shunned, copies):
         """Return this host's next `HostReport`.
 
         Parameters
         ----------
         admitted : dict of str to int
         shunned : iterable of str
+        copies : dict of str to CopyReport
         """
         self._number += 1
         return HostReport(
@@ -136,4 +137,5 @@
             admitted,
             self.waiting,
             shunned,
+            copies,
         )
--- /dev/null
+++ b/mangogauge/sharing/freshness.py
@@ -0,0 +1,137 @@
+"""How fresh a host's copies are, counting what other hosts have read.
+
+Every host keeps copies of parts of the platform's store. If each read them
+again on its own, the store's calls would grow with the number of hosts. So each
+tells the others a digest of its copy and when that was last confirmed: whoever
+has the same digest has the same copy, confirmed at the same time. A copy is
+read again only once nobody has confirmed it for a while, or when another
+host has a newer one.
+"""
+
+from attrs import define, field, frozen
+
+__all__ = ["CopyReport", "SharedFreshness"]
+
+# Each wait is drawn between the interval and so many times it: the first host
+# whose wait is over reads for all.
+SPREAD = 0.4
+
+
+@frozen
+class CopyReport:
+    """What a host tells of its copy of a topic.
+
+    Parameters
+    ----------
+    digest : str
+    age : float
+        Seconds since it was known to be whole.
+    """
+
+    digest = field()
+    age = field()
+
+
+@define
+class _Copy:
+    """This host's copy of a topic."""
+
+    digest = field(default="")
+    confirmed_at = field(default=float("-inf"))
+    due_after = field(default=0.0)
+    outdated = field(default=False)
+
+
+class SharedFreshness:
+    """Freshness of this host's copies.
+
+    Parameters
+    ----------
+    clock : Clock
+    random : random.Random
+    interval : float
+        Seconds after which a copy has to be confirmed again.
+
+    Examples
+    --------
+    >>> import random
+    >>> from mangogauge.clock import ManualClock
+    >>> clock = ManualClock()
+    >>> freshness = SharedFreshness(clock, random.Random(1), interval=1.0)
+    >>> freshness.note_read("routes", "a", 0.0)
+    >>> clock.advance(0.9)
+    >>> freshness.take_report({"routes": CopyReport("a", 0.1)})
+    ()
+    >>> clock.advance(0.9)
+    >>> freshness.is_due("routes")
+    False
+    >>> freshness.take_report({"routes": CopyReport("b", 0.0)})
+    ('routes',)
+    """
+
+    def __init__(self, clock, random, interval):
+        self._clock = clock
+        self._random = random
+        self._interval = interval
+        self._copies = {}
+
+    def note_read(self, topic, digest, asked_at):
+        """Note that this host has read a topic.
+
+        Parameters
+        ----------
+        topic, digest : str
+        asked_at : float
+            Elapsed time before which nothing was missed.
+        """
+        copy = self._copies.setdefault(topic, _Copy())
+        copy.digest = digest
+        copy.outdated = False
+        self._confirm(copy, asked_at)
+
+    def take_report(self, copies):
+        """Take what another host tells; return topics to be read at once.
+
+        Parameters
+        ----------
+        copies : dict of str to CopyReport
+        """
+        now = self._clock.read_elapsed()
+        newer = []
+        for topic, report in copies.items():
+            copy = self._copies.get(topic)
+            if copy is None:
+                continue
+            confirmed_at = now - report.age
+            if confirmed_at <= copy.confirmed_at:
+                continue
+            if report.digest == copy.digest:
+                self._confirm(copy, confirmed_at)
+            else:
+                copy.outdated = True
+                newer.append(topic)
+        return tuple(newer)
+
+    def measure_wait(self, topic):
+        """Return the seconds until a topic has to be read again."""
+        copy = self._copies.get(topic)
+        if copy is None or copy.outdated:
+            return 0.0
+        due_at = copy.confirmed_at + copy.due_after
+        return max(0.0, due_at - self._clock.read_elapsed())
+
+    def is_due(self, topic):
+        """Return whether a topic has to be read again."""
+        return self.measure_wait(topic) <= 0
+
+    def make_report(self):
+        """Return ``{topic: CopyReport}`` for the other hosts."""
+        now = self._clock.read_elapsed()
+        return {
+            topic: CopyReport(copy.digest, now - copy.confirmed_at)
+            for topic, copy in self._copies.items()
+        }
+
+    def _confirm(self, copy, confirmed_at):
+        copy.confirmed_at = confirmed_at
+        copy.due_after = self._interval * (1 + SPREAD * self._random.random())
--- a/mangogauge/sharing/reports.py
+++ b/mangogauge/sharing/reports.py
@@ -8,6 +8,7 @@
 from attrs import field, frozen
 
 from ..errors import MangogaugeError
+from .freshness import CopyReport
 
 __all__ = ["EndpointLoad", "HostReport", "ReportError"]
 
@@ -54,6 +55,8 @@
         Online requests that wait at the host for a free slot.
     shunned : tuple of str
         Endpoints that the host can't reach or that don't answer it.
+    copies : dict of str to CopyReport
+        By topic, what the host knows of the platform's store.
     """
 
     host = field()
@@ -63,6 +66,7 @@
     admitted = field(factory=dict)
     waiting = field(default=0)
     shunned = field(default=(), converter=tuple)
+    copies = field(factory=dict)
 
     @classmethod
     def from_bytes(cls, data):
@@ -74,11 +78,12 @@
             If it is none.
         """
         try:
-            form, host, incarnation, number, loads, admitted, waiting, shunned = (
-                orjson.loads(data)
-            )
+            form, *values = orjson.loads(data)
             if form != FORMAT:
                 raise ReportError(f"Reports of format {form} are not known.")
+            host, incarnation, number, loads, admitted, waiting, shunned, copies = (
+                values
+            )
             return cls(
                 str(host),
                 str(incarnation),
@@ -87,6 +92,7 @@
                 {str(name): int(count) for name, count in admitted},
                 int(waiting),
                 [str(name) for name in shunned],
+                {str(t): CopyReport(str(d), int(a) / 1000) for t, d, a in copies},
             )
         except (ValueError, TypeError) as error:
             raise ReportError(f"The datagram is no report: {error}.") from error
@@ -103,5 +109,9 @@
                 list(self.admitted.items()),
                 self.waiting,
                 self.shunned,
+                [
+                    [topic, copy.digest, int(copy.age * 1000)]
+                    for topic, copy in self.copies.items()
+                ],
             ]
         )
