Count items' failures in the store; renew lapsed claims, leave lost ones at once

Change: the count is written under the claim before the item runs again. A claim that lapsed with the lease is claimed again, one that another host holds is left at once, both as seen in the followed entries, not at the next commit.

--- a/mangogauge/jobs/claims.py
+++ b/mangogauge/jobs/claims.py
@@ -5,6 +5,7 @@
 nothing, and the same commit, sent again after a lost answer, takes effect once.
 """
 
+import orjson
 from attrs import define, field
 from returns.result import Failure, Success
 
@@ -14,6 +15,7 @@
     CLAIM,
     OPEN,
     make_closed_key,
+    make_failures_key,
     make_input_key,
     make_manifest_key,
     make_result_key,
@@ -84,6 +86,29 @@
             return Success(None)
         return await self._load(job_id, revision)
 
+    async def renew(self, job):
+        """Claim a job again whose claim lapsed with this host's lease.
+
+        Returns
+        -------
+        returns.result.Result
+            ``Success(bool)``: whether the claim is this host's again.
+        """
+        lease = self._registration.lease
+        if lease is None or not self._registration.is_valid:
+            return Failure(StoreUnavailableError("There is no lease.", step="claim"))
+        key = make_work_key(job.job_id, CLAIM)
+        claim = Operation(key, self._claimant.encode(), lease.lease_id)
+        answer = await self._store.transact(Transaction([Condition(key, 0)], [claim]))
+        if isinstance(answer, Failure):
+            return answer
+        job.claim_revision = self._read_claim(answer.unwrap(), key)
+        return Success(bool(job.claim_revision))
+
+    def is_own(self, claimant):
+        """Return whether a claim is this host's."""
+        return claimant == self._claimant
+
     async def release(self, job):
         """Give a claim back, so that another host may take it at once."""
         key = make_work_key(job.job_id, CLAIM)
@@ -98,6 +123,10 @@
                 extra={"job": job.job_id, "reason": str(answer.failure())},
             )
 
+    def forget(self, job):
+        """Drop what was to be written for a job that another host runs."""
+        self._commits.pop(job.job_id, None)
+
     async def commit(self, job, now):
         """Write a job's finished results.
 
@@ -125,11 +154,22 @@
         outcome = answer.unwrap()
         if not outcome.succeeded:
             return self._judge_conflict(job, commit, outcome)
-        if not job.claim_revision:
-            job.claim_revision = outcome.revision
         self._settle(job, commit)
         return Success(True)
 
+    async def write_failures(self, job):
+        """Write how often a job's items have failed; return as `commit` does."""
+        failures = job.count_failures()
+        claim = make_work_key(job.job_id, CLAIM)
+        note = Operation(make_failures_key(job.job_id), orjson.dumps(failures))
+        held = Condition(claim, job.claim_revision)
+        answer = await self._store.transact(Transaction([held], [note]))
+        if isinstance(answer, Failure):
+            return answer
+        if answer.unwrap().succeeded:
+            job.note_failures(failures)
+        return Success(answer.unwrap().succeeded)
+
     async def close(self, job, now):
         """Close a job that its caller has ended; return as `commit` does."""
         claim = make_work_key(job.job_id, CLAIM)
@@ -166,6 +206,11 @@
             if isinstance(part, Failure):
                 return part
             parts.append(part.unwrap().value)
+        noted = await self._store.get(make_failures_key(job_id))
+        if isinstance(noted, Failure):
+            return noted
+        noted = noted.unwrap()
+        failures = orjson.loads(noted.value) if noted is not None else {}
         listed = await self._feed.read_snapshot(make_results_prefix(job_id))
         if isinstance(listed, Failure):
             return listed
@@ -178,7 +223,8 @@
             "job claimed",
             extra={"job": job_id, "revision": revision, "committed": len(results)},
         )
-        return Success(OwnedJob.restore(manifest, parts, revision, results))
+        job = OwnedJob.restore(manifest, parts, revision, results, failures)
+        return Success(job)
 
     def _make_transaction(self, job, commit, now):
         claim = make_work_key(job.job_id, CLAIM)
@@ -189,12 +235,8 @@
             operations += [
                 Operation(make_work_key(job.job_id, OPEN)),
                 Operation(make_closed_key(int(now), job.job_id), b"-"),
+                Operation(claim),
             ]
-            if job.claim_revision:
-                operations.append(Operation(claim))
-        elif not job.claim_revision and self._registration.lease is not None:
-            lease_id = self._registration.lease.lease_id
-            operations.append(Operation(claim, self._claimant.encode(), lease_id))
         return Transaction(conditions, operations)
 
     def _judge_conflict(self, job, commit, outcome):
@@ -203,12 +245,10 @@
         claim = current.get(make_work_key(job.job_id, CLAIM))
         if written is not None and written.value == commit.data:
             # An earlier try took effect, its answer was lost.
-            job.claim_revision = claim.mod_revision if claim else 0
             self._settle(job, commit)
             return Success(True)
-        if written is None and claim is None and job.claim_revision:
-            log.warning("claim lapsed, claiming again", extra={"job": job.job_id})
-            job.claim_revision = 0
+        if written is None and claim is None:
+            # Nobody else has it: it is claimed again before the next try.
             return Failure(StoreUnavailableError("The claim lapsed.", step="commit"))
         log.warning(
             "claim lost",
--- a/mangogauge/jobs/keys.py
+++ b/mangogauge/jobs/keys.py
@@ -12,6 +12,7 @@
     "OPEN",
     "WORK_PREFIX",
     "make_closed_key",
+    "make_failures_key",
     "make_input_key",
     "make_job_prefix",
     "make_manifest_key",
@@ -47,6 +48,11 @@
     return f"{make_job_prefix(job_id)}input/{number:0{POSITION_DIGITS}d}"
 
 
+def make_failures_key(job_id):
+    """Return the key of how often a job's items have failed."""
+    return f"{make_job_prefix(job_id)}failures"
+
+
 def make_results_prefix(job_id):
     """Return the prefix of a job's results."""
     return f"{make_job_prefix(job_id)}results/"
--- a/mangogauge/jobs/owned.py
+++ b/mangogauge/jobs/owned.py
@@ -31,6 +31,9 @@
         Number of the last of them.
     failures : int
         Endpoints' answers that it failed.
+    noted_failures : int
+        Those of them that the store knows of; an item with more isn't run, so
+        that the host that runs the job next doesn't start to count anew.
     refusals : int
         Endpoints in a row that did not take it.
     fruitless : int
@@ -49,6 +52,7 @@
     pieces = field(factory=list)
     last_event = field(default=None)
     failures = field(default=0)
+    noted_failures = field(default=0)
     refusals = field(default=0)
     fruitless = field(default=0)
     not_before = field(default=float("-inf"))
@@ -103,8 +107,10 @@
         Items without a result, by id.
     finished : list of ItemResult
         Results that are not committed yet.
-    abandoned : bool
-        Whether the claim has passed to another host.
+    claimed_at : float
+        Elapsed time at which this host got its claim.
+    write_after : float
+        Elapsed time before which nothing is written again.
     """
 
     manifest = field()
@@ -112,10 +118,11 @@
     position = field(default=0)
     items = field(factory=dict)
     finished = field(factory=list)
-    abandoned = field(default=False)
+    claimed_at = field(default=0.0)
+    write_after = field(default=float("-inf"))
 
     @classmethod
-    def restore(cls, manifest, parts, claim_revision, results):
+    def restore(cls, manifest, parts, claim_revision, results, failures):
         """Build from what the store has.
 
         Parameters
@@ -126,13 +133,18 @@
         claim_revision : int
         results : list of ItemResult
             Those that are committed.
+        failures : dict of str to int
+            By item, how often it has failed.
         """
         job = cls(manifest, claim_revision, len(results))
         ended = {result.item_id for result in results}
         for item in manifest.items:
             if item.item_id not in ended:
                 body = unpack_body(item, parts)
-                job.items[item.item_id] = OwnedItem(job, item, body)
+                owned = OwnedItem(job, item, body)
+                owned.failures = failures.get(item.item_id, 0)
+                owned.noted_failures = owned.failures
+                job.items[item.item_id] = owned
         return job
 
     @property
@@ -150,5 +162,24 @@
         return [
             item
             for item in self.items.values()
-            if not item.endpoint and item.not_before <= now
+            if not item.endpoint
+            and item.not_before <= now
+            and item.failures == item.noted_failures
         ]
+
+    def count_failures(self):
+        """Return ``{item id: int}`` of the items that have failed."""
+        items = self.items.items()
+        return {name: item.failures for name, item in items if item.failures}
+
+    def note_failures(self, failures):
+        """Note what the store knows of."""
+        for name, count in failures.items():
+            if name in self.items:
+                self.items[name].noted_failures = count
+
+    @property
+    def has_news(self):
+        """Whether an item has failed that the store doesn't know of."""
+        items = self.items.values()
+        return any(item.failures > item.noted_failures for item in items)
--- a/mangogauge/jobs/runner.py
+++ b/mangogauge/jobs/runner.py
@@ -15,7 +15,7 @@
 IDLE_TICK_SECONDS = 0.1
 # Results that end within this time are committed together.
 GATHER_SECONDS = 0.08
-COMMIT_RETRY_SECONDS = 0.15
+REWRITE_SECONDS = 0.25
 # Items started at one endpoint in one turn: reports of other hosts' starts come
 # in between.
 STARTS_PER_TURN = 2
@@ -129,6 +129,7 @@
             return
         job = answer.unwrap()
         if job is not None and not self._stopped:
+            job.claimed_at = self._clock.read_elapsed()
             self._jobs[job.job_id] = job
 
     async def _fill_often(self):
@@ -136,23 +137,50 @@
             await curio.sleep(BUSY_TICK_SECONDS if self._jobs else IDLE_TICK_SECONDS)
             if self._stopped or not self._state.loaded:
                 continue
-            await self._end_cancelled()
+            await self._check_claims()
             await self._give_way()
             await self._fill()
             self._metrics.items_running.set(len(self._tasks))
             self._metrics.items_waiting.set(self.waiting)
 
-    async def _end_cancelled(self):
-        """Drop the jobs that their callers have ended."""
+    async def _check_claims(self):
+        """Look at what has become of the jobs that this host runs."""
+        now = self._clock.read_elapsed()
         for job in list(self._jobs.values()):
-            if not self._work.is_ended(job.job_id):
+            entry = self._work.get(job.job_id)
+            if entry is None or now < job.write_after:
                 continue
-            for item in [i for i in self._tasks if i.job is job]:
-                await self._break_off(item)
-            answer = await self._claims.close(job, self._clock.read_calendar())
-            if not isinstance(answer, Failure):
-                del self._jobs[job.job_id]
-                log.info("job closed", extra={"job": job.job_id, "ended": True})
+            if entry.ended:
+                await self._end(job)
+            elif entry.claimant and not self._claims.is_own(entry.claimant):
+                log.warning(
+                    "job taken over",
+                    extra={"job": job.job_id, "claimant": entry.claimant},
+                )
+                await self._abandon(job)
+            elif not entry.claimant and entry.unclaimed_since > job.claimed_at:
+                await self._claim_again(job)
+
+    async def _end(self, job):
+        """Drop a job that its caller has ended."""
+        for item in [i for i in self._tasks if i.job is job]:
+            await self._break_off(item)
+        answer = await self._claims.close(job, self._clock.read_calendar())
+        if isinstance(answer, Failure):
+            self._note_unwritten(job, answer)
+            return
+        del self._jobs[job.job_id]
+        log.info("job closed", extra={"job": job.job_id, "ended": True})
+
+    async def _claim_again(self, job):
+        answer = await self._claims.renew(job)
+        if isinstance(answer, Failure):
+            self._note_unwritten(job, answer)
+        elif answer.unwrap():
+            job.claimed_at = self._clock.read_elapsed()
+            log.warning("claim lapsed, claimed again", extra={"job": job.job_id})
+        else:
+            await self._abandon(job)
 
     async def _give_way(self):
         """Break off the newest items where online requests need the slots."""
@@ -242,27 +270,47 @@
         while True:
             await curio.sleep(GATHER_SECONDS)
             for job in list(self._jobs.values()):
-                if job.finished and not self._stopped:
+                if self._stopped or self._clock.read_elapsed() < job.write_after:
+                    continue
+                if job.has_news:
+                    await self._write_failures(job)
+                if job.finished:
                     await self._commit(job)
 
+    async def _write_failures(self, job):
+        answer = await self._claims.write_failures(job)
+        if isinstance(answer, Failure):
+            self._note_unwritten(job, answer)
+        elif not answer.unwrap():
+            # Whether the claim is lost or has lapsed shows in its entry.
+            job.write_after = self._clock.read_elapsed() + REWRITE_SECONDS
+            log.warning("failures not written", extra={"job": job.job_id})
+
+    def _note_unwritten(self, job, answer):
+        job.write_after = self._clock.read_elapsed() + REWRITE_SECONDS
+        log.warning(
+            "job's progress not written",
+            extra={"job": job.job_id, "reason": str(answer.failure())},
+        )
+
     async def _commit(self, job):
         if not job.finished:
             return
         answer = await self._claims.commit(job, self._clock.read_calendar())
         if isinstance(answer, Failure):
-            log.warning(
-                "results not committed",
-                extra={"job": job.job_id, "reason": str(answer.failure())},
-            )
-            await curio.sleep(COMMIT_RETRY_SECONDS)
+            self._note_unwritten(job, answer)
             return
         if not answer.unwrap():
-            job.abandoned = True
-            del self._jobs[job.job_id]
-            for item in [i for i in self._tasks if i.job is job]:
-                await self._break_off(item)
+            await self._abandon(job)
             return
         if not job.items and not job.finished:
             del self._jobs[job.job_id]
             self._metrics.jobs.labels("closed").inc()
             log.info("job closed", extra={"job": job.job_id, "ended": False})
+
+    async def _abandon(self, job):
+        """Leave a job to the host that has claimed it."""
+        self._jobs.pop(job.job_id, None)
+        self._claims.forget(job)
+        for item in [i for i in self._tasks if i.job is job]:
+            await self._break_off(item)
