Start items by rank of hosts, let them give way by exact shares

Change: a host leaves as many slots free as hosts with waiting items go before it at that endpoint (by hash); what gives way is shared out by the same computation on all hosts, one item at a time from whoever runs most.

--- a/mangogauge/jobs/runner.py
+++ b/mangogauge/jobs/runner.py
@@ -18,7 +18,7 @@
 REWRITE_SECONDS = 0.25
 # Items started at one endpoint in one turn: reports of other hosts' starts come
 # in between.
-STARTS_PER_TURN = 2
+STARTS_PER_TURN = 1
 SECONDS_PER_TOKEN = 0.0012
 
 log = get_logger("jobs")
@@ -140,8 +140,17 @@
             await self._check_claims()
             await self._give_way()
             await self._fill()
-            self._metrics.items_running.set(len(self._tasks))
-            self._metrics.items_waiting.set(self.waiting)
+            await self._report_waiting()
+
+    async def _report_waiting(self):
+        """Tell the other hosts whether items wait here."""
+        waiting = self.waiting
+        self._metrics.items_running.set(len(self._tasks))
+        self._metrics.items_waiting.set(waiting)
+        changed = bool(waiting) != bool(self._board.items_waiting)
+        self._board.items_waiting = waiting
+        if changed:
+            await self._notify()
 
     async def _check_claims(self):
         """Look at what has become of the jobs that this host runs."""
--- a/mangogauge/placement/room.py
+++ b/mangogauge/placement/room.py
@@ -6,48 +6,58 @@
 off, to go on later where they stopped.
 """
 
+import xxhash
+
 __all__ = ["BatchRoom"]
 
 # Slots of an endpoint that items leave free, so that the next online requests
 # start at once.
 RESERVED_SLOTS = 1
-# With so many free slots left, nothing need be broken off.
-LEAST_FREE_SLOTS = 0
 
 
 class BatchRoom:
-    """Room for items at endpoints.
+    """Room for this host's items at endpoints.
 
     Parameters
     ----------
     board : LoadBoard
+
+    Notes
+    -----
+    Several hosts see the same free slots at the same time. Each has a rank at
+    each endpoint, by a hash, among the hosts that have items waiting, and leaves
+    as many slots free as there are hosts before it; so one item from each of
+    them never overfills the endpoint. What has to give way is shared in the same
+    way: all hosts compute the same shares from the same counts.
     """
 
     def __init__(self, board):
         self._board = board
 
     def measure_free(self, endpoint):
-        """Return how many more items the endpoint may run."""
-        load = self._board.measure(endpoint.name)
-        return endpoint.slots - RESERVED_SLOTS - load.total
-
-    def measure_excess(self, endpoint):
-        """Return how many items there, of all hosts, have to give way."""
+        """Return how many slots there are for this host's next items."""
         load = self._board.measure(endpoint.name)
-        over = load.total + LEAST_FREE_SLOTS - endpoint.slots
-        return max(0, min(load.batch, over))
+        free = endpoint.slots - RESERVED_SLOTS - load.total
+        return free - self._compute_rank(endpoint) if free > 0 else 0
 
     def measure_own_excess(self, endpoint):
-        """Return how many of this host's own items have to give way.
-
-        Notes
-        -----
-        Hosts that run items there share the excess by what each runs, rounded
-        up, so that it is met even if one of them acts late.
-        """
-        excess = self.measure_excess(endpoint)
-        own = self._board.get_own(endpoint.name).batch
-        if not excess or not own:
-            return 0
-        total = self._board.measure(endpoint.name).batch
-        return min(own, -(-excess * own // total))
+        """Return how many of this host's items have to give way."""
+        loads = self._board.list_loads(endpoint.name)
+        items = {host: load.batch for host, load in loads.items() if load.batch}
+        total = sum(load.total for load in loads.values())
+        excess = min(total - endpoint.slots, sum(items.values()))
+        given_up = 0
+        for _ in range(excess):
+            host = max(items, key=lambda name: (items[name], name))
+            items[host] -= 1
+            given_up += host == self._board.host
+        return given_up
+
+    def _compute_rank(self, endpoint):
+        own = _weigh(endpoint, self._board.host)
+        others = self._board.list_hosts_with_items()
+        return sum(_weigh(endpoint, host) > own for host in others)
+
+
+def _weigh(endpoint, host):
+    return xxhash.xxh3_64_intdigest(f"{endpoint.name}/{host}".encode())
--- a/mangogauge/sharing/board.py
+++ b/mangogauge/sharing/board.py
@@ -39,18 +39,22 @@
 
     Attributes
     ----------
+    host : str
     waiting : int
         Online requests that wait at this host for a free slot.
+    items_waiting : int
+        Batch items that wait here.
     """
 
     def __init__(self, host, incarnation, clock):
-        self._host = host
+        self.host = host
         self._incarnation = incarnation
         self._clock = clock
         self._own = {}
         self._heard = {}
         self._number = 0
         self.waiting = 0
+        self.items_waiting = 0
 
     def begin(self, endpoint, batch=False):
         """Count a request, or an item, that is sent to an endpoint."""
@@ -72,7 +76,7 @@
 
     def take_report(self, report):
         """Take another host's report; return whether it was news."""
-        if report.host == self._host:
+        if report.host == self.host:
             return False
         known = self._heard.get(report.host)
         if known is not None and known.report.incarnation == report.incarnation:
@@ -110,6 +114,16 @@
             batch += load.batch
         return EndpointLoad(online, batch)
 
+    def list_loads(self, endpoint):
+        """Return ``{host: EndpointLoad}`` of the hosts that use an endpoint."""
+        loads = {r.host: r.loads.get(endpoint, NOTHING) for r in self.list_heard()}
+        loads[self.host] = self.get_own(endpoint)
+        return {host: load for host, load in loads.items() if load.total}
+
+    def list_hosts_with_items(self):
+        """Return the names of the other hosts that have items waiting."""
+        return [r.host for r in self.list_heard() if r.items_waiting]
+
     def count_waiting(self):
         """Return how many online requests wait for a slot, over all hosts."""
         return self.waiting + sum(report.waiting for report in self.list_heard())
@@ -130,7 +144,7 @@
         """
         self._number += 1
         return HostReport(
-            self._host,
+            self.host,
             self._incarnation,
             self._number,
             {name: self.get_own(name) for name in self._own},
@@ -138,4 +152,5 @@
             self.waiting,
             shunned,
             copies,
+            self.items_waiting,
         )
--- a/mangogauge/sharing/reports.py
+++ b/mangogauge/sharing/reports.py
@@ -57,6 +57,8 @@
         Endpoints that the host can't reach or that don't answer it.
     copies : dict of str to CopyReport
         By topic, what the host knows of the platform's store.
+    items_waiting : int
+        Batch items that wait at the host for a free slot.
     """
 
     host = field()
@@ -67,6 +69,7 @@
     waiting = field(default=0)
     shunned = field(default=(), converter=tuple)
     copies = field(factory=dict)
+    items_waiting = field(default=0)
 
     @classmethod
     def from_bytes(cls, data):
@@ -81,9 +84,8 @@
             form, *values = orjson.loads(data)
             if form != FORMAT:
                 raise ReportError(f"Reports of format {form} are not known.")
-            host, incarnation, number, loads, admitted, waiting, shunned, copies = (
-                values
-            )
+            host, incarnation, number, loads, admitted, waiting, *values = values
+            shunned, copies, items_waiting = values
             return cls(
                 str(host),
                 str(incarnation),
@@ -93,6 +95,7 @@
                 int(waiting),
                 [str(name) for name in shunned],
                 {str(t): CopyReport(str(d), int(a) / 1000) for t, d, a in copies},
+                int(items_waiting),
             )
         except (ValueError, TypeError) as error:
             raise ReportError(f"The datagram is no report: {error}.") from error
@@ -113,5 +116,6 @@
                     [topic, copy.digest, int(copy.age * 1000)]
                     for topic, copy in self.copies.items()
                 ],
+                self.items_waiting,
             ]
         )
