Prefer endpoints where an item gives way; features of jobs and of room

Cause: with all slots taken, an online request went to the endpoint with the fewest requests of any kind, also one where only online requests ran and nothing could give way. Change: endpoints with a free slot first, then those with the fewest online requests.

--- /dev/null
+++ b/features/jobs/claims.feature
@@ -0,0 +1,74 @@
+Feature: The results of a job are written once, whoever runs it
+
+  Background:
+    Given a store with history, and two hosts that take jobs
+    And the job "j1" of 3 items is open
+
+  Scenario: Only one of two hosts gets the claim
+    When both hosts claim "j1"
+    Then exactly one of them has it
+
+  Scenario Outline: The answer of a commit is lost
+    Given the first host has claimed "j1"
+    And the next write is <fate>
+    When the first host commits the result of item 0
+    And it commits again until it is settled
+    And the writes under way take effect
+    And the first host commits the results of items 1 and 2
+    Then the results stand once each, in this order: 0, 1, 2
+    And "j1" is closed
+
+    Examples:
+      | fate                          |
+      | lost before it took effect    |
+      | lost after it took effect     |
+      | lost, and takes effect later  |
+
+  Scenario: A host that lost its claim writes nothing more
+    Given the first host has claimed "j1"
+    When the first host commits the result of item 0
+    And its lease lapses, and the second host claims "j1"
+    Then the second host has to run the items 1 and 2
+    When the first host commits the result of item 1
+    Then it is told that its claim is lost
+    When the second host commits the results of items 1 and 2
+    Then the results stand once each, in this order: 0, 1, 2
+
+  Scenario: A commit under way when the claim was lost never takes effect
+    Given the first host has claimed "j1"
+    And the next write is lost, and takes effect later
+    When the first host commits the result of item 0
+    And its lease lapses, and the second host claims "j1"
+    And the second host commits the result of item 1
+    And the writes under way take effect
+    Then the results stand once each, in this order: 1
+
+  Scenario: A claim that lapsed is claimed again by its own host
+    Given the first host has claimed "j1"
+    When its lease lapses, and it registers again
+    And the first host claims "j1" again
+    And the first host commits the results of items 0, 1 and 2
+    Then the results stand once each, in this order: 0, 1, 2
+
+  Scenario: The next host goes on counting how often an item failed
+    Given the first host has claimed "j1"
+    When item 1 fails 2 times at the first host
+    Then item 1 is not run again before that is written
+    When the first host writes the failures
+    And its lease lapses, and the second host claims "j1"
+    Then the second host knows that item 1 has failed 2 times
+
+  Scenario: Readers see positions that never move
+    Given the first host has claimed "j1"
+    When the first host commits the result of item 2
+    And a reader at each host has read from position 0
+    And the first host commits the results of items 0 and 1
+    Then a reader at each host reads the items 2, 0, 1 from position 0
+    And a reader at each host reads the item 1 from position 2
+    And reading what is known asks the store nothing
+
+  Scenario: Another client account sees no job, and an ended job gives no bodies
+    Then "other" is told that there is no job "j1"
+    And "desk" gets the body of item 1
+    When "j1" is ended by its caller
+    Then "desk" is told that item 1 is not there
--- /dev/null
+++ b/features/steps/placement.py
@@ -0,0 +1,243 @@
+"""Steps of where requests and items run."""
+
+import random
+
+from attrs import define, field
+from behave import given, then, when
+
+from features.builders.fleet import make_endpoint, make_report
+from mangogauge.clock import ManualClock
+from mangogauge.placement import BatchRoom, EndpointChooser, EndpointHealth
+from mangogauge.sharing import LoadBoard
+
+ONLINE_SECONDS = 0.73
+ITEM_SECONDS = 5.0
+STEP_SECONDS = 0.005
+TURN_SECONDS = 0.025
+REPORT_SECONDS = 0.015
+PHASE_SECONDS = 2.5
+
+
+class RoomHost:
+    """A host that runs items at endpoints, with its own view of the others."""
+
+    def __init__(self, name, clock):
+        self.board = LoadBoard(name, "1", clock)
+        self.room = BatchRoom(self.board)
+
+    def tell(self, others, items_waiting):
+        self.board.items_waiting = items_waiting
+        report = self.board.make_report({}, (), {})
+        for other in others:
+            if other is not self:
+                other.board.take_report(report)
+
+
+def exchange(hosts, waiting=20):
+    for host in hosts:
+        host.tell(hosts, waiting)
+
+
+@given("an endpoint with {slots:d} slots, of which online requests take {online:d}")
+def make_one_endpoint(context, slots, online):
+    context.clock = ManualClock()
+    context.endpoint = make_endpoint(slots=slots)
+    context.online = online
+    context.most = 0
+
+
+def add_online(context):
+    report = make_report("front", loads={context.endpoint.name: (context.online, 0)})
+    for host in context.hosts:
+        host.board.take_report(report)
+
+
+@given("{count:d} hosts that each have {waiting:d} items waiting")
+def make_hosts(context, count, waiting):
+    context.hosts = [RoomHost(f"r{n}", context.clock) for n in range(count)]
+    add_online(context)
+    exchange(context.hosts, waiting)
+
+
+@when("all of them start what they may, at the same moment, {count:d} times")
+def start_items(context, count):
+    name = context.endpoint.name
+    for _ in range(count):
+        starting = [
+            host
+            for host in context.hosts
+            if host.room.measure_free(context.endpoint) > 0
+        ]
+        for host in starting:
+            host.board.begin(name, batch=True)
+        exchange(context.hosts)
+        context.most = max(context.most, context.hosts[0].board.measure(name).total)
+
+
+@then("the endpoint runs {items:d} items, and never had more than {most:d} requests")
+def check_items(context, items, most):
+    load = context.hosts[0].board.measure(context.endpoint.name)
+    assert load.batch == items, load
+    assert context.most <= most, context.most
+
+
+@given("hosts that run {first:d}, {second:d} and {third:d} items there")
+def run_items(context, first, second, third):
+    context.hosts = [RoomHost(f"r{n}", context.clock) for n in range(3)]
+    for host, count in zip(context.hosts, (first, second, third), strict=True):
+        for _ in range(count):
+            host.board.begin(context.endpoint.name, batch=True)
+    add_online(context)
+    exchange(context.hosts)
+
+
+@when("each host lets items give way")
+def give_way(context):
+    name = context.endpoint.name
+    counts = [h.room.measure_own_excess(context.endpoint) for h in context.hosts]
+    for host, count in zip(context.hosts, counts, strict=True):
+        for _ in range(count):
+            host.board.end(name, batch=True)
+    exchange(context.hosts)
+
+
+@then("{left:d} items run on")
+def check_left(context, left):
+    load = context.hosts[0].board.measure(context.endpoint.name)
+    assert load.batch == left, load
+
+
+@define(eq=False)
+class Engine:
+    """An engine that runs what came first, and knows no priorities."""
+
+    endpoint = field()
+    running = field(factory=list)
+    queue = field(factory=list)
+
+    def step(self, now):
+        self.running = [work for work in self.running if work.ends_at > now]
+        while self.queue and len(self.running) < self.endpoint.slots:
+            work = self.queue.pop(0)
+            work.ends_at = now + work.seconds
+            work.waited = now - work.sent_at
+            self.running.append(work)
+
+
+@define(eq=False)
+class Work:
+    """A request or an item at an engine."""
+
+    seconds = field()
+    sent_at = field()
+    owner = field()
+    ends_at = field(default=float("inf"))
+    waited = field(default=None)
+
+
+class Troughs:
+    """Hosts that fill the troughs of online traffic with items."""
+
+    def __init__(self, endpoints, hosts):
+        self.clock = ManualClock()
+        self.random = random.Random(3)
+        self.engines = [Engine(make_endpoint(f"e{n}")) for n in range(endpoints)]
+        self.hosts = [RoomHost(f"r{n}", self.clock) for n in range(hosts)]
+        self.front = RoomHost("front", self.clock)
+        self.chooser = EndpointChooser(
+            self, self.front.board, EndpointHealth(self.clock), "a", self.random
+        )
+        self.online = []
+        self.refused = 0
+        self.item_time = self.free_time = 0.0
+
+    def list_endpoints(self):
+        return [engine.endpoint for engine in self.engines]
+
+    def play(self, low, high, seconds):
+        due = {"online": 0.0, "turn": 0.0, "report": 0.0}
+        now = 0.0
+        while now < seconds:
+            rate = high if int(now / PHASE_SECONDS) % 2 else low
+            self._end_work(now)
+            if now >= due["online"]:
+                due["online"] = now + self.random.expovariate(rate)
+                self._send_online(now)
+            if now >= due["turn"]:
+                due["turn"] = now + TURN_SECONDS
+                self._take_turns(now)
+            if now >= due["report"]:
+                due["report"] = now + REPORT_SECONDS
+                exchange([*self.hosts, self.front])
+            self._count()
+            self.clock.advance(STEP_SECONDS)
+            now = self.clock.read_elapsed()
+
+    def _end_work(self, now):
+        for engine in self.engines:
+            before = [*engine.running, *engine.queue]
+            engine.step(now)
+            for work in before:
+                if work not in engine.running and work not in engine.queue:
+                    name, owner = engine.endpoint.name, work.owner
+                    owner.board.end(name, batch=owner is not self.front)
+
+    def _send_online(self, now):
+        board = self.front.board
+        engine = min(self.engines, key=lambda e: board.measure(e.endpoint.name).total)
+        work = Work(ONLINE_SECONDS, now, self.front)
+        self.online.append(work)
+        engine.queue.append(work)
+        self.front.board.begin(engine.endpoint.name)
+        engine.step(now)
+
+    def _take_turns(self, now):
+        for host in self.hosts:
+            for engine in self.engines:
+                self._give_way(host, engine, now)
+                if host.room.measure_free(engine.endpoint) > 0:
+                    host.board.begin(engine.endpoint.name, batch=True)
+                    engine.queue.append(Work(ITEM_SECONDS, now, host))
+                    engine.step(now)
+
+    def _give_way(self, host, engine, now):
+        excess = host.room.measure_own_excess(engine.endpoint)
+        own = [w for w in [*engine.running, *engine.queue] if w.owner is host]
+        own.sort(key=lambda work: work.sent_at, reverse=True)
+        for work in own[:excess]:
+            (engine.running if work in engine.running else engine.queue).remove(work)
+            host.board.end(engine.endpoint.name, batch=True)
+        engine.step(now)
+
+    def _count(self):
+        for engine in self.engines:
+            online = sum(work.owner is self.front for work in engine.running)
+            self.item_time += (len(engine.running) - online) * STEP_SECONDS
+            self.free_time += (engine.endpoint.slots - online) * STEP_SECONDS
+
+
+@given("{endpoints:d} endpoints with 8 slots, and {hosts:d} hosts with enough items")
+def make_troughs(context, endpoints, hosts):
+    context.troughs = Troughs(endpoints, hosts)
+
+
+@when(
+    "online requests come at {low:d} and {high:d} a second in turn, for {seconds:d} s"
+)
+def play_troughs(context, low, high, seconds):
+    context.troughs.play(low, high, seconds)
+
+
+@then("{share:d} of 100 online requests got a slot within {seconds:g} s")
+def check_waits(context, share, seconds):
+    troughs = context.troughs
+    waits = sorted(work.waited or 0.0 for work in troughs.online)
+    served = sum(wait <= seconds for wait in waits)
+    asked = len(waits) + troughs.refused
+    assert 100 * served >= share * asked, f"{served} of {asked}, {waits[-1]:.3f} s"
+
+
+@then("items used at least {share:d} of 100 of what online requests left")
+def check_use(context, share):
+    used = 100 * context.troughs.item_time / context.troughs.free_time
+    assert used >= share, f"{used:.1f}"
--- a/mangogauge/placement/choice.py
+++ b/mangogauge/placement/choice.py
@@ -2,8 +2,10 @@
 
 The load this answers: several hosts share engines that know no priorities and
 admit in order of arrival. All hosts know within milliseconds what the others
-run, so each takes the endpoint with the most free slots; where none is free, a
-request may queue at an endpoint only as far as its objective allows.
+run, so each takes the endpoint with the most free slots. Where none is free, it
+takes the one with the fewest online requests, since there an item gives way;
+where there are only online requests, one may queue only as far as its objective
+allows.
 """
 
 __all__ = ["EndpointChooser"]
@@ -11,6 +13,9 @@
 # Requests that may wait at an endpoint beyond its slots: one slot in eight is
 # freed soon enough to start well within the objective.
 QUEUED_PER_SLOT = 0.125
+# Requests of all kinds beyond which an endpoint gets no more, even if items are
+# expected to give way.
+CROWDED_PER_SLOT = 1.5
 
 
 class EndpointChooser:
@@ -67,10 +72,15 @@
         return self._health.is_shunned(name) or self._board.is_shunned(name)
 
     def _has_room(self, endpoint):
-        limit = endpoint.slots * (1 + QUEUED_PER_SLOT)
-        return self._board.measure(endpoint.name).total < limit
+        load = self._board.measure(endpoint.name)
+        if load.total >= endpoint.slots * CROWDED_PER_SLOT:
+            return False
+        return load.online < endpoint.slots * (1 + QUEUED_PER_SLOT)
 
     def _rank(self, endpoint):
-        load = (self._board.measure(endpoint.name).total + 1) / endpoint.slots
+        load = self._board.measure(endpoint.name)
+        is_full = load.total >= endpoint.slots
+        counted = load.online if is_full else load.total
         distance = endpoint.data_centre != self._data_centre
-        return (load, distance, self._random.random())
+        ratio = (counted + 1) / endpoint.slots
+        return (is_full, ratio, distance, self._random.random())
