Find unreachable endpoints in the background; adopt claims whose answer was lost

Cause: a claim that took effect though its answer was lost was never loaded by its own host (features/platform/batch, 'The store's answers to writes are lost', failed first); requests found out one by one, at 0.4 s each, that an endpoint behind a cut takes no connection; a cut runner's jobs waited 4 s. Change: own claims without a job are taken up; endpoints that take no connection are shunned until a background probe connects; requests that may run once only reuse a connection only if it was used in the last 0.25 s; leases last 2.5 s, and after an outage of the store hosts first renew their own claims; emptying of hosts and forgetting of old jobs are carried out. Items use all free slots.

--- /dev/null
+++ b/features/builders/platform/deployment.py
@@ -0,0 +1,375 @@
+"""Start the platform's stand-ins and hosts, and talk to them."""
+
+import base64
+import http.client
+import os
+import subprocess
+import sys
+import time
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import orjson
+from attrs import define, field
+
+from ..callers import TIMEOUT_SECONDS, Caller
+from ..processes import Process, wait_until
+
+DEPLOY = Path(__file__).resolve().parents[3] / "deploy"
+READ_BYTES = 4096
+PACKAGE = "features.builders.platform"
+HOST_NAME = "desk.example"
+ROUTES = (
+    # Name, kind, most endpoints for one request, whether it can be resumed.
+    ("ask", "stream", 1, False),
+    ("note", "stream", 2, True),
+    ("safe", "safe", 2, False),
+    ("night", "batch", 3, True),
+)
+
+
+class StandIn(Process):
+    """A stand-in's process: a module with arguments."""
+
+    def __init__(self, name, module, arguments, folder):
+        super().__init__(name, arguments, folder)
+        self.module = module
+
+    def start(self):
+        """Start it and wait for its line."""
+        return self.start_module(self.module, {})
+
+
+class HostProcess(Process):
+    """A host's process; its log goes to its standard output."""
+
+    def __init__(self, name, settings, folder):
+        super().__init__(name, [], folder)
+        self.settings = settings
+
+    def start(self):
+        """Start it; whether it is ready is asked of it."""
+        environment = {
+            **os.environ,
+            "MANGOGAUGE_SETTINGS": str(self.settings),
+            "PYTHONDONTWRITEBYTECODE": "1",
+        }
+        command = [sys.executable, "-m", "mangogauge.platform"]
+        with self.log_path.open("ab") as log:
+            self._popen = subprocess.Popen(
+                command, stdout=log, stderr=log, env=environment
+            )
+        return self
+
+
+@define
+class PlatformAnswer:
+    """An answer, read whole or as far as it came."""
+
+    status = field()
+    headers = field()
+    body = field()
+    whole = field(default=True)
+    first_seconds = field(default=0.0)
+
+    @property
+    def json(self):
+        return orjson.loads(self.body)
+
+    @property
+    def texts(self):
+        """Data of the events, in order."""
+        lines = self.body.decode().split("\n")
+        return [line[6:] for line in lines if line.startswith("data: ")]
+
+
+class PlatformDeployment:
+    """The platform and hosts of one scenario.
+
+    Parameters
+    ----------
+    world : World
+    """
+
+    def __init__(self, world):
+        self.world = world
+        self.address = world.address
+        self.endpoints = {}
+        self.hosts = {}
+        self.version = 0
+        self.accounts = [{"name": "desk", "api_keys": ["desk-key"]}]
+        self.accounts.append({"name": "other", "api_keys": ["other-key"]})
+        self.routes = [self.make_route(*row) for row in ROUTES]
+        self.faults = world.folder / "faults"
+        self.faults.mkdir()
+        self.store_address = f"{self.address}:{world.take_port()}"
+        self._start("store", "store", self.store_address)
+
+    def make_route(self, name, kind, attempts, resumes, **changes):
+        """Return a route as operators write it."""
+        route = {
+            "name": name,
+            "host": HOST_NAME,
+            "prefix": f"/{name}/",
+            "kind": kind,
+            "timeout_ms": 5000,
+            "slo_ms": 300,
+            "gap_aim_ms": 250,
+            "priority": 0,
+            "service": "llm",
+            "max_attempts": attempts,
+            "public": False,
+            "can_resume": resumes,
+        }
+        if kind == "batch":
+            route.update(due_ms=18000, max_wait_s=60, max_count=1_000_000)
+        return {**route, **changes}
+
+    def _start(self, name, module, *arguments):
+        process = StandIn(name, f"{PACKAGE}.{module}", arguments, self.world.folder)
+        self.world.processes[name] = process
+        return process.start()
+
+    def start_endpoint(self, name, slots=8):
+        """Start an endpoint and write its entry."""
+        address = f"{self.address}:{self.world.take_port()}"
+        self._start(name, "endpoint", address, name, str(slots), str(self.faults))
+        self.endpoints[name] = address
+        self.write_entry(name, slots=slots)
+
+    def add_faults(self, fault, count):
+        """Let the next requests, at whichever endpoint, meet a fault."""
+        for number in range(count):
+            (self.faults / f"{number:03d}-{fault}").touch()
+
+    def write_entry(self, name, **changes):
+        """Write an endpoint's entry, as it would itself."""
+        entry = {
+            "service": "llm",
+            "address": self.endpoints[name],
+            "zone": "a",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "seq": 1,
+        }
+        self.put(f"servers/{name}", {**entry, **changes})
+
+    def put(self, key, value):
+        """Write an item of the platform's or of its operators."""
+        text = value if isinstance(value, str) else orjson.dumps(value).decode()
+        return self.control("store", put={key: text})
+
+    def write_configuration(self):
+        """Put the routes and accounts in force."""
+        self.version += 1
+        limits = {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 4194304,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        }
+        value = {
+            "version": self.version,
+            "routes": self.routes,
+            "services": [{"name": "llm", "health_path": "/health"}],
+            "tenants": self.accounts,
+            "limits": limits,
+        }
+        self.put("op/config", value)
+
+    def start_host(self, name, role="entry", ready=True):
+        """Start a host from the deployment's own template."""
+        ports = [self.world.take_port() for _ in range(4)]
+        values = {
+            "node_name": name,
+            "zone": "a",
+            "ip": self.address,
+            "listen.front": f"{self.address}:{ports[0]}",
+            "listen.ready": f"{self.address}:{ports[1]}",
+            "port_range.0": str(ports[2]),
+            "port_range.1": str(ports[2]),
+            "bounds.grace_s": "4",
+            "bounds.status_s": "120",
+            "provider.address": self.store_address,
+            "provider.value_bytes": "1048576",
+        }
+        text = (DEPLOY / f"{role}.ini").read_text()
+        for placeholder, value in values.items():
+            text = text.replace("{{" + placeholder + "}}", value)
+        text = text.replace("[store]", f"metrics_port = {ports[3]}\n\n[store]")
+        path = self.world.folder / f"{name}.ini"
+        path.write_text(text)
+        process = HostProcess(name, path, self.world.folder)
+        self.world.processes[name] = process
+        self.hosts[name] = ports
+        process.start()
+        if ready:
+            self.wait_until_ready(name)
+        return process
+
+    def wait_until_ready(self, name):
+        wait_until(lambda: self.is_ready(name), f"{name} is ready")
+
+    def is_ready(self, name):
+        """Return whether a host says that it is ready; a runner, that it is up."""
+        process = self.world.processes[name]
+        assert process.is_running, f"{name} has ended: {process.read_log()}"
+        entry = "callers_address" in process.settings.read_text()
+        port, path = (1, "/readyz") if entry else (3, "/metrics")
+        try:
+            caller = Caller(self.address, self.hosts[name][port])
+            return caller.request("GET", path).status == 200
+        except OSError:
+            return False
+
+    def control(self, name, **changes):
+        """Change what a stand-in does; return what it counts."""
+        address = self.store_address if name == "store" else self.endpoints[name]
+        port = int(address.rpartition(":")[2])
+        return Caller(self.address, port).control(**changes)
+
+    def replace_endpoint(self, name):
+        """End an endpoint; another one, of another name, gets its address."""
+        self.world.processes[name].kill()
+        address = self.endpoints[name]
+        self._start(f"{name}x", "endpoint", address, f"{name}x", "8", str(self.faults))
+        self.world.processes[name] = self.world.processes[f"{name}x"]
+
+    def read_metrics(self, name):
+        """Return a host's metrics as text."""
+        caller = Caller(self.address, self.hosts[name][3])
+        return caller.request("GET", "/metrics").body.decode()
+
+    def read_store(self):
+        """Return all items of the store."""
+        items = self.control("store")["items"]
+        return {key: base64.b64decode(value) for key, value in items.items()}
+
+    def list_arrivals(self):
+        """Return what arrived at all endpoints."""
+        return [
+            {**row, "endpoint": name}
+            for name in self.endpoints
+            if self.world.processes[name].is_running
+            for row in self.control(name)["arrivals"]
+        ]
+
+    def open_request(
+        self, host, method, path, request_id="", key="desk-key", body=b"", **headers
+    ):
+        """Send one request to a host; return its connection."""
+        fields = {"Host": HOST_NAME, "X-Deadline-Ms": "5000"}
+        if request_id:
+            fields["X-Request-Id"] = request_id
+        if key:
+            fields["X-Api-Key"] = key
+        fields.update({n.replace("_", "-"): str(v) for n, v in headers.items()})
+        connection = http.client.HTTPConnection(
+            self.address, self.hosts[host][0], timeout=TIMEOUT_SECONDS
+        )
+        connection.request(method, path, body=body or None, headers=fields)
+        return connection
+
+    def request(self, *arguments, **options):
+        """Send one request; read the answer as far as it comes."""
+        try:
+            connection = self.open_request(*arguments, **options)
+        except OSError:
+            return PlatformAnswer(0, {}, b"", whole=False)
+        try:
+            return read_answer(connection)
+        finally:
+            connection.close()
+
+    def open(self, host, path, request_id, tokens=10, **options):
+        """Ask for a stream of so many events; return the connection."""
+        return self.open_request(
+            host,
+            "POST",
+            path,
+            request_id,
+            body=b"question",
+            X_Token_Count=f"50,{tokens}",
+            X_Model="m",
+            **options,
+        )
+
+    def ask_timed(self, *arguments, **options):
+        """Ask for a stream; note how long its first event took."""
+        started = time.monotonic()
+        connection = self.open(*arguments, **options)
+        try:
+            answer = read_answer(connection, started)
+            return answer
+        finally:
+            connection.close()
+
+    def ask(self, host, path, request_id, tokens=10, **options):
+        """Ask for a stream of so many events."""
+        return self.request(
+            host,
+            "POST",
+            path,
+            request_id,
+            body=b"question",
+            X_Token_Count=f"50,{tokens}",
+            X_Model="m",
+            **options,
+        )
+
+    def submit(self, host, job_id, items, **options):
+        """Submit a job whose items are ``(id, path, tokens)``."""
+        rows = [
+            {
+                "id": item_id,
+                "path": path,
+                "headers": {"X-Token-Count": f"50,{tokens}", "X-Model": "m"},
+                "body": base64.b64encode(f"body of {item_id}".encode()).decode(),
+                "tokens": 50 + tokens,
+            }
+            for item_id, path, tokens in items
+        ]
+        return self.request(
+            host,
+            "POST",
+            "/night/submit",
+            job_id,
+            body=orjson.dumps({"items": rows}),
+            **options,
+        )
+
+    def read_job(self, host, job_id, after=0, wait_ms=0, **options):
+        """Read a job's results from a position on."""
+        return self.request(
+            host,
+            "GET",
+            f"/api/lots/{job_id}?after={after}",
+            X_Wait_Ms=wait_ms,
+            **options,
+        )
+
+    def run_together(self, calls, width=16):
+        """Make several calls at the same time; return their answers in order."""
+        with ThreadPoolExecutor(width) as pool:
+            futures = [pool.submit(call) for call in calls]
+            return [future.result() for future in futures]
+
+
+def read_answer(connection, started=0.0):
+    """Read an answer; one that breaks off is told as not whole."""
+    try:
+        response = connection.getresponse()
+    except (http.client.HTTPException, OSError):
+        return PlatformAnswer(0, {}, b"", whole=False)
+    headers = {name.lower(): value for name, value in response.getheaders()}
+    body, whole, first = b"", True, 0.0
+    try:
+        body = response.read1(READ_BYTES)
+        first = time.monotonic() - started
+        body += response.read()
+    except http.client.IncompleteRead as error:
+        body, whole = body + error.partial, False
+    except OSError:
+        whole = False
+    return PlatformAnswer(response.status, headers, body, whole, first)
--- /dev/null
+++ b/features/builders/platform/endpoint.py
@@ -0,0 +1,168 @@
+"""Stand-in for one of the platform's endpoints: ``python -m ...endpoint ...``.
+
+It runs so many requests at once, in order of arrival, and answers each by a
+stream of numbered events. All endpoints share a folder of files, each named after
+a fault: who removes a file has that fault, once.
+"""
+
+import os
+import sys
+
+import curio
+import orjson
+from attrs import asdict, define, field
+
+from mangogauge.http import Headers, HTTPServer, ServerLimits
+
+BODY_BYTES = 8_000_000
+EVENT_SECONDS = 0.01
+QUEUE = 24
+
+
+@define(eq=False)
+class Arrival:
+    """What one request said, and what became of it."""
+
+    request_id = field()
+    target = field()
+    account = field()
+    patience = field()
+    last_event = field()
+    key = field()
+    body = field()
+    state = field(default="waiting")
+
+
+class EndpointServer:
+    """An endpoint behind its port."""
+
+    def __init__(self, name, slots, folder):
+        self.folder = folder
+        self.name = name
+        self.slots = slots
+        self.running = 0
+        self.waiting = 0
+        self.arrivals = []
+        self.faults = {}
+        self.event_seconds = EVENT_SECONDS
+        self.freed = curio.Condition()
+        self.server = HTTPServer(self.handle, ServerLimits(body_bytes=BODY_BYTES))
+
+    async def handle(self, exchange):
+        """Serve one request."""
+        if exchange.path == "/control":
+            await self._control(exchange)
+            return
+        fields = exchange.headers
+        body = await exchange.read_body()
+        request_id = fields.get("x-request-id", "")
+        expected = fields.get("x-expect-instance", self.name)
+        if expected != self.name:
+            await self._refuse(exchange, 421, request_id)
+            return
+        if not request_id or self.waiting >= QUEUE:
+            await self._refuse(exchange, 503 if request_id else 400, request_id)
+            return
+        arrival = Arrival(
+            request_id,
+            exchange.target,
+            fields.get("x-tenant", ""),
+            fields.get("x-deadline-ms"),
+            fields.get("last-event-id"),
+            fields.get("x-api-key"),
+            body.decode("latin-1"),
+        )
+        self.arrivals.append(arrival)
+        await self._run(exchange, arrival)
+
+    async def _run(self, exchange, arrival):
+        self.waiting += 1
+        try:
+            async with self.freed:
+                while self.running >= self.slots:
+                    await self.freed.wait()
+                self.running += 1
+        finally:
+            self.waiting -= 1
+        arrival.state = "running"
+        try:
+            await self._answer(exchange, arrival)
+            arrival.state = "done"
+        except BaseException:
+            arrival.state = "cut"
+            raise
+        finally:
+            self.running -= 1
+            async with self.freed:
+                await self.freed.notify_all()
+
+    async def _answer(self, exchange, arrival):
+        fault = self._take_fault(arrival.request_id)
+        headers = self._make_headers(arrival.request_id)
+        if fault in ("500", "422"):
+            await exchange.respond(int(fault), headers, b"no")
+            return
+        if fault == "lost":
+            await curio.sleep(EVENT_SECONDS)
+            raise ConnectionAbortedError("the answer is lost")
+        if fault == "other":
+            headers.set("X-Request-Id", "some-other-request")
+        if fault == "unstamped":
+            headers.remove("X-Server-Stamp")
+        headers.add("Content-Type", "text/event-stream")
+        await exchange.start_response(200, headers)
+        count = int(exchange.headers.get("x-token-count", "1,10").split(",")[1])
+        first = int(arrival.last_event or 0) + 1
+        for number in range(first, count + 1):
+            if fault == "cut" and number == first + 3:
+                await exchange.send_data(b"id: %d\ndata: ha" % number)
+                raise ConnectionAbortedError("broken off")
+            if fault == "mute" and number == first + 3:
+                await curio.sleep(3600)
+            await curio.sleep(self.event_seconds)
+            text = f"{arrival.request_id}-{number}"
+            await exchange.send_data(f"id: {number}\ndata: {text}\n\n".encode())
+        await exchange.finish()
+
+    def _take_fault(self, request_id):
+        """Return the fault of this request; empty for none."""
+        for word, fault in self.faults.items():
+            if word in request_id:
+                return fault
+        for file in sorted(os.listdir(self.folder)):
+            try:
+                os.unlink(os.path.join(self.folder, file))
+            except FileNotFoundError:
+                continue
+            return file.partition("-")[2]
+        return ""
+
+    def _make_headers(self, request_id):
+        fields = [("X-Server-Stamp", f"stamp-{self.name}")]
+        return Headers([*fields, ("X-Request-Id", request_id)])
+
+    async def _refuse(self, exchange, status, request_id):
+        headers = Headers([("X-Not-Run", "1"), ("X-Request-Id", request_id)])
+        await exchange.respond(status, headers, b"")
+
+    async def _control(self, exchange):
+        order = orjson.loads(await exchange.read_body() or b"{}")
+        self.faults.update(order.get("faults", {}))
+        self.event_seconds = order.get("event_seconds", self.event_seconds)
+        rows = [asdict(row) for row in self.arrivals]
+        value = {"arrivals": rows, "running": self.running, "waiting": self.waiting}
+        headers = Headers([("Content-Type", "application/json")])
+        await exchange.respond(200, headers, orjson.dumps(value))
+
+
+def main(address, name, slots, folder):
+    """Serve until killed."""
+    endpoint = EndpointServer(name, int(slots), folder)
+    host, _, port = address.rpartition(":")
+    endpoint.server.bind(host, int(port))
+    print(orjson.dumps({"address": address}).decode(), flush=True)
+    curio.run(endpoint.server.serve)
+
+
+if __name__ == "__main__":
+    main(*sys.argv[1:])
--- a/features/builders/processes.py
+++ b/features/builders/processes.py
@@ -56,8 +56,12 @@
 
     def start(self):
         """Start it and wait for its line of ports."""
-        command = [sys.executable, "-m", "mangogauge", *self.arguments]
-        environment = {**os.environ, "PYTHONDONTWRITEBYTECODE": "1"}
+        return self.start_module("mangogauge", {})
+
+    def start_module(self, module, variables):
+        """Start a module as a program and wait for its first line."""
+        command = [sys.executable, "-m", module, *self.arguments]
+        environment = {**os.environ, "PYTHONDONTWRITEBYTECODE": "1", **variables}
         with self.log_path.open("ab") as log:
             self._popen = subprocess.Popen(
                 command, stdout=subprocess.PIPE, stderr=log, env=environment
--- a/features/jobs/acceptance.feature
+++ b/features/jobs/acceptance.feature
@@ -26,7 +26,7 @@
     Then it was refused by 502, which promises nothing
 
   Scenario: A store that is away is told at once, with when to come back
-    Given the store is away
+    Given the store of jobs is away
     When the first host takes the job "j1" of 3 items
     Then it was refused by 503, with when to come back
 
--- a/features/placement/room.feature
+++ b/features/placement/room.feature
@@ -10,16 +10,16 @@
 
     Examples:
       | online | items |
-      | 0      | 7     |
-      | 3      | 4     |
-      | 7      | 0     |
+      | 0      | 8     |
+      | 3      | 5     |
+      | 7      | 1     |
       | 8      | 0     |
 
   Scenario: A host without company uses all the room
     Given an endpoint with 8 slots, of which online requests take 2
     And 1 hosts that each have 20 items waiting
     When all of them start what they may, at the same moment, 12 times
-    Then the endpoint runs 5 items, and never had more than 8 requests
+    Then the endpoint runs 6 items, and never had more than 8 requests
 
   Scenario Outline: What gives way is just what is too much, whoever runs it
     Given an endpoint with 8 slots, of which online requests take <online>
--- a/features/steps/jobs.py
+++ b/features/steps/jobs.py
@@ -106,7 +106,7 @@
     context.store.fates = [Fate(fate)] * count
 
 
-@given("the store is away")
+@given("the store of jobs is away")
 def set_away(context):
     context.store.away = True
 
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -17,15 +17,29 @@
     MemberDirectory,
     OrderListener,
     Registration,
+    RetirementKeeper,
     SharedSchedule,
     SteadySchedule,
 )
 from ..http import ClientPool, Headers, HTTPServer, ServerLimits
-from ..jobs import JobAcceptance, JobFront, JobReader, JobRunner, WorkBoard
+from ..jobs import (
+    JobAcceptance,
+    JobFront,
+    JobReader,
+    JobRetention,
+    JobRunner,
+    WorkBoard,
+)
 from ..jobs.claims import JobClaims
 from ..jobs.keys import WORK_PREFIX
 from ..jobs.running import ItemRunner
-from ..placement import BatchRoom, EndpointChooser, EndpointHealth, SlotQueue
+from ..placement import (
+    BatchRoom,
+    EndpointChooser,
+    EndpointHealth,
+    ReachabilityProber,
+    SlotQueue,
+)
 from ..routing import RetryBudgets, RetryPolicy
 from ..sharing import LoadBoard, ReportExchange, SharedFreshness, SharedQuota
 from ..telemetry import get_logger
@@ -40,6 +54,9 @@
 WAIT_SECONDS = 5.0
 MEMBERS_PAUSE_SECONDS = 0.2
 WORK_PAUSE_SECONDS = 0.05
+# How long an endpoint may take to accept a connection: a request still starts
+# within its objective at the next one.
+CONNECT_SECONDS = 0.2
 PUMP_SECONDS = 0.02
 IDLE_MARGIN = 1.2
 # Part of the time to drain after which connections are no longer awaited.
@@ -174,6 +191,7 @@
             self.settings.data_centre,
             self.random,
         )
+        self.prober = ReachabilityProber(self.health, self.directory)
         self.slots = SlotQueue(
             self.chooser,
             self.board,
@@ -182,7 +200,7 @@
             self.random,
         )
         self.attempt = EndpointAttempt(
-            ClientPool(), self.backends.endpoints, self.clock
+            ClientPool(CONNECT_SECONDS), self.backends.endpoints, self.clock
         )
 
     def _make_jobs(self):
@@ -197,6 +215,7 @@
             self.metrics,
         )
         self.runner = None
+        self.keepers = []
         if not self.settings.runs_batch:
             return
         work = WorkBoard(clock)
@@ -216,6 +235,14 @@
             self.metrics,
         )
 
+        self.retirement = RetirementKeeper(
+            store, self.backends.source, self.members, clock, self.runner.stop
+        )
+        retention = JobRetention(
+            store, feed, self.members, clock, self.settings.status_seconds
+        )
+        self.keepers = [self.runner, self.retirement, retention]
+
     def _make_entry(self):
         clock = self.clock
         self.dispatcher = OnlineDispatcher(
@@ -266,8 +293,9 @@
             await group.spawn(self.registration.run)
             await group.spawn(self.exchange.run)
             await group.spawn(self._pump)
-            if self.runner is not None:
-                await group.spawn(self.runner.run)
+            await group.spawn(self.prober.run)
+            for keeper in self.keepers:
+                await group.spawn(keeper.run)
             await group.spawn(self._drain)
         if group.exception is not None:
             raise group.exception
@@ -315,6 +343,8 @@
             self.quota.take_report(report, self.state.routes)
         if len(self.slots):
             await self.slots.pump()
+        if self.runner is not None:
+            await self.runner.wake()
 
     def _take_configuration(self, configuration):
         self.metrics.configuration.set(configuration.version)
@@ -326,7 +356,8 @@
         )
 
     def _take_retirement(self, order):
-        log.info("retirement asked for", extra={"member": order.host})
+        if self.runner is not None:
+            self.retirement.take_order(order)
 
     async def _show_readiness(self, exchange):
         status = 200 if self.ready else 503
--- a/mangogauge/entry/attempt.py
+++ b/mangogauge/entry/attempt.py
@@ -9,7 +9,9 @@
 
 __all__ = ["AttemptFailure", "EndpointAttempt", "KeptAnswer"]
 
-CONNECT_SECONDS = 0.4
+# How lately a connection must have been used to carry a request that may run
+# once only: on one that has gone dead meanwhile, its outcome would be unknown.
+RECENT_SECONDS = 0.25
 # Body of a failure that is read whole, to be passed on if nothing better comes.
 KEPT_BYTES = 262_144
 
@@ -46,16 +48,34 @@
     kind : AnswerKind, optional
         What the endpoint answered, if it did.
     answer : KeptAnswer, optional
+    unreachable : bool, optional
+        Whether no connection to the endpoint could be made.
     """
 
-    def __init__(self, progress, reason, blames=False, kind=None, answer=None):
+    def __init__(
+        self,
+        progress,
+        reason,
+        blames=False,
+        kind=None,
+        answer=None,
+        unreachable=False,
+    ):
         super().__init__(reason)
         self.progress = progress
         self.reason = reason
         self.blames = blames
+        self.unreachable = unreachable
         self.kind = kind
         self.answer = answer
 
+    def note_in(self, health, endpoint):
+        """Tell an `EndpointHealth` what the attempt showed of its endpoint."""
+        if self.unreachable:
+            health.note_unreachable(endpoint.name)
+        elif self.blames:
+            health.note_failure(endpoint.name)
+
 
 class EndpointAttempt:
     """Sends requests to endpoints.
@@ -101,7 +121,9 @@
             async with curio.timeout_after(silence_seconds):
                 response = await self._send(call, order)
         except HTTPConnectError as error:
-            raise AttemptFailure(Progress.NOT_SENT, str(error), blames=True) from error
+            raise AttemptFailure(
+                Progress.NOT_SENT, str(error), unreachable=True
+            ) from error
         except HTTPError as error:
             raise AttemptFailure(Progress.MAYBE_RUN, str(error), blames=True) from error
         except curio.TaskTimeout:
@@ -119,6 +141,7 @@
             call.target,
             self._dialect.make_headers(order),
             call.body,
+            idle_limit=None if call.repeatable else RECENT_SECONDS,
             is_answer=lambda fields: self._dialect.is_answer(call.request_id, fields),
         )
 
--- a/mangogauge/entry/dispatch.py
+++ b/mangogauge/entry/dispatch.py
@@ -139,8 +139,7 @@
 
     def _note_failure(self, run, endpoint, failure):
         run.failure = failure
-        if failure.blames:
-            self._health.note_failure(endpoint.name)
+        failure.note_in(self._health, endpoint)
         if failure.progress in (Progress.MAYBE_RUN, Progress.RUN):
             run.runs += 1
         self._metrics.attempt_failures.labels(failure.progress.value).inc()
--- a/mangogauge/fleet/__init__.py
+++ b/mangogauge/fleet/__init__.py
@@ -12,6 +12,7 @@
     RouteNature,
     ServiceShare,
 )
+from .retirement import RetirementKeeper
 from .routes import PrefixRoutes
 from .schedule import ReadSchedule, SharedSchedule, SteadySchedule
 from .source import FleetSource, OrdersRead, RetirementOrder
@@ -35,6 +36,7 @@
     "PrefixRoutes",
     "ReadSchedule",
     "Registration",
+    "RetirementKeeper",
     "RetirementOrder",
     "RouteNature",
     "ServiceShare",
--- /dev/null
+++ b/mangogauge/fleet/retirement.py
@@ -0,0 +1,100 @@
+"""Empty hosts that operators want to take away, and tell when that is done.
+
+What lasts is in the platform's store, so a host is empty as soon as it has given
+its claims back; one that is gone already is empty as it is.
+"""
+
+import curio
+from attrs import define, field
+from returns.result import Failure
+
+from ..store import Transaction
+from ..telemetry import get_logger
+
+__all__ = ["RetirementKeeper"]
+
+TICK_SECONDS = 0.2
+# How long a host has to be missing before others tell that it is empty.
+ABSENT_SECONDS = 2.0
+
+log = get_logger("retirement")
+
+
+@define(eq=False)
+class _Retirement:
+    """One host's emptying, as far as this host has seen it."""
+
+    order = field()
+    absent_since = field(default=None)
+    told_running = field(default=False)
+
+
+class RetirementKeeper:
+    """Carries out operators' orders to empty hosts.
+
+    Parameters
+    ----------
+    store : Store
+    source : FleetSource
+    members : MemberDirectory
+    clock : Clock
+    empty : async callable
+        Gives away what this host holds.
+    """
+
+    def __init__(self, store, source, members, clock, empty):
+        self._store = store
+        self._source = source
+        self._members = members
+        self._clock = clock
+        self._empty = empty
+        self._pending = {}
+        self._done = set()
+
+    def take_order(self, order):
+        """Take a `RetirementOrder`."""
+        if order.host not in self._pending and order.host not in self._done:
+            log.info("retirement asked for", extra={"member": order.host})
+            self._pending[order.host] = _Retirement(order)
+
+    async def run(self):
+        """Carry out orders until cancelled."""
+        while True:
+            await curio.sleep(TICK_SECONDS)
+            for retirement in list(self._pending.values()):
+                await self._advance(retirement)
+
+    async def _advance(self, retirement):
+        host = retirement.order.host
+        if host == self._members.own.name:
+            if not retirement.told_running:
+                retirement.told_running = await self._tell(host, done=False)
+            await self._empty()
+        elif not self._is_for_this_host(retirement):
+            return
+        if await self._tell(host, done=True):
+            del self._pending[host]
+            self._done.add(host)
+            log.info("retirement done", extra={"member": host})
+
+    def _is_for_this_host(self, retirement):
+        """Return whether this host should tell of one that is gone."""
+        if self._members.get(retirement.order.host) is not None:
+            retirement.absent_since = None
+            return False
+        now = self._clock.read_elapsed()
+        if retirement.absent_since is None:
+            retirement.absent_since = now
+        runners = self._members.list_runners()
+        is_first = runners[:1] == [self._members.own.name]
+        return is_first and now >= retirement.absent_since + ABSENT_SECONDS
+
+    async def _tell(self, host, done):
+        report = self._source.report_retirement(host, done)
+        answer = await self._store.transact(Transaction((), (report,)))
+        if isinstance(answer, Failure):
+            log.warning(
+                "retirement not reported",
+                extra={"member": host, "reason": str(answer.failure())},
+            )
+        return not isinstance(answer, Failure)
--- a/mangogauge/http/client.py
+++ b/mangogauge/http/client.py
@@ -96,7 +96,7 @@
         self._sock = sock
         self._h11 = h11.Connection(h11.CLIENT)
         self._sending = None
-        self._idle_until = 0.0
+        self._idle_since = self._idle_until = 0.0
 
     @classmethod
     async def open(cls, address, timeout=DEFAULT_CONNECT_TIMEOUT, tls=None):
@@ -120,6 +120,11 @@
             ) from error
         return cls(address, sock)
 
+    @property
+    def idle_seconds(self):
+        """Seconds since it carried an answer."""
+        return time.monotonic() - self._idle_since
+
     @property
     def is_stale(self):
         """Whether the server has closed, is about to, or spoke out of turn."""
@@ -157,7 +162,8 @@
             # More came than the answer: what follows can't be trusted.
             return False
         self._sending = None
-        self._idle_until = time.monotonic() + _read_idle_seconds(headers)
+        self._idle_since = time.monotonic()
+        self._idle_until = self._idle_since + _read_idle_seconds(headers)
         self._h11.start_next_cycle()
         return True
 
@@ -286,6 +292,7 @@
         body=b"",
         fresh=False,
         is_answer=None,
+        idle_limit=None,
     ):
         """Send a request and return the head of its answer.
 
@@ -297,6 +304,8 @@
         is_answer : callable, optional
             Whether header fields belong to this request's answer; answers that
             don't are read and dropped.
+        idle_limit : float, optional
+            Reuse only a connection that was used within so many seconds.
 
         Returns
         -------
@@ -307,7 +316,9 @@
         HTTPConnectError, HTTPSendError, HTTPReceiveError
             According to how far the request got.
         """
-        connection = None if fresh else await self._take_idle(address)
+        connection = None
+        if not fresh:
+            connection = await self._take_idle(address, idle_limit)
         if connection is None:
             connection = await ClientConnection.open(
                 address, self._connect_timeout, self._tls
@@ -330,9 +341,12 @@
             for connection in connections:
                 await connection.close()
 
-    async def _take_idle(self, address):
+    async def _take_idle(self, address, idle_limit):
         idle = self._idle.get(address, [])
         while idle:
+            if idle_limit is not None and idle[-1].idle_seconds > idle_limit:
+                # The others have been idle for longer still.
+                return None
             connection = idle.pop()
             if not connection.is_stale:
                 return connection
--- a/mangogauge/jobs/__init__.py
+++ b/mangogauge/jobs/__init__.py
@@ -5,6 +5,7 @@
 from .front import JobFront
 from .reading import JobReader
 from .records import ItemResult, ItemState, JobItem, JobManifest, Submission
+from .retention import JobRetention
 from .runner import JobRunner
 from .work import WorkBoard
 
@@ -18,6 +19,7 @@
     "JobManifest",
     "JobOperation",
     "JobReader",
+    "JobRetention",
     "JobRunner",
     "JobTarget",
     "Submission",
--- a/mangogauge/jobs/claims.py
+++ b/mangogauge/jobs/claims.py
@@ -56,7 +56,7 @@
         self._store = store
         self._feed = feed
         self._registration = registration
-        self._claimant = claimant
+        self.claimant = claimant
         self._commits = {}
 
     async def claim(self, entry):
@@ -76,7 +76,7 @@
                 Condition(key, 0),
                 Condition(make_work_key(job_id, OPEN), entry.open_revision),
             ],
-            [Operation(key, self._claimant.encode(), lease.lease_id)],
+            [Operation(key, self.claimant.encode(), lease.lease_id)],
         )
         answer = await self._store.transact(transaction)
         if isinstance(answer, Failure):
@@ -98,17 +98,13 @@
         if lease is None or not self._registration.is_valid:
             return Failure(StoreUnavailableError("There is no lease.", step="claim"))
         key = make_work_key(job.job_id, CLAIM)
-        claim = Operation(key, self._claimant.encode(), lease.lease_id)
+        claim = Operation(key, self.claimant.encode(), lease.lease_id)
         answer = await self._store.transact(Transaction([Condition(key, 0)], [claim]))
         if isinstance(answer, Failure):
             return answer
         job.claim_revision = self._read_claim(answer.unwrap(), key)
         return Success(bool(job.claim_revision))
 
-    def is_own(self, claimant):
-        """Return whether a claim is this host's."""
-        return claimant == self._claimant
-
     async def release(self, job):
         """Give a claim back, so that another host may take it at once."""
         key = make_work_key(job.job_id, CLAIM)
@@ -187,7 +183,7 @@
         if outcome.succeeded:
             return outcome.revision
         for item in outcome.current:
-            if item.key == key and item.value == self._claimant.encode():
+            if item.key == key and item.value == self.claimant.encode():
                 # An earlier try took effect, its answer was lost.
                 return item.mod_revision
         return 0
--- /dev/null
+++ b/mangogauge/jobs/retention.py
@@ -0,0 +1,75 @@
+"""Forget jobs that were closed long enough ago."""
+
+import curio
+from returns.result import Failure
+
+from ..store import Operation, Transaction
+from ..telemetry import get_logger
+from .keys import CLOSED_PREFIX, ENDED, make_job_prefix, make_work_key, split_closed_key
+
+__all__ = ["JobRetention"]
+
+SWEEP_SECONDS = 30.0
+# Readers may still be on their way when the time is over.
+MARGIN_SECONDS = 30.0
+KEYS_PER_WRITE = 30
+
+log = get_logger("retention")
+
+
+class JobRetention:
+    """Removes closed jobs from the store; one host at a time does so.
+
+    Parameters
+    ----------
+    store : Store
+    feed : ChangeFeed
+    members : MemberDirectory
+    clock : Clock
+    keep_seconds : float
+        How long a job can be read after it was closed.
+    """
+
+    def __init__(self, store, feed, members, clock, keep_seconds):
+        self._store = store
+        self._feed = feed
+        self._members = members
+        self._clock = clock
+        self._keep_seconds = keep_seconds
+
+    async def run(self):
+        """Sweep now and then until cancelled."""
+        while True:
+            await curio.sleep(SWEEP_SECONDS)
+            if self._members.list_runners()[:1] == [self._members.own.name]:
+                await self.sweep()
+
+    async def sweep(self):
+        """Forget every job whose time is over."""
+        listed = await self._feed.read_snapshot(CLOSED_PREFIX)
+        if isinstance(listed, Failure):
+            log.warning("sweep failed", extra={"reason": str(listed.failure())})
+            return
+        oldest = self._clock.read_calendar() - self._keep_seconds - MARGIN_SECONDS
+        for item in listed.unwrap().items:
+            second, job_id = split_closed_key(item.key)
+            if second < oldest and await self._forget(job_id):
+                await self._delete([item.key])
+                log.info("job forgotten", extra={"job": job_id})
+
+    async def _forget(self, job_id):
+        """Delete a job's keys; return whether all are gone."""
+        listed = await self._feed.read_snapshot(make_job_prefix(job_id))
+        if isinstance(listed, Failure):
+            return False
+        keys = [item.key for item in listed.unwrap().items]
+        keys.append(make_work_key(job_id, ENDED))
+        for start in range(0, len(keys), KEYS_PER_WRITE):
+            if not await self._delete(keys[start : start + KEYS_PER_WRITE]):
+                return False
+        return True
+
+    async def _delete(self, keys):
+        operations = [Operation(key) for key in keys]
+        answer = await self._store.transact(Transaction((), operations))
+        return not isinstance(answer, Failure)
--- a/mangogauge/jobs/runner.py
+++ b/mangogauge/jobs/runner.py
@@ -19,7 +19,9 @@
 # Items started at one endpoint in one turn: reports of other hosts' starts come
 # in between.
 STARTS_PER_TURN = 1
-SECONDS_PER_TOKEN = 0.0012
+# How long an item takes for each of its tokens, until some have ended.
+FIRST_SECONDS_PER_TOKEN = 0.0025
+PACE_WEIGHT = 0.1
 
 log = get_logger("jobs")
 
@@ -73,6 +75,8 @@
         self._jobs = {}
         self._tasks = {}
         self._stopped = False
+        self._pace = FIRST_SECONDS_PER_TOKEN
+        self._woken = curio.Event()
 
     @property
     def waiting(self):
@@ -91,6 +95,11 @@
             await group.spawn(self._fill_often)
             await group.spawn(self._commit_often)
 
+    async def wake(self):
+        """Look again at once whether items have to give way."""
+        if self._tasks:
+            await self._woken.set()
+
     async def stop(self):
         """Commit what is done, break off what runs, and give all claims back."""
         self._stopped = True
@@ -110,10 +119,14 @@
             for entry in self._work.list_unclaimed():
                 if self._is_own_turn(entry):
                     await self._claim(entry)
+            # The answer to a claim may have been lost.
+            for entry in self._work.list_claimed_by(self._claims.claimant):
+                if entry.opened.job_id not in self._jobs:
+                    await self._claim(entry)
 
     def _is_own_turn(self, entry):
         job_id = entry.opened.job_id
-        if job_id in self._jobs:
+        if job_id in self._jobs or self._work.may_have_lapsed(entry):
             return False
         hosts = self._state.members.list_runners()
         turn = rank_host(job_id, self._host, hosts) * CLAIM_TURN_SECONDS
@@ -134,7 +147,10 @@
 
     async def _fill_often(self):
         while True:
-            await curio.sleep(BUSY_TICK_SECONDS if self._jobs else IDLE_TICK_SECONDS)
+            tick = BUSY_TICK_SECONDS if self._jobs else IDLE_TICK_SECONDS
+            async with curio.ignore_after(tick):
+                await self._woken.wait()
+            self._woken.clear()
             if self._stopped or not self._state.loaded:
                 continue
             await self._check_claims()
@@ -161,7 +177,7 @@
                 continue
             if entry.ended:
                 await self._end(job)
-            elif entry.claimant and not self._claims.is_own(entry.claimant):
+            elif entry.claimant and entry.claimant != self._claims.claimant:
                 log.warning(
                     "job taken over",
                     extra={"job": job.job_id, "claimant": entry.claimant},
@@ -219,7 +235,7 @@
         calendar = self._clock.read_calendar()
         ready = [i for job in self._jobs.values() for i in job.list_ready(now)]
         started = {}
-        for item in order_items(ready, calendar, SECONDS_PER_TOKEN):
+        for item in order_items(ready, calendar, self._pace):
             route = self._find_route(item)
             if route is None:
                 self._items.give_up(item, "its route is gone")
@@ -259,8 +275,11 @@
         self._tasks[item] = task
 
     async def _run_item(self, item, route, endpoint):
+        is_fresh = not item.pieces
         try:
             await self._items.run(item, route, endpoint)
+            if is_fresh and item.item.item_id not in item.job.items:
+                self._note_pace(item)
         except Exception:
             log.exception("item failed", extra={"request_id": item.item.item_id})
             item.delay(self._clock.read_elapsed(), 3)
@@ -270,6 +289,12 @@
             self._board.end(endpoint.name, batch=True)
             await self._notify()
 
+    def _note_pace(self, item):
+        """Learn from an item that ran without a break how long items take."""
+        seconds = self._clock.read_elapsed() - item.started_at
+        pace = seconds / max(1, item.item.tokens)
+        self._pace += PACE_WEIGHT * (pace - self._pace)
+
     async def _break_off(self, item):
         task = self._tasks.get(item)
         if task is not None:
--- a/mangogauge/jobs/running.py
+++ b/mangogauge/jobs/running.py
@@ -104,8 +104,7 @@
 
     def _note_failure(self, item, route, endpoint, failure, before):
         now = self._clock.read_elapsed()
-        if failure.blames:
-            self._health.note_failure(endpoint.name)
+        failure.note_in(self._health, endpoint)
         log.info(
             "item broke off",
             extra={
--- a/mangogauge/jobs/work.py
+++ b/mangogauge/jobs/work.py
@@ -9,6 +9,8 @@
 
 __all__ = ["WorkBoard", "WorkEntry"]
 
+LAPSE_GRACE_SECONDS = 1.2
+
 log = get_logger("work")
 
 
@@ -27,6 +29,8 @@
         Elapsed time since which nobody does.
     ended : bool
         Whether its caller has ended it.
+    was_claimed : bool
+        Whether some host has run it.
     """
 
     unclaimed_since = field()
@@ -34,6 +38,7 @@
     open_revision = field(default=0)
     claimant = field(default="")
     ended = field(default=False)
+    was_claimed = field(default=False)
 
 
 class WorkBoard(Listener):
@@ -47,6 +52,7 @@
     def __init__(self, clock):
         self._clock = clock
         self._entries = {}
+        self._grace_until = float("-inf")
         self.loaded = False
 
     def get(self, job_id):
@@ -57,6 +63,18 @@
         """Return the entries of open jobs that nobody runs."""
         return [e for e in self._entries.values() if e.opened and not e.claimant]
 
+    def list_claimed_by(self, claimant):
+        """Return the entries of open jobs that a host has claimed."""
+        entries = self._entries.values()
+        return [e for e in entries if e.opened and e.claimant == claimant]
+
+    def may_have_lapsed(self, entry):
+        """Return whether a claim may only have lapsed while the store was away.
+
+        Its host claims the job again as soon as it reaches the store.
+        """
+        return entry.was_claimed and self._clock.read_elapsed() < self._grace_until
+
     def is_ended(self, job_id):
         """Return whether a job's caller has ended it."""
         entry = self._entries.get(job_id)
@@ -69,7 +87,10 @@
             self._put(item)
         for job_id, entry in self._entries.items():
             known = before.get(job_id)
-            if known is not None and not entry.claimant and not known.claimant:
+            if known is None:
+                continue
+            entry.was_claimed = entry.was_claimed or known.was_claimed
+            if not entry.claimant and not known.claimant:
                 entry.unclaimed_since = known.unclaimed_since
         self.loaded = True
 
@@ -82,7 +103,8 @@
                 self._put(event)
 
     def note_regained(self):
-        """Claims that lapsed meanwhile are written again with the next commit."""
+        """From now on, for a moment, a missing claim may only have lapsed."""
+        self._grace_until = self._clock.read_elapsed() + LAPSE_GRACE_SECONDS
 
     def _put(self, item):
         job_id, kind = split_work_key(item.key)
@@ -93,6 +115,7 @@
             entry.open_revision = item.mod_revision
         elif kind == CLAIM:
             entry.claimant = item.value.decode()
+            entry.was_claimed = True
         elif kind == ENDED:
             entry.ended = True
         else:
--- a/mangogauge/placement/__init__.py
+++ b/mangogauge/placement/__init__.py
@@ -2,7 +2,14 @@
 
 from .choice import EndpointChooser
 from .health import EndpointHealth
+from .prober import ReachabilityProber
 from .queue import SlotQueue
 from .room import BatchRoom
 
-__all__ = ["BatchRoom", "EndpointChooser", "EndpointHealth", "SlotQueue"]
+__all__ = [
+    "BatchRoom",
+    "EndpointChooser",
+    "EndpointHealth",
+    "ReachabilityProber",
+    "SlotQueue",
+]
--- a/mangogauge/placement/health.py
+++ b/mangogauge/placement/health.py
@@ -2,7 +2,9 @@
 
 The load this answers: endpoints that crash, fall silent or become unreachable
 while requests go on arriving. Each failure shuns an endpoint for a while, and
-each further one in a row for longer; one answer clears it.
+each further one in a row for longer; one answer clears it. One that takes no
+connections is shunned until it takes one again, which is tried in the background,
+so that no request has to find out.
 """
 
 from attrs import define, field
@@ -19,6 +21,7 @@
     """Failures in a row, and until when the endpoint is shunned."""
 
     failures = field(default=0)
+    unreachable = field(default=False)
     shunned_until = field(default=float("-inf"))
 
 
@@ -61,11 +64,27 @@
         record.failures += 1
         record.shunned_until = now + min(LONGEST_SHUN_SECONDS, seconds)
 
+    def note_unreachable(self, name):
+        """Note that an endpoint took no connection."""
+        self._records.setdefault(name, _Record()).unreachable = True
+
+    def note_reachable(self, name):
+        """Note that an endpoint took a connection again."""
+        record = self._records.get(name)
+        if record is not None:
+            record.unreachable = False
+
+    def list_unreachable(self):
+        """Return the names of endpoints that took no connection lately."""
+        return [name for name, r in self._records.items() if r.unreachable]
+
     def is_shunned(self, name):
         """Return whether an endpoint should get nothing for now."""
         record = self._records.get(name)
         if record is None:
             return False
+        if record.unreachable:
+            return True
         return self._clock.read_elapsed() < record.shunned_until
 
     def list_shunned(self):
--- /dev/null
+++ b/mangogauge/placement/prober.py
@@ -0,0 +1,49 @@
+"""Find out in the background when unreachable endpoints take connections again."""
+
+import curio
+
+from ..http import ClientConnection, HTTPConnectError
+from ..telemetry import get_logger
+
+__all__ = ["ReachabilityProber"]
+
+INTERVAL_SECONDS = 0.3
+CONNECT_SECONDS = 0.2
+
+log = get_logger("prober")
+
+
+class ReachabilityProber:
+    """Tries to connect to endpoints that took no connection.
+
+    Parameters
+    ----------
+    health : EndpointHealth
+    directory : EndpointDirectory
+    """
+
+    def __init__(self, health, directory):
+        self._health = health
+        self._directory = directory
+
+    async def run(self):
+        """Probe until cancelled."""
+        while True:
+            await curio.sleep(INTERVAL_SECONDS)
+            names = self._health.list_unreachable()
+            async with curio.TaskGroup() as group:
+                for name in names:
+                    await group.spawn(self._probe, name)
+
+    async def _probe(self, name):
+        endpoint = self._directory.get(name)
+        if endpoint is None:
+            self._health.note_answer(name)
+            return
+        try:
+            connection = await ClientConnection.open(endpoint.address, CONNECT_SECONDS)
+        except HTTPConnectError:
+            return
+        await connection.close()
+        self._health.note_reachable(name)
+        log.info("endpoint reachable again", extra={"endpoint": name})
--- a/mangogauge/placement/room.py
+++ b/mangogauge/placement/room.py
@@ -1,19 +1,16 @@
 """How many batch items an endpoint may run beside online requests.
 
 The load this answers: online traffic that rises to several times its least
-within seconds, at endpoints that run whatever came first. Items take what is
-free but for a reserve; as online requests come, the newest items are broken
-off, to go on later where they stopped.
+within seconds, at endpoints that run whatever came first. Items take all that is
+free; as online requests come, the newest items are broken off, to go on later
+where they stopped. A request that finds an endpoint full waits for that no longer
+than a report between hosts takes, well within its objective.
 """
 
 import xxhash
 
 __all__ = ["BatchRoom"]
 
-# Slots of an endpoint that items leave free, so that the next online requests
-# start at once.
-RESERVED_SLOTS = 1
-
 
 class BatchRoom:
     """Room for this host's items at endpoints.
@@ -37,7 +34,7 @@
     def measure_free(self, endpoint):
         """Return how many slots there are for this host's next items."""
         load = self._board.measure(endpoint.name)
-        free = endpoint.slots - RESERVED_SLOTS - load.total
+        free = endpoint.slots - load.total
         return free - self._compute_rank(endpoint) if free > 0 else 0
 
     def measure_own_excess(self, endpoint):
--- a/mangogauge/settings/serving.py
+++ b/mangogauge/settings/serving.py
@@ -27,7 +27,7 @@
     """
 
     address = make_option(AddressKind())
-    lease_seconds = make_option(NumberKind(1, 600, "seconds"), default=4.0)
+    lease_seconds = make_option(NumberKind(1, 600, "seconds"), default=2.5)
     value_bytes = make_option(IntegerKind(1024, 1 << 30, "bytes"), default=1_000_000)
 
 
