Items give way by due time; play the chooser in the load feature

Change: the feature plays EndpointChooser; the least urgent items (late last, by due time, furthest first) give way; each start is a log line.

--- a/features/steps/placement.py
+++ b/features/steps/placement.py
@@ -5,7 +5,7 @@
 from attrs import define, field
 from behave import given, then, when
 
-from features.builders.fleet import make_endpoint, make_report
+from features.builders.fleet import SERVICE, make_endpoint, make_report
 from mangogauge.clock import ManualClock
 from mangogauge.placement import BatchRoom, EndpointChooser, EndpointHealth
 from mangogauge.sharing import LoadBoard
@@ -183,12 +183,15 @@
                     owner.board.end(name, batch=owner is not self.front)
 
     def _send_online(self, now):
-        board = self.front.board
-        engine = min(self.engines, key=lambda e: board.measure(e.endpoint.name).total)
+        endpoint = self.chooser.choose(SERVICE)
+        if endpoint is None:
+            self.refused += 1
+            return
+        engine = self.engines[int(endpoint.name[1:])]
         work = Work(ONLINE_SECONDS, now, self.front)
         self.online.append(work)
         engine.queue.append(work)
-        self.front.board.begin(engine.endpoint.name)
+        self.front.board.begin(endpoint.name)
         engine.step(now)
 
     def _take_turns(self, now):
--- a/mangogauge/jobs/owned.py
+++ b/mangogauge/jobs/owned.py
@@ -11,6 +11,8 @@
 FIRST_BACKOFF_SECONDS = 0.1
 LONGEST_BACKOFF_SECONDS = 8.0
 BACKOFF_GROWTH = 2.0
+# An item that has so many events is taken to need half of its time still.
+EVENTS_HALVING = 100
 
 
 @define(eq=False)
@@ -83,6 +85,17 @@
         seconds = FIRST_BACKOFF_SECONDS * BACKOFF_GROWTH ** max(0, count - 1)
         self.not_before = now + min(LONGEST_BACKOFF_SECONDS, seconds)
 
+    def estimate_left(self, seconds_per_token):
+        """Return the seconds that it will still run, at a pace for all its tokens.
+
+        Notes
+        -----
+        How many events it will have is not known beforehand, so the estimate
+        shrinks with those that have come but never reaches nothing.
+        """
+        seconds = max(1, self.item.tokens) * seconds_per_token
+        return seconds / (1 + len(self.pieces) / EVENTS_HALVING)
+
     def make_result(self, state):
         """Return its `ItemResult`."""
         text = b"\n".join(self.pieces).decode() if state is ItemState.DONE else ""
--- a/mangogauge/jobs/runner.py
+++ b/mangogauge/jobs/runner.py
@@ -208,7 +208,7 @@
             await self._abandon(job)
 
     async def _give_way(self):
-        """Break off the newest items where online requests need the slots."""
+        """Break off the least urgent items where online requests need the slots."""
         for name in {item.endpoint for item in self._tasks if item.endpoint}:
             endpoint = self._state.directory.get(name)
             if endpoint is None:
@@ -217,8 +217,8 @@
             if not excess:
                 continue
             here = [item for item in self._tasks if item.endpoint == name]
-            here.sort(key=lambda item: item.started_at, reverse=True)
-            for item in here[:excess]:
+            calendar = self._clock.read_calendar()
+            for item in order_items(here, calendar, self._pace)[-excess:]:
                 log.info(
                     "item gives way",
                     extra={
@@ -268,6 +268,16 @@
         item.endpoint = endpoint.name
         item.started_at = self._clock.read_elapsed()
         self._board.begin(endpoint.name, batch=True)
+        log.info(
+            "item started",
+            extra={
+                "request_id": item.item.item_id,
+                "job": item.job.job_id,
+                "endpoint": endpoint.name,
+                "last_event": item.last_event,
+                "load": self._board.measure(endpoint.name).total,
+            },
+        )
         await self._notify()
         task = await self._group.spawn(
             self._run_item, item, route, endpoint, daemon=True
--- a/mangogauge/jobs/scheduling.py
+++ b/mangogauge/jobs/scheduling.py
@@ -24,12 +24,14 @@
     -----
     The earliest due first, and within a job those that have already got
     furthest. Items that can't be done in time any more come after all that
-    can: they are late whenever they run.
+    can: they are late whenever they run. Whatever gives way goes by the same
+    order, so that the most urgent items run through and the others wait, in
+    place of all of them sharing the slots and ending late together.
     """
 
     def rank(item):
         manifest = item.job.manifest
-        left = (item.item.tokens or 1) * seconds_per_token
+        left = item.estimate_left(seconds_per_token)
         is_late = now + left > manifest.due_at
         return (is_late, manifest.due_at, manifest.job_id, -len(item.pieces))
 
--- a/mangogauge/placement/room.py
+++ b/mangogauge/placement/room.py
@@ -2,8 +2,8 @@
 
 The load this answers: online traffic that rises to several times its least
 within seconds, at endpoints that run whatever came first. Items take all that is
-free; as online requests come, the newest items are broken off, to go on later
-where they stopped. A request that finds an endpoint full waits for that no longer
+free; as online requests come, items are broken off, to go on later where they
+stopped. A request that finds an endpoint full waits for that no longer
 than a report between hosts takes, well within its objective.
 """
 
