Bound the log's volume and never wait for its reader; fewer runs for crashing items

Cause: a host wrote its log by blocking writes, so a reader that stops would hold up requests; an item that crashes whatever runs it was tried every 8 s.

--- a/mangogauge/jobs/owned.py
+++ b/mangogauge/jobs/owned.py
@@ -9,8 +9,10 @@
 __all__ = ["OwnedItem", "OwnedJob"]
 
 FIRST_BACKOFF_SECONDS = 0.1
-LONGEST_BACKOFF_SECONDS = 8.0
-BACKOFF_GROWTH = 2.0
+# An item that ends each run without any event may be crashing its endpoints: it
+# gets a handful of runs until it is given up.
+LONGEST_BACKOFF_SECONDS = 40.0
+BACKOFF_GROWTH = 2.5
 # An item that has so many events is taken to need half of its time still.
 EVENTS_HALVING = 100
 
--- a/mangogauge/platform/__main__.py
+++ b/mangogauge/platform/__main__.py
@@ -6,7 +6,7 @@
 from ..daemon.serving import ServingBackends, run_host
 from ..settings.problems import SettingsError
 from ..settings.serving import read_serving
-from ..telemetry import ServingMetrics, configure_logs
+from ..telemetry import BoundedStreamHandler, ServingMetrics, configure_logs
 from . import (
     PlatformCallers,
     PlatformEndpoints,
@@ -30,14 +30,15 @@
     except SettingsError as error:
         print(error, file=sys.stderr)
         sys.exit(USAGE_EXIT)
+    metrics = ServingMetrics()
+    handler = BoundedStreamHandler(sys.stdout.fileno(), metrics.lines_dropped.inc)
     configure_logs(
-        stream=sys.stdout, host=settings.name, data_centre=settings.data_centre
+        handler=handler, host=settings.name, data_centre=settings.data_centre
     )
-    run_host(settings, _make_backends(settings))
+    run_host(settings, _make_backends(settings, metrics))
 
 
-def _make_backends(settings):
-    metrics = ServingMetrics()
+def _make_backends(settings, metrics):
     store = PlatformStore(settings.store.address, on_call=metrics.note_store_call)
     return ServingBackends(
         store=store,
--- a/mangogauge/telemetry/__init__.py
+++ b/mangogauge/telemetry/__init__.py
@@ -3,5 +3,12 @@
 from .logs import configure_logs, get_logger
 from .metrics import HostMetrics
 from .serving import ServingMetrics
+from .stream import BoundedStreamHandler
 
-__all__ = ["HostMetrics", "ServingMetrics", "configure_logs", "get_logger"]
+__all__ = [
+    "BoundedStreamHandler",
+    "HostMetrics",
+    "ServingMetrics",
+    "configure_logs",
+    "get_logger",
+]
--- a/mangogauge/telemetry/logs.py
+++ b/mangogauge/telemetry/logs.py
@@ -13,18 +13,18 @@
 LOGGERS = {"mangogauge": logging.NOTSET, "curio": logging.ERROR}
 
 
-def configure_logs(level="INFO", stream=None, **fields):
+def configure_logs(level="INFO", handler=None, **fields):
     """Write logs as JSON lines.
 
     Parameters
     ----------
     level : str, optional
-    stream : file, optional
-        Where to write; standard error if absent.
+    handler : logging.Handler, optional
+        Writes the lines; to standard error if absent.
     **fields
         Put into each line, such as ``host`` and ``data_centre``.
     """
-    handler = logging.StreamHandler(stream or sys.stderr)
+    handler = handler or logging.StreamHandler(sys.stderr)
     handler.setFormatter(JsonFormatter(LINE_FORMAT, static_fields=fields))
     for name, least in LOGGERS.items():
         logger = logging.getLogger(name)
