Put endpoints in doubt that may be behind the same cut; read results by one call

Cause: behind a cut a request met one unreachable endpoint after another, 0.2 s each, and so came late; a waiting reader cost two calls, a range and a watch. Change: while any endpoint is unreachable, those that have not answered since come last and are probed in the background; a reader that has read before waits for changes after its last read in one call; calls are counted by name, not by lease; a summary line every 10 s.

--- /dev/null
+++ b/features/steps/health.py
@@ -0,0 +1,97 @@
+"""Steps of endpoints that can't be reached."""
+
+import random
+
+from behave import given, then, when
+
+from features.builders.fleet import SERVICE, make_endpoint
+from mangogauge.clock import ManualClock
+from mangogauge.placement import EndpointChooser, EndpointHealth
+from mangogauge.sharing import LoadBoard
+
+
+class FixedDirectory:
+    """Endpoints that neither come nor go."""
+
+    def __init__(self, endpoints):
+        self._endpoints = endpoints
+
+    def list_endpoints(self):
+        return self._endpoints
+
+
+@given('endpoints "{near}" here, and "{far}" in another data centre')
+def make_endpoints(context, near, far):
+    context.clock = ManualClock()
+    context.health = EndpointHealth(context.clock)
+    context.board = LoadBoard("h1", "1", context.clock)
+    endpoints = [make_endpoint(near)]
+    endpoints += [make_endpoint(name, data_centre="b") for name in far.split(", ")]
+    context.names = [endpoint.name for endpoint in endpoints]
+    context.chooser = EndpointChooser(
+        FixedDirectory(endpoints), context.board, context.health, "a", random.Random(1)
+    )
+
+
+def choose(context):
+    context.clock.advance(0.01)
+    return context.chooser.choose(SERVICE).name
+
+
+@when('"{names}" takes no connection')
+@when('"{names}" take no connection')
+def lose(context, names):
+    context.clock.advance(0.01)
+    for name in names.split(", "):
+        context.health.note_unreachable(name)
+
+
+@when('"{name}" takes a connection again')
+def regain(context, name):
+    context.clock.advance(0.01)
+    context.health.note_reachable(name)
+
+
+@when('"{name}" answers')
+def answer(context, name):
+    context.clock.advance(0.01)
+    context.health.note_answer(name)
+
+
+@when("all endpoints answer")
+def answer_all(context):
+    for name in context.names:
+        answer(context, name)
+
+
+@when('"{name}" is busier than all others')
+def make_busy(context, name):
+    for _ in range(4):
+        context.board.begin(name)
+
+
+@then('no request goes to "{name}" within {seconds:d} s')
+def check_never(context, name, seconds):
+    for _ in range(seconds * 10):
+        context.clock.advance(0.1)
+        assert choose(context) != name
+
+
+@then('requests go to "{name}"')
+def check_some(context, name):
+    assert choose(context) == name
+
+
+@then('the next request goes to "{name}"')
+def check_next(context, name):
+    assert choose(context) == name
+
+
+@then('the next request doesn\'t go to "{name}"')
+def check_other(context, name):
+    assert choose(context) != name
+
+
+@then("the next request goes to some endpoint")
+def check_any(context):
+    assert choose(context) in context.names
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -57,6 +57,7 @@
 # How long an endpoint may take to accept a connection: a request still starts
 # within its objective at the next one.
 CONNECT_SECONDS = 0.2
+SUMMARY_SECONDS = 10.0
 PUMP_SECONDS = 0.02
 IDLE_MARGIN = 1.2
 # Part of the time to drain after which connections are no longer awaited.
@@ -294,6 +295,7 @@
             await group.spawn(self.exchange.run)
             await group.spawn(self._pump)
             await group.spawn(self.prober.run)
+            await group.spawn(self._summarize)
             for keeper in self.keepers:
                 await group.spawn(keeper.run)
             await group.spawn(self._drain)
@@ -316,6 +318,23 @@
         await self.registration.leave()
         log.info("drained", extra={"step": "drain"})
 
+    async def _summarize(self):
+        """Log now and then how the host stands."""
+        while True:
+            await curio.sleep(SUMMARY_SECONDS)
+            log.info(
+                "summary",
+                extra={
+                    "ready": self.ready,
+                    "configuration": self.state.version,
+                    "endpoints": len(self.directory.list_endpoints()),
+                    "hosts_heard": len(self.board.list_heard()),
+                    "waiting": len(self.slots),
+                    "items_waiting": self.board.items_waiting,
+                    "store_calls": self.metrics.take_store_calls(),
+                },
+            )
+
     async def _drain_callers(self):
         """Serve on until the balancer has noticed, then finish what came."""
         self.callers.start_close()
--- a/mangogauge/jobs/reading.py
+++ b/mangogauge/jobs/reading.py
@@ -11,6 +11,7 @@
 from returns.result import Failure
 
 from ..refusals import Refusal, RefusalCode
+from ..store import StoreCompactedError
 from .keys import (
     ENDED,
     make_input_key,
@@ -36,6 +37,7 @@
     results = field(factory=list)
     last_key = field(default="")
     text_bytes = field(default=0)
+    revision = field(default=None)
 
     @property
     def is_complete(self):
@@ -81,9 +83,10 @@
         job = await self._find(job_id, account)
         if position < len(job.results) or job.is_complete:
             return job.manifest, job.results[position:]
-        revision = await self._read_more(job)
-        if position >= len(job.results) and wait_seconds > 0 and not job.is_complete:
-            await self._wait_for_more(job, revision, wait_seconds)
+        if job.revision is None or not wait_seconds:
+            await self._read_more(job)
+        if position >= len(job.results) and wait_seconds and not job.is_complete:
+            await self._wait_for_more(job, wait_seconds)
         return job.manifest, job.results[position:]
 
     async def read_body(self, job_id, account, item_id):
@@ -123,23 +126,27 @@
         return job
 
     async def _read_more(self, job):
-        """Read results beyond those known; return the store's revision."""
+        """Read results beyond those known."""
         prefix = make_results_prefix(job.manifest.job_id)
         answer = await self._feed.read_snapshot(prefix, job.last_key)
         if isinstance(answer, Failure):
             raise _refuse_unread(answer.failure())
         snapshot = answer.unwrap()
         self._add(job, snapshot.items)
-        return snapshot.revision
+        job.revision = snapshot.revision
 
-    async def _wait_for_more(self, job, revision, wait_seconds):
+    async def _wait_for_more(self, job, wait_seconds):
+        """Wait for results written since the last read, in one call."""
         prefix = make_results_prefix(job.manifest.job_id)
-        answer = await self._feed.read_changes(prefix, revision, wait_seconds)
+        answer = await self._feed.read_changes(prefix, job.revision, wait_seconds)
         if isinstance(answer, Failure):
-            # What was read before is still true: there were no more results.
+            if not isinstance(answer.failure(), StoreCompactedError):
+                raise _refuse_unread(answer.failure())
+            await self._read_more(job)
             return
-        events = [e for e in answer.unwrap().events if e.value is not None]
-        self._add(job, events)
+        changes = answer.unwrap()
+        self._add(job, [e for e in changes.events if e.value is not None])
+        job.revision = changes.revision
 
     def _add(self, job, items):
         for item in items:
--- a/mangogauge/placement/choice.py
+++ b/mangogauge/placement/choice.py
@@ -83,4 +83,5 @@
         counted = load.online if is_full else load.total
         distance = endpoint.data_centre != self._data_centre
         ratio = (counted + 1) / endpoint.slots
-        return (is_full, ratio, distance, self._random.random())
+        is_doubtful = self._health.is_doubtful(endpoint.name)
+        return (is_doubtful, is_full, ratio, distance, self._random.random())
--- a/mangogauge/placement/health.py
+++ b/mangogauge/placement/health.py
@@ -4,7 +4,8 @@
 while requests go on arriving. Each failure shuns an endpoint for a while, and
 each further one in a row for longer; one answer clears it. One that takes no
 connections is shunned until it takes one again, which is tried in the background,
-so that no request has to find out.
+so that no request has to find out. While any endpoint is unreachable, those that have
+not answered since are in doubt: the same cut may lie before them.
 """
 
 from attrs import define, field
@@ -48,10 +49,13 @@
     def __init__(self, clock):
         self._clock = clock
         self._records = {}
+        self._answered_at = {}
+        self._trouble_since = None
 
     def note_answer(self, name):
         """Note that an endpoint answered."""
         self._records.pop(name, None)
+        self._confirm(name)
 
     def note_failure(self, name):
         """Note that an endpoint could not be reached, or fell silent."""
@@ -66,6 +70,8 @@
 
     def note_unreachable(self, name):
         """Note that an endpoint took no connection."""
+        if self._trouble_since is None:
+            self._trouble_since = self._clock.read_elapsed()
         self._records.setdefault(name, _Record()).unreachable = True
 
     def note_reachable(self, name):
@@ -73,6 +79,13 @@
         record = self._records.get(name)
         if record is not None:
             record.unreachable = False
+        self._confirm(name)
+
+    def is_doubtful(self, name):
+        """Return whether an endpoint may be behind the same cut as another."""
+        if self._trouble_since is None:
+            return False
+        return self._answered_at.get(name, float("-inf")) < self._trouble_since
 
     def list_unreachable(self):
         """Return the names of endpoints that took no connection lately."""
@@ -91,7 +104,16 @@
         """Return the names of shunned endpoints."""
         return [name for name in self._records if self.is_shunned(name)]
 
-    def keep_only(self, names):
-        """Forget endpoints that are not among `names`."""
-        for name in [n for n in self._records if n not in names]:
-            del self._records[name]
+    def forget(self, name):
+        """Forget an endpoint that is gone."""
+        self._records.pop(name, None)
+        self._answered_at.pop(name, None)
+        self._end_trouble()
+
+    def _confirm(self, name):
+        self._answered_at[name] = self._clock.read_elapsed()
+        self._end_trouble()
+
+    def _end_trouble(self):
+        if not self.list_unreachable():
+            self._trouble_since = None
--- a/mangogauge/placement/prober.py
+++ b/mangogauge/placement/prober.py
@@ -7,14 +7,14 @@
 
 __all__ = ["ReachabilityProber"]
 
-INTERVAL_SECONDS = 0.3
+INTERVAL_SECONDS = 0.15
 CONNECT_SECONDS = 0.2
 
 log = get_logger("prober")
 
 
 class ReachabilityProber:
-    """Tries to connect to endpoints that took no connection.
+    """Tries to connect to endpoints that took no connection, or are in doubt.
 
     Parameters
     ----------
@@ -31,19 +31,24 @@
         while True:
             await curio.sleep(INTERVAL_SECONDS)
             names = self._health.list_unreachable()
+            if not names:
+                continue
+            known = [e.name for e in self._directory.list_endpoints()]
+            names += [n for n in known if self._health.is_doubtful(n)]
             async with curio.TaskGroup() as group:
-                for name in names:
+                for name in dict.fromkeys(names):
                     await group.spawn(self._probe, name)
 
     async def _probe(self, name):
         endpoint = self._directory.get(name)
         if endpoint is None:
-            self._health.note_answer(name)
+            self._health.forget(name)
             return
         try:
             connection = await ClientConnection.open(endpoint.address, CONNECT_SECONDS)
         except HTTPConnectError:
+            self._health.note_unreachable(name)
             return
         await connection.close()
         self._health.note_reachable(name)
-        log.info("endpoint reachable again", extra={"endpoint": name})
+        log.info("endpoint reachable", extra={"endpoint": name})
--- a/mangogauge/platform/store.py
+++ b/mangogauge/platform/store.py
@@ -163,7 +163,8 @@
 
     async def _call(self, method, path, expected, body=None, timeout=None):
         """Return ``Success(_Answer)`` with one of the `expected` statuses."""
-        step = path.partition("?")[0]
+        # Without the query and the id of a lease: one name for each call.
+        step = "/".join(path.partition("?")[0].split("/")[:3])
         data = b"" if body is None else orjson.dumps(body)
         try:
             async with curio.timeout_after(timeout or self._timeout):
--- a/mangogauge/telemetry/serving.py
+++ b/mangogauge/telemetry/serving.py
@@ -1,12 +1,8 @@
 """Metrics of a host that serves a fleet from the platform's store."""
 
-from prometheus_client import (
-    CollectorRegistry,
-    Counter,
-    Gauge,
-    Histogram,
-    generate_latest,
-)
+from collections import Counter
+
+import prometheus_client as prometheus
 
 from .metrics import LATENCY_BUCKETS
 
@@ -22,7 +18,8 @@
     """
 
     def __init__(self):
-        self.registry = CollectorRegistry()
+        self.registry = prometheus.CollectorRegistry()
+        self._calls = Counter()
         self.requests = self._count(
             "requests", "Requests by outcome.", "route", "outcome"
         )
@@ -52,20 +49,28 @@
 
     def render(self):
         """Return the text that Prometheus reads, as bytes."""
-        return generate_latest(self.registry)
+        return prometheus.generate_latest(self.registry)
 
     def note_store_call(self, call, status):
         """Count a call to the store."""
         self.store_calls.labels(call, str(status)).inc()
+        self._calls[call] += 1
+
+    def take_store_calls(self):
+        """Return ``{call: int}``: calls since the last time this was asked."""
+        calls, self._calls = self._calls, Counter()
+        return dict(calls)
 
     def _count(self, name, text, *labels):
-        return Counter(f"mangogauge_{name}", text, labels, registry=self.registry)
+        return prometheus.Counter(
+            f"mangogauge_{name}", text, labels, registry=self.registry
+        )
 
     def _gauge(self, name, text):
-        return Gauge(f"mangogauge_{name}", text, registry=self.registry)
+        return prometheus.Gauge(f"mangogauge_{name}", text, registry=self.registry)
 
     def _time(self, name, text, *labels):
-        return Histogram(
+        return prometheus.Histogram(
             f"mangogauge_{name}",
             text,
             labels,
