Read settings again on SIGHUP; keep the platform's names in its folder by a check

Change: SIGHUP or a changed file puts what can change in force and keeps the good settings if the new ones are wrong; running, backends and liveness are modules of their own; SectionReader reads the file for both. A feature looks for the platform's words outside mangogauge/platform and counts its lines.

--- a/features/platform/online.feature
+++ b/features/platform/online.feature
@@ -116,3 +116,9 @@
     When "desk" asks "h1" for "/ask/1" with 150 events, and "h1" is told to end
     Then the answer is the endpoint's own, with 150 events
     And "h1" said that it is not ready, and ended by itself
+
+  Scenario: A host reads its settings again without ending, and keeps the good ones
+    When "h1" gets SIGHUP, and then settings that are wrong
+    Then "h1" logs "settings reloaded" and then "settings not reloaded"
+    When "desk" asks "h1" 10 times for "/ask/1"
+    Then all were answered whole
--- a/features/steps/platform.py
+++ b/features/steps/platform.py
@@ -4,12 +4,33 @@
 import signal
 import threading
 import time
+from pathlib import Path
 
 from behave import given, then, when
 
 from features.builders import wait_until
 from features.builders.platform import PlatformDeployment
 
+ROOT = Path(__file__).resolve().parents[2]
+# Names that mean nothing but in the users' platform.
+PLATFORM_WORDS = (
+    "X-Server-Stamp",
+    "X-Expect-Instance",
+    "X-Not-Run",
+    "X-Tenant",
+    "X-Api-Key",
+    "X-Wait-Ms",
+    "/api/",
+    "kv-txn",
+    "kv-lease",
+    '"slo_ms"',
+    '"can_resume"',
+    '"rate_per_s"',
+    '"max_wait_s"',
+    "op/config",
+    "servers/",
+    "MANGOGAUGE_SETTINGS",
+)
 READ_SECONDS = 40
 SUBMIT_SECONDS = 30
 
@@ -552,3 +573,41 @@
 @then("each was refused by {status:d}")
 def check_statuses(context, status):
     assert set(context.statuses) == {status}, context.statuses
+
+
+@when('"{name}" gets SIGHUP, and then settings that are wrong')
+def reload_settings(context, name):
+    process = context.world.processes[name]
+    os.kill(process.pid, signal.SIGHUP)
+    wait_until(lambda: "settings reloaded" in process.read_log(), "reloaded")
+    text = process.settings.read_text()
+    process.settings.write_text(text.replace("[store]", "[stor]"))
+
+
+@then('"{name}" logs "{first}" and then "{second}"')
+def check_log(context, name, first, second):
+    process = context.world.processes[name]
+    wait_until(lambda: second in process.read_log(), second)
+    log = process.read_log()
+    assert log.index(first) < log.index(second)
+
+
+@then('the words that only the platform uses stand in "{folder}" alone')
+def check_boundary(context, folder):
+    found = []
+    for path in sorted((ROOT / "mangogauge").rglob("*.py")):
+        if path.is_relative_to(ROOT / folder):
+            continue
+        text = path.read_text()
+        found += [(path.name, word) for word in PLATFORM_WORDS if word in text]
+    assert not found, found
+
+
+@then("the adapter has at most a twentieth of the product's lines")
+def check_size(context):
+    def count(folder):
+        files = (ROOT / folder).rglob("*.py")
+        return sum(len(path.read_text().splitlines()) for path in files)
+
+    adapter, product = count("mangogauge/platform"), count("mangogauge")
+    assert adapter * 20 <= product, f"{adapter} of {product} lines"
--- /dev/null
+++ b/mangogauge/daemon/backends.py
@@ -0,0 +1,29 @@
+"""What a host that serves a fleet talks to."""
+
+from attrs import field, frozen
+
+__all__ = ["ServingBackends"]
+
+
+@frozen
+class ServingBackends:
+    """What a host talks to, and how.
+
+    Parameters
+    ----------
+    store : Store
+    feed : ChangeFeed
+    source : FleetSource
+    callers : CallerDialect
+    endpoints : EndpointDialect
+    jobs : JobDialect
+    metrics : ServingMetrics
+    """
+
+    store = field()
+    feed = field()
+    source = field()
+    callers = field()
+    endpoints = field()
+    jobs = field()
+    metrics = field()
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -1,11 +1,10 @@
 """One host that serves a fleet from the platform's store: its parts and its life."""
 
-import os
 import random
 import uuid
 
 import curio
-from attrs import field, frozen
+from attrs import evolve
 
 from ..clock import SystemClock
 from ..entry import EndpointAttempt, FleetFront, OnlineDispatcher
@@ -43,9 +42,8 @@
 from ..routing import RetryBudgets, RetryPolicy
 from ..sharing import LoadBoard, ReportExchange, SharedFreshness, SharedQuota
 from ..telemetry import get_logger
-from .signals import EndSignals
 
-__all__ = ["ServingBackends", "ServingHost", "run_host"]
+__all__ = ["ServingHost"]
 
 # How old a copy of the operators' orders and of the endpoints' entries may grow
 # before some host reads them again.
@@ -58,6 +56,16 @@
 # within its objective at the next one.
 CONNECT_SECONDS = 0.2
 SUMMARY_SECONDS = 10.0
+FIXED_SETTINGS = (
+    "name",
+    "data_centre",
+    "address",
+    "callers_address",
+    "readiness_address",
+    "metrics_port",
+    "runs_batch",
+    "store",
+)
 PUMP_SECONDS = 0.02
 IDLE_MARGIN = 1.2
 # Part of the time to drain after which connections are no longer awaited.
@@ -68,30 +76,6 @@
 log = get_logger("host")
 
 
-@frozen
-class ServingBackends:
-    """What a host talks to, and how.
-
-    Parameters
-    ----------
-    store : Store
-    feed : ChangeFeed
-    source : FleetSource
-    callers : CallerDialect
-    endpoints : EndpointDialect
-    jobs : JobDialect
-    metrics : ServingMetrics
-    """
-
-    store = field()
-    feed = field()
-    source = field()
-    callers = field()
-    endpoints = field()
-    jobs = field()
-    metrics = field()
-
-
 class ServingHost:
     """A host.
 
@@ -302,6 +286,28 @@
         if group.exception is not None:
             raise group.exception
 
+    def take_settings(self, settings):
+        """Put newer settings in force, as far as a running host can.
+
+        Notes
+        -----
+        Addresses, ports and the store stay as they are until the process is
+        started again.
+        """
+        fixed = [
+            name
+            for name in FIXED_SETTINGS
+            if getattr(settings, name) != getattr(self.settings, name)
+        ]
+        if fixed:
+            log.warning("settings need a restart", extra={"settings": fixed})
+        self.settings = evolve(
+            self.settings,
+            drain_seconds=settings.drain_seconds,
+            status_seconds=settings.status_seconds,
+        )
+        log.info("settings reloaded", extra={"drain": settings.drain_seconds})
+
     async def start_drain(self):
         """Begin to end without cutting off any request."""
         self.draining = True
@@ -385,27 +391,3 @@
     async def _show_metrics(self, exchange):
         headers = Headers([("Content-Type", "text/plain; version=0.0.4")])
         await exchange.respond(200, headers, self.metrics.render())
-
-
-def run_host(settings, backends):
-    """Run one host until it is told to end."""
-    log.info("starting", extra={"pid": os.getpid()})
-    curio.run(_run, settings, backends)
-    log.info("ended", extra={"pid": os.getpid()})
-
-
-async def _run(settings, backends):
-    host = ServingHost(settings, backends)
-    signals = EndSignals()
-    async with curio.TaskGroup(wait=any) as group:
-        await group.spawn(host.run)
-        await group.spawn(_drain_on_signal, signals, host)
-    if group.exception is not None:
-        raise group.exception
-
-
-async def _drain_on_signal(signals, host):
-    """Drain at the first signal, return at the second."""
-    await signals.wait(1)
-    await host.start_drain()
-    await signals.wait(2)
--- a/mangogauge/entry/front.py
+++ b/mangogauge/entry/front.py
@@ -20,7 +20,7 @@
 log = get_logger("front")
 
 
-class _Account:
+class _Note:
     """What is known of a request so far, for its log line."""
 
     def __init__(self):
@@ -60,7 +60,7 @@
     async def handle(self, exchange):
         """Serve one request."""
         started = self._clock.read_elapsed()
-        note = _Account()
+        note = _Note()
         try:
             await self._serve(exchange, note, started)
         except Refusal as refusal:
--- a/mangogauge/http/client.py
+++ b/mangogauge/http/client.py
@@ -1,6 +1,5 @@
 """HTTP/1.1 client: pooled connections and streamed answers."""
 
-import re
 import select
 import time
 
@@ -10,24 +9,17 @@
 
 from .errors import HTTPConnectError, HTTPReceiveError, HTTPSendError
 from .headers import Headers
+from .liveness import detect_dead_peer, read_idle_seconds
 
 __all__ = [
     "ClientConnection",
     "ClientPool",
     "ClientResponse",
-    "detect_dead_peer",
     "open_response",
 ]
 
 READ_SIZE_BYTES = 65_536
 IDLE_PER_ADDRESS = 64
-# How long before the server's own time-out an idle connection is given up.
-IDLE_MARGIN_SECONDS = 0.75
-IDLE_SECONDS = 30.0
-KEEP_ALIVE_IDLE_SECONDS = 2
-KEEP_ALIVE_PROBES = 2
-SILENCE_MILLISECONDS = 4000
-KEEP_ALIVE_PATTERN = re.compile(r"timeout=(\d+)")
 # A body beyond this may fill the server's window, so that it is sent while the
 # answer is awaited: a server may answer before it has read it.
 EAGER_BODY_BYTES = 32_768
@@ -163,7 +155,7 @@
             return False
         self._sending = None
         self._idle_since = time.monotonic()
-        self._idle_until = self._idle_since + _read_idle_seconds(headers)
+        self._idle_until = self._idle_since + read_idle_seconds(headers)
         self._h11.start_next_cycle()
         return True
 
@@ -362,26 +354,6 @@
         await connection.close()
 
 
-def detect_dead_peer(sock):
-    """Have the kernel end a connection whose other side has gone silent."""
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_SECONDS)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_IDLE_SECONDS)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_MILLISECONDS)
-
-
-def _read_idle_seconds(headers):
-    """Return how long an idle connection may be kept, by the server's words."""
-    if (headers.get("connection") or "").lower() == "close":
-        return 0.0
-    stated = KEEP_ALIVE_PATTERN.search(headers.get("keep-alive") or "")
-    if stated is None:
-        return IDLE_SECONDS
-    return min(IDLE_SECONDS, int(stated[1]) - IDLE_MARGIN_SECONDS)
-
-
 async def _connect(host, port, tls):
     if tls is not None:
         return await curio.open_connection(host, port, ssl=tls, server_hostname=host)
--- a/mangogauge/http/server.py
+++ b/mangogauge/http/server.py
@@ -9,9 +9,9 @@
 from curio import socket
 
 from ..telemetry import get_logger
-from .client import detect_dead_peer
 from .connection import ServerConnection
 from .limits import ServerLimits
+from .liveness import detect_dead_peer
 
 __all__ = ["HTTPServer"]
 
--- a/mangogauge/platform/__main__.py
+++ b/mangogauge/platform/__main__.py
@@ -3,7 +3,8 @@
 import os
 import sys
 
-from ..daemon.serving import ServingBackends, run_host
+from ..daemon.backends import ServingBackends
+from ..daemon.running import run_host
 from ..settings.problems import SettingsError
 from ..settings.serving import read_serving
 from ..telemetry import BoundedStreamHandler, ServingMetrics, configure_logs
@@ -35,7 +36,7 @@
     configure_logs(
         handler=handler, host=settings.name, data_centre=settings.data_centre
     )
-    run_host(settings, _make_backends(settings, metrics))
+    run_host(path, settings, _make_backends(settings, metrics))
 
 
 def _make_backends(settings, metrics):
--- a/mangogauge/settings/host.py
+++ b/mangogauge/settings/host.py
@@ -8,7 +8,7 @@
 from ..tls import HTTP_PROTOCOL, CertificateFiles
 from .kinds import AddressKind, IntegerKind, ListKind, NameKind, NumberKind, TextKind
 from .problems import Problem, SettingsError
-from .sections import SectionReader, make_option, parse_text
+from .sections import SectionReader, make_option
 
 __all__ = [
     "CallerSettings",
@@ -173,17 +173,9 @@
         With every mistake in it.
     """
     file = str(path)
-    try:
-        text = Path(path).read_text("utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        problem = Problem(file, read=str(error), allowed="a UTF-8 file to be read")
-        raise SettingsError([problem]) from error
     problems = []
-    sections = parse_text(text, file, problems)
     reader = SectionReader(problems)
-    for section in sections:
-        if section not in SECTIONS:
-            reader.check_section(file, section, SECTIONS)
+    sections = reader.read_file(path, SECTIONS)
     values = {
         name: reader.read_values(name, sections.get(name, {}), cls, file)
         for name, cls in SECTIONS.items()
--- a/mangogauge/settings/sections.py
+++ b/mangogauge/settings/sections.py
@@ -2,10 +2,11 @@
 
 import configparser
 import difflib
+from pathlib import Path
 
 from attrs import NOTHING, field, fields, frozen
 
-from .problems import Problem
+from .problems import Problem, SettingsError
 
 __all__ = ["OptionText", "SectionReader", "make_option", "parse_text", "suggest_name"]
 
@@ -64,6 +65,26 @@
     def __init__(self, problems):
         self._problems = problems
 
+    def read_file(self, path, known):
+        """Return the sections of a file; note those that are not `known`.
+
+        Raises
+        ------
+        SettingsError
+            If the file can't be read at all.
+        """
+        file = str(path)
+        try:
+            text = Path(path).read_text("utf-8")
+        except (OSError, UnicodeDecodeError) as error:
+            problem = Problem(file, read=str(error), allowed="a UTF-8 file to be read")
+            raise SettingsError([problem]) from error
+        sections = parse_text(text, file, self._problems)
+        for section in sections:
+            if section not in known:
+                self.check_section(file, section, known)
+        return sections
+
     def read(self, section, options, cls, file, **given):
         """Return an instance of `cls`, or None if there are mistakes.
 
--- a/mangogauge/settings/serving.py
+++ b/mangogauge/settings/serving.py
@@ -1,12 +1,10 @@
 """Settings of one host that serves a fleet from the platform's store."""
 
-from pathlib import Path
-
 from attrs import field, frozen
 
 from .kinds import AddressKind, FlagKind, IntegerKind, NameKind, NumberKind, TextKind
-from .problems import Problem, SettingsError
-from .sections import SectionReader, make_option, parse_text
+from .problems import SettingsError
+from .sections import SectionReader, make_option
 
 __all__ = ["ServingSettings", "StoreSettings", "read_serving"]
 
@@ -86,17 +84,9 @@
         With every mistake in it.
     """
     file = str(path)
-    try:
-        text = Path(path).read_text("utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        problem = Problem(file, read=str(error), allowed="a UTF-8 file to be read")
-        raise SettingsError([problem]) from error
     problems = []
-    sections = parse_text(text, file, problems)
     reader = SectionReader(problems)
-    for section in sections:
-        if section not in SECTIONS:
-            reader.check_section(file, section, SECTIONS)
+    sections = reader.read_file(path, SECTIONS)
     store = reader.read("store", sections.get("store", {}), StoreSettings, file)
     host = reader.read(
         "host", sections.get("host", {}), ServingSettings, file, store=store
