mangogauge explain: from a request's id to its cause

Cause: on-call engineers have only logs; joining the lines of all hosts by hand is slow. Change: a command that reads the logs of all hosts, names the cause in its first line and lists setbacks and lines in order of time. Hosts do not load it.

--- a/features/steps/platform.py
+++ b/features/steps/platform.py
@@ -2,6 +2,8 @@
 
 import os
 import signal
+import subprocess
+import sys
 import threading
 import time
 from pathlib import Path
@@ -32,6 +34,7 @@
     "MANGOGAUGE_SETTINGS",
 )
 READ_SECONDS = 40
+EXPLAIN_SECONDS = 20
 SUBMIT_SECONDS = 30
 
 
@@ -611,3 +614,23 @@
 
     adapter, product = count("mangogauge/platform"), count("mangogauge")
     assert adapter * 20 <= product, f"{adapter} of {product} lines"
+
+
+@then('"mangogauge explain" says of "{request_id}" that "{text}"')
+def check_explanation(context, request_id, text):
+    context.explanation = ""
+    hosts = context.deployment.hosts
+    logs = [context.world.processes[name].log_path for name in hosts]
+
+    def is_explained():
+        command = [sys.executable, "-m", "mangogauge", "explain", request_id, *logs]
+        done = subprocess.run(command, capture_output=True, text=True, timeout=60)
+        context.explanation = done.stdout
+        return text in done.stdout.partition("\n")[0]
+
+    wait_until(is_explained, f"{text}: {context.explanation}", EXPLAIN_SECONDS)
+
+
+@then("it names the attempt that failed")
+def check_attempt(context):
+    assert "attempt 1 at e" in context.explanation, context.explanation
--- a/mangogauge/commands/application.py
+++ b/mangogauge/commands/application.py
@@ -5,6 +5,7 @@
 from . import configuration, jobs, keys, load, report, roster, serve, standin, state
 from .demo import demo
 from .exits import EXIT_HELP
+from .explain import explain
 
 __all__ = ["app", "main"]
 
@@ -21,6 +22,7 @@
 app.command(state.endpoints)
 app.command(roster.app)
 app.command(demo)
+app.command(explain)
 app.command(standin.app)
 app.command(load.load)
 app.command(report.app)
