A job that is closed while its claim fails no longer ends the host

Two other removals (a job dropped by one task while another commits it) had the same form. Change: the id is taken before the store is asked; removals bear that the other task was first. Figures: features/jobs/claims, the new scenario fails with the line as it was and passes now.

--- a/features/jobs/claims.feature
+++ b/features/jobs/claims.feature
@@ -72,3 +72,9 @@
     And "desk" gets the body of item 1
     When "j1" is ended by its caller
     Then "desk" is told that item 1 is not there
+
+  # Found by a hunt of yardimeli-mg (journal a7f7328e): the host ended by itself.
+  Scenario: A job is closed while a host's claim on it fails
+    Given a runner whose claims fail, each after the job's entry is closed
+    When it looks for jobs to claim
+    Then it goes on, and has claimed nothing
--- a/features/steps/jobs.py
+++ b/features/steps/jobs.py
@@ -9,8 +9,20 @@
 from features.builders.fleet import make_route, make_submission
 from features.machines.stores import Fate, LossyStore
 from mangogauge.clock import ManualClock
-from mangogauge.fleet import FleetMember, Registration, RouteNature
-from mangogauge.jobs import ItemState, JobAcceptance, JobReader, WorkBoard
+from mangogauge.fleet import (
+    FleetMember,
+    FleetState,
+    MemberDirectory,
+    Registration,
+    RouteNature,
+)
+from mangogauge.jobs import (
+    ItemState,
+    JobAcceptance,
+    JobReader,
+    JobRunner,
+    WorkBoard,
+)
 from mangogauge.jobs.claims import JobClaims
 from mangogauge.jobs.keys import (
     ENDED,
@@ -431,3 +443,51 @@
         assert refusal.status == 404
     else:
         raise AssertionError("the body was shown")
+
+
+class ClosingClaims:
+    """Claims that fail, and whose jobs are closed meanwhile."""
+
+    claimant = "first#1"
+
+    def __init__(self):
+        self.tried = 0
+
+    async def claim(self, entry):
+        self.tried += 1
+        await curio.sleep(0)
+        for other in self.entries:
+            other.opened = None
+        return Failure(StoreUnavailableError("away", step="claim"))
+
+
+@given("a runner whose claims fail, each after the job's entry is closed")
+def make_closing_runner(context):
+    take_job(context, "first", "j2", 2)
+    board = read_work(context)
+    claims = context.claims = ClosingClaims()
+    claims.entries = board.list_unclaimed()
+    assert len(claims.entries) == 2
+    context.runner = make_runner(context, board, claims)
+
+
+def make_runner(context, board, claims):
+    """Return a runner of which only the claiming is used."""
+    own = FleetMember("first", "1", runs_batch=True)
+    members = MemberDirectory(own, context.clock)
+    state = FleetState(None, members, None)
+    return JobRunner(
+        "first", state, board, claims, None, None, None, None, None, context.clock, None
+    )
+
+
+@when("it looks for jobs to claim")
+def look_for_jobs(context):
+    context.clock.advance(10)
+    run(context.runner.claim_once)
+
+
+@then("it goes on, and has claimed nothing")
+def check_nothing_claimed(context):
+    assert context.claims.tried == 1, context.claims.tried
+    assert not context.runner.waiting
--- a/mangogauge/jobs/claims.py
+++ b/mangogauge/jobs/claims.py
@@ -258,6 +258,6 @@
         return Success(False)
 
     def _settle(self, job, commit):
-        del self._commits[job.job_id]
+        self._commits.pop(job.job_id, None)
         job.position = commit.position + len(commit.results)
         job.finished = job.finished[len(commit.results) :]
--- a/mangogauge/jobs/runner.py
+++ b/mangogauge/jobs/runner.py
@@ -108,21 +108,24 @@
         for job in list(self._jobs.values()):
             await self._commit(job)
             if job.job_id in self._jobs:
-                del self._jobs[job.job_id]
+                self._jobs.pop(job.job_id, None)
                 await self._claims.release(job)
 
     async def _claim_often(self):
         while True:
             await curio.sleep(IDLE_TICK_SECONDS)
-            if self._stopped or not self._state.loaded:
-                continue
-            for entry in self._work.list_unclaimed():
-                if self._is_own_turn(entry):
-                    await self._claim(entry)
-            # The answer to a claim may have been lost.
-            for entry in self._work.list_claimed_by(self._claims.claimant):
-                if entry.opened.job_id not in self._jobs:
-                    await self._claim(entry)
+            if not self._stopped and self._state.loaded:
+                await self.claim_once()
+
+    async def claim_once(self):
+        """Claim the jobs that are this host's to claim now."""
+        for entry in self._work.list_unclaimed():
+            if entry.opened is not None and self._is_own_turn(entry):
+                await self._claim(entry)
+        # The answer to a claim may have been lost.
+        for entry in self._work.list_claimed_by(self._claims.claimant):
+            if entry.opened is not None and entry.opened.job_id not in self._jobs:
+                await self._claim(entry)
 
     def _is_own_turn(self, entry):
         job_id = entry.opened.job_id
@@ -133,11 +136,13 @@
         return self._clock.read_elapsed() >= entry.unclaimed_since + turn
 
     async def _claim(self, entry):
+        # The entry may change while the store is asked: the job may be closed.
+        job_id = entry.opened.job_id
         answer = await self._claims.claim(entry)
         if isinstance(answer, Failure):
             log.warning(
                 "job not claimed",
-                extra={"job": entry.opened.job_id, "reason": str(answer.failure())},
+                extra={"job": job_id, "reason": str(answer.failure())},
             )
             return
         job = answer.unwrap()
@@ -194,7 +199,7 @@
         if isinstance(answer, Failure):
             self._note_unwritten(job, answer)
             return
-        del self._jobs[job.job_id]
+        self._jobs.pop(job.job_id, None)
         log.info("job closed", extra={"job": job.job_id, "ended": True})
 
     async def _claim_again(self, job):
@@ -348,7 +353,7 @@
             await self._abandon(job)
             return
         if not job.items and not job.finished:
-            del self._jobs[job.job_id]
+            self._jobs.pop(job.job_id, None)
             self._metrics.jobs.labels("closed").inc()
             log.info("job closed", extra={"job": job.job_id, "ended": False})
 
