A released chunk keeps no marks of items that never started; known red mended

Cause: before an item that may run once is started, its owner commits that it may have been run. A chunk of which nothing could be started for 10 s was released with these marks, so its next owner took items that had never started for lost and ended them as outcome_unknown. Seen in the owner's hand-over: with the only host of a data centre gone, bookings at the service there wait for room. Ruled out: the drained owner's last commit (its chunk was complete in the log); the ledger's closing, which already withdraws unused marks when a host ends. Change: release closes the ledger and commits first; if the store is away the chunk stays owned and is released in a later round. The scenario's deployment was wrong since routing came: an endpoint is reached by hosts of its own data centre only, and the scenario ended the only one. It keeps its steps and assertions with a second host there, and a new, stricter one ends the only host and starts it again: no item may end as outcome_unknown.

--- a/features/batch/durability.feature
+++ b/features/batch/durability.feature
@@ -83,11 +83,20 @@
     Then the batch job passes the audit again and no claim is left
 
   Scenario: An owner is told to end, and hands its chunks over
+    Given another batch host "a2" in data centre "a"
     When a batch job of 80 chats, 20 bookings and 0 bad items is accepted by "b1"
     And an owner of the batch job is terminated once 5 items are settled
     Then the batch job completes and passes the audit through a host that is left
     And 0 items of the batch job end as "outcome_unknown"
 
+  Scenario: The only host before a service ends, and comes back after a while
+    When a batch job of 80 chats, 20 bookings and 0 bad items is accepted by "b1"
+    And the batch host "a1" is terminated once 5 items are settled
+    And "b1" has released chunks of which nothing could be started
+    And the batch host "a1" is started again
+    Then the batch job completes and passes the audit through "b1"
+    And 0 items of the batch job end as "outcome_unknown"
+
   Scenario: Items that no endpoint serves end when they are due, and hold up nothing
     Given the batch model "absent" is in the settings and at no engine
     When 10 batch jobs of 20 items for the model "absent" due in 20 s are accepted
--- a/features/steps/batch.py
+++ b/features/steps/batch.py
@@ -112,6 +112,30 @@
     strikes[what]()
 
 
+@given('another batch host "{host}" in data centre "{data_centre}"')
+def add_host(context, host, data_centre):
+    context.world.start_host(host, data_centre)
+
+
+@when('the batch host "{host}" is terminated once {count:d} items are settled')
+def terminate_host(context, host, count):
+    context.jobs.wait_until_settled("b1", context.job_id, count)
+    process = context.world.processes[host]
+    process.terminate()
+    assert process.wait() == 0, process.read_log()
+
+
+@when('"{host}" has released chunks of which nothing could be started')
+def wait_for_release(context, host):
+    process = context.world.processes[host]
+    wait_until(lambda: "chunk released" in process.read_log(), "chunks are released")
+
+
+@when('the batch host "{host}" is started again')
+def start_again(context, host):
+    context.world.start_host(host, host[0])
+
+
 @when('the engine "{name}" is killed once {count:d} items are settled')
 def kill_engine(context, name, count):
     context.jobs.wait_until_settled("b1", context.job_id, count)
--- a/mangogauge/batch/runner.py
+++ b/mangogauge/batch/runner.py
@@ -205,11 +205,21 @@
     async def _release_stalled(self):
         """Make room for chunks that can be run; these are looked at again later."""
         for chunk in self._executor.list_stalled():
-            if chunk.ledger.is_dirty or chunk.name not in self._owned:
-                continue
-            await self._drop(chunk)
-            await self._parts.chunks.release(chunk)
-            self._claimer.work.note_claimed(chunk.job.job_id, ())
+            if chunk.name in self._owned and not chunk.ledger.results:
+                await self._executor.drop(chunk)
+                # The next owner must not take what never started for lost.
+                chunk.ledger.close()
+        closing = [c for c in self._owned.values() if c.ledger.is_closing]
+        await self._flush(closing)
+        for chunk in closing:
+            if chunk.name in self._owned and not chunk.ledger.is_dirty:
+                await self._release(chunk)
+
+    async def _release(self, chunk):
+        log.info("chunk released", extra={"step": "release", "peer": chunk.name})
+        await self._drop(chunk)
+        await self._parts.chunks.release(chunk)
+        self._claimer.work.note_claimed(chunk.job.job_id, ())
 
     async def _claim_one(self):
         """Claim a chunk; one of a job not owned here unless short of items."""
