--- a/mangogauge/limits/claims.py
+++ b/mangogauge/limits/claims.py
@@ -66,8 +66,8 @@
 
     @property
     def releasing(self):
-        """Slots that this host has stopped using in order to release them."""
-        return frozenset(self._releasing)
+        """When this host's use of slots ends that it releases: ``{int: float}``."""
+        return dict(self._releasing)
 
     def plan(self, table, live_names, terms, now, leaving=False):
         """Return a `Plan`, or None if nothing is to be changed.
@@ -186,8 +186,10 @@
         if not self._owns_any(slot):
             self._releasing.pop(number, None)
             return slot
-        stopped = self._releasing.setdefault(number, now)
-        if now < stopped + slot.terms.loan_seconds + LOAN_MARGIN:
+        # What was lent before may be in use for so long; up to then it is of use
+        # here, too.
+        end = now + slot.terms.loan_seconds + LOAN_MARGIN
+        if now < self._releasing.setdefault(number, end):
             return slot
         for kind, part in slot.parts.items():
             if part.owner == self.own:
--- a/mangogauge/limits/directory.py
+++ b/mangogauge/limits/directory.py
@@ -115,7 +115,8 @@
         self._refreshed_at = now
         told = [
             (member, self._view.read(member.name, HELD_SLOTS_ENTRY))
-            for member in self._view.list_members()
+            # One that leaves lends until its slots have passed on.
+            for member in self._view.list_members(with_leaving=True)
         ]
         if told == self._told:
             return
--- a/mangogauge/limits/keeper.py
+++ b/mangogauge/limits/keeper.py
@@ -18,7 +18,9 @@
 HELD_SLOTS_ENTRY = "limits.slots"
 TICK_SECONDS = 0.25
 READ_SECONDS = 30.0
-UNSETTLED_READ_SECONDS = 1.0
+# A slot that another host gives up is without an owner until its next one has
+# read so.
+UNSETTLED_READ_SECONDS = 0.25
 SETTLING_SECONDS = 1.5
 RENEWALS_PER_LEASE = 3
 LONG_AGO_SECONDS = 1e9
@@ -128,7 +130,10 @@
         self._contact = _Contact(renewed.unwrap(), now)
         if self._confirmed == contact.lease.lease_id:
             self._budget.rights.extend(
-                now, renewed.unwrap().valid_until, self._clock.read_elapsed()
+                now,
+                renewed.unwrap().valid_until,
+                self._clock.read_elapsed(),
+                ends=self._planner.releasing,
             )
 
     async def _take_lease(self, now):
@@ -207,7 +212,7 @@
             float(self._limits.lease_seconds),
         )
         plan = self._planner.plan(self._table, names, terms, now, self._leaving)
-        self._budget.rights.drop(self._planner.releasing)
+        self._budget.rights.limit(self._planner.releasing)
         if plan is None:
             return
         before = self._table
@@ -248,7 +253,7 @@
             contact.sent_at,
             contact.lease.valid_until,
             self._clock.read_elapsed(),
-            without=self._planner.releasing,
+            ends=self._planner.releasing,
         )
 
     def _find_starts(self, before):
--- a/mangogauge/limits/limiter.py
+++ b/mangogauge/limits/limiter.py
@@ -3,6 +3,7 @@
 import math
 from abc import ABC, abstractmethod
 
+import curio
 from attrs import field, frozen
 
 from ..telemetry import get_logger
@@ -14,6 +15,10 @@
 SHORTEST_RETRY_SECONDS = 0.05
 UNANSWERED_RETRY_SECONDS = 1.0
 PATIENCE_SECONDS = 10.0
+# How long a request waits while nobody holds its account's budget: slots that
+# pass from one host to another are without an owner for about that long.
+HANDOVER_SECONDS = 0.6
+HANDOVER_INTERVAL = 0.1
 
 log = get_logger("admissions")
 
@@ -86,6 +91,8 @@
             await self._exchange.borrow(account, cost)
             if self._take(account, cost):
                 return Admission(True)
+        if await self._await_handover(account, cost):
+            return Admission(True)
         wait = self._budget.estimate_wait(account, cost)
         if wait == math.inf and self._directory.find_lenders(account):
             # Lenders are there and have not answered; that soon changes.
@@ -97,6 +104,18 @@
         """Take new rates and bursts."""
         self._budget.set_accounts(accounts)
 
+    async def _await_handover(self, account, cost):
+        """Wait while nobody holds the account's budget; return whether it came."""
+        until = self._clock.read_elapsed() + HANDOVER_SECONDS
+        while self._clock.read_elapsed() < until:
+            if self._budget.estimate_wait(account, cost) < math.inf:
+                return False
+            await curio.sleep(HANDOVER_INTERVAL)
+            await self._exchange.borrow(account, cost)
+            if self._take(account, cost):
+                return True
+        return False
+
     def _take(self, account, cost):
         now = self._clock.read_elapsed()
         if not self._budget.take(account, cost, now):
--- a/mangogauge/limits/rights.py
+++ b/mangogauge/limits/rights.py
@@ -1,6 +1,7 @@
 """Rights to parts of the budget, as the platform's record gives them."""
 
 import math
+from types import MappingProxyType
 
 from attrs import define, field
 
@@ -47,6 +48,10 @@
         self.until = max(self.until, until)
         return True
 
+    def limit(self, end):
+        """Let it end by `end` at the latest."""
+        self.until = min(self.until, end)
+
 
 class HostRights:
     """All rights of one host.
@@ -100,7 +105,9 @@
             )
         return found
 
-    def replace(self, table, own, starts, contact, lease_until, now, without=()):
+    def replace(
+        self, table, own, starts, contact, lease_until, now, ends=MappingProxyType({})
+    ):
         """Hold what a table just read or written gives to `own`.
 
         Parameters
@@ -114,19 +121,20 @@
         lease_until : float
             Elapsed time up to which the lease certainly lives.
         now : float
-        without : collection of int, optional
-            Slots that this host stops using.
+        ends : mapping of int to float, optional
+            When this host's use of slots ends that it is about to release.
         """
         self.slot_count = len(table.slots)
         part = self.share / min(PAIR_SIZE, self.slot_count)
         rights = {}
         for number, slot in enumerate(table.slots):
             for kind, holding in slot.parts.items():
-                if holding.owner != own or number in without:
+                if holding.owner != own:
                     continue
                 self._terms[number] = slot.terms
                 key = (number, kind)
                 until = _find_end(slot.terms, kind, contact, lease_until)
+                until = min(until, ends.get(number, math.inf))
                 right = self._rights.get(key)
                 if right is None or not right.extend(until, now):
                     since = starts.get(number, now)
@@ -134,16 +142,24 @@
                 rights[key] = right
         self._set_rights(rights)
 
-    def extend(self, contact, lease_until, now):
-        """Let all rights end later, after a renewal of the same lease."""
-        for (number, kind), right in self._rights.items():
-            terms = self._terms[number]
-            right.extend(_find_end(terms, kind, contact, lease_until), now)
+    def extend(self, contact, lease_until, now, ends=MappingProxyType({})):
+        """Let rights end later, after a renewal of the same lease.
 
-    def drop(self, numbers):
-        """Stop using some slots."""
-        kept = {k: r for k, r in self._rights.items() if k[0] not in numbers}
-        self._set_rights(kept)
+        Parameters
+        ----------
+        contact, lease_until, now : float
+        ends : mapping of int to float, optional
+            As for `replace`.
+        """
+        for (number, kind), right in self._rights.items():
+            until = _find_end(self._terms[number], kind, contact, lease_until)
+            right.extend(min(until, ends.get(number, math.inf)), now)
+
+    def limit(self, ends):
+        """Let the rights to some slots end: ``{number: elapsed time}``."""
+        for (number, _), right in self._rights.items():
+            if number in ends:
+                right.limit(ends[number])
 
     def _set_rights(self, rights):
         same = len(rights) == len(self._rights) and all(
