Ask the platform's store by way of another host where it turns this one away

Ruled out: answering from memory (a submission must last); being not ready (the balancer uses all of a data centre's hosts again once half of them are out). Change: DetourTransport notes by StoreReach whether direct calls are answered; if not, calls go to a host whose report says that it reaches the store, which passes them on as they are (StoreRelay, on the port of its reports). The adapter's client takes a transport and knows none of this.

--- a/features/builders/platform/deployment.py
+++ b/features/builders/platform/deployment.py
@@ -175,7 +175,7 @@
         }
         self.put("op/config", value)
 
-    def start_host(self, name, role="entry", ready=True):
+    def start_host(self, name, role="entry", ready=True, store=""):
         """Start a host from the deployment's own template."""
         ports = [self.world.take_port() for _ in range(4)]
         values = {
@@ -188,7 +188,7 @@
             "port_range.1": str(ports[2]),
             "bounds.grace_s": "4",
             "bounds.status_s": "120",
-            "provider.address": self.store_address,
+            "provider.address": store or self.store_address,
             "provider.value_bytes": "1048576",
         }
         text = (DEPLOY / f"{role}.ini").read_text()
--- a/features/steps/platform_store.py
+++ b/features/steps/platform_store.py
@@ -6,7 +6,13 @@
 
 from features.builders.platform import PlatformDeployment
 from mangogauge.platform import PlatformStore
-from mangogauge.store import Condition, Operation, StoreRefusedError, Transaction
+from mangogauge.store import (
+    Condition,
+    DirectTransport,
+    Operation,
+    StoreRefusedError,
+    Transaction,
+)
 
 TIMEOUT_SECONDS = 0.5
 TROUBLES = {
@@ -31,7 +37,9 @@
     """Call a fresh client's method and return its result."""
 
     async def run():
-        store = PlatformStore(context.deployment.store_address, TIMEOUT_SECONDS)
+        address = context.deployment.store_address
+        transport = DirectTransport(address, TIMEOUT_SECONDS)
+        store = PlatformStore(transport, TIMEOUT_SECONDS)
         try:
             return await getattr(store, method)(*arguments)
         finally:
--- a/mangogauge/daemon/backends.py
+++ b/mangogauge/daemon/backends.py
@@ -11,6 +11,8 @@
 
     Parameters
     ----------
+    transport : DetourTransport
+        Carries the store's calls.
     store : Store
     feed : ChangeFeed
     source : FleetSource
@@ -20,6 +22,7 @@
     metrics : ServingMetrics
     """
 
+    transport = field()
     store = field()
     feed = field()
     source = field()
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -41,6 +41,7 @@
 )
 from ..routing import RetryBudgets, RetryPolicy
 from ..sharing import LoadBoard, ReportExchange, SharedFreshness, SharedQuota
+from ..store import StoreRelay
 from ..telemetry import get_logger
 
 __all__ = ["ServingHost"]
@@ -56,6 +57,8 @@
 # within its objective at the next one.
 CONNECT_SECONDS = 0.2
 SUMMARY_SECONDS = 10.0
+# Largest call to the store that is passed on for another host.
+RELAYED_BYTES = 33_554_432
 FIXED_SETTINGS = (
     "name",
     "data_centre",
@@ -262,6 +265,14 @@
             HTTPServer(self._show_metrics),
             f"{settings.address}:{settings.metrics_port}",
         )
+        transport = self.backends.transport
+        transport.use_relays(self._list_relays)
+        relay = HTTPServer(
+            StoreRelay(transport.direct).handle,
+            ServerLimits(body_bytes=RELAYED_BYTES),
+        )
+        # The same number as that of the reports, which are datagrams.
+        self._bind(relay, self.member.address)
 
     def _bind(self, server, address):
         host, _, port = address.rpartition(":")
@@ -354,11 +365,18 @@
             if len(self.slots):
                 await self.slots.pump()
 
+    def _list_relays(self):
+        """Return the addresses of other hosts that reach the store."""
+        names = [r.host for r in self.board.list_heard() if r.reaches_store]
+        members = [self.members.get(name) for name in names]
+        return [member.address for member in members if member is not None]
+
     def _make_report(self):
         return self.board.make_report(
             self.quota.count_own(),
             self.health.list_shunned(),
             self.freshness.make_report(),
+            self.backends.transport.reach.is_recent,
         )
 
     async def _take_report(self, report):
--- a/mangogauge/platform/__main__.py
+++ b/mangogauge/platform/__main__.py
@@ -7,6 +7,7 @@
 from ..daemon.running import run_host
 from ..settings.problems import SettingsError
 from ..settings.serving import read_serving
+from ..store import DetourTransport
 from ..telemetry import BoundedStreamHandler, ServingMetrics, configure_logs
 from . import (
     PlatformCallers,
@@ -18,6 +19,8 @@
 
 SETTINGS_VARIABLE = "MANGOGAUGE_SETTINGS"
 USAGE_EXIT = 2
+# How long the store may take to accept a connection.
+CONNECT_SECONDS = 1.0
 
 
 def main():
@@ -40,8 +43,10 @@
 
 
 def _make_backends(settings, metrics):
-    store = PlatformStore(settings.store.address, on_call=metrics.note_store_call)
+    transport = DetourTransport(settings.store.address, CONNECT_SECONDS)
+    store = PlatformStore(transport, on_call=metrics.note_store_call)
     return ServingBackends(
+        transport=transport,
         store=store,
         feed=store,
         source=PlatformSource(),
--- a/mangogauge/platform/store.py
+++ b/mangogauge/platform/store.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Success
 
 from ..clock import SystemClock
-from ..http import ClientPool, Headers, HTTPConnectError, HTTPError
+from ..http import HTTPConnectError, HTTPError
 from ..store import (
     ChangeFeed,
     Changes,
@@ -28,7 +28,6 @@
 __all__ = ["PlatformStore"]
 
 DEFAULT_TIMEOUT = 1.2
-JSON_HEADERS = Headers([("Content-Type", "application/json")])
 # Nothing was done: the store is too busy, or away.
 UNAVAILABLE_STATUSES = frozenset({429, 503})
 OK, NOT_FOUND, GONE, CONDITION_FAILED = 200, 404, 410, 412
@@ -40,8 +39,7 @@
 
     Parameters
     ----------
-    address : str
-        ``host:port``.
+    transport : StoreTransport
     timeout : float, optional
         Seconds until a call counts as lost.
     clock : Clock, optional
@@ -49,16 +47,15 @@
         Called with the path and the status of each call; 0 where none came.
     """
 
-    def __init__(self, address, timeout=DEFAULT_TIMEOUT, clock=None, on_call=None):
-        self._address = address
+    def __init__(self, transport, timeout=DEFAULT_TIMEOUT, clock=None, on_call=None):
+        self._transport = transport
         self._timeout = timeout
         self._clock = clock or SystemClock()
-        self._pool = ClientPool(connect_timeout=timeout)
         self._on_call = on_call or (lambda path, status: None)
 
     async def close(self):
         """Close idle connections."""
-        await self._pool.close()
+        await self._transport.close()
 
     async def get(self, key):
         """Return ``Success(KeyValue or None)``."""
@@ -167,11 +164,9 @@
         step = "/".join(path.partition("?")[0].split("/")[:3])
         data = b"" if body is None else orjson.dumps(body)
         try:
-            async with curio.timeout_after(timeout or self._timeout):
-                response = await self._pool.request(
-                    self._address, method, path, JSON_HEADERS, data
-                )
-                read = await response.read()
+            response = await self._transport.request(
+                method, path, data, timeout or self._timeout
+            )
         except HTTPConnectError as error:
             self._on_call(step, 0)
             return self._fail(StoreUnavailableError, error.message, step)
@@ -180,7 +175,7 @@
             # A read has no effect that could be unknown.
             lost = StoreUnavailableError if method == READ else StoreLostAnswerError
             return self._fail(lost, repr(error), step)
-        status = response.status
+        status, read = response.status, response.body
         self._on_call(step, status)
         if status in expected:
             return Success(_Answer(status, orjson.loads(read) if read else {}))
@@ -192,7 +187,7 @@
         return self._fail(StoreRefusedError, message, step)
 
     def _fail(self, error, message, step):
-        return Failure(error(message, step=step, peer=self._address))
+        return Failure(error(message, step=step, peer="store"))
 
 
 @frozen
--- a/mangogauge/sharing/board.py
+++ b/mangogauge/sharing/board.py
@@ -136,7 +136,7 @@
         shunning = sum(endpoint in report.shunned for report in self.list_heard())
         return shunning >= SHUN_QUORUM
 
-    def make_report(self, admitted, shunned, copies):
+    def make_report(self, admitted, shunned, copies, reaches_store=False):
         """Return this host's next `HostReport`.
 
         Parameters
@@ -144,6 +144,7 @@
         admitted : dict of str to int
         shunned : iterable of str
         copies : dict of str to CopyReport
+        reaches_store : bool, optional
         """
         self._number += 1
         return HostReport(
@@ -156,4 +157,5 @@
             shunned,
             copies,
             self.items_waiting,
+            reaches_store,
         )
--- a/mangogauge/sharing/reports.py
+++ b/mangogauge/sharing/reports.py
@@ -12,7 +12,7 @@
 
 __all__ = ["EndpointLoad", "HostReport", "ReportError"]
 
-FORMAT = 1
+FORMAT = 2
 
 
 class ReportError(MangogaugeError):
@@ -59,6 +59,8 @@
         By topic, what the host knows of the platform's store.
     items_waiting : int
         Batch items that wait at the host for a free slot.
+    reaches_store : bool
+        Whether the host passes others' calls to the store on.
     """
 
     host = field()
@@ -70,6 +72,7 @@
     shunned = field(default=(), converter=tuple)
     copies = field(factory=dict)
     items_waiting = field(default=0)
+    reaches_store = field(default=False)
 
     @classmethod
     def from_bytes(cls, data):
@@ -85,7 +88,7 @@
             if form != FORMAT:
                 raise ReportError(f"Reports of format {form} are not known.")
             host, incarnation, number, loads, admitted, waiting, *values = values
-            shunned, copies, items_waiting = values
+            shunned, copies, items_waiting, reaches_store = values
             return cls(
                 str(host),
                 str(incarnation),
@@ -96,6 +99,7 @@
                 [str(name) for name in shunned],
                 {str(t): CopyReport(str(d), int(a) / 1000) for t, d, a in copies},
                 int(items_waiting),
+                bool(reaches_store),
             )
         except (ValueError, TypeError) as error:
             raise ReportError(f"The datagram is no report: {error}.") from error
@@ -117,5 +121,6 @@
                     for topic, copy in self.copies.items()
                 ],
                 self.items_waiting,
+                self.reaches_store,
             ]
         )
--- a/mangogauge/store/__init__.py
+++ b/mangogauge/store/__init__.py
@@ -26,6 +26,8 @@
     "Commit",
     "Condition",
     "Conflict",
+    "DetourTransport",
+    "DirectTransport",
     "FileHostList",
     "GatewayStore",
     "HostList",
@@ -38,10 +40,14 @@
     "RecordStore",
     "Snapshot",
     "Store",
+    "StoreAnswer",
     "StoreCompactedError",
     "StoreError",
     "StoreLostAnswerError",
+    "StoreReach",
     "StoreRefusedError",
+    "StoreRelay",
+    "StoreTransport",
     "StoreUnavailableError",
     "StoredRecord",
     "Transaction",
@@ -53,9 +59,11 @@
 __getattr__ = attach_lazily(
     __name__,
     {
+        "detour": ("DetourTransport", "StoreRelay"),
         "gateway": ("GatewayStore",),
         "hostlist": ("FileHostList", "HostList", "HostListing", "ListedState"),
         "memory": ("MemoryStore",),
+        "reach": ("StoreReach",),
         "records": (
             "Commit",
             "Conflict",
@@ -63,5 +71,6 @@
             "StoredRecord",
             "encode_record",
         ),
+        "transport": ("DirectTransport", "StoreAnswer", "StoreTransport"),
     },
 )
