Hosts of a data centre that is cut off say that they are not ready

Cause: callers reach the hosts of a data centre that reaches nothing else; for the whole cut their jobs are refused and a few endpoints carry all their requests. Ruled out: refusing online requests there (what can be served is served); the store's absence as a reason (callers are no better off elsewhere then). Change: IsolationWatch decides by what a host hears: no host of another data centre, and copies of the store that nobody it hears has confirmed for 1.1 s.

--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -13,6 +13,7 @@
     FleetMember,
     FleetState,
     Follower,
+    IsolationWatch,
     MemberDirectory,
     OrderListener,
     Registration,
@@ -70,6 +71,9 @@
     "store",
 )
 PUMP_SECONDS = 0.02
+ISOLATION_SECONDS = 0.1
+# How long the balancer takes to notice that a host isn't ready.
+BALANCER_SECONDS = 2.2
 IDLE_MARGIN = 1.2
 # Part of the time to drain after which connections are no longer awaited.
 DRAIN_SHARE = 0.9
@@ -96,6 +100,7 @@
         self.random = random.Random()
         self.metrics = backends.metrics
         self.draining = False
+        self.isolated = False
         self._drain_asked = curio.Event()
         self.incarnation = uuid.uuid4().hex[:12]
         self._make_sharing()
@@ -108,7 +113,7 @@
     @property
     def ready(self):
         """Whether callers may be sent here."""
-        return self.state.loaded and not self.draining
+        return self.state.loaded and not self.draining and not self.isolated
 
     def _make_sharing(self):
         settings, clock = self.settings, self.clock
@@ -154,6 +159,12 @@
             self._follow_shared(source.endpoints_prefix, self.directory),
             self._follow(self.members.prefix, self.members, MEMBERS_PAUSE_SECONDS),
         ]
+        self.isolation = IsolationWatch(
+            self.members,
+            self.board,
+            self.settings.data_centre,
+            lambda: self.freshness.measure_age(source.orders_prefix),
+        )
         self.registration = Registration(
             backends.store, self.member, clock, self.settings.store.lease_seconds
         )
@@ -291,6 +302,7 @@
             await group.spawn(self._pump)
             await group.spawn(self.prober.run)
             await group.spawn(self._summarize)
+            await group.spawn(self._watch_isolation)
             for keeper in self.keepers:
                 await group.spawn(keeper.run)
             await group.spawn(self._drain)
@@ -352,6 +364,25 @@
                 },
             )
 
+    async def _watch_isolation(self):
+        """Send callers elsewhere while this data centre reaches nothing else."""
+        since = None
+        while not self.draining:
+            await curio.sleep(ISOLATION_SECONDS)
+            now = self.clock.read_elapsed()
+            isolated = self.isolation.is_isolated()
+            if isolated is not self.isolated:
+                self.isolated = isolated
+                since = now
+                log.warning("isolation", extra={"isolated": isolated})
+            if self.draining:
+                break
+            if isolated and now >= since + BALANCER_SECONDS:
+                self.callers.start_close()
+            else:
+                self.callers.stop_close()
+        await curio.Event().wait()
+
     async def _drain_callers(self):
         """Serve on until the balancer has noticed, then finish what came."""
         self.callers.start_close()
--- a/mangogauge/fleet/__init__.py
+++ b/mangogauge/fleet/__init__.py
@@ -2,6 +2,7 @@
 
 from .directory import EndpointDirectory
 from .follower import Follower, Listener
+from .isolation import IsolationWatch
 from .members import FleetMember, MemberDirectory, Registration
 from .records import (
     Account,
@@ -28,6 +29,7 @@
     "FleetSource",
     "FleetState",
     "Follower",
+    "IsolationWatch",
     "Listener",
     "MemberDirectory",
     "OrderListener",
--- a/mangogauge/sharing/freshness.py
+++ b/mangogauge/sharing/freshness.py
@@ -125,6 +125,13 @@
         due_at = copy.confirmed_at + copy.due_after
         return max(0.0, due_at - self._clock.read_elapsed())
 
+    def measure_age(self, topic):
+        """Return the seconds since a topic was last confirmed; infinite if never."""
+        copy = self._copies.get(topic)
+        if copy is None:
+            return float("inf")
+        return self._clock.read_elapsed() - copy.confirmed_at
+
     def is_due(self, topic):
         """Return whether a topic has to be read again."""
         return self.measure_wait(topic) <= 0
