Refuse requests that have crashed three endpoints, at all hosts; let such items rest

Cause: on the platform a request that crashes each endpoint that begins it was bounded by its route's attempts only; its caller sends it again at any host. Ruled out: the quarantine of routing (trials, one judge a data centre, protobuf): hosts on the platform share totals in their reports, and need no judge. Change: CrashLedger counts crashes by fingerprint (account, path, body) over all hosts; an answer clears. CrashWatch tells a crash from a lost answer by a connection that is refused a moment after the break. Three crashes: 422 at once; an item rests and is only given up once its time is up. crashes.feature fails without the rule (6 endpoints crash). It failed once in two runs at first: the endpoint's listener outlived its connection by milliseconds, so the crash was taken for a lost answer; hence the pause before the probe. Isolated hosts no longer end connections with their answers: what comes on them runs at endpoints that nobody else reaches.

--- a/features/builders/platform/endpoint.py
+++ b/features/builders/platform/endpoint.py
@@ -102,6 +102,8 @@
         if fault in ("500", "422"):
             await exchange.respond(int(fault), headers, b"no")
             return
+        if fault == "crash":
+            os._exit(1)
         if fault == "lost":
             await curio.sleep(EVENT_SECONDS)
             raise ConnectionAbortedError("the answer is lost")
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -7,7 +7,7 @@
 from attrs import evolve
 
 from ..clock import SystemClock
-from ..entry import EndpointAttempt, FleetFront, OnlineDispatcher
+from ..entry import CrashWatch, EndpointAttempt, FleetFront, OnlineDispatcher
 from ..fleet import (
     EndpointDirectory,
     FleetMember,
@@ -41,7 +41,13 @@
     SlotQueue,
 )
 from ..routing import RetryBudgets, RetryPolicy
-from ..sharing import LoadBoard, ReportExchange, SharedFreshness, SharedQuota
+from ..sharing import (
+    CrashLedger,
+    LoadBoard,
+    ReportExchange,
+    SharedFreshness,
+    SharedQuota,
+)
 from ..store import StoreRelay
 from ..telemetry import get_logger
 
@@ -72,8 +78,6 @@
 )
 PUMP_SECONDS = 0.02
 ISOLATION_SECONDS = 0.1
-# How long the balancer takes to notice that a host isn't ready.
-BALANCER_SECONDS = 2.2
 IDLE_MARGIN = 1.2
 # Part of the time to drain after which connections are no longer awaited.
 DRAIN_SHARE = 0.9
@@ -117,6 +121,7 @@
 
     def _make_sharing(self):
         settings, clock = self.settings, self.clock
+        self.crash_ledger = CrashLedger(clock)
         self.board = LoadBoard(settings.name, self.incarnation, clock)
         self.quota = SharedQuota(clock)
         self.health = EndpointHealth(clock)
@@ -202,6 +207,8 @@
             ClientPool(CONNECT_SECONDS), self.backends.endpoints, self.clock
         )
 
+        self.crashes = CrashWatch(self.crash_ledger, self.exchange.note_change)
+
     def _make_jobs(self):
         store, feed, clock = self.backends.store, self.backends.feed, self.clock
         value_bytes = self.settings.store.value_bytes
@@ -225,7 +232,7 @@
             self.state,
             work,
             JobClaims(store, feed, self.registration, claimant),
-            ItemRunner(self.attempt, self.health, clock, self.metrics),
+            ItemRunner(self.attempt, self.health, self.crashes, clock, self.metrics),
             BatchRoom(self.board),
             self.chooser,
             self.board,
@@ -248,6 +255,7 @@
             self.slots,
             self.attempt,
             self.health,
+            self.crashes,
             RetryPolicy(RetryBudgets(clock)),
             clock,
             self.random,
@@ -365,23 +373,17 @@
             )
 
     async def _watch_isolation(self):
-        """Send callers elsewhere while this data centre reaches nothing else."""
-        since = None
-        while not self.draining:
+        """Send new connections elsewhere while this data centre reaches nothing else.
+
+        Those that are open stay: what comes on them runs at the endpoints here,
+        which nobody else reaches, while each job comes on a new connection.
+        """
+        while True:
             await curio.sleep(ISOLATION_SECONDS)
-            now = self.clock.read_elapsed()
             isolated = self.isolation.is_isolated()
             if isolated is not self.isolated:
                 self.isolated = isolated
-                since = now
                 log.warning("isolation", extra={"isolated": isolated})
-            if self.draining:
-                break
-            if isolated and now >= since + BALANCER_SECONDS:
-                self.callers.start_close()
-            else:
-                self.callers.stop_close()
-        await curio.Event().wait()
 
     async def _drain_callers(self):
         """Serve on until the balancer has noticed, then finish what came."""
@@ -408,9 +410,11 @@
             self.health.list_shunned(),
             self.freshness.make_report(),
             self.backends.transport.reach.is_recent,
+            self.crash_ledger.count_own(),
         )
 
     async def _take_report(self, report):
+        self.crash_ledger.take_counts(report.host, report.crashes)
         for topic in self.freshness.take_report(report.copies):
             await self.schedules[topic].wake()
         if self.state.routes is not None:
--- a/mangogauge/entry/__init__.py
+++ b/mangogauge/entry/__init__.py
@@ -2,6 +2,7 @@
 
 from .attempt import AttemptFailure, EndpointAttempt
 from .calls import IncomingRequest, OnlineCall
+from .crashes import CrashWatch
 from .dialect import AnswerKind, CallerDialect, EndpointDialect, EndpointOrder
 from .dispatch import OnlineDispatcher
 from .events import EventCutter, StreamPiece
@@ -13,6 +14,7 @@
     "AnswerRelay",
     "AttemptFailure",
     "CallerDialect",
+    "CrashWatch",
     "EndpointAttempt",
     "EndpointDialect",
     "EndpointOrder",
--- a/mangogauge/entry/attempt.py
+++ b/mangogauge/entry/attempt.py
@@ -50,6 +50,8 @@
     answer : KeptAnswer, optional
     unreachable : bool, optional
         Whether no connection to the endpoint could be made.
+    broken : bool, optional
+        Whether the connection broke while the endpoint may have run the request.
     """
 
     def __init__(
@@ -60,12 +62,14 @@
         kind=None,
         answer=None,
         unreachable=False,
+        broken=False,
     ):
         super().__init__(reason)
         self.progress = progress
         self.reason = reason
         self.blames = blames
         self.unreachable = unreachable
+        self.broken = broken
         self.kind = kind
         self.answer = answer
 
@@ -125,7 +129,9 @@
                 Progress.NOT_SENT, str(error), unreachable=True
             ) from error
         except HTTPError as error:
-            raise AttemptFailure(Progress.MAYBE_RUN, str(error), blames=True) from error
+            raise AttemptFailure(
+                Progress.MAYBE_RUN, str(error), blames=True, broken=True
+            ) from error
         except curio.TaskTimeout:
             reason = f"no answer within {silence_seconds:.3f} s"
             raise AttemptFailure(Progress.MAYBE_RUN, reason, blames=True) from None
--- a/mangogauge/entry/dispatch.py
+++ b/mangogauge/entry/dispatch.py
@@ -60,16 +60,20 @@
     slots : SlotQueue
     attempt : EndpointAttempt
     health : EndpointHealth
+    crashes : CrashWatch
     retry_policy : RetryPolicy
     clock : Clock
     random : random.Random
     metrics : ServingMetrics
     """
 
-    def __init__(self, slots, attempt, health, retry_policy, clock, random, metrics):
+    def __init__(
+        self, slots, attempt, health, crashes, retry_policy, clock, random, metrics
+    ):
         self._slots = slots
         self._attempt = attempt
         self._health = health
+        self._crashes = crashes
         self._retry_policy = retry_policy
         self._clock = clock
         self._random = random
@@ -85,6 +89,7 @@
         HTTPError
             If the answer broke off after some of it had been passed on.
         """
+        self._crashes.check(call)
         silence = self._bound_silence(call)
         relay = AnswerRelay(call, exchange, silence, lambda: self._note_first(call))
         run = _Run(call, relay)
@@ -103,7 +108,9 @@
                 await self._try_once(run, endpoint)
             except AttemptFailure as failure:
                 self._note_failure(run, endpoint, failure)
+                await self._crashes.note_failure(run.call, endpoint, failure)
             else:
+                self._crashes.note_answer(run.call)
                 self._retry_policy.note_success(run.call)
                 return
             finally:
@@ -135,7 +142,9 @@
         try:
             await run.relay.take(response)
         except HTTPError as error:
-            raise AttemptFailure(Progress.MAYBE_RUN, str(error), blames=True) from error
+            raise AttemptFailure(
+                Progress.MAYBE_RUN, str(error), blames=True, broken=True
+            ) from error
 
     def _note_failure(self, run, endpoint, failure):
         run.failure = failure
--- a/mangogauge/http/server.py
+++ b/mangogauge/http/server.py
@@ -93,10 +93,6 @@
         """End each connection with its current or next answer."""
         self._closing = True
 
-    def stop_close(self):
-        """Keep connections open again."""
-        self._closing = False
-
     async def drain(self):
         """Stop listening, and wait until every request that came is answered."""
         self._closing = True
--- a/mangogauge/jobs/owned.py
+++ b/mangogauge/jobs/owned.py
@@ -87,6 +87,10 @@
         seconds = FIRST_BACKOFF_SECONDS * BACKOFF_GROWTH ** max(0, count - 1)
         self.not_before = now + min(LONGEST_BACKOFF_SECONDS, seconds)
 
+    def rest(self, until):
+        """Let it rest until an elapsed time."""
+        self.not_before = until
+
     def estimate_left(self, seconds_per_token):
         """Return the seconds that it will still run, at a pace for all its tokens.
 
--- a/mangogauge/jobs/running.py
+++ b/mangogauge/jobs/running.py
@@ -12,6 +12,8 @@
 
 # An endpoint that takes longer to begin, or to go on, has fallen silent.
 SILENCE_SECONDS = 3.0
+# How long an item rests that has crashed the endpoints that ran it.
+CONDEMNED_SECONDS = 10.0
 
 log = get_logger("items")
 
@@ -23,13 +25,15 @@
     ----------
     attempt : EndpointAttempt
     health : EndpointHealth
+    crashes : CrashWatch
     clock : Clock
     metrics : ServingMetrics
     """
 
-    def __init__(self, attempt, health, clock, metrics):
+    def __init__(self, attempt, health, crashes, clock, metrics):
         self._attempt = attempt
         self._health = health
+        self._crashes = crashes
         self._clock = clock
         self._metrics = metrics
 
@@ -43,27 +47,35 @@
         endpoint : FleetEndpoint
         """
         before = item.last_event
+        call = self._make_call(item, route)
+        if self._crashes.is_condemned(call):
+            # It may only be given up once its time is up.
+            item.rest(self._clock.read_elapsed() + CONDEMNED_SECONDS)
+            return
         try:
-            await self._run(item, route, endpoint)
+            await self._run(item, call, endpoint)
         except AttemptFailure as failure:
             self._note_failure(item, route, endpoint, failure, before)
+            await self._crashes.note_failure(call, endpoint, failure)
         else:
             self._health.note_answer(endpoint.name)
+            self._crashes.note_answer(call)
             self._finish(item, ItemState.DONE, "run to its end")
 
     def give_up(self, item, reason):
         """End an item without a result of an endpoint."""
         self._finish(item, ItemState.GIVEN_UP, reason)
 
-    async def _run(self, item, route, endpoint):
-        call = self._make_call(item, route)
+    async def _run(self, item, call, endpoint):
         response = await self._attempt.open(
             call, endpoint, item.last_event, SILENCE_SECONDS
         )
         try:
             await self._take_events(item, response)
         except (HTTPError, ValueError) as error:
-            raise AttemptFailure(Progress.MAYBE_RUN, str(error), blames=True) from error
+            raise AttemptFailure(
+                Progress.MAYBE_RUN, str(error), blames=True, broken=True
+            ) from error
         finally:
             await response.close()
 
--- a/mangogauge/sharing/__init__.py
+++ b/mangogauge/sharing/__init__.py
@@ -1,6 +1,7 @@
 """What hosts tell each other many times a second: running work, admissions."""
 
 from .board import LoadBoard
+from .crashes import CrashLedger
 from .exchange import ReportExchange
 from .freshness import CopyReport, SharedFreshness
 from .quota import Admission, SharedQuota
@@ -9,6 +10,7 @@
 __all__ = [
     "Admission",
     "CopyReport",
+    "CrashLedger",
     "EndpointLoad",
     "HostReport",
     "LoadBoard",
--- a/mangogauge/sharing/board.py
+++ b/mangogauge/sharing/board.py
@@ -136,7 +136,7 @@
         shunning = sum(endpoint in report.shunned for report in self.list_heard())
         return shunning >= SHUN_QUORUM
 
-    def make_report(self, admitted, shunned, copies, reaches_store=False):
+    def make_report(self, admitted, shunned, copies, reaches_store=False, crashes=None):
         """Return this host's next `HostReport`.
 
         Parameters
@@ -145,6 +145,7 @@
         shunned : iterable of str
         copies : dict of str to CopyReport
         reaches_store : bool, optional
+        crashes : dict of str to int, optional
         """
         self._number += 1
         return HostReport(
@@ -158,4 +159,5 @@
             copies,
             self.items_waiting,
             reaches_store,
+            crashes or {},
         )
--- a/mangogauge/sharing/reports.py
+++ b/mangogauge/sharing/reports.py
@@ -12,7 +12,7 @@
 
 __all__ = ["EndpointLoad", "HostReport", "ReportError"]
 
-FORMAT = 2
+FORMAT = 3
 
 
 class ReportError(MangogaugeError):
@@ -61,6 +61,8 @@
         Batch items that wait at the host for a free slot.
     reaches_store : bool
         Whether the host passes others' calls to the store on.
+    crashes : dict of str to int
+        Crashes of endpoints by fingerprint of the request that ran there.
     """
 
     host = field()
@@ -73,6 +75,7 @@
     copies = field(factory=dict)
     items_waiting = field(default=0)
     reaches_store = field(default=False)
+    crashes = field(factory=dict)
 
     @classmethod
     def from_bytes(cls, data):
@@ -88,7 +91,7 @@
             if form != FORMAT:
                 raise ReportError(f"Reports of format {form} are not known.")
             host, incarnation, number, loads, admitted, waiting, *values = values
-            shunned, copies, items_waiting, reaches_store = values
+            shunned, copies, items_waiting, reaches_store, crashes = values
             return cls(
                 str(host),
                 str(incarnation),
@@ -100,6 +103,7 @@
                 {str(t): CopyReport(str(d), int(a) / 1000) for t, d, a in copies},
                 int(items_waiting),
                 bool(reaches_store),
+                {str(name): int(count) for name, count in crashes},
             )
         except (ValueError, TypeError) as error:
             raise ReportError(f"The datagram is no report: {error}.") from error
@@ -122,5 +126,6 @@
                 ],
                 self.items_waiting,
                 self.reaches_store,
+                list(self.crashes.items()),
             ]
         )
