A host that starts again ends the lease of its earlier process

Cause: after a kill or a loss of power hosts are back within a second, but claims of their earlier processes hold until the lease of 2.5 s has lapsed, so that open jobs stand still. Ruled out: a shorter lease (a store that is slow for a second would end claims). Change: before its first registration a host reads its own entry and ends the lease it hangs on; that process has ended, or this one could not have its ports. registration.feature fails without it.

--- /dev/null
+++ b/features/steps/registration.py
@@ -0,0 +1,82 @@
+"""Steps of how hosts register."""
+
+import curio
+from behave import given, then, when
+
+from mangogauge.clock import ManualClock
+from mangogauge.fleet import FleetMember, Registration
+from mangogauge.store import MemoryStore, Operation, Transaction
+
+LEASE_SECONDS = 2.5
+SETTLE_SECONDS = 0.05
+
+
+def start(context, name, incarnation):
+    """Let a process of a host register; it is then as good as killed."""
+    registration = Registration(
+        context.store,
+        FleetMember(name, incarnation),
+        context.clock,
+        LEASE_SECONDS,
+    )
+
+    async def register():
+        async with curio.ignore_after(SETTLE_SECONDS):
+            await registration.run()
+
+    curio.run(register)
+    context.registrations[name] = registration
+
+
+def claim(context, name, key):
+    lease = context.registrations[name].lease.lease_id
+    operation = Operation(key, name.encode(), lease)
+    curio.run(context.store.transact, Transaction((), (operation,)))
+
+
+def read(context, key):
+    return curio.run(context.store.get, key).unwrap()
+
+
+@given('a store with the host "{name}" registered, which has claimed "{key}"')
+def start_first(context, name, key):
+    context.clock = ManualClock()
+    context.store = MemoryStore(context.clock)
+    context.registrations = {}
+    start_other(context, name, key)
+
+
+@given('the host "{name}" registered, which has claimed "{key}"')
+def start_other(context, name, key):
+    start(context, name, "1")
+    claim(context, name, key)
+
+
+@when('"{name}" is killed and registers again')
+def restart(context, name):
+    start(context, name, "2")
+
+
+@when('the lease of "{name}" lapses, and "{other}" claims "{key}" before it is back')
+def lapse(context, name, other, key):
+    context.clock.advance(LEASE_SECONDS * 2)
+    start(context, other, "1")
+    claim(context, other, key)
+    start(context, name, "1")
+
+
+@then('"{free}" is free, and "{held}" is claimed')
+def check_claims(context, free, held):
+    assert read(context, free) is None
+    check_claimed(context, held)
+
+
+@then('"{key}" is claimed')
+def check_claimed(context, key):
+    assert read(context, key) is not None
+
+
+@then("both hosts are registered")
+def check_registered(context):
+    for name in context.registrations:
+        assert read(context, f"members/{name}") is not None, name
--- a/mangogauge/fleet/members.py
+++ b/mangogauge/fleet/members.py
@@ -5,7 +5,7 @@
 from attrs import asdict, field, frozen
 from returns.result import Failure
 
-from ..store import Operation, StoreRefusedError, Transaction
+from ..store import Lease, Operation, StoreRefusedError, Transaction
 from ..telemetry import get_logger
 from .follower import Listener
 from .lapsing import LapsingEntries
@@ -156,6 +156,7 @@
         self._clock = clock
         self._lease_seconds = lease_seconds
         self._ended = False
+        self._starting = True
         self.lease = None
 
     @property
@@ -186,6 +187,9 @@
                 )
 
     async def _register(self):
+        if self._starting and not await self._end_forerunner():
+            return False
+        self._starting = False
         granted = await self._store.grant_lease(self._lease_seconds)
         if isinstance(granted, Failure):
             return False
@@ -201,6 +205,27 @@
         log.info("registered", extra={"lease": lease.lease_id})
         return True
 
+    async def _end_forerunner(self):
+        """End the lease of this host's earlier process; return whether it is gone.
+
+        Notes
+        -----
+        That process has ended, or this one could not have bound its ports. What
+        it had claimed is free at once, instead of once its lease has lapsed.
+        """
+        found = await self._store.get(self._member.key)
+        if isinstance(found, Failure):
+            return False
+        entry = found.unwrap()
+        if entry is None or not entry.lease:
+            return True
+        lease = Lease(entry.lease, 0.0, 0.0)
+        ended = await self._store.revoke_lease(lease)
+        if isinstance(ended, Failure):
+            return False
+        log.info("lease of an earlier process ended", extra={"lease": entry.lease})
+        return True
+
     async def _renew(self):
         lease = self.lease
         renewed = await self._store.renew_lease(lease)
