--- /dev/null
+++ b/mangogauge/daemon/fleetview.py
@@ -0,0 +1,218 @@
+"""What one host knows of the fleet, how it keeps up, and what it tells the others."""
+
+import uuid
+
+import curio
+
+from ..fleet import (
+    EndpointDirectory,
+    FleetMember,
+    FleetState,
+    Follower,
+    IsolationWatch,
+    MemberDirectory,
+    OrderListener,
+    Registration,
+    SharedSchedule,
+    SteadySchedule,
+)
+from ..placement import EndpointHealth
+from ..sharing import (
+    CrashLedger,
+    LoadBoard,
+    ReportExchange,
+    SharedFreshness,
+    SharedQuota,
+)
+from ..telemetry import get_logger
+
+__all__ = ["FleetView"]
+
+# How old a copy of the operators' orders and of the endpoints' entries may grow
+# before some host reads them again.
+FRESH_SECONDS = 0.7
+# Entries of hosts and of open jobs are awaited at the store.
+WAIT_SECONDS = 5.0
+MEMBERS_PAUSE_SECONDS = 0.2
+ISOLATION_SECONDS = 0.1
+
+log = get_logger("host")
+
+
+class FleetView:
+    """One host's view of the fleet.
+
+    Parameters
+    ----------
+    settings : ServingSettings
+    backends : ServingBackends
+    clock : Clock
+    random : random.Random
+    on_report : async callable
+        Called with each `HostReport` of another host, after it was taken in.
+    on_configuration : callable
+        Called with each `Configuration` that comes into force.
+    on_retirement : callable
+        Called with each `RetirementOrder`.
+
+    Attributes
+    ----------
+    member : FleetMember
+        This host.
+    isolated : bool
+        Whether its data centre reaches nothing else.
+    """
+
+    def __init__(
+        self,
+        settings,
+        backends,
+        clock,
+        random,
+        on_report,
+        on_configuration,
+        on_retirement,
+    ):
+        self._settings = settings
+        self._backends = backends
+        self._clock = clock
+        self._on_report = on_report
+        self._followers = []
+        self._schedules = {}
+        self.isolated = False
+        incarnation = uuid.uuid4().hex[:12]
+        self._make_sharing(incarnation, random)
+        self._make_copies(on_configuration, on_retirement)
+        self._isolation = IsolationWatch(
+            self.members,
+            self.board,
+            settings.data_centre,
+            self._measure_age,
+        )
+        self.registration = Registration(
+            backends.store, self.member, clock, settings.store.lease_seconds
+        )
+
+    @property
+    def claimant(self):
+        """The name under which this process claims work."""
+        return f"{self.member.name}#{self.member.incarnation}"
+
+    def _make_sharing(self, incarnation, random):
+        settings, clock = self._settings, self._clock
+        self.health = EndpointHealth(clock)
+        self.quota = SharedQuota(clock)
+        self.crash_ledger = CrashLedger(clock)
+        self.board = LoadBoard(settings.name, incarnation, clock)
+        self._freshness = SharedFreshness(
+            clock,
+            random,
+            FRESH_SECONDS,
+            lambda: len(self.board.list_heard()) + 1,
+        )
+        self.members = MemberDirectory(FleetMember(settings.name, incarnation), clock)
+        self._exchange = ReportExchange(
+            self.board, self.members, self._make_report, self._take_report
+        )
+        ports = range(settings.first_report_port, settings.last_report_port + 1)
+        self._exchange.bind(settings.address, ports)
+        self.member = self.members.own = FleetMember(
+            settings.name,
+            incarnation,
+            settings.data_centre,
+            f"{settings.address}:{self._exchange.port}",
+            settings.serves_callers,
+            settings.runs_batch,
+        )
+
+    def _make_copies(self, on_configuration, on_retirement):
+        source = self._backends.source
+        self.directory = EndpointDirectory(
+            source.read_endpoint, source.name_endpoint, self._clock
+        )
+        self.state = FleetState(self.directory, self.members, self.board)
+        orders = OrderListener(source, self.state, on_configuration, on_retirement)
+        self._follow_shared(source.orders_prefix, orders)
+        self._follow_shared(source.endpoints_prefix, self.directory)
+        self.follow(self.members.prefix, self.members, MEMBERS_PAUSE_SECONDS)
+
+    def _follow_shared(self, prefix, listener):
+        """Keep a copy that is read in turn with the other hosts."""
+        schedule = SharedSchedule(self._freshness, prefix, self.notify)
+        self._schedules[prefix] = schedule
+        self._followers.append(
+            Follower(
+                self._backends.feed, prefix, listener, schedule, self._clock, whole=True
+            )
+        )
+
+    def follow(self, prefix, listener, pause_seconds):
+        """Keep a copy by waiting at the store for changes."""
+        schedule = SteadySchedule(pause_seconds)
+        self._followers.append(
+            Follower(
+                self._backends.feed,
+                prefix,
+                listener,
+                schedule,
+                self._clock,
+                WAIT_SECONDS,
+            )
+        )
+
+    async def notify(self):
+        """Tell the other hosts soon what has changed here."""
+        await self._exchange.note_change()
+
+    def list_relays(self):
+        """Return the addresses of other hosts that reach the store."""
+        names = [r.host for r in self.board.list_heard() if r.reaches_store]
+        members = [self.members.get(name) for name in names]
+        return [member.address for member in members if member is not None]
+
+    async def run(self):
+        """Keep up with the fleet until cancelled."""
+        async with curio.TaskGroup(wait=any) as group:
+            for follower in self._followers:
+                await group.spawn(follower.run)
+            await group.spawn(self.registration.run)
+            await group.spawn(self._exchange.run)
+            await group.spawn(self._watch_isolation)
+        if group.exception is not None:
+            raise group.exception
+
+    def _measure_age(self):
+        """Return the seconds since a host that this one hears reached the store."""
+        return self._freshness.measure_age(self._backends.source.orders_prefix)
+
+    async def _watch_isolation(self):
+        while True:
+            await curio.sleep(ISOLATION_SECONDS)
+            isolated = self._isolation.is_isolated()
+            if isolated is not self.isolated:
+                self.isolated = isolated
+                log.warning(
+                    "isolation",
+                    extra={
+                        "isolated": isolated,
+                        "hosts_heard": len(self.board.list_heard()),
+                        "age": self._measure_age(),
+                    },
+                )
+
+    def _make_report(self):
+        return self.board.make_report(
+            self.quota.count_own(),
+            self.health.list_shunned(),
+            self._freshness.make_report(),
+            self._backends.transport.reach.is_recent,
+            self.crash_ledger.count_own(),
+        )
+
+    async def _take_report(self, report):
+        self.crash_ledger.take_counts(report.host, report.crashes)
+        for topic in self._freshness.take_report(report.copies):
+            await self._schedules[topic].wake()
+        if self.state.routes is not None:
+            self.quota.take_report(report, self.state.routes)
+        await self._on_report(report)
--- a/mangogauge/platform/store.py
+++ b/mangogauge/platform/store.py
@@ -28,6 +28,8 @@
 __all__ = ["PlatformStore"]
 
 DEFAULT_TIMEOUT = 1.2
+# Part of a lease that one renewal may take, so that another can follow in time.
+RENEWAL_SHARE = 0.35
 # Nothing was done: the store is too busy, or away.
 UNAVAILABLE_STATUSES = frozenset({429, 503})
 OK, NOT_FOUND, GONE, CONDITION_FAILED = 200, 404, 410, 412
@@ -135,7 +137,8 @@
         """Return ``Success(Lease)``, or a refusal if it has lapsed."""
         asked = self._clock.read_elapsed()
         path = f"/api/kv-keep/{lease.lease_id}"
-        answer = await self._call("POST", path, {OK, NOT_FOUND})
+        seconds = lease.seconds * RENEWAL_SHARE
+        answer = await self._call("POST", path, {OK, NOT_FOUND}, timeout=seconds)
         return answer.bind(lambda a: _read_renewal(a, lease, asked))
 
     async def revoke_lease(self, lease):
--- a/mangogauge/store/detour.py
+++ b/mangogauge/store/detour.py
@@ -90,9 +90,6 @@
         was_lost = self.reach.is_lost
         try:
             answer = await self.direct.request(method, target, body, seconds)
-        except HTTPConnectError:
-            self.reach.note_unreachable()
-            raise
         except (HTTPError, curio.TaskTimeout):
             self.reach.note_failure()
             raise
