--- a/mangogauge/store/detour.py
+++ b/mangogauge/store/detour.py
@@ -87,21 +87,24 @@
             await transport.close()
 
     async def _ask_store(self, method, target, body, seconds):
-        was_lost = self.reach.is_lost
         try:
             answer = await self.direct.request(method, target, body, seconds)
-        except (HTTPError, curio.TaskTimeout):
-            self.reach.note_failure()
+        except (HTTPError, curio.TaskTimeout) as error:
+            self._note(self.reach.note_failure, repr(error))
             raise
+        if answer.status in REFUSED_STATUSES:
+            self._note(self.reach.note_failure, f"status {answer.status}")
         else:
-            if answer.status in REFUSED_STATUSES:
-                self.reach.note_failure()
-            else:
-                self.reach.note_answer()
-            return answer
-        finally:
-            if self.reach.is_lost is not was_lost:
-                log.info("way to the store", extra={"lost": self.reach.is_lost})
+            self._note(self.reach.note_answer, "answered")
+        return answer
+
+    def _note(self, note, reason):
+        """Note what a call has shown; log it if calls go another way from now on."""
+        was_lost = self.reach.is_lost
+        note()
+        if self.reach.is_lost is not was_lost:
+            extra = {"lost": self.reach.is_lost, "reason": reason}
+            log.info("way to the store", extra=extra)
 
     async def _try_store(self, method, target, body, seconds):
         """Return the store's own answer if it comes soon, or None."""
