Remove what nobody uses in fleet and sharing

EndpointDirectory's callback, the records of engines and the quota's forgetting of idle accounts had no caller; the last could not be wired as it was, since a total that starts anew would be counted too low by other hosts. No change of behaviour.

--- a/mangogauge/fleet/__init__.py
+++ b/mangogauge/fleet/__init__.py
@@ -7,7 +7,6 @@
 from .records import (
     Account,
     Configuration,
-    Engine,
     FleetEndpoint,
     PrefixRoute,
     RouteNature,
@@ -23,7 +22,6 @@
     "Account",
     "Configuration",
     "EndpointDirectory",
-    "Engine",
     "FleetEndpoint",
     "FleetMember",
     "FleetSource",
--- a/mangogauge/fleet/directory.py
+++ b/mangogauge/fleet/directory.py
@@ -22,8 +22,6 @@
     name_key : callable
         Turns a key into an endpoint's name.
     clock : Clock
-    on_change : callable, optional
-        Called after the endpoints have changed.
 
     Attributes
     ----------
@@ -31,10 +29,9 @@
         Whether the endpoints have been read.
     """
 
-    def __init__(self, decode, name_key, clock, on_change=None):
+    def __init__(self, decode, name_key, clock):
         self._decode = decode
         self._name_key = name_key
-        self._on_change = on_change or (lambda: None)
         self._entries = LapsingEntries(clock)
         self.loaded = False
 
@@ -65,7 +62,6 @@
         for endpoint in found.values():
             self._put(endpoint)
         self.loaded = True
-        self._on_change()
 
     def take_changes(self, events):
         """Take in endpoints that announced themselves, or left."""
@@ -75,7 +71,6 @@
                 self._drop(self._name_key(event.key))
             else:
                 self._put(endpoint)
-        self._on_change()
 
     def note_regained(self):
         """From now on, for a moment, a missing entry may only have lapsed."""
--- a/mangogauge/fleet/records.py
+++ b/mangogauge/fleet/records.py
@@ -7,7 +7,6 @@
 __all__ = [
     "Account",
     "Configuration",
-    "Engine",
     "FleetEndpoint",
     "PrefixRoute",
     "RouteNature",
@@ -118,26 +117,6 @@
     priority = field(default=None)
 
 
-@frozen
-class Engine:
-    """What all endpoints of a service have in common.
-
-    Parameters
-    ----------
-    service : str
-    health_path : str
-    connection_limit : int
-        Connections that one endpoint accepts from all callers; 0 for any.
-    token_capacity : int
-        Tokens that fit into one endpoint's memory; 0 if not known.
-    """
-
-    service = field()
-    health_path = field(default="/")
-    connection_limit = field(default=0)
-    token_capacity = field(default=0)
-
-
 @frozen
 class FleetEndpoint:
     """One endpoint, as it announced itself.
@@ -177,8 +156,6 @@
     routes : tuple of PrefixRoute
     accounts : tuple of Account
         Empty if requests need no key.
-    engines : dict of str to Engine
-        By service.
     header_bytes, body_bytes : int
         Largest request head and body that a caller may send.
     header_timeout : float
@@ -190,7 +167,6 @@
     version = field()
     routes = field(converter=tuple)
     accounts = field(default=(), converter=tuple)
-    engines = field(factory=dict)
     header_bytes = field(default=32_768)
     body_bytes = field(default=8_388_608)
     header_timeout = field(default=30.0)
--- a/mangogauge/platform/source.py
+++ b/mangogauge/platform/source.py
@@ -5,7 +5,6 @@
 from ..fleet import (
     Account,
     Configuration,
-    Engine,
     FleetEndpoint,
     FleetSource,
     OrdersRead,
@@ -84,7 +83,6 @@
         version=value["version"],
         routes=[_read_route(route) for route in value["routes"]],
         accounts=[_read_account(account) for account in value.get("tenants", ())],
-        engines={s["name"]: _read_engine(s) for s in value["services"]},
         header_bytes=limits["max_header_bytes"],
         body_bytes=limits["max_body_bytes"],
         header_timeout=limits["header_timeout_ms"] / 1000,
@@ -129,16 +127,6 @@
     )
 
 
-def _read_engine(value):
-    engine = value.get("engine", {})
-    return Engine(
-        service=value["name"],
-        health_path=value["health_path"],
-        connection_limit=value.get("max_conns", 0),
-        token_capacity=engine.get("kv_capacity_tokens", 0),
-    )
-
-
 def _read_endpoint(name, value):
     address, slots = value["address"], value["slots"]
     host, _, port = address.rpartition(":")
--- a/mangogauge/sharing/quota.py
+++ b/mangogauge/sharing/quota.py
@@ -17,8 +17,6 @@
 SPARE_REQUESTS = 4.0
 # A host that has just started doesn't know what was admitted before.
 STARTING_SHARE = 0.5
-# An account that has not been heard of for this long is forgotten.
-FORGET_SECONDS = 60.0
 
 
 @frozen
@@ -113,13 +111,6 @@
                 continue
             self._update(account, 1.0).level += fresh
 
-    def forget_idle(self):
-        """Drop the buckets of accounts that have long asked for nothing."""
-        oldest = self._clock.read_elapsed() - FORGET_SECONDS
-        for name, bucket in list(self._buckets.items()):
-            if bucket.updated_at < oldest:
-                del self._buckets[name]
-
     def _update(self, account, share):
         """Return the account's bucket, emptied by what the rate has paid."""
         now = self._clock.read_elapsed()
