A host that hears nobody asks any registered host to pass its calls on

Traced by the log: the host was cut off a moment after its start, before it was registered, so no host knew of it or sent it reports, and it found nobody to pass its registration on. Ruled out: the relay itself (never asked). Change: RelayDirectory.

--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -13,6 +13,7 @@
     MemberDirectory,
     OrderListener,
     Registration,
+    RelayDirectory,
     SharedSchedule,
     SteadySchedule,
 )
@@ -89,6 +90,7 @@
             settings.data_centre,
             self._measure_age,
         )
+        self.relays = RelayDirectory(self.members, self.board)
         self.registration = Registration(
             backends.store, self.member, clock, settings.store.lease_seconds
         )
@@ -164,12 +166,6 @@
         """Tell the other hosts soon what has changed here."""
         await self._exchange.note_change()
 
-    def list_relays(self):
-        """Return the addresses of other hosts that reach the store."""
-        names = [r.host for r in self.board.list_heard() if r.reaches_store]
-        members = [self.members.get(name) for name in names]
-        return [member.address for member in members if member is not None]
-
     async def run(self):
         """Keep up with the fleet until cancelled."""
         async with curio.TaskGroup(wait=any) as group:
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -198,7 +198,7 @@
             f"{settings.address}:{settings.metrics_port}",
         )
         transport = self.backends.transport
-        transport.use_relays(self.fleet.list_relays)
+        transport.use_relays(self.fleet.relays.list_addresses)
         relay = HTTPServer(
             StoreRelay(transport.direct).handle,
             ServerLimits(body_bytes=RELAYED_BYTES),
--- a/mangogauge/fleet/__init__.py
+++ b/mangogauge/fleet/__init__.py
@@ -12,6 +12,7 @@
     RouteNature,
     ServiceShare,
 )
+from .relays import RelayDirectory
 from .retirement import RetirementKeeper
 from .routes import PrefixRoutes
 from .schedule import ReadSchedule, SharedSchedule, SteadySchedule
@@ -36,6 +37,7 @@
     "PrefixRoutes",
     "ReadSchedule",
     "Registration",
+    "RelayDirectory",
     "RetirementKeeper",
     "RetirementOrder",
     "RouteNature",
