A copy of the endpoints without a lapsed entry is told from one that has it

Cause: after an outage in which leases lapsed, a host that read the endpoints too early kept the missing ones for 2 s, as it should, and counted them in its copy's digest. Hosts that read a second later had the same digest, so they confirmed its copy and it never read again; after 2 s it had no endpoints and refused requests by 503 for seconds. Ruled out: the endpoints (others used them), isolation (no such line). Change: the digest covers the entries as they were read, without kept ones. following.feature fails without it.

--- a/features/fleet/following.feature
+++ b/features/fleet/following.feature
@@ -14,6 +14,15 @@
     And 2.1 s pass
     Then the directory knows "e2"
 
+  Scenario: A copy that lacks an entry is told from one that has it, though it is kept
+    Given a directory that knows the endpoints "e1, e2"
+    And its digest is noted
+    When the store is lost and regained, and the entry of "e1" is gone
+    Then the directory knows "e1, e2"
+    And its digest differs from the one that was noted
+    When 1.9 s pass and "e1" writes its entry again
+    Then its digest is the one that was noted
+
   Scenario: An endpoint that leaves while the store answers is gone at once
     Given a directory that knows the endpoints "e1, e2"
     When the entry of "e1" is gone
--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -53,6 +53,21 @@
     put_entry(context, name, None)
 
 
+@given("its digest is noted")
+def note_digest(context):
+    context.digest = context.directory.digest
+
+
+@then("its digest differs from the one that was noted")
+def check_other_digest(context):
+    assert context.directory.digest != context.digest
+
+
+@then("its digest is the one that was noted")
+def check_same_digest(context):
+    assert context.directory.digest == context.digest
+
+
 @when('the entry of "{name}" is gone')
 def lose_entry(context, name):
     put_entry(context, name, None)
--- a/mangogauge/fleet/directory.py
+++ b/mangogauge/fleet/directory.py
@@ -37,8 +37,14 @@
 
     @property
     def digest(self):
-        """Digest of all that is known of the endpoints."""
-        texts = sorted(repr(endpoint) for endpoint in self._entries.list_values())
+        """Digest of the entries as they were read.
+
+        Notes
+        -----
+        Without those that are only kept for a moment: a host that has read them
+        anew must not seem to have the same copy.
+        """
+        texts = sorted(repr(endpoint) for endpoint in self._entries.list_present())
         return xxhash.xxh3_64_hexdigest("\n".join(texts).encode())
 
     def list_endpoints(self):
--- a/mangogauge/fleet/lapsing.py
+++ b/mangogauge/fleet/lapsing.py
@@ -56,6 +56,11 @@
         self._forget()
         return [entry.value for entry in self._entries.values()]
 
+    def list_present(self):
+        """Return the values that were there when last read, without kept ones."""
+        entries = self._entries.values()
+        return [entry.value for entry in entries if entry.kept_until is None]
+
     def get(self, name):
         """Return a value, or None."""
         self._forget()
