Look twice whether an endpoint that broke off has crashed

Traced by the log: the host looked for the engine at once after the connection broke, and its listener was still there, as a process that ends closes its connections a moment earlier; so the crash was not counted. Ruled out: the quarantine's decisions (each crash it heard of was judged). Change: _is_dead looks again after 0.15 s.

--- a/mangogauge/gateway/crashes.py
+++ b/mangogauge/gateway/crashes.py
@@ -33,6 +33,8 @@
 COLLECT_SECONDS = 0.3
 CALL_TIMEOUT = 2.0
 PROBE_TIMEOUT = 0.5
+# A process that ends closes its connections a moment before its listener.
+PROBE_PAUSES = (0.0, 0.15)
 TRIAL_POLL_SECONDS = 0.1
 
 log = get_logger("crashes")
@@ -214,6 +216,14 @@
 
 async def _is_dead(endpoint):
     """Return whether nothing listens at the endpoint's address any more."""
+    for pause in PROBE_PAUSES:
+        await curio.sleep(pause)
+        if await _refuses(endpoint):
+            return True
+    return False
+
+
+async def _refuses(endpoint):
     host, _, port = endpoint.address.rpartition(":")
     try:
         async with curio.timeout_after(PROBE_TIMEOUT):
