Don't put an answer together from two runs where it can't be resumed

Cause: a request of a safe route whose answer broke off after its head and a part had been passed on was run at another endpoint, and that one's body followed the part of the first. Ruled out: streams that may be resumed (they go on after the last event). Change: once a part has been passed on, only resumable routes are tried again; the answer ends without looking whole. online.feature fails without it.

--- a/features/platform/online.feature
+++ b/features/platform/online.feature
@@ -53,6 +53,11 @@
     When "desk" asks "h1" for "/ask/1" with 12 events
     Then the answer is a part that doesn't look whole
 
+  Scenario: An answer that may be run again is not put together from two runs
+    Given the endpoints answer "cut" to the next 1 requests
+    When "desk" asks "h1" for "/safe/1" with 20 events
+    Then the answer is a part that doesn't look whole
+
   Scenario: An answer to another request is not taken
     Given the endpoints answer "other" to the next 1 requests
     When "desk" asks "h1" for "/note/1" with 12 events
--- a/mangogauge/entry/dispatch.py
+++ b/mangogauge/entry/dispatch.py
@@ -180,6 +180,9 @@
         call, failure = run.call, run.failure
         if run.attempts >= ATTEMPT_LIMIT or failure.kind in FINAL_KINDS:
             return False
+        if run.relay.started and not call.route.resumable:
+            # The caller has a part of one run; another's would not fit it.
+            return False
         time_left = self._compute_time_left(call)
         if failure.progress is Progress.RUN:
             # The endpoint failed; another may do better where that is safe.
