Don't convict a trial by a crash that came before it

Traced: an endpoint was killed; its suspects' reports came in one after the other for 0.3 s and more (longer since each looks twice); a suspect that went on trial at the dead endpoint meanwhile was convicted when the next report of the same crash was settled. Ruled out: crashes counted twice (one crash id in each trace); merged findings. Change: a trial keeps the crash known when it began, and isn't held to that one.

--- a/features/routing/quarantine.feature
+++ b/features/routing/quarantine.feature
@@ -43,3 +43,13 @@
     And quarantine: "z" is clear
     When quarantine: 700 seconds pass
     Then quarantine: "x" is clear
+
+  Scenario: A trial that begins after a crash is not convicted by it
+    Given quarantine: a quarantine by hand
+    When quarantine: "x, y" ran at a crash of "e1"
+    And quarantine: trial of "x" begins at "e1", and "y" reports it
+    Then quarantine: "x" and "y" are suspects
+    When quarantine: 4 seconds pass
+    And quarantine: trial of "x" at "e1", which crashed under "x"
+    Then quarantine: "x" is condemned
+    And quarantine: "y" is clear
--- a/features/steps/quarantine.py
+++ b/features/steps/quarantine.py
@@ -178,6 +178,12 @@
     crash(context, names, endpoint)
 
 
+@when('quarantine: trial of "{name}" begins at "{endpoint}", and "{late}" reports it')
+def report_late(context, name, endpoint, late):
+    assert context.quarantine.begin_trial(name, endpoint)
+    crash(context, late, endpoint)
+
+
 @when("quarantine: {seconds:d} seconds pass")
 def advance(context, seconds):
     context.clock.advance(seconds)
--- a/mangogauge/routing/quarantine.py
+++ b/mangogauge/routing/quarantine.py
@@ -3,14 +3,15 @@
 A request that ran at an endpoint when it crashed is a suspect. Suspects run
 again one at a time at an endpoint. One that was present at two crashes, with
 no other suspect present at the same two, is condemned, and so is one that was
-on trial when its endpoint crashed. Whoever is condemned explains its crashes:
-others that were present are suspects no more.
+on trial when its endpoint crashed. A trial isn't held to a crash that was known
+before it began: reports of one crash come in one after the other. Whoever is
+condemned explains its crashes: others that were present are suspects no more.
 """
 
 import enum
 from collections import OrderedDict
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from ..protocol.quarantine_pb2 import Condemned, QuarantineState, Suspect
 
@@ -41,6 +42,33 @@
     until = field(default=0.0)
 
 
+@frozen
+class _Trial:
+    """A suspect that runs alone at an endpoint.
+
+    Parameters
+    ----------
+    fingerprint : str
+    known_crash : str
+        The endpoint's crash that was known when the trial began; reports of
+        it may still come in, and say nothing about the trial.
+    until : float
+        When the trial counts as ended, in seconds of the clock.
+    """
+
+    fingerprint = field()
+    known_crash = field()
+    until = field()
+
+
+@frozen
+class _RecentCrash:
+    """The crash that reports from an endpoint are counted to, until when."""
+
+    crash = field()
+    until = field()
+
+
 class Quarantine:
     """Suspects, trials and condemned requests.
 
@@ -89,27 +117,31 @@
 
     def settle(self, endpoint):
         """Condemn whom the crashes reported so far convict."""
-        trial = self._trials.pop(endpoint, None)
+        trial = self._trials.get(endpoint)
         crash = self._find_crash(endpoint)
-        if trial is not None:
-            case = self._suspects.get(trial[0])
-            if case is not None and crash in case.crashes:
-                self._condemn(trial[0], case.crashes)
+        if trial is not None and trial.known_crash != crash:
+            del self._trials[endpoint]
+            self._convict(trial.fingerprint, crash)
         self._condemn_repeated()
 
     def begin_trial(self, fingerprint, endpoint):
         """Return whether the suspect may run at `endpoint` now."""
         self._expire()
         running = self._trials.get(endpoint)
-        if running is not None and running[0] != fingerprint:
+        if running is not None and running.fingerprint != fingerprint:
             return False
-        self._trials[endpoint] = (fingerprint, self._now + TRIAL_SECONDS)
+        recent = self._recent.get(endpoint)
+        self._trials[endpoint] = _Trial(
+            fingerprint,
+            known_crash=recent.crash if recent else "",
+            until=self._now + TRIAL_SECONDS,
+        )
         return True
 
     def end_trial(self, fingerprint, endpoint, answered):
         """Note that a trial has ended; an answer clears the suspect."""
         running = self._trials.get(endpoint)
-        if running is not None and running[0] == fingerprint:
+        if running is not None and running.fingerprint == fingerprint:
             del self._trials[endpoint]
         if answered and self._suspects.pop(fingerprint, None) is not None:
             self._cleared[fingerprint] = self._now + CLEARED_SECONDS
@@ -170,6 +202,12 @@
             case.until = self._now + SUSPECT_SECONDS
         _trim(self._suspects)
 
+    def _convict(self, fingerprint, crash):
+        """Condemn the request on trial if it was present at the crash."""
+        case = self._suspects.get(fingerprint)
+        if case is not None and crash in case.crashes:
+            self._condemn(fingerprint, case.crashes)
+
     def _condemn_repeated(self):
         for name, case in list(self._suspects.items()):
             if name not in self._suspects or len(case.crashes) < CRASHES_TO_CONDEMN:
@@ -193,12 +231,13 @@
                 del self._suspects[name]
 
     def _find_crash(self, endpoint):
-        crash, until = self._recent.get(endpoint, ("", float("-inf")))
-        if self._now > until:
+        recent = self._recent.get(endpoint)
+        if recent is None or self._now > recent.until:
             self._count += 1
             crash = f"{endpoint}/{self._owner}/{self._count}"
-            self._recent[endpoint] = (crash, self._now + MERGE_SECONDS)
-        return crash
+            recent = _RecentCrash(crash, self._now + MERGE_SECONDS)
+            self._recent[endpoint] = recent
+        return recent.crash
 
     def _expire(self):
         now = self._now
@@ -209,7 +248,7 @@
             for name in [n for n, until in times.items() if until < now]:
                 del times[name]
         for kept in (self._trials, self._recent):
-            for name in [n for n, (_, until) in kept.items() if until < now]:
+            for name in [n for n, row in kept.items() if row.until < now]:
                 del kept[name]
 
 
