--- a/features/batch/decisions.feature
+++ b/features/batch/decisions.feature
@@ -34,3 +34,10 @@
     When batch work may ramp up for 5 s
     And the endpoint reports 18 requests more than this host runs
     Then 18 batch items are to be cancelled at once
+
+  Scenario: A host that knows no configuration yet claims nothing
+    Given a batch runner whose host has no configuration
+    When it looks for work for 2 s
+    Then it has claimed nothing and goes on
+    When its host learns a configuration and it looks for work for 0.5 s
+    Then it has asked the store for jobs
--- a/mangogauge/batch/runner.py
+++ b/mangogauge/batch/runner.py
@@ -85,6 +85,7 @@
         self._parts = parts
         self._settings = BatchSettings()
         self._owned = {}
+        self._configured = False
         self._claiming = True
         self._draining = False
         self._share = FairShare()
@@ -105,6 +106,7 @@
         self._policy = LapsePolicy(settings.outage_seconds, settings.held_items)
         self._share.set_weights({a.name: a.weight for a in fleet.accounts.values()})
         self._executor.take_fleet(fleet)
+        self._configured = True
 
     async def run(self):
         """Claim, run and commit until cancelled."""
@@ -195,13 +197,19 @@
             pause = self._settings.poll_seconds * 2 ** min(fruitless, 2)
             await curio.sleep(pause * (0.5 + self._parts.random.random()))
             await self._release_stalled()
-            if not self._claiming or len(self._owned) >= CHUNKS_OWNED:
+            if not self._may_claim():
                 continue
             chunk = await self._claim_one()
             fruitless = 0 if chunk else fruitless + 1
             while chunk and self._executor.is_hungry and self._claiming:
                 chunk = await self._claim_one()
 
+    def _may_claim(self):
+        # Without a configuration a host knows neither endpoints nor its room.
+        if not self._configured or not self._claiming:
+            return False
+        return len(self._owned) < CHUNKS_OWNED
+
     async def _release_stalled(self):
         """Make room for chunks that can be run; these are looked at again later."""
         for chunk in self._executor.list_stalled():
