Add reports up as they come, not for each choice

Cause: each choice of an endpoint added up all heard reports for each endpoint: hosts times endpoints (3,249 looks with 57 of each, counted), on machines with half a core. Ruled out: a sum kept for a moment (still hosts times endpoints at each report). Change: sharing/tally.py keeps sums; a report replaces its host's earlier one, and the oldest end to count first.

--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -110,7 +110,7 @@
             clock,
             random,
             FRESH_SECONDS,
-            lambda: len(self.board.list_heard()) + 1,
+            lambda: self.board.count_heard() + 1,
         )
         self.members = MemberDirectory(FleetMember(settings.name, incarnation), clock)
         self._exchange = ReportExchange(
@@ -191,7 +191,7 @@
                     "isolation",
                     extra={
                         "isolated": isolated,
-                        "hosts_heard": len(self.board.list_heard()),
+                        "hosts_heard": self.board.count_heard(),
                         "age": self._measure_age(),
                     },
                 )
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -274,7 +274,7 @@
                     "ready": self.ready,
                     "configuration": self.fleet.state.version,
                     "endpoints": len(self.fleet.directory.list_endpoints()),
-                    "hosts_heard": len(self.fleet.board.list_heard()),
+                    "hosts_heard": self.fleet.board.count_heard(),
                     "waiting": len(self.slots),
                     "items_waiting": self.fleet.board.items_waiting,
                     "store_calls": self.metrics.take_store_calls(),
--- a/mangogauge/sharing/board.py
+++ b/mangogauge/sharing/board.py
@@ -1,8 +1,11 @@
 """What runs at each endpoint, by this host's own counts and others' reports."""
 
+from collections import OrderedDict
+
 from attrs import define, field, frozen
 
 from .reports import EndpointLoad, HostReport
+from .tally import ReportTally
 
 __all__ = ["LoadBoard"]
 
@@ -54,7 +57,9 @@
         self._incarnation = incarnation
         self._clock = clock
         self._own = {}
-        self._heard = {}
+        # In the order in which the reports came: the oldest end to count first.
+        self._heard = OrderedDict()
+        self._tally = ReportTally()
         self._number = 0
         self.waiting = 0
         self.items_waiting = 0
@@ -85,16 +90,21 @@
         if known is not None and known.report.incarnation == report.incarnation:
             if report.number <= known.report.number:
                 return False
+        self._forget(report.host)
         self._heard[report.host] = _Heard(report, self._clock.read_elapsed())
+        self._tally.add(report)
         return True
 
     def list_heard(self):
         """Return the fresh reports of other hosts."""
-        oldest = self._clock.read_elapsed() - REPORT_SECONDS
-        for name in [n for n, heard in self._heard.items() if heard.at < oldest]:
-            del self._heard[name]
+        self._expire()
         return [heard.report for heard in self._heard.values()]
 
+    def count_heard(self):
+        """Return how many other hosts have been heard lately."""
+        self._expire()
+        return len(self._heard)
+
     def hears(self, host):
         """Return whether a host's admissions are known up to now."""
         heard = self._heard.get(host)
@@ -109,32 +119,34 @@
 
     def measure(self, endpoint):
         """Return the `EndpointLoad` of all hosts together."""
-        own = self.get_own(endpoint)
-        online, batch = own.online, own.batch
-        for report in self.list_heard():
-            load = report.loads.get(endpoint, NOTHING)
-            online += load.online
-            batch += load.batch
-        return EndpointLoad(online, batch)
+        self._expire()
+        others = self._tally.measure(endpoint)
+        own = self._own.get(endpoint)
+        if own is None:
+            return others
+        return EndpointLoad(own.online + others.online, own.batch + others.batch)
 
     def list_loads(self, endpoint):
         """Return ``{host: EndpointLoad}`` of the hosts that use an endpoint."""
-        loads = {r.host: r.loads.get(endpoint, NOTHING) for r in self.list_heard()}
+        self._expire()
+        loads = self._tally.list_loads(endpoint)
         loads[self.host] = self.get_own(endpoint)
         return {host: load for host, load in loads.items() if load.total}
 
     def list_hosts_with_items(self):
         """Return the names of the other hosts that have items waiting."""
-        return [r.host for r in self.list_heard() if r.items_waiting]
+        self._expire()
+        return list(self._tally.hosts_with_items)
 
     def count_waiting_hosts(self):
         """Return how many hosts share the slots that are freed; 1 at least."""
-        return 1 + sum(report.waiting > 0 for report in self.list_heard())
+        self._expire()
+        return 1 + len(self._tally.waiting_hosts)
 
     def is_shunned(self, endpoint):
         """Return whether several other hosts can't use an endpoint."""
-        shunning = sum(endpoint in report.shunned for report in self.list_heard())
-        return shunning >= SHUN_QUORUM
+        self._expire()
+        return self._tally.count_shunning(endpoint) >= SHUN_QUORUM
 
     def make_report(self, admitted, shunned, copies, reaches_store=False, crashes=None):
         """Return this host's next `HostReport`.
@@ -161,3 +173,17 @@
             reaches_store,
             crashes or {},
         )
+
+    def _expire(self):
+        """Forget hosts whose last report is too old."""
+        oldest = self._clock.read_elapsed() - REPORT_SECONDS
+        while self._heard:
+            host, heard = next(iter(self._heard.items()))
+            if heard.at >= oldest:
+                return
+            self._forget(host)
+
+    def _forget(self, host):
+        heard = self._heard.pop(host, None)
+        if heard is not None:
+            self._tally.remove(heard.report)
--- /dev/null
+++ b/mangogauge/sharing/tally.py
@@ -0,0 +1,91 @@
+"""Sums over the reports of other hosts, kept up to date one report at a time.
+
+The load this answers: dozens of hosts that each report several times a second,
+and choices among dozens of endpoints for every request. Adding up all reports for
+each choice would cost hosts times endpoints.
+"""
+
+from attrs import define, field
+
+from .reports import EndpointLoad
+
+__all__ = ["ReportTally"]
+
+NOTHING = EndpointLoad()
+
+
+@define
+class _Total:
+    """What runs at one endpoint, by host and in all."""
+
+    online = field(default=0)
+    batch = field(default=0)
+    by_host = field(factory=dict)
+
+    def add(self, host, load):
+        self.online += load.online
+        self.batch += load.batch
+        self.by_host[host] = load
+
+    def remove(self, host):
+        load = self.by_host.pop(host)
+        self.online -= load.online
+        self.batch -= load.batch
+
+
+class ReportTally:
+    """Sums over one report of each host.
+
+    Attributes
+    ----------
+    waiting_hosts : set of str
+        Hosts at which online requests wait for a free slot.
+    hosts_with_items : set of str
+        Hosts at which batch items wait.
+    """
+
+    def __init__(self):
+        self._totals = {}
+        self._shunning = {}
+        self.waiting_hosts = set()
+        self.hosts_with_items = set()
+
+    def add(self, report):
+        """Count a host's report; none of that host may be counted already."""
+        for endpoint, load in report.loads.items():
+            self._totals.setdefault(endpoint, _Total()).add(report.host, load)
+        for endpoint in set(report.shunned):
+            self._shunning.setdefault(endpoint, set()).add(report.host)
+        if report.waiting:
+            self.waiting_hosts.add(report.host)
+        if report.items_waiting:
+            self.hosts_with_items.add(report.host)
+
+    def remove(self, report):
+        """Count a host's report no more."""
+        for endpoint in report.loads:
+            total = self._totals[endpoint]
+            total.remove(report.host)
+            if not total.by_host:
+                del self._totals[endpoint]
+        for endpoint in set(report.shunned):
+            hosts = self._shunning[endpoint]
+            hosts.discard(report.host)
+            if not hosts:
+                del self._shunning[endpoint]
+        self.waiting_hosts.discard(report.host)
+        self.hosts_with_items.discard(report.host)
+
+    def measure(self, endpoint):
+        """Return the `EndpointLoad` of all these hosts together."""
+        total = self._totals.get(endpoint)
+        return EndpointLoad(total.online, total.batch) if total else NOTHING
+
+    def list_loads(self, endpoint):
+        """Return ``{host: EndpointLoad}`` of these hosts at an endpoint."""
+        total = self._totals.get(endpoint)
+        return dict(total.by_host) if total else {}
+
+    def count_shunning(self, endpoint):
+        """Return how many of these hosts shun an endpoint."""
+        return len(self._shunning.get(endpoint, ()))
