Pace reports by the number of hosts that hear them

Ruled out: a tree by data centre (needs a second way for each kind of trouble; docs/CAPACITY.md keeps it for 410 hosts). Change: sharing/pacing.py: hosts that run items hear at once, those that serve callers at most 300 datagrams a second from each host; what changes after a pause is still told within 8 ms. Quota looks up only accounts whose counts have changed.

--- a/mangogauge/sharing/__init__.py
+++ b/mangogauge/sharing/__init__.py
@@ -4,6 +4,7 @@
 from .crashes import CrashLedger
 from .exchange import ReportExchange
 from .freshness import CopyReport, SharedFreshness
+from .pacing import estimate_age
 from .quota import Admission, SharedQuota
 from .reports import EndpointLoad, HostReport, ReportError
 
@@ -18,4 +19,5 @@
     "ReportExchange",
     "SharedFreshness",
     "SharedQuota",
+    "estimate_age",
 ]
--- a/mangogauge/sharing/exchange.py
+++ b/mangogauge/sharing/exchange.py
@@ -1,25 +1,44 @@
 """Send this host's report to the others, and take in theirs, by datagrams."""
 
 import curio
+from attrs import field, frozen
 from curio import socket
 
 from ..telemetry import get_logger
+from .pacing import (
+    ENTRY_DATAGRAMS_PER_SECOND,
+    RUNNER_DATAGRAMS_PER_SECOND,
+    ReportPacing,
+)
 from .reports import HostReport, ReportError
 
 __all__ = ["ReportExchange"]
 
 DATAGRAM_BYTES = 65_000
-# Changes within this time share a report.
-GATHER_SECONDS = 0.008
 # How often a host reports even if nothing has changed.
 IDLE_SECONDS = 0.25
-# Datagrams a second that one host sends at most: where there are many hosts,
-# reports become rarer rather than costlier.
-DATAGRAMS_PER_SECOND = 1500
 
 log = get_logger("sharing")
 
 
+@frozen
+class _Audience:
+    """Hosts that hear reports at the same pace.
+
+    Parameters
+    ----------
+    runs_batch : bool
+        Whether it is the hosts that run items, or the others.
+    pacing : ReportPacing
+    changed : curio.Event
+        Set while there is something that they have not heard.
+    """
+
+    runs_batch = field()
+    pacing = field()
+    changed = field(factory=curio.Event)
+
+
 class ReportExchange:
     """Exchanges reports with the other hosts.
 
@@ -27,19 +46,23 @@
     ----------
     board : LoadBoard
     members : MemberDirectory
+    clock : Clock
     make_report : callable
         Returns this host's next `HostReport`.
     on_report : callable
         Called with each `HostReport` that was news.
     """
 
-    def __init__(self, board, members, make_report, on_report):
+    def __init__(self, board, members, clock, make_report, on_report):
         self._board = board
         self._members = members
         self._make_report = make_report
         self._on_report = on_report
         self._sock = None
-        self._changed = curio.Event()
+        self._audiences = [
+            _Audience(True, ReportPacing(clock, RUNNER_DATAGRAMS_PER_SECOND)),
+            _Audience(False, ReportPacing(clock, ENTRY_DATAGRAMS_PER_SECOND)),
+        ]
 
     @property
     def port(self):
@@ -67,14 +90,16 @@
 
     async def note_change(self):
         """Report soon: a count has changed."""
-        if not self._changed.is_set():
-            await self._changed.set()
+        for audience in self._audiences:
+            if not audience.changed.is_set():
+                await audience.changed.set()
 
     async def run(self):
         """Send and receive until cancelled."""
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(self._receive)
-            await group.spawn(self._send)
+            for audience in self._audiences:
+                await group.spawn(self._send, audience)
 
     async def _receive(self):
         while True:
@@ -90,22 +115,24 @@
             if self._board.take_report(report):
                 await self._on_report(report)
 
-    async def _send(self):
+    async def _send(self, audience):
         while True:
             async with curio.ignore_after(IDLE_SECONDS):
-                await self._changed.wait()
-            await curio.sleep(self._compute_gap())
-            self._changed.clear()
-            await self.send_report()
-
-    def _compute_gap(self):
-        others = len(self._members.list_others())
-        return max(GATHER_SECONDS, others / DATAGRAMS_PER_SECOND)
-
-    async def send_report(self):
-        """Send a report to every other host now."""
+                await audience.changed.wait()
+            hosts = len(self._list_members(audience))
+            await curio.sleep(audience.pacing.measure_wait(hosts))
+            audience.changed.clear()
+            await self._send_report(audience)
+
+    def _list_members(self, audience):
+        others = self._members.list_others()
+        return [m for m in others if m.runs_batch is audience.runs_batch]
+
+    async def _send_report(self, audience):
+        """Send a report to every host of an audience now."""
+        audience.pacing.note_sent()
         data = self._make_report().to_bytes()
-        for member in self._members.list_others():
+        for member in self._list_members(audience):
             host, _, port = member.address.rpartition(":")
             try:
                 await self._sock.sendto(data, (host, int(port)))
--- a/mangogauge/sharing/quota.py
+++ b/mangogauge/sharing/quota.py
@@ -105,9 +105,11 @@
         if before is not None and before.incarnation == report.incarnation:
             known = before.admitted
         for name, count in report.admitted.items():
-            account = accounts.get_account(name)
             fresh = count - known.get(name, 0 if before else count)
-            if account is None or not account.rate or fresh <= 0:
+            if fresh <= 0:
+                continue
+            account = accounts.get_account(name)
+            if account is None or not account.rate:
                 continue
             self._update(account, 1.0).level += fresh
 
