Read the hosts' list in turn, fill slots at ticks, give no turn to silent hosts

Ruled out: longer waits at the store (every registration still answers all of them). Change: the list is a shared copy like the endpoints', read by one host for all within 0.7 s. A host that is silent has no turn to claim, which shows sooner than its lease ends.

--- /dev/null
+++ b/features/steps/filling.py
@@ -0,0 +1,151 @@
+"""Steps of how a host fills endpoints with items, and gives way."""
+
+import curio
+from behave import given, then, when
+
+from features.builders.fleet import (
+    HOST_NAME,
+    make_configuration,
+    make_endpoint,
+    make_report,
+    make_route,
+)
+from mangogauge.clock import SystemClock
+from mangogauge.fleet import (
+    FleetMember,
+    FleetState,
+    MemberDirectory,
+    PrefixRoutes,
+    RouteNature,
+)
+from mangogauge.jobs import JobRunner, WorkBoard
+from mangogauge.jobs.owned import OwnedJob
+from mangogauge.jobs.records import JobItem, JobManifest
+from mangogauge.jobs.runner import BUSY_TICK_SECONDS
+from mangogauge.placement import BatchRoom
+from mangogauge.sharing import LoadBoard
+from mangogauge.telemetry import ServingMetrics
+
+REPORT_SECONDS = 0.002
+LONG_SECONDS = 3600.0
+
+
+class OneEndpoint:
+    """A directory and a chooser of one endpoint that count how often they choose."""
+
+    loaded = True
+
+    def __init__(self, endpoint):
+        self._endpoint = endpoint
+        self.looks = 0
+
+    def get(self, name):
+        return self._endpoint
+
+    def list_usable(self, service, excluded=()):
+        self.looks += 1
+        return [self._endpoint]
+
+
+class EndlessItems:
+    """Items that run until they are broken off."""
+
+    async def run(self, item, route, endpoint):
+        await curio.sleep(LONG_SECONDS)
+
+
+class NoClaims:
+    """Claims of a host whose jobs are given to it by hand."""
+
+    claimant = "own#1"
+
+
+def make_job(count, route):
+    items = [
+        JobItem(f"i{n}", f"/{route.name}/x", (), tokens=100, part=0, start=0, size=0)
+        for n in range(count)
+    ]
+    now = SystemClock().read_calendar()
+    due = now + LONG_SECONDS
+    manifest = JobManifest("j1", "desk", route.name, HOST_NAME, now, due, due, items)
+    return OwnedJob.restore(manifest, [b""], 1, [], {})
+
+
+async def ignore_change():
+    """Tell nobody."""
+
+
+@given("a runner with a job of {count:d} items and an endpoint of {slots:d} slot")
+def make_runner(context, count, slots):
+    clock = SystemClock()
+    context.endpoint = make_endpoint(slots=slots)
+    context.chooser = OneEndpoint(context.endpoint)
+    context.board = LoadBoard("own", "1", clock)
+    own = FleetMember("own", "1", runs_batch=True)
+    members = MemberDirectory(own, clock)
+    members.take_snapshot(())
+    state = FleetState(context.chooser, members, context.board)
+    route = make_route("night", RouteNature.BATCH)
+    state.routes = PrefixRoutes(make_configuration(routes=[route]))
+    context.runner = JobRunner(
+        "own",
+        state,
+        WorkBoard(clock),
+        NoClaims(),
+        EndlessItems(),
+        BatchRoom(context.board),
+        context.chooser,
+        context.board,
+        ignore_change,
+        clock,
+        ServingMetrics(),
+    )
+    job = make_job(count, route)
+    context.runner._jobs[job.job_id] = job
+    context.clock = clock
+
+
+async def play_reports(context, count, loads):
+    """Let reports come to a runner that runs; return the items running at the end."""
+    runner, clock = context.runner, context.clock
+    task = await curio.spawn(runner.run)
+    while not runner._tasks:
+        await curio.sleep(BUSY_TICK_SECONDS)
+    context.chooser.looks = 0
+    started = clock.read_elapsed()
+    for number in range(count):
+        context.board.take_report(make_report("h1", number=number + 1, loads=loads))
+        await runner.wake()
+        await curio.sleep(REPORT_SECONDS)
+    context.seconds = clock.read_elapsed() - started
+    context.looks = context.chooser.looks
+    running = len(runner._tasks)
+    await task.cancel()
+    return running
+
+
+@when("{count:d} reports of other hosts come one after the other")
+def send_reports(context, count):
+    context.running = curio.run(play_reports, context, count, {})
+
+
+@when("{count:d} report of other hosts comes that takes the slot")
+def send_filling_report(context, count):
+    loads = {context.endpoint.name: (context.endpoint.slots, 0)}
+    context.running = curio.run(play_reports, context, count, loads)
+
+
+@then("it has looked for free slots no more often than its turns come round")
+def check_looks(context):
+    turns = context.seconds / BUSY_TICK_SECONDS + 1
+    assert 0 < context.looks <= turns, (context.looks, turns)
+
+
+@then("{count:d} item runs")
+def check_running(context, count):
+    assert context.running == count, context.running
+
+
+@then("no item runs")
+def check_none_running(context):
+    assert context.running == 0, context.running
--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -29,12 +29,11 @@
 
 __all__ = ["FleetView"]
 
-# How old a copy of the operators' orders and of the endpoints' entries may grow
-# before some host reads them again.
+# How old a copy of the operators' orders, or of the endpoints' or hosts' entries,
+# may grow before some host reads them again.
 FRESH_SECONDS = 0.7
-# Entries of hosts and of open jobs are awaited at the store.
+# Entries of open jobs are awaited at the store.
 WAIT_SECONDS = 5.0
-MEMBERS_PAUSE_SECONDS = 0.2
 ISOLATION_SECONDS = 0.1
 
 log = get_logger("host")
@@ -114,7 +113,7 @@
         )
         self.members = MemberDirectory(FleetMember(settings.name, incarnation), clock)
         self._exchange = ReportExchange(
-            self.board, self.members, self._make_report, self._take_report
+            self.board, self.members, clock, self._make_report, self._take_report
         )
         ports = range(settings.first_report_port, settings.last_report_port + 1)
         self._exchange.bind(settings.address, ports)
@@ -136,7 +135,7 @@
         orders = OrderListener(source, self.state, on_configuration, on_retirement)
         self._follow_shared(source.orders_prefix, orders)
         self._follow_shared(source.endpoints_prefix, self.directory)
-        self.follow(self.members.prefix, self.members, MEMBERS_PAUSE_SECONDS)
+        self._follow_shared(self.members.prefix, self.members)
 
     def _follow_shared(self, prefix, listener):
         """Keep a copy that is read in turn with the other hosts."""
--- a/mangogauge/fleet/directory.py
+++ b/mangogauge/fleet/directory.py
@@ -1,7 +1,5 @@
 """The endpoints of the fleet, by what they last said of themselves."""
 
-import xxhash
-
 from ..telemetry import get_logger
 from .follower import Listener
 from .lapsing import LapsingEntries
@@ -37,15 +35,8 @@
 
     @property
     def digest(self):
-        """Digest of the entries as they were read.
-
-        Notes
-        -----
-        Without those that are only kept for a moment: a host that has read them
-        anew must not seem to have the same copy.
-        """
-        texts = sorted(repr(endpoint) for endpoint in self._entries.list_present())
-        return xxhash.xxh3_64_hexdigest("\n".join(texts).encode())
+        """Digest of the entries as they were read."""
+        return self._entries.compute_digest()
 
     def list_endpoints(self):
         """Return the endpoints that are there, those that leave included."""
--- a/mangogauge/fleet/lapsing.py
+++ b/mangogauge/fleet/lapsing.py
@@ -1,5 +1,6 @@
 """Entries that hang on leases, told apart from those that merely lapsed."""
 
+import xxhash
 from attrs import define, field
 
 __all__ = ["LapsingEntries"]
@@ -61,6 +62,17 @@
         entries = self._entries.values()
         return [entry.value for entry in entries if entry.kept_until is None]
 
+    def compute_digest(self):
+        """Return a digest of the values as they were last read.
+
+        Notes
+        -----
+        Without those that are only kept for a moment: a host that has read them
+        anew must not seem to have the same copy.
+        """
+        texts = sorted(repr(value) for value in self.list_present())
+        return xxhash.xxh3_64_hexdigest("\n".join(texts).encode())
+
     def get(self, name):
         """Return a value, or None."""
         self._forget()
--- a/mangogauge/fleet/members.py
+++ b/mangogauge/fleet/members.py
@@ -77,6 +77,11 @@
         self._members = LapsingEntries(clock)
         self.loaded = False
 
+    @property
+    def digest(self):
+        """Digest of the entries as they were read."""
+        return self._members.compute_digest()
+
     def list_others(self):
         """Return the other hosts, in order of name."""
         members = [m for m in self._members.list_values() if m.name != self.own.name]
@@ -98,9 +103,8 @@
             if name not in names:
                 self._drop(name)
         for item in items:
-            self._put(item, quiet=True)
+            self._put(item)
         self.loaded = True
-        log.info("hosts read", extra={"members": sorted(names)})
 
     def take_changes(self, events):
         """Take in hosts that came or went."""
@@ -115,10 +119,13 @@
         self._members.note_regained()
 
     def _drop(self, name):
+        if self._members.get(name) is None:
+            return
         self._members.drop(name)
-        log.info("host's entry gone", extra={"member": name})
+        kept = self._members.get(name) is not None
+        log.info("host's entry gone", extra={"member": name, "kept": kept})
 
-    def _put(self, item, quiet=False):
+    def _put(self, item):
         try:
             member = FleetMember.from_bytes(item.value)
         except ValueError as error:
@@ -127,7 +134,7 @@
                 extra={"key": item.key, "reason": str(error)},
             )
             return
-        if self._members.put(member.name, member) != member and not quiet:
+        if self._members.put(member.name, member) != member:
             log.info(
                 "host registered",
                 extra={"member": member.name, "address": member.address},
--- a/mangogauge/jobs/runner.py
+++ b/mangogauge/jobs/runner.py
@@ -131,10 +131,14 @@
         job_id = entry.opened.job_id
         if job_id in self._jobs or self._work.may_have_lapsed(entry):
             return False
-        hosts = self._state.members.list_runners()
-        turn = rank_host(job_id, self._host, hosts) * CLAIM_TURN_SECONDS
+        turn = rank_host(job_id, self._host, self._list_live()) * CLAIM_TURN_SECONDS
         return self._clock.read_elapsed() >= entry.unclaimed_since + turn
 
+    def _list_live(self):
+        """Return the hosts that could claim; one that is silent has no turn."""
+        runners = self._state.members.list_runners()
+        return [n for n in runners if n == self._host or self._board.hears(n)]
+
     async def _claim(self, entry):
         # The entry may change while the store is asked: the job may be closed.
         job_id = entry.opened.job_id
@@ -151,17 +155,33 @@
             self._jobs[job.job_id] = job
 
     async def _fill_often(self):
+        """Fill endpoints at each tick; give way also when reports come in between.
+
+        Notes
+        -----
+        Dozens of hosts report hundreds of times a second. What they take shows
+        at the endpoints where items run, which are few; what they leave free is
+        looked for at all endpoints, and can wait for the next tick.
+        """
+        filled_at = self._clock.read_elapsed()
         while True:
             tick = BUSY_TICK_SECONDS if self._jobs else IDLE_TICK_SECONDS
-            async with curio.ignore_after(tick):
+            left = filled_at + tick - self._clock.read_elapsed()
+            async with curio.ignore_after(max(0.0, left)):
                 await self._woken.wait()
             self._woken.clear()
-            if self._stopped or not self._state.loaded:
-                continue
-            await self._check_claims()
-            await self._give_way()
-            await self._fill()
-            await self._report_waiting()
+            if not self._stopped and self._state.loaded:
+                await self._give_way()
+            if self._clock.read_elapsed() >= filled_at + tick:
+                filled_at = self._clock.read_elapsed()
+                await self._fill_once()
+
+    async def _fill_once(self):
+        if self._stopped or not self._state.loaded:
+            return
+        await self._check_claims()
+        await self._fill()
+        await self._report_waiting()
 
     async def _report_waiting(self):
         """Tell the other hosts whether items wait here."""
