Read what is written only once from the store's copies

Ruled out: reading orders or endpoints so (a copy may be seconds old); trusting the revision that a copy names. Change: Store.get_constant and ChangeFeed.read_copy; manifests, inputs, and a reader's first look at results. What a copy lacks is read anew; changes are followed from the last revision seen. Features: claims.feature and store.feature play copies that are old.

--- a/features/builders/platform/store.py
+++ b/features/builders/platform/store.py
@@ -3,6 +3,7 @@
 import base64
 import sys
 from collections import Counter
+from copy import deepcopy
 from urllib.parse import parse_qs
 
 import curio
@@ -38,6 +39,8 @@
         self.faults = StoreFaults()
         self.counts = Counter()
         self.compacted = 0
+        # What reads see that a copy may answer; None for the newest state.
+        self.copy = None
         self.server = HTTPServer(self.handle, ServerLimits(body_bytes=BODY_BYTES))
         self._handlers = {
             "kv-key": self._get,
@@ -74,6 +77,8 @@
         order = orjson.loads(await exchange.read_body() or b"{}")
         if order.pop("compact", False):
             self.compacted = self.keyspace.revision
+        if order.pop("freeze_copy", False):
+            self.copy = deepcopy(self.keyspace)
         if order.pop("lapse", False):
             self.keyspace.expire_leases(everything=True)
         for key, text in order.pop("put", {}).items():
@@ -85,8 +90,13 @@
         keys = {item.key: base64.b64encode(item.value).decode() for item in items}
         await send(exchange, 200, {"counts": self.counts, "items": keys})
 
+    def _choose_keyspace(self, query):
+        """Return the state that a read sees: an old one if it may be a copy."""
+        self.counts["copies"] += "serializable" in query
+        return self.copy if "serializable" in query and self.copy else self.keyspace
+
     async def _get(self, argument, query, body):
-        item = self.keyspace.get(query["key"])
+        item = self._choose_keyspace(query).get(query["key"])
         if item is None:
             return 404, {}
         return 200, {**encode(item), "as_of": self.keyspace.revision}
@@ -94,7 +104,8 @@
     async def _list(self, argument, query, body):
         prefix = query["prefix"]
         start = query["after"] + "\0" if "after" in query else prefix
-        found = self.keyspace.get_range(start, end_of(prefix), PAGE_ITEMS + 1)
+        keyspace = self._choose_keyspace(query)
+        found = keyspace.get_range(start, end_of(prefix), PAGE_ITEMS + 1)
         page = [encode(item) for item in found[:PAGE_ITEMS]]
         truncated = len(found) > PAGE_ITEMS
         revision = self.keyspace.revision
--- a/features/jobs/claims.feature
+++ b/features/jobs/claims.feature
@@ -78,3 +78,26 @@
     Given a runner whose claims fail, each after the job's entry is closed
     When it looks for jobs to claim
     Then it goes on, and has claimed nothing
+
+  Scenario: A job and its results are read from copies, which cost the store little
+    Given the first host has claimed "j1"
+    When the first host commits the result of item 2
+    And the first host commits the results of items 0 and 1
+    Then reading it cost the store no call but of its copies
+    And a reader at each host reads the items 2, 0, 1 from position 0
+
+  Scenario: Copies that are old hide neither a job nor its results
+    Given the first host has claimed "j1"
+    When the first host commits the result of item 2
+    And copies of the store stay as they are
+    And the first host commits the results of items 0 and 1
+    Then the second host's reader that waits reads the items 2 as they are
+    And a reader at each host reads the items 2, 0, 1 from position 0
+
+  Scenario: A job that no copy knows yet is read by who waits for its results
+    Given the first host has claimed "j1"
+    And copies of the store that stay as they are
+    When the job "j9" of 3 items is open
+    And the first host has claimed "j9"
+    And the first host commits the result of item 1
+    Then the second host's reader that waits reads the items 1 as they are
--- a/features/platform/store.feature
+++ b/features/platform/store.feature
@@ -31,3 +31,9 @@
     When 12 keys are written
     And the store drops its history
     Then changes after the first revision are refused as "StoreCompactedError"
+
+  Scenario: A copy that is old hides no key that is written only once
+    When 12 keys are written
+    And the store's copy stays as it is, and the key "k/late" is written
+    Then a copy of the prefix shows 12 keys, and the newest state 13
+    And "k/late" is found as a constant, and so is the first key from the copy alone
--- a/features/steps/jobs.py
+++ b/features/steps/jobs.py
@@ -1,5 +1,7 @@
 """Steps of batch jobs in the platform's store."""
 
+from copy import deepcopy
+
 import curio
 import orjson
 from attrs import define, field
@@ -33,10 +35,11 @@
 )
 from mangogauge.jobs.records import ItemResult
 from mangogauge.refusals import Refusal
-from mangogauge.store import Operation, StoreUnavailableError, Transaction
+from mangogauge.store import Operation, Snapshot, StoreUnavailableError, Transaction
 
 VALUE_BYTES = 100_000
 PATIENCE_SECONDS = 0.6
+READ_SECONDS = 1.0
 LEASE_SECONDS = 4.0
 SETTLE_TRIES = 5
 
@@ -48,6 +51,8 @@
         super().__init__(clock)
         self.away = False
         self.calls = 0
+        # What reads that a copy may answer see; None for the newest state.
+        self.copy = None
 
     async def transact(self, transaction):
         self.calls += 1
@@ -63,6 +68,15 @@
         self.calls += 1
         return await super().read_snapshot(prefix, start_after)
 
+    async def get_constant(self, key):
+        found = (self.copy or self.keyspace).get(key)
+        return Success(found) if found is not None else await self.get(key)
+
+    async def read_copy(self, prefix, start_after=""):
+        keyspace = self.copy or self.keyspace
+        items = keyspace.get_range(start_after or prefix, prefix[:-1] + "0")
+        return Success(Snapshot(items, keyspace.revision))
+
 
 class TickingClock(ManualClock):
     """Goes on a little each time it is read, as a clock does."""
@@ -220,6 +234,7 @@
     commit(context, "first", range(count))
 
 
+@when('the job "{job_id}" of {count:d} items is open')
 @given('the job "{job_id}" of {count:d} items is open')
 def open_job(context, job_id, count):
     take_job(context, "first", job_id, count)
@@ -235,6 +250,7 @@
     return host.job
 
 
+@when('the {name} host has claimed "{job_id}"')
 @given('the {name} host has claimed "{job_id}"')
 def claim_job(context, name, job_id):
     assert claim(context, name, job_id) is not None
@@ -402,6 +418,31 @@
     assert run(read_from, context, position) == [[number], [number]]
 
 
+@given("copies of the store that stay as they are")
+@when("copies of the store stay as they are")
+def freeze_copy(context):
+    context.store.copy = deepcopy(context.store.keyspace)
+
+
+@then("reading it cost the store no call but of its copies")
+def check_copies_only(context):
+    before = context.store.calls
+    run(read_from, context, 0)
+    assert context.store.calls == before, context.store.calls - before
+
+
+@then("the second host's reader that waits reads the items {numbers} as they are")
+def check_waiting_read(context, numbers):
+    reader = context.hosts["second"].reader
+    found = run(wait_for_results, context, reader)
+    assert found == [int(n) for n in numbers.split(", ")], found
+
+
+async def wait_for_results(context, reader):
+    _, results = await reader.read_results(context.job_id, "desk", 0, READ_SECONDS)
+    return [int(r.item_id[-1]) for r in results]
+
+
 @then("reading what is known asks the store nothing")
 def check_no_calls(context):
     before = context.store.calls
--- a/features/steps/platform_store.py
+++ b/features/steps/platform_store.py
@@ -117,3 +117,25 @@
 def check_compacted(context, name):
     answer = call(context, "read_changes", "k/", context.first, 0.05)
     assert isinstance(answer, Failure) and type(answer.failure()).__name__ == name
+
+
+@when('the store\'s copy stays as it is, and the key "{key}" is written')
+def freeze_copy(context, key):
+    context.deployment.control("store", freeze_copy=True)
+    assert call(context, "put", key, b"late").unwrap().succeeded
+
+
+@then("a copy of the prefix shows {old:d} keys, and the newest state {new:d}")
+def check_copy(context, old, new):
+    assert len(call(context, "read_copy", "k/").unwrap().items) == old
+    assert len(call(context, "read_snapshot", "k/").unwrap().items) == new
+
+
+@then('"{key}" is found as a constant, and so is the first key from the copy alone')
+def check_constants(context, key):
+    assert call(context, "get_constant", key).unwrap().value == b"late"
+    before = context.deployment.control("store")["counts"]
+    assert call(context, "get_constant", context.keys[0]).unwrap() is not None
+    after = context.deployment.control("store")["counts"]
+    assert after["kv-key"] == before["kv-key"] + 1
+    assert after["copies"] == before["copies"] + 1
--- a/mangogauge/jobs/claims.py
+++ b/mangogauge/jobs/claims.py
@@ -189,7 +189,7 @@
         return 0
 
     async def _load(self, job_id, revision):
-        manifest = await self._store.get(make_manifest_key(job_id))
+        manifest = await self._store.get_constant(make_manifest_key(job_id))
         if isinstance(manifest, Failure):
             return manifest
         if manifest.unwrap() is None:
@@ -198,7 +198,7 @@
         manifest = JobManifest.from_bytes(manifest.unwrap().value)
         parts = []
         for number in range(manifest.parts):
-            part = await self._store.get(make_input_key(job_id, number))
+            part = await self._store.get_constant(make_input_key(job_id, number))
             if isinstance(part, Failure):
                 return part
             parts.append(part.unwrap().value)
--- a/mangogauge/jobs/reading.py
+++ b/mangogauge/jobs/reading.py
@@ -1,8 +1,9 @@
 """Read a job's results and bodies, at any host.
 
 Results are only ever added, so what has been read once is kept and never read
-again. Whether there are more is asked of the store each time, unless the host
-that runs the job has told lately.
+again, and a copy of the store that may be old is good for a first look. Whether
+there are more is asked of the store each time, unless the host that runs the job
+has told lately.
 """
 
 from collections import OrderedDict
@@ -31,13 +32,22 @@
 
 @define(eq=False)
 class _KnownJob:
-    """What this host has read of a job."""
+    """What this host has read of a job.
+
+    Parameters
+    ----------
+    manifest : JobManifest
+    revision : int
+        The store's revision up to which all results are known: results came after
+        the manifest.
+    """
 
     manifest = field()
+    revision = field()
     results = field(factory=list)
     last_key = field(default="")
     text_bytes = field(default=0)
-    revision = field(default=None)
+    looked = field(default=False)
 
     @property
     def is_complete(self):
@@ -83,7 +93,9 @@
         job = await self._find(job_id, account)
         if position < len(job.results) or job.is_complete:
             return job.manifest, job.results[position:]
-        if job.revision is None or not wait_seconds:
+        if not job.looked:
+            await self._read_copy(job)
+        if position >= len(job.results) and not wait_seconds:
             await self._read_more(job)
         if position >= len(job.results) and wait_seconds and not job.is_complete:
             await self._wait_for_more(job, wait_seconds)
@@ -103,7 +115,7 @@
         if not found or ended is not None:
             raise _refuse_unknown("There is no such item.")
         item = found[0]
-        part = await self._get(make_input_key(job_id, item.part))
+        part = await self._get_constant(make_input_key(job_id, item.part))
         if part is None:
             raise _refuse_unknown("The job has been forgotten.")
         return unpack_body(item, {item.part: part.value})
@@ -115,16 +127,29 @@
     async def _find(self, job_id, account):
         job = self._jobs.get(job_id)
         if job is None:
-            item = await self._get(make_manifest_key(job_id))
+            item = await self._get_constant(make_manifest_key(job_id))
             if item is None:
                 raise _refuse_unknown("There is no such job.")
-            job = self._jobs[job_id] = _KnownJob(JobManifest.from_bytes(item.value))
+            manifest = JobManifest.from_bytes(item.value)
+            job = self._jobs[job_id] = _KnownJob(manifest, item.mod_revision)
             self._forget_oldest()
         self._jobs.move_to_end(job_id)
         if job.manifest.account != account:
             raise _refuse_unknown("There is no such job.")
         return job
 
+    async def _read_copy(self, job):
+        """Read the results that a copy of the store knows of, which may be old."""
+        prefix = make_results_prefix(job.manifest.job_id)
+        answer = await self._feed.read_copy(prefix)
+        if isinstance(answer, Failure):
+            raise _refuse_unread(answer.failure())
+        items = answer.unwrap().items
+        job.looked = True
+        self._add(job, items)
+        # How old the copy is isn't known: what it shows is certain, and no more.
+        job.revision = max([job.revision, *(item.mod_revision for item in items)])
+
     async def _read_more(self, job):
         """Read results beyond those known."""
         prefix = make_results_prefix(job.manifest.job_id)
@@ -165,6 +190,12 @@
             _, job = self._jobs.popitem(last=False)
             size -= job.text_bytes
 
+    async def _get_constant(self, key):
+        answer = await self._store.get_constant(key)
+        if isinstance(answer, Failure):
+            raise _refuse_unread(answer.failure())
+        return answer.unwrap()
+
     async def _get(self, key):
         answer = await self._store.get(key)
         if isinstance(answer, Failure):
--- a/mangogauge/platform/store.py
+++ b/mangogauge/platform/store.py
@@ -34,6 +34,8 @@
 UNAVAILABLE_STATUSES = frozenset({429, 503})
 OK, NOT_FOUND, GONE, CONDITION_FAILED = 200, 404, 410, 412
 READ = "GET"
+# A read that the store may answer from a copy costs a tenth.
+FROM_COPY = {"serializable": 1}
 
 
 class PlatformStore(Store, ChangeFeed):
@@ -61,7 +63,17 @@
 
     async def get(self, key):
         """Return ``Success(KeyValue or None)``."""
-        query = urlencode({"key": key})
+        return await self._get({"key": key})
+
+    async def get_constant(self, key):
+        """Return ``Success(KeyValue or None)`` of a key that is written only once."""
+        found = await self._get({"key": key, **FROM_COPY})
+        if isinstance(found, Failure) or found.unwrap() is not None:
+            return found
+        return await self.get(key)
+
+    async def _get(self, parameters):
+        query = urlencode(parameters)
         answer = await self._call(READ, f"/api/kv-key?{query}", {OK, NOT_FOUND})
         return answer.map(
             lambda a: None if a.status == NOT_FOUND else _read_item(a.body)
@@ -79,9 +91,16 @@
 
     async def read_snapshot(self, prefix, start_after=""):
         """Return ``Success(Snapshot)``."""
+        return await self._read_pages({"prefix": prefix}, start_after)
+
+    async def read_copy(self, prefix, start_after=""):
+        """Return ``Success(Snapshot)`` that may be seconds old."""
+        return await self._read_pages({"prefix": prefix, **FROM_COPY}, start_after)
+
+    async def _read_pages(self, parameters, start_after):
         items, revision = [], None
         while True:
-            query = {"prefix": prefix}
+            query = dict(parameters)
             if start_after:
                 query["after"] = start_after
             answer = await self._call(READ, f"/api/kv-range?{urlencode(query)}", {OK})
--- a/mangogauge/store/base.py
+++ b/mangogauge/store/base.py
@@ -197,6 +197,15 @@
             Key, with its prefix, after which the snapshot starts.
         """
 
+    async def read_copy(self, prefix, start_after=""):
+        """Return ``Success(Snapshot)``, read from a copy that may be seconds old.
+
+        It costs the store less than a snapshot; whoever needs more than what it
+        shows goes on with the changes that followed. The default reads the newest
+        state.
+        """
+        return await self.read_snapshot(prefix, start_after)
+
     @abstractmethod
     async def read_changes(self, prefix, revision, wait_seconds):
         """Return ``Success(Changes)`` that followed `revision`.
@@ -214,6 +223,15 @@
     async def get(self, key):
         """Return ``Success(KeyValue or None)``."""
 
+    async def get_constant(self, key):
+        """Return ``Success(KeyValue or None)`` of a key that is written only once.
+
+        A copy that may be seconds old is asked first, which costs the store less;
+        only what is missing there is looked for in the newest state. The default
+        asks that at once.
+        """
+        return await self.get(key)
+
     @abstractmethod
     async def list_prefix(
         self, prefix, limit=0, start_after="", keys_only=False, min_mod_revision=0
