Spread the choices of many hosts by how much they can't know of

Change: each takes the best of some drawn at random, as many as leave about one unknown request to the same ones; a near endpoint comes first only if there are enough of them. With 8 hosts nothing changes at low load.

--- a/mangogauge/placement/choice.py
+++ b/mangogauge/placement/choice.py
@@ -7,8 +7,16 @@
 where there are only online requests, one may queue only as far as its objective
 allows. Endpoints of its own data centre come first as long as they are lightly
 loaded: if the data centre is cut off, fewer requests are under way across the cut.
+
+Where many hosts choose at the same time, by counts that don't yet show each other's
+choices, all of them would take the same endpoint. So each takes the best of a few
+drawn at random: the fewer, the more requests are under way that it can't know of.
 """
 
+import math
+
+from ..sharing import estimate_age
+
 __all__ = ["EndpointChooser"]
 
 # Requests that may wait at an endpoint beyond its slots: one slot in eight is
@@ -19,6 +27,10 @@
 CROWDED_PER_SLOT = 1.5
 # Load up to which an endpoint near by is taken though another has less.
 NEAR_PER_SLOT = 0.6
+# About how long a request holds its slot.
+HELD_SECONDS = 0.5
+# Least number of endpoints of which the best is taken.
+LEAST_DRAWN = 2
 
 
 class EndpointChooser:
@@ -52,7 +64,17 @@
         """
         usable = self.list_usable(service, excluded)
         usable = [endpoint for endpoint in usable if self._has_room(endpoint)]
-        return min(usable, key=self._rank, default=None)
+        if not usable:
+            return None
+        unknown = self._estimate_unknown(usable)
+        preferred = self._list_preferred(usable, unknown)
+        grades = [self._grade(endpoint, preferred) for endpoint in usable]
+        best = min(grades)
+        equal = [e for e, grade in zip(usable, grades, strict=True) if grade == best]
+        # About one request that isn't known of chooses among the same ones.
+        drawn = max(LEAST_DRAWN, math.ceil(len(usable) / max(1.0, unknown)))
+        drawn = self._random.sample(equal, min(len(equal), drawn))
+        return min(drawn, key=self._rank)
 
     def list_usable(self, service, excluded=()):
         """Return the endpoints that may get requests, loaded ones included."""
@@ -80,19 +102,49 @@
             return False
         return load.online < endpoint.slots * (1 + QUEUED_PER_SLOT)
 
-    def _rank(self, endpoint):
-        load = self._board.measure(endpoint.name)
-        is_full = load.total >= endpoint.slots
-        counted = load.online if is_full else load.total
-        ratio = (counted + 1) / endpoint.slots
-        is_near = endpoint.data_centre == self._data_centre
-        is_preferred = is_near and ratio <= NEAR_PER_SLOT
+    def _estimate_unknown(self, usable):
+        """Return how many requests other hosts have sent that aren't known of yet.
+
+        Notes
+        -----
+        They are to what runs as the age of a report is to the time that a request
+        holds its slot.
+        """
+        running = sum(self._board.measure(e.name).online for e in usable)
+        return running * estimate_age(self._board.count_heard()) / HELD_SECONDS
+
+    def _list_preferred(self, usable, unknown):
+        """Return the names of endpoints near by that are lightly loaded.
+
+        Notes
+        -----
+        None if they are fewer than the requests of this data centre that aren't
+        known of: all of those would go to the few that are left.
+        """
+        near = [endpoint for endpoint in usable if self._is_near(endpoint)]
+        light = [e.name for e in near if self._measure_ratio(e) <= NEAR_PER_SLOT]
+        is_crowded = unknown * len(near) / len(usable) > len(light)
+        return () if is_crowded else frozenset(light)
+
+    def _grade(self, endpoint, preferred):
+        """Return what comes before load: the lower, the sooner an endpoint is taken."""
+        is_full = self._board.measure(endpoint.name).total >= endpoint.slots
         is_doubtful = self._health.is_doubtful(endpoint.name)
+        return is_doubtful, is_full, endpoint.name not in preferred
+
+    def _rank(self, endpoint):
         return (
-            is_doubtful,
-            is_full,
-            not is_preferred,
-            ratio,
-            not is_near,
+            self._measure_ratio(endpoint),
+            not self._is_near(endpoint),
             self._random.random(),
         )
+
+    def _is_near(self, endpoint):
+        return endpoint.data_centre == self._data_centre
+
+    def _measure_ratio(self, endpoint):
+        """Return the part of the slots that would be taken, of those that matter."""
+        load = self._board.measure(endpoint.name)
+        is_full = load.total >= endpoint.slots
+        counted = load.online if is_full else load.total
+        return (counted + 1) / endpoint.slots
