Report to all hosts at one pace, as often as before

Change: one pace for all, 1,500 datagrams a second, and a change after a pause is told at once; no groups of hearers.

--- a/mangogauge/sharing/exchange.py
+++ b/mangogauge/sharing/exchange.py
@@ -1,15 +1,10 @@
 """Send this host's report to the others, and take in theirs, by datagrams."""
 
 import curio
-from attrs import field, frozen
 from curio import socket
 
 from ..telemetry import get_logger
-from .pacing import (
-    ENTRY_DATAGRAMS_PER_SECOND,
-    RUNNER_DATAGRAMS_PER_SECOND,
-    ReportPacing,
-)
+from .pacing import ReportPacing
 from .reports import HostReport, ReportError
 
 __all__ = ["ReportExchange"]
@@ -21,24 +16,6 @@
 log = get_logger("sharing")
 
 
-@frozen
-class _Audience:
-    """Hosts that hear reports at the same pace.
-
-    Parameters
-    ----------
-    runs_batch : bool
-        Whether it is the hosts that run items, or the others.
-    pacing : ReportPacing
-    changed : curio.Event
-        Set while there is something that they have not heard.
-    """
-
-    runs_batch = field()
-    pacing = field()
-    changed = field(factory=curio.Event)
-
-
 class ReportExchange:
     """Exchanges reports with the other hosts.
 
@@ -59,10 +36,8 @@
         self._make_report = make_report
         self._on_report = on_report
         self._sock = None
-        self._audiences = [
-            _Audience(True, ReportPacing(clock, RUNNER_DATAGRAMS_PER_SECOND)),
-            _Audience(False, ReportPacing(clock, ENTRY_DATAGRAMS_PER_SECOND)),
-        ]
+        self._pacing = ReportPacing(clock)
+        self._changed = curio.Event()
 
     @property
     def port(self):
@@ -90,16 +65,14 @@
 
     async def note_change(self):
         """Report soon: a count has changed."""
-        for audience in self._audiences:
-            if not audience.changed.is_set():
-                await audience.changed.set()
+        if not self._changed.is_set():
+            await self._changed.set()
 
     async def run(self):
         """Send and receive until cancelled."""
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(self._receive)
-            for audience in self._audiences:
-                await group.spawn(self._send, audience)
+            await group.spawn(self._send)
 
     async def _receive(self):
         while True:
@@ -115,24 +88,20 @@
             if self._board.take_report(report):
                 await self._on_report(report)
 
-    async def _send(self, audience):
+    async def _send(self):
         while True:
             async with curio.ignore_after(IDLE_SECONDS):
-                await audience.changed.wait()
-            hosts = len(self._list_members(audience))
-            await curio.sleep(audience.pacing.measure_wait(hosts))
-            audience.changed.clear()
-            await self._send_report(audience)
-
-    def _list_members(self, audience):
-        others = self._members.list_others()
-        return [m for m in others if m.runs_batch is audience.runs_batch]
-
-    async def _send_report(self, audience):
-        """Send a report to every host of an audience now."""
-        audience.pacing.note_sent()
+                await self._changed.wait()
+            others = len(self._members.list_others())
+            await curio.sleep(self._pacing.measure_wait(others))
+            self._changed.clear()
+            await self._send_report()
+
+    async def _send_report(self):
+        """Send a report to every other host now."""
+        self._pacing.note_sent()
         data = self._make_report().to_bytes()
-        for member in self._list_members(audience):
+        for member in self._members.list_others():
             host, _, port = member.address.rpartition(":")
             try:
                 await self._sock.sendto(data, (host, int(port)))
--- a/mangogauge/sharing/pacing.py
+++ b/mangogauge/sharing/pacing.py
@@ -1,7 +1,7 @@
 """When a host's next report to some of the others is due.
 
 The load this answers: each of dozens of hosts has something to report at every
-request, and whoever hears them all pays for each report. Where there are few hosts
+request, and all others pay for hearing it. Where there are few hosts
 each report is sent at once. Where there are many, each host holds a smaller part of
 what runs, and its reports become rarer rather than costlier: what has changed
 after a pause is still told at once, and what changes soon after it waits.
@@ -13,37 +13,31 @@
 GATHER_SECONDS = 0.008
 # However many hosts there are, changes wait no longer than this.
 LONGEST_GAP_SECONDS = 0.25
-# Hosts that run items fill and empty slots by these reports: they hear all at once.
-RUNNER_DATAGRAMS_PER_SECOND = 1500
-# Hosts that serve callers are many, and choose well enough by counts that are a
-# little older.
-ENTRY_DATAGRAMS_PER_SECOND = 300
+# Datagrams that one host sends in a second at most, but for the longest gap.
+DATAGRAMS_PER_SECOND = 1500
 
 
 class ReportPacing:
-    """Paces the reports to one group of hosts.
+    """Paces one host's reports.
 
     Parameters
     ----------
     clock : Clock
-    datagrams_per_second : float
-        That this host sends to the group at most, beyond the longest gap.
 
     Examples
     --------
     >>> from mangogauge.clock import ManualClock
     >>> clock = ManualClock()
-    >>> pacing = ReportPacing(clock, 300.0)
+    >>> pacing = ReportPacing(clock)
     >>> pacing.measure_wait(60)
     0.008
     >>> pacing.note_sent()
     >>> round(pacing.measure_wait(60), 3)
-    0.2
+    0.04
     """
 
-    def __init__(self, clock, datagrams_per_second):
+    def __init__(self, clock):
         self._clock = clock
-        self._datagrams_per_second = datagrams_per_second
         self._sent_at = float("-inf")
 
     def measure_wait(self, hosts):
@@ -52,10 +46,9 @@
         Parameters
         ----------
         hosts : int
-            How many the group has now.
+            How many others there are now.
         """
-        gap = _compute_gap(hosts, self._datagrams_per_second)
-        due_at = self._sent_at + gap
+        due_at = self._sent_at + _compute_gap(hosts)
         return max(GATHER_SECONDS, due_at - self._clock.read_elapsed())
 
     def note_sent(self):
@@ -64,15 +57,15 @@
 
 
 def estimate_age(hosts):
-    """Return for how many seconds a change is unknown to a host that serves callers.
+    """Return for how many seconds a change is unknown to the others.
 
     Parameters
     ----------
     hosts : int
-        How many there are that serve callers.
+        How many others there are.
     """
-    return GATHER_SECONDS + _compute_gap(hosts, ENTRY_DATAGRAMS_PER_SECOND) / 2
+    return GATHER_SECONDS + _compute_gap(hosts) / 2
 
 
-def _compute_gap(hosts, datagrams_per_second):
-    return min(LONGEST_GAP_SECONDS, hosts / datagrams_per_second)
+def _compute_gap(hosts):
+    return min(LONGEST_GAP_SECONDS, hosts / DATAGRAMS_PER_SECOND)
