--- a/features/steps/jobs.py
+++ b/features/steps/jobs.py
@@ -1,7 +1,5 @@
 """Steps of batch jobs in the platform's store."""
 
-from copy import deepcopy
-
 import curio
 import orjson
 from attrs import define, field
@@ -9,8 +7,8 @@
 from returns.result import Failure, Success
 
 from features.builders.fleet import make_route, make_submission
-from features.machines.stores import Fate, LossyStore
-from mangogauge.clock import ManualClock
+from features.builders.jobstore import AwayStore, TickingClock
+from features.machines.stores import Fate
 from mangogauge.fleet import (
     FleetMember,
     FleetState,
@@ -27,65 +25,20 @@
 )
 from mangogauge.jobs.claims import JobClaims
 from mangogauge.jobs.keys import (
-    ENDED,
     WORK_PREFIX,
     make_results_prefix,
     make_waiting_key,
-    make_work_key,
 )
 from mangogauge.jobs.records import ItemResult
 from mangogauge.refusals import Refusal
-from mangogauge.store import Operation, Snapshot, StoreUnavailableError, Transaction
+from mangogauge.store import StoreUnavailableError
 
 VALUE_BYTES = 100_000
 PATIENCE_SECONDS = 0.6
-READ_SECONDS = 1.0
 LEASE_SECONDS = 4.0
 SETTLE_TRIES = 5
 
 
-class AwayStore(LossyStore):
-    """A lossy store that can also be away, and counts its calls."""
-
-    def __init__(self, clock):
-        super().__init__(clock)
-        self.away = False
-        self.calls = 0
-        # What reads that a copy may answer see; None for the newest state.
-        self.copy = None
-
-    async def transact(self, transaction):
-        self.calls += 1
-        if self.away:
-            return Failure(StoreUnavailableError("away", step="transact"))
-        return await super().transact(transaction)
-
-    async def get(self, key):
-        self.calls += 1
-        return await super().get(key)
-
-    async def read_snapshot(self, prefix, start_after=""):
-        self.calls += 1
-        return await super().read_snapshot(prefix, start_after)
-
-    async def get_constant(self, key):
-        found = (self.copy or self.keyspace).get(key)
-        return Success(found) if found is not None else await self.get(key)
-
-    async def read_copy(self, prefix, start_after=""):
-        keyspace = self.copy or self.keyspace
-        items = keyspace.get_range(start_after or prefix, prefix[:-1] + "0")
-        return Success(Snapshot(items, keyspace.revision))
-
-
-class TickingClock(ManualClock):
-    """Goes on a little each time it is read, as a clock does."""
-
-    def read_elapsed(self):
-        self.advance(0.01)
-        return super().read_elapsed()
-
-
 @define(eq=False)
 class JobHost:
     """The parts of a host that batch jobs need."""
@@ -383,109 +336,6 @@
     assert job.items[f"{job.job_id}-{number}"].failures == count
 
 
-async def read_from(context, position, account="desk"):
-    return [
-        await read_all(context, host.reader, position, account)
-        for host in context.hosts.values()
-    ]
-
-
-async def read_all(context, reader, position, account):
-    """Read on, as a caller does, until there is no more or all is known."""
-    found = []
-    while True:
-        manifest, results = await reader.read_results(
-            context.job_id, account, position + len(found), 0
-        )
-        found += [int(r.item_id[-1]) for r in results]
-        if not results or position + len(found) >= len(manifest.items):
-            return found
-
-
-@when("a reader at each host has read from position {position:d}")
-def read_results(context, position):
-    run(read_from, context, position)
-
-
-@then("a reader at each host reads the items {numbers} from position {position:d}")
-def check_read(context, numbers, position):
-    expected = [int(n) for n in numbers.split(", ")]
-    assert run(read_from, context, position) == [expected, expected]
-
-
-@then("a reader at each host reads the item {number:d} from position {position:d}")
-def check_read_one(context, number, position):
-    assert run(read_from, context, position) == [[number], [number]]
-
-
-@given("copies of the store that stay as they are")
-@when("copies of the store stay as they are")
-def freeze_copy(context):
-    context.store.copy = deepcopy(context.store.keyspace)
-
-
-@then("reading it cost the store no call but of its copies")
-def check_copies_only(context):
-    before = context.store.calls
-    run(read_from, context, 0)
-    assert context.store.calls == before, context.store.calls - before
-
-
-@then("the second host's reader that waits reads the items {numbers} as they are")
-def check_waiting_read(context, numbers):
-    reader = context.hosts["second"].reader
-    found = run(wait_for_results, context, reader)
-    assert found == [int(n) for n in numbers.split(", ")], found
-
-
-async def wait_for_results(context, reader):
-    _, results = await reader.read_results(context.job_id, "desk", 0, READ_SECONDS)
-    return [int(r.item_id[-1]) for r in results]
-
-
-@then("reading what is known asks the store nothing")
-def check_no_calls(context):
-    before = context.store.calls
-    run(read_from, context, 0)
-    assert context.store.calls == before
-
-
-@then('"{account}" is told that there is no job "{job_id}"')
-def check_no_job(context, account, job_id):
-    try:
-        run(read_from, context, 0, account)
-    except Refusal as refusal:
-        assert refusal.status == 404
-    else:
-        raise AssertionError("the job was shown")
-
-
-async def read_body(context, account, number):
-    reader = context.hosts["second"].reader
-    return await reader.read_body(context.job_id, account, f"{context.job_id}-{number}")
-
-
-@then('"{account}" gets the body of item {number:d}')
-def check_body(context, account, number):
-    assert run(read_body, context, account, number) == b"body %d" % number
-
-
-@when('"{job_id}" is ended by its caller')
-def end_job(context, job_id):
-    mark = Operation(make_work_key(job_id, ENDED), b"-")
-    run(context.store.transact, Transaction((), (mark,)))
-
-
-@then('"{account}" is told that item {number:d} is not there')
-def check_no_body(context, account, number):
-    try:
-        run(read_body, context, account, number)
-    except Refusal as refusal:
-        assert refusal.status == 404
-    else:
-        raise AssertionError("the body was shown")
-
-
 class ClosingClaims:
     """Claims that fail, and whose jobs are closed meanwhile."""
 
--- /dev/null
+++ b/features/steps/jobs_reading.py
@@ -0,0 +1,115 @@
+"""Steps of reading jobs, their results and their items' bodies, at any host."""
+
+from copy import deepcopy
+
+from behave import given, then, when
+
+from features.steps.jobs import run
+from mangogauge.jobs.keys import ENDED, make_work_key
+from mangogauge.refusals import Refusal
+from mangogauge.store import Operation, Transaction
+
+READ_SECONDS = 1.0
+
+
+async def read_from(context, position, account="desk"):
+    return [
+        await read_all(context, host.reader, position, account)
+        for host in context.hosts.values()
+    ]
+
+
+async def read_all(context, reader, position, account):
+    """Read on, as a caller does, until there is no more or all is known."""
+    found = []
+    while True:
+        manifest, results = await reader.read_results(
+            context.job_id, account, position + len(found), 0
+        )
+        found += [int(r.item_id[-1]) for r in results]
+        if not results or position + len(found) >= len(manifest.items):
+            return found
+
+
+@when("a reader at each host has read from position {position:d}")
+def read_results(context, position):
+    run(read_from, context, position)
+
+
+@then("a reader at each host reads the items {numbers} from position {position:d}")
+def check_read(context, numbers, position):
+    expected = [int(n) for n in numbers.split(", ")]
+    assert run(read_from, context, position) == [expected, expected]
+
+
+@then("a reader at each host reads the item {number:d} from position {position:d}")
+def check_read_one(context, number, position):
+    assert run(read_from, context, position) == [[number], [number]]
+
+
+@given("copies of the store that stay as they are")
+@when("copies of the store stay as they are")
+def freeze_copy(context):
+    context.store.copy = deepcopy(context.store.keyspace)
+
+
+@then("reading it cost the store no call but of its copies")
+def check_copies_only(context):
+    before = context.store.calls
+    run(read_from, context, 0)
+    assert context.store.calls == before, context.store.calls - before
+
+
+@then("the second host's reader that waits reads the items {numbers} as they are")
+def check_waiting_read(context, numbers):
+    reader = context.hosts["second"].reader
+    found = run(wait_for_results, context, reader)
+    assert found == [int(n) for n in numbers.split(", ")], found
+
+
+async def wait_for_results(context, reader):
+    _, results = await reader.read_results(context.job_id, "desk", 0, READ_SECONDS)
+    return [int(r.item_id[-1]) for r in results]
+
+
+@then("reading what is known asks the store nothing")
+def check_no_calls(context):
+    before = context.store.calls
+    run(read_from, context, 0)
+    assert context.store.calls == before
+
+
+@then('"{account}" is told that there is no job "{job_id}"')
+def check_no_job(context, account, job_id):
+    try:
+        run(read_from, context, 0, account)
+    except Refusal as refusal:
+        assert refusal.status == 404
+    else:
+        raise AssertionError("the job was shown")
+
+
+async def read_body(context, account, number):
+    reader = context.hosts["second"].reader
+    return await reader.read_body(context.job_id, account, f"{context.job_id}-{number}")
+
+
+@then('"{account}" gets the body of item {number:d}')
+def check_body(context, account, number):
+    assert run(read_body, context, account, number) == b"body %d" % number
+
+
+@when('"{job_id}" is ended by its caller')
+def end_job(context, job_id):
+    mark = Operation(make_work_key(job_id, ENDED), b"-")
+    run(context.store.transact, Transaction((), (mark,)))
+
+
+@then('"{account}" is told that item {number:d} is not there')
+def check_no_body(context, account, number):
+    try:
+        run(read_body, context, account, number)
+    except Refusal as refusal:
+        assert refusal.status == 404
+    else:
+        raise AssertionError("the body was shown")
