--- a/features/sharing/pacing.feature
+++ b/features/sharing/pacing.feature
@@ -28,3 +28,9 @@
     When something changes every 5 ms for 1 s
     Then each host has heard fewer reports than there were changes
     And the last change has reached all of them
+
+  # Seen in CI: a host that had just started heard nobody for 0.7 s.
+  Scenario: A host whose registration isn't known yet is told as soon as it is heard
+    Given an exchange of reports with 2 other hosts
+    When a host reports to it that it doesn't know
+    Then that host has heard a report
--- a/features/steps/pacing.py
+++ b/features/steps/pacing.py
@@ -82,6 +82,10 @@
     return Hearer(FleetMember(name, "1", "a", address), sock)
 
 
+async def ignore_report(report):
+    """Do nothing with another host's report."""
+
+
 @given("an exchange of reports with {others:d} other hosts")
 def make_exchange(context, others):
     context.hearers = [make_hearer(f"h{n}") for n in range(others)]
@@ -99,7 +103,7 @@
         members,
         clock,
         lambda: context.board.make_report({}, (), {}),
-        None,
+        ignore_report,
     )
     context.exchange.bind(LOCAL, [0])
 
@@ -128,3 +132,25 @@
 def check_last(context):
     heard = {h.last.loads["e1"].online for h in context.hearers}
     assert heard == {context.started}, heard
+
+
+@when("a host reports to it that it doesn't know")
+def report_unknown(context):
+    context.stranger = make_hearer("stranger")
+    curio.run(play_stranger, context)
+
+
+async def play_stranger(context):
+    exchange, stranger = context.exchange, context.stranger
+    tasks = [await curio.spawn(exchange.run), await curio.spawn(stranger.hear)]
+    report = HostReport("stranger", "1", 1).to_bytes()
+    await stranger.sock.sendto(report, (LOCAL, exchange.port))
+    await curio.sleep(SETTLE_SECONDS)
+    for task in tasks:
+        await task.cancel()
+
+
+@then("that host has heard a report")
+def check_stranger(context):
+    assert context.stranger.last is not None
+    assert context.stranger.last.host == "own"
--- a/mangogauge/sharing/exchange.py
+++ b/mangogauge/sharing/exchange.py
@@ -1,6 +1,7 @@
 """Send this host's report to the others, and take in theirs, by datagrams."""
 
 import curio
+from attrs import field, frozen
 from curio import socket
 
 from ..telemetry import get_logger
@@ -13,12 +14,27 @@
 # How often a host reports even if nothing has changed.
 IDLE_SECONDS = 0.25
 
+# How long a host that isn't known to be registered is told after it was heard.
+STRANGER_SECONDS = 1.5
+
 log = get_logger("sharing")
 
 
+@frozen
+class _Stranger:
+    """Where a host reports from whose registration isn't known, and since when."""
+
+    address = field()
+    heard_at = field()
+
+
 class ReportExchange:
     """Exchanges reports with the other hosts.
 
+    Reports go to all that are registered, and to those that have just been heard
+    though this host doesn't know of their registration yet: a host that starts
+    hears the others as soon as they hear it.
+
     Parameters
     ----------
     board : LoadBoard
@@ -36,7 +52,9 @@
         self._make_report = make_report
         self._on_report = on_report
         self._sock = None
+        self._clock = clock
         self._pacing = ReportPacing(clock)
+        self._strangers = {}
         self._changed = curio.Event()
 
     @property
@@ -85,15 +103,29 @@
                     extra={"peer": f"{sender[0]}:{sender[1]}", "reason": str(error)},
                 )
                 continue
+            await self._note_sender(report, f"{sender[0]}:{sender[1]}")
             if self._board.take_report(report):
                 await self._on_report(report)
 
+    async def _note_sender(self, report, address):
+        """Remember a host whose registration isn't known here yet."""
+        member = self._members.get(report.host)
+        if member is not None and member.address == address:
+            self._strangers.pop(report.host, None)
+            return
+        if report.host == self._board.host:
+            return
+        if report.host not in self._strangers:
+            log.info("host heard first", extra={"peer": report.host})
+            await self.note_change()
+        self._strangers[report.host] = _Stranger(address, self._clock.read_elapsed())
+
     async def _send(self):
         while True:
             async with curio.ignore_after(IDLE_SECONDS):
                 await self._changed.wait()
-            others = len(self._members.list_others())
-            await curio.sleep(self._pacing.measure_wait(others))
+            hosts = len(self._list_addresses())
+            await curio.sleep(self._pacing.measure_wait(hosts))
             self._changed.clear()
             await self._send_report()
 
@@ -101,12 +133,20 @@
         """Send a report to every other host now."""
         self._pacing.note_sent()
         data = self._make_report().to_bytes()
-        for member in self._members.list_others():
-            host, _, port = member.address.rpartition(":")
+        for address in self._list_addresses():
+            host, _, port = address.rpartition(":")
             try:
                 await self._sock.sendto(data, (host, int(port)))
             except (OSError, ValueError) as error:
                 log.debug(
-                    "report not sent",
-                    extra={"member": member.name, "reason": repr(error)},
+                    "report not sent", extra={"peer": address, "reason": repr(error)}
                 )
+
+    def _list_addresses(self):
+        """Return where reports go, each address once."""
+        oldest = self._clock.read_elapsed() - STRANGER_SECONDS
+        for name in [n for n, s in self._strangers.items() if s.heard_at < oldest]:
+            del self._strangers[name]
+        known = [member.address for member in self._members.list_others()]
+        unknown = [stranger.address for stranger in self._strangers.values()]
+        return list(dict.fromkeys(known + unknown))
