--- a/features/builders/balancer.py
+++ b/features/builders/balancer.py
@@ -18,6 +18,23 @@
 WAIT_SECONDS = 0.01
 
 
+class LostRequestError(Exception):
+    """A request got no answer; says at which host, and when.
+
+    Parameters
+    ----------
+    host : str
+    chosen_at : float
+        Monotonic time at which its host was chosen.
+    """
+
+    def __init__(self, host, chosen_at):
+        seconds = time.monotonic() - chosen_at
+        super().__init__(
+            f"{host}: failed at {time.time():.3f}, {seconds:.3f} s after it was chosen"
+        )
+
+
 class Balancer:
     """Sends requests to hosts that were ready a while ago.
 
@@ -59,10 +76,14 @@
     def request(self, method, target, body=b"", headers=None):
         """Send a request to one of the hosts; one attempt only."""
         host = self._choose()
-        connection = self._take_connection(host)
-        connection.request(method, target, body=body or None, headers=headers or {})
-        response = connection.getresponse()
-        data = response.read()
+        chosen_at = time.monotonic()
+        try:
+            connection = self._take_connection(host)
+            connection.request(method, target, body=body or None, headers=headers or {})
+            response = connection.getresponse()
+            data = response.read()
+        except (OSError, http.client.HTTPException) as error:
+            raise LostRequestError(host, chosen_at) from error
         if response.will_close:
             self._local.connections.pop(host)
             connection.close()
@@ -160,8 +181,8 @@
                 number = next(self._numbers)
             try:
                 answer = self._balancer.request(*self._make_request(number))
-            except (OSError, http.client.HTTPException) as error:
-                self.lost[number] = repr(error)
+            except LostRequestError as error:
+                self.lost[number] = f"{error}: {error.__cause__!r}"
                 self._balancer._local.connections = {}
             else:
                 self.answers[number] = answer
