Don't take a cut between data centres for endpoints' crashes

Ruled out: claims (its job was held all the time), the store (not away). Change: a refused connection is a crash only if a host of the endpoint's data centre is heard after the connection broke, or none is registered there.

--- /dev/null
+++ b/features/entry/crashes.feature
@@ -0,0 +1,14 @@
+Feature: A cut between data centres is not taken for endpoints' crashes
+  In both cases connections break, and the endpoint refuses new ones a moment later.
+
+  # Found by a hunt of yardimeli-mg (journal f2bab79c, scale-2, seed 931003388785):
+  # an item whose runs a cut had broken off three times was not run any more.
+  Scenario Outline: What counts is whether hosts of the endpoint's data centre are heard
+    Given a host that <hears> the hosts of data centre "b" after a connection broke
+    When 3 runs of a request break off at an endpoint of "b" that refuses connections
+    Then the request is <judged>
+
+    Examples:
+      | hears        | judged      |
+      | hears        | condemned   |
+      | doesn't hear | run further |
--- /dev/null
+++ b/features/steps/crashes.py
@@ -0,0 +1,73 @@
+"""Steps of telling endpoints' crashes from cuts."""
+
+import socket
+
+import curio
+from behave import given, then, when
+
+from features.builders.fleet import HOST_NAME, make_endpoint, make_route
+from mangogauge.clock import SystemClock
+from mangogauge.entry import AttemptFailure, CrashWatch, OnlineCall
+from mangogauge.http import Headers
+from mangogauge.routing import Progress
+from mangogauge.sharing import CrashLedger
+
+LOCAL = "127.0.0.1"
+HEARD = {"hears": True, "doesn't hear": False}
+SETTLED_SECONDS = 1.5
+
+
+async def ignore_change():
+    """Tell nobody."""
+
+
+@given('a host that {hears} the hosts of data centre "b" after a connection broke')
+def make_watch(context, hears):
+    clock = SystemClock()
+    asked = context.asked = []
+
+    def hears_since(data_centre, moment):
+        asked.append(data_centre)
+        return HEARD[hears]
+
+    context.watch = CrashWatch(CrashLedger(clock), ignore_change, clock, hears_since)
+
+
+def find_refusing_address():
+    """Return an address that nothing listens at."""
+    with socket.socket() as probe:
+        probe.bind((LOCAL, 0))
+        return f"{LOCAL}:{probe.getsockname()[1]}"
+
+
+@when(
+    '{count:d} runs of a request break off at an endpoint of "b"'
+    " that refuses connections"
+)
+def break_runs(context, count):
+    address = find_refusing_address()
+    endpoint = make_endpoint(address=address, data_centre="b")
+    context.call = OnlineCall(
+        "r1", make_route(), "desk", "POST", "/ask/1", Headers([("Host", HOST_NAME)]),
+        b"body", 0.0, 60.0,
+    )  # fmt: skip
+    curio.run(play_failures, context, endpoint, count)
+
+
+async def play_failures(context, endpoint, count):
+    failure = AttemptFailure(Progress.MAYBE_RUN, "reset", blames=True, broken=True)
+    for _ in range(count):
+        await context.watch.note_failure(context.call, endpoint, failure)
+    await curio.sleep(SETTLED_SECONDS)
+
+
+@then("the request is condemned")
+def check_condemned(context):
+    assert context.watch.is_condemned(context.call)
+    assert set(context.asked) == {"b"}
+
+
+@then("the request is run further")
+def check_run_further(context):
+    assert not context.watch.is_condemned(context.call)
+    assert set(context.asked) == {"b"}
--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -161,6 +161,24 @@
             )
         )
 
+    def hears_data_centre(self, data_centre, since):
+        """Return whether another host of a data centre has been heard since.
+
+        Parameters
+        ----------
+        data_centre : str
+        since : float
+            Elapsed time.
+
+        Returns
+        -------
+        bool
+            True also if no other host is registered there: nobody could tell.
+        """
+        others = self.members.list_others()
+        there = [m.name for m in others if m.data_centre == data_centre]
+        return not there or any(self.board.is_heard_since(n, since) for n in there)
+
     async def notify(self):
         """Tell the other hosts soon what has changed here."""
         await self._exchange.note_change()
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -119,7 +119,12 @@
             ClientPool(CONNECT_SECONDS), self.backends.endpoints, self.clock
         )
 
-        self.crashes = CrashWatch(self.fleet.crash_ledger, self.fleet.notify)
+        self.crashes = CrashWatch(
+            self.fleet.crash_ledger,
+            self.fleet.notify,
+            self.clock,
+            self.fleet.hears_data_centre,
+        )
 
     def _make_jobs(self):
         store, feed, clock = self.backends.store, self.backends.feed, self.clock
--- a/mangogauge/entry/crashes.py
+++ b/mangogauge/entry/crashes.py
@@ -1,4 +1,9 @@
-"""Tell an endpoint's crash from a connection that broke, and keep count of them."""
+"""Tell an endpoint's crash from a connection that broke, and keep count of them.
+
+The load this answers: requests that crash their endpoints, on days on which data
+centres are cut off too. A cut may reset connections and refuse new ones, as a crash
+does; but then no host of that data centre is heard either.
+"""
 
 import curio
 import xxhash
@@ -13,6 +18,12 @@
 PROBE_SECONDS = 0.2
 # A process that ends closes its connections a moment before its listener.
 SETTLE_SECONDS = 0.15
+# Reports that were under way when the connection broke have come by then.
+UNDER_WAY_SECONDS = 0.05
+# How long hosts of the endpoint's data centre may take to be heard again: each
+# reports a few times within it.
+CONFIRM_SECONDS = 0.75
+CONFIRM_STEP_SECONDS = 0.02
 
 log = get_logger("crashes")
 
@@ -25,11 +36,17 @@
     ledger : CrashLedger
     notify : async callable
         Called after a crash, which other hosts should hear of.
+    clock : Clock
+    hears_since : callable
+        Given a data centre and an elapsed time, whether a host there has been heard
+        since, or there is none that could be.
     """
 
-    def __init__(self, ledger, notify):
+    def __init__(self, ledger, notify, clock, hears_since):
         self._ledger = ledger
         self._notify = notify
+        self._clock = clock
+        self._hears_since = hears_since
 
     def check(self, call):
         """Raise `Refusal` if `call` has crashed too many endpoints."""
@@ -57,14 +74,26 @@
             await curio.spawn(self._examine, call, endpoint, daemon=True)
 
     async def _examine(self, call, endpoint):
+        broke_at = self._clock.read_elapsed()
         await curio.sleep(SETTLE_SECONDS)
-        try:
-            connection = await ClientConnection.open(endpoint.address, PROBE_SECONDS)
-        except HTTPConnectError as error:
-            if isinstance(error.__cause__, ConnectionRefusedError):
-                await self._note_crash(call, endpoint)
+        if not await _refuses(endpoint):
+            return
+        if await self._is_reached(endpoint.data_centre, broke_at):
+            await self._note_crash(call, endpoint)
             return
-        await connection.close()
+        log.warning(
+            "endpoint refuses, but its data centre is silent: taken for a cut",
+            extra={"request_id": call.request_id, "endpoint": endpoint.name},
+        )
+
+    async def _is_reached(self, data_centre, broke_at):
+        """Return whether a host of a data centre is heard after a connection broke."""
+        since = broke_at + UNDER_WAY_SECONDS
+        while not self._hears_since(data_centre, since):
+            if self._clock.read_elapsed() >= broke_at + CONFIRM_SECONDS:
+                return False
+            await curio.sleep(CONFIRM_STEP_SECONDS)
+        return True
 
     async def _note_crash(self, call, endpoint):
         fingerprint = _make_fingerprint(call)
@@ -81,6 +110,16 @@
         await self._notify()
 
 
+async def _refuses(endpoint):
+    """Return whether nothing listens at the endpoint's address."""
+    try:
+        connection = await ClientConnection.open(endpoint.address, PROBE_SECONDS)
+    except HTTPConnectError as error:
+        return isinstance(error.__cause__, ConnectionRefusedError)
+    await connection.close()
+    return False
+
+
 def _make_fingerprint(call):
     digest = xxhash.xxh3_64()
     for part in (call.account.encode(), call.target.encode(), call.body):
--- a/mangogauge/sharing/board.py
+++ b/mangogauge/sharing/board.py
@@ -112,6 +112,11 @@
             return False
         return self._clock.read_elapsed() - heard.at <= HEARD_SECONDS
 
+    def is_heard_since(self, host, since):
+        """Return whether a report of a host has come after an elapsed time."""
+        heard = self._heard.get(host)
+        return heard is not None and heard.at > since
+
     def get_own(self, endpoint):
         """Return the `EndpointLoad` of this host alone."""
         count = self._own.get(endpoint)
