--- a/features/builders/platform/deployment.py
+++ b/features/builders/platform/deployment.py
@@ -281,29 +281,13 @@
 
     def open(self, host, path, request_id, tokens=10, **options):
         """Ask for a stream of so many events; return the connection."""
-        return self.open_request(
-            host,
-            "POST",
-            path,
-            request_id,
-            body=b"question",
-            X_Token_Count=f"50,{tokens}",
-            X_Model="m",
-            **options,
-        )
+        question = make_question(tokens)
+        return self.open_request(host, "POST", path, request_id, **question, **options)
 
     def ask(self, host, path, request_id, tokens=10, **options):
         """Ask for a stream of so many events."""
-        return self.request(
-            host,
-            "POST",
-            path,
-            request_id,
-            body=b"question",
-            X_Token_Count=f"50,{tokens}",
-            X_Model="m",
-            **options,
-        )
+        question = make_question(tokens)
+        return self.request(host, "POST", path, request_id, **question, **options)
 
     def submit(self, host, job_id, items, **options):
         """Submit a job whose items are ``(id, path, tokens)``."""
@@ -358,3 +342,8 @@
     except OSError:
         whole = False
     return PlatformAnswer(response.status, headers, body, whole)
+
+
+def make_question(tokens):
+    """Return the body and the headers of a request for so many events."""
+    return {"body": b"question", "X_Token_Count": f"50,{tokens}", "X_Model": "m"}
