Hear from an endpoint's own answers that it is leaving

Cause: only the store's entry told that an endpoint leaves. While the store is away, or has not heard yet, hosts sent it new work past the drain bound, though its answers said so. Ruled out: marking the entry itself (its digest would differ from other hosts' copies and make all of them read again). Change: Departures keeps processes (endpoint and start) whose answers carry the leaving header, success, refusal and failure alike; the chooser leaves them out at once, reports tell the other hosts (format 4), a lapsed entry of one is not kept. FixedDirectory stands once in the builders instead of three times.

--- a/features/builders/fleet.py
+++ b/features/builders/fleet.py
@@ -69,6 +69,19 @@
     return Submission(job_id, HOST_NAME, items)
 
 
+class FixedDirectory:
+    """Endpoints that neither come nor go, each by its entry alone."""
+
+    def __init__(self, endpoints):
+        self._endpoints = endpoints
+
+    def list_endpoints(self):
+        return self._endpoints
+
+    def is_leaving(self, endpoint):
+        return endpoint.leaving
+
+
 class ScriptedFeed(ChangeFeed):
     """A feed that answers as it is told, and counts what it is asked.
 
--- a/features/builders/platform/endpoint.py
+++ b/features/builders/platform/endpoint.py
@@ -45,6 +45,8 @@
         self.arrivals = []
         self.faults = {}
         self.event_seconds = EVENT_SECONDS
+        # By which answers it says that it is leaving, if it is.
+        self.leaving = ""
         self.freed = curio.Condition()
         self.server = HTTPServer(self.handle, ServerLimits(body_bytes=BODY_BYTES))
 
@@ -60,6 +62,9 @@
         if expected != self.name:
             await self._refuse(exchange, 421, request_id)
             return
+        if self.leaving == "a refusal":
+            await self._refuse(exchange, 503, request_id)
+            return
         if not request_id or self.waiting >= QUEUE:
             await self._refuse(exchange, 503 if request_id else 400, request_id)
             return
@@ -98,6 +103,8 @@
 
     async def _answer(self, exchange, arrival):
         fault = self._take_fault(arrival.request_id)
+        if self.leaving == "a failure":
+            fault = "500"
         headers = self._make_headers(arrival.request_id)
         if fault in ("500", "422"):
             await exchange.respond(int(fault), headers, b"no")
@@ -141,16 +148,22 @@
 
     def _make_headers(self, request_id):
         fields = [("X-Server-Stamp", f"stamp-{self.name}")]
-        return Headers([*fields, ("X-Request-Id", request_id)])
+        return self._tell([*fields, ("X-Request-Id", request_id)])
+
+    def _tell(self, fields):
+        """Return an answer's headers, which may say that the endpoint is leaving."""
+        said = [("Server-Leaving", "1")] if self.leaving else []
+        return Headers([*fields, *said])
 
     async def _refuse(self, exchange, status, request_id):
-        headers = Headers([("X-Not-Run", "1"), ("X-Request-Id", request_id)])
+        headers = self._tell([("X-Not-Run", "1"), ("X-Request-Id", request_id)])
         await exchange.respond(status, headers, b"")
 
     async def _control(self, exchange):
         order = orjson.loads(await exchange.read_body() or b"{}")
         self.faults.update(order.get("faults", {}))
         self.event_seconds = order.get("event_seconds", self.event_seconds)
+        self.leaving = order.get("leaving", self.leaving)
         rows = [asdict(row) for row in self.arrivals]
         value = {"arrivals": rows, "running": self.running, "waiting": self.waiting}
         headers = Headers([("Content-Type", "application/json")])
--- a/features/steps/board.py
+++ b/features/steps/board.py
@@ -5,7 +5,12 @@
 from attrs import evolve
 from behave import given, then, when
 
-from features.builders.fleet import SERVICE, make_endpoint, make_report
+from features.builders.fleet import (
+    SERVICE,
+    FixedDirectory,
+    make_endpoint,
+    make_report,
+)
 from mangogauge.clock import ManualClock
 from mangogauge.placement import EndpointChooser, EndpointHealth
 from mangogauge.sharing import EndpointLoad, LoadBoard
@@ -25,16 +30,6 @@
         return super().get(key, default)
 
 
-class EndpointList:
-    """A directory of endpoints that never change."""
-
-    def __init__(self, endpoints):
-        self._endpoints = endpoints
-
-    def list_endpoints(self):
-        return self._endpoints
-
-
 def draw_report(rng, number, hosts, endpoints):
     used = rng.sample(endpoints, rng.randrange(len(endpoints) // 3))
     loads = {name: (rng.randrange(4), rng.randrange(4)) for name in used}
@@ -109,7 +104,7 @@
     assert len(context.endpoints) == count
     CountingLoads.looks = 0
     chooser = EndpointChooser(
-        EndpointList(context.endpoints),
+        FixedDirectory(context.endpoints),
         context.board,
         EndpointHealth(context.clock),
         "a",
--- a/features/steps/health.py
+++ b/features/steps/health.py
@@ -4,22 +4,12 @@
 
 from behave import given, then, when
 
-from features.builders.fleet import SERVICE, make_endpoint
+from features.builders.fleet import SERVICE, FixedDirectory, make_endpoint
 from mangogauge.clock import ManualClock
 from mangogauge.placement import EndpointChooser, EndpointHealth
 from mangogauge.sharing import LoadBoard
 
 
-class FixedDirectory:
-    """Endpoints that neither come nor go."""
-
-    def __init__(self, endpoints):
-        self._endpoints = endpoints
-
-    def list_endpoints(self):
-        return self._endpoints
-
-
 @given('endpoints "{near}" here, and "{far}" in another data centre')
 def make_endpoints(context, near, far):
     context.clock = ManualClock()
--- a/features/steps/placement.py
+++ b/features/steps/placement.py
@@ -5,7 +5,12 @@
 from attrs import define, field
 from behave import given, then, when
 
-from features.builders.fleet import SERVICE, make_endpoint, make_report
+from features.builders.fleet import (
+    SERVICE,
+    FixedDirectory,
+    make_endpoint,
+    make_report,
+)
 from mangogauge.clock import ManualClock
 from mangogauge.placement import BatchRoom, EndpointChooser, EndpointHealth
 from mangogauge.sharing import LoadBoard
@@ -144,16 +149,14 @@
         self.engines = [Engine(make_endpoint(f"e{n}")) for n in range(endpoints)]
         self.hosts = [RoomHost(f"r{n}", self.clock) for n in range(hosts)]
         self.front = RoomHost("front", self.clock)
+        directory = FixedDirectory([engine.endpoint for engine in self.engines])
         self.chooser = EndpointChooser(
-            self, self.front.board, EndpointHealth(self.clock), "a", self.random
+            directory, self.front.board, EndpointHealth(self.clock), "a", self.random
         )
         self.online = []
         self.refused = 0
         self.item_time = self.free_time = 0.0
 
-    def list_endpoints(self):
-        return [engine.endpoint for engine in self.engines]
-
     def play(self, low, high, seconds):
         due = {"online": 0.0, "turn": 0.0, "report": 0.0}
         now = 0.0
--- a/features/steps/spread.py
+++ b/features/steps/spread.py
@@ -5,8 +5,12 @@
 
 from behave import given, then, when
 
-from features.builders.fleet import SERVICE, make_endpoint, make_report
-from features.steps.board import EndpointList
+from features.builders.fleet import (
+    SERVICE,
+    FixedDirectory,
+    make_endpoint,
+    make_report,
+)
 from mangogauge.clock import ManualClock
 from mangogauge.placement import EndpointChooser, EndpointHealth
 from mangogauge.sharing import LoadBoard
@@ -43,7 +47,7 @@
         loads = context.loads if other == 0 else {}
         board.take_report(make_report(f"h{other}", loads=loads))
     return EndpointChooser(
-        EndpointList(context.endpoints),
+        FixedDirectory(context.endpoints),
         board,
         EndpointHealth(context.clock),
         DATA_CENTRES[number % len(DATA_CENTRES)],
--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -218,12 +218,14 @@
             self.quota.count_own(),
             self.health.list_shunned(),
             self._freshness.make_report(),
-            self._backends.transport.reach.is_recent,
-            self.crash_ledger.count_own(),
+            reaches_store=self._backends.transport.reach.is_recent,
+            crashes=self.crash_ledger.count_own(),
+            departures=self.directory.list_departures(),
         )
 
     async def _take_report(self, report):
         self.crash_ledger.take_counts(report.host, report.crashes)
+        self.directory.take_departures(report.departures, report.host)
         for topic in self._freshness.take_report(report.copies):
             await self._schedules[topic].wake()
         if self.state.routes is not None:
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -116,7 +116,10 @@
             self.random,
         )
         self.attempt = EndpointAttempt(
-            ClientPool(CONNECT_SECONDS), self.backends.endpoints, self.clock
+            ClientPool(CONNECT_SECONDS),
+            self.backends.endpoints,
+            self.fleet.directory,
+            self.clock,
         )
 
         self.crashes = CrashWatch(
--- a/mangogauge/entry/attempt.py
+++ b/mangogauge/entry/attempt.py
@@ -88,12 +88,15 @@
     ----------
     pool : ClientPool
     dialect : EndpointDialect
+    directory : EndpointDirectory
+        Told of endpoints whose answers say that they leave.
     clock : Clock
     """
 
-    def __init__(self, pool, dialect, clock):
+    def __init__(self, pool, dialect, directory, clock):
         self._pool = pool
         self._dialect = dialect
+        self._directory = directory
         self._clock = clock
 
     async def open(self, call, endpoint, last_event, silence_seconds):
@@ -148,9 +151,15 @@
             self._dialect.make_headers(order),
             call.body,
             idle_limit=None if call.repeatable else RECENT_SECONDS,
-            is_answer=lambda fields: self._dialect.is_answer(call.request_id, fields),
+            is_answer=lambda fields: self._take_head(order, fields),
         )
 
+    def _take_head(self, order, fields):
+        """Return whether an answer's head belongs to the order; hear what else it says."""
+        if self._dialect.says_leaving(fields):
+            self._directory.note_leaving(order.endpoint)
+        return self._dialect.is_answer(order.request_id, fields)
+
     async def _make_failure(self, kind, response):
         """Read an answer that is no success."""
         answer = None
--- a/mangogauge/entry/dialect.py
+++ b/mangogauge/entry/dialect.py
@@ -82,3 +82,7 @@
     @abstractmethod
     def judge(self, status, headers):
         """Return the `AnswerKind` of an answer's head."""
+
+    @abstractmethod
+    def says_leaving(self, headers):
+        """Return whether an answer's header fields say that its endpoint leaves."""
--- /dev/null
+++ b/mangogauge/fleet/departures.py
@@ -0,0 +1,53 @@
+"""Endpoints that said in their answers that they are leaving.
+
+The load this answers: an endpoint is taken away while the platform's store is out
+of reach or has not heard of it yet. Its own answers are the first, and then the only,
+news of it.
+"""
+
+__all__ = ["Departures"]
+
+# How long the news is kept: an entry that lapsed comes back well within it.
+KEPT_SECONDS = 600.0
+
+
+class Departures:
+    """Processes of endpoints that are leaving.
+
+    A process is named by its endpoint and by its start, in milliseconds since the
+    Unix epoch: another one may come under the same name.
+
+    Parameters
+    ----------
+    clock : Clock
+
+    Examples
+    --------
+    >>> from mangogauge.clock import ManualClock
+    >>> departures = Departures(ManualClock())
+    >>> departures.note("e", 1000)
+    True
+    >>> departures.has("e", 1000), departures.has("e", 2000)
+    (True, False)
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._heard_at = {}
+
+    def note(self, name, born):
+        """Note that a process is leaving; return whether that is news."""
+        if self.has(name, born):
+            return False
+        self._forget()
+        self._heard_at[name, born] = self._clock.read_elapsed()
+        return True
+
+    def has(self, name, born):
+        """Return whether a process is leaving."""
+        return (name, born) in self._heard_at
+
+    def _forget(self):
+        oldest = self._clock.read_elapsed() - KEPT_SECONDS
+        for process in [p for p, at in self._heard_at.items() if at < oldest]:
+            del self._heard_at[process]
--- a/mangogauge/fleet/directory.py
+++ b/mangogauge/fleet/directory.py
@@ -1,6 +1,7 @@
 """The endpoints of the fleet, by what they last said of themselves."""
 
 from ..telemetry import get_logger
+from .departures import Departures
 from .follower import Listener
 from .lapsing import LapsingEntries
 
@@ -31,6 +32,7 @@
         self._decode = decode
         self._name_key = name_key
         self._entries = LapsingEntries(clock)
+        self._departures = Departures(clock)
         self.loaded = False
 
     @property
@@ -46,6 +48,37 @@
         """Return a `FleetEndpoint`, or None."""
         return self._entries.get(name)
 
+    def is_leaving(self, endpoint):
+        """Return whether an endpoint takes no new work, by its entry or its answers."""
+        return endpoint.leaving or self._departures.has(endpoint.name, endpoint.born)
+
+    def note_leaving(self, endpoint):
+        """Note that an endpoint's answer says that it is leaving.
+
+        Returns
+        -------
+        bool
+            Whether that is news, which other hosts should hear of.
+        """
+        is_news = self._departures.note(endpoint.name, endpoint.born)
+        if is_news:
+            self._log_leaving(endpoint.name, endpoint.born, "its answer")
+        return is_news
+
+    def list_departures(self):
+        """Return ``{name: born}`` of endpoints whose answers say that they leave."""
+        return {
+            endpoint.name: endpoint.born
+            for endpoint in self.list_endpoints()
+            if self._departures.has(endpoint.name, endpoint.born)
+        }
+
+    def take_departures(self, births, host):
+        """Take in another host's `list_departures`."""
+        for name, born in births.items():
+            if self._departures.note(name, born):
+                self._log_leaving(name, born, host)
+
     def take_snapshot(self, items):
         """Replace the endpoints by those of `items`."""
         found = {}
@@ -83,6 +116,7 @@
                 "endpoint": endpoint.name,
                 "address": endpoint.address,
                 "leaving": endpoint.leaving,
+                "born": endpoint.born,
                 "known": known is not None,
             },
         )
@@ -91,6 +125,12 @@
         endpoint = self._entries.get(name)
         if endpoint is None:
             return
-        self._entries.drop(name, at_once=endpoint.leaving)
+        self._entries.drop(name, at_once=self.is_leaving(endpoint))
         kept = self._entries.get(name) is not None
         log.info("endpoint's entry gone", extra={"endpoint": name, "kept": kept})
+
+    def _log_leaving(self, name, born, heard_from):
+        log.info(
+            "endpoint leaves",
+            extra={"endpoint": name, "born": born, "heard_from": heard_from},
+        )
--- a/mangogauge/placement/choice.py
+++ b/mangogauge/placement/choice.py
@@ -82,7 +82,7 @@
             endpoint
             for endpoint in self._directory.list_endpoints()
             if endpoint.service == service
-            and not endpoint.leaving
+            and not self._directory.is_leaving(endpoint)
             and endpoint.name not in excluded
         ]
         sound = [e for e in staying if not self._is_shunned(e.name)]
--- a/mangogauge/platform/endpoints.py
+++ b/mangogauge/platform/endpoints.py
@@ -9,6 +9,7 @@
 FIRST_SUCCESS, FIRST_REDIRECTION = 200, 300
 FAILURE_STATUS, IMPOSSIBLE_STATUS = 500, 422
 FIRST_SERVER_ERROR = 500
+LEAVING = "1"
 KINDS = {
     FAILURE_STATUS: AnswerKind.FAILURE,
     IMPOSSIBLE_STATUS: AnswerKind.IMPOSSIBLE,
@@ -50,3 +51,7 @@
         if status >= FIRST_SERVER_ERROR:
             return AnswerKind.EXPIRED
         return AnswerKind.REJECTED
+
+    def says_leaving(self, headers):
+        """Return whether an answer says that its endpoint leaves."""
+        return headers.get(HEADERS.leaving) == LEAVING
--- a/mangogauge/platform/names.py
+++ b/mangogauge/platform/names.py
@@ -18,6 +18,8 @@
     account = field(default="X-Tenant")
     # An endpoint of another name refuses the request.
     expected_endpoint = field(default="X-Expect-Instance")
+    # The endpoint takes no new requests and is about to end.
+    leaving = field(default="Server-Leaving")
     not_run = field(default="X-Not-Run")
     retry_after = field(default="Retry-After")
     # How long a reader of results will wait for the first one.
--- a/mangogauge/sharing/board.py
+++ b/mangogauge/sharing/board.py
@@ -153,7 +153,7 @@
         self._expire()
         return self._tally.count_shunning(endpoint) >= SHUN_QUORUM
 
-    def make_report(self, admitted, shunned, copies, reaches_store=False, crashes=None):
+    def make_report(self, admitted, shunned, copies, **news):
         """Return this host's next `HostReport`.
 
         Parameters
@@ -161,8 +161,8 @@
         admitted : dict of str to int
         shunned : iterable of str
         copies : dict of str to CopyReport
-        reaches_store : bool, optional
-        crashes : dict of str to int, optional
+        **news
+            Further fields of `HostReport`.
         """
         self._number += 1
         return HostReport(
@@ -175,8 +175,7 @@
             shunned,
             copies,
             self.items_waiting,
-            reaches_store,
-            crashes or {},
+            **news,
         )
 
     def _expire(self):
--- a/mangogauge/sharing/reports.py
+++ b/mangogauge/sharing/reports.py
@@ -12,7 +12,7 @@
 
 __all__ = ["EndpointLoad", "HostReport", "ReportError"]
 
-FORMAT = 3
+FORMAT = 4
 
 
 class ReportError(MangogaugeError):
@@ -63,6 +63,9 @@
         Whether the host passes others' calls to the store on.
     crashes : dict of str to int
         Crashes of endpoints by fingerprint of the request that ran there.
+    departures : dict of str to int
+        Endpoints whose answers say that they are leaving: the start of the process,
+        in milliseconds since the Unix epoch, by name.
     """
 
     host = field()
@@ -76,6 +79,7 @@
     items_waiting = field(default=0)
     reaches_store = field(default=False)
     crashes = field(factory=dict)
+    departures = field(factory=dict)
 
     @classmethod
     def from_bytes(cls, data):
@@ -91,7 +95,8 @@
             if form != FORMAT:
                 raise ReportError(f"Reports of format {form} are not known.")
             host, incarnation, number, loads, admitted, waiting, *values = values
-            shunned, copies, items_waiting, reaches_store, crashes = values
+            shunned, copies, items_waiting, reaches_store, *values = values
+            crashes, departures = values
             return cls(
                 str(host),
                 str(incarnation),
@@ -104,6 +109,7 @@
                 int(items_waiting),
                 bool(reaches_store),
                 {str(name): int(count) for name, count in crashes},
+                {str(name): int(born) for name, born in departures},
             )
         except (ValueError, TypeError) as error:
             raise ReportError(f"The datagram is no report: {error}.") from error
@@ -127,5 +133,6 @@
                 self.items_waiting,
                 self.reaches_store,
                 list(self.crashes.items()),
+                list(self.departures.items()),
             ]
         )
