--- a/mangogauge/entry/attempt.py
+++ b/mangogauge/entry/attempt.py
@@ -155,7 +155,7 @@
         )
 
     def _take_head(self, order, fields):
-        """Return whether an answer's head belongs to the order; hear what else it says."""
+        """Return whether a head is the order's answer; hear if its endpoint leaves."""
         if self._dialect.says_leaving(fields):
             self._directory.note_leaving(order.endpoint)
         return self._dialect.is_answer(order.request_id, fields)
