Bound what an answer may be, and keep a host's tasks running through errors

Cause: an endpoint in trouble may send bytes without end. Looked for on every way in which the host reads: informational answers and answers to other requests had no bound, an unstamped body was read whole up to 256 KB without a bound in time and a failure's cut body was passed on as if it were whole; the store's answers, events of batch items and item texts had no bound; a byte now and then kept a stalled stream alive. Next to it: an event that is no UTF-8 lost its item, a store's answer that is no JSON ended the process, and any unexpected error in a long task did; the silence bound also ended the last run that was allowed, which may still answer; a late second copy of an answer bears the id of a request that is sent to the same endpoint again. Change: ClientLimits (named in the error and so in the log), EventStream (pause by whole events), KEPT_SECONDS, TEXT_BYTES, keep_running, a fresh connection for a call that was sent to the endpoint before, no silence bound on the last run. Ruled out: h11's own bound covers heads, chunk headers and trailers. Conclusion: memory stays flat, requests go on elsewhere, the log names the limit.

--- a/features/builders/platform/store.py
+++ b/features/builders/platform/store.py
@@ -19,16 +19,18 @@
 WATCH_SECONDS = 0.01
 BODY_BYTES = 8_000_000
 PAGE_ITEMS = 5
+BLOCK_BYTES = 65_536
 
 
 @define
 class StoreFaults:
-    """What the store does wrong: status for all calls, lost and late writes."""
+    """What the store does wrong: status for all calls, lost and late writes, no end."""
 
     status = field(default=0)
     silent = field(default=False)
     lose_writes = field(default=0)
     deaf = field(default=False)
+    endless = field(default=False)
 
 
 class StoreServer:
@@ -61,6 +63,8 @@
         self.counts[name] += 1
         if self.faults.silent:
             await curio.sleep(3600)
+        if self.faults.endless:
+            await send_without_end(exchange)
         if self.faults.status:
             await send(exchange, self.faults.status, {"error": "away"})
             return
@@ -155,6 +159,13 @@
         return (200 if self.keyspace.revoke_lease(int(argument)) else 404), {}
 
 
+async def send_without_end(exchange):
+    """Send an answer's body until the caller closes."""
+    await exchange.start_response(200, JSON)
+    while True:
+        await exchange.send_data(b" " * BLOCK_BYTES)
+
+
 def encode(item):
     """Return an item as the store shows it."""
     return {
--- a/features/steps/jobs.py
+++ b/features/steps/jobs.py
@@ -226,7 +226,7 @@
     host = context.hosts[name]
     for number in numbers:
         item = host.job.items[f"{host.job.job_id}-{number}"]
-        item.pieces = [b"text %d" % number]
+        item.pieces = [f"text {number}"]
         host.job.finish(item, ItemState.DONE)
     context.outcome = run(host.claims.commit, host.job, 1000.0)
     context.committing = name
--- /dev/null
+++ b/features/steps/platform_endless.py
@@ -0,0 +1,78 @@
+"""Steps of endpoints and a store that send bytes without end."""
+
+import time
+
+from behave import given, then, when
+
+from features.builders import wait_until
+from features.builders.platform.endless import EndlessEndpoint
+
+MOST_REQUESTS = 60
+KILOBYTES_PER_MEGABYTE = 1024
+
+
+@given('an endpoint "{name}" that sends {trouble} without end')
+def start_rogue(context, name, trouble):
+    deployment = context.deployment
+    context.rogue = EndlessEndpoint(deployment.address, trouble)
+    context.add_cleanup(context.rogue.close)
+    # Not among the endpoints that are asked what arrived there.
+    deployment.write_entry("e1", seq=2)
+    entry = {
+        "service": "llm",
+        "address": context.rogue.address,
+        "zone": "a",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "seq": 1,
+    }
+    deployment.put(f"servers/{name}", entry)
+    for host in deployment.hosts:
+        wait_until(
+            lambda host=host: name in context.world.processes[host].read_log(),
+            f"{host} knows {name}",
+        )
+
+
+@when(
+    '"{account}" asks "{host}" for "{path}" until "{name}" was met, '
+    "and {more:d} times more"
+)
+def ask_until_met(context, account, host, path, name, more):
+    def ask(number):
+        key = f"{account}-key"
+        return context.deployment.ask(host, path, f"q{number}", 4, key=key)
+
+    context.answers = []
+    while not context.rogue.opened:
+        assert len(context.answers) < MOST_REQUESTS, f"{name} was never asked"
+        context.answers.append(ask(len(context.answers)))
+    context.answers += [ask(1000 + number) for number in range(more)]
+
+
+@then('"{name}" was cut off each time, within {count:d} bytes')
+def check_cut(context, name, count):
+    rogue = context.rogue
+    wait_until(lambda: len(rogue.sent) >= rogue.opened, f"{name} is cut off")
+    assert rogue.sent and max(rogue.sent) <= count, rogue.sent
+
+
+@then('the log of "{host}" says "{text}"')
+def check_log(context, host, text):
+    assert text in context.world.processes[host].read_log()
+
+
+@then('"{host}" takes less than {megabytes:d} MB')
+def check_memory(context, host, megabytes):
+    with open(f"/proc/{context.world.processes[host].pid}/status") as status:
+        row = next(line for line in status if line.startswith("VmHWM"))
+    kilobytes = int(row.split()[1])
+    assert kilobytes < megabytes * KILOBYTES_PER_MEGABYTE, row
+
+
+@when("the store's answers never end for {seconds:g} s")
+def make_store_endless(context, seconds):
+    context.deployment.control("store", endless=True)
+    time.sleep(seconds)
+    context.deployment.control("store", endless=False)
--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -25,6 +25,7 @@
     SharedFreshness,
     SharedQuota,
 )
+from ..supervision import keep_running
 from ..telemetry import get_logger
 
 __all__ = ["FleetView"]
@@ -187,10 +188,13 @@
         """Keep up with the fleet until cancelled."""
         async with curio.TaskGroup(wait=any) as group:
             for follower in self._followers:
-                await group.spawn(follower.run)
-            await group.spawn(self.registration.run)
-            await group.spawn(self._exchange.run)
-            await group.spawn(self._watch_isolation)
+                await group.spawn(keep_running, follower.name, follower.run)
+            for run in (
+                self.registration.run,
+                self._exchange.run,
+                self._watch_isolation,
+            ):
+                await group.spawn(keep_running, run.__qualname__, run)
         if group.exception is not None:
             raise group.exception
 
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -8,7 +8,7 @@
 from ..clock import SystemClock
 from ..entry import CrashWatch, EndpointAttempt, FleetFront, OnlineDispatcher
 from ..fleet import RetirementKeeper
-from ..http import ClientPool, Headers, HTTPServer, ServerLimits
+from ..http import ClientLimits, ClientPool, Headers, HTTPServer, ServerLimits
 from ..jobs import (
     JobAcceptance,
     JobFront,
@@ -23,6 +23,7 @@
 from ..placement import BatchRoom, EndpointChooser, ReachabilityProber, SlotQueue
 from ..routing import RetryBudgets, RetryPolicy
 from ..store import StoreRelay
+from ..supervision import keep_running
 from ..telemetry import get_logger
 from .fleetview import FleetView
 
@@ -32,6 +33,8 @@
 # How long an endpoint may take to accept a connection: a request still starts
 # within its objective at the next one.
 CONNECT_SECONDS = 0.2
+# Largest answer of an endpoint that is passed on.
+ANSWER_BYTES = 67_108_864
 SUMMARY_SECONDS = 10.0
 # Largest call to the store that is passed on for another host.
 RELAYED_BYTES = 33_554_432
@@ -116,7 +119,7 @@
             self.random,
         )
         self.attempt = EndpointAttempt(
-            ClientPool(CONNECT_SECONDS),
+            ClientPool(CONNECT_SECONDS, limits=ClientLimits(body_bytes=ANSWER_BYTES)),
             self.backends.endpoints,
             self.fleet.directory,
             self.clock,
@@ -225,11 +228,10 @@
             for server in self.servers:
                 await group.spawn(server.serve)
             await group.spawn(self.fleet.run)
-            await group.spawn(self._pump)
-            await group.spawn(self.prober.run)
-            await group.spawn(self._summarize)
+            for run in (self._pump, self.prober.run, self._summarize):
+                await group.spawn(keep_running, run.__qualname__, run)
             for keeper in self.keepers:
-                await group.spawn(keeper.run)
+                await group.spawn(keep_running, type(keeper).__name__, keeper.run)
             await group.spawn(self._drain)
         if group.exception is not None:
             raise group.exception
--- a/mangogauge/entry/__init__.py
+++ b/mangogauge/entry/__init__.py
@@ -5,7 +5,7 @@
 from .crashes import CrashWatch
 from .dialect import AnswerKind, CallerDialect, EndpointDialect, EndpointOrder
 from .dispatch import OnlineDispatcher
-from .events import EventCutter, StreamPiece
+from .events import EventCutter, EventStream, StreamPiece
 from .front import FleetFront
 from .relay import AnswerRelay
 
@@ -19,6 +19,7 @@
     "EndpointDialect",
     "EndpointOrder",
     "EventCutter",
+    "EventStream",
     "FleetFront",
     "IncomingRequest",
     "OnlineCall",
--- a/mangogauge/entry/attempt.py
+++ b/mangogauge/entry/attempt.py
@@ -14,6 +14,8 @@
 RECENT_SECONDS = 0.25
 # Body of a failure that is read whole, to be passed on if nothing better comes.
 KEPT_BYTES = 262_144
+# How long it may take to come.
+KEPT_SECONDS = 1.0
 
 # What an answer that is no success tells of how far the request got.
 PROGRESS = {
@@ -26,6 +28,9 @@
     AnswerKind.GARBLED: Progress.MAYBE_RUN,
 }
 
+# Answers that the endpoint itself, not the request, is to blame for.
+BLAMED_KINDS = frozenset({AnswerKind.GARBLED, AnswerKind.MISPLACED})
+
 
 @frozen
 class KeptAnswer:
@@ -99,7 +104,7 @@
         self._directory = directory
         self._clock = clock
 
-    async def open(self, call, endpoint, last_event, silence_seconds):
+    async def open(self, call, endpoint, last_event, silence_seconds, again=False):
         """Send `call` and return a successful `ClientResponse`, its body unread.
 
         Parameters
@@ -110,6 +115,10 @@
             Number of the event after which the answer is to go on.
         silence_seconds : float
             How long the endpoint may take to begin its answer.
+        again : bool, optional
+            Whether the call was sent to this endpoint before. A late second copy
+            of the earlier answer bears the same id, so it must not meet the call
+            on a connection that both use.
 
         Raises
         ------
@@ -126,7 +135,7 @@
         )
         try:
             async with curio.timeout_after(silence_seconds):
-                response = await self._send(call, order)
+                response = await self._send(call, order, again)
         except HTTPConnectError as error:
             raise AttemptFailure(
                 Progress.NOT_SENT, str(error), unreachable=True
@@ -143,13 +152,14 @@
             return response
         raise await self._make_failure(kind, response)
 
-    async def _send(self, call, order):
+    async def _send(self, call, order, again):
         return await self._pool.request(
             order.endpoint.address,
             call.method,
             call.target,
             self._dialect.make_headers(order),
             call.body,
+            fresh=again,
             idle_limit=None if call.repeatable else RECENT_SECONDS,
             is_answer=lambda fields: self._take_head(order, fields),
         )
@@ -161,26 +171,19 @@
         return self._dialect.is_answer(order.request_id, fields)
 
     async def _make_failure(self, kind, response):
-        """Read an answer that is no success."""
-        answer = None
+        """Read an answer that is no success, as far as it is worth it."""
         reason = f"{kind.value}: status {response.status}"
+        answer = None
+        blames = kind in BLAMED_KINDS
         try:
-            body = await _read_bounded(response)
-            answer = KeptAnswer(response.status, response.headers, body)
-        except HTTPError as error:
-            reason = f"{reason}, then {error}"
+            # What isn't an endpoint's answer may never end, and nobody wants it.
+            if kind is not AnswerKind.GARBLED:
+                async with curio.timeout_after(KEPT_SECONDS):
+                    body = await response.read(KEPT_BYTES)
+                answer = KeptAnswer(response.status, response.headers, body)
+        except (HTTPError, curio.TaskTimeout) as error:
+            reason = f"{reason}, body not kept: {error or repr(error)}"
+            blames = True
         finally:
             await response.close()
-        blames = kind in (AnswerKind.GARBLED, AnswerKind.MISPLACED)
         return AttemptFailure(PROGRESS[kind], reason, blames, kind, answer)
-
-
-async def _read_bounded(response):
-    pieces = []
-    size = 0
-    async for piece in response.iterate():
-        pieces.append(piece)
-        size += len(piece)
-        if size > KEPT_BYTES:
-            break
-    return b"".join(pieces)
--- a/mangogauge/entry/dispatch.py
+++ b/mangogauge/entry/dispatch.py
@@ -34,6 +34,8 @@
     Attributes
     ----------
     tried : set of str
+        Endpoints that are not to be asked now.
+    asked : set of str
         Endpoints that the call was sent to.
     runs : int
         How many of them may have run it.
@@ -46,6 +48,7 @@
     call = field()
     relay = field()
     tried = field(factory=set)
+    asked = field(factory=set)
     attempts = field(default=0)
     runs = field(default=0)
     sent = field(default=False)
@@ -90,8 +93,7 @@
             If the answer broke off after some of it had been passed on.
         """
         self._crashes.check(call)
-        silence = self._bound_silence(call)
-        relay = AnswerRelay(call, exchange, silence, lambda: self._note_first(call))
+        relay = AnswerRelay(call, exchange, lambda: self._note_first(call))
         run = _Run(call, relay)
         try:
             async with curio.timeout_after(self._compute_time_left(call)):
@@ -123,13 +125,16 @@
         call = run.call
         run.attempts += 1
         run.tried.add(endpoint.name)
+        again = endpoint.name in run.asked
+        run.asked.add(endpoint.name)
         before, run.sent = run.sent, True
-        silence = self._bound_silence(call)
+        silence = self._bound_silence(run)
+        run.relay.pause_limit = silence
         if silence is None:
             silence = self._compute_time_left(call)
         try:
             response = await self._attempt.open(
-                call, endpoint, run.relay.last_event, silence
+                call, endpoint, run.relay.last_event, silence, again
             )
         except AttemptFailure as failure:
             run.sent = before or failure.progress not in (
@@ -227,9 +232,18 @@
             step="dispatch",
         )
 
-    def _bound_silence(self, call):
-        """Return how long an endpoint may be silent; None for any time."""
-        if not call.repeatable or call.route.attempt_limit < 2:
+    def _bound_silence(self, run):
+        """Return how long an endpoint may be silent; None for any time.
+
+        Notes
+        -----
+        Only where another may take over: to end the last run that is allowed would
+        cut off an answer that may still come.
+        """
+        call = run.call
+        if not call.repeatable or run.runs + 1 >= call.route.attempt_limit:
+            return None
+        if run.relay.started and not call.route.resumable:
             return None
         objective = max(call.route.objective, call.route.gap_objective)
         return max(LEAST_SILENCE_SECONDS, objective * SILENCE_FACTOR)
--- a/mangogauge/entry/events.py
+++ b/mangogauge/entry/events.py
@@ -5,9 +5,12 @@
 .. [1] WHATWG, "HTML Living Standard", section 9.2, "Server-sent events".
 """
 
+import curio
 from attrs import field, frozen
 
-__all__ = ["EventCutter", "StreamPiece"]
+from ..http import HTTPReceiveError
+
+__all__ = ["EventCutter", "EventStream", "StreamPiece"]
 
 EVENT_LIMIT_BYTES = 1_048_576
 BOUNDARY = b"\n\n"
@@ -79,3 +82,60 @@
         if len(self._rest) > EVENT_LIMIT_BYTES:
             raise ValueError("An event is over the limit.")
         return [StreamPiece(raw + BOUNDARY) for raw in whole]
+
+
+class EventStream:
+    """An endpoint's answer, read event by event.
+
+    Parameters
+    ----------
+    response : ClientResponse
+    """
+
+    def __init__(self, response):
+        self._pieces = response.iterate()
+        self._cutter = EventCutter()
+
+    async def read_events(self, pause_limit=None):
+        """Return the next whole events; none at the stream's end.
+
+        Parameters
+        ----------
+        pause_limit : float, optional
+            Seconds within which a whole event has to come. Bytes that make none
+            don't count: a stalled endpoint may send one now and then.
+
+        Raises
+        ------
+        HTTPReceiveError
+            If the endpoint breaks off, falls silent, or sends what is no event.
+        """
+        if pause_limit is None:
+            return await self._read_whole()
+        try:
+            async with curio.timeout_after(pause_limit):
+                return await self._read_whole()
+        except curio.TaskTimeout:
+            raise HTTPReceiveError(
+                f"No event within {pause_limit:.3f} s.", step="receive"
+            ) from None
+
+    async def _read_whole(self):
+        events = []
+        while not events:
+            piece = await anext(self._pieces, None)
+            if piece is None:
+                self._check_end()
+                break
+            events = self._cut(piece)
+        return events
+
+    def _cut(self, piece):
+        try:
+            return self._cutter.feed(piece)
+        except ValueError as error:
+            raise HTTPReceiveError(str(error), step="receive") from error
+
+    def _check_end(self):
+        if not self._cutter.is_clean:
+            raise HTTPReceiveError("The stream ended within an event.", step="receive")
--- a/mangogauge/entry/relay.py
+++ b/mangogauge/entry/relay.py
@@ -1,9 +1,6 @@
 """Pass endpoints' answers on to a caller, as one answer."""
 
-import curio
-
-from ..http import HTTPError, HTTPReceiveError
-from .events import EventCutter
+from .events import EventStream
 
 __all__ = ["AnswerRelay"]
 
@@ -15,9 +12,6 @@
     ----------
     call : OnlineCall
     exchange : Exchange
-    pause_limit : float or None
-        Seconds without any event after which an endpoint counts as silent;
-        None to wait as long as the caller does.
     on_first : callable
         Called when the first piece of the answer has come.
 
@@ -27,15 +21,18 @@
         Whether the caller has a part of the answer.
     last_event : int or None
         Number of the last event that the caller has.
+    pause_limit : float or None
+        Seconds without any event after which an endpoint counts as silent;
+        None to wait as long as the caller does.
     """
 
-    def __init__(self, call, exchange, pause_limit, on_first):
+    def __init__(self, call, exchange, on_first):
         self._exchange = exchange
         self._resumable = call.route.resumable
-        self._pause_limit = pause_limit
         self._on_first = on_first
         self.started = False
         self.last_event = call.last_event
+        self.pause_limit = None
 
     async def take(self, response):
         """Pass on an answer's body, and its head unless one has gone out.
@@ -67,36 +64,18 @@
         await self._begin(response)
 
     async def _take_events(self, response):
-        cutter = EventCutter()
-        pieces = response.iterate()
+        stream = EventStream(response)
         while True:
-            piece = await self._next_piece(pieces)
-            if piece is None:
+            events = await stream.read_events(self.pause_limit)
+            if not events:
                 break
-            for event in self._cut(cutter, piece):
+            for event in events:
                 await self._begin(response)
                 # Noted first: a write that fails ends the whole answer.
                 self.last_event = event.number
                 await self._exchange.send_data(event.raw)
-        if not cutter.is_clean:
-            raise HTTPReceiveError("The stream ended within an event.", step="receive")
         await self._begin(response)
 
-    async def _next_piece(self, pieces):
-        try:
-            async with curio.timeout_after(self._pause_limit):
-                return await anext(pieces, None)
-        except curio.TaskTimeout:
-            raise HTTPReceiveError(
-                f"No event within {self._pause_limit:.3f} s.", step="receive"
-            ) from None
-
-    def _cut(self, cutter, piece):
-        try:
-            return cutter.feed(piece)
-        except ValueError as error:
-            raise HTTPError(str(error), step="receive") from error
-
     async def _begin(self, response):
         if self.started:
             return
--- a/mangogauge/fleet/follower.py
+++ b/mangogauge/fleet/follower.py
@@ -82,6 +82,11 @@
         self._retry_seconds = FIRST_RETRY_SECONDS
         self.confirmed_at = None
 
+    @property
+    def name(self):
+        """What it follows, for the log."""
+        return f"Follower of {self._prefix}"
+
     @property
     def age(self):
         """Seconds since this host's copy was last read."""
--- a/mangogauge/http/__init__.py
+++ b/mangogauge/http/__init__.py
@@ -4,23 +4,26 @@
 from .errors import (
     HTTPConnectError,
     HTTPError,
+    HTTPLimitError,
     HTTPReceiveError,
     HTTPRequestError,
     HTTPSendError,
 )
 from .exchange import Exchange
 from .headers import HOP_BY_HOP_HEADERS, Headers
-from .limits import ServerLimits
+from .limits import ClientLimits, ServerLimits
 from .server import HTTPServer
 
 __all__ = [
     "ClientConnection",
+    "ClientLimits",
     "ClientPool",
     "ClientResponse",
     "Exchange",
     "HOP_BY_HOP_HEADERS",
     "HTTPConnectError",
     "HTTPError",
+    "HTTPLimitError",
     "HTTPReceiveError",
     "HTTPRequestError",
     "HTTPSendError",
--- a/mangogauge/http/client.py
+++ b/mangogauge/http/client.py
@@ -7,8 +7,14 @@
 import h11
 from curio import socket
 
-from .errors import HTTPConnectError, HTTPReceiveError, HTTPSendError
+from .errors import (
+    HTTPConnectError,
+    HTTPLimitError,
+    HTTPReceiveError,
+    HTTPSendError,
+)
 from .headers import Headers
+from .limits import ClientLimits
 from .liveness import detect_dead_peer, read_idle_seconds
 
 __all__ = [
@@ -54,7 +60,8 @@
             If the connection breaks before the answer is whole.
         """
         pieces = 0
-        async for piece in self._connection.iterate_body():
+        body_bytes = self._connection.limits.body_bytes
+        async for piece in self._connection.iterate_body("body_bytes", body_bytes):
             yield piece
             pieces += 1
             if pieces % PIECES_PER_TURN == 0:
@@ -63,9 +70,26 @@
         self.complete = True
         await self.close()
 
-    async def read(self):
-        """Return the whole body."""
-        return b"".join([piece async for piece in self.iterate()])
+    async def read(self, limit=None):
+        """Return the whole body.
+
+        Parameters
+        ----------
+        limit : int, optional
+            Largest body in bytes, where it is less than the connection's.
+
+        Raises
+        ------
+        HTTPLimitError
+            If it is larger.
+        """
+        pieces, size = [], 0
+        async for piece in self.iterate():
+            size += len(piece)
+            if limit is not None and size > limit:
+                raise HTTPLimitError("read_bytes", limit)
+            pieces.append(piece)
+        return b"".join(pieces)
 
     async def close(self):
         """Give the connection back, or end it if the answer is not whole."""
@@ -81,17 +105,21 @@
     ----------
     address : str
         ``host:port``, the host by IP number.
+    limits : ClientLimits, optional
     """
 
-    def __init__(self, address, sock):
+    def __init__(self, address, sock, limits=None):
         self.address = address
+        self.limits = limits or ClientLimits()
         self._sock = sock
-        self._h11 = h11.Connection(h11.CLIENT)
+        self._h11 = self._make_parser()
         self._sending = None
         self._idle_since = self._idle_until = 0.0
 
     @classmethod
-    async def open(cls, address, timeout=DEFAULT_CONNECT_TIMEOUT, tls=None):
+    async def open(
+        cls, address, timeout=DEFAULT_CONNECT_TIMEOUT, tls=None, limits=None
+    ):
         """Connect, or raise `HTTPConnectError`."""
         host, _, port = address.rpartition(":")
         try:
@@ -110,7 +138,7 @@
                 step="connect",
                 peer=address,
             ) from error
-        return cls(address, sock)
+        return cls(address, sock, limits)
 
     @property
     def idle_seconds(self):
@@ -209,10 +237,11 @@
 
     async def skip_response(self):
         """Read past an answer that belongs to no request of this connection."""
-        async for _ in self.iterate_body():
+        skipped_bytes = self.limits.skipped_bytes
+        async for _ in self.iterate_body("skipped_bytes", skipped_bytes):
             pass
         rest, ended = self._h11.trailing_data
-        self._h11 = h11.Connection(h11.CLIENT)
+        self._h11 = self._make_parser()
         # The request under way was sent before; only the parser is told again.
         self._h11.send(h11.Request(method="GET", target="/", headers=[("Host", "-")]))
         self._h11.send(h11.EndOfMessage())
@@ -223,23 +252,59 @@
 
     async def read_head(self):
         """Return the answer's status and header fields."""
-        while True:
+        for _ in range(self.limits.interim_answers + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 return event.status_code, Headers.from_raw(event.headers.raw_items())
             if not isinstance(event, h11.InformationalResponse):
                 raise self._broken("before the answer's head")
+        raise self._over_limit("interim_answers", self.limits.interim_answers)
+
+    async def read_answer_head(self, is_answer):
+        """Return the status and the header fields of the answer that is one.
+
+        Parameters
+        ----------
+        is_answer : callable
+            Whether header fields belong to the request's answer; answers that
+            don't are read and dropped.
+        """
+        for _ in range(self.limits.skipped_answers + 1):
+            status, fields = await self.read_head()
+            if is_answer(fields):
+                return status, fields
+            await self.skip_response()
+        raise self._over_limit("skipped_answers", self.limits.skipped_answers)
 
-    async def iterate_body(self):
-        """Yield pieces of the answer's body."""
+    async def iterate_body(self, limit, value):
+        """Yield pieces of the answer's body.
+
+        Parameters
+        ----------
+        limit : str
+            Name of the limit on its size.
+        value : int or None
+            Most bytes that it may have; None for any.
+        """
+        size = 0
         while True:
             event = await self._next_event()
-            if isinstance(event, h11.Data):
-                yield bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
+            if isinstance(event, h11.EndOfMessage):
                 return
-            else:
+            if not isinstance(event, h11.Data):
                 raise self._broken("within the answer's body")
+            size += len(event.data)
+            if value is not None and size > value:
+                raise self._over_limit(limit, value)
+            yield bytes(event.data)
+
+    def _make_parser(self):
+        return h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=self.limits.head_bytes
+        )
+
+    def _over_limit(self, limit, value):
+        return HTTPLimitError(limit, value, peer=self.address)
 
     async def _next_event(self):
         try:
@@ -268,11 +333,13 @@
         Seconds allowed for a connection to be made.
     tls : ssl.SSLContext, optional
         Context for connections to the other side; plain TCP if absent.
+    limits : ClientLimits, optional
     """
 
-    def __init__(self, connect_timeout=DEFAULT_CONNECT_TIMEOUT, tls=None):
+    def __init__(self, connect_timeout=DEFAULT_CONNECT_TIMEOUT, tls=None, limits=None):
         self._connect_timeout = connect_timeout
         self._tls = tls
+        self._limits = limits
         self._idle = {}
 
     async def request(
@@ -313,14 +380,13 @@
             connection = await self._take_idle(address, idle_limit)
         if connection is None:
             connection = await ClientConnection.open(
-                address, self._connect_timeout, self._tls
+                address, self._connect_timeout, self._tls, self._limits
             )
         try:
             await connection.send_request(method, target, headers, body)
-            status, fields = await connection.read_head()
-            while is_answer is not None and not is_answer(fields):
-                await connection.skip_response()
-                status, fields = await connection.read_head()
+            status, fields = await connection.read_answer_head(
+                is_answer or _take_any_answer
+            )
         except BaseException:
             await connection.close()
             raise
@@ -354,6 +420,10 @@
         await connection.close()
 
 
+def _take_any_answer(headers):
+    return True
+
+
 async def _connect(host, port, tls):
     if tls is not None:
         return await curio.open_connection(host, port, ssl=tls, server_hostname=host)
--- a/mangogauge/http/errors.py
+++ b/mangogauge/http/errors.py
@@ -9,6 +9,7 @@
 __all__ = [
     "HTTPConnectError",
     "HTTPError",
+    "HTTPLimitError",
     "HTTPReceiveError",
     "HTTPRequestError",
     "HTTPSendError",
@@ -31,6 +32,22 @@
     """The connection broke after the request was sent in full."""
 
 
+class HTTPLimitError(HTTPReceiveError):
+    """The server sent more than an answer may have; the connection is closed.
+
+    Parameters
+    ----------
+    limit : str
+        Name of the limit.
+    value : int
+        What it allows.
+    """
+
+    def __init__(self, limit, value, *, step="receive", peer=""):
+        super().__init__(f"More than {limit} {value}.", step=step, peer=peer)
+        self.limit = limit
+
+
 class HTTPRequestError(MangogaugeError):
     """A caller's request can't be served as it stands.
 
--- a/mangogauge/http/limits.py
+++ b/mangogauge/http/limits.py
@@ -1,8 +1,8 @@
-"""Bounds on what one connection may ask of a server."""
+"""Bounds on what one connection may ask of a server, and on what a server may send."""
 
 from attrs import field, frozen
 
-__all__ = ["ServerLimits"]
+__all__ = ["ClientLimits", "ServerLimits"]
 
 
 @frozen
@@ -31,3 +31,28 @@
     body_timeout = field(default=30.0)
     write_timeout = field(default=60.0)
     connections = field(default=4096)
+
+
+@frozen
+class ClientLimits:
+    """Bounds on what a server may send in return for one request.
+
+    Parameters
+    ----------
+    head_bytes : int
+        Largest head, chunk header or trailer part, in bytes.
+    interim_answers : int
+        Most answers with a status below 200 before the final one.
+    skipped_answers : int
+        Most answers to other requests that are read past.
+    skipped_bytes : int
+        Largest body of such an answer, in bytes.
+    body_bytes : int or None
+        Largest body, in bytes; None for any.
+    """
+
+    head_bytes = field(default=32_768)
+    interim_answers = field(default=16)
+    skipped_answers = field(default=4)
+    skipped_bytes = field(default=1_048_576)
+    body_bytes = field(default=None)
--- a/mangogauge/jobs/owned.py
+++ b/mangogauge/jobs/owned.py
@@ -2,7 +2,7 @@
 
 from attrs import define, field
 
-from ..http import HTTPReceiveError
+from ..http import HTTPLimitError, HTTPReceiveError
 from .packing import unpack_body
 from .records import ItemResult, ItemState
 
@@ -15,6 +15,8 @@
 BACKOFF_GROWTH = 2.5
 # An item that has so many events is taken to need half of its time still.
 EVENTS_HALVING = 100
+# Text of one item: a page of results holds at least one of them.
+TEXT_BYTES = 1_000_000
 
 
 @define(eq=False)
@@ -29,8 +31,12 @@
 
     Attributes
     ----------
-    pieces : list of bytes
+    pieces : list of str
         Data of the events that have come, in order.
+    size : int
+        Bytes of all of them.
+    asked : set of str
+        Endpoints that it was sent to.
     last_event : int or None
         Number of the last of them.
     failures : int
@@ -54,6 +60,8 @@
     item = field()
     body = field()
     pieces = field(factory=list)
+    size = field(default=0)
+    asked = field(factory=set)
     last_event = field(default=None)
     failures = field(default=0)
     noted_failures = field(default=0)
@@ -69,19 +77,29 @@
         Raises
         ------
         HTTPReceiveError
-            If it is not the one that follows.
+            If it is not the one that follows, or none that an engine would send.
         """
-        number = event.number
+        number, data = event.number, event.data
         if number is None:
             raise HTTPReceiveError("An event has no number.", step="receive")
         if self.last_event is not None and number != self.last_event + 1:
             raise HTTPReceiveError(
                 f"Event {number} followed event {self.last_event}.", step="receive"
             )
-        self.pieces.append(event.data)
+        if self.size + len(data) > TEXT_BYTES:
+            self._start_anew()
+            raise HTTPLimitError("text_bytes", TEXT_BYTES)
+        self.pieces.append(_decode(data))
+        self.size += len(data)
         self.last_event = number
         self.fruitless = self.refusals = 0
 
+    def _start_anew(self):
+        """Forget what has come: it can't all be an engine's text."""
+        self.pieces.clear()
+        self.size = 0
+        self.last_event = None
+
     def delay(self, now, count):
         """Let it rest, the longer the more often it failed."""
         seconds = FIRST_BACKOFF_SECONDS * BACKOFF_GROWTH ** max(0, count - 1)
@@ -104,7 +122,7 @@
 
     def make_result(self, state):
         """Return its `ItemResult`."""
-        text = b"\n".join(self.pieces).decode() if state is ItemState.DONE else ""
+        text = "\n".join(self.pieces) if state is ItemState.DONE else ""
         return ItemResult(self.item.item_id, state, text)
 
 
@@ -202,3 +220,12 @@
         """Whether an item has failed that the store doesn't know of."""
         items = self.items.values()
         return any(item.failures > item.noted_failures for item in items)
+
+
+def _decode(data):
+    try:
+        return data.decode()
+    except UnicodeDecodeError as error:
+        raise HTTPReceiveError(f"An event is no text: {error}.", step="receive") from (
+            error
+        )
--- a/mangogauge/jobs/runner.py
+++ b/mangogauge/jobs/runner.py
@@ -3,6 +3,7 @@
 import curio
 from returns.result import Failure
 
+from ..supervision import keep_running
 from ..telemetry import get_logger
 from .keys import WORK_PREFIX
 from .scheduling import order_items, rank_host
@@ -91,9 +92,8 @@
         """Claim, run and commit until cancelled."""
         async with curio.TaskGroup(wait=any) as group:
             self._group = group
-            await group.spawn(self._claim_often)
-            await group.spawn(self._fill_often)
-            await group.spawn(self._commit_often)
+            for run in (self._claim_often, self._fill_often, self._commit_often):
+                await group.spawn(keep_running, run.__qualname__, run)
 
     async def wake(self):
         """Look again at once whether items have to give way."""
--- a/mangogauge/jobs/running.py
+++ b/mangogauge/jobs/running.py
@@ -1,8 +1,6 @@
 """Run one item at one endpoint, from where it stopped."""
 
-import curio
-
-from ..entry import AnswerKind, AttemptFailure, EventCutter, OnlineCall
+from ..entry import AnswerKind, AttemptFailure, EventStream, OnlineCall
 from ..http import Headers, HTTPError, HTTPReceiveError
 from ..routing import Progress
 from ..telemetry import get_logger
@@ -67,12 +65,14 @@
         self._finish(item, ItemState.GIVEN_UP, reason)
 
     async def _run(self, item, call, endpoint):
+        again = endpoint.name in item.asked
+        item.asked.add(endpoint.name)
         response = await self._attempt.open(
-            call, endpoint, item.last_event, SILENCE_SECONDS
+            call, endpoint, item.last_event, SILENCE_SECONDS, again
         )
         try:
             await self._take_events(item, response)
-        except (HTTPError, ValueError) as error:
+        except HTTPError as error:
             raise AttemptFailure(
                 Progress.MAYBE_RUN, str(error), blames=True, broken=True
             ) from error
@@ -80,22 +80,15 @@
             await response.close()
 
     async def _take_events(self, item, response):
-        cutter = EventCutter()
-        pieces = response.iterate()
+        stream = EventStream(response)
         while True:
-            try:
-                async with curio.timeout_after(SILENCE_SECONDS):
-                    piece = await anext(pieces, None)
-            except curio.TaskTimeout:
-                raise HTTPReceiveError(
-                    f"No event within {SILENCE_SECONDS} s.", step="receive"
-                ) from None
-            if piece is None:
+            events = await stream.read_events(SILENCE_SECONDS)
+            if not events:
                 break
-            for event in cutter.feed(piece):
+            for event in events:
                 item.add_event(event)
-        if not cutter.is_clean or item.last_event is None:
-            raise HTTPReceiveError("The stream ended within an event.", step="receive")
+        if item.last_event is None:
+            raise HTTPReceiveError("The stream ended without an event.", step="receive")
 
     def _make_call(self, item, route):
         manifest = item.job.manifest
--- a/mangogauge/platform/store.py
+++ b/mangogauge/platform/store.py
@@ -200,7 +200,7 @@
         status, read = response.status, response.body
         self._on_call(step, status)
         if status in expected:
-            return Success(_Answer(status, orjson.loads(read) if read else {}))
+            return self._decode(method, status, read, step)
         message = f"status {status}: {read[:200]!r}"
         if status in UNAVAILABLE_STATUSES or method == READ:
             return self._fail(StoreUnavailableError, message, step)
@@ -208,6 +208,16 @@
             return self._fail(StoreLostAnswerError, message, step)
         return self._fail(StoreRefusedError, message, step)
 
+    def _decode(self, method, status, read, step):
+        """Return the `_Answer` of a body, or a failure if it can't be read."""
+        try:
+            body = orjson.loads(read) if read else {}
+        except ValueError as error:
+            message = f"The answer can't be read: {error}."
+            unread = StoreUnavailableError if method == READ else StoreLostAnswerError
+            return self._fail(unread, message, step)
+        return Success(_Answer(status, body))
+
     def _fail(self, error, message, step):
         return Failure(error(message, step=step, peer="store"))
 
--- a/mangogauge/sharing/exchange.py
+++ b/mangogauge/sharing/exchange.py
@@ -4,6 +4,7 @@
 from attrs import field, frozen
 from curio import socket
 
+from ..supervision import keep_running
 from ..telemetry import get_logger
 from .pacing import ReportPacing
 from .reports import HostReport, ReportError
@@ -89,8 +90,8 @@
     async def run(self):
         """Send and receive until cancelled."""
         async with curio.TaskGroup(wait=any) as group:
-            await group.spawn(self._receive)
-            await group.spawn(self._send)
+            for run in (self._receive, self._send):
+                await group.spawn(keep_running, run.__qualname__, run)
 
     async def _receive(self):
         while True:
--- a/mangogauge/sharing/reports.py
+++ b/mangogauge/sharing/reports.py
@@ -111,7 +111,7 @@
                 {str(name): int(count) for name, count in crashes},
                 {str(name): int(born) for name, born in departures},
             )
-        except (ValueError, TypeError) as error:
+        except (ValueError, TypeError, ArithmeticError) as error:
             raise ReportError(f"The datagram is no report: {error}.") from error
 
     def to_bytes(self):
--- a/mangogauge/store/transport.py
+++ b/mangogauge/store/transport.py
@@ -5,10 +5,13 @@
 import curio
 from attrs import field, frozen
 
-from ..http import ClientPool, Headers
+from ..http import ClientLimits, ClientPool, Headers
 
 __all__ = ["DirectTransport", "StoreAnswer", "StoreTransport"]
 
+# A page of items is about a megabyte; one value may be as large, and both are
+# encoded as text.
+ANSWER_BYTES = 8_388_608
 JSON_HEADERS = Headers([("Content-Type", "application/json")])
 
 
@@ -66,7 +69,8 @@
 
     def __init__(self, address, connect_seconds):
         self.address = address
-        self._pool = ClientPool(connect_timeout=connect_seconds)
+        limits = ClientLimits(body_bytes=ANSWER_BYTES)
+        self._pool = ClientPool(connect_seconds, limits=limits)
 
     async def request(self, method, target, body, seconds):
         """Make one call; see `StoreTransport`."""
