Tell other data centres sums instead of each host's reports

Change: from 25 other hosts on, a host reports to its own data centre only; two speakers there, by rank among the hosts heard, send a summary every 0.1 s to a counterpart in each other data centre, which passes it on. Loads, waiting hosts, shunned endpoints, freshest copies, crashes and departures are sums; runners' items stay by host, since they are what gives way; admissions are counts that grow, merged over both speakers so that a lost one neither loses nor doubles any. A copy is read again by a host only so often, however many tell of newer ones. Entries that lapse are looked for among the few that are kept, not among all at each lookup.

--- a/features/builders/fleet.py
+++ b/features/builders/fleet.py
@@ -82,6 +82,21 @@
         return endpoint.leaving
 
 
+class FixedMembers:
+    """Hosts that neither come nor go, as one of them knows them."""
+
+    def __init__(self, own, members):
+        self.own = own
+        self._members = {member.name: member for member in members}
+        self._others = [m for m in members if m.name != own.name]
+
+    def get(self, name):
+        return self._members.get(name)
+
+    def list_others(self):
+        return self._others
+
+
 class ScriptedFeed(ChangeFeed):
     """A feed that answers as it is told, and counts what it is asked.
 
--- a/features/steps/pacing.py
+++ b/features/steps/pacing.py
@@ -1,5 +1,7 @@
 """Steps of how often hosts report to each other."""
 
+import random
+
 import curio
 from attrs import define, field
 from behave import given, then, when
@@ -7,7 +9,8 @@
 
 from mangogauge.clock import ManualClock, SystemClock
 from mangogauge.fleet import FleetMember, MemberDirectory
-from mangogauge.sharing import HostReport, LoadBoard, ReportExchange
+from mangogauge.sharing import HostReport, LoadBoard, ReportExchange, ReportTopology
+from mangogauge.sharing.messages import decode
 from mangogauge.sharing.pacing import ReportPacing
 from mangogauge.store import KeyValue
 
@@ -71,7 +74,7 @@
     async def hear(self):
         while True:
             data, _ = await self.sock.recvfrom(DATAGRAM_BYTES)
-            self.last = HostReport.from_bytes(data)
+            self.last = decode(data)
             self.numbers.append(self.last.number)
 
 
@@ -91,7 +94,7 @@
     context.hearers = [make_hearer(f"h{n}") for n in range(others)]
     clock = SystemClock()
     context.board = LoadBoard("own", "1", clock)
-    members = MemberDirectory(FleetMember("own", "1"), clock)
+    members = MemberDirectory(FleetMember("own", "1", "a"), clock)
     members.take_snapshot(
         [
             KeyValue(MemberDirectory.prefix + h.member.name, h.member.to_bytes())
@@ -101,8 +104,11 @@
     context.exchange = ReportExchange(
         context.board,
         members,
+        ReportTopology(members, context.board, random.Random(1)),
         clock,
         lambda: context.board.make_report({}, (), {}),
+        lambda: None,
+        ignore_report,
         ignore_report,
     )
     context.exchange.bind(LOCAL, [0])
--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -22,8 +22,11 @@
     CrashLedger,
     LoadBoard,
     ReportExchange,
+    ReportTopology,
     SharedFreshness,
     SharedQuota,
+    age_copies,
+    sum_up,
 )
 from ..supervision import keep_running
 from ..telemetry import get_logger
@@ -50,7 +53,8 @@
     clock : Clock
     random : random.Random
     on_report : async callable
-        Called with each `HostReport` of another host, after it was taken in.
+        Called with each report of another host, or summary of another data centre,
+        after it was taken in.
     on_configuration : callable
         Called with each `Configuration` that comes into force.
     on_retirement : callable
@@ -113,8 +117,16 @@
             lambda: self.board.count_heard() + 1,
         )
         self.members = MemberDirectory(FleetMember(settings.name, incarnation), clock)
+        self._topology = ReportTopology(self.members, self.board, random)
         self._exchange = ReportExchange(
-            self.board, self.members, clock, self._make_report, self._take_report
+            self.board,
+            self.members,
+            self._topology,
+            clock,
+            self._make_report,
+            self._make_summary,
+            self._take_report,
+            self._take_summary,
         )
         ports = range(settings.first_report_port, settings.last_report_port + 1)
         self._exchange.bind(settings.address, ports)
@@ -227,11 +239,35 @@
             departures=self.directory.list_departures(),
         )
 
+    def _make_summary(self):
+        near = [
+            age_copies(report, age)
+            for report, age in self.board.list_ages()
+            if self._topology.is_near(report.host)
+        ]
+        return sum_up(
+            self.member.data_centre,
+            self._make_report(),
+            near,
+            self.quota.count_heard(),
+            self._topology.is_runner,
+        )
+
     async def _take_report(self, report):
+        await self._take_news(report)
+        if self.state.routes is not None:
+            self.quota.take_report(report, self.state.routes)
+        await self._on_report(report)
+
+    async def _take_summary(self, summary):
+        await self._take_news(summary.totals)
+        if self.state.routes is not None:
+            self.quota.take_totals(summary.totals, self.state.routes)
+        await self._on_report(summary)
+
+    async def _take_news(self, report):
+        """Take in what a host's report and a data centre's totals both tell."""
         self.crash_ledger.take_counts(report.host, report.crashes)
         self.directory.take_departures(report.departures, report.host)
         for topic in self._freshness.take_report(report.copies):
             await self._schedules[topic].wake()
-        if self.state.routes is not None:
-            self.quota.take_report(report, self.state.routes)
-        await self._on_report(report)
--- a/mangogauge/fleet/lapsing.py
+++ b/mangogauge/fleet/lapsing.py
@@ -42,7 +42,10 @@
     def __init__(self, clock):
         self._clock = clock
         self._entries = {}
+        # Names of those that are only kept for a moment: few or none.
+        self._kept = set()
         self._grace_until = float("-inf")
+        self._changes = 0
 
     def __iter__(self):
         self._forget()
@@ -52,6 +55,12 @@
         self._forget()
         return len(self._entries)
 
+    @property
+    def version(self):
+        """Grows whenever a value comes, changes or goes."""
+        self._forget()
+        return self._changes
+
     def list_values(self):
         """Return all values."""
         self._forget()
@@ -83,6 +92,9 @@
         """Set a value; return the one before, or None."""
         known = self._entries.get(name)
         self._entries[name] = _Entry(value)
+        self._kept.discard(name)
+        if known is None or known.value != value:
+            self._changes += 1
         return known.value if known else None
 
     def drop(self, name, at_once=False):
@@ -99,8 +111,9 @@
             return
         if not at_once and self._clock.read_elapsed() < self._grace_until:
             entry.kept_until = self._grace_until
+            self._kept.add(name)
         else:
-            del self._entries[name]
+            self._remove(name)
 
     def note_regained(self):
         """The store answers again; what it misses may only have lapsed."""
@@ -108,9 +121,10 @@
 
     def _forget(self):
         now = self._clock.read_elapsed()
-        for name in [n for n, e in self._entries.items() if _is_over(e, now)]:
-            del self._entries[name]
-
+        for name in [n for n in self._kept if now >= self._entries[n].kept_until]:
+            self._remove(name)
 
-def _is_over(entry, now):
-    return entry.kept_until is not None and now >= entry.kept_until
+    def _remove(self, name):
+        del self._entries[name]
+        self._kept.discard(name)
+        self._changes += 1
--- a/mangogauge/fleet/members.py
+++ b/mangogauge/fleet/members.py
@@ -75,6 +75,8 @@
     def __init__(self, own, clock):
         self.own = own
         self._members = LapsingEntries(clock)
+        self._others = []
+        self._others_version = 0
         self.loaded = False
 
     @property
@@ -83,9 +85,12 @@
         return self._members.compute_digest()
 
     def list_others(self):
-        """Return the other hosts, in order of name."""
-        members = [m for m in self._members.list_values() if m.name != self.own.name]
-        return sorted(members, key=lambda member: member.name)
+        """Return the other hosts, in order of name; the list is not to be changed."""
+        if self._others_version != self._members.version:
+            self._others_version = self._members.version
+            found = [m for m in self._members.list_values() if m.name != self.own.name]
+            self._others = sorted(found, key=lambda member: member.name)
+        return self._others
 
     def get(self, name):
         """Return a `FleetMember`, or None."""
--- a/mangogauge/placement/choice.py
+++ b/mangogauge/placement/choice.py
@@ -111,7 +111,7 @@
         holds its slot.
         """
         running = sum(self._board.measure(e.name).online for e in usable)
-        return running * estimate_age(self._board.count_heard()) / HELD_SECONDS
+        return running * estimate_age(self._board.count_reporting()) / HELD_SECONDS
 
     def _list_preferred(self, usable, unknown):
         """Return the names of endpoints near by that are lightly loaded.
--- a/mangogauge/sharing/__init__.py
+++ b/mangogauge/sharing/__init__.py
@@ -7,17 +7,25 @@
 from .pacing import estimate_age
 from .quota import Admission, SharedQuota
 from .reports import EndpointLoad, HostReport, ReportError
+from .summaries import DataCentreSummary, DataCentreTotals
+from .summing import age_copies, sum_up
+from .topology import ReportTopology
 
 __all__ = [
     "Admission",
     "CopyReport",
     "CrashLedger",
+    "DataCentreSummary",
+    "DataCentreTotals",
     "EndpointLoad",
     "HostReport",
     "LoadBoard",
     "ReportError",
     "ReportExchange",
+    "ReportTopology",
     "SharedFreshness",
     "SharedQuota",
+    "age_copies",
     "estimate_age",
+    "sum_up",
 ]
--- a/mangogauge/sharing/board.py
+++ b/mangogauge/sharing/board.py
@@ -60,6 +60,8 @@
         # In the order in which the reports came: the oldest end to count first.
         self._heard = OrderedDict()
         self._tally = ReportTally()
+        # When a host of another data centre was last named in a summary.
+        self._named_at = {}
         self._number = 0
         self.waiting = 0
         self.items_waiting = 0
@@ -83,7 +85,7 @@
             del self._own[endpoint]
 
     def take_report(self, report):
-        """Take another host's report; return whether it was news."""
+        """Take another host's report, or totals; return whether they were news."""
         if report.host == self.host:
             return False
         known = self._heard.get(report.host)
@@ -95,27 +97,52 @@
         self._tally.add(report)
         return True
 
+    def take_summary(self, summary):
+        """Take another data centre's summary; return whether it was news."""
+        if not self.take_report(summary.totals):
+            return False
+        for report in summary.runners:
+            self.take_report(report)
+        now = self._clock.read_elapsed()
+        oldest = now - REPORT_SECONDS
+        self._named_at = {n: at for n, at in self._named_at.items() if at >= oldest}
+        self._named_at.update(dict.fromkeys(summary.hosts, now))
+        return True
+
     def list_heard(self):
-        """Return the fresh reports of other hosts."""
+        """Return the fresh reports and totals of others."""
         self._expire()
         return [heard.report for heard in self._heard.values()]
 
+    def list_ages(self):
+        """Return ``(HostReport, seconds since it came)`` of hosts heard lately."""
+        now = self._clock.read_elapsed()
+        return [
+            (heard.report, now - heard.at)
+            for host, heard in self._heard.items()
+            if self.hears(host)
+        ]
+
     def count_heard(self):
-        """Return how many other hosts have been heard lately."""
+        """Return how many other hosts have been heard lately, or heard of."""
+        self._expire()
+        return len(self._heard.keys() | self._named_at.keys())
+
+    def count_reporting(self):
+        """Return how many others' reports and totals are fresh."""
         self._expire()
         return len(self._heard)
 
     def hears(self, host):
         """Return whether a host's admissions are known up to now."""
-        heard = self._heard.get(host)
-        if heard is None:
-            return False
-        return self._clock.read_elapsed() - heard.at <= HEARD_SECONDS
+        return self.is_heard_since(host, self._clock.read_elapsed() - HEARD_SECONDS)
 
     def is_heard_since(self, host, since):
-        """Return whether a report of a host has come after an elapsed time."""
+        """Return whether a report or news of a host came after an elapsed time."""
         heard = self._heard.get(host)
-        return heard is not None and heard.at > since
+        if heard is not None and heard.at >= since:
+            return True
+        return self._named_at.get(host, float("-inf")) >= since
 
     def get_own(self, endpoint):
         """Return the `EndpointLoad` of this host alone."""
@@ -146,7 +173,7 @@
     def count_waiting_hosts(self):
         """Return how many hosts share the slots that are freed; 1 at least."""
         self._expire()
-        return 1 + len(self._tally.waiting_hosts)
+        return 1 + self._tally.waiting_hosts
 
     def is_shunned(self, endpoint):
         """Return whether several other hosts can't use an endpoint."""
--- a/mangogauge/sharing/exchange.py
+++ b/mangogauge/sharing/exchange.py
@@ -6,6 +6,7 @@
 
 from ..supervision import keep_running
 from ..telemetry import get_logger
+from .messages import PASS_ON, decode
 from .pacing import ReportPacing
 from .reports import HostReport, ReportError
 
@@ -14,7 +15,8 @@
 DATAGRAM_BYTES = 65_000
 # How often a host reports even if nothing has changed.
 IDLE_SECONDS = 0.25
-
+# How often a host that speaks for its data centre does so.
+SUMMARY_SECONDS = 0.1
 # How long a host that isn't known to be registered is told after it was heard.
 STRANGER_SECONDS = 1.5
 
@@ -40,18 +42,36 @@
     ----------
     board : LoadBoard
     members : MemberDirectory
+    topology : ReportTopology
     clock : Clock
     make_report : callable
         Returns this host's next `HostReport`.
-    on_report : callable
+    make_summary : callable
+        Returns the `DataCentreSummary` of this host's data centre.
+    on_report : async callable
         Called with each `HostReport` that was news.
+    on_summary : async callable
+        Called with each `DataCentreSummary` that was news.
     """
 
-    def __init__(self, board, members, clock, make_report, on_report):
+    def __init__(
+        self,
+        board,
+        members,
+        topology,
+        clock,
+        make_report,
+        make_summary,
+        on_report,
+        on_summary,
+    ):
         self._board = board
         self._members = members
+        self._topology = topology
         self._make_report = make_report
+        self._make_summary = make_summary
         self._on_report = on_report
+        self._on_summary = on_summary
         self._sock = None
         self._clock = clock
         self._pacing = ReportPacing(clock)
@@ -90,23 +110,40 @@
     async def run(self):
         """Send and receive until cancelled."""
         async with curio.TaskGroup(wait=any) as group:
-            for run in (self._receive, self._send):
+            for run in (self._receive, self._send, self._speak):
                 await group.spawn(keep_running, run.__qualname__, run)
 
     async def _receive(self):
         while True:
             data, sender = await self._sock.recvfrom(DATAGRAM_BYTES)
+            address = f"{sender[0]}:{sender[1]}"
+            if data.startswith(PASS_ON):
+                data = data.removeprefix(PASS_ON)
+                await self._send_to(self._topology.list_near(), data)
             try:
-                report = HostReport.from_bytes(data)
+                message = decode(data)
             except ReportError as error:
                 log.warning(
-                    "datagram dropped",
-                    extra={"peer": f"{sender[0]}:{sender[1]}", "reason": str(error)},
+                    "datagram dropped", extra={"peer": address, "reason": str(error)}
                 )
                 continue
-            await self._note_sender(report, f"{sender[0]}:{sender[1]}")
-            if self._board.take_report(report):
-                await self._on_report(report)
+            if isinstance(message, HostReport):
+                await self._take_report(message, address)
+            else:
+                await self._take_summary(message)
+
+    async def _take_report(self, report, address):
+        await self._note_sender(report, address)
+        if not self._topology.takes(report.host):
+            return
+        if self._board.take_report(report):
+            await self._on_report(report)
+
+    async def _take_summary(self, summary):
+        if summary.totals.data_centre == self._members.own.data_centre:
+            return
+        if self._board.take_summary(summary):
+            await self._on_summary(summary)
 
     async def _note_sender(self, report, address):
         """Remember a host whose registration isn't known here yet."""
@@ -125,29 +162,35 @@
         while True:
             async with curio.ignore_after(IDLE_SECONDS):
                 await self._changed.wait()
-            hosts = len(self._list_addresses())
+            hosts = len(self._list_hearers())
             await curio.sleep(self._pacing.measure_wait(hosts))
             self._changed.clear()
-            await self._send_report()
+            self._pacing.note_sent()
+            await self._send_to(self._list_hearers(), self._make_report().to_bytes())
+
+    async def _speak(self):
+        """Tell the other data centres how this one stands, while that is up to it."""
+        while True:
+            await curio.sleep(SUMMARY_SECONDS)
+            if self._topology.is_speaker:
+                data = PASS_ON + self._make_summary().to_bytes()
+                await self._send_to(self._topology.list_far(), data)
 
-    async def _send_report(self):
-        """Send a report to every other host now."""
-        self._pacing.note_sent()
-        data = self._make_report().to_bytes()
-        for address in self._list_addresses():
+    async def _send_to(self, addresses, data):
+        for address in addresses:
             host, _, port = address.rpartition(":")
             try:
                 await self._sock.sendto(data, (host, int(port)))
             except (OSError, ValueError) as error:
                 log.debug(
-                    "report not sent", extra={"peer": address, "reason": repr(error)}
+                    "datagram not sent", extra={"peer": address, "reason": repr(error)}
                 )
 
-    def _list_addresses(self):
+    def _list_hearers(self):
         """Return where reports go, each address once."""
         oldest = self._clock.read_elapsed() - STRANGER_SECONDS
         for name in [n for n, s in self._strangers.items() if s.heard_at < oldest]:
             del self._strangers[name]
-        known = [member.address for member in self._members.list_others()]
+        known = self._topology.list_hearers()
         unknown = [stranger.address for stranger in self._strangers.values()]
         return list(dict.fromkeys(known + unknown))
--- a/mangogauge/sharing/freshness.py
+++ b/mangogauge/sharing/freshness.py
@@ -17,6 +17,10 @@
 # from the next such part; so few read at once, however many hosts there are.
 EARLY_HOSTS = 5
 SPREAD = 0.3
+# Least time between two reads of a copy by the same host, as a part of the interval,
+# however often others tell of newer ones: while many hosts start, each changes the
+# list of all.
+LEAST_GAP = 0.4
 
 
 @frozen
@@ -42,6 +46,7 @@
     confirmed_at = field(default=float("-inf"))
     due_after = field(default=0.0)
     outdated = field(default=False)
+    read_at = field(default=float("-inf"))
 
 
 class SharedFreshness:
@@ -92,6 +97,7 @@
         copy = self._copies.setdefault(topic, _Copy())
         copy.digest = digest
         copy.outdated = False
+        copy.read_at = self._clock.read_elapsed()
         self._confirm(copy, asked_at)
 
     def take_report(self, copies):
@@ -120,9 +126,11 @@
     def measure_wait(self, topic):
         """Return the seconds until a topic has to be read again."""
         copy = self._copies.get(topic)
-        if copy is None or copy.outdated:
+        if copy is None:
             return 0.0
         due_at = copy.confirmed_at + copy.due_after
+        if copy.outdated:
+            due_at = copy.read_at + self._interval * LEAST_GAP
         return max(0.0, due_at - self._clock.read_elapsed())
 
     def measure_age(self, topic):
--- a/mangogauge/sharing/quota.py
+++ b/mangogauge/sharing/quota.py
@@ -8,8 +8,12 @@
 at once, while reports are late or hosts are cut off from each other.
 """
 
+from collections import Counter
+
 from attrs import define, field, frozen
 
+from .counters import MergedCounts
+
 __all__ = ["Admission", "SharedQuota"]
 
 # Requests that a bucket holds beyond the account's burst: reports of other
@@ -57,6 +61,9 @@
         self._clock = clock
         self._buckets = {}
         self._others = {}
+        # What other hosts' own reports have added since this host's start.
+        self._heard_counts = Counter()
+        self._far = {}
 
     def admit(self, account, share):
         """Count a request against its account's rate.
@@ -108,10 +115,35 @@
             fresh = count - known.get(name, 0 if before else count)
             if fresh <= 0:
                 continue
-            account = accounts.get_account(name)
-            if account is None or not account.rate:
-                continue
-            self._update(account, 1.0).level += fresh
+            self._heard_counts[name] += fresh
+            self._add(name, fresh, accounts)
+
+    def take_totals(self, totals, accounts):
+        """Count what the hosts of another data centre have admitted meanwhile.
+
+        Parameters
+        ----------
+        totals : DataCentreTotals
+        accounts : PrefixRoutes
+            Knows the accounts of the configuration in force.
+        """
+        counts = self._far.setdefault(totals.data_centre, MergedCounts())
+        for name, fresh in counts.take(totals.incarnation, totals.admitted).items():
+            self._add(name, fresh, accounts)
+
+    def count_heard(self):
+        """Return ``{account: int}``: admitted here, or by hosts that reported it."""
+        return dict(self._heard_counts + Counter(self.count_own()))
+
+    def measure_level(self, name):
+        """Return the requests of an account that its rate has not yet paid for."""
+        bucket = self._buckets.get(name)
+        return bucket.level if bucket else 0.0
+
+    def _add(self, name, count, accounts):
+        account = accounts.get_account(name)
+        if account is not None and account.rate:
+            self._update(account, 1.0).level += count
 
     def _update(self, account, share):
         """Return the account's bucket, emptied by what the rate has paid."""
--- a/mangogauge/sharing/reports.py
+++ b/mangogauge/sharing/reports.py
@@ -19,6 +19,10 @@
     """A datagram is no report."""
 
 
+def _drop_repeated(names):
+    return tuple(dict.fromkeys(names))
+
+
 @frozen
 class EndpointLoad:
     """What one host runs at one endpoint.
@@ -74,16 +78,21 @@
     loads = field(factory=dict)
     admitted = field(factory=dict)
     waiting = field(default=0)
-    shunned = field(default=(), converter=tuple)
+    shunned = field(default=(), converter=_drop_repeated)
     copies = field(factory=dict)
     items_waiting = field(default=0)
     reaches_store = field(default=False)
     crashes = field(factory=dict)
     departures = field(factory=dict)
 
+    @property
+    def waiting_hosts(self):
+        """How many hosts have requests waiting, by this report: none or one."""
+        return int(self.waiting > 0)
+
     @classmethod
-    def from_bytes(cls, data):
-        """Decode a datagram.
+    def from_value(cls, value):
+        """Decode what `to_bytes` encoded, parsed as JSON.
 
         Raises
         ------
@@ -91,7 +100,7 @@
             If it is none.
         """
         try:
-            form, *values = orjson.loads(data)
+            form, *values = value
             if form != FORMAT:
                 raise ReportError(f"Reports of format {form} are not known.")
             host, incarnation, number, loads, admitted, waiting, *values = values
--- a/mangogauge/sharing/tally.py
+++ b/mangogauge/sharing/tally.py
@@ -1,10 +1,12 @@
-"""Sums over the reports of other hosts, kept up to date one report at a time.
+"""Sums over the reports of others, kept up to date one report at a time.
 
 The load this answers: dozens of hosts that each report several times a second,
 and choices among dozens of endpoints for every request. Adding up all reports for
 each choice would cost hosts times endpoints.
 """
 
+from collections import Counter
+
 from attrs import define, field
 
 from .reports import EndpointLoad
@@ -38,7 +40,7 @@
 
     Attributes
     ----------
-    waiting_hosts : set of str
+    waiting_hosts : int
         Hosts at which online requests wait for a free slot.
     hosts_with_items : set of str
         Hosts at which batch items wait.
@@ -46,18 +48,16 @@
 
     def __init__(self):
         self._totals = {}
-        self._shunning = {}
-        self.waiting_hosts = set()
+        self._shunning = Counter()
+        self.waiting_hosts = 0
         self.hosts_with_items = set()
 
     def add(self, report):
         """Count a host's report; none of that host may be counted already."""
         for endpoint, load in report.loads.items():
             self._totals.setdefault(endpoint, _Total()).add(report.host, load)
-        for endpoint in set(report.shunned):
-            self._shunning.setdefault(endpoint, set()).add(report.host)
-        if report.waiting:
-            self.waiting_hosts.add(report.host)
+        self._shunning.update(report.shunned)
+        self.waiting_hosts += report.waiting_hosts
         if report.items_waiting:
             self.hosts_with_items.add(report.host)
 
@@ -68,12 +68,8 @@
             total.remove(report.host)
             if not total.by_host:
                 del self._totals[endpoint]
-        for endpoint in set(report.shunned):
-            hosts = self._shunning[endpoint]
-            hosts.discard(report.host)
-            if not hosts:
-                del self._shunning[endpoint]
-        self.waiting_hosts.discard(report.host)
+        self._shunning -= Counter(report.shunned)
+        self.waiting_hosts -= report.waiting_hosts
         self.hosts_with_items.discard(report.host)
 
     def measure(self, endpoint):
@@ -88,4 +84,4 @@
 
     def count_shunning(self, endpoint):
         """Return how many of these hosts shun an endpoint."""
-        return len(self._shunning.get(endpoint, ()))
+        return self._shunning.get(endpoint, 0)
