Wake an idle host less often

Cause: an idle host woke 95 times a second (2 hosts, /proc counts over 10 s): 50 for a queue in which nothing waited, 7 to look for unreachable endpoints, 10 for isolation. Change: the queue's pump waits for a waiter; the others look less often.

--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -38,7 +38,7 @@
 FRESH_SECONDS = 0.7
 # Entries of open jobs are awaited at the store.
 WAIT_SECONDS = 5.0
-ISOLATION_SECONDS = 0.1
+ISOLATION_SECONDS = 0.25
 
 log = get_logger("host")
 
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -300,9 +300,9 @@
     async def _pump(self):
         """Give out slots that others' reports, or time, have freed."""
         while True:
+            await self.slots.wait_for_waiters()
             await curio.sleep(PUMP_SECONDS)
-            if len(self.slots):
-                await self.slots.pump()
+            await self.slots.pump()
 
     async def _take_report(self, report):
         if len(self.slots):
--- a/mangogauge/placement/prober.py
+++ b/mangogauge/placement/prober.py
@@ -8,6 +8,8 @@
 __all__ = ["ReachabilityProber"]
 
 INTERVAL_SECONDS = 0.15
+# How often it is looked whether there is anything to probe.
+LOOK_SECONDS = 0.3
 CONNECT_SECONDS = 0.2
 
 log = get_logger("prober")
@@ -29,10 +31,11 @@
     async def run(self):
         """Probe until cancelled."""
         while True:
-            await curio.sleep(INTERVAL_SECONDS)
             names = self._health.list_unreachable()
             if not names:
+                await curio.sleep(LOOK_SECONDS)
                 continue
+            await curio.sleep(INTERVAL_SECONDS)
             known = [e.name for e in self._directory.list_endpoints()]
             names += [n for n in known if self._health.is_doubtful(n)]
             async with curio.TaskGroup() as group:
--- a/mangogauge/placement/queue.py
+++ b/mangogauge/placement/queue.py
@@ -57,6 +57,7 @@
         self._random = random
         self._queues = {}
         self._seconds = FIRST_SECONDS
+        self._joined = curio.Event()
 
     def __len__(self):
         return sum(len(queue) for queue in self._queues.values())
@@ -91,6 +92,12 @@
         await self._notify()
         await self.pump()
 
+    async def wait_for_waiters(self):
+        """Return once some request waits."""
+        while not len(self):
+            self._joined.clear()
+            await self._joined.wait()
+
     async def pump(self):
         """Give free slots to those that wait."""
         for priority in sorted(self._queues):
@@ -125,6 +132,7 @@
         queue = self._queues.setdefault(call.priority, FairQueue())
         queue.add(ticket)
         self._board.waiting = len(self)
+        await self._joined.set()
         await self._notify()
         try:
             async with curio.ignore_after(bound):
--- a/mangogauge/sharing/exchange.py
+++ b/mangogauge/sharing/exchange.py
@@ -16,7 +16,9 @@
 # How often a host reports even if nothing has changed.
 IDLE_SECONDS = 0.25
 # How often a host that speaks for its data centre does so.
-SUMMARY_SECONDS = 0.1
+SUMMARY_SECONDS = 0.15
+# How often a host looks whether it is one that speaks.
+LOOK_SECONDS = 0.3
 # How long a host that isn't known to be registered is told after it was heard.
 STRANGER_SECONDS = 1.5
 
@@ -171,10 +173,12 @@
     async def _speak(self):
         """Tell the other data centres how this one stands, while that is up to it."""
         while True:
+            if not self._topology.is_speaker:
+                await curio.sleep(LOOK_SECONDS)
+                continue
             await curio.sleep(SUMMARY_SECONDS)
-            if self._topology.is_speaker:
-                data = PASS_ON + self._make_summary().to_bytes()
-                await self._send_to(self._topology.list_far(), data)
+            data = PASS_ON + self._make_summary().to_bytes()
+            await self._send_to(self._topology.list_far(), data)
 
     async def _send_to(self, addresses, data):
         for address in addresses:
