Choose with one look at each endpoint, and weigh rooms once a turn

A runner computed the room at all endpoints again, with a hash for each pair of endpoint and host, for each item of a turn. Change: a candidate holds its load; rooms are listed once a turn, weights are kept. Features of placement, jobs and platform/batch pass as before. Conclusion: the choice is still linear in the endpoints, which a host of half a core feels at hundreds of them.

--- a/mangogauge/jobs/runner.py
+++ b/mangogauge/jobs/runner.py
@@ -17,9 +17,6 @@
 # Results that end within this time are committed together.
 GATHER_SECONDS = 0.08
 REWRITE_SECONDS = 0.25
-# Items started at one endpoint in one turn: reports of other hosts' starts come
-# in between.
-STARTS_PER_TURN = 1
 # How long an item takes for each of its tokens, until some have ended.
 FIRST_SECONDS_PER_TOKEN = 0.0025
 PACE_WEIGHT = 0.1
@@ -259,7 +256,7 @@
         now = self._clock.read_elapsed()
         calendar = self._clock.read_calendar()
         ready = [i for job in self._jobs.values() for i in job.list_ready(now)]
-        started = {}
+        rooms = {}
         for item in order_items(ready, calendar, self._pace):
             route = self._find_route(item)
             if route is None:
@@ -268,26 +265,30 @@
             if calendar > item.job.manifest.abandon_at:
                 self._items.give_up(item, "its time is up")
                 continue
-            endpoint = self._choose_endpoint(route, started)
-            if endpoint is None:
+            services = tuple(share.service for share in route.shares)
+            if services not in rooms:
+                rooms[services] = self._list_rooms(services)
+            if not rooms[services]:
                 break
-            started[endpoint.name] = started.get(endpoint.name, 0) + 1
-            await self._start(item, route, endpoint)
+            await self._start(item, route, rooms[services].pop())
 
     def _find_route(self, item):
         return self._state.routes.find(item.job.manifest.host, item.item.path)
 
-    def _choose_endpoint(self, route, started):
-        """Return the endpoint with the most room for an item, or None."""
+    def _list_rooms(self, services):
+        """Return the endpoints with room for items, the one with the most last.
+
+        Notes
+        -----
+        Each gets one item in a turn: reports of other hosts' starts come in between.
+        """
         usable = [
             endpoint
-            for share in route.shares
-            for endpoint in self._chooser.list_usable(share.service)
-            if started.get(endpoint.name, 0) < STARTS_PER_TURN
+            for service in services
+            for endpoint in self._chooser.list_usable(service)
         ]
         free = [(self._room.measure_free(e), e.name, e) for e in usable]
-        free = [row for row in free if row[0] > 0]
-        return max(free)[2] if free else None
+        return [row[2] for row in sorted(row for row in free if row[0] > 0)]
 
     async def _start(self, item, route, endpoint):
         item.endpoint = endpoint.name
--- a/mangogauge/placement/choice.py
+++ b/mangogauge/placement/choice.py
@@ -15,6 +15,8 @@
 
 import math
 
+from attrs import field, frozen
+
 from ..sharing import estimate_age
 
 __all__ = ["EndpointChooser"]
@@ -63,18 +65,19 @@
             Endpoints that were tried already.
         """
         usable = self.list_usable(service, excluded)
-        usable = [endpoint for endpoint in usable if self._has_room(endpoint)]
-        if not usable:
+        candidates = [self._measure(endpoint) for endpoint in usable]
+        candidates = [c for c in candidates if c.has_room]
+        if not candidates:
             return None
-        unknown = self._estimate_unknown(usable)
-        preferred = self._list_preferred(usable, unknown)
-        grades = [self._grade(endpoint, preferred) for endpoint in usable]
-        best = min(grades)
-        equal = [e for e, grade in zip(usable, grades, strict=True) if grade == best]
+        unknown = self._estimate_unknown(candidates)
+        preferred = _list_preferred(candidates, unknown)
+        graded = [(self._grade(c, preferred), c) for c in candidates]
+        best = min(grade for grade, _ in graded)
+        equal = [c for grade, c in graded if grade == best]
         # About one request that isn't known of chooses among the same ones.
-        drawn = max(LEAST_DRAWN, math.ceil(len(usable) / max(1.0, unknown)))
+        drawn = max(LEAST_DRAWN, math.ceil(len(candidates) / max(1.0, unknown)))
         drawn = self._random.sample(equal, min(len(equal), drawn))
-        return min(drawn, key=self._rank)
+        return min(drawn, key=self._rank).endpoint
 
     def list_usable(self, service, excluded=()):
         """Return the endpoints that may get requests, loaded ones included."""
@@ -96,13 +99,11 @@
     def _is_shunned(self, name):
         return self._health.is_shunned(name) or self._board.is_shunned(name)
 
-    def _has_room(self, endpoint):
+    def _measure(self, endpoint):
         load = self._board.measure(endpoint.name)
-        if load.total >= endpoint.slots * CROWDED_PER_SLOT:
-            return False
-        return load.online < endpoint.slots * (1 + QUEUED_PER_SLOT)
+        return _Candidate(endpoint, load, endpoint.data_centre == self._data_centre)
 
-    def _estimate_unknown(self, usable):
+    def _estimate_unknown(self, candidates):
         """Return how many requests other hosts have sent that aren't known of yet.
 
         Notes
@@ -110,41 +111,66 @@
         They are to what runs as the age of a report is to the time that a request
         holds its slot.
         """
-        running = sum(self._board.measure(e.name).online for e in usable)
+        running = sum(candidate.load.online for candidate in candidates)
         return running * estimate_age(self._board.count_reporting()) / HELD_SECONDS
 
-    def _list_preferred(self, usable, unknown):
-        """Return the names of endpoints near by that are lightly loaded.
-
-        Notes
-        -----
-        None if they are fewer than the requests of this data centre that aren't
-        known of: all of those would go to the few that are left.
-        """
-        near = [endpoint for endpoint in usable if self._is_near(endpoint)]
-        light = [e.name for e in near if self._measure_ratio(e) <= NEAR_PER_SLOT]
-        is_crowded = unknown * len(near) / len(usable) > len(light)
-        return () if is_crowded else frozenset(light)
-
-    def _grade(self, endpoint, preferred):
+    def _grade(self, candidate, preferred):
         """Return what comes before load: the lower, the sooner an endpoint is taken."""
-        is_full = self._board.measure(endpoint.name).total >= endpoint.slots
-        is_doubtful = self._health.is_doubtful(endpoint.name)
-        return is_doubtful, is_full, endpoint.name not in preferred
-
-    def _rank(self, endpoint):
+        name = candidate.endpoint.name
         return (
-            self._measure_ratio(endpoint),
-            not self._is_near(endpoint),
-            self._random.random(),
+            self._health.is_doubtful(name),
+            candidate.is_full,
+            name not in preferred,
         )
 
-    def _is_near(self, endpoint):
-        return endpoint.data_centre == self._data_centre
+    def _rank(self, candidate):
+        return candidate.ratio, not candidate.is_near, self._random.random()
 
-    def _measure_ratio(self, endpoint):
-        """Return the part of the slots that would be taken, of those that matter."""
-        load = self._board.measure(endpoint.name)
-        is_full = load.total >= endpoint.slots
-        counted = load.online if is_full else load.total
-        return (counted + 1) / endpoint.slots
+
+@frozen
+class _Candidate:
+    """An endpoint, and what runs there as far as is known.
+
+    Parameters
+    ----------
+    endpoint : FleetEndpoint
+    load : EndpointLoad
+    is_near : bool
+        Whether it is in this host's data centre.
+    """
+
+    endpoint = field()
+    load = field()
+    is_near = field()
+
+    @property
+    def has_room(self):
+        """Whether an online request may be sent there."""
+        if self.load.total >= self.endpoint.slots * CROWDED_PER_SLOT:
+            return False
+        return self.load.online < self.endpoint.slots * (1 + QUEUED_PER_SLOT)
+
+    @property
+    def is_full(self):
+        """Whether all its slots are taken."""
+        return self.load.total >= self.endpoint.slots
+
+    @property
+    def ratio(self):
+        """The part of the slots that would be taken, of those that matter."""
+        counted = self.load.online if self.is_full else self.load.total
+        return (counted + 1) / self.endpoint.slots
+
+
+def _list_preferred(candidates, unknown):
+    """Return the names of endpoints near by that are lightly loaded.
+
+    Notes
+    -----
+    None if they are fewer than the requests of this data centre that aren't known
+    of: all of those would go to the few that are left.
+    """
+    near = [candidate for candidate in candidates if candidate.is_near]
+    light = [c.endpoint.name for c in near if c.ratio <= NEAR_PER_SLOT]
+    is_crowded = unknown * len(near) / len(candidates) > len(light)
+    return () if is_crowded else frozenset(light)
--- a/mangogauge/placement/room.py
+++ b/mangogauge/placement/room.py
@@ -7,10 +7,15 @@
 than a report between hosts takes, well within its objective.
 """
 
+from functools import lru_cache
+
 import xxhash
 
 __all__ = ["BatchRoom"]
 
+# Pairs of an endpoint and a host whose weights are kept.
+KEPT_WEIGHTS = 16_384
+
 
 class BatchRoom:
     """Room for this host's items at endpoints.
@@ -51,10 +56,11 @@
         return given_up
 
     def _compute_rank(self, endpoint):
-        own = _weigh(endpoint, self._board.host)
+        own = _weigh(endpoint.name, self._board.host)
         others = self._board.list_hosts_with_items()
-        return sum(_weigh(endpoint, host) > own for host in others)
+        return sum(_weigh(endpoint.name, host) > own for host in others)
 
 
+@lru_cache(KEPT_WEIGHTS)
 def _weigh(endpoint, host):
-    return xxhash.xxh3_64_intdigest(f"{endpoint.name}/{host}".encode())
+    return xxhash.xxh3_64_intdigest(f"{endpoint}/{host}".encode())
