--- a/features/steps/platform_endless.py
+++ b/features/steps/platform_endless.py
@@ -16,18 +16,10 @@
     deployment = context.deployment
     context.rogue = EndlessEndpoint(deployment.address, trouble)
     context.add_cleanup(context.rogue.close)
-    # Not among the endpoints that are asked what arrived there.
-    deployment.write_entry("e1", seq=2)
-    entry = {
-        "service": "llm",
-        "address": context.rogue.address,
-        "zone": "a",
-        "version": "v1",
-        "slots": 8,
-        "state": "ready",
-        "seq": 1,
-    }
-    deployment.put(f"servers/{name}", entry)
+    deployment.endpoints[name] = context.rogue.address
+    deployment.write_entry(name)
+    # It can't be asked what arrived there.
+    del deployment.endpoints[name]
     for host in deployment.hosts:
         wait_until(
             lambda host=host: name in context.world.processes[host].read_log(),
