--- a/mangogauge/jobs/runner.py
+++ b/mangogauge/jobs/runner.py
@@ -15,7 +15,7 @@
 BUSY_TICK_SECONDS = 0.025
 IDLE_TICK_SECONDS = 0.1
 # Results that end within this time are committed together.
-GATHER_SECONDS = 0.08
+GATHER_SECONDS = 0.25
 REWRITE_SECONDS = 0.25
 # How long an item takes for each of its tokens, until some have ended.
 FIRST_SECONDS_PER_TOKEN = 0.0025
