Report only what is new of client accounts, and all of them once a second

Runners looked after each single report whether items have to give way. Change: a report names the accounts that had an admission within the last second, and once a second all of them, and says which; an account that no report named yet isn't counted from nothing. Runners look at what came within 10 ms together. Checks: two scenarios of features/sharing/quota.feature (before, count_news did not exist); the bounds of the rate, with delays, losses, cuts and restarts, pass on it.

--- a/features/sharing/quota.feature
+++ b/features/sharing/quota.feature
@@ -35,3 +35,21 @@
     And all hosts lose their memory after 5 s
     When it sends 30 requests a second for 20 s, through all hosts in turn
     Then in no window of 5 s were more admitted than the promise says
+
+  Scenario: A report names only what is new, and all accounts now and then
+    Given a host that has admitted requests of "a, b"
+    Then its next report names "a, b", which are all
+    When after 0.9 s it admits a request of "c"
+    Then its next report names "a, b, c", which aren't all
+    When 0.2 s pass
+    Then its next report names "a, b, c", which are all
+    When 0.5 s pass
+    Then its next report names "c", which aren't all
+
+  Scenario: An account that an earlier report didn't name isn't counted from nothing
+    Given a host that has just heard of another by a report that names "a" alone
+    When that other reports 50 requests of "b", and then 53
+    Then the host has counted 3 requests of "b"
+    When that other reports all accounts, "a" and "b"
+    And that other reports 2 requests of "c"
+    Then the host has counted 2 requests of "c"
--- a/features/steps/sharing.py
+++ b/features/steps/sharing.py
@@ -87,9 +87,11 @@
     def _report(self, host, now):
         host.changed, host.reported_at = False, now
         host.number += 1
-        admitted = host.quota.count_own()
+        admitted, whole = host.quota.count_news()
         incarnation = str(host.incarnation)
-        report = HostReport(host.name, incarnation, host.number, {}, admitted)
+        report = HostReport(
+            host.name, incarnation, host.number, {}, admitted, admitted_whole=whole
+        )
         for other in self.hosts:
             if other is host or now >= self.cut_at:
                 continue
--- a/features/steps/summaries.py
+++ b/features/steps/summaries.py
@@ -39,7 +39,8 @@
     lost = field(default=False)
 
     def report(self):
-        return self.board.make_report(self.quota.count_own(), (), {})
+        admitted, whole = self.quota.count_news()
+        return self.board.make_report(admitted, (), {}, admitted_whole=whole)
 
     def summarize(self):
         near = [
--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -230,13 +230,17 @@
                 )
 
     def _make_report(self):
+        return self._report(*self.quota.count_news())
+
+    def _report(self, admitted, admitted_whole):
         return self.board.make_report(
-            self.quota.count_own(),
+            admitted,
             self.health.list_shunned(),
             self._freshness.make_report(),
             reaches_store=self._backends.transport.reach.is_recent,
             crashes=self.crash_ledger.count_own(),
             departures=self.directory.list_departures(),
+            admitted_whole=admitted_whole,
         )
 
     def _make_summary(self):
@@ -247,7 +251,8 @@
         ]
         return sum_up(
             self.member.data_centre,
-            self._make_report(),
+            # Admissions are told for all hosts together.
+            self._report({}, False),
             near,
             self.quota.count_heard(),
             self._topology.is_runner,
--- a/mangogauge/jobs/runner.py
+++ b/mangogauge/jobs/runner.py
@@ -14,6 +14,8 @@
 CLAIM_TURN_SECONDS = 1.0
 BUSY_TICK_SECONDS = 0.025
 IDLE_TICK_SECONDS = 0.1
+# Reports that come within this time are looked at together.
+GIVE_WAY_SECONDS = 0.01
 # Results that end within this time are committed together.
 GATHER_SECONDS = 0.25
 REWRITE_SECONDS = 0.25
@@ -166,6 +168,8 @@
             left = filled_at + tick - self._clock.read_elapsed()
             async with curio.ignore_after(max(0.0, left)):
                 await self._woken.wait()
+            if self._woken.is_set():
+                await curio.sleep(GIVE_WAY_SECONDS)
             self._woken.clear()
             if not self._stopped and self._state.loaded:
                 await self._give_way()
--- a/mangogauge/sharing/quota.py
+++ b/mangogauge/sharing/quota.py
@@ -21,6 +21,9 @@
 SPARE_REQUESTS = 4.0
 # A host that has just started doesn't know what was admitted before.
 STARTING_SHARE = 0.5
+# A count that has changed is reported for so long, in several reports; all counts
+# are reported as often.
+NEWS_SECONDS = 1.0
 
 
 @frozen
@@ -38,6 +41,25 @@
     level = field()
     updated_at = field()
     own_count = field(default=0)
+    admitted_at = field(default=0.0)
+
+
+@define
+class _Known:
+    """What another host has reported of its admissions.
+
+    Parameters
+    ----------
+    incarnation : str
+    counts : dict of str to int
+        By client account.
+    whole : bool
+        Whether an account that isn't named had no admissions.
+    """
+
+    incarnation = field()
+    counts = field(factory=dict)
+    whole = field(default=False)
 
 
 class SharedQuota:
@@ -63,6 +85,7 @@
         self._others = {}
         # What other hosts' own reports have added since this host's start.
         self._heard_counts = Counter()
+        self._all_reported_at = float("-inf")
         self._far = {}
 
     def admit(self, account, share):
@@ -87,6 +110,7 @@
             return Admission(False, missing / (account.rate * share))
         bucket.level += 1.0
         bucket.own_count += 1
+        bucket.admitted_at = self._clock.read_elapsed()
         return Admission(True)
 
     def count_own(self):
@@ -97,6 +121,25 @@
             if bucket.own_count
         }
 
+    def count_news(self):
+        """Return the counts to report now, and whether these are all.
+
+        Returns
+        -------
+        (dict of str to int, bool)
+            What this host has admitted so far, by client account.
+        """
+        now = self._clock.read_elapsed()
+        if now >= self._all_reported_at + NEWS_SECONDS:
+            self._all_reported_at = now
+            return self.count_own(), True
+        news = {
+            name: bucket.own_count
+            for name, bucket in self._buckets.items()
+            if bucket.own_count and bucket.admitted_at > now - NEWS_SECONDS
+        }
+        return news, False
+
     def take_report(self, report, accounts):
         """Count what another host has admitted since its last report.
 
@@ -106,17 +149,24 @@
         accounts : PrefixRoutes
             Knows the accounts of the configuration in force.
         """
-        before = self._others.get(report.host)
-        self._others[report.host] = report
-        known = {}
-        if before is not None and before.incarnation == report.incarnation:
-            known = before.admitted
+        known = self._recall(report)
         for name, count in report.admitted.items():
-            fresh = count - known.get(name, 0 if before else count)
+            fresh = count - known.counts.get(name, 0 if known.whole else count)
+            known.counts[name] = count
             if fresh <= 0:
                 continue
             self._heard_counts[name] += fresh
             self._add(name, fresh, accounts)
+        known.whole = known.whole or report.admitted_whole
+
+    def _recall(self, report):
+        """Return what is known of a reporting host's process."""
+        known = self._others.get(report.host)
+        if known is None or known.incarnation != report.incarnation:
+            # A process that starts while its host is known has admitted nothing yet.
+            known = _Known(report.incarnation, whole=known is not None)
+            self._others[report.host] = known
+        return known
 
     def take_totals(self, totals, accounts):
         """Count what the hosts of another data centre have admitted meanwhile.
--- a/mangogauge/sharing/reports.py
+++ b/mangogauge/sharing/reports.py
@@ -67,6 +67,9 @@
         Whether the host passes others' calls to the store on.
     crashes : dict of str to int
         Crashes of endpoints by fingerprint of the request that ran there.
+    admitted_whole : bool
+        Whether `admitted` names all client accounts that have any; else only those
+        that had some lately.
     departures : dict of str to int
         Endpoints whose answers say that they are leaving: the start of the process,
         in milliseconds since the Unix epoch, by name.
@@ -84,6 +87,7 @@
     reaches_store = field(default=False)
     crashes = field(factory=dict)
     departures = field(factory=dict)
+    admitted_whole = field(default=True)
 
     @property
     def waiting_hosts(self):
@@ -105,7 +109,7 @@
                 raise ReportError(f"Reports of format {form} are not known.")
             host, incarnation, number, loads, admitted, waiting, *values = values
             shunned, copies, items_waiting, reaches_store, *values = values
-            crashes, departures = values
+            crashes, departures, admitted_whole = values
             return cls(
                 str(host),
                 str(incarnation),
@@ -119,6 +123,7 @@
                 bool(reaches_store),
                 {str(name): int(count) for name, count in crashes},
                 {str(name): int(born) for name, born in departures},
+                bool(admitted_whole),
             )
         except (ValueError, TypeError, ArithmeticError) as error:
             raise ReportError(f"The datagram is no report: {error}.") from error
@@ -143,5 +148,6 @@
                 self.reaches_store,
                 list(self.crashes.items()),
                 list(self.departures.items()),
+                self.admitted_whole,
             ]
         )
