--- a/mangogauge/http/__init__.py
+++ b/mangogauge/http/__init__.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 on both sides, by `h11` over curio sockets."""
 
-from .client import ClientConnection, ClientPool, ClientResponse, open_response
+from .client import ClientConnection, ClientResponse
 from .errors import (
     HTTPConnectError,
     HTTPError,
@@ -12,6 +12,7 @@
 from .exchange import Exchange
 from .headers import HOP_BY_HOP_HEADERS, Headers
 from .limits import ClientLimits, ServerLimits
+from .pool import ClientPool, open_response
 from .server import HTTPServer
 
 __all__ = [
--- a/mangogauge/http/client.py
+++ b/mangogauge/http/client.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 client: pooled connections and streamed answers."""
+"""HTTP/1.1 client: one connection, and answers as they stream in."""
 
 import select
 import time
@@ -19,13 +19,10 @@
 
 __all__ = [
     "ClientConnection",
-    "ClientPool",
     "ClientResponse",
-    "open_response",
 ]
 
 READ_SIZE_BYTES = 65_536
-IDLE_PER_ADDRESS = 64
 # A body beyond this may fill the server's window, so that it is sent while the
 # answer is awaited: a server may answer before it has read it.
 EAGER_BODY_BYTES = 32_768
@@ -324,106 +321,6 @@
         )
 
 
-class ClientPool:
-    """Idle connections by address, reused for later requests.
-
-    Parameters
-    ----------
-    connect_timeout : float, optional
-        Seconds allowed for a connection to be made.
-    tls : ssl.SSLContext, optional
-        Context for connections to the other side; plain TCP if absent.
-    limits : ClientLimits, optional
-    """
-
-    def __init__(self, connect_timeout=DEFAULT_CONNECT_TIMEOUT, tls=None, limits=None):
-        self._connect_timeout = connect_timeout
-        self._tls = tls
-        self._limits = limits
-        self._idle = {}
-
-    async def request(
-        self,
-        address,
-        method,
-        target,
-        headers,
-        body=b"",
-        fresh=False,
-        is_answer=None,
-        idle_limit=None,
-    ):
-        """Send a request and return the head of its answer.
-
-        Parameters
-        ----------
-        fresh : bool, optional
-            Never reuse a connection: a server may close an idle connection
-            just as a request is sent, which leaves its outcome unknown.
-        is_answer : callable, optional
-            Whether header fields belong to this request's answer; answers that
-            don't are read and dropped.
-        idle_limit : float, optional
-            Reuse only a connection that was used within so many seconds.
-
-        Returns
-        -------
-        ClientResponse
-
-        Raises
-        ------
-        HTTPConnectError, HTTPSendError, HTTPReceiveError
-            According to how far the request got.
-        """
-        connection = None
-        if not fresh:
-            connection = await self._take_idle(address, idle_limit)
-        if connection is None:
-            connection = await ClientConnection.open(
-                address, self._connect_timeout, self._tls, self._limits
-            )
-        try:
-            await connection.send_request(method, target, headers, body)
-            status, fields = await connection.read_answer_head(
-                is_answer or _take_any_answer
-            )
-        except BaseException:
-            await connection.close()
-            raise
-        return ClientResponse(connection, status, fields, self._release)
-
-    async def close(self):
-        """Close every idle connection."""
-        idle, self._idle = self._idle, {}
-        for connections in idle.values():
-            for connection in connections:
-                await connection.close()
-
-    async def _take_idle(self, address, idle_limit):
-        idle = self._idle.get(address, [])
-        while idle:
-            if idle_limit is not None and idle[-1].idle_seconds > idle_limit:
-                # The others have been idle for longer still.
-                return None
-            connection = idle.pop()
-            if not connection.is_stale:
-                return connection
-            await connection.close()
-        return None
-
-    async def _release(self, connection, reusable, headers):
-        idle = self._idle.setdefault(connection.address, [])
-        reusable = reusable and len(idle) < IDLE_PER_ADDRESS
-        if reusable and connection.prepare_next(headers):
-            idle.append(connection)
-            return
-        await connection.close()
-
-
-def _take_any_answer(headers):
-    return True
-
-
 async def _connect(host, port, tls):
     if tls is not None:
         return await curio.open_connection(host, port, ssl=tls, server_hostname=host)
@@ -436,23 +333,3 @@
         await sock.close()
         raise
     return sock
-
-
-async def open_response(address, method, target, headers=None, body=b"", tls=None):
-    """Send one request on a connection of its own.
-
-    Returns
-    -------
-    ClientResponse
-        Its connection ends when the body has been read or it is closed.
-    """
-    pool = ClientPool(tls=tls)
-    response = await pool.request(
-        address, method, target, headers or Headers(), body, fresh=True
-    )
-    response._release = _close_connection
-    return response
-
-
-async def _close_connection(connection, reusable, headers):
-    await connection.close()
--- a/mangogauge/sharing/exchange.py
+++ b/mangogauge/sharing/exchange.py
@@ -119,11 +119,9 @@
         while True:
             data, sender = await self._sock.recvfrom(DATAGRAM_BYTES)
             address = f"{sender[0]}:{sender[1]}"
-            if data.startswith(PASS_ON):
-                data = data.removeprefix(PASS_ON)
-                await self._send_to(self._topology.list_near(), data)
+            encoded = data.removeprefix(PASS_ON)
             try:
-                message = decode(data)
+                message = decode(encoded)
             except ReportError as error:
                 log.warning(
                     "datagram dropped", extra={"peer": address, "reason": str(error)}
@@ -131,8 +129,10 @@
                 continue
             if isinstance(message, HostReport):
                 await self._take_report(message, address)
-            else:
-                await self._take_summary(message)
+                continue
+            if data.startswith(PASS_ON):
+                await self._send_to(self._topology.list_near(), encoded)
+            await self._take_summary(message)
 
     async def _take_report(self, report, address):
         await self._note_sender(report, address)
