--- a/features/builders/platform/endless.py
+++ b/features/builders/platform/endless.py
@@ -1,9 +1,9 @@
 """An endpoint in trouble: it sends bytes without end, until its caller closes."""
 
-import socket
-import threading
 from itertools import repeat
 
+from .rawserver import RawServer
+
 BLOCK = b"x" * 16_384
 EVENT_HEAD = (
     b"HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nContent-Type: text/event-stream\r\n"
@@ -37,8 +37,8 @@
 }
 
 
-class EndlessEndpoint:
-    """Accepts connections and sends one kind of bytes until each is closed.
+class EndlessEndpoint(RawServer):
+    """Sends one kind of bytes on each connection until that is closed.
 
     Parameters
     ----------
@@ -49,46 +49,30 @@
 
     Attributes
     ----------
+    opened : int
+        Connections on which something was asked.
     sent : list of int
-        Bytes sent on each connection that its caller has closed.
+        Bytes sent on each of them that its caller has closed.
     """
 
     def __init__(self, address, trouble):
         self._first, self._block = TROUBLES[trouble]
         self._pause = STALL_SECONDS if "slowly" in trouble else 0.0
-        self._ended = threading.Event()
-        self._listener = socket.create_server((address, 0))
-        self.address = f"{address}:{self._listener.getsockname()[1]}"
         self.opened = 0
         self.sent = []
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def close(self):
-        """Stop accepting and sending."""
-        self._ended.set()
-        self._listener.close()
+        super().__init__(address)
 
-    def _accept(self):
-        while not self._ended.is_set():
-            try:
-                connection, _ = self._listener.accept()
-            except OSError:
-                return
-            threading.Thread(
-                target=self._serve, args=(connection,), daemon=True
-            ).start()
-
-    def _serve(self, connection):
+    def serve(self, connection):
+        """Send without end."""
         sent = 0
-        with connection:
-            try:
-                if not connection.recv(65_536):
+        try:
+            if not connection.recv(65_536):
+                return
+            self.opened += 1
+            for data in (self._first, *repeat(self._block, 1_000_000)):
+                connection.sendall(data)
+                sent += len(data)
+                if self.ended.wait(self._pause):
                     return
-                self.opened += 1
-                for data in (self._first, *repeat(self._block, 1_000_000)):
-                    connection.sendall(data)
-                    sent += len(data)
-                    if self._ended.wait(self._pause):
-                        return
-            except OSError:
-                self.sent.append(sent)
+        except OSError:
+            self.sent.append(sent)
--- a/features/builders/platform/twins.py
+++ b/features/builders/platform/twins.py
@@ -1,18 +1,19 @@
 """An endpoint that refuses each request once and sends that refusal twice, late."""
 
 import re
-import socket
 import threading
 import time
 from collections import Counter
 
+from .rawserver import RawServer
+
 TWIN_SECONDS = 0.04
 WORK_SECONDS = 0.15
 REQUEST_ID = re.compile(rb"x-request-id: *([^\r]+)", re.IGNORECASE)
 LENGTH = re.compile(rb"content-length: *(\d+)", re.IGNORECASE)
 
 
-class TwinEndpoint:
+class TwinEndpoint(RawServer):
     """Refuses a request when it comes first, and runs it when it comes again.
 
     The second copy of the refusal goes out on the same connection, a moment later,
@@ -30,33 +31,17 @@
     """
 
     def __init__(self, address):
-        self._listener = socket.create_server((address, 0))
-        self.address = f"{address}:{self._listener.getsockname()[1]}"
         self._seen = Counter()
         self.runs = Counter()
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def close(self):
-        """Stop accepting."""
-        self._listener.close()
-
-    def _accept(self):
-        while True:
-            try:
-                connection, _ = self._listener.accept()
-            except OSError:
-                return
-            threading.Thread(
-                target=self._serve, args=(connection,), daemon=True
-            ).start()
-
-    def _serve(self, connection):
-        with connection:
-            try:
-                while request_id := read_request(connection):
-                    self._answer(connection, request_id)
-            except OSError:
-                return
+        super().__init__(address)
+
+    def serve(self, connection):
+        """Answer one request after the other."""
+        try:
+            while request_id := read_request(connection):
+                self._answer(connection, request_id)
+        except OSError:
+            return
 
     def _answer(self, connection, request_id):
         self._seen[request_id] += 1
