--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -144,7 +144,9 @@
         self.directory = EndpointDirectory(
             source.read_endpoint, source.name_endpoint, self._clock
         )
-        self.state = FleetState(self.directory, self.members, self.board)
+        self.state = FleetState(
+            self.directory, self.members, self.board, self._measure_age
+        )
         orders = OrderListener(source, self.state, on_configuration, on_retirement)
         self._follow_shared(source.orders_prefix, orders)
         self._follow_shared(source.endpoints_prefix, self.directory)
--- a/mangogauge/entry/front.py
+++ b/mangogauge/entry/front.py
@@ -198,6 +198,7 @@
                 "client_account": note.account,
                 "route": note.route,
                 "configuration": self._state.version,
+                "configuration_age": self._state.measure_age(),
                 **extra,
             },
         )
--- a/mangogauge/fleet/schedule.py
+++ b/mangogauge/fleet/schedule.py
@@ -4,8 +4,12 @@
 
 import curio
 
+from ..telemetry import get_logger
+
 __all__ = ["ReadSchedule", "SharedSchedule", "SteadySchedule"]
 
+log = get_logger("schedule")
+
 
 class ReadSchedule(ABC):
     """Decides how long a follower waits between two reads."""
@@ -72,5 +76,14 @@
 
     def note_read(self, digest, asked_at):
         """Note a read for this host and, with its next report, for all."""
+        log.info(
+            "copy read",
+            extra={
+                "prefix": self.topic,
+                "digest": digest,
+                "age": self._freshness.measure_age(self.topic),
+                "read_before": self._freshness.measure_read_age(self.topic),
+            },
+        )
         self._freshness.note_read(self.topic, digest, asked_at)
         self._told = False
--- a/mangogauge/fleet/state.py
+++ b/mangogauge/fleet/state.py
@@ -17,6 +17,9 @@
     directory : EndpointDirectory
     members : MemberDirectory
     board : LoadBoard
+    measure_age : callable, optional
+        Returns how many seconds ago the configuration was last known to be the
+        newest.
 
     Attributes
     ----------
@@ -24,9 +27,10 @@
         None until a configuration has been read.
     """
 
-    def __init__(self, directory, members, board):
+    def __init__(self, directory, members, board, measure_age=lambda: 0.0):
         self.directory = directory
         self.members = members
+        self.measure_age = measure_age
         self._board = board
         self.routes = None
 
--- a/mangogauge/sharing/freshness.py
+++ b/mangogauge/sharing/freshness.py
@@ -140,6 +140,13 @@
             return float("inf")
         return self._clock.read_elapsed() - copy.confirmed_at
 
+    def measure_read_age(self, topic):
+        """Return the seconds since this host itself last read a topic."""
+        copy = self._copies.get(topic)
+        if copy is None:
+            return float("inf")
+        return self._clock.read_elapsed() - copy.read_at
+
     def is_due(self, topic):
         """Return whether a topic has to be read again."""
         return self.measure_wait(topic) <= 0
