Play hosts whose reports take time: their copies stay fresh without a read

Twelve hosts that report every 40 ms and are heard 10 ms later keep each other's copies fresh for 4.7 s without any read, 57 hosts for as long as the play goes on: each dates a copy by the age that a report names, without the time that the report was on its way, and tells the next one. A change by operators then goes unread, and the newer copy's report is passed over, since the old one counts as confirmed later. The existing scenarios deliver each report at once.

--- a/features/sharing/freshness.feature
+++ b/features/sharing/freshness.feature
@@ -28,3 +28,25 @@
     Given 12 hosts that keep a copy of the orders, each at most 0.7 s old
     When one host is cut off from the others, and the orders change
     Then every host has the change within 1.4 s
+
+  Scenario Outline: Hosts that hear of each other late don't keep an old copy fresh
+    Given <hosts> hosts with a copy of the orders that report every <pause> s, heard <transit> s later
+    When they live for 6 s
+    Then no 1.4 s passed without a read of any of them
+    When the orders change, and 1.4 s pass
+    Then all of them have the change
+
+    Examples: calm, busy, and overloaded
+      | hosts | pause | transit |
+      | 12    | 0.25  | 0.002   |
+      | 12    | 0.04  | 0.01    |
+      | 12    | 0.04  | 0.1     |
+      | 57    | 0.25  | 0.003   |
+      | 57    | 0.04  | 0.003   |
+      | 57    | 0.04  | 0.1     |
+
+  Scenario: Hosts that lost the store don't tell each other that they have it
+    Given 12 hosts with a copy of the orders that report every 0.04 s, heard 0.01 s later
+    When they live for 3 s
+    And the store is away for 2 s
+    Then each takes its copy to be 1.8 s old at least
