Date each read of the store once, and order copies by the store's revision

Callers of proper requests got 404: hosts whose copy of the configuration was more than 3 s old believed that it was fresh. Hosts confirm each other's copies by reports. A report named a copy's age; its receiver dated the copy by that and passed it on, with a new age. The time on the way was left out at each hop, many hops a second, so that an old copy stayed young while nobody read it, and a newer copy's report was passed over, since the old one counted as confirmed later.

Now a report names the read that a copy stems from (process, number) and the store's revision. A read is dated once, by whatever makes it oldest, however often and by whom it is told; which copy is newer is the store's revision, never a clock. The same ages decide whether a data centre is cut off, which a cut-off data centre's hosts could hide from each other likewise (last scenario).

--- a/features/builders/copies.py
+++ b/features/builders/copies.py
@@ -8,7 +8,7 @@
 
 from mangogauge.clock import ManualClock
 from mangogauge.sharing import SharedFreshness
-from mangogauge.sharing.freshness import CopyReport
+from mangogauge.sharing.copies import read_copies, write_copies
 
 __all__ = ["CopyPlay"]
 
@@ -61,6 +61,7 @@
                     random.Random(seed + index),
                     INTERVAL_SECONDS,
                     lambda: count,
+                    f"h{index}",
                 )
             )
             for index in range(count)
@@ -114,14 +115,11 @@
             return
         self.reads.append(self.now)
         host.version = self._version
-        host.freshness.note_read(TOPIC, str(host.version), self.now)
+        host.freshness.note_read(TOPIC, str(host.version), self.now, host.version)
 
     def _report(self, sender):
         self._schedule(self._draw(self._pause), self._report, sender)
-        copies = {
-            topic: CopyReport(copy.digest, int(copy.age * 1000) / 1000)
-            for topic, copy in sender.freshness.make_report().items()
-        }
+        copies = read_copies(write_copies(sender.freshness.make_report()))
         for host in self.hosts:
             if host is not sender:
                 self._schedule(
--- a/features/steps/sharing.py
+++ b/features/steps/sharing.py
@@ -184,7 +184,11 @@
     context.hosts = [
         ReadingHost(
             SharedFreshness(
-                context.clock, random.Random(seed), float(interval), lambda: count
+                context.clock,
+                random.Random(seed),
+                float(interval),
+                lambda: count,
+                f"h{seed}",
             )
         )
         for seed in range(count)
@@ -197,7 +201,7 @@
 def _read(context, host):
     host.version, host.reads = context.version, host.reads + 1
     now = context.clock.read_elapsed()
-    host.freshness.note_read("orders", str(host.version), now)
+    host.freshness.note_read("orders", str(host.version), now, host.version)
     return host.freshness.make_report()
 
 
--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -115,6 +115,7 @@
             random,
             FRESH_SECONDS,
             lambda: self.board.count_heard() + 1,
+            incarnation,
         )
         self.members = MemberDirectory(FleetMember(settings.name, incarnation), clock)
         self._topology = ReportTopology(self.members, self.board, random)
--- a/mangogauge/fleet/follower.py
+++ b/mangogauge/fleet/follower.py
@@ -98,10 +98,11 @@
         """Follow until cancelled."""
         while True:
             asked_at = self._clock.read_elapsed()
-            if await self._step():
+            revision = await self._step()
+            if revision is not None:
                 self.confirmed_at = asked_at
                 self._retry_seconds = FIRST_RETRY_SECONDS
-                self._schedule.note_read(self._listener.digest, asked_at)
+                self._schedule.note_read(self._listener.digest, asked_at, revision)
                 await self._schedule.wait()
             else:
                 await curio.sleep(self._retry_seconds)
@@ -109,7 +110,7 @@
                 self._retry_seconds = min(LONGEST_RETRY_SECONDS, longer)
 
     async def _step(self):
-        """Read the prefix or its changes; return whether the store answered."""
+        """Read the prefix or its changes; return up to which revision, or None."""
         if self._revision is None:
             answer = await self._feed.read_snapshot(self._prefix)
         else:
@@ -118,7 +119,7 @@
             )
         if isinstance(answer, Failure):
             self._note_failure(answer.failure())
-            return False
+            return None
         self._note_answer()
         read = answer.unwrap()
         if self._revision is None:
@@ -126,7 +127,7 @@
         elif read.events:
             self._listener.take_changes(read.events)
         self._revision = None if self._whole else read.revision
-        return True
+        return read.revision
 
     def _note_failure(self, error):
         if isinstance(error, StoreCompactedError):
--- a/mangogauge/fleet/schedule.py
+++ b/mangogauge/fleet/schedule.py
@@ -18,8 +18,18 @@
     async def wait(self):
         """Return when it is time to read."""
 
-    def note_read(self, digest, asked_at):
-        """Note a read that succeeded: digest of the copy, and when it was asked."""
+    def note_read(self, digest, asked_at, revision):
+        """Note a read that succeeded.
+
+        Parameters
+        ----------
+        digest : str
+            Of the copy.
+        asked_at : float
+            Elapsed time at which the store was asked.
+        revision : int
+            Of the store, up to which the copy is whole.
+        """
         return None
 
 
@@ -74,7 +84,7 @@
         """Look again whether the copy is due."""
         await self._woken.set()
 
-    def note_read(self, digest, asked_at):
+    def note_read(self, digest, asked_at, revision):
         """Note a read for this host and, with its next report, for all."""
         log.info(
             "copy read",
@@ -85,5 +95,5 @@
                 "read_before": self._freshness.measure_read_age(self.topic),
             },
         )
-        self._freshness.note_read(self.topic, digest, asked_at)
+        self._freshness.note_read(self.topic, digest, asked_at, revision)
         self._told = False
--- a/mangogauge/sharing/__init__.py
+++ b/mangogauge/sharing/__init__.py
@@ -1,9 +1,10 @@
 """What hosts tell each other many times a second: running work, admissions."""
 
 from .board import LoadBoard
+from .copies import CopyReport
 from .crashes import CrashLedger
 from .exchange import ReportExchange
-from .freshness import CopyReport, SharedFreshness
+from .freshness import SharedFreshness
 from .pacing import estimate_age
 from .quota import Admission, SharedQuota
 from .reports import EndpointLoad, HostReport, ReportError
--- a/mangogauge/sharing/freshness.py
+++ b/mangogauge/sharing/freshness.py
@@ -5,12 +5,16 @@
 tells the others a digest of its copy and when that was last confirmed: whoever
 has the same digest has the same copy, confirmed at the same time. A copy is
 read again only once nobody has confirmed it for a while, or when another
-host has a newer one.
+host has a newer one. Which of two copies is newer is told by the store's revision,
+and a copy is as old as the read that it stems from, whoever passes word of it on.
 """
 
-from attrs import define, field, frozen
+from attrs import define, field
 
-__all__ = ["CopyReport", "SharedFreshness"]
+from .copies import CopyReport
+from .readdates import ReadDates
+
+__all__ = ["SharedFreshness"]
 
 # The first host whose wait is over reads for all. About so many hosts draw their
 # wait from the part of the interval by which it is first exceeded, all others
@@ -23,31 +27,43 @@
 LEAST_GAP = 0.4
 
 
-@frozen
-class CopyReport:
-    """What a host tells of its copy of a topic.
+@define
+class _Copy:
+    """This host's copy of a topic.
 
-    Parameters
+    Attributes
     ----------
     digest : str
-    age : float
-        Seconds since it was known to be whole.
+    revision : int
+        Of the store, up to which the copy is whole.
+    reader : str
+        Process whose read last confirmed it.
+    number : int
+        Of that read.
+    confirmed_at : float
+        Elapsed time of that read.
+    due_after : float
+        Seconds after which it is read again.
+    newer_revision : int
+        Highest revision of a copy that differs, as far as heard.
+    read_at : float
+        Elapsed time at which this host last read it.
     """
 
-    digest = field()
-    age = field()
-
-
-@define
-class _Copy:
-    """This host's copy of a topic."""
-
     digest = field(default="")
+    revision = field(default=0)
+    reader = field(default="")
+    number = field(default=0)
     confirmed_at = field(default=float("-inf"))
     due_after = field(default=0.0)
-    outdated = field(default=False)
+    newer_revision = field(default=0)
     read_at = field(default=float("-inf"))
 
+    @property
+    def is_outdated(self):
+        """Whether another host has a newer copy that differs."""
+        return self.newer_revision > self.revision
+
 
 class SharedFreshness:
     """Freshness of this host's copies.
@@ -60,6 +76,8 @@
         Seconds after which a copy has to be confirmed again.
     count_hosts : callable, optional
         Returns how many hosts share their copies, this one included.
+    reader : str, optional
+        Name of this process.
 
     Examples
     --------
@@ -67,25 +85,28 @@
     >>> from mangogauge.clock import ManualClock
     >>> clock = ManualClock()
     >>> freshness = SharedFreshness(clock, random.Random(1), interval=1.0)
-    >>> freshness.note_read("routes", "a", 0.0)
+    >>> freshness.note_read("routes", "a", 0.0, revision=7)
     >>> clock.advance(0.9)
-    >>> freshness.take_report({"routes": CopyReport("a", 0.1)})
+    >>> freshness.take_report({"routes": CopyReport("a", 9, "other", 1, 0.1)})
     ()
     >>> clock.advance(0.9)
     >>> freshness.is_due("routes")
     False
-    >>> freshness.take_report({"routes": CopyReport("b", 0.0)})
+    >>> freshness.take_report({"routes": CopyReport("b", 12, "other", 2, 0.0)})
     ('routes',)
     """
 
-    def __init__(self, clock, random, interval, count_hosts=lambda: 1):
+    def __init__(self, clock, random, interval, count_hosts=lambda: 1, reader=""):
         self._clock = clock
+        self._reader = reader
+        self._reads = 0
+        self._dates = ReadDates()
         self._random = random
         self._interval = interval
         self._count_hosts = count_hosts
         self._copies = {}
 
-    def note_read(self, topic, digest, asked_at):
+    def note_read(self, topic, digest, asked_at, revision):
         """Note that this host has read a topic.
 
         Parameters
@@ -93,12 +114,15 @@
         topic, digest : str
         asked_at : float
             Elapsed time before which nothing was missed.
+        revision : int
+            Of the store, up to which the copy is whole.
         """
         copy = self._copies.setdefault(topic, _Copy())
-        copy.digest = digest
-        copy.outdated = False
         copy.read_at = self._clock.read_elapsed()
-        self._confirm(copy, asked_at)
+        self._reads += 1
+        self._dates.date(topic, self._reader, self._reads, asked_at)
+        read = CopyReport(digest, revision, self._reader, self._reads, 0.0)
+        self._confirm(copy, read, asked_at)
 
     def take_report(self, copies):
         """Take what another host tells; return topics to be read at once.
@@ -113,14 +137,17 @@
             copy = self._copies.get(topic)
             if copy is None:
                 continue
-            confirmed_at = now - report.age
-            if confirmed_at <= copy.confirmed_at:
+            read_at = self._dates.date(
+                topic, report.reader, report.number, now - report.age
+            )
+            if read_at is None or report.revision < copy.revision:
                 continue
-            if report.digest == copy.digest:
-                self._confirm(copy, confirmed_at)
-            else:
-                copy.outdated = True
-                newer.append(topic)
+            if report.digest != copy.digest:
+                if report.revision > max(copy.revision, copy.newer_revision):
+                    copy.newer_revision = report.revision
+                    newer.append(topic)
+            elif read_at > copy.confirmed_at:
+                self._confirm(copy, report, read_at)
         return tuple(newer)
 
     def measure_wait(self, topic):
@@ -129,7 +156,7 @@
         if copy is None:
             return 0.0
         due_at = copy.confirmed_at + copy.due_after
-        if copy.outdated:
+        if copy.is_outdated:
             due_at = copy.read_at + self._interval * LEAST_GAP
         return max(0.0, due_at - self._clock.read_elapsed())
 
@@ -155,12 +182,23 @@
         """Return ``{topic: CopyReport}`` for the other hosts."""
         now = self._clock.read_elapsed()
         return {
-            topic: CopyReport(copy.digest, now - copy.confirmed_at)
+            topic: CopyReport(
+                copy.digest,
+                copy.revision,
+                copy.reader,
+                copy.number,
+                now - copy.confirmed_at,
+            )
             for topic, copy in self._copies.items()
         }
 
-    def _confirm(self, copy, confirmed_at):
-        copy.confirmed_at = confirmed_at
+    def _confirm(self, copy, read, read_at):
+        """Take a read, of this or another process, that showed a copy to be whole."""
+        copy.digest = read.digest
+        copy.revision = read.revision
+        copy.reader = read.reader
+        copy.number = read.number
+        copy.confirmed_at = read_at
         copy.due_after = self._interval * (1 + SPREAD * self._draw_delay())
 
     def _draw_delay(self):
--- a/mangogauge/sharing/reports.py
+++ b/mangogauge/sharing/reports.py
@@ -8,11 +8,11 @@
 from attrs import field, frozen
 
 from ..errors import MangogaugeError
-from .freshness import CopyReport
+from .copies import read_copies, write_copies
 
 __all__ = ["EndpointLoad", "HostReport", "ReportError"]
 
-FORMAT = 4
+FORMAT = 5
 
 
 class ReportError(MangogaugeError):
@@ -118,7 +118,7 @@
                 {str(name): int(count) for name, count in admitted},
                 int(waiting),
                 [str(name) for name in shunned],
-                {str(t): CopyReport(str(d), int(a) / 1000) for t, d, a in copies},
+                read_copies(copies),
                 int(items_waiting),
                 bool(reaches_store),
                 {str(name): int(count) for name, count in crashes},
@@ -140,10 +140,7 @@
                 list(self.admitted.items()),
                 self.waiting,
                 self.shunned,
-                [
-                    [topic, copy.digest, int(copy.age * 1000)]
-                    for topic, copy in self.copies.items()
-                ],
+                write_copies(self.copies),
                 self.items_waiting,
                 self.reaches_store,
                 list(self.crashes.items()),
--- a/mangogauge/sharing/summaries.py
+++ b/mangogauge/sharing/summaries.py
@@ -7,12 +7,12 @@
 import orjson
 from attrs import field, frozen
 
-from .freshness import CopyReport
+from .copies import read_copies, write_copies
 from .reports import EndpointLoad, HostReport, ReportError
 
 __all__ = ["DataCentreSummary", "DataCentreTotals"]
 
-FORMAT = "summary 1"
+FORMAT = "summary 2"
 
 
 @frozen
@@ -109,7 +109,7 @@
                 {str(n): int(count) for n, count in admitted},
                 int(waiting),
                 [str(n) for n in shunned],
-                {str(t): CopyReport(str(d), int(a) / 1000) for t, d, a in copies},
+                read_copies(copies),
                 {str(n): int(count) for n, count in crashes},
                 {str(n): int(born) for n, born in departures},
             )
@@ -120,7 +120,6 @@
     def to_bytes(self):
         """Encode as a datagram."""
         totals = self.totals
-        copies = totals.copies.items()
         return orjson.dumps(
             [
                 FORMAT,
@@ -132,7 +131,7 @@
                 list(totals.admitted.items()),
                 totals.waiting_hosts,
                 totals.shunned,
-                [[topic, c.digest, int(c.age * 1000)] for topic, c in copies],
+                write_copies(totals.copies),
                 list(totals.crashes.items()),
                 list(totals.departures.items()),
                 self.hosts,
--- a/mangogauge/sharing/summing.py
+++ b/mangogauge/sharing/summing.py
@@ -80,6 +80,11 @@
     freshest = {}
     for report in reports:
         for topic, copy in report.copies.items():
-            if topic not in freshest or copy.age < freshest[topic].age:
+            known = freshest.get(topic)
+            if known is None or _order_copies(copy) > _order_copies(known):
                 freshest[topic] = copy
     return freshest
+
+
+def _order_copies(copy):
+    return copy.revision, -copy.age
