Log for how long an item isn't run, and why

`item started` was written before it was decided that an item rests, and nothing when it did: a pause couldn't be told from a run that was lost without a word, nor its cause from the item's own pause after runs in vain (docs/incidents/crashed-items.md). `item waits` has the reason, after how many times in a row, and the seconds.

--- a/mangogauge/jobs/running.py
+++ b/mangogauge/jobs/running.py
@@ -49,6 +49,7 @@
         if self._crashes.is_condemned(call):
             # It may only be given up once its time is up.
             item.rest(self._clock.read_elapsed() + CONDEMNED_SECONDS)
+            self._log_pause(item, "crashes are held against it")
             return
         try:
             await self._run(item, call, endpoint)
@@ -128,12 +129,29 @@
             item.delay(now, item.failures)
             if item.failures >= route.attempt_limit:
                 self.give_up(item, f"it failed {item.failures} times")
+                return
+            self._log_pause(item, "failed", item.failures)
         elif failure.progress in (Progress.NOT_SENT, Progress.NOT_RUN):
             item.refusals += 1
             item.delay(now, item.refusals)
+            self._log_pause(item, "not taken", item.refusals)
         elif item.last_event == before:
             item.fruitless += 1
             item.delay(now, item.fruitless)
+            self._log_pause(item, "broke off without an event", item.fruitless)
+
+    def _log_pause(self, item, reason, count=None):
+        """Tell for how long an item isn't run, and after how many times in a row."""
+        log.info(
+            "item waits",
+            extra={
+                "request_id": item.item.item_id,
+                "job": item.job.job_id,
+                "reason": reason,
+                "count": count,
+                "pause": round(item.not_before - self._clock.read_elapsed(), 3),
+            },
+        )
 
     def _finish(self, item, state, reason):
         item.job.finish(item, state)
