--- a/features/builders/platform/deployment.py
+++ b/features/builders/platform/deployment.py
@@ -17,6 +17,8 @@
 DEPLOY = Path(__file__).resolve().parents[3] / "deploy"
 PACKAGE = "features.builders.platform"
 HOST_NAME = "desk.example"
+# Address, name, slots and folder.
+ENDPOINT_ARGUMENTS = 4
 ROUTES = (
     # Name, kind, most endpoints for one request, whether it can be resumed.
     ("ask", "stream", 1, False),
@@ -134,6 +136,13 @@
         self.endpoints[name] = address
         self.write_entry(name, slots=slots)
 
+    def restart_endpoint(self, name, *crashing):
+        """Start an endpoint that has crashed; a word names what crashes it again."""
+        process = self.world.processes[name]
+        process.wait()
+        process.arguments = [*process.arguments[:ENDPOINT_ARGUMENTS], *crashing]
+        process.start()
+
     def add_faults(self, fault, count):
         """Let the next requests, at whichever endpoint, meet a fault."""
         for number in range(count):
--- a/features/builders/platform/endpoint.py
+++ b/features/builders/platform/endpoint.py
@@ -170,9 +170,11 @@
         await exchange.respond(200, headers, orjson.dumps(value))
 
 
-def main(address, name, slots, folder):
-    """Serve until killed."""
+def main(address, name, slots, folder, crashing=""):
+    """Serve until killed, or until a request for the word `crashing` comes."""
     endpoint = EndpointServer(name, int(slots), folder)
+    if crashing:
+        endpoint.faults[crashing] = "crash"
     host, _, port = address.rpartition(":")
     endpoint.server.bind(host, int(port))
     print(orjson.dumps({"address": address}).decode(), flush=True)
--- /dev/null
+++ b/features/steps/items_crashes.py
@@ -0,0 +1,190 @@
+"""Steps of items whose runs break off, and of when they are run again."""
+
+from collections import Counter
+
+import curio
+from attrs import define, field
+from behave import given, then, when
+
+from features.builders.fleet import HOST_NAME, make_endpoint, make_route
+from mangogauge.clock import ManualClock
+from mangogauge.entry import AttemptFailure, CrashWatch
+from mangogauge.fleet import RouteNature
+from mangogauge.http import HTTPReceiveError
+from mangogauge.jobs.owned import OwnedJob
+from mangogauge.jobs.records import ItemState, JobItem, JobManifest
+from mangogauge.jobs.running import ItemRunner
+from mangogauge.placement import EndpointHealth
+from mangogauge.routing import Progress
+from mangogauge.sharing import CrashLedger
+from mangogauge.telemetry import ServingMetrics
+
+STEP_SECONDS = 0.025
+LONG_SECONDS = 3600.0
+LONGEST_SECONDS = 300.0
+REASON = "reset by peer"
+
+
+class Answer:
+    """An answer of events that ends as told."""
+
+    def __init__(self, events, broken):
+        self._events = events
+        self._broken = broken
+
+    async def iterate(self):
+        for number in self._events:
+            yield b"id: %d\ndata: x\n\n" % number
+        if self._broken:
+            raise HTTPReceiveError(REASON, step="receive")
+
+    async def close(self):
+        """Nothing is open."""
+
+
+@define(eq=False)
+class TroubledEndpoints:
+    """Answers an item's runs, as badly as it is told.
+
+    Attributes
+    ----------
+    trouble : Trouble or None
+    opened : list of (float, str)
+        When runs were sent, and of which item.
+    """
+
+    clock = field()
+    trouble = field()
+    opened = field(factory=list)
+
+    async def open(self, call, endpoint, last_event, silence_seconds, again):
+        self.opened.append((self.clock.read_elapsed(), call.request_id))
+        number = (last_event or 0) + 1
+        if self.trouble is None:
+            return Answer([number], broken=False)
+        self.clock.advance(self.trouble.seconds)
+        if self.trouble.events:
+            return Answer([number], broken=True)
+        raise AttemptFailure(
+            self.trouble.progress,
+            REASON,
+            blames=True,
+            broken=self.trouble.progress is Progress.MAYBE_RUN,
+        )
+
+
+@define
+class Trouble:
+    """How runs end: how far they get, after how long, and how many events."""
+
+    progress = field(default=Progress.MAYBE_RUN)
+    seconds = field(default=0.0)
+    events = field(default=0)
+
+
+class SureWatch(CrashWatch):
+    """Knows each connection that breaks to be an endpoint's crash."""
+
+    async def note_failure(self, call, endpoint, failure):
+        if failure.broken:
+            await self._note_crash(call, endpoint)
+
+
+async def ignore_change():
+    """Tell nobody."""
+
+
+def make_item_runner(attempt, clock):
+    watch = SureWatch(CrashLedger(clock), ignore_change, clock, None)
+    health = EndpointHealth(clock)
+    return ItemRunner(attempt, health, watch, clock, ServingMetrics())
+
+
+def make_items(context, count, trouble):
+    clock = context.clock = ManualClock()
+    context.route = make_route("night", RouteNature.BATCH, attempt_limit=3)
+    items = [JobItem(f"i{n}", f"/night/{n}", (), 100, 0, 0, 0) for n in range(count)]
+    manifest = JobManifest(
+        "j1", "desk", "night", HOST_NAME, 0.0, LONG_SECONDS, LONG_SECONDS, items
+    )
+    context.job = OwnedJob.restore(manifest, [b""], 1, [], {})
+    context.endpoints = TroubledEndpoints(clock, trouble)
+    context.runner = make_item_runner(context.endpoints, clock)
+
+
+@given("an item under which endpoints crash")
+def make_crashing(context):
+    make_items(context, 1, Trouble())
+
+
+@given("an item under which endpoints crash after an event")
+def make_crashing_later(context):
+    make_items(context, 1, Trouble(events=1))
+
+
+@given("an item under which endpoints crash after {seconds:d} s")
+def make_crashing_late(context, seconds):
+    make_items(context, 1, Trouble(seconds=seconds, events=1))
+
+
+@given("an item that no endpoint takes")
+def make_refused(context):
+    make_items(context, 1, Trouble(Progress.NOT_RUN))
+
+
+@given("{count:d} items under which endpoints crash")
+def make_many(context, count):
+    make_items(context, count, Trouble())
+
+
+async def play(context, is_over):
+    """Run what may be run, turn after turn."""
+    started = context.clock.read_elapsed()
+    while not is_over():
+        now = context.clock.read_elapsed()
+        assert now < started + LONGEST_SECONDS, context.endpoints.opened
+        for item in context.job.list_ready(now):
+            item.started_at = context.clock.read_elapsed()
+            await context.runner.run(item, context.route, make_endpoint())
+        context.clock.advance(STEP_SECONDS)
+
+
+@when("{count:d} of its runs have ended so, and all is calm")
+def end_runs(context, count):
+    curio.run(play, context, lambda: len(context.endpoints.opened) == count)
+    context.endpoints.trouble = None
+    context.calm_since = context.clock.read_elapsed()
+
+
+@when("its runs go on for {seconds:d} s")
+def go_on(context, seconds):
+    curio.run(play, context, lambda: context.clock.read_elapsed() >= seconds)
+
+
+@when("each has been run twice")
+def run_twice(context):
+    count = len(context.job.items)
+    curio.run(play, context, lambda: len(context.endpoints.opened) >= 2 * count)
+
+
+@then("it is run again within {seconds:g} s, and done")
+def check_run_again(context, seconds):
+    curio.run(play, context, lambda: not context.job.items)
+    waited = context.endpoints.opened[-1][0] - context.calm_since
+    assert waited <= seconds, waited
+    states = [result.state for result in context.job.finished]
+    assert states == [ItemState.DONE], states
+
+
+@then("it has run at least {least:d} times and at most {most:d} times")
+def check_runs(context, least, most):
+    assert least <= len(context.endpoints.opened) <= most, context.endpoints.opened
+
+
+@then("at most {count:d} of them are run again at the same moment")
+def check_spread(context, count):
+    second = {}
+    for at, item in context.endpoints.opened:
+        second[item] = at
+    moments = Counter(round(at, 6) for at in second.values())
+    assert max(moments.values()) <= count, moments
--- a/features/steps/platform_crashes.py
+++ b/features/steps/platform_crashes.py
@@ -1,5 +1,6 @@
 """Steps of requests that crash the endpoints that run them."""
 
+import http.client
 import time
 
 from behave import then, when
@@ -8,11 +9,18 @@
 
 # Between two requests: longer than a caller's own pause before the next try.
 PAUSE_SECONDS = 0.5
+POLL_SECONDS = 0.02
+# The item whose runs crash endpoints.
+CRASHING = "j1-2"
 
 
 def count_crashed(context):
+    return len(list_crashed(context))
+
+
+def list_crashed(context):
     processes = context.world.processes
-    return sum(not processes[name].is_running for name in context.deployment.endpoints)
+    return [n for n in context.deployment.endpoints if not processes[n].is_running]
 
 
 @when(
@@ -34,14 +42,50 @@
     assert context.answer.status == status, context.answer
 
 
-@then(
-    '{count:d} results of "{job_id}" can be read at "{host}", '
-    "and {seconds:g} s later {crashed:d} endpoints have crashed"
-)
-def check_items(context, count, job_id, host, seconds, crashed):
+@when("{count:d} endpoints or more have crashed")
+def wait_for_crashes(context, count):
+    wait_until(lambda: count_crashed(context) >= count, f"{count} endpoints crashed")
+
+
+def make_sound(context, name):
+    """Let an endpoint crash no more; return whether it lives."""
+    try:
+        context.deployment.control(name, faults={CRASHING: ""})
+    except (OSError, http.client.HTTPException):
+        # It crashed in this moment.
+        return False
+    return True
+
+
+@when("all endpoints are there again, and sound")
+def mend(context):
+    for name in context.deployment.endpoints:
+        process = context.world.processes[name]
+        if process.is_running and make_sound(context, name):
+            continue
+        context.deployment.restart_endpoint(name)
+
+
+@when("endpoints that crash come back as they were, for {seconds:d} s")
+def restart_crashed(context, seconds):
+    context.crashes = 0
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        for name in list_crashed(context):
+            context.crashes += 1
+            context.deployment.restart_endpoint(name, CRASHING)
+        time.sleep(POLL_SECONDS)
+
+
+@then("endpoints have crashed {count:d} times at most")
+def check_crashes(context, count):
+    assert 0 < context.crashes <= count, context.crashes
+
+
+@then('{count:d} results of "{job_id}" can be read at "{host}"')
+def check_items(context, count, job_id, host):
     def count_results():
         return len(context.deployment.read_job(host, job_id).json["results"])
 
-    wait_until(lambda: count_results() == count, f"{count} results")
-    time.sleep(seconds)
-    assert count_crashed(context) == crashed
+    wait_until(lambda: count_results() >= count, f"{count} results")
+    assert count_results() == count
