Items are never condemned for crashes: they wait for seconds at most, and are run again

Cause: crashes were held against items as against online requests. Three in 60 s, summed over hosts, made an item rest 10 s at a time; and any item that endpoints refused or broke off before its first event doubled its pause up to 40 s. Neither ended when all was calm. Change: an item's runs no longer go to `CrashWatch`, nor does it ask there; so hosts tell each other nothing of items, and neither kind's crashes act on the other. One rule of pauses for runs that are not the last (jobs/pauses.py): 0.2 s, doubled to 2 s at most, of which each item waits a random half to whole. Refusals in a row are counted up to the next event, breaks up to a run that lasted 2 s, also if events came: what crashes each endpoint after a few events is met once in 1 to 2 s, in place of at once. Limits for items that answer 500 or 422 are as they were; their pauses, 0.1, 0.25, 0.6 s before, follow the same rule. The next host of a job begins without a pause, as before. Why it works: no pause is longer than 2 s, and nothing else is held against an item; what made items rest for longer is gone.

--- a/features/steps/items_crashes.py
+++ b/features/steps/items_crashes.py
@@ -1,6 +1,7 @@
 """Steps of items whose runs break off, and of when they are run again."""
 
 from collections import Counter
+from random import Random
 
 import curio
 from attrs import define, field
@@ -8,7 +9,7 @@
 
 from features.builders.fleet import HOST_NAME, make_endpoint, make_route
 from mangogauge.clock import ManualClock
-from mangogauge.entry import AttemptFailure, CrashWatch
+from mangogauge.entry import AttemptFailure
 from mangogauge.fleet import RouteNature
 from mangogauge.http import HTTPReceiveError
 from mangogauge.jobs.owned import OwnedJob
@@ -16,13 +17,13 @@
 from mangogauge.jobs.running import ItemRunner
 from mangogauge.placement import EndpointHealth
 from mangogauge.routing import Progress
-from mangogauge.sharing import CrashLedger
 from mangogauge.telemetry import ServingMetrics
 
 STEP_SECONDS = 0.025
 LONG_SECONDS = 3600.0
 LONGEST_SECONDS = 300.0
 REASON = "reset by peer"
+SEED = 1
 
 
 class Answer:
@@ -82,24 +83,6 @@
     events = field(default=0)
 
 
-class SureWatch(CrashWatch):
-    """Knows each connection that breaks to be an endpoint's crash."""
-
-    async def note_failure(self, call, endpoint, failure):
-        if failure.broken:
-            await self._note_crash(call, endpoint)
-
-
-async def ignore_change():
-    """Tell nobody."""
-
-
-def make_item_runner(attempt, clock):
-    watch = SureWatch(CrashLedger(clock), ignore_change, clock, None)
-    health = EndpointHealth(clock)
-    return ItemRunner(attempt, health, watch, clock, ServingMetrics())
-
-
 def make_items(context, count, trouble):
     clock = context.clock = ManualClock()
     context.route = make_route("night", RouteNature.BATCH, attempt_limit=3)
@@ -109,7 +92,9 @@
     )
     context.job = OwnedJob.restore(manifest, [b""], 1, [], {})
     context.endpoints = TroubledEndpoints(clock, trouble)
-    context.runner = make_item_runner(context.endpoints, clock)
+    context.runner = ItemRunner(
+        context.endpoints, EndpointHealth(clock), clock, Random(SEED), ServingMetrics()
+    )
 
 
 @given("an item under which endpoints crash")
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -155,7 +155,7 @@
             work,
             JobClaims(store, feed, self.fleet.registration, self.fleet.claimant),
             ItemRunner(
-                self.attempt, self.fleet.health, self.crashes, clock, self.metrics
+                self.attempt, self.fleet.health, clock, self.random, self.metrics
             ),
             BatchRoom(self.fleet.board),
             self.chooser,
--- a/mangogauge/entry/crashes.py
+++ b/mangogauge/entry/crashes.py
@@ -29,7 +29,7 @@
 
 
 class CrashWatch:
-    """Counts the crashes of requests, and refuses those that crash endpoints.
+    """Counts the crashes of online requests, and refuses those that crash endpoints.
 
     Parameters
     ----------
--- a/mangogauge/jobs/owned.py
+++ b/mangogauge/jobs/owned.py
@@ -4,15 +4,13 @@
 
 from ..http import HTTPLimitError, HTTPReceiveError
 from .packing import unpack_body
+from .pauses import LONGEST_PAUSE_SECONDS
 from .records import ItemResult, ItemState
 
 __all__ = ["OwnedItem", "OwnedJob"]
 
-FIRST_BACKOFF_SECONDS = 0.1
-# An item that ends each run without any event may be crashing its endpoints: it
-# gets a handful of runs until it is given up.
-LONGEST_BACKOFF_SECONDS = 40.0
-BACKOFF_GROWTH = 2.5
+# A run that lasted as long as the longest pause needs none for what came before.
+LASTING_RUN_SECONDS = LONGEST_PAUSE_SECONDS
 # An item that has so many events is taken to need half of its time still.
 EVENTS_HALVING = 100
 # Text of one item: a page of results holds at least one of them.
@@ -46,8 +44,8 @@
         that the host that runs the job next doesn't start to count anew.
     refusals : int
         Endpoints in a row that did not take it.
-    fruitless : int
-        Runs in a row that broke off without any event.
+    breaks : int
+        Runs in a row that broke off, none of them after long.
     not_before : float
         Elapsed time before which it is not run again.
     endpoint : str
@@ -66,7 +64,7 @@
     failures = field(default=0)
     noted_failures = field(default=0)
     refusals = field(default=0)
-    fruitless = field(default=0)
+    breaks = field(default=0)
     not_before = field(default=float("-inf"))
     endpoint = field(default="")
     started_at = field(default=0.0)
@@ -92,7 +90,7 @@
         self.pieces.append(_decode(data))
         self.size += len(data)
         self.last_event = number
-        self.fruitless = self.refusals = 0
+        self.refusals = 0
 
     def _start_anew(self):
         """Forget what has come: it can't all be an engine's text."""
@@ -100,10 +98,11 @@
         self.size = 0
         self.last_event = None
 
-    def delay(self, now, count):
-        """Let it rest, the longer the more often it failed."""
-        seconds = FIRST_BACKOFF_SECONDS * BACKOFF_GROWTH ** max(0, count - 1)
-        self.not_before = now + min(LONGEST_BACKOFF_SECONDS, seconds)
+    def note_break(self, now):
+        """Note that a run broke off, at an elapsed time."""
+        if now - self.started_at >= LASTING_RUN_SECONDS:
+            self.breaks = 0
+        self.breaks += 1
 
     def rest(self, until):
         """Let it rest until an elapsed time."""
--- a/mangogauge/jobs/runner.py
+++ b/mangogauge/jobs/runner.py
@@ -22,6 +22,8 @@
 # How long an item takes for each of its tokens, until some have ended.
 FIRST_SECONDS_PER_TOKEN = 0.0025
 PACE_WEIGHT = 0.1
+# An error that nobody foresaw makes an item wait as so many breaks do.
+ERROR_COUNT = 3
 
 log = get_logger("jobs")
 
@@ -324,7 +326,7 @@
                 self._note_pace(item)
         except Exception:
             log.exception("item failed", extra={"request_id": item.item.item_id})
-            item.delay(self._clock.read_elapsed(), 3)
+            self._items.pause(item, "an error here", ERROR_COUNT)
         finally:
             item.endpoint = ""
             self._tasks.pop(item, None)
--- a/mangogauge/jobs/running.py
+++ b/mangogauge/jobs/running.py
@@ -4,14 +4,13 @@
 from ..http import Headers, HTTPError, HTTPReceiveError
 from ..routing import Progress
 from ..telemetry import get_logger
+from .pauses import choose_pause
 from .records import ItemState
 
 __all__ = ["ItemRunner"]
 
 # An endpoint that takes longer to begin, or to go on, has fallen silent.
 SILENCE_SECONDS = 3.0
-# How long an item rests that has crashed the endpoints that ran it.
-CONDEMNED_SECONDS = 10.0
 
 log = get_logger("items")
 
@@ -23,16 +22,21 @@
     ----------
     attempt : EndpointAttempt
     health : EndpointHealth
-    crashes : CrashWatch
     clock : Clock
+    random : random.Random
     metrics : ServingMetrics
+
+    Notes
+    -----
+    Crashes of endpoints are not held against items as they are against requests
+    (`CrashWatch`): an item may wait, and is owed to its caller all the same.
     """
 
-    def __init__(self, attempt, health, crashes, clock, metrics):
+    def __init__(self, attempt, health, clock, random, metrics):
         self._attempt = attempt
         self._health = health
-        self._crashes = crashes
         self._clock = clock
+        self._random = random
         self._metrics = metrics
 
     async def run(self, item, route, endpoint):
@@ -44,27 +48,34 @@
         route : PrefixRoute
         endpoint : FleetEndpoint
         """
-        before = item.last_event
         call = self._make_call(item, route)
-        if self._crashes.is_condemned(call):
-            # It may only be given up once its time is up.
-            item.rest(self._clock.read_elapsed() + CONDEMNED_SECONDS)
-            self._log_pause(item, "crashes are held against it")
-            return
         try:
             await self._run(item, call, endpoint)
         except AttemptFailure as failure:
-            self._note_failure(item, route, endpoint, failure, before)
-            await self._crashes.note_failure(call, endpoint, failure)
+            self._note_failure(item, route, endpoint, failure)
         else:
             self._health.note_answer(endpoint.name)
-            self._crashes.note_answer(call)
             self._finish(item, ItemState.DONE, "run to its end")
 
     def give_up(self, item, reason):
         """End an item without a result of an endpoint."""
         self._finish(item, ItemState.GIVEN_UP, reason)
 
+    def pause(self, item, reason, count):
+        """Let an item wait after so many runs in a row that ended for a reason."""
+        seconds = choose_pause(count, self._random)
+        item.rest(self._clock.read_elapsed() + seconds)
+        log.info(
+            "item waits",
+            extra={
+                "request_id": item.item.item_id,
+                "job": item.job.job_id,
+                "reason": reason,
+                "count": count,
+                "pause": round(seconds, 3),
+            },
+        )
+
     async def _run(self, item, call, endpoint):
         again = endpoint.name in item.asked
         item.asked.add(endpoint.name)
@@ -108,8 +119,7 @@
             now + max(1.0, left),
         )
 
-    def _note_failure(self, item, route, endpoint, failure, before):
-        now = self._clock.read_elapsed()
+    def _note_failure(self, item, route, endpoint, failure):
         failure.note_in(self._health, endpoint)
         log.info(
             "item broke off",
@@ -125,33 +135,20 @@
         if failure.kind is AnswerKind.IMPOSSIBLE:
             self.give_up(item, "the endpoint says that it can never be done")
         elif failure.kind is AnswerKind.FAILURE:
-            item.failures += 1
-            item.delay(now, item.failures)
-            if item.failures >= route.attempt_limit:
-                self.give_up(item, f"it failed {item.failures} times")
-                return
-            self._log_pause(item, "failed", item.failures)
+            self._note_failed(item, route)
         elif failure.progress in (Progress.NOT_SENT, Progress.NOT_RUN):
             item.refusals += 1
-            item.delay(now, item.refusals)
-            self._log_pause(item, "not taken", item.refusals)
-        elif item.last_event == before:
-            item.fruitless += 1
-            item.delay(now, item.fruitless)
-            self._log_pause(item, "broke off without an event", item.fruitless)
-
-    def _log_pause(self, item, reason, count=None):
-        """Tell for how long an item isn't run, and after how many times in a row."""
-        log.info(
-            "item waits",
-            extra={
-                "request_id": item.item.item_id,
-                "job": item.job.job_id,
-                "reason": reason,
-                "count": count,
-                "pause": round(item.not_before - self._clock.read_elapsed(), 3),
-            },
-        )
+            self.pause(item, "not taken", item.refusals)
+        else:
+            item.note_break(self._clock.read_elapsed())
+            self.pause(item, "broke off", item.breaks)
+
+    def _note_failed(self, item, route):
+        item.failures += 1
+        if item.failures >= route.attempt_limit:
+            self.give_up(item, f"it failed {item.failures} times")
+        else:
+            self.pause(item, "failed", item.failures)
 
     def _finish(self, item, state, reason):
         item.job.finish(item, state)
--- a/mangogauge/sharing/crashes.py
+++ b/mangogauge/sharing/crashes.py
@@ -1,8 +1,9 @@
-"""Which requests have crashed the endpoints that ran them, at all hosts together.
+"""Which online requests have crashed the endpoints that ran them, at all hosts.
 
 The load this answers: a request that crashes each endpoint that begins to run
 it, and that its caller sends again and again, at any host. Requests that only
-ran beside it break off, too, so one crash proves nothing; an answer clears.
+ran beside it break off, too, so one crash proves nothing; an answer clears. Batch
+items are not counted: they wait and are run again.
 """
 
 from attrs import define, field
