Items that find no room hold up none of another service

What callers would see: all endpoints of one service crash; items of a job that needs it and is due first wait for room, and meanwhile no item of any other service is started at that host, though its endpoints are free. Cause: a host goes through its items in order of due time, and stopped at the first whose service had no room. Change: it stops once no service that runs items has room; the services are collected when a configuration comes into force. Where there is one service nothing changes. Measured: the new scenario of features/jobs/filling.feature failed before (0 items run in place of 1); features/jobs, fleet, queueing and configuration 84 passed, beside plays.

--- a/features/builders/fleet.py
+++ b/features/builders/fleet.py
@@ -36,7 +36,7 @@
 def make_route(name="ask", nature=RouteNature.STREAM, **changes):
     """Return a route of streams to the one service."""
     values = {"objective": 0.3, "timeout": 5.0, "gap_objective": 0.25}
-    shares = [ServiceShare(SERVICE)]
+    shares = changes.pop("shares", [ServiceShare(SERVICE)])
     return PrefixRoute(
         name, HOST_NAME, f"/{name}/", nature, shares, **{**values, **changes}
     )
--- a/features/jobs/filling.feature
+++ b/features/jobs/filling.feature
@@ -11,3 +11,9 @@
     Given a runner with a job of 20 items and an endpoint of 1 slot
     When 1 report of other hosts comes that takes the slot
     Then no item runs
+
+  Scenario: Items that have no room hold up none of another service
+    Given a runner with a job of 20 items and an endpoint of 1 slot
+    And all endpoints of another service are gone, whose job of 5 items is due first
+    When it fills endpoints once
+    Then 1 item runs
--- a/features/steps/filling.py
+++ b/features/steps/filling.py
@@ -17,6 +17,7 @@
     MemberDirectory,
     PrefixRoutes,
     RouteNature,
+    ServiceShare,
 )
 from mangogauge.jobs import JobRunner, WorkBoard
 from mangogauge.jobs.owned import OwnedJob
@@ -28,6 +29,9 @@
 
 REPORT_SECONDS = 0.002
 LONG_SECONDS = 3600.0
+SOON_SECONDS = 600.0
+NIGHT = make_route("night", RouteNature.BATCH)
+OTHER = make_route("other", RouteNature.BATCH, shares=[ServiceShare("other")])
 
 
 class OneEndpoint:
@@ -44,7 +48,7 @@
 
     def list_usable(self, service, excluded=()):
         self.looks += 1
-        return [self._endpoint]
+        return [self._endpoint] if service == self._endpoint.service else []
 
 
 class EndlessItems:
@@ -60,14 +64,14 @@
     claimant = "own#1"
 
 
-def make_job(count, route):
+def make_job(count, route, job_id="j1", due_in=LONG_SECONDS):
     items = [
         JobItem(f"i{n}", f"/{route.name}/x", (), tokens=100, part=0, start=0, size=0)
         for n in range(count)
     ]
     now = SystemClock().read_calendar()
-    due = now + LONG_SECONDS
-    manifest = JobManifest("j1", "desk", route.name, HOST_NAME, now, due, due, items)
+    due = now + due_in
+    manifest = JobManifest(job_id, "desk", route.name, HOST_NAME, now, due, due, items)
     return OwnedJob.restore(manifest, [b""], 1, [], {})
 
 
@@ -85,8 +89,7 @@
     members = MemberDirectory(own, clock)
     members.take_snapshot(())
     state = FleetState(context.chooser, members, context.board)
-    route = make_route("night", RouteNature.BATCH)
-    state.routes = PrefixRoutes(make_configuration(routes=[route]))
+    state.routes = PrefixRoutes(make_configuration(routes=[NIGHT, OTHER]))
     context.runner = JobRunner(
         "own",
         state,
@@ -100,11 +103,35 @@
         clock,
         ServingMetrics(),
     )
-    job = make_job(count, route)
+    job = make_job(count, NIGHT)
     context.runner._jobs[job.job_id] = job
     context.clock = clock
 
 
+@given(
+    "all endpoints of another service are gone,"
+    " whose job of {count:d} items is due first"
+)
+def add_job_without_room(context, count):
+    job = make_job(count, OTHER, "j2", SOON_SECONDS)
+    context.runner._jobs[job.job_id] = job
+
+
+async def fill_once(runner):
+    """Return how many items run after one turn."""
+    async with curio.TaskGroup() as group:
+        runner._group = group
+        await runner._fill_once()
+        running = len(runner._tasks)
+        await group.cancel_remaining()
+    return running
+
+
+@when("it fills endpoints once")
+def fill(context):
+    context.running = curio.run(fill_once, context.runner)
+
+
 async def play_reports(context, count, loads):
     """Let reports come to a runner that runs; return the items running at the end."""
     runner, clock = context.runner, context.clock
--- a/mangogauge/fleet/records.py
+++ b/mangogauge/fleet/records.py
@@ -93,6 +93,11 @@
         """Whether an endpoint may run a request that another may have run."""
         return self.nature is RouteNature.REPEATABLE or self.resumable
 
+    @property
+    def services(self):
+        """Names of the services that it leads to."""
+        return tuple(share.service for share in self.shares)
+
 
 @frozen
 class Account:
--- a/mangogauge/fleet/routes.py
+++ b/mangogauge/fleet/routes.py
@@ -1,5 +1,7 @@
 """Find the route of a request, and the client account of a key."""
 
+from .records import RouteNature
+
 __all__ = ["PrefixRoutes"]
 
 
@@ -10,6 +12,11 @@
     ----------
     configuration : Configuration
 
+    Attributes
+    ----------
+    batch_services : frozenset of tuple of str
+        Services that run batch items, a tuple for all of a route.
+
     Examples
     --------
     >>> from mangogauge.fleet import Configuration, PrefixRoute, RouteNature
@@ -32,6 +39,11 @@
             key: account for account in configuration.accounts for key in account.keys
         }
         self._by_name = {account.name: account for account in configuration.accounts}
+        self.batch_services = frozenset(
+            route.services
+            for route in configuration.routes
+            if route.nature is RouteNature.BATCH
+        )
 
     @property
     def asks_for_keys(self):
--- a/mangogauge/jobs/runner.py
+++ b/mangogauge/jobs/runner.py
@@ -264,6 +264,7 @@
         now = self._clock.read_elapsed()
         calendar = self._clock.read_calendar()
         ready = [i for job in self._jobs.values() for i in job.list_ready(now)]
+        all_services = self._state.routes.batch_services
         rooms = {}
         for item in order_items(ready, calendar, self._pace):
             route = self._find_route(item)
@@ -273,12 +274,13 @@
             if calendar > item.job.manifest.abandon_at:
                 self._items.give_up(item, "its time is up")
                 continue
-            services = tuple(share.service for share in route.shares)
+            services = route.services
             if services not in rooms:
                 rooms[services] = self._list_rooms(services)
-            if not rooms[services]:
+            if rooms[services]:
+                await self._start(item, route, rooms[services].pop())
+            elif not any(rooms.values()) and rooms.keys() >= all_services:
                 break
-            await self._start(item, route, rooms[services].pop())
 
     def _find_route(self, item):
         return self._state.routes.find(item.job.manifest.host, item.item.path)
