--- a/features/steps/summaries.py
+++ b/features/steps/summaries.py
@@ -59,7 +59,10 @@
     def take(self, data):
         """Take a datagram, as the exchange does."""
         self.taken += 1
-        message = decode(data)
+        for message in decode(data):
+            self._take_message(message)
+
+    def _take_message(self, message):
         if isinstance(message, HostReport):
             if self.topology.takes(message.host) and self.board.take_report(message):
                 self.quota.take_report(message, ROUTES)
--- a/mangogauge/http/client.py
+++ b/mangogauge/http/client.py
@@ -67,6 +67,16 @@
         self.complete = True
         await self.close()
 
+    def gather(self, seconds):
+        """Read the rest of the body less often, and more of it at a time.
+
+        Parameters
+        ----------
+        seconds : float
+            How long data may wait to be read.
+        """
+        self._connection.gather_seconds = seconds
+
     async def read(self, limit=None):
         """Return the whole body.
 
@@ -103,6 +113,11 @@
     address : str
         ``host:port``, the host by IP number.
     limits : ClientLimits, optional
+
+    Attributes
+    ----------
+    gather_seconds : float
+        How long data is left to gather before it is read.
     """
 
     def __init__(self, address, sock, limits=None):
@@ -112,6 +127,7 @@
         self._h11 = self._make_parser()
         self._sending = None
         self._idle_since = self._idle_until = 0.0
+        self.gather_seconds = 0.0
 
     @classmethod
     async def open(
@@ -179,6 +195,7 @@
             # More came than the answer: what follows can't be trusted.
             return False
         self._sending = None
+        self.gather_seconds = 0.0
         self._idle_since = time.monotonic()
         self._idle_until = self._idle_since + read_idle_seconds(headers)
         self._h11.start_next_cycle()
@@ -309,6 +326,8 @@
                 event = self._h11.next_event()
                 if event is not h11.NEED_DATA:
                     return event
+                if self.gather_seconds:
+                    await curio.sleep(self.gather_seconds)
                 self._h11.receive_data(await self._sock.recv(READ_SIZE_BYTES))
         except (OSError, h11.RemoteProtocolError) as error:
             raise HTTPReceiveError(
--- a/mangogauge/jobs/running.py
+++ b/mangogauge/jobs/running.py
@@ -10,6 +10,8 @@
 
 # An endpoint that takes longer to begin, or to go on, has fallen silent.
 SILENCE_SECONDS = 3.0
+# Nobody waits for single events of an item: several are read at a time.
+GATHER_SECONDS = 0.05
 # How long an item rests that has crashed the endpoints that ran it.
 CONDEMNED_SECONDS = 10.0
 
@@ -80,6 +82,7 @@
             await response.close()
 
     async def _take_events(self, item, response):
+        response.gather(GATHER_SECONDS)
         stream = EventStream(response)
         while True:
             events = await stream.read_events(SILENCE_SECONDS)
--- /dev/null
+++ b/mangogauge/sharing/datagrams.py
@@ -0,0 +1,88 @@
+"""Datagrams between hosts: one socket, read as many at a time as have come."""
+
+import socket
+
+import curio.io
+
+from ..telemetry import get_logger
+
+__all__ = ["DATAGRAM_BYTES", "DatagramSocket"]
+
+DATAGRAM_BYTES = 65_000
+# Datagrams that are read at a time, so that requests get their turn in between.
+MOST_AT_ONCE = 128
+
+log = get_logger("sharing")
+
+
+class DatagramSocket:
+    """A socket for datagrams, bound to one of several ports."""
+
+    def __init__(self):
+        # The same socket twice: read without waiting, and awaited.
+        self._raw = None
+        self._sock = None
+        self._addresses = {}
+
+    @property
+    def port(self):
+        """The port that it is bound to."""
+        return self._raw.getsockname()[1]
+
+    def bind(self, address, ports):
+        """Bind the first free port of `ports`.
+
+        Raises
+        ------
+        OSError
+            If none is free.
+        """
+        for port in ports:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            try:
+                sock.bind((address, port))
+            except OSError as error:
+                failure = error
+                continue
+            self._raw = sock
+            self._sock = curio.io.Socket(sock)
+            return
+        raise OSError(f"No port is free of {list(ports)}: {failure}.")
+
+    async def read(self):
+        """Wait for a datagram; return its data and its sender's address."""
+        data, sender = await self._sock.recvfrom(DATAGRAM_BYTES)
+        return data, _format_address(sender)
+
+    def read_waiting(self):
+        """Return those that have come already, as `read` returns one."""
+        found = []
+        try:
+            while len(found) < MOST_AT_ONCE:
+                data, sender = self._raw.recvfrom(DATAGRAM_BYTES)
+                found.append((data, _format_address(sender)))
+        except OSError:
+            # No more have come.
+            pass
+        return found
+
+    async def send(self, data, addresses):
+        """Send a datagram to each address; one that can't be sent is dropped."""
+        for address in addresses:
+            try:
+                await self._sock.sendto(data, self._parse_address(address))
+            except (OSError, ValueError) as error:
+                log.debug(
+                    "datagram not sent", extra={"peer": address, "reason": repr(error)}
+                )
+
+    def _parse_address(self, address):
+        parsed = self._addresses.get(address)
+        if parsed is None:
+            host, _, port = address.rpartition(":")
+            parsed = self._addresses[address] = (host, int(port))
+        return parsed
+
+
+def _format_address(sender):
+    return f"{sender[0]}:{sender[1]}"
--- a/mangogauge/sharing/exchange.py
+++ b/mangogauge/sharing/exchange.py
@@ -2,21 +2,22 @@
 
 import curio
 from attrs import field, frozen
-from curio import socket
 
 from ..supervision import keep_running
 from ..telemetry import get_logger
-from .messages import PASS_ON, decode
-from .pacing import ReportPacing
+from .datagrams import DATAGRAM_BYTES, DatagramSocket
+from .messages import PASS_ON, decode, join
+from .pacing import ReportPacing, compute_hearing_pause
 from .reports import HostReport, ReportError
 
 __all__ = ["ReportExchange"]
 
-DATAGRAM_BYTES = 65_000
 # How often a host reports even if nothing has changed.
 IDLE_SECONDS = 0.25
 # How often a host that speaks for its data centre does so.
 SUMMARY_SECONDS = 0.15
+# Summaries of other data centres that come within this time are passed on together.
+PASS_ON_SECONDS = 0.1
 # How often a host looks whether it is one that speaks.
 LOOK_SECONDS = 0.3
 # How long a host that isn't known to be registered is told after it was heard.
@@ -74,16 +75,19 @@
         self._make_summary = make_summary
         self._on_report = on_report
         self._on_summary = on_summary
-        self._sock = None
+        self._socket = DatagramSocket()
         self._clock = clock
         self._pacing = ReportPacing(clock)
         self._strangers = {}
         self._changed = curio.Event()
+        # The last encoded summary of each other data centre that is to be passed on.
+        self._passed = {}
+        self._has_passed = curio.Event()
 
     @property
     def port(self):
         """The port that reports are taken at."""
-        return self._sock.getsockname()[1]
+        return self._socket.port
 
     def bind(self, address, ports):
         """Bind the first free port of `ports`.
@@ -93,16 +97,7 @@
         OSError
             If none is free.
         """
-        for port in ports:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-            try:
-                sock.bind((address, port))
-            except OSError as error:
-                failure = error
-                continue
-            self._sock = sock
-            return
-        raise OSError(f"No port is free of {list(ports)}: {failure}.")
+        self._socket.bind(address, ports)
 
     async def note_change(self):
         """Report soon: a count has changed."""
@@ -112,26 +107,42 @@
     async def run(self):
         """Send and receive until cancelled."""
         async with curio.TaskGroup(wait=any) as group:
-            for run in (self._receive, self._send, self._speak):
+            for run in (self._receive, self._send, self._speak, self._pass_on):
                 await group.spawn(keep_running, run.__qualname__, run)
 
     async def _receive(self):
         while True:
-            data, sender = await self._sock.recvfrom(DATAGRAM_BYTES)
-            address = f"{sender[0]}:{sender[1]}"
-            encoded = data.removeprefix(PASS_ON)
-            try:
-                message = decode(encoded)
-            except ReportError as error:
-                log.warning(
-                    "datagram dropped", extra={"peer": address, "reason": str(error)}
-                )
-                continue
+            found = [await self._socket.read()]
+            while found:
+                for data, address in found:
+                    await self._take(data, address)
+                found = await self._gather()
+
+    async def _gather(self):
+        """Return the datagrams that come within the next moment, if many are heard."""
+        pause = compute_hearing_pause(len(self._members.list_others()))
+        if not pause:
+            return []
+        await curio.sleep(pause)
+        return self._socket.read_waiting()
+
+    async def _take(self, data, address):
+        """Take in one datagram."""
+        encoded = data.removeprefix(PASS_ON)
+        try:
+            messages = decode(encoded)
+        except ReportError as error:
+            log.warning(
+                "datagram dropped", extra={"peer": address, "reason": str(error)}
+            )
+            return
+        for message in messages:
             if isinstance(message, HostReport):
                 await self._take_report(message, address)
                 continue
             if data.startswith(PASS_ON):
-                await self._send_to(self._topology.list_near(), encoded)
+                self._passed[message.totals.data_centre] = encoded
+                await self._has_passed.set()
             await self._take_summary(message)
 
     async def _take_report(self, report, address):
@@ -168,7 +179,9 @@
             await curio.sleep(self._pacing.measure_wait(hosts))
             self._changed.clear()
             self._pacing.note_sent()
-            await self._send_to(self._list_hearers(), self._make_report().to_bytes())
+            await self._socket.send(
+                self._make_report().to_bytes(), self._list_hearers()
+            )
 
     async def _speak(self):
         """Tell the other data centres how this one stands, while that is up to it."""
@@ -178,17 +191,23 @@
                 continue
             await curio.sleep(SUMMARY_SECONDS)
             data = PASS_ON + self._make_summary().to_bytes()
-            await self._send_to(self._topology.list_far(), data)
-
-    async def _send_to(self, addresses, data):
-        for address in addresses:
-            host, _, port = address.rpartition(":")
-            try:
-                await self._sock.sendto(data, (host, int(port)))
-            except (OSError, ValueError) as error:
-                log.debug(
-                    "datagram not sent", extra={"peer": address, "reason": repr(error)}
-                )
+            await self._socket.send(data, self._topology.list_far())
+
+    async def _pass_on(self):
+        """Pass other data centres' summaries on to the hosts near by, several at once.
+
+        Notes
+        -----
+        They come from each data centre several times a second, and each datagram
+        wakes each of these hosts.
+        """
+        while True:
+            await self._has_passed.wait()
+            await curio.sleep(PASS_ON_SECONDS)
+            self._has_passed.clear()
+            summaries, self._passed = list(self._passed.values()), {}
+            for data in join(summaries, DATAGRAM_BYTES):
+                await self._socket.send(data, self._topology.list_near())
 
     def _list_hearers(self):
         """Return where reports go, each address once."""
--- a/mangogauge/sharing/messages.py
+++ b/mangogauge/sharing/messages.py
@@ -5,7 +5,7 @@
 from .reports import HostReport, ReportError
 from .summaries import DataCentreSummary
 
-__all__ = ["PASS_ON", "decode"]
+__all__ = ["PASS_ON", "decode", "join"]
 
 # Begins a summary that its receiver is to pass on within its data centre. What is
 # encoded begins otherwise.
@@ -13,17 +13,50 @@
 
 
 def decode(data):
-    """Return the `HostReport` or `DataCentreSummary` of a datagram.
+    """Return the `HostReport` and `DataCentreSummary` objects of a datagram.
 
     Raises
     ------
     ReportError
-        If it is neither.
+        If it holds anything else.
     """
     try:
         value = orjson.loads(data)
     except ValueError as error:
         raise ReportError(f"The datagram is no JSON: {error}.") from error
+    if not isinstance(value, list) or not value:
+        raise ReportError("The datagram holds no message.")
+    is_joined = isinstance(value[0], list)
+    return [_read_message(part) for part in (value if is_joined else [value])]
+
+
+def join(messages, limit):
+    """Return encoded messages put together in as few datagrams as fit.
+
+    Parameters
+    ----------
+    messages : iterable of bytes
+        As `HostReport.to_bytes` and `DataCentreSummary.to_bytes` encode them.
+    limit : int
+        Bytes of one datagram.
+
+    Examples
+    --------
+    >>> join([b"[1]", b"[2]", b"[3]"], 9)
+    [b'[[1],[2]]', b'[[3]]']
+    """
+    groups, size = [], limit
+    for message in messages:
+        # Each message brings a comma or a bracket, and the last one both.
+        size += len(message) + 1
+        if size + 1 > limit:
+            groups.append([])
+            size = len(message) + 1
+        groups[-1].append(message)
+    return [b"[" + b",".join(group) + b"]" for group in groups]
+
+
+def _read_message(value):
     is_summary = isinstance(value, list) and value and isinstance(value[0], str)
     kind = DataCentreSummary if is_summary else HostReport
     return kind.from_value(value)
--- a/mangogauge/sharing/pacing.py
+++ b/mangogauge/sharing/pacing.py
@@ -7,7 +7,7 @@
 after a pause is still told at once, and what changes soon after it waits.
 """
 
-__all__ = ["ReportPacing", "estimate_age"]
+__all__ = ["ReportPacing", "compute_hearing_pause", "estimate_age"]
 
 # Changes within this time share a report.
 GATHER_SECONDS = 0.008
@@ -15,6 +15,10 @@
 LONGEST_GAP_SECONDS = 0.25
 # Datagrams that one host sends in a second at most, but for the longest gap.
 DATAGRAMS_PER_SECOND = 1500
+# Hosts up to which datagrams are so few that hardly two would be read together.
+FEW_HOSTS = 24
+# However many hosts there are, what was heard waits no longer than this.
+LONGEST_HEARING_PAUSE_SECONDS = 0.04
 
 
 class ReportPacing:
@@ -56,6 +60,23 @@
         self._sent_at = self._clock.read_elapsed()
 
 
+def compute_hearing_pause(hosts):
+    """Return the seconds for which a host lets datagrams gather before it reads them.
+
+    Parameters
+    ----------
+    hosts : int
+        How many others there are.
+
+    Notes
+    -----
+    To wake up costs a host more than to take in a datagram.
+    """
+    if hosts <= FEW_HOSTS:
+        return 0.0
+    return min(LONGEST_HEARING_PAUSE_SECONDS, _compute_gap(hosts))
+
+
 def estimate_age(hosts):
     """Return for how many seconds a change is unknown to the others.
 
