Let a host's tasks wake up at common ticks

A host has some 30 periodic tasks (idle reports, signals, readiness of endpoints, leases, claims, commits), each with a timer of its own, and each wake-up costs more than the task does. They now sleep to common points in time, a quarter of their pause later at most.

--- a/features/steps/pacing.py
+++ b/features/steps/pacing.py
@@ -74,7 +74,7 @@
     async def hear(self):
         while True:
             data, _ = await self.sock.recvfrom(DATAGRAM_BYTES)
-            self.last = decode(data)
+            [self.last] = decode(data)
             self.numbers.append(self.last.number)
 
 
--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -30,6 +30,7 @@
 )
 from ..supervision import keep_running
 from ..telemetry import get_logger
+from ..ticks import sleep_to_tick
 
 __all__ = ["FleetView"]
 
@@ -219,7 +220,7 @@
 
     async def _watch_isolation(self):
         while True:
-            await curio.sleep(ISOLATION_SECONDS)
+            await sleep_to_tick(ISOLATION_SECONDS)
             isolated = self._isolation.is_isolated()
             if isolated is not self.isolated:
                 self.isolated = isolated
--- a/mangogauge/daemon/signals.py
+++ b/mangogauge/daemon/signals.py
@@ -3,7 +3,7 @@
 import os
 import signal
 
-import curio
+from ..ticks import sleep_to_tick
 
 __all__ = ["EndSignals", "ReloadSignal"]
 
@@ -23,7 +23,7 @@
     async def wait(self, count):
         """Return once so many have come."""
         while self.count < count:
-            await curio.sleep(POLL_SECONDS)
+            await sleep_to_tick(POLL_SECONDS)
 
     def _note(self, number, frame):
         self.count += 1
@@ -47,7 +47,7 @@
     async def wait(self):
         """Return once the settings have to be read again."""
         while not self._asked and self._read_stamp() == self._stamp:
-            await curio.sleep(RELOAD_POLL_SECONDS)
+            await sleep_to_tick(RELOAD_POLL_SECONDS)
         self._asked = False
         self._stamp = self._read_stamp()
 
--- a/mangogauge/fleet/members.py
+++ b/mangogauge/fleet/members.py
@@ -7,6 +7,7 @@
 
 from ..store import Lease, Operation, StoreRefusedError, Transaction
 from ..telemetry import get_logger
+from ..ticks import sleep_to_tick
 from .follower import Listener
 from .lapsing import LapsingEntries
 
@@ -182,7 +183,7 @@
         while not self._ended:
             renewed = await (self._renew() if self.lease else self._register())
             interval = self._lease_seconds / RENEWALS_PER_LEASE
-            await curio.sleep(interval if renewed else RETRY_SECONDS)
+            await sleep_to_tick(interval if renewed else RETRY_SECONDS)
         # The host ends later than its registration.
         await curio.Event().wait()
 
--- a/mangogauge/fleet/retirement.py
+++ b/mangogauge/fleet/retirement.py
@@ -4,12 +4,12 @@
 its claims back; one that is gone already is empty as it is.
 """
 
-import curio
 from attrs import define, field
 from returns.result import Failure
 
 from ..store import Transaction
 from ..telemetry import get_logger
+from ..ticks import sleep_to_tick
 
 __all__ = ["RetirementKeeper"]
 
@@ -60,7 +60,7 @@
     async def run(self):
         """Carry out orders until cancelled."""
         while True:
-            await curio.sleep(TICK_SECONDS)
+            await sleep_to_tick(TICK_SECONDS)
             for retirement in list(self._pending.values()):
                 await self._advance(retirement)
 
--- a/mangogauge/fleet/schedule.py
+++ b/mangogauge/fleet/schedule.py
@@ -5,6 +5,7 @@
 import curio
 
 from ..telemetry import get_logger
+from ..ticks import measure_to_tick, sleep_to_tick
 
 __all__ = ["ReadSchedule", "SharedSchedule", "SteadySchedule"]
 
@@ -46,7 +47,7 @@
 
     async def wait(self):
         """Pause."""
-        await curio.sleep(self._pause_seconds)
+        await sleep_to_tick(self._pause_seconds)
 
 
 class SharedSchedule(ReadSchedule):
@@ -77,7 +78,7 @@
             if seconds <= 0:
                 return
             self._woken.clear()
-            async with curio.ignore_after(seconds):
+            async with curio.ignore_after(measure_to_tick(seconds)):
                 await self._woken.wait()
 
     async def wake(self):
--- a/mangogauge/http/client.py
+++ b/mangogauge/http/client.py
@@ -7,6 +7,7 @@
 import h11
 from curio import socket
 
+from ..ticks import sleep_to_tick
 from .errors import (
     HTTPConnectError,
     HTTPLimitError,
@@ -327,7 +328,7 @@
                 if event is not h11.NEED_DATA:
                     return event
                 if self.gather_seconds:
-                    await curio.sleep(self.gather_seconds)
+                    await sleep_to_tick(self.gather_seconds)
                 self._h11.receive_data(await self._sock.recv(READ_SIZE_BYTES))
         except (OSError, h11.RemoteProtocolError) as error:
             raise HTTPReceiveError(
--- a/mangogauge/jobs/runner.py
+++ b/mangogauge/jobs/runner.py
@@ -5,6 +5,7 @@
 
 from ..supervision import keep_running
 from ..telemetry import get_logger
+from ..ticks import measure_to_tick, sleep_to_tick
 from .keys import WORK_PREFIX
 from .scheduling import order_items, rank_host
 
@@ -112,7 +113,7 @@
 
     async def _claim_often(self):
         while True:
-            await curio.sleep(IDLE_TICK_SECONDS)
+            await sleep_to_tick(IDLE_TICK_SECONDS)
             if not self._stopped and self._state.loaded:
                 await self.claim_once()
 
@@ -166,7 +167,7 @@
         while True:
             tick = BUSY_TICK_SECONDS if self._jobs else IDLE_TICK_SECONDS
             left = filled_at + tick - self._clock.read_elapsed()
-            async with curio.ignore_after(max(0.0, left)):
+            async with curio.ignore_after(measure_to_tick(max(0.0, left))):
                 await self._woken.wait()
             if self._woken.is_set():
                 left = woken_at + GIVE_WAY_SECONDS - self._clock.read_elapsed()
@@ -344,7 +345,7 @@
 
     async def _commit_often(self):
         while True:
-            await curio.sleep(GATHER_SECONDS)
+            await sleep_to_tick(GATHER_SECONDS)
             for job in list(self._jobs.values()):
                 if self._stopped or self._clock.read_elapsed() < job.write_after:
                     continue
--- a/mangogauge/jobs/running.py
+++ b/mangogauge/jobs/running.py
@@ -11,7 +11,7 @@
 # An endpoint that takes longer to begin, or to go on, has fallen silent.
 SILENCE_SECONDS = 3.0
 # Nobody waits for single events of an item: several are read at a time.
-GATHER_SECONDS = 0.05
+GATHER_SECONDS = 0.04
 # How long an item rests that has crashed the endpoints that ran it.
 CONDEMNED_SECONDS = 10.0
 
--- a/mangogauge/placement/prober.py
+++ b/mangogauge/placement/prober.py
@@ -4,6 +4,7 @@
 
 from ..http import ClientConnection, HTTPConnectError
 from ..telemetry import get_logger
+from ..ticks import sleep_to_tick
 
 __all__ = ["ReachabilityProber"]
 
@@ -33,9 +34,9 @@
         while True:
             names = self._health.list_unreachable()
             if not names:
-                await curio.sleep(LOOK_SECONDS)
+                await sleep_to_tick(LOOK_SECONDS)
                 continue
-            await curio.sleep(INTERVAL_SECONDS)
+            await sleep_to_tick(INTERVAL_SECONDS)
             known = [e.name for e in self._directory.list_endpoints()]
             names += [n for n in known if self._health.is_doubtful(n)]
             async with curio.TaskGroup() as group:
--- a/mangogauge/sharing/exchange.py
+++ b/mangogauge/sharing/exchange.py
@@ -5,6 +5,7 @@
 
 from ..supervision import keep_running
 from ..telemetry import get_logger
+from ..ticks import measure_to_tick, sleep_to_tick
 from .datagrams import DATAGRAM_BYTES, DatagramSocket
 from .messages import PASS_ON, decode, join
 from .pacing import ReportPacing, compute_hearing_pause
@@ -123,7 +124,7 @@
         pause = compute_hearing_pause(len(self._members.list_others()))
         if not pause:
             return []
-        await curio.sleep(pause)
+        await sleep_to_tick(pause)
         return self._socket.read_waiting()
 
     async def _take(self, data, address):
@@ -173,23 +174,29 @@
 
     async def _send(self):
         while True:
-            async with curio.ignore_after(IDLE_SECONDS):
+            async with curio.ignore_after(measure_to_tick(IDLE_SECONDS)):
                 await self._changed.wait()
-            hosts = len(self._list_hearers())
-            await curio.sleep(self._pacing.measure_wait(hosts))
+            await self._wait_for_turn()
             self._changed.clear()
             self._pacing.note_sent()
             await self._socket.send(
                 self._make_report().to_bytes(), self._list_hearers()
             )
 
+    async def _wait_for_turn(self):
+        """Wait until the next report is due."""
+        pause = self._pacing.measure_wait(len(self._list_hearers()))
+        if not self._topology.is_direct:
+            pause = measure_to_tick(pause)
+        await curio.sleep(pause)
+
     async def _speak(self):
         """Tell the other data centres how this one stands, while that is up to it."""
         while True:
             if not self._topology.is_speaker:
-                await curio.sleep(LOOK_SECONDS)
+                await sleep_to_tick(LOOK_SECONDS)
                 continue
-            await curio.sleep(SUMMARY_SECONDS)
+            await sleep_to_tick(SUMMARY_SECONDS)
             data = PASS_ON + self._make_summary().to_bytes()
             await self._socket.send(data, self._topology.list_far())
 
@@ -203,7 +210,7 @@
         """
         while True:
             await self._has_passed.wait()
-            await curio.sleep(PASS_ON_SECONDS)
+            await sleep_to_tick(PASS_ON_SECONDS)
             self._has_passed.clear()
             summaries, self._passed = list(self._passed.values()), {}
             for data in join(summaries, DATAGRAM_BYTES):
