Read from the store's copy what another host has read, and hosts' entries more rarely

A host that hears of a newer copy now reads the store's copy first. It knows by the digest that it heard whether that is new enough, and only else asks for the newest state. Hosts' entries are read again every 1.05 s at most. features/fleet/following.feature plays both, and that a copy which nobody has confirmed for too long is read from the newest state.

--- a/features/builders/fleet.py
+++ b/features/builders/fleet.py
@@ -106,12 +106,15 @@
         What a snapshot shows.
     script : list
         What the next reads of changes return: events, or an error.
+    copied : dict of str to bytes, or None
+        What an old copy of the store shows; None if it has all items.
     reads : list of str
-        "snapshot" or "changes" for each call.
+        "snapshot", "copy" or "changes" for each call.
     """
 
     def __init__(self):
         self.items = {}
+        self.copied = None
         self.script = []
         self.reads = []
         self.reachable = True
@@ -121,7 +124,16 @@
         self.reads.append("snapshot")
         if not self.reachable:
             return Failure(StoreUnavailableError("away"))
-        items = [KeyValue(key, value) for key, value in self.items.items()]
+        return self._make_snapshot(self.items)
+
+    async def read_copy(self, prefix, start_after=""):
+        self.reads.append("copy")
+        if not self.reachable:
+            return Failure(StoreUnavailableError("away"))
+        return self._make_snapshot(self.items if self.copied is None else self.copied)
+
+    def _make_snapshot(self, values):
+        items = [KeyValue(key, value) for key, value in values.items()]
         return Success(Snapshot(items, self.revision))
 
     async def read_changes(self, prefix, revision, wait_seconds):
--- a/features/fleet/following.feature
+++ b/features/fleet/following.feature
@@ -63,3 +63,19 @@
     Given a host with the configuration 7 in force
     When it reads a configuration without routes
     Then the configuration 7 is in force
+
+  Scenario Outline: What another host has read is taken from a copy of the store if it is there
+    Given a follower that shares its copy, and has read "old"
+    When another host has read "new", and the store's copy has "<copied>"
+    Then the follower has "new", after these reads: <reads>
+    And it has told as the copy's <origin>
+
+    Examples:
+      | copied | reads          | origin           |
+      | new    | copy           | the other's read |
+      | old    | copy, snapshot | its own read     |
+
+  Scenario: A copy that nobody has confirmed for too long is read from the newest state
+    Given a follower that shares its copy, and has read "old"
+    When nobody has read it for 2 s, and then "new" is there
+    Then the follower has "new", after these reads: snapshot
--- /dev/null
+++ b/features/steps/copies_expected.py
@@ -0,0 +1,104 @@
+"""Steps of copies that another host has read already."""
+
+import random
+
+import curio
+from behave import given, then, when
+
+from features.builders.fleet import ScriptedFeed
+from mangogauge.clock import ManualClock
+from mangogauge.fleet import Follower, Listener, SharedSchedule
+from mangogauge.sharing import CopyReport, SharedFreshness
+
+KEY = "p/key"
+TOPIC = "p/"
+INTERVAL_SECONDS = 0.7
+OTHER, OWN = "other", "own"
+READERS = {"the other's read": OTHER, "its own read": OWN}
+
+
+class ValueListener(Listener):
+    """Keeps the one value that there is; it is its own digest."""
+
+    def __init__(self):
+        self.value = ""
+
+    @property
+    def digest(self):
+        return self.value
+
+    def digest_items(self, items):
+        return items[0].value.decode()
+
+    def take_snapshot(self, items):
+        self.value = self.digest_items(items)
+
+    def take_changes(self, events):
+        raise AssertionError("it reads everything each time")
+
+    def note_regained(self):
+        pass
+
+
+async def ignore():
+    """Tell nobody."""
+
+
+@given('a follower that shares its copy, and has read "{value}"')
+def make_sharing_follower(context, value):
+    context.clock = ManualClock()
+    context.freshness = SharedFreshness(
+        context.clock, random.Random(1), INTERVAL_SECONDS, reader=OWN
+    )
+    context.feed = ScriptedFeed()
+    context.listener = ValueListener()
+    context.schedule = SharedSchedule(context.freshness, TOPIC, ignore)
+    context.follower = Follower(
+        context.feed,
+        TOPIC,
+        context.listener,
+        context.schedule,
+        context.clock,
+        whole=True,
+    )
+    context.feed.items = {KEY: value.encode()}
+    curio.run(_follow_until, context, value)
+    context.feed.reads.clear()
+
+
+async def _follow_until(context, value):
+    task = await curio.spawn(context.follower.run)
+    while context.listener.value != value:
+        await curio.sleep(0.001)
+    await task.cancel()
+
+
+@when('another host has read "{value}", and the store\'s copy has "{copied}"')
+def hear_of_newer(context, value, copied):
+    context.clock.advance(INTERVAL_SECONDS / 2)
+    context.feed.revision += 1
+    context.feed.items = {KEY: value.encode()}
+    context.feed.copied = {KEY: copied.encode()}
+    report = CopyReport(value, context.feed.revision, OTHER, 1, 0.0)
+    assert context.freshness.take_report({TOPIC: report}) == (TOPIC,)
+    curio.run(_follow_until, context, value)
+
+
+@when('nobody has read it for {seconds:g} s, and then "{value}" is there')
+def miss_newer(context, seconds, value):
+    context.clock.advance(seconds)
+    context.feed.revision += 1
+    context.feed.items = {KEY: value.encode()}
+    curio.run(_follow_until, context, value)
+
+
+@then('the follower has "{value}", after these reads: {reads}')
+def check_reads(context, value, reads):
+    assert context.listener.value == value
+    assert context.feed.reads == reads.split(", "), context.feed.reads
+
+
+@then("it has told as the copy's {origin}")
+def check_reader(context, origin):
+    reader = context.freshness.make_report()[TOPIC].reader
+    assert reader == READERS[origin], reader
--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -37,6 +37,10 @@
 # How old a copy of the operators' orders, or of the endpoints' or hosts' entries,
 # may grow before some host reads them again.
 FRESH_SECONDS = 0.7
+# Least time between two reads of the hosts' entries, as a part of that: hosts come and
+# go one after another while all are restarted, and those that aren't known yet are
+# told of what happens all the same.
+MEMBERS_LEAST_GAP = 1.5
 # Entries of open jobs are awaited at the store.
 WAIT_SECONDS = 5.0
 ISOLATION_SECONDS = 0.25
@@ -152,11 +156,13 @@
         orders = OrderListener(source, self.state, on_configuration, on_retirement)
         self._follow_shared(source.orders_prefix, orders)
         self._follow_shared(source.endpoints_prefix, self.directory)
-        self._follow_shared(self.members.prefix, self.members)
+        self._follow_shared(
+            self.members.prefix, self.members, least_gap=MEMBERS_LEAST_GAP
+        )
 
-    def _follow_shared(self, prefix, listener):
+    def _follow_shared(self, prefix, listener, **pace):
         """Keep a copy that is read in turn with the other hosts."""
-        schedule = SharedSchedule(self._freshness, prefix, self.notify)
+        schedule = SharedSchedule(self._freshness, prefix, self.notify, **pace)
         self._schedules[prefix] = schedule
         self._followers.append(
             Follower(
--- a/mangogauge/fleet/directory.py
+++ b/mangogauge/fleet/directory.py
@@ -3,7 +3,7 @@
 from ..telemetry import get_logger
 from .departures import Departures
 from .follower import Listener
-from .lapsing import LapsingEntries
+from .lapsing import LapsingEntries, digest_values
 
 __all__ = ["EndpointDirectory"]
 
@@ -40,6 +40,10 @@
         """Digest of the entries as they were read."""
         return self._entries.compute_digest()
 
+    def digest_items(self, items):
+        """Return the digest of the entries of `items`."""
+        return digest_values(self._decode_all(items).values())
+
     def list_endpoints(self):
         """Return the endpoints that are there, those that leave included."""
         return self._entries.list_values()
@@ -81,11 +85,7 @@
 
     def take_snapshot(self, items):
         """Replace the endpoints by those of `items`."""
-        found = {}
-        for item in items:
-            endpoint = self._decode(item)
-            if endpoint is not None:
-                found[endpoint.name] = endpoint
+        found = self._decode_all(items)
         for name in self._entries:
             if name not in found:
                 self._drop(name)
@@ -106,6 +106,11 @@
         """From now on, for a moment, a missing entry may only have lapsed."""
         self._entries.note_regained()
 
+    def _decode_all(self, items):
+        """Return ``{name: FleetEndpoint}`` of the items that can be used."""
+        endpoints = [self._decode(item) for item in items]
+        return {e.name: e for e in endpoints if e is not None}
+
     def _put(self, endpoint):
         known = self._entries.put(endpoint.name, endpoint)
         if known == endpoint:
--- a/mangogauge/fleet/follower.py
+++ b/mangogauge/fleet/follower.py
@@ -25,6 +25,10 @@
         """Same for copies that mean the same; empty if nobody compares them."""
         return ""
 
+    def digest_items(self, items):
+        """Return what `digest` would be after `take_snapshot`; empty if unknown."""
+        return ""
+
     @abstractmethod
     def take_snapshot(self, items):
         """Replace all that was known by these `KeyValue` objects."""
@@ -98,6 +102,9 @@
         """Follow until cancelled."""
         while True:
             asked_at = self._clock.read_elapsed()
+            if await self._read_expected():
+                await self._schedule.wait()
+                continue
             revision = await self._step()
             if revision is not None:
                 self.confirmed_at = asked_at
@@ -109,6 +116,28 @@
                 longer = self._retry_seconds * RETRY_GROWTH
                 self._retry_seconds = min(LONGEST_RETRY_SECONDS, longer)
 
+    async def _read_expected(self):
+        """Read what another host has read already, if there is such; return whether.
+
+        Notes
+        -----
+        A copy of the store, which may be old but costs less, will do: it shows by its
+        digest whether it is new enough.
+        """
+        expected = self._schedule.find_expected()
+        if not expected:
+            return False
+        answer = await self._feed.read_copy(self._prefix)
+        if isinstance(answer, Failure):
+            return False
+        items = answer.unwrap().items
+        if self._listener.digest_items(items) != expected:
+            return False
+        self._note_answer()
+        self._listener.take_snapshot(items)
+        self._schedule.note_expected()
+        return True
+
     async def _step(self):
         """Read the prefix or its changes; return up to which revision, or None."""
         if self._revision is None:
--- a/mangogauge/fleet/lapsing.py
+++ b/mangogauge/fleet/lapsing.py
@@ -3,7 +3,7 @@
 import xxhash
 from attrs import define, field
 
-__all__ = ["LapsingEntries"]
+__all__ = ["LapsingEntries", "digest_values"]
 
 # What lapsed while the store was away is written again within this time of its
 # return, by whoever lives.
@@ -79,8 +79,7 @@
         Without those that are only kept for a moment: a host that has read them
         anew must not seem to have the same copy.
         """
-        texts = sorted(repr(value) for value in self.list_present())
-        return xxhash.xxh3_64_hexdigest("\n".join(texts).encode())
+        return digest_values(self.list_present())
 
     def get(self, name):
         """Return a value, or None."""
@@ -128,3 +127,9 @@
         del self._entries[name]
         self._kept.discard(name)
         self._changes += 1
+
+
+def digest_values(values):
+    """Return a digest that is the same for the same values in any order."""
+    texts = sorted(map(repr, values))
+    return xxhash.xxh3_64_hexdigest("\n".join(texts).encode())
--- a/mangogauge/fleet/members.py
+++ b/mangogauge/fleet/members.py
@@ -9,7 +9,7 @@
 from ..telemetry import get_logger
 from ..ticks import sleep_to_tick
 from .follower import Listener
-from .lapsing import LapsingEntries
+from .lapsing import LapsingEntries, digest_values
 
 __all__ = ["FleetMember", "MemberDirectory", "Registration"]
 
@@ -85,6 +85,11 @@
         """Digest of the entries as they were read."""
         return self._members.compute_digest()
 
+    def digest_items(self, items):
+        """Return the digest of the entries of `items`."""
+        members = [_decode(item) for item in items]
+        return digest_values(m for m in members if m is not None)
+
     def list_others(self):
         """Return the other hosts, in order of name; the list is not to be changed."""
         if self._others_version != self._members.version:
@@ -132,13 +137,8 @@
         log.info("host's entry gone", extra={"member": name, "kept": kept})
 
     def _put(self, item):
-        try:
-            member = FleetMember.from_bytes(item.value)
-        except ValueError as error:
-            log.warning(
-                "host's entry can't be read",
-                extra={"key": item.key, "reason": str(error)},
-            )
+        member = _decode(item)
+        if member is None:
             return
         if self._members.put(member.name, member) != member:
             log.info(
@@ -147,6 +147,18 @@
             )
 
 
+def _decode(item):
+    """Return the `FleetMember` of an item, or None."""
+    try:
+        return FleetMember.from_bytes(item.value)
+    except ValueError as error:
+        log.warning(
+            "host's entry can't be read",
+            extra={"key": item.key, "reason": str(error)},
+        )
+        return None
+
+
 class Registration:
     """Keeps one host registered for as long as it runs.
 
--- a/mangogauge/fleet/schedule.py
+++ b/mangogauge/fleet/schedule.py
@@ -33,6 +33,14 @@
         """
         return None
 
+    def find_expected(self):
+        """Return the digest of the copy that is to be read; None for the newest."""
+        return None
+
+    def note_expected(self):
+        """Note that the copy that `find_expected` tells of was read."""
+        return None
+
 
 class SteadySchedule(ReadSchedule):
     """Reads again after the same pause each time.
@@ -59,10 +67,13 @@
     topic : str
     notify : async callable
         Called after a read, which other hosts should hear of.
+    **pace
+        Further arguments of `SharedFreshness.measure_wait`.
     """
 
-    def __init__(self, freshness, topic, notify):
+    def __init__(self, freshness, topic, notify, **pace):
         self._freshness = freshness
+        self._pace = pace
         self.topic = topic
         self._notify = notify
         self._woken = curio.Event()
@@ -74,13 +85,21 @@
             self._told = True
             await self._notify()
         while True:
-            seconds = self._freshness.measure_wait(self.topic)
+            seconds = self._freshness.measure_wait(self.topic, **self._pace)
             if seconds <= 0:
                 return
             self._woken.clear()
             async with curio.ignore_after(measure_to_tick(seconds)):
                 await self._woken.wait()
 
+    def find_expected(self):
+        """Return the digest of a newer copy that another host has, or None."""
+        return self._freshness.find_expected(self.topic)
+
+    def note_expected(self):
+        """Note that the copy that another host has was read."""
+        self._freshness.note_expected(self.topic)
+
     async def wake(self):
         """Look again whether the copy is due."""
         await self._woken.set()
--- a/mangogauge/fleet/state.py
+++ b/mangogauge/fleet/state.py
@@ -94,6 +94,10 @@
         """The newest revision of all orders."""
         return str(max(self._revisions.values(), default=0))
 
+    def digest_items(self, items):
+        """Return the newest revision of these orders."""
+        return str(max((item.mod_revision for item in items), default=0))
+
     def take_snapshot(self, items):
         """Take in everything that is there."""
         for item in items:
--- a/mangogauge/sharing/freshness.py
+++ b/mangogauge/sharing/freshness.py
@@ -44,8 +44,10 @@
         Elapsed time of that read.
     due_after : float
         Seconds after which it is read again.
-    newer_revision : int
-        Highest revision of a copy that differs, as far as heard.
+    newer : CopyReport or None
+        The newest copy that differs, as far as heard.
+    newer_read_at : float
+        Elapsed time of the read from which that stems.
     read_at : float
         Elapsed time at which this host last read it.
     """
@@ -56,13 +58,14 @@
     number = field(default=0)
     confirmed_at = field(default=float("-inf"))
     due_after = field(default=0.0)
-    newer_revision = field(default=0)
+    newer = field(default=None)
+    newer_read_at = field(default=float("-inf"))
     read_at = field(default=float("-inf"))
 
     @property
     def is_outdated(self):
         """Whether another host has a newer copy that differs."""
-        return self.newer_revision > self.revision
+        return self.newer is not None and self.newer.revision > self.revision
 
 
 class SharedFreshness:
@@ -143,21 +146,47 @@
             if read_at is None or report.revision < copy.revision:
                 continue
             if report.digest != copy.digest:
-                if report.revision > max(copy.revision, copy.newer_revision):
-                    copy.newer_revision = report.revision
+                if _is_news(copy, report):
+                    copy.newer, copy.newer_read_at = report, read_at
                     newer.append(topic)
             elif read_at > copy.confirmed_at:
                 self._confirm(copy, report, read_at)
         return tuple(newer)
 
-    def measure_wait(self, topic):
-        """Return the seconds until a topic has to be read again."""
+    def note_expected(self, topic):
+        """Note that this host has read what `find_expected` tells of."""
+        copy = self._copies[topic]
+        copy.read_at = self._clock.read_elapsed()
+        self._confirm(copy, copy.newer, copy.newer_read_at)
+
+    def find_expected(self, topic):
+        """Return the digest of a newer copy that another host has, or None.
+
+        Returns
+        -------
+        str or None
+            None also if the topic has to be read from the store's newest state.
+        """
+        copy = self._copies.get(topic)
+        if copy is None or not copy.is_outdated or self._is_expired(copy):
+            return None
+        return copy.newer.digest
+
+    def measure_wait(self, topic, least_gap=LEAST_GAP):
+        """Return the seconds until a topic has to be read again.
+
+        Parameters
+        ----------
+        topic : str
+        least_gap : float, optional
+            Least time between two reads, as a part of the interval.
+        """
         copy = self._copies.get(topic)
         if copy is None:
             return 0.0
         due_at = copy.confirmed_at + copy.due_after
         if copy.is_outdated:
-            due_at = copy.read_at + self._interval * LEAST_GAP
+            due_at = copy.read_at + self._interval * least_gap
         return max(0.0, due_at - self._clock.read_elapsed())
 
     def measure_age(self, topic):
@@ -192,6 +221,10 @@
             for topic, copy in self._copies.items()
         }
 
+    def _is_expired(self, copy):
+        """Return whether a copy has not been confirmed for too long."""
+        return self._clock.read_elapsed() >= copy.confirmed_at + copy.due_after
+
     def _confirm(self, copy, read, read_at):
         """Take a read, of this or another process, that showed a copy to be whole."""
         copy.digest = read.digest
@@ -204,3 +237,8 @@
     def _draw_delay(self):
         early = self._random.random() < EARLY_HOSTS / self._count_hosts()
         return self._random.random() + (not early)
+
+
+def _is_news(copy, report):
+    known = max(copy.revision, copy.newer.revision if copy.newer else 0)
+    return report.revision > known
