Deny a route or a key only by a copy of the orders that is new enough

Both are final: no caller asks again.

Cause: a negative answer came from whatever configuration was in force, however long ago it had last been confirmed. A host that has lost the store, with nobody to pass its calls on, denied new routes and keys for as long as that lasted.

Now a plain class decides (`fleet/certainty.py`): a copy that was confirmed within 1 s before the request denies at once; an older one is read by the host itself first, one read for all requests that wait and two a second at most, and the request is looked at again in what is in force then; a copy that is still older than 2 s, the bound within which orders are in force everywhere, leads to 503 `configuration_stale`, not run, with when to come back. What a host knows it serves as before.

--- /dev/null
+++ b/features/steps/certainty.py
@@ -0,0 +1,146 @@
+"""Steps of hosts that are asked for what they don't know."""
+
+import curio
+import orjson
+from behave import given, then, when
+
+from features.builders.fleet import ScriptedFeed, make_configuration
+from mangogauge.clock import ManualClock
+from mangogauge.fleet import (
+    Certainty,
+    FleetMember,
+    FleetState,
+    MemberDirectory,
+    OrderConfirmation,
+    OrderListener,
+)
+from mangogauge.platform import PlatformSource
+from mangogauge.refusals import Refusal
+from mangogauge.sharing import LoadBoard
+
+SOURCE = PlatformSource()
+CONFIGURATION_KEY = "op/config"
+LIMITS = {
+    "max_header_bytes": 1000,
+    "max_body_bytes": 1000,
+    "header_timeout_ms": 1000,
+    "idle_timeout_ms": 1000,
+}
+
+
+class SilentFeed(ScriptedFeed):
+    """A feed that may not answer at all."""
+
+    silent = False
+
+    async def read_snapshot(self, prefix, start_after=""):
+        answer = await super().read_snapshot(prefix, start_after)
+        if self.silent:
+            await curio.Event().wait()
+        return answer
+
+
+@given("a host that keeps a copy of the orders")
+def make_host(context):
+    clock = context.clock = ManualClock()
+    clock.advance(100.0)
+    members = MemberDirectory(FleetMember("h1", "1"), clock)
+    state = context.state = FleetState(None, members, LoadBoard("h1", "1", clock))
+    state.take_configuration(make_configuration(1))
+    context.feed = SilentFeed()
+    context.certainty = Certainty(
+        lambda: clock.read_elapsed() - context.confirmed_at, clock
+    )
+    listener = OrderListener(SOURCE, state, lambda new: None, lambda order: None)
+    context.confirmation = OrderConfirmation(
+        context.feed, SOURCE.orders_prefix, listener, context.certainty, clock
+    )
+
+
+def set_age(context, age):
+    context.confirmed_at = context.clock.read_elapsed() - age
+
+
+@given("its copy is {age:g} s old, and the store has the configuration {version:d}")
+def change_configuration(context, age, version):
+    set_age(context, age)
+    value = {"version": version, "routes": [], "limits": LIMITS}
+    context.feed.items = {CONFIGURATION_KEY: orjson.dumps(value)}
+
+
+@given("its copy is {age:g} s old, and the store is lost")
+def lose_store(context, age):
+    set_age(context, age)
+    context.feed.reachable = False
+
+
+@given("its copy is {age:g} s old, and the store is silent")
+def silence_store(context, age):
+    set_age(context, age)
+    context.feed.silent = True
+
+
+@when("a request asks for what its copy, {age:g} s old, doesn't have")
+def ask(context, age):
+    set_age(context, age)
+    context.asked_at = context.clock.read_elapsed()
+
+
+@when("{seconds:g} s pass after the request")
+def wait(context, seconds):
+    context.clock.advance(seconds)
+
+
+@then("that it isn't there is {sureness}")
+def check_sureness(context, sureness):
+    found = context.certainty.judge(context.asked_at)
+    assert found.name.lower() == sureness, found
+
+
+async def confirm(context):
+    try:
+        await context.confirmation.confirm(context.clock.read_elapsed())
+    except Refusal as refusal:
+        return refusal
+    return None
+
+
+async def confirm_all(context, count):
+    tasks = [await curio.spawn(confirm, context) for _ in range(count)]
+    return [await task.join() for task in tasks]
+
+
+@when("{count:d} requests ask for what it doesn't have")
+def ask_often(context, count):
+    context.outcomes = curio.run(confirm_all, context, count)
+
+
+@when(
+    "{count:d} requests ask every {pause:g} s, for {seconds:g} s,"
+    " for what it doesn't have"
+)
+def ask_for_long(context, count, pause, seconds):
+    context.outcomes = []
+    for _ in range(round(seconds / pause)):
+        context.outcomes += curio.run(confirm_all, context, count)
+        context.clock.advance(pause)
+
+
+@then("all of them may look again, in the configuration {version:d}")
+def check_confirmed(context, version):
+    assert context.outcomes and not any(context.outcomes), context.outcomes
+    assert context.state.version == version, context.state.version
+
+
+@then('all of them were refused as "{code}", not run, with when to come back')
+def check_refused(context, code):
+    assert context.outcomes and all(context.outcomes), context.outcomes
+    for refusal in context.outcomes:
+        assert refusal.code.value.code == code, refusal
+        assert refusal.executed == "no" and refusal.retry_after > 0, refusal
+
+
+@then("the store was read {count:d} time")
+@then("the store was read {count:d} times")
+def check_reads(context, count):
+    assert len(context.feed.reads) == count, context.feed.reads
--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -5,12 +5,14 @@
 import curio
 
 from ..fleet import (
+    Certainty,
     EndpointDirectory,
     FleetMember,
     FleetState,
     Follower,
     IsolationWatch,
     MemberDirectory,
+    OrderConfirmation,
     OrderListener,
     Registration,
     RelayDirectory,
@@ -64,6 +66,7 @@
     ----------
     member : FleetMember
         This host.
+    confirmation : OrderConfirmation
     isolated : bool
         Whether its data centre reaches nothing else.
     """
@@ -148,6 +151,13 @@
             self.directory, self.members, self.board, self._measure_age
         )
         orders = OrderListener(source, self.state, on_configuration, on_retirement)
+        self.confirmation = OrderConfirmation(
+            self._backends.feed,
+            source.orders_prefix,
+            orders,
+            Certainty(self._measure_age, self._clock),
+            self._clock,
+        )
         self._follow_shared(source.orders_prefix, orders)
         self._follow_shared(source.endpoints_prefix, self.directory)
         self._follow_shared(self.members.prefix, self.members)
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -187,6 +187,7 @@
         )
         self.front = FleetFront(
             self.fleet.state,
+            self.fleet.confirmation,
             self.backends.callers,
             self.fleet.quota,
             self.dispatcher,
--- a/mangogauge/entry/front.py
+++ b/mangogauge/entry/front.py
@@ -37,6 +37,7 @@
     ----------
     state : FleetState
         Routes, accounts and hosts in force.
+    confirmation : OrderConfirmation
     dialect : CallerDialect
     quota : SharedQuota
     dispatcher : OnlineDispatcher
@@ -47,8 +48,20 @@
     metrics : ServingMetrics
     """
 
-    def __init__(self, state, dialect, quota, dispatcher, jobs, notify, clock, metrics):
+    def __init__(
+        self,
+        state,
+        confirmation,
+        dialect,
+        quota,
+        dispatcher,
+        jobs,
+        notify,
+        clock,
+        metrics,
+    ):
         self._state = state
+        self._confirmation = confirmation
         self._dialect = dialect
         self._quota = quota
         self._dispatcher = dispatcher
@@ -91,8 +104,7 @@
     async def _serve(self, exchange, note, started):
         request = self._dialect.read_request(exchange)
         note.request_id = request.request_id
-        routes = self._state.routes
-        if routes is None:
+        if self._state.routes is None:
             raise Refusal(
                 RefusalCode.SHUTTING_DOWN,
                 "The host is starting.",
@@ -101,19 +113,16 @@
             )
         _check_path(request.path)
         target = self._jobs.find_target(exchange)
+        find = self._find_route if target is None else self._find_caller
+        try:
+            route, account = find(request, note)
+        except Refusal:
+            # A newer configuration may have it.
+            await self._confirmation.confirm(started)
+            route, account = find(request, note)
         if target is not None:
-            account = self._find_account(routes, request)
-            note.route, note.account = "jobs", account.name
             await self._jobs.serve(exchange, target, account)
             return
-        route = routes.find(request.host, request.path)
-        if route is None:
-            raise Refusal(RefusalCode.ROUTE_UNKNOWN, "There is no such route.")
-        note.route = route.name
-        account = None
-        if not route.open and routes.asks_for_keys:
-            account = self._find_account(routes, request)
-            note.account = account.name
         if route.nature is RouteNature.BATCH:
             await self._jobs.submit(exchange, request, route, account, started)
             return
@@ -141,11 +150,29 @@
         )
         await self._dispatcher.run(call, exchange)
 
-    def _find_account(self, routes, request):
-        account = routes.find_account(request.key)
+    def _find_route(self, request, note):
+        """Return the route, and the account if it needs a key."""
+        routes = self._state.routes
+        route = routes.find(request.host, request.path)
+        if route is None:
+            raise Refusal(RefusalCode.ROUTE_UNKNOWN, "There is no such route.")
+        note.route = route.name
+        if route.open or not routes.asks_for_keys:
+            return route, None
+        return route, self._find_account(request, note)
+
+    def _find_caller(self, request, note):
+        """Return no route, and the account of a request for a job."""
+        account = self._find_account(request, note)
+        note.route = "jobs"
+        return None, account
+
+    def _find_account(self, request, note):
+        account = self._state.routes.find_account(request.key)
         if account is None:
             code = RefusalCode.KEY_UNKNOWN if request.key else RefusalCode.KEY_MISSING
             raise Refusal(code, "The key is not known." if request.key else "No key.")
+        note.account = account.name
         return account
 
     async def _admit(self, account):
--- a/mangogauge/fleet/__init__.py
+++ b/mangogauge/fleet/__init__.py
@@ -1,5 +1,7 @@
 """What a host knows of the fleet: routes, client accounts, endpoints, hosts."""
 
+from .certainty import Certainty, Sureness
+from .confirmation import OrderConfirmation
 from .directory import EndpointDirectory
 from .follower import Follower, Listener
 from .isolation import IsolationWatch
@@ -21,6 +23,7 @@
 
 __all__ = [
     "Account",
+    "Certainty",
     "Configuration",
     "EndpointDirectory",
     "FleetEndpoint",
@@ -31,6 +34,7 @@
     "IsolationWatch",
     "Listener",
     "MemberDirectory",
+    "OrderConfirmation",
     "OrderListener",
     "OrdersRead",
     "PrefixRoute",
@@ -44,4 +48,5 @@
     "ServiceShare",
     "SharedSchedule",
     "SteadySchedule",
+    "Sureness",
 ]
--- a/mangogauge/refusals.py
+++ b/mangogauge/refusals.py
@@ -40,6 +40,7 @@
     INTERNAL = RefusalKind(500, "internal_error")
     ENDPOINT_FAILED = RefusalKind(502, "endpoint_failed")
     OUTCOME_UNKNOWN = RefusalKind(502, "outcome_unknown")
+    CONFIGURATION_STALE = RefusalKind(503, "configuration_stale")
     OVERLOADED = RefusalKind(503, "overloaded")
     KEYS_STALE = RefusalKind(503, "keys_stale")
     NO_ENDPOINT = RefusalKind(503, "no_endpoint")
--- a/mangogauge/report/measures.py
+++ b/mangogauge/report/measures.py
@@ -11,6 +11,7 @@
 # Outcomes that are the system's doing; a caller's mistakes burn no budget.
 SYSTEM_OUTCOMES = (
     "broken",
+    "configuration_stale",
     "internal_error",
     "endpoint_error",
     "endpoint_failed",
