Give up no item for a route that this host may not have read yet

A host that had read a new configuration could accept a job on a new route, and the runner that claimed it, whose copy of the orders was older (up to about 0.9 s in calm times, longer without the store), found no such route, gave all items up and committed that: callers read them as given up, for good, though an accepted item is owed. Jobs reach runners within milliseconds of their acceptance, since those entries are awaited at the store, and orders are not.

An item is given up for want of a route only once the orders in force were confirmed after the job was claimed: the job's route was written before the job. Until then it waits, and runs as soon as the route is read.

On the code before, the first of the two new scenarios fails: ['its route is gone', 'its route is gone', 'its route is gone']. The second, that a route that is really gone ends its items, passes before and after.

--- a/features/jobs/filling.feature
+++ b/features/jobs/filling.feature
@@ -11,3 +11,19 @@
     Given a runner with a job of 20 items and an endpoint of 1 slot
     When 1 report of other hosts comes that takes the slot
     Then no item runs
+
+  Scenario: A runner that hasn't read the route of a new job yet gives no item up
+    Given a runner with a job of 3 items and an endpoint of 8 slots
+    And the job's route is not in the runner's copy of the orders, read before it claimed the job
+    When the runner looks for items to start
+    Then no item was given up
+    When the runner's copy of the orders has the route
+    And the runner looks for items to start
+    Then 1 item was started
+
+  Scenario: A job whose route is gone is given up once that is certain
+    Given a runner with a job of 3 items and an endpoint of 8 slots
+    And the job's route is not in the runner's copy of the orders, read before it claimed the job
+    When the runner's copy of the orders was read after it claimed the job
+    And the runner looks for items to start
+    Then 3 items were given up
--- a/features/steps/filling.py
+++ b/features/steps/filling.py
@@ -20,7 +20,7 @@
 )
 from mangogauge.jobs import JobRunner, WorkBoard
 from mangogauge.jobs.owned import OwnedJob
-from mangogauge.jobs.records import JobItem, JobManifest
+from mangogauge.jobs.records import ItemState, JobItem, JobManifest
 from mangogauge.jobs.runner import BUSY_TICK_SECONDS
 from mangogauge.placement import BatchRoom
 from mangogauge.sharing import LoadBoard
@@ -48,7 +48,14 @@
 
 
 class EndlessItems:
-    """Items that run until they are broken off."""
+    """Items that run until they are broken off, and those that were given up."""
+
+    def __init__(self):
+        self.given_up = []
+
+    def give_up(self, item, reason):
+        item.job.finish(item, ItemState.GIVEN_UP)
+        self.given_up.append(reason)
 
     async def run(self, item, route, endpoint):
         await curio.sleep(LONG_SECONDS)
@@ -76,6 +83,7 @@
 
 
 @given("a runner with a job of {count:d} items and an endpoint of {slots:d} slot")
+@given("a runner with a job of {count:d} items and an endpoint of {slots:d} slots")
 def make_runner(context, count, slots):
     clock = SystemClock()
     context.endpoint = make_endpoint(slots=slots)
@@ -84,15 +92,22 @@
     own = FleetMember("own", "1", runs_batch=True)
     members = MemberDirectory(own, clock)
     members.take_snapshot(())
-    state = FleetState(context.chooser, members, context.board)
+    context.orders_read_at = clock.read_elapsed()
+    state = context.state = FleetState(
+        context.chooser,
+        members,
+        context.board,
+        lambda: clock.read_elapsed() - context.orders_read_at,
+    )
     route = make_route("night", RouteNature.BATCH)
     state.routes = PrefixRoutes(make_configuration(routes=[route]))
+    context.items = EndlessItems()
     context.runner = JobRunner(
         "own",
         state,
         WorkBoard(clock),
         NoClaims(),
-        EndlessItems(),
+        context.items,
         BatchRoom(context.board),
         context.chooser,
         context.board,
@@ -101,7 +116,7 @@
         ServingMetrics(),
     )
     job = make_job(count, route)
-    context.runner._jobs[job.job_id] = job
+    context.job = context.runner._jobs[job.job_id] = job
     context.clock = clock
 
 
@@ -149,3 +164,55 @@
 @then("no item runs")
 def check_none_running(context):
     assert context.running == 0, context.running
+
+
+@given(
+    "the job's route is not in the runner's copy of the orders,"
+    " read before it claimed the job"
+)
+def take_route_away(context):
+    context.route = context.state.routes.configuration.routes[0]
+    context.state.routes = PrefixRoutes(make_configuration())
+    context.orders_read_at = context.clock.read_elapsed()
+    context.job.claimed_at = context.orders_read_at + 1.0
+
+
+@when("the runner's copy of the orders has the route")
+def add_route(context):
+    context.state.routes = PrefixRoutes(make_configuration(2, [context.route]))
+
+
+@when("the runner's copy of the orders was read after it claimed the job")
+def read_orders(context):
+    context.orders_read_at = context.job.claimed_at + 1.0
+
+
+@when("the runner looks for items to start")
+def look_for_items(context):
+    context.started = curio.run(fill, context.runner)
+
+
+async def fill(runner):
+    """Fill endpoints once; return how many items run then."""
+    async with curio.TaskGroup() as group:
+        runner._group = group
+        await runner._fill()
+        started = len(runner._tasks)
+        await group.cancel_remaining()
+    return started
+
+
+@then("no item was given up")
+def check_none_given_up(context):
+    assert not context.items.given_up, context.items.given_up
+    assert len(context.job.items) == 3, context.job.items
+
+
+@then("{count:d} items were given up")
+def check_given_up(context, count):
+    assert len(context.items.given_up) == count, context.items.given_up
+
+
+@then("{count:d} item was started")
+def check_started(context, count):
+    assert context.started == count, context.started
--- a/mangogauge/jobs/runner.py
+++ b/mangogauge/jobs/runner.py
@@ -266,7 +266,8 @@
         for item in order_items(ready, calendar, self._pace):
             route = self._find_route(item)
             if route is None:
-                self._items.give_up(item, "its route is gone")
+                if self._knows_routes_since(item.job.claimed_at):
+                    self._items.give_up(item, "its route is gone")
                 continue
             if calendar > item.job.manifest.abandon_at:
                 self._items.give_up(item, "its time is up")
@@ -281,6 +282,16 @@
     def _find_route(self, item):
         return self._state.routes.find(item.job.manifest.host, item.item.path)
 
+    def _knows_routes_since(self, moment):
+        """Return whether the routes in force were the newest at an elapsed time.
+
+        Notes
+        -----
+        A host that had read a newer configuration may have accepted the job.
+        """
+        confirmed_at = self._clock.read_elapsed() - self._state.measure_age()
+        return confirmed_at >= moment
+
     def _list_rooms(self, services):
         """Return the endpoints with room for items, the one with the most last.
 
