Let a crash count for its time from when it was first heard of, whoever tells of it

A host took a suspect, or a condemned request, that another told of as held for 120 s, or for the time left rounded up to a minute, from the moment at which it heard that. Hosts learn of a crash one after the other, so the first to let go was told again by a later one, and the other way round. Callers would see 422 request_quarantined for a request that should have been let go after ten minutes, and suspects would go on waiting for trials. What damps it is that a host looks at another's findings only when they have changed; any other crash or clearance in the second between two hosts' expiries is such a change, and what comes with a granted trial is always looked at.

Each crash has an id already. A host now notes when it first heard of each, and counts suspicion and condemnation from there: what it is told again makes nothing later, and what is over is not taken back.

The new scenarios let two quarantines tell each other all once a second. On the code before, both fail: after 130 s "x" was a suspect at both, and after 610 s condemned at both. Not seen in real processes.

--- a/features/routing/quarantine.feature
+++ b/features/routing/quarantine.feature
@@ -53,3 +53,19 @@
     And quarantine: trial of "x" at "e1", which crashed under "x"
     Then quarantine: "x" is condemned
     And quarantine: "y" is clear
+
+  Scenario Outline: What hosts tell each other again and again ends when it would have
+    Given quarantine: a quarantine by hand
+    And quarantine: another quarantine elsewhere
+    When quarantine: "x, y" ran at a crash of "e1"
+    And quarantine: "<names>" ran at a crash of "e2"
+    And quarantine: they tell each other all once a second, for 100 seconds
+    Then quarantine: both hold "x" to be <standing>
+    When quarantine: they tell each other all once a second, for <seconds> seconds
+    Then quarantine: both hold "x" to be clear
+    And quarantine: both hold "y" to be clear
+
+    Examples:
+      | names | standing  | seconds |
+      | z     | suspect   | 30      |
+      | x, z  | condemned | 510     |
--- a/features/steps/quarantine.py
+++ b/features/steps/quarantine.py
@@ -204,3 +204,16 @@
 @then('quarantine: "{name}" is {standing}')
 def check_standing(context, name, standing):
     assert context.quarantine.judge(name) is Standing(standing), name
+
+
+@when("quarantine: they tell each other all once a second, for {seconds:d} seconds")
+def exchange_for_long(context, seconds):
+    for _ in range(seconds):
+        context.clock.advance(1)
+        exchange(context)
+
+
+@then('quarantine: both hold "{name}" to be {standing}')
+def check_both_standings(context, name, standing):
+    found = [q.judge(name) for q in (context.quarantine, context.other)]
+    assert found == [Standing(standing)] * 2, found
--- a/mangogauge/routing/quarantine.py
+++ b/mangogauge/routing/quarantine.py
@@ -22,6 +22,8 @@
 CLEARED_SECONDS = 30.0
 TRIAL_SECONDS = 120.0
 MERGE_SECONDS = 3.0
+# Longer than any host goes on telling of a crash.
+DATED_SECONDS = 2 * CONDEMNED_SECONDS
 KEPT = 1000
 CRASHES_TO_CONDEMN = 2
 
@@ -88,6 +90,9 @@
         self._trials = {}
         self._recent = {}
         self._explained = OrderedDict()
+        # When this host first heard of each crash; what it is told again of one
+        # makes that no later.
+        self._dates = OrderedDict()
         self._count = 0
 
     def judge(self, fingerprint):
@@ -112,6 +117,7 @@
             self._cleared.pop(fingerprint, None)
             case = self._suspects.setdefault(fingerprint, _Case())
             case.crashes.add(crash)
+            self._find_date([crash])
             case.until = self._now + SUSPECT_SECONDS
         _trim(self._suspects)
 
@@ -187,21 +193,34 @@
     def _take_condemned(self, row):
         if row.fingerprint in self._condemned:
             return
-        self._condemn(row.fingerprint, set(row.crashes))
-        left = min(CONDEMNED_SECONDS, row.seconds_left)
-        self._condemned[row.fingerprint].until = self._now + left
+        until = self._find_date(row.crashes) + CONDEMNED_SECONDS
+        until = min(until, self._now + row.seconds_left)
+        if until > self._now:
+            self._condemn(row.fingerprint, set(row.crashes), until)
 
     def _take_suspect(self, row):
         name = row.fingerprint
-        new = set(row.crashes) - self._explained.keys()
+        new = {
+            crash
+            for crash in set(row.crashes) - self._explained.keys()
+            if self._find_date([crash]) + SUSPECT_SECONDS > self._now
+        }
         if not new or name in self._cleared or name in self._condemned:
             return
         case = self._suspects.setdefault(name, _Case())
         if not new <= case.crashes:
             case.crashes |= new
-            case.until = self._now + SUSPECT_SECONDS
+            case.until = max(case.until, self._find_date(new) + SUSPECT_SECONDS)
         _trim(self._suspects)
 
+    def _find_date(self, crashes):
+        """Return when the last of some crashes was first heard of: now, if now."""
+        for crash in crashes:
+            self._dates.setdefault(crash, self._now)
+        dates = [self._dates[crash] for crash in crashes]
+        _trim(self._dates)
+        return max(dates, default=self._now)
+
     def _convict(self, fingerprint, crash):
         """Condemn the request on trial if it was present at the crash."""
         case = self._suspects.get(fingerprint)
@@ -217,9 +236,10 @@
             if max(shared, default=0) < CRASHES_TO_CONDEMN:
                 self._condemn(name, case.crashes)
 
-    def _condemn(self, fingerprint, crashes):
+    def _condemn(self, fingerprint, crashes, until=None):
         self._suspects.pop(fingerprint, None)
-        until = self._now + CONDEMNED_SECONDS
+        if until is None:
+            until = self._find_date(crashes) + CONDEMNED_SECONDS
         self._condemned[fingerprint] = _Case(set(crashes), until)
         _trim(self._condemned)
         for crash in crashes:
@@ -247,6 +267,8 @@
         for times in (self._cleared, self._explained):
             for name in [n for n, until in times.items() if until < now]:
                 del times[name]
+        while self._dates and next(iter(self._dates.values())) < now - DATED_SECONDS:
+            self._dates.popitem(last=False)
         for kept in (self._trials, self._recent):
             for name in [n for n, row in kept.items() if row.until < now]:
                 del kept[name]
