Count a roster's age from before it was asked for

Hosts of a data centre tell each other when another data centre's roster was last told by one of its own hosts, as an age. Each took that age as if the answer had taken no time, and passed it on younger than it was. Callers' requests went on being offered to hosts of a data centre that was gone.

The age now counts from before the question was sent, as the age of keys does, and is rounded up. So no host takes a roster for younger than the host that told of it.

--- a/features/builders/views.py
+++ b/features/builders/views.py
@@ -1,5 +1,7 @@
 """Membership views that exchange by hand, on a clock moved by hand."""
 
+import heapq
+import itertools
 import random
 
 from attrs import define, field
@@ -37,7 +39,7 @@
         request = asking.make_request(asked.own.data_centre).SerializeToString()
         reply = asked.make_reply(ExchangeRequest.FromString(request))
         answer = reply.SerializeToString()
-        asking.take_reply(ExchangeReply.FromString(answer))
+        asking.take_reply(ExchangeReply.FromString(answer), self.clock.read_elapsed())
         size = len(request) + len(answer)
         self.sizes[sender] += size
         self.sizes[receiver] += size
@@ -86,3 +88,80 @@
     def _ask(self, sender, receiver, blocked):
         if receiver is not None and (sender, receiver) not in blocked:
             self.exchange(sender, receiver)
+
+
+class LateViews:
+    """Views of one data centre whose questions and answers take time on their way.
+
+    Parameters
+    ----------
+    count : int
+        Number of hosts in data centre "a"; the first has just heard of "b1" in "b".
+    transit : float
+        Mean seconds that a question, or an answer, is on its way.
+    seed : int, optional
+    """
+
+    def __init__(self, count, transit, seed=1):
+        self._random = random.Random(seed)
+        self._transit = transit
+        self._clock = ManualClock()
+        self._events = []
+        self._order = itertools.count()
+        self.views = [self._make_view(f"a{n}", "a") for n in range(count)]
+        self._introduce_all()
+        far = self._make_view("b1", "b")
+        first = self.views[0]
+        request = first.make_request("b")
+        first.take_reply(far.make_reply(request), self._clock.read_elapsed())
+        for view in self.views:
+            self._schedule(self._draw(ROUND_SECONDS), self._begin, view)
+
+    def live(self, seconds):
+        """Play for a while."""
+        until = self._clock.read_elapsed() + seconds
+        while self._events[0][0] <= until:
+            at, _, act, arguments = heapq.heappop(self._events)
+            self._clock.advance(at - self._clock.read_elapsed())
+            act(*arguments)
+        self._clock.advance(until - self._clock.read_elapsed())
+
+    def count_knowing(self, name):
+        """Return how many hosts take another for live."""
+        return sum(view.is_live(name) for view in self.views)
+
+    def _make_view(self, name, data_centre):
+        return MembershipView(Member(name, data_centre, name, 1), self._clock)
+
+    def _introduce_all(self):
+        now = self._clock.read_elapsed()
+        for view in self.views:
+            for other in self.views:
+                view.take_reply(other.make_reply(view.make_request("a")), now)
+
+    def _begin(self, view):
+        self._schedule(self._draw(ROUND_SECONDS), self._begin, view)
+        view.beat()
+        other = self._random.choice([v for v in self.views if v is not view])
+        asked_at = self._clock.read_elapsed()
+        request = view.make_request("a")
+        self._schedule(self._draw_transit(), self._ask, view, other, request, asked_at)
+
+    def _ask(self, view, other, request, asked_at):
+        reply = other.make_reply(request)
+        self._schedule(self._draw_transit(), view.take_reply, reply, asked_at)
+
+    def _schedule(self, seconds, act, *arguments):
+        entry = (
+            self._clock.read_elapsed() + seconds,
+            next(self._order),
+            act,
+            arguments,
+        )
+        heapq.heappush(self._events, entry)
+
+    def _draw_transit(self):
+        return self._draw(self._transit)
+
+    def _draw(self, mean):
+        return mean * (0.5 + self._random.random())
--- a/features/machines/membership.py
+++ b/features/machines/membership.py
@@ -92,4 +92,4 @@
         return self.views[peer].make_reply(request)
 
     def _take(self, name, reply):
-        self.views[name].take_reply(reply)
+        self.views[name].take_reply(reply, self.clock.read_elapsed())
--- a/features/membership/views.feature
+++ b/features/membership/views.feature
@@ -49,3 +49,16 @@
     Then membership: the real hosts list "a1, b1"
     When membership: host "a2" is started again
     Then membership: the real hosts list "a1, a2, b1"
+
+  Scenario Outline: A data centre that falls silent isn't kept live by answers that take long
+    Given membership: 24 hosts whose questions and answers are on their way for <transit> s
+    When membership: they exchange for 5 s
+    Then membership: 24 of them take the other data centre's host for live
+    When membership: nothing has come from there for 11 s
+    Then membership: 0 of them take the other data centre's host for live
+
+    Examples:
+      | transit |
+      | 0.002   |
+      | 0.2     |
+      | 0.4     |
--- a/features/steps/membership.py
+++ b/features/steps/membership.py
@@ -3,7 +3,7 @@
 from behave import given, then, when
 
 from features.builders import wait_until
-from features.builders.views import ViewGroup
+from features.builders.views import LateViews, ViewGroup
 
 
 def split_names(text):
@@ -146,3 +146,28 @@
             ),
             f"{name} lists {names}",
         )
+
+
+@given(
+    "membership: {count:d} hosts whose questions and answers are on their way"
+    " for {transit:g} s"
+)
+def make_late_views(context, count, transit):
+    context.late = LateViews(count, transit)
+    context.lived = 0.0
+
+
+@when("membership: they exchange for {seconds:g} s")
+def live_on(context, seconds):
+    context.late.live(seconds)
+    context.lived += seconds
+
+
+@when("membership: nothing has come from there for {seconds:g} s")
+def live_until(context, seconds):
+    live_on(context, seconds - context.lived)
+
+
+@then("membership: {count:d} of them take the other data centre's host for live")
+def check_knowing(context, count):
+    assert context.late.count_knowing("b1") == count, context.late.count_knowing("b1")
--- a/mangogauge/membership/exchange.py
+++ b/mangogauge/membership/exchange.py
@@ -105,13 +105,14 @@
 
     async def _exchange(self, address, data_centre):
         request = self.view.make_request(data_centre)
+        asked_at = self.view.read_now()
         try:
             reply = await self._channels.get(address).call(
                 EXCHANGE_METHOD, request, ExchangeReply, EXCHANGE_TIMEOUT
             )
         except (ChannelError, CallError):
             return
-        self.view.take_reply(reply)
+        self.view.take_reply(reply, asked_at)
 
     async def _forget_channels(self):
         """Close connections to hosts that have long been members no more.
--- a/mangogauge/membership/rosters.py
+++ b/mangogauge/membership/rosters.py
@@ -1,5 +1,7 @@
 """What a host knows of the members of other data centres: a roster for each."""
 
+import math
+
 import xxhash
 from attrs import define, field
 
@@ -69,11 +71,21 @@
         known = self._find(member_name)
         return known.entries.get((member_name, entry_name)) if known else None
 
-    def take(self, roster):
-        """Take a roster if it was told later than the one that is known."""
+    def take(self, roster, asked_at):
+        """Take a roster if it was told later than the one that is known.
+
+        Its age counts from before the question was sent: an answer that was held
+        up on its way makes it older, never younger than it is where it came from.
+
+        Parameters
+        ----------
+        roster : Roster
+        asked_at : float
+            Elapsed time.
+        """
         if roster.data_centre == self._own:
             return
-        told_at = self._clock.read_elapsed() - roster.idle_milliseconds / 1000
+        told_at = asked_at - roster.idle_milliseconds / 1000
         known = self._known.get(roster.data_centre)
         if known is not None and told_at < known.told_at:
             return
@@ -187,4 +199,4 @@
 
 
 def _count_milliseconds(seconds):
-    return max(0, int(seconds * 1000))
+    return max(0, math.ceil(seconds * 1000))
--- a/mangogauge/membership/view.py
+++ b/mangogauge/membership/view.py
@@ -195,12 +195,19 @@
         contacts, self._contacts = self._contacts, {}
         return contacts
 
-    def take_reply(self, reply):
-        """Take in what a peer answered."""
+    def take_reply(self, reply, asked_at):
+        """Take in what a peer answered.
+
+        Parameters
+        ----------
+        reply : ExchangeReply
+        asked_at : float
+            Elapsed time at which it was asked.
+        """
         for state in reply.news:
             self.take_state(state)
         for roster in reply.rosters:
-            self.rosters.take(roster)
+            self.rosters.take(roster, asked_at)
 
     def take_state(self, state):
         """Take in what a peer knows of a member, if it is newer."""
