Let an answer clear what other hosts go on telling of a request's crashes

A host that got an answer to a request dropped all crashes held against it, those that other hosts had told of included. They tell of them again with each report, and the next report, at most a quarter of a second later, was taken for new crashes. A sound request that had been beside two crashes at one host and was then answered at another was still refused there (422 request_quarantined), or its item left alone for 10 s at a time, after one more crash; three in a row without an answer are meant.

A host now notes how many of another's crashes an answer has cleared, and holds only what comes on top.

The new scenario fails on the code before: 2 crashes are held where 0 are expected. That an answer at one host clears nothing at the others, since it isn't told to them, is as it was.

--- a/features/entry/crashes.feature
+++ b/features/entry/crashes.feature
@@ -12,3 +12,13 @@
       | hears        | judged      |
       | hears        | condemned   |
       | doesn't hear | run further |
+
+  Scenario: An answer clears a request for good, though other hosts go on telling of its crashes
+    Given a host that has heard of 2 crashes of a request from another
+    When the request is answered here
+    And the other host tells again of 2 crashes
+    Then 0 crashes are held against the request
+    When the other host tells of 3 crashes
+    Then 1 crash is held against the request
+    When the other host starts again, and tells of 1 crash, and then of 2
+    Then 1 crash is held against the request
--- a/features/steps/crashes.py
+++ b/features/steps/crashes.py
@@ -6,13 +6,14 @@
 from behave import given, then, when
 
 from features.builders.fleet import HOST_NAME, make_endpoint, make_route
-from mangogauge.clock import SystemClock
+from mangogauge.clock import ManualClock, SystemClock
 from mangogauge.entry import AttemptFailure, CrashWatch, OnlineCall
 from mangogauge.http import Headers
 from mangogauge.routing import Progress
 from mangogauge.sharing import CrashLedger
 
 LOCAL = "127.0.0.1"
+FINGERPRINT = "f"
 HEARD = {"hears": True, "doesn't hear": False}
 SETTLED_SECONDS = 1.5
 
@@ -71,3 +72,34 @@
 def check_run_further(context):
     assert not context.watch.is_condemned(context.call)
     assert set(context.asked) == {"b"}
+
+
+@given("a host that has heard of {count:d} crashes of a request from another")
+def make_ledger(context, count):
+    context.ledger = CrashLedger(ManualClock())
+    tell(context, count)
+
+
+@when("the other host tells of {count:d} crashes")
+@when("the other host tells again of {count:d} crashes")
+def tell(context, count):
+    context.ledger.take_counts("other", {FINGERPRINT: count})
+
+
+@when(
+    "the other host starts again, and tells of {first:d} crash, and then of {second:d}"
+)
+def tell_anew(context, first, second):
+    tell(context, first)
+    tell(context, second)
+
+
+@when("the request is answered here")
+def answer(context):
+    context.ledger.note_answer(FINGERPRINT)
+
+
+@then("{count:d} crash is held against the request")
+@then("{count:d} crashes are held against the request")
+def check_held(context, count):
+    assert context.ledger.count_held(FINGERPRINT) == count
--- a/mangogauge/sharing/crashes.py
+++ b/mangogauge/sharing/crashes.py
@@ -19,10 +19,25 @@
 
 @define
 class _Case:
-    """Crashes of one request, as one host has seen them."""
+    """Crashes of one request, as one host has seen them.
+
+    Parameters
+    ----------
+    count : int
+    until : float
+        Elapsed time at which they are forgotten.
+    answered : int
+        How many of them an answer has cleared; their host goes on telling of them.
+    """
 
     count = field(default=0)
     until = field(default=0.0)
+    answered = field(default=0)
+
+    @property
+    def held(self):
+        """How many are still held against the request."""
+        return self.count - self.answered
 
 
 class CrashLedger:
@@ -68,7 +83,9 @@
         """Note that an endpoint ran a request and lives."""
         self._own.pop(fingerprint, None)
         for cases in self._others.values():
-            cases.pop(fingerprint, None)
+            case = cases.get(fingerprint)
+            if case is not None:
+                case.answered = case.count
 
     def count_own(self):
         """Return ``{fingerprint: int}`` of this host."""
@@ -86,20 +103,22 @@
         for name, count in counts.items():
             case = before.get(name)
             if case is None or case.count != count:
-                case = _Case(count, now + HELD_SECONDS)
+                answered = min(case.answered, count) if case else 0
+                case = _Case(count, now + HELD_SECONDS, answered)
             cases[name] = case
         self._others[host] = cases
 
     def is_condemned(self, fingerprint):
         """Return whether a request is not to be run for now."""
-        return self._count(fingerprint) >= CRASHES
+        return self.count_held(fingerprint) >= CRASHES
 
-    def _count(self, fingerprint):
+    def count_held(self, fingerprint):
+        """Return how many crashes are held against a request."""
         total = 0
         for cases in [self._own, *self._others.values()]:
             self._expire(cases)
             case = cases.get(fingerprint)
-            total += case.count if case else 0
+            total += case.held if case else 0
         return total
 
     def _expire(self, cases):
