Wait once for a claim that may only have lapsed

When the store answers a host again, jobs whose claim is missing are left to the host that had them for 1.2 s, since it claims them anew as soon as it reaches the store. That time was counted from the latest return of the store, for every job that had ever been claimed. A runner whose way to the store fails for a moment each second never claimed the job of a host that was gone; where that is true of all runners, the job's items would not run at all.

Each claim is now waited for from the return of the store with which it was first found missing, and no further return prolongs that: endpoints' and hosts' entries are kept in the same way already.

--- a/mangogauge/jobs/work.py
+++ b/mangogauge/jobs/work.py
@@ -29,8 +29,8 @@
         Elapsed time since which nobody does.
     ended : bool
         Whether its caller has ended it.
-    was_claimed : bool
-        Whether some host has run it.
+    awaited_until : float
+        Elapsed time until which its claim may only have lapsed.
     """
 
     unclaimed_since = field()
@@ -38,7 +38,7 @@
     open_revision = field(default=0)
     claimant = field(default="")
     ended = field(default=False)
-    was_claimed = field(default=False)
+    awaited_until = field(default=float("-inf"))
 
 
 class WorkBoard(Listener):
@@ -73,7 +73,7 @@
 
         Its host claims the job again as soon as it reaches the store.
         """
-        return entry.was_claimed and self._clock.read_elapsed() < self._grace_until
+        return self._clock.read_elapsed() < entry.awaited_until
 
     def is_ended(self, job_id):
         """Return whether a job's caller has ended it."""
@@ -87,11 +87,13 @@
             self._put(item)
         for job_id, entry in self._entries.items():
             known = before.get(job_id)
-            if known is None:
+            if known is None or entry.claimant:
                 continue
-            entry.was_claimed = entry.was_claimed or known.was_claimed
-            if not entry.claimant and not known.claimant:
+            if known.claimant:
+                entry.awaited_until = self._grace_until
+            else:
                 entry.unclaimed_since = known.unclaimed_since
+                entry.awaited_until = known.awaited_until
         self.loaded = True
 
     def take_changes(self, events):
@@ -115,7 +117,6 @@
             entry.open_revision = item.mod_revision
         elif kind == CLAIM:
             entry.claimant = item.value.decode()
-            entry.was_claimed = True
         elif kind == ENDED:
             entry.ended = True
         else:
@@ -131,6 +132,7 @@
         elif kind == CLAIM:
             entry.claimant = ""
             entry.unclaimed_since = self._clock.read_elapsed()
+            entry.awaited_until = self._grace_until
         elif kind == ENDED:
             entry.ended = False
         if entry.opened is None and not entry.claimant and not entry.ended:
