--- a/features/placement/room.feature
+++ b/features/placement/room.feature
@@ -42,3 +42,16 @@
     When online requests come at 8 and 38 a second in turn, for 30 s
     Then 99 of 100 online requests got a slot within 0.25 s
     And items used at least 80 of 100 of what online requests left
+
+  Scenario: Where items had to give way, a slot is kept for the next request for a while
+    Given an endpoint with 8 slots, of which online requests take 4
+    And hosts that run 3, 2 and 1 items there
+    When each host lets items give way
+    Then 4 items run on
+    When each host lets items give way
+    Then 3 items run on
+    When all of them start what they may, at the same moment, 12 times
+    Then the endpoint runs 3 items, and never had more than 8 requests
+    When 0.6 s pass without a report of the online requests' host
+    And all of them start what they may, at the same moment, 12 times
+    Then the endpoint runs 4 items, and never had more than 8 requests
--- a/features/steps/filling.py
+++ b/features/steps/filling.py
@@ -111,7 +111,7 @@
         WorkBoard(clock),
         NoClaims(),
         context.items,
-        BatchRoom(context.board),
+        BatchRoom(context.board, clock),
         context.chooser,
         context.board,
         ignore_change,
--- a/features/steps/placement.py
+++ b/features/steps/placement.py
@@ -28,7 +28,7 @@
 
     def __init__(self, name, clock):
         self.board = LoadBoard(name, "1", clock)
-        self.room = BatchRoom(self.board)
+        self.room = BatchRoom(self.board, clock)
 
     def tell(self, others, items_waiting):
         self.board.items_waiting = items_waiting
@@ -247,3 +247,8 @@
 def check_use(context, share):
     used = 100 * context.troughs.item_time / context.troughs.free_time
     assert used >= share, f"{used:.1f}"
+
+
+@when("{seconds:g} s pass without a report of the online requests' host")
+def pass_crowd(context, seconds):
+    context.clock.advance(seconds)
--- a/mangogauge/sharing/exchange.py
+++ b/mangogauge/sharing/exchange.py
@@ -18,7 +18,7 @@
 # How often a host that speaks for its data centre does so.
 SUMMARY_SECONDS = 0.15
 # Summaries of other data centres that come within this time are passed on together.
-PASS_ON_SECONDS = 0.1
+PASS_ON_SECONDS = 0.01
 # How often a host looks whether it is one that speaks.
 LOOK_SECONDS = 0.3
 # How long a host that isn't known to be registered is told after it was heard.
@@ -124,7 +124,7 @@
         pause = compute_hearing_pause(len(self._members.list_others()))
         if not pause:
             return []
-        await sleep_to_tick(pause)
+        await curio.sleep(pause)
         return self._socket.read_waiting()
 
     async def _take(self, data, address):
@@ -176,20 +176,14 @@
         while True:
             async with curio.ignore_after(measure_to_tick(IDLE_SECONDS)):
                 await self._changed.wait()
-            await self._wait_for_turn()
+            hosts = len(self._list_hearers())
+            await curio.sleep(self._pacing.measure_wait(hosts))
             self._changed.clear()
             self._pacing.note_sent()
             await self._socket.send(
                 self._make_report().to_bytes(), self._list_hearers()
             )
 
-    async def _wait_for_turn(self):
-        """Wait until the next report is due."""
-        pause = self._pacing.measure_wait(len(self._list_hearers()))
-        if not self._topology.is_direct:
-            pause = measure_to_tick(pause)
-        await curio.sleep(pause)
-
     async def _speak(self):
         """Tell the other data centres how this one stands, while that is up to it."""
         while True:
@@ -210,7 +204,7 @@
         """
         while True:
             await self._has_passed.wait()
-            await sleep_to_tick(PASS_ON_SECONDS)
+            await curio.sleep(PASS_ON_SECONDS)
             self._has_passed.clear()
             summaries, self._passed = list(self._passed.values()), {}
             for data in join(summaries, DATAGRAM_BYTES):
