A claim that lapses while its job is still read is claimed again

What callers would see: the only host that runs items claims a job, its lease lapses while it reads the job's input from the store (a paused process, a slow store), and no result of that job is ever written: its items run, each commit fails as "the claim lapsed". Cause: the host took a claim to be as young as the end of reading, so a lapse before that counted as one of earlier times. Others claim the job in their turn; where there is no other, nobody does. Change: a claim is as old as the question for it. A lapse that is heard of after it is answered by claiming again, which is harmless where the claim stands.

--- a/features/jobs/claims.feature
+++ b/features/jobs/claims.feature
@@ -79,6 +79,12 @@
     When it looks for jobs to claim
     Then it goes on, and has claimed nothing
 
+  Scenario: A claim that lapses while its job is still read is claimed again
+    Given a runner whose claim lapses while it reads the job
+    When it looks for jobs to claim
+    And it looks at what has become of its claims
+    Then it has the claim, and items to run
+
   Scenario: A job and its results are read from copies, which cost the store little
     Given the first host has claimed "j1"
     When the first host commits the result of item 2
--- a/features/steps/jobs.py
+++ b/features/steps/jobs.py
@@ -25,13 +25,15 @@
 )
 from mangogauge.jobs.claims import JobClaims
 from mangogauge.jobs.keys import (
+    CLAIM,
     WORK_PREFIX,
     make_results_prefix,
     make_waiting_key,
+    make_work_key,
 )
 from mangogauge.jobs.records import ItemResult
 from mangogauge.refusals import Refusal
-from mangogauge.store import StoreUnavailableError
+from mangogauge.store import StoreUnavailableError, WatchEvent
 
 VALUE_BYTES = 100_000
 PATIENCE_SECONDS = 0.6
@@ -382,3 +384,45 @@
 def check_nothing_claimed(context):
     assert context.claims.tried == 1, context.claims.tried
     assert not context.runner.waiting
+
+
+class LapsingClaims:
+    """Claims of the first host, which lapse before the job has been read."""
+
+    def __init__(self, context, board):
+        self._context = context
+        self._board = board
+        self._claims = context.hosts["first"].claims
+        self.claimant = self._claims.claimant
+        self.renew = self._claims.renew
+
+    async def claim(self, entry):
+        registration = self._context.hosts["first"].registration
+        await registration._register()
+        answer = await self._claims.claim(entry)
+        self._context.clock.advance(LEASE_SECONDS + 1)
+        await registration._register()
+        key = make_work_key(entry.opened.job_id, CLAIM)
+        self._board.take_changes([WatchEvent(key, None, 0)])
+        return answer
+
+
+@given("a runner whose claim lapses while it reads the job")
+def make_lapsing_runner(context):
+    board = read_work(context)
+    context.runner = make_runner(context, board, LapsingClaims(context, board))
+
+
+@when("it looks at what has become of its claims")
+def look_at_claims(context):
+    context.clock.advance(1)
+    run(context.runner._check_claims)
+
+
+@then("it has the claim, and items to run")
+def check_claim(context):
+    key = make_work_key(context.job_id, CLAIM)
+    found = run(context.store.get, key).unwrap()
+    assert found is not None, "nobody has the claim"
+    assert found.value.decode() == context.hosts["first"].claims.claimant
+    assert context.runner.waiting
--- a/mangogauge/jobs/owned.py
+++ b/mangogauge/jobs/owned.py
@@ -144,7 +144,7 @@
     finished : list of ItemResult
         Results that are not committed yet.
     claimed_at : float
-        Elapsed time at which this host got its claim.
+        Elapsed time at which this host asked for its claim.
     write_after : float
         Elapsed time before which nothing is written again.
     """
--- a/mangogauge/jobs/runner.py
+++ b/mangogauge/jobs/runner.py
@@ -143,6 +143,8 @@
     async def _claim(self, entry):
         # The entry may change while the store is asked: the job may be closed.
         job_id = entry.opened.job_id
+        # The claim may lapse while the job is read.
+        asked_at = self._clock.read_elapsed()
         answer = await self._claims.claim(entry)
         if isinstance(answer, Failure):
             log.warning(
@@ -152,7 +154,7 @@
             return
         job = answer.unwrap()
         if job is not None and not self._stopped:
-            job.claimed_at = self._clock.read_elapsed()
+            job.claimed_at = asked_at
             self._jobs[job.job_id] = job
 
     async def _fill_often(self):
@@ -228,11 +230,12 @@
         log.info("job closed", extra={"job": job.job_id, "ended": True})
 
     async def _claim_again(self, job):
+        asked_at = self._clock.read_elapsed()
         answer = await self._claims.renew(job)
         if isinstance(answer, Failure):
             self._note_unwritten(job, answer)
         elif answer.unwrap():
-            job.claimed_at = self._clock.read_elapsed()
+            job.claimed_at = asked_at
             log.warning("claim lapsed, claimed again", extra={"job": job.job_id})
         else:
             await self._abandon(job)
