--- a/features/fleet/following.feature
+++ b/features/fleet/following.feature
@@ -14,6 +14,14 @@
     And 2.1 s pass
     Then the directory knows "e2"
 
+  Scenario: A store that is lost once more doesn't keep a missing entry longer
+    Given a directory that knows the endpoints "e1, e2"
+    When the store is lost and regained, and the entry of "e1" is gone
+    And 1.5 s pass
+    And the store is lost and regained, and the entry of "e1" is gone
+    And 0.6 s pass
+    Then the directory knows "e2"
+
   Scenario: A copy that lacks an entry is told from one that has it, though it is kept
     Given a directory that knows the endpoints "e1, e2"
     And its digest is noted
