--- a/mangogauge/platform/store.py
+++ b/mangogauge/platform/store.py
@@ -182,8 +182,7 @@
 
     async def _call(self, method, path, expected, body=None, timeout=None):
         """Return ``Success(_Answer)`` with one of the `expected` statuses."""
-        # Without the query and the id of a lease: one name for each call.
-        step = "/".join(path.partition("?")[0].split("/")[:3])
+        step = _name_call(path)
         data = b"" if body is None else orjson.dumps(body)
         try:
             response = await self._transport.request(
@@ -230,6 +229,13 @@
     body = field()
 
 
+def _name_call(path):
+    """Return one name for each kind of call: without its query or a lease's id."""
+    bare, _, query = path.partition("?")
+    name = "/".join(bare.split("/")[:3])
+    return f"{name} (copy)" if urlencode(FROM_COPY) in query else name
+
+
 def _read_item(value):
     return KeyValue(
         value["key"],
