--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -29,7 +29,7 @@
 
 __all__ = ["ServingHost"]
 
-WORK_PAUSE_SECONDS = 0.25
+WORK_PAUSE_SECONDS = 0.5
 # How long an endpoint may take to accept a connection: a request still starts
 # within its objective at the next one.
 CONNECT_SECONDS = 0.2
