--- a/mangogauge/fleet/follower.py
+++ b/mangogauge/fleet/follower.py
@@ -125,17 +125,17 @@
         digest whether it is new enough.
         """
         expected = self._schedule.find_expected()
-        if not expected:
+        if expected is None or not expected.report.digest:
             return False
         answer = await self._feed.read_copy(self._prefix)
         if isinstance(answer, Failure):
             return False
         items = answer.unwrap().items
-        if self._listener.digest_items(items) != expected:
+        if self._listener.digest_items(items) != expected.report.digest:
             return False
         self._note_answer()
         self._listener.take_snapshot(items)
-        self._schedule.note_expected()
+        self._schedule.note_expected(expected)
         return True
 
     async def _step(self):
--- a/mangogauge/fleet/schedule.py
+++ b/mangogauge/fleet/schedule.py
@@ -34,11 +34,11 @@
         return None
 
     def find_expected(self):
-        """Return the digest of the copy that is to be read; None for the newest."""
+        """Return the `HeardCopy` that is to be read; None for the newest state."""
         return None
 
-    def note_expected(self):
-        """Note that the copy that `find_expected` tells of was read."""
+    def note_expected(self, expected):
+        """Note that a copy that `find_expected` told of was read."""
         return None
 
 
@@ -93,12 +93,12 @@
                 await self._woken.wait()
 
     def find_expected(self):
-        """Return the digest of a newer copy that another host has, or None."""
+        """Return a newer copy that another host has, or None."""
         return self._freshness.find_expected(self.topic)
 
-    def note_expected(self):
-        """Note that the copy that another host has was read."""
-        self._freshness.note_expected(self.topic)
+    def note_expected(self, expected):
+        """Note that a copy that another host has was read."""
+        self._freshness.note_expected(self.topic, expected)
 
     async def wake(self):
         """Look again whether the copy is due."""
--- a/mangogauge/sharing/freshness.py
+++ b/mangogauge/sharing/freshness.py
@@ -9,12 +9,12 @@
 and a copy is as old as the read that it stems from, whoever passes word of it on.
 """
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from .copies import CopyReport
 from .readdates import ReadDates
 
-__all__ = ["SharedFreshness"]
+__all__ = ["HeardCopy", "SharedFreshness"]
 
 # The first host whose wait is over reads for all. About so many hosts draw their
 # wait from the part of the interval by which it is first exceeded, all others
@@ -27,6 +27,21 @@
 LEAST_GAP = 0.4
 
 
+@frozen
+class HeardCopy:
+    """A newer copy that another host has.
+
+    Parameters
+    ----------
+    report : CopyReport
+    read_at : float
+        Elapsed time of the read from which it stems.
+    """
+
+    report = field()
+    read_at = field()
+
+
 @define
 class _Copy:
     """This host's copy of a topic.
@@ -44,10 +59,8 @@
         Elapsed time of that read.
     due_after : float
         Seconds after which it is read again.
-    newer : CopyReport or None
+    newer : HeardCopy or None
         The newest copy that differs, as far as heard.
-    newer_read_at : float
-        Elapsed time of the read from which that stems.
     read_at : float
         Elapsed time at which this host last read it.
     """
@@ -59,13 +72,12 @@
     confirmed_at = field(default=float("-inf"))
     due_after = field(default=0.0)
     newer = field(default=None)
-    newer_read_at = field(default=float("-inf"))
     read_at = field(default=float("-inf"))
 
     @property
     def is_outdated(self):
         """Whether another host has a newer copy that differs."""
-        return self.newer is not None and self.newer.revision > self.revision
+        return self.newer is not None and self.newer.report.revision > self.revision
 
 
 class SharedFreshness:
@@ -147,30 +159,37 @@
                 continue
             if report.digest != copy.digest:
                 if _is_news(copy, report):
-                    copy.newer, copy.newer_read_at = report, read_at
+                    copy.newer = HeardCopy(report, read_at)
                     newer.append(topic)
             elif read_at > copy.confirmed_at:
                 self._confirm(copy, report, read_at)
         return tuple(newer)
 
-    def note_expected(self, topic):
-        """Note that this host has read what `find_expected` tells of."""
+    def note_expected(self, topic, expected):
+        """Note that this host has read a copy that `find_expected` told of.
+
+        Parameters
+        ----------
+        topic : str
+        expected : HeardCopy
+            The one whose digest it has; a newer one may have been heard of since.
+        """
         copy = self._copies[topic]
         copy.read_at = self._clock.read_elapsed()
-        self._confirm(copy, copy.newer, copy.newer_read_at)
+        self._confirm(copy, expected.report, expected.read_at)
 
     def find_expected(self, topic):
-        """Return the digest of a newer copy that another host has, or None.
+        """Return a newer copy that another host has, or None.
 
         Returns
         -------
-        str or None
+        HeardCopy or None
             None also if the topic has to be read from the store's newest state.
         """
         copy = self._copies.get(topic)
         if copy is None or not copy.is_outdated or self._is_expired(copy):
             return None
-        return copy.newer.digest
+        return copy.newer
 
     def measure_wait(self, topic, least_gap=LEAST_GAP):
         """Return the seconds until a topic has to be read again.
@@ -240,5 +259,5 @@
 
 
 def _is_news(copy, report):
-    known = max(copy.revision, copy.newer.revision if copy.newer else 0)
+    known = max(copy.revision, copy.newer.report.revision if copy.newer else 0)
     return report.revision > known
