--- a/mangogauge/sharing/pacing.py
+++ b/mangogauge/sharing/pacing.py
@@ -18,7 +18,7 @@
 # Hosts up to which datagrams are so few that hardly two would be read together.
 FEW_HOSTS = 24
 # However many hosts there are, what was heard waits no longer than this.
-LONGEST_HEARING_PAUSE_SECONDS = 0.01
+LONGEST_HEARING_PAUSE_SECONDS = 0.02
 
 
 class ReportPacing:
