Claim the copy that was read, not one that was heard of meanwhile

A host that hears of a newer copy reads the store's cheap copy and compares its digest with the one that it heard of. While it reads, up to 1.2 s for each way to the store, a third host may tell of a still newer copy. What was read still had the digest that was asked for, but the host then noted that it had the newest copy it had heard of. It claimed a configuration, or a list of endpoints, that it didn't have, counted it as confirmed by whoever had the newest, and read no more until the next change. Callers of a route of that newest configuration would get 404 from a copy taken to be fresh, jobs of it would be given up as "its route is gone" (both trust the copy's age), and new endpoints wouldn't be used.

The other way round, a host whose own copy was confirmed at a later revision while it read replaced it by the older content.

If nothing newer is known any more once the read has ended, or the own copy has become too old, the newest state is read.

Two new scenarios fail on the code before (following.feature: 12 scenarios passed, 2 failed) and pass with it (14 passed; freshness.feature: 14 passed before and after).

--- a/features/builders/fleet.py
+++ b/features/builders/fleet.py
@@ -108,6 +108,8 @@
         What the next reads of changes return: events, or an error.
     copied : dict of str to bytes, or None
         What an old copy of the store shows; None if it has all items.
+    on_copy : callable
+        Called while such a copy is read.
     reads : list of str
         "snapshot", "copy" or "changes" for each call.
     """
@@ -115,6 +117,7 @@
     def __init__(self):
         self.items = {}
         self.copied = None
+        self.on_copy = lambda: None
         self.script = []
         self.reads = []
         self.reachable = True
@@ -130,6 +133,7 @@
         self.reads.append("copy")
         if not self.reachable:
             return Failure(StoreUnavailableError("away"))
+        self.on_copy()
         return self._make_snapshot(self.items if self.copied is None else self.copied)
 
     def _make_snapshot(self, values):
--- a/features/fleet/following.feature
+++ b/features/fleet/following.feature
@@ -83,6 +83,19 @@
       | new    | copy           | the other's read |
       | old    | copy, snapshot | its own read     |
 
+  Scenario: A host that hears of a newer copy while it reads one doesn't claim the newer
+    Given a follower that shares its copy, and has read "old"
+    When another host has read "new", and a third tells of "newest" while the store's copy is read
+    Then the follower has "new", after these reads: copy
+    And it tells the others that it has "new"
+    And it reads again after 0.3 s
+
+  Scenario: A copy that is confirmed while an older one is read is kept
+    Given a follower that shares its copy, and has read "old"
+    When another host has read "new", and a third tells of "old" while the store's copy is read
+    Then the follower has "old", after these reads: copy, snapshot
+    And it tells the others that it has "old"
+
   Scenario: A copy that nobody has confirmed for too long is read from the newest state
     Given a follower that shares its copy, and has read "old"
     When nobody has read it for 2 s, and then "new" is there
--- a/features/steps/copies_expected.py
+++ b/features/steps/copies_expected.py
@@ -13,7 +13,7 @@
 KEY = "p/key"
 TOPIC = "p/"
 INTERVAL_SECONDS = 0.7
-OTHER, OWN = "other", "own"
+OTHER, THIRD, OWN = "other", "third", "own"
 READERS = {"the other's read": OTHER, "its own read": OWN}
 
 
@@ -40,6 +40,16 @@
         pass
 
 
+class CountedSchedule(SharedSchedule):
+    """A schedule that counts how often it was waited for."""
+
+    waits = 0
+
+    async def wait(self):
+        self.waits += 1
+        await super().wait()
+
+
 async def ignore():
     """Tell nobody."""
 
@@ -52,7 +62,7 @@
     )
     context.feed = ScriptedFeed()
     context.listener = ValueListener()
-    context.schedule = SharedSchedule(context.freshness, TOPIC, ignore)
+    context.schedule = CountedSchedule(context.freshness, TOPIC, ignore)
     context.follower = Follower(
         context.feed,
         TOPIC,
@@ -84,6 +94,34 @@
     curio.run(_follow_until, context, value)
 
 
+@when(
+    'another host has read "{value}", and a third tells of "{later}" '
+    "while the store's copy is read"
+)
+def hear_of_both(context, value, later):
+    context.clock.advance(INTERVAL_SECONDS / 2)
+    context.feed.items = {KEY: later.encode()}
+    context.feed.copied = {KEY: value.encode()}
+    context.feed.on_copy = lambda: _hear(context, later, THIRD)
+    _hear(context, value, OTHER)
+    curio.run(_follow_once, context)
+
+
+def _hear(context, value, reader):
+    context.feed.revision += 1
+    report = CopyReport(value, context.feed.revision, reader, 1, 0.0)
+    context.freshness.take_report({TOPIC: report})
+
+
+async def _follow_once(context):
+    """Follow until the follower has read and waits again."""
+    waits = context.schedule.waits
+    task = await curio.spawn(context.follower.run)
+    while context.schedule.waits == waits:
+        await curio.sleep(0.001)
+    await task.cancel()
+
+
 @when('nobody has read it for {seconds:g} s, and then "{value}" is there')
 def miss_newer(context, seconds, value):
     context.clock.advance(seconds)
@@ -98,6 +136,18 @@
     assert context.feed.reads == reads.split(", "), context.feed.reads
 
 
+@then('it tells the others that it has "{value}"')
+def check_told(context, value):
+    told = context.freshness.make_report()[TOPIC].digest
+    assert told == value, told
+
+
+@then("it reads again after {seconds:g} s")
+def check_due(context, seconds):
+    context.clock.advance(seconds)
+    assert context.freshness.is_due(TOPIC)
+
+
 @then("it has told as the copy's {origin}")
 def check_reader(context, origin):
     reader = context.freshness.make_report()[TOPIC].reader
--- a/mangogauge/fleet/follower.py
+++ b/mangogauge/fleet/follower.py
@@ -125,7 +125,7 @@
         digest whether it is new enough.
         """
         expected = self._schedule.find_expected()
-        if expected is None or not expected.report.digest:
+        if expected is None:
             return False
         answer = await self._feed.read_copy(self._prefix)
         if isinstance(answer, Failure):
@@ -133,6 +133,9 @@
         items = answer.unwrap().items
         if self._listener.digest_items(items) != expected.report.digest:
             return False
+        if self._schedule.find_expected() is None:
+            # This host's own copy was confirmed meanwhile, or has become too old.
+            return False
         self._note_answer()
         self._listener.take_snapshot(items)
         self._schedule.note_expected(expected)
--- a/mangogauge/fleet/schedule.py
+++ b/mangogauge/fleet/schedule.py
@@ -34,11 +34,11 @@
         return None
 
     def find_expected(self):
-        """Return the `HeardCopy` that is to be read; None for the newest state."""
+        """Return the `NewerCopy` that is to be read; None for the newest state."""
         return None
 
     def note_expected(self, expected):
-        """Note that a copy that `find_expected` told of was read."""
+        """Note that the copy that `find_expected` returned was read."""
         return None
 
 
@@ -93,18 +93,13 @@
                 await self._woken.wait()
 
     def find_expected(self):
-        """Return a newer copy that another host has, or None."""
+        """Return the `NewerCopy` that another host has, or None."""
         return self._freshness.find_expected(self.topic)
 
     def note_expected(self, expected):
-        """Note that a copy that another host has was read."""
+        """Note that the copy that another host has was read."""
         self._freshness.note_expected(self.topic, expected)
 
-    async def hasten(self):
-        """Let the copy be read again at once."""
-        self._freshness.hasten(self.topic)
-        await self.wake()
-
     async def wake(self):
         """Look again whether the copy is due."""
         await self._woken.set()
--- a/mangogauge/sharing/freshness.py
+++ b/mangogauge/sharing/freshness.py
@@ -28,12 +28,13 @@
 
 
 @frozen
-class HeardCopy:
-    """A newer copy that another host has.
+class NewerCopy:
+    """Another host's copy that is newer than this host's.
 
     Parameters
     ----------
     report : CopyReport
+        What was heard of it.
     read_at : float
         Elapsed time of the read from which it stems.
     """
@@ -59,7 +60,7 @@
         Elapsed time of that read.
     due_after : float
         Seconds after which it is read again.
-    newer : HeardCopy or None
+    newer : NewerCopy or None
         The newest copy that differs, as far as heard.
     read_at : float
         Elapsed time at which this host last read it.
@@ -159,31 +160,30 @@
                 continue
             if report.digest != copy.digest:
                 if _is_news(copy, report):
-                    copy.newer = HeardCopy(report, read_at)
+                    copy.newer = NewerCopy(report, read_at)
                     newer.append(topic)
             elif read_at > copy.confirmed_at:
                 self._confirm(copy, report, read_at)
         return tuple(newer)
 
     def note_expected(self, topic, expected):
-        """Note that this host has read a copy that `find_expected` told of.
+        """Note that this host has read what `find_expected` returned.
 
         Parameters
         ----------
         topic : str
-        expected : HeardCopy
-            The one whose digest it has; a newer one may have been heard of since.
+        expected : NewerCopy
         """
         copy = self._copies[topic]
         copy.read_at = self._clock.read_elapsed()
         self._confirm(copy, expected.report, expected.read_at)
 
     def find_expected(self, topic):
-        """Return a newer copy that another host has, or None.
+        """Return the `NewerCopy` that another host has, or None.
 
         Returns
         -------
-        HeardCopy or None
+        NewerCopy or None
             None also if the topic has to be read from the store's newest state.
         """
         copy = self._copies.get(topic)
