Tell copies of the orders apart by all their revisions, not by the highest seen

Hosts take each other's copy of the operators' orders for their own if the digests are the same. The digest was the highest revision of any order that the host had ever read.

An order that is deleted (a retirement that is over) stayed the highest at the hosts that had known it, and was unknown to those that started later. The two never had the same digest: each read of the one made the copies of the others seem old, so all of them read, first the cheap copy, in vain, then the newest state. Calls to the store grew with the number of hosts.

And two copies with the same highest revision can differ: a read comes in pages, which are of different moments (PROTOCOL.md), so an older configuration on the first page may come with a newer order on the second. Whoever had all of them then confirmed the copy that lacked the newer configuration, for as long as no order changed; callers of its routes would get 404 from a copy taken to be fresh. That takes orders of more than 500 items or 1 MB.

The digest is now that of the keys and revisions of all orders that were there at the last read, so it is what `digest_items` computes from the same items.

--- a/features/fleet/following.feature
+++ b/features/fleet/following.feature
@@ -72,6 +72,26 @@
     When it reads a configuration without routes
     Then the configuration 7 is in force
 
+  Scenario: A host that knew an order that is gone has the same copy as one that didn't
+    Given a host that has read the orders
+      | key         | revision |
+      | op/config   | 5        |
+      | op/retire/x | 9        |
+    When it reads the orders
+      | key       | revision |
+      | op/config | 5        |
+    Then its digest is that of these orders
+
+  Scenario: A host that lacks a change of one order has another copy than one that has it
+    Given a host that has read the orders
+      | key         | revision |
+      | op/config   | 5        |
+      | op/retire/x | 9        |
+    Then its digest is not that of the orders
+      | key         | revision |
+      | op/config   | 7        |
+      | op/retire/x | 9        |
+
   Scenario Outline: What another host has read is taken from a copy of the store if it is there
     Given a follower that shares its copy, and has read "old"
     When another host has read "new", and the store's copy has "<copied>"
--- a/mangogauge/fleet/state.py
+++ b/mangogauge/fleet/state.py
@@ -2,6 +2,7 @@
 
 from ..telemetry import get_logger
 from .follower import Listener
+from .lapsing import digest_values
 from .routes import PrefixRoutes
 
 __all__ = ["FleetState", "OrderListener"]
@@ -91,23 +92,26 @@
 
     @property
     def digest(self):
-        """The newest revision of all orders."""
-        return str(max(self._revisions.values(), default=0))
+        """Digest of the revisions of all orders that are there."""
+        return digest_values(self._revisions.items())
 
     def digest_items(self, items):
-        """Return the newest revision of these orders."""
-        return str(max((item.mod_revision for item in items), default=0))
+        """Return the digest of the revisions of these orders."""
+        return digest_values(_list_revisions(items).items())
 
     def take_snapshot(self, items):
         """Take in everything that is there."""
         for item in items:
             self._take(item)
+        self._revisions = _list_revisions(items)
 
     def take_changes(self, events):
         """Take in what was written; nothing that was deleted is undone."""
         for event in events:
             if event.value is not None:
                 self._take(event)
+            else:
+                self._revisions.pop(event.key, None)
 
     def note_regained(self):
         """Nothing here hangs on a lease."""
@@ -128,3 +132,8 @@
                 self._on_configuration(read.configuration)
         if read.retirement is not None:
             self._on_retirement(read.retirement)
+
+
+def _list_revisions(items):
+    """Return ``{key: revision}`` of items."""
+    return {item.key: item.mod_revision for item in items}
