Let the oldest word of a read make the copy older that it confirmed

A read of the store is dated once, by the word that makes it oldest, but the date of the copy that it had confirmed stayed the one of the first word. If that word was long on its way, the host went on taking its copy for younger than it had heard since, told the others so, and read later. The error was bounded by the way of the first word, and grew no more; the bound of the age of copies, by which callers are told that a route isn't there, was exceeded by as much.

The date of a copy now follows that of the read that confirmed it.

The new scenario fails on the code before (0.1 s where 0.4 s are expected; freshness.feature: 14 scenarios passed, 1 failed) and passes with it (15 passed).

--- a/features/sharing/freshness.feature
+++ b/features/sharing/freshness.feature
@@ -45,6 +45,13 @@
       | 57    | 0.04  | 0.003   |
       | 57    | 0.04  | 0.1     |
 
+  Scenario: A copy is as old as the oldest word of its read makes it
+    Given a host whose copy was confirmed by a read of another, 0.1 s ago as it heard
+    When it hears that the same read was made 0.4 s ago
+    Then it takes its copy to be 0.4 s old
+    When it hears that the same read was made 0.2 s ago
+    Then it takes its copy to be 0.4 s old
+
   Scenario: Hosts that lost the store don't tell each other that they have it
     Given 12 hosts with a copy of the orders that report every 0.04 s, heard 0.01 s later
     When they live for 3 s
--- a/mangogauge/sharing/freshness.py
+++ b/mangogauge/sharing/freshness.py
@@ -162,6 +162,8 @@
                 if _is_news(copy, report):
                     copy.newer = NewerCopy(report, read_at)
                     newer.append(topic)
+            elif (report.reader, report.number) == (copy.reader, copy.number):
+                copy.confirmed_at = read_at
             elif read_at > copy.confirmed_at:
                 self._confirm(copy, report, read_at)
         return tuple(newer)
