Forget the reads of hosts that are gone before those of hosts that live on

The dates of the last reads of 4,096 pairs of a process and a topic are remembered, and the processes that were heard of first were forgotten first: after some 1,365 starts of hosts, with three topics, the host that had lived longest was forgotten at each further start, however lately it had read. Callers would hardly see it.

A process that reads again now counts as the newest, so those that have not read for longest are forgotten first.

--- a/features/sharing/freshness.feature
+++ b/features/sharing/freshness.feature
@@ -52,6 +52,11 @@
     When it hears that the same read was made 0.2 s ago
     Then it takes its copy to be 0.4 s old
 
+  Scenario: A read of a host that lives on isn't dated anew, however many have started since
+    Given the dates of the reads of a host that reads all along
+    When 4096 other hosts have started one after the other, and read once
+    Then its last read isn't dated anew
+
   Scenario: Hosts that lost the store don't tell each other that they have it
     Given 12 hosts with a copy of the orders that report every 0.04 s, heard 0.01 s later
     When they live for 3 s
--- a/features/steps/readdates.py
+++ b/features/steps/readdates.py
@@ -6,10 +6,13 @@
 
 from mangogauge.clock import ManualClock
 from mangogauge.sharing import CopyReport, SharedFreshness
+from mangogauge.sharing.readdates import ReadDates
 
 TOPIC = "orders"
 INTERVAL_SECONDS = 0.7
 TOLERANCE_SECONDS = 1e-6
+# Others start between two reads of the host that lives on.
+READ_EVERY = 100
 
 
 def hear(context, age):
@@ -38,3 +41,24 @@
 def check_age(context, seconds):
     age = context.freshness.measure_age(TOPIC)
     assert abs(age - seconds) < TOLERANCE_SECONDS, age
+
+
+@given("the dates of the reads of a host that reads all along")
+def make_dates(context):
+    context.dates = ReadDates()
+    context.dates.date(TOPIC, "old", 1, 1.0)
+
+
+@when("{count:d} other hosts have started one after the other, and read once")
+def start_many(context, count):
+    for number in range(1, count + 1):
+        context.dates.date(TOPIC, f"new{number}", 1, number)
+        if number % READ_EVERY == 0:
+            context.number = context.made_at = number
+            context.dates.date(TOPIC, "old", number, number)
+
+
+@then("its last read isn't dated anew")
+def check_dated_once(context):
+    dated = context.dates.date(TOPIC, "old", context.number, float("inf"))
+    assert dated == context.made_at, dated
--- a/mangogauge/sharing/readdates.py
+++ b/mangogauge/sharing/readdates.py
@@ -12,8 +12,8 @@
 
 __all__ = ["ReadDates"]
 
-# Reads that are remembered, the last of each process and topic; those of processes
-# that were heard of first are forgotten first.
+# Reads that are remembered, the last of each process and topic; the oldest are
+# forgotten first.
 KEPT_READS = 4096
 
 
@@ -66,5 +66,6 @@
 
     def _keep(self, key, read):
         self._reads[key] = read
+        self._reads.move_to_end(key)
         while len(self._reads) > KEPT_READS:
             self._reads.popitem(last=False)
