Keep in mind what an answer cleared while a sum leaves it out for a moment

How many of another host's crashes an answer has cleared was forgotten as soon as the other told of none. A data centre's sum tells of the hosts that its speaker has heard within 0.6 s, and two speakers tell in turn under one name, so a sum leaves a host's crashes out whenever that host is silent for so long, or one speaker doesn't hear it. Told again, the cleared crashes counted as new: a sound request that had been beside three crashes in another data centre and was then answered here would be refused again here (422 request_quarantined) for up to a minute.

What was cleared is now kept in mind for as long as the crashes themselves, at nothing held. A host that really starts again is counted as before when it tells of no crash in between: its first crashes up to the number that was cleared are not held, for a minute at most.

The scenario of answers has two more steps, which fail on the code before (crashes.feature of entry: 2 scenarios passed, 1 failed) and pass with it (3 passed).

--- a/features/entry/crashes.feature
+++ b/features/entry/crashes.feature
@@ -18,6 +18,8 @@
     When the request is answered here
     And the other host tells again of 2 crashes
     Then 0 crashes are held against the request
+    When the other host tells of none for a moment, and again of 2 crashes
+    Then 0 crashes are held against the request
     When the other host tells of 3 crashes
     Then 1 crash is held against the request
     When the other host starts again, and tells of 1 crash, and then of 2
--- a/features/steps/crashes.py
+++ b/features/steps/crashes.py
@@ -94,6 +94,12 @@
     tell(context, second)
 
 
+@when("the other host tells of none for a moment, and again of {count:d} crashes")
+def tell_none_between(context, count):
+    context.ledger.take_counts("other", {})
+    tell(context, count)
+
+
 @when("the request is answered here")
 def answer(context):
     context.ledger.note_answer(FINGERPRINT)
--- a/mangogauge/sharing/crashes.py
+++ b/mangogauge/sharing/crashes.py
@@ -95,19 +95,22 @@
 
     def take_counts(self, host, counts):
         """Take what another host has counted: ``{fingerprint: int}``."""
-        if not counts:
-            self._others.pop(host, None)
-            return
         now = self._clock.read_elapsed()
-        before = self._others.get(host, {})
-        cases = {}
+        before = self._others.pop(host, {})
+        # What is missing may be told again: sums lack hosts that were silent.
+        cases = {
+            name: _Case(case.answered, case.until, case.answered)
+            for name, case in before.items()
+            if name not in counts and case.answered and case.until > now
+        }
         for name, count in counts.items():
             case = before.get(name)
             if case is None or case.count != count:
                 answered = min(case.answered, count) if case else 0
                 case = _Case(count, now + HELD_SECONDS, answered)
             cases[name] = case
-        self._others[host] = cases
+        if cases:
+            self._others[host] = cases
 
     def is_condemned(self, fingerprint):
         """Return whether a request is not to be run for now."""
