Make what came with the copies' digests and the datagrams easier to read

The digest that all three directories use has a module of its own instead of standing among the entries that lapse. To look for a route or a key, and again by a confirmed configuration, is a step of its own in the front. Two comments said less than what holds: short pauses are late by up to a tick, not by a quarter; and whatever error ends the reading of datagrams, the next read meets it.

--- a/mangogauge/entry/front.py
+++ b/mangogauge/entry/front.py
@@ -114,12 +114,7 @@
         _check_path(request.path)
         target = self._jobs.find_target(exchange)
         find = self._find_route if target is None else self._find_caller
-        try:
-            route, account = find(request, note)
-        except Refusal:
-            # A newer configuration may have it.
-            await self._confirmation.confirm(started)
-            route, account = find(request, note)
+        route, account = await self._find_surely(find, request, note, started)
         if target is not None:
             await self._jobs.serve(exchange, target, account)
             return
@@ -150,6 +145,14 @@
         )
         await self._dispatcher.run(call, exchange)
 
+    async def _find_surely(self, find, request, note, started):
+        """Return what `find` does; refuse only by a configuration that is confirmed."""
+        try:
+            return find(request, note)
+        except Refusal:
+            await self._confirmation.confirm(started)
+            return find(request, note)
+
     def _find_route(self, request, note):
         """Return the route, and the account if it needs a key."""
         routes = self._state.routes
--- a/mangogauge/fleet/directory.py
+++ b/mangogauge/fleet/directory.py
@@ -2,8 +2,9 @@
 
 from ..telemetry import get_logger
 from .departures import Departures
+from .digests import digest_values
 from .follower import Listener
-from .lapsing import LapsingEntries, digest_values
+from .lapsing import LapsingEntries
 
 __all__ = ["EndpointDirectory"]
 
--- a/mangogauge/fleet/lapsing.py
+++ b/mangogauge/fleet/lapsing.py
@@ -1,9 +1,10 @@
 """Entries that hang on leases, told apart from those that merely lapsed."""
 
-import xxhash
 from attrs import define, field
 
-__all__ = ["LapsingEntries", "digest_values"]
+from .digests import digest_values
+
+__all__ = ["LapsingEntries"]
 
 # What lapsed while the store was away is written again within this time of its
 # return, by whoever lives.
@@ -127,9 +128,3 @@
         del self._entries[name]
         self._kept.discard(name)
         self._changes += 1
-
-
-def digest_values(values):
-    """Return a digest that is the same for the same values in any order."""
-    texts = sorted(map(repr, values))
-    return xxhash.xxh3_64_hexdigest("\n".join(texts).encode())
--- a/mangogauge/fleet/members.py
+++ b/mangogauge/fleet/members.py
@@ -8,8 +8,9 @@
 from ..store import Lease, Operation, StoreRefusedError, Transaction
 from ..telemetry import get_logger
 from ..ticks import sleep_to_tick
+from .digests import digest_values
 from .follower import Listener
-from .lapsing import LapsingEntries, digest_values
+from .lapsing import LapsingEntries
 
 __all__ = ["FleetMember", "MemberDirectory", "Registration"]
 
--- a/mangogauge/fleet/state.py
+++ b/mangogauge/fleet/state.py
@@ -1,8 +1,8 @@
 """What is in force on one host, and how sure it can be of it."""
 
 from ..telemetry import get_logger
+from .digests import digest_values
 from .follower import Listener
-from .lapsing import digest_values
 from .routes import PrefixRoutes
 
 __all__ = ["FleetState", "OrderListener"]
--- a/mangogauge/sharing/datagrams.py
+++ b/mangogauge/sharing/datagrams.py
@@ -42,6 +42,7 @@
             try:
                 sock.bind((address, port))
             except OSError as error:
+                sock.close()
                 failure = error
                 continue
             self._raw = sock
@@ -62,7 +63,7 @@
                 data, sender = self._raw.recvfrom(DATAGRAM_BYTES)
                 found.append((data, _format_address(sender)))
         except OSError:
-            # No more have come.
+            # No more have come, or `read` meets the error next.
             pass
         return found
 
--- a/mangogauge/ticks.py
+++ b/mangogauge/ticks.py
@@ -12,7 +12,8 @@
 __all__ = ["TICK_SECONDS", "measure_to_tick", "sleep_to_tick"]
 
 TICK_SECONDS = 0.02
-# Part of its time by which a sleep may be longer than asked for.
+# Part of its time by which a pause may be longer than asked for; a short one by up to
+# a tick instead.
 LATENESS = 0.25
 
 
