--- a/mangogauge/sharing/freshness.py
+++ b/mangogauge/sharing/freshness.py
@@ -14,7 +14,7 @@
 from .copies import CopyReport
 from .readdates import ReadDates
 
-__all__ = ["HeardCopy", "SharedFreshness"]
+__all__ = ["NewerCopy", "SharedFreshness"]
 
 # The first host whose wait is over reads for all. About so many hosts draw their
 # wait from the part of the interval by which it is first exceeded, all others
