--- a/mangogauge/fleet/schedule.py
+++ b/mangogauge/fleet/schedule.py
@@ -100,6 +100,11 @@
         """Note that the copy that another host has was read."""
         self._freshness.note_expected(self.topic, expected)
 
+    async def hasten(self):
+        """Let the copy be read again at once."""
+        self._freshness.hasten(self.topic)
+        await self.wake()
+
     async def wake(self):
         """Look again whether the copy is due."""
         await self._woken.set()
