--- a/mangogauge/daemon/signals.py
+++ b/mangogauge/daemon/signals.py
@@ -8,7 +8,7 @@
 __all__ = ["EndSignals", "ReloadSignal"]
 
 # The kernel's own wake-up by signals is left to curio.
-POLL_SECONDS = 0.1
+POLL_SECONDS = 0.2
 RELOAD_POLL_SECONDS = 0.5
 
 
--- a/mangogauge/sharing/exchange.py
+++ b/mangogauge/sharing/exchange.py
@@ -18,7 +18,7 @@
 # How often a host that speaks for its data centre does so.
 SUMMARY_SECONDS = 0.15
 # Summaries of other data centres that come within this time are passed on together.
-PASS_ON_SECONDS = 0.01
+PASS_ON_SECONDS = 0.05
 # How often a host looks whether it is one that speaks.
 LOOK_SECONDS = 0.3
 # How long a host that isn't known to be registered is told after it was heard.
@@ -121,7 +121,8 @@
 
     async def _gather(self):
         """Return the datagrams that come within the next moment, if many are heard."""
-        pause = compute_hearing_pause(len(self._members.list_others()))
+        others = len(self._members.list_others())
+        pause = compute_hearing_pause(others, self._members.own.runs_batch)
         if not pause:
             return []
         await curio.sleep(pause)
--- a/mangogauge/sharing/pacing.py
+++ b/mangogauge/sharing/pacing.py
@@ -17,8 +17,10 @@
 DATAGRAMS_PER_SECOND = 1500
 # Hosts up to which datagrams are so few that hardly two would be read together.
 FEW_HOSTS = 24
-# However many hosts there are, what was heard waits no longer than this.
-LONGEST_HEARING_PAUSE_SECONDS = 0.02
+# What was heard waits no longer than this at a host that runs batch items, which give
+# way to online requests that it hears of, and at any other.
+RUNNER_PAUSE_SECONDS = 0.02
+ENTRY_PAUSE_SECONDS = 0.04
 
 
 class ReportPacing:
@@ -60,13 +62,15 @@
         self._sent_at = self._clock.read_elapsed()
 
 
-def compute_hearing_pause(hosts):
+def compute_hearing_pause(hosts, runs_batch):
     """Return the seconds for which a host lets datagrams gather before it reads them.
 
     Parameters
     ----------
     hosts : int
         How many others there are.
+    runs_batch : bool
+        Whether it runs batch items.
 
     Notes
     -----
@@ -74,7 +78,8 @@
     """
     if hosts <= FEW_HOSTS:
         return 0.0
-    return min(LONGEST_HEARING_PAUSE_SECONDS, _compute_gap(hosts))
+    longest = RUNNER_PAUSE_SECONDS if runs_batch else ENTRY_PAUSE_SECONDS
+    return min(longest, _compute_gap(hosts))
 
 
 def estimate_age(hosts):
