--- a/features/steps/filling.py
+++ b/features/steps/filling.py
@@ -216,17 +216,7 @@
 
 @when("the runner looks for items to start")
 def look_for_items(context):
-    context.started = curio.run(fill, context.runner)
-
-
-async def fill(runner):
-    """Fill endpoints once; return how many items run then."""
-    async with curio.TaskGroup() as group:
-        runner._group = group
-        await runner._fill()
-        started = len(runner._tasks)
-        await group.cancel_remaining()
-    return started
+    context.started = curio.run(fill_once, context.runner)
 
 
 @then("no item was given up")
