Print why scenarios failed at the end of a run of the features

Cause: the reasons were printed where the feature's file ended, minutes before the end of a run. Change: the last lines give each failed scenario's steps and messages, shortened to 1,500 characters, known reds among them.

--- a/features/run.py
+++ b/features/run.py
@@ -11,6 +11,7 @@
 import sys
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
+from textwrap import indent
 
 import orjson
 from attrs import field, frozen
@@ -23,6 +24,7 @@
 TEST_PREFIX = "test: "
 DEFAULT_JOBS = 8
 WORKER = "--worker"
+REASON_CHARACTERS = 1500
 BEHAVE_DEFAULTS = ("--no-color", "--format", "progress2", "--no-capture-hooks")
 
 
@@ -33,6 +35,7 @@
     ran = field()
     failed = field(converter=frozenset)
     broken = field(default=False)
+    reasons = field(factory=dict)
 
 
 def read_known_red():
@@ -97,20 +100,33 @@
     failed_at_large = runner.run()
     scenarios = [s for f in runner.features for s in f.walk_scenarios()]
     ran = [s for s in scenarios if s.status not in (Status.skipped, Status.untested)]
-    failed = sorted({s.name for s in ran if s.status != Status.passed})
-    outcome = {"ran": len(ran), "failed": failed, "broken": failed_at_large}
+    bad = [s for s in ran if s.status != Status.passed]
+    outcome = {
+        "ran": len(ran),
+        "failed": sorted({s.name for s in bad}),
+        "broken": failed_at_large,
+        "reasons": {s.name: describe_failure(s) for s in bad},
+    }
     print(orjson.dumps(outcome).decode(), flush=True)
     return 0
 
 
+def describe_failure(scenario):
+    """Return which steps of a scenario failed, and how, shortened."""
+    steps = [s for s in scenario.all_steps if s.status.has_failed()]
+    lines = [f"{s.keyword} {s.name}: {s.error_message or s.status.name}" for s in steps]
+    text = "\n".join(lines) or scenario.error_message or scenario.status.name
+    return text[:REASON_CHARACTERS]
+
+
 def report(outcomes):
     """Print what failed and return the exit code."""
     failed = frozenset().union(*(outcome.failed for outcome in outcomes))
     known = failed & read_known_red()
-    for name in sorted(known):
-        print(f"known red: {name}")
-    for name in sorted(failed - known):
-        print(f"failed: {name}")
+    reasons = {n: r for outcome in outcomes for n, r in outcome.reasons.items()}
+    for name in sorted(failed, key=lambda name: (name not in known, name)):
+        word = "known red" if name in known else "failed"
+        print(f"{word}: {name}\n{indent(reasons.get(name, ''), '    ')}")
     ran = sum(outcome.ran for outcome in outcomes)
     print(f"{ran - len(failed)} passed, {len(failed - known)} failed")
     broken = any(o.broken and not o.failed for o in outcomes)
