--- a/features/builders/jobs.py
+++ b/features/builders/jobs.py
@@ -129,14 +129,20 @@
         return self.get_caller(host).request("POST", f"/v1/batches/{job_id}/cancel")
 
     def wait_until_ended(self, host, job_id):
+        seen = {}
+
         def read_ended():
             try:
-                job = self.read_job(host, job_id)
-            except (OSError, http.client.HTTPException):
+                job = seen["last"] = self.read_job(host, job_id)
+            except (OSError, http.client.HTTPException) as error:
+                seen["last"] = error
                 return None
             return job if job.get("status") in RESULTS_OF_ENDED else None
 
-        return wait_until(read_ended, f"{job_id} has ended", 120)
+        try:
+            return wait_until(read_ended, f"{job_id} has ended", 120)
+        except AssertionError as error:
+            raise AssertionError(f"{error}; seen last: {seen['last']!r}") from error
 
     def wait_until_settled(self, host, job_id, count):
         """Wait until at least `count` items have a committed result."""
