Release claims of a batch host that it doesn't run

What callers saw: a batch job that never ended. Cause: a host claims a chunk, then reads its lines; when the store goes away in between, the read fails and the claim's release is lost too. The claim hangs on the host's lease, which the host goes on renewing for its other work, and other hosts leave a claimed chunk to its owner: for ever. The same where the answer to a claim is lost for longer than it is asked about. Evidence: the kept logs of the failure name claims of chunks 0, 1 and 2 of four; chunk 3 was claimed by nobody that logged it, and the store went away 0.4 s after the first claim. Reproduced by hand: a store that goes away once the claim is written; the runner never looked at the chunk again. Change: a host that looks at a job deletes claims on its present lease of chunks that it doesn't run, and looks at the job again at once. Claims of an earlier process of the same name hang on another lease and are left to it.

--- a/mangogauge/batch/claiming.py
+++ b/mangogauge/batch/claiming.py
@@ -4,6 +4,7 @@
 
 from ..telemetry import get_logger
 from .chunks import ChunkState, sum_counts
+from .commits import name_chunk
 from .jobs import Job, JobState
 from .scheduling import JobOutlook, OpenWork, RiskBoard
 
@@ -26,12 +27,15 @@
     sight : PlatformSight
     is_owner_sound : callable
         Whether a host, by name, seems to live and to reach the platform.
+    holds : callable
+        Whether this host runs a chunk, by the job's id and the chunk's number.
     """
 
-    def __init__(self, parts, share, sight, is_owner_sound):
+    def __init__(self, parts, share, sight, is_owner_sound, holds):
         self._parts = parts
         self._sight = sight
         self._is_owner_sound = is_owner_sound
+        self._holds = holds
         self._risks = RiskBoard(parts.metrics.batch_jobs_at_risk)
         self.work = OpenWork(share, parts.clock)
 
@@ -98,6 +102,7 @@
         if row is None:
             return None
         job = Job.from_bytes(row.payload)
+        await self._release_strays(job_id, work, lease_id)
         free = self._list_free(job, work, settings)
         if job.state is not JobState.IN_PROGRESS or not free:
             self.work.note_claimed(job_id, work.owners.values())
@@ -111,6 +116,23 @@
         )
         return claimed.value_or(None)
 
+    async def _release_strays(self, job_id, work, lease_id):
+        """Delete claims of this process that it doesn't run.
+
+        Notes
+        -----
+        A claim whose answer, or whose release, was lost in an outage lives as
+        long as the host's lease, so that nobody else may take the chunk over.
+        Only the task that claims may call this: no claim is on its way then.
+        """
+        for number, claim in list(work.claims.items()):
+            if claim.lease != lease_id or self._holds(job_id, number):
+                continue
+            if await self._parts.chunks.release_stray(claim):
+                name = name_chunk(job_id, number)
+                log.info("stray claim released", extra={"step": "claim", "peer": name})
+                del work.claims[number]
+
     def _list_free(self, job, work, settings):
         """Return chunks that may be claimed now.
 
--- a/mangogauge/batch/commits.py
+++ b/mangogauge/batch/commits.py
@@ -25,7 +25,7 @@
 )
 from .packing import PACKED_LIMIT_BYTES, pack
 
-__all__ = ["ChunkStore", "CommitOutcome", "JobWork", "OwnedChunk"]
+__all__ = ["ChunkStore", "CommitOutcome", "JobWork", "OwnedChunk", "name_chunk"]
 
 WRITE_IDS_KEPT = 16
 # Bounds what one transaction carries and how many operations it has.
@@ -49,12 +49,17 @@
     Parameters
     ----------
     states : dict of int to StoredRecord
-    owners : dict of int to str
-        Host by chunk, for chunks that are claimed.
+    claims : dict of int to StoredRecord
+        For chunks that are claimed.
     """
 
     states = field()
-    owners = field()
+    claims = field()
+
+    @property
+    def owners(self):
+        """Hosts by chunk, for chunks that are claimed."""
+        return {n: row.payload.decode() for n, row in self.claims.items()}
 
     def list_unfinished(self, job):
         """Return numbers of chunks that lack results."""
@@ -72,6 +77,11 @@
         return [ChunkState.from_bytes(r.payload).counts for r in self.states.values()]
 
 
+def name_chunk(job_id, number):
+    """Return a chunk's name, for logs and among those that a host owns."""
+    return f"{job_id}/{number}"
+
+
 @define(eq=False)
 class OwnedChunk:
     """A chunk that this host has claimed.
@@ -98,7 +108,7 @@
     @property
     def name(self):
         """Name for logs."""
-        return f"{self.job.job_id}/{self.number}"
+        return name_chunk(self.job.job_id, self.number)
 
 
 @frozen
@@ -171,6 +181,11 @@
         condition = Condition(key, chunk.claim_revision)
         await self._records.store.transact(Transaction((condition,), (Operation(key),)))
 
+    async def release_stray(self, row):
+        """Delete a claim, by its record; return whether it is gone."""
+        removed = await self._records.remove(row)
+        return not isinstance(removed, Failure)
+
     async def commit(self, chunks, lease_id):
         """Commit what waits in `chunks`, many by one write.
 
@@ -239,14 +254,14 @@
 
 
 def _sort_rows(rows):
-    states, owners = {}, {}
+    states, claims = {}, {}
     for row in rows:
         *_, number, kind = row.key.split("/")
         if kind == "state":
             states[int(number)] = row
         else:
-            owners[int(number)] = row.payload.decode()
-    return JobWork(states, owners)
+            claims[int(number)] = row
+    return JobWork(states, claims)
 
 
 def _pack_results(results):
--- a/mangogauge/batch/runner.py
+++ b/mangogauge/batch/runner.py
@@ -8,7 +8,7 @@
 from ..settings import BatchSettings
 from ..telemetry import get_logger
 from .claiming import Claimer
-from .commits import CommitOutcome
+from .commits import CommitOutcome, name_chunk
 from .execution import Executor
 from .items import ItemError
 from .ownership import (
@@ -92,7 +92,9 @@
         self._sight = PlatformSight(parts.clock)
         self._lease = HostLease(parts.records.store, parts.clock, self._sight)
         self._lease_id = 0
-        self._claimer = Claimer(parts, self._share, self._sight, self._is_owner_sound)
+        self._claimer = Claimer(
+            parts, self._share, self._sight, self._is_owner_sound, self._holds
+        )
         self._executor = Executor(
             parts, self._share, self._may_start, self._is_owner_sound
         )
@@ -187,6 +189,9 @@
         names = [m.name for m in view.list_members() if m.name != own]
         return any(view.read(name, PLATFORM_ENTRY) == SEEN for name in names)
 
+    def _holds(self, job_id, number):
+        return name_chunk(job_id, number) in self._owned
+
     def _is_owner_sound(self, name):
         view = self._parts.view
         return view.is_live(name) and view.read(name, PLATFORM_ENTRY) != UNSEEN
@@ -247,6 +252,8 @@
         lines = await self._claimer.read_lines(chunk)
         if lines is None:
             await self._parts.chunks.release(chunk)
+            # If the release is lost too, the next look at the job finds the claim.
+            self._claimer.work.note_free(chunk.job.job_id)
             return
         self._executor.add(chunk, lines)
         for index in chunk.ledger.list_lost():
