Count a crash once that two hosts noted without hearing each other

A sound request that died once could be refused as one that crashes endpoints. Cause: a host whose report to its data centre's judge gets no answer within 2 s judges the crash itself, and each of the two gives the crash a name of its own. Merged, a request that both knew of was present at two crashes. Change: a crash of an endpoint that another host names within the time in which reports count as one is known by the name this host has for it already.

--- a/features/routing/quarantine.feature
+++ b/features/routing/quarantine.feature
@@ -44,6 +44,19 @@
     When quarantine: 700 seconds pass
     Then quarantine: "x" is clear
 
+  Scenario: A crash that two hosts count, neither hearing the other, condemns nobody
+    Given quarantine: a quarantine by hand
+    And quarantine: another quarantine elsewhere
+    When quarantine: "x, y" ran at a crash of "e1"
+    And quarantine: elsewhere "y, z" ran at a crash of "e1"
+    And quarantine: they tell each other all once a second, for 3 seconds
+    Then quarantine: both hold "y" to be suspect
+    When quarantine: 4 seconds pass
+    And quarantine: "y" ran at a crash of "e1"
+    And quarantine: they tell each other all once a second, for 3 seconds
+    Then quarantine: both hold "y" to be condemned
+    And quarantine: both hold "x" to be clear
+
   Scenario: A trial that begins after a crash is not convicted by it
     Given quarantine: a quarantine by hand
     When quarantine: "x, y" ran at a crash of "e1"
--- a/mangogauge/routing/quarantine.py
+++ b/mangogauge/routing/quarantine.py
@@ -89,6 +89,7 @@
         self._cleared = OrderedDict()
         self._trials = {}
         self._recent = {}
+        self._same = OrderedDict()
         self._explained = OrderedDict()
         # When this host first heard of each crash; what it is told again of one
         # makes that no later.
@@ -193,16 +194,17 @@
     def _take_condemned(self, row):
         if row.fingerprint in self._condemned:
             return
-        until = self._find_date(row.crashes) + CONDEMNED_SECONDS
+        crashes = self._identify(row.crashes)
+        until = self._find_date(crashes) + CONDEMNED_SECONDS
         until = min(until, self._now + row.seconds_left)
         if until > self._now:
-            self._condemn(row.fingerprint, set(row.crashes), until)
+            self._condemn(row.fingerprint, crashes, until)
 
     def _take_suspect(self, row):
         name = row.fingerprint
         new = {
             crash
-            for crash in set(row.crashes) - self._explained.keys()
+            for crash in self._identify(row.crashes) - self._explained.keys()
             if self._find_date([crash]) + SUSPECT_SECONDS > self._now
         }
         if not new or name in self._cleared or name in self._condemned:
@@ -213,6 +215,28 @@
             case.until = max(case.until, self._find_date(new) + SUSPECT_SECONDS)
         _trim(self._suspects)
 
+    def _identify(self, crashes):
+        """Return crashes by the names under which this host counts them.
+
+        Hosts that didn't hear each other count one crash of an endpoint under a
+        name each; the names come within `MERGE_SECONDS`.
+        """
+        return {self._identify_one(crash) for crash in crashes}
+
+    def _identify_one(self, crash):
+        if crash in self._dates:
+            return crash
+        if crash not in self._same:
+            endpoint, owner, _ = crash.rsplit("/", 2)
+            recent = self._recent.get(endpoint)
+            is_other = recent is None or recent.crash.rsplit("/", 2)[1] == owner
+            if is_other:
+                recent = _RecentCrash(crash, self._now + MERGE_SECONDS)
+                self._recent[endpoint] = recent
+            self._same[crash] = recent.crash
+            _trim(self._same)
+        return self._same[crash]
+
     def _find_date(self, crashes):
         """Return when the last of some crashes was first heard of: now, if now."""
         for crash in crashes:
