Start no item of a job that may have been ended unseen

Cause: runners learn of ends only by their watch on work/. A watch could hang for 5 + 1.2 s, and items started all the while. Two more ways to the same start were found: a job known to be ended started items again after its close, or any other write, got no answer, since the pause before the next write came before the look at the mark; and a claim didn't ask whether its job was ended.

Change: an item starts only if what the host knows of ends was asked of the store at most 2 s ago (jobs/ends.py), looked at again right before the request is sent; claims ask that there is no mark. While the store is away for all, as far as every data centre tells, nobody can write an end and items go on (fleet/absence.py). A watch waits 0.5 s in place of 5, and not at all while the store is lost. What runs of an ended job is broken off whatever waits to be written.

--- a/features/builders/platform/endpoint.py
+++ b/features/builders/platform/endpoint.py
@@ -12,6 +12,7 @@
 import orjson
 from attrs import asdict, define, field
 
+from mangogauge.clock import SystemClock
 from mangogauge.http import Headers, HTTPServer, ServerLimits
 
 BODY_BYTES = 8_000_000
@@ -31,6 +32,8 @@
     key = field()
     body = field()
     state = field(default="waiting")
+    # Elapsed time of the machine.
+    at = field(factory=SystemClock().read_elapsed)
 
 
 class EndpointServer:
--- a/features/builders/platform/store.py
+++ b/features/builders/platform/store.py
@@ -24,12 +24,16 @@
 
 @define
 class StoreFaults:
-    """What the store does wrong: status for all calls, lost and late writes, no end."""
+    """What the store does wrong: status for all calls, lost and late writes, no end.
+
+    Watches that wait, or come, while it is stuck get no answer any more.
+    """
 
     status = field(default=0)
     silent = field(default=False)
     lose_writes = field(default=0)
     deaf = field(default=False)
+    stuck = field(default=False)
     endless = field(default=False)
 
 
@@ -120,6 +124,8 @@
         clock = SystemClock()
         until = clock.read_elapsed() + int(query["wait_ms"]) / 1000
         while True:
+            if self.faults.stuck:
+                await curio.sleep(3600)
             if after < self.compacted:
                 return 410, {}
             self.keyspace.expire_leases()
--- a/features/jobs/claims.feature
+++ b/features/jobs/claims.feature
@@ -85,6 +85,25 @@
     And it looks at what has become of its claims
     Then it has the claim, and items to run
 
+  Scenario: A job that is ended meanwhile is claimed only by who knows of its end
+    Given a host that read the open jobs before "j1" was ended
+    Then it claims nothing
+    When it has read of the end
+    Then it claims "j1"
+
+  Scenario: A claim that lapsed is not claimed again once its job is ended
+    Given the first host has claimed "j1"
+    When its lease lapses, and it registers again
+    And "j1" is ended by its caller
+    Then the first host can't claim "j1" again
+
+  Scenario: An old claim of which a host was not told doesn't hide that the job is ended
+    Given a host that read the open jobs before "j1" was ended
+    And its claim had taken effect before, and it was not told
+    Then it claims nothing
+    When it has read of the end
+    Then it claims "j1"
+
   Scenario: A job and its results are read from copies, which cost the store little
     Given the first host has claimed "j1"
     When the first host commits the result of item 2
--- a/features/platform/batch.feature
+++ b/features/platform/batch.feature
@@ -70,6 +70,13 @@
     And "j1" can be read at "h1" and "h2"
     And the body of "j1-2" is not shown any more
 
+  # Found by a hunt of abycat-serve (journal 5cd24cbb).
+  Scenario: A job is ended just when the runners' watches at the store get stuck
+    When "desk" submits the job "j1" of 200 items of 20 events to "h1"
+    And watches at the store get stuck for 0.7 s
+    And "desk" ends "j1" at "h2" once items run
+    Then no item of "j1" reaches an endpoint later than 3 s after that
+
   Scenario: Bodies can be read until the job is ended, by their own account only
     Given the endpoints take 0.2 s for an event
     When "desk" submits the job "j1" of 6 items to "h1"
--- a/features/steps/filling.py
+++ b/features/steps/filling.py
@@ -19,7 +19,7 @@
     RouteNature,
     ServiceShare,
 )
-from mangogauge.jobs import JobRunner, WorkBoard
+from mangogauge.jobs import EndWatch, JobRunner, WorkBoard
 from mangogauge.jobs.owned import OwnedJob
 from mangogauge.jobs.records import ItemState, JobItem, JobManifest
 from mangogauge.jobs.runner import BUSY_TICK_SECONDS
@@ -105,10 +105,18 @@
     )
     state.routes = PrefixRoutes(make_configuration(routes=[NIGHT, OTHER]))
     context.items = EndlessItems()
+    context.work = WorkBoard(clock)
+    context.work_asked_at = LONG_SECONDS + clock.read_elapsed()
     context.runner = JobRunner(
         "own",
         state,
-        WorkBoard(clock),
+        context.work,
+        EndWatch(
+            context.work,
+            lambda: clock.read_elapsed() - context.work_asked_at,
+            lambda: False,
+            clock,
+        ),
         NoClaims(),
         context.items,
         BatchRoom(context.board, clock),
@@ -231,5 +239,6 @@
 
 
 @then("{count:d} item was started")
+@then("{count:d} items were started")
 def check_started(context, count):
     assert context.started == count, context.started
--- a/features/steps/jobs.py
+++ b/features/steps/jobs.py
@@ -369,9 +369,8 @@
     own = FleetMember("first", "1", runs_batch=True)
     members = MemberDirectory(own, context.clock)
     state = FleetState(None, members, None)
-    return JobRunner(
-        "first", state, board, claims, None, None, None, None, None, context.clock, None
-    )
+    parts = [None] * 5
+    return JobRunner("first", state, board, None, claims, *parts, context.clock, None)
 
 
 @when("it looks for jobs to claim")
--- a/features/steps/platform_jobs.py
+++ b/features/steps/platform_jobs.py
@@ -7,9 +7,11 @@
 from behave import given, then, when
 
 from features.builders import wait_until
+from mangogauge.clock import SystemClock
 
 READ_SECONDS = 40
 SUBMIT_SECONDS = 30
+SETTLE_SECONDS = 1.5
 
 
 @given('the runners "{names}"')
@@ -152,6 +154,24 @@
         host, "DELETE", f"/api/lots/{job_id}", key=f"{account}-key"
     )
     assert answer.status == 200, answer
+    context.ended_at = SystemClock().read_elapsed()
+
+
+@when("watches at the store get stuck for {seconds:g} s")
+def stick_watches(context, seconds):
+    wait_until(context.deployment.list_arrivals, "items run")
+    context.deployment.control("store", stuck=True)
+    time.sleep(seconds)
+    context.deployment.control("store", stuck=False)
+
+
+@then('no item of "{job_id}" reaches an endpoint later than {seconds:g} s after that')
+def check_last_start(context, job_id, seconds):
+    time.sleep(seconds + SETTLE_SECONDS)
+    rows = context.deployment.list_arrivals()
+    late = [row for row in rows if row["at"] > context.ended_at + seconds]
+    assert not late, f"{len(late)}, the last {late[-1]['at'] - context.ended_at} s"
+    assert any(row["state"] == "cut" for row in rows), "all had run before"
 
 
 @then('nothing of "{job_id}" runs any more')
--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -5,6 +5,7 @@
 import curio
 
 from ..fleet import (
+    AbsenceWatch,
     Certainty,
     EndpointDirectory,
     FleetMember,
@@ -43,8 +44,9 @@
 # go one after another while all are restarted, and those that aren't known yet are
 # told of what happens all the same.
 MEMBERS_LEAST_GAP = 1.5
-# Entries of open jobs are awaited at the store.
-WAIT_SECONDS = 5.0
+# Entries of open jobs are awaited at the store, so briefly that with the pause between
+# two reads no copy grows as old as `EndWatch` allows.
+WAIT_SECONDS = 0.5
 ISOLATION_SECONDS = 0.25
 
 log = get_logger("host")
@@ -72,6 +74,7 @@
     member : FleetMember
         This host.
     confirmation : OrderConfirmation
+    absence : AbsenceWatch
     isolated : bool
         Whether its data centre reaches nothing else.
     """
@@ -103,6 +106,7 @@
             self._measure_age,
         )
         self.relays = RelayDirectory(self.members, self.board)
+        self.absence = AbsenceWatch(self.members, self.board, self._measure_age)
         self.registration = Registration(
             backends.store,
             self.member,
@@ -185,18 +189,18 @@
         )
 
     def follow(self, prefix, listener, pause_seconds):
-        """Keep a copy by waiting at the store for changes."""
+        """Keep a copy by waiting at the store for changes; return its `Follower`."""
         schedule = SteadySchedule(pause_seconds)
-        self._followers.append(
-            Follower(
-                self._backends.feed,
-                prefix,
-                listener,
-                schedule,
-                self._clock,
-                WAIT_SECONDS,
-            )
+        follower = Follower(
+            self._backends.feed,
+            prefix,
+            listener,
+            schedule,
+            self._clock,
+            WAIT_SECONDS,
         )
+        self._followers.append(follower)
+        return follower
 
     def hears_data_centre(self, data_centre, since):
         """Return whether another host of a data centre has been heard since.
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -10,6 +10,7 @@
 from ..fleet import RetirementKeeper
 from ..http import ClientLimits, ClientPool, Headers, HTTPServer, ServerLimits
 from ..jobs import (
+    EndWatch,
     JobAcceptance,
     JobFront,
     JobReader,
@@ -148,11 +149,13 @@
         if not self.settings.runs_batch:
             return
         work = WorkBoard(clock)
-        self.fleet.follow(WORK_PREFIX, work, WORK_PAUSE_SECONDS)
+        follower = self.fleet.follow(WORK_PREFIX, work, WORK_PAUSE_SECONDS)
+        ends = EndWatch(work, lambda: follower.age, self.fleet.absence.is_away, clock)
         self.runner = JobRunner(
             self.settings.name,
             self.fleet.state,
             work,
+            ends,
             JobClaims(store, feed, self.fleet.registration, self.fleet.claimant),
             ItemRunner(
                 self.attempt, self.fleet.health, clock, self.random, self.metrics
--- a/mangogauge/fleet/follower.py
+++ b/mangogauge/fleet/follower.py
@@ -53,7 +53,8 @@
     schedule : ReadSchedule
     clock : Clock
     wait_seconds : float, optional
-        How long a read waits at the store for a change.
+        How long a read waits at the store for a change; while the store is lost it
+        doesn't, so that its return is noticed soon.
     whole : bool, optional
         Read everything each time; what changes is few, and must not depend on
         the store's history.
@@ -146,8 +147,9 @@
         if self._revision is None:
             answer = await self._feed.read_snapshot(self._prefix)
         else:
+            wait_seconds = self._wait_seconds if self._reachable else 0.0
             answer = await self._feed.read_changes(
-                self._prefix, self._revision, self._wait_seconds
+                self._prefix, self._revision, wait_seconds
             )
         if isinstance(answer, Failure):
             self._note_failure(answer.failure())
--- a/mangogauge/jobs/__init__.py
+++ b/mangogauge/jobs/__init__.py
@@ -2,6 +2,7 @@
 
 from .acceptance import JobAcceptance
 from .dialect import JobDialect, JobOperation, JobTarget
+from .ends import EndWatch
 from .front import JobFront
 from .reading import JobReader
 from .records import ItemResult, ItemState, JobItem, JobManifest, Submission
@@ -10,6 +11,7 @@
 from .work import WorkBoard
 
 __all__ = [
+    "EndWatch",
     "ItemResult",
     "ItemState",
     "JobAcceptance",
--- a/mangogauge/jobs/claims.py
+++ b/mangogauge/jobs/claims.py
@@ -13,6 +13,7 @@
 from ..telemetry import get_logger
 from .keys import (
     CLAIM,
+    ENDED,
     OPEN,
     make_closed_key,
     make_failures_key,
@@ -65,23 +66,24 @@
         Parameters
         ----------
         entry : WorkEntry
+            Unless it shows that the job is ended, there is no claim on one that is.
         """
         lease = self._registration.lease
         if lease is None or not self._registration.is_valid:
             return Failure(StoreUnavailableError("There is no lease.", step="claim"))
         job_id = entry.opened.job_id
         key = make_work_key(job_id, CLAIM)
-        transaction = Transaction(
-            [
-                Condition(key, 0),
-                Condition(make_work_key(job_id, OPEN), entry.open_revision),
-            ],
-            [Operation(key, self.claimant.encode(), lease.lease_id)],
-        )
-        answer = await self._store.transact(transaction)
+        conditions = [
+            Condition(key, 0),
+            Condition(make_work_key(job_id, OPEN), entry.open_revision),
+        ]
+        if not entry.ended:
+            conditions.append(_expect_not_ended(job_id))
+        claim = Operation(key, self.claimant.encode(), lease.lease_id)
+        answer = await self._store.transact(Transaction(conditions, [claim]))
         if isinstance(answer, Failure):
             return answer
-        revision = self._read_claim(answer.unwrap(), key)
+        revision = self._read_claim(answer.unwrap(), job_id, entry.ended)
         if not revision:
             return Success(None)
         return await self._load(job_id, revision)
@@ -99,10 +101,11 @@
             return Failure(StoreUnavailableError("There is no lease.", step="claim"))
         key = make_work_key(job.job_id, CLAIM)
         claim = Operation(key, self.claimant.encode(), lease.lease_id)
-        answer = await self._store.transact(Transaction([Condition(key, 0)], [claim]))
+        conditions = [Condition(key, 0), _expect_not_ended(job.job_id)]
+        answer = await self._store.transact(Transaction(conditions, [claim]))
         if isinstance(answer, Failure):
             return answer
-        job.claim_revision = self._read_claim(answer.unwrap(), key)
+        job.claim_revision = self._read_claim(answer.unwrap(), job.job_id)
         return Success(bool(job.claim_revision))
 
     async def release(self, job):
@@ -178,15 +181,27 @@
         answer = await self._store.transact(transaction)
         return answer.map(lambda outcome: outcome.succeeded)
 
-    def _read_claim(self, outcome, key):
-        """Return the revision of this host's claim; 0 if it has none."""
+    def _read_claim(self, outcome, job_id, knows_end=False):
+        """Return the revision of this host's claim; 0 if it has none.
+
+        Parameters
+        ----------
+        outcome : TransactionResult
+        job_id : str
+        knows_end : bool, optional
+            Whether the claim may be on a job that is ended.
+        """
         if outcome.succeeded:
             return outcome.revision
-        for item in outcome.current:
-            if item.key == key and item.value == self.claimant.encode():
-                # An earlier try took effect, its answer was lost.
-                return item.mod_revision
-        return 0
+        current = {item.key: item for item in outcome.current}
+        if make_work_key(job_id, ENDED) in current and not knows_end:
+            log.info("job ended meanwhile", extra={"job": job_id})
+            return 0
+        claim = current.get(make_work_key(job_id, CLAIM))
+        if claim is None or claim.value != self.claimant.encode():
+            return 0
+        # An earlier try took effect, its answer was lost.
+        return claim.mod_revision
 
     async def _load(self, job_id, revision):
         manifest = await self._store.get_constant(make_manifest_key(job_id))
@@ -261,3 +276,7 @@
         self._commits.pop(job.job_id, None)
         job.position = commit.position + len(commit.results)
         job.finished = job.finished[len(commit.results) :]
+
+
+def _expect_not_ended(job_id):
+    return Condition(make_work_key(job_id, ENDED), 0)
--- /dev/null
+++ b/mangogauge/jobs/ends.py
@@ -0,0 +1,46 @@
+"""Whether a job's caller may have ended it without this host knowing.
+
+The load this answers: callers who end jobs just when the store is away or back, or
+when the connection on which a runner awaits news has died without a sign. Whoever was
+told that a job is ended counts on it that no item of it starts seconds later.
+"""
+
+__all__ = ["EndWatch"]
+
+# How old what this host knows may be when an item starts.
+KNOWN_SECONDS = 2.0
+
+
+class EndWatch:
+    """Decides whether items of a job may start.
+
+    Parameters
+    ----------
+    work : WorkBoard
+    measure_age : callable
+        Returns the seconds since the store was asked for what `work` shows.
+    is_store_away : callable
+        Returns whether no host can have written an end.
+    clock : Clock
+
+    Notes
+    -----
+    A job that is ended has a mark at the store before its caller is told. So a read
+    that was asked for later shows it, and an older one may be trusted for
+    `KNOWN_SECONDS`. A claim is such a read too: it is made only where there is no mark.
+    """
+
+    def __init__(self, work, measure_age, is_store_away, clock):
+        self._work = work
+        self._measure_age = measure_age
+        self._is_store_away = is_store_away
+        self._clock = clock
+
+    def may_start(self, job):
+        """Return whether items of an `OwnedJob` may start now."""
+        if self._work.is_ended(job.job_id):
+            return False
+        claim_age = self._clock.read_elapsed() - job.claimed_at
+        if min(claim_age, self._measure_age()) <= KNOWN_SECONDS:
+            return True
+        return self._is_store_away()
--- a/mangogauge/jobs/runner.py
+++ b/mangogauge/jobs/runner.py
@@ -37,6 +37,7 @@
     host : str
     state : FleetState
     work : WorkBoard
+    ends : EndWatch
     claims : JobClaims
     items : ItemRunner
     room : BatchRoom
@@ -55,6 +56,7 @@
         host,
         state,
         work,
+        ends,
         claims,
         items,
         room,
@@ -67,6 +69,7 @@
         self._host = host
         self._state = state
         self._work = work
+        self._ends = ends
         self._claims = claims
         self._items = items
         self._room = room
@@ -203,6 +206,7 @@
 
     async def _check_claims(self):
         """Look at what has become of the jobs that this host runs."""
+        await self._stop_ended()
         now = self._clock.read_elapsed()
         for job in list(self._jobs.values()):
             entry = self._work.get(job.job_id)
@@ -219,10 +223,14 @@
             elif not entry.claimant and entry.unclaimed_since > job.claimed_at:
                 await self._claim_again(job)
 
+    async def _stop_ended(self):
+        """Break off what runs of jobs that their callers have ended."""
+        for item in list(self._tasks):
+            if self._work.is_ended(item.job.job_id):
+                await self._break_off(item)
+
     async def _end(self, job):
         """Drop a job that its caller has ended."""
-        for item in [i for i in self._tasks if i.job is job]:
-            await self._break_off(item)
         answer = await self._claims.close(job, self._clock.read_calendar())
         if isinstance(answer, Failure):
             self._note_unwritten(job, answer)
@@ -267,7 +275,8 @@
     async def _fill(self):
         now = self._clock.read_elapsed()
         calendar = self._clock.read_calendar()
-        ready = [i for job in self._jobs.values() for i in job.list_ready(now)]
+        jobs = [job for job in self._jobs.values() if self._ends.may_start(job)]
+        ready = [item for job in jobs for item in job.list_ready(now)]
         all_services = self._state.routes.batch_services
         rooms = {}
         for item in order_items(ready, calendar, self._pace):
@@ -338,6 +347,9 @@
     async def _run_item(self, item, route, endpoint):
         is_fresh = not item.pieces
         try:
+            # Time may have passed since it was chosen.
+            if not self._ends.may_start(item.job):
+                return
             await self._items.run(item, route, endpoint)
             if is_fresh and item.item.item_id not in item.job.items:
                 self._note_pace(item)
--- a/mangogauge/store/detour.py
+++ b/mangogauge/store/detour.py
@@ -21,8 +21,8 @@
 CONNECT_SECONDS = 0.2
 # How long a trial of the direct way may hold up the call that makes it.
 TRIAL_SECONDS = 0.3
-# Calls that may wait at the store for longer are no trial.
-TRIAL_CALL_SECONDS = 2.0
+# Calls that may wait at the store for a change take longer, and are no trial.
+TRIAL_CALL_SECONDS = 1.5
 # Hosts that one call is offered to.
 RELAYS_PER_CALL = 2
 # Longer than any call waits at the store; the host that asked gives up sooner.
