Bound a call to the store over all the ways that it takes

What callers saw: nothing yet; found while the waits of a job's end were summed up. A host whose way to the store was lost gave each way the whole time of the call: a trial, two hosts that take no connection and the store again took 1.9 s of a call of 1.2 s. And where open connections had gone silent, each idle one cost another call its whole time.

Change: what is left of a call's time is what its next way gets; a call that got no answer closes the idle connections to that address, so that the next one is made on a new connection.

--- a/mangogauge/store/detour.py
+++ b/mangogauge/store/detour.py
@@ -52,7 +52,8 @@
 
     def __init__(self, address, connect_seconds, clock=None):
         self.direct = DirectTransport(address, connect_seconds)
-        self.reach = StoreReach(clock or SystemClock())
+        self._clock = clock or SystemClock()
+        self.reach = StoreReach(self._clock)
         self._relays = {}
         self._list_relays = list
 
@@ -61,9 +62,10 @@
         self._list_relays = list_relays
 
     async def request(self, method, target, body, seconds):
-        """Make one call; see `StoreTransport`."""
+        """Make one call, whichever ways it takes; see `StoreTransport`."""
         if not self.reach.is_lost:
             return await self._ask_store(method, target, body, seconds)
+        until = self._clock.read_elapsed() + seconds
         is_quick = method == READ and seconds <= TRIAL_CALL_SECONDS
         if is_quick and self.reach.begin_trial():
             answer = await self._try_store(method, target, body, seconds)
@@ -72,14 +74,19 @@
         addresses = list(self._list_relays())
         random.shuffle(addresses)
         for address in addresses[:RELAYS_PER_CALL]:
+            left = self._measure_left(until)
             try:
-                return await self._ask_relay(address, method, target, body, seconds)
+                return await self._ask_relay(address, method, target, body, left)
             except HTTPConnectError as error:
                 log.info(
                     "relay not reached",
                     extra={"peer": address, "reason": error.message},
                 )
-        return await self._ask_store(method, target, body, seconds)
+        left = self._measure_left(until)
+        return await self._ask_store(method, target, body, left)
+
+    def _measure_left(self, until):
+        return max(0.0, until - self._clock.read_elapsed())
 
     async def close(self):
         """Close idle connections."""
--- a/mangogauge/store/transport.py
+++ b/mangogauge/store/transport.py
@@ -73,12 +73,22 @@
         self._pool = ClientPool(connect_seconds, limits=limits)
 
     async def request(self, method, target, body, seconds):
-        """Make one call; see `StoreTransport`."""
-        async with curio.timeout_after(seconds):
-            response = await self._pool.request(
-                self.address, method, target, JSON_HEADERS, body
-            )
-            return StoreAnswer(response.status, await response.read())
+        """Make one call; see `StoreTransport`.
+
+        Notes
+        -----
+        Where one connection has gone silent, those that are idle may have too: the
+        next call makes a new one.
+        """
+        try:
+            async with curio.timeout_after(seconds):
+                response = await self._pool.request(
+                    self.address, method, target, JSON_HEADERS, body
+                )
+                return StoreAnswer(response.status, await response.read())
+        except curio.TaskTimeout:
+            await self._pool.close()
+            raise
 
     async def close(self):
         """Close idle connections."""
