--- a/features/steps/filling.py
+++ b/features/steps/filling.py
@@ -127,7 +127,7 @@
         ServingMetrics(),
     )
     job = make_job(count, NIGHT)
-    context.job = context.runner._jobs[job.job_id] = job
+    context.job = context.runner.holder.jobs[job.job_id] = job
     context.clock = clock
 
 
@@ -137,15 +137,15 @@
 )
 def add_job_without_room(context, count):
     job = make_job(count, OTHER, "j2", SOON_SECONDS)
-    context.runner._jobs[job.job_id] = job
+    context.runner.holder.jobs[job.job_id] = job
 
 
 async def fill_once(runner):
     """Return how many items run after one turn."""
     async with curio.TaskGroup() as group:
-        runner._group = group
-        await runner._fill_once()
-        running = len(runner._tasks)
+        runner.starter.group = group
+        await runner.fill_once()
+        running = len(runner.starter)
         await group.cancel_remaining()
     return running
 
@@ -159,7 +159,7 @@
     """Let reports come to a runner that runs; return the items running at the end."""
     runner, clock = context.runner, context.clock
     task = await curio.spawn(runner.run)
-    while not runner._tasks:
+    while not len(runner.starter):
         await curio.sleep(BUSY_TICK_SECONDS)
     context.chooser.looks = 0
     started = clock.read_elapsed()
@@ -169,7 +169,7 @@
         await curio.sleep(REPORT_SECONDS)
     context.seconds = clock.read_elapsed() - started
     context.looks = context.chooser.looks
-    running = len(runner._tasks)
+    running = len(runner.starter)
     await task.cancel()
     return running
 
--- a/features/steps/jobs.py
+++ b/features/steps/jobs.py
@@ -376,7 +376,7 @@
 @when("it looks for jobs to claim")
 def look_for_jobs(context):
     context.clock.advance(10)
-    run(context.runner.claim_once)
+    run(context.runner.holder.claim_once)
 
 
 @then("it goes on, and has claimed nothing")
@@ -415,7 +415,7 @@
 @when("it looks at what has become of its claims")
 def look_at_claims(context):
     context.clock.advance(1)
-    run(context.runner._check_claims)
+    run(context.runner.holder.check)
 
 
 @then("it has the claim, and items to run")
--- a/features/steps/jobs_ends.py
+++ b/features/steps/jobs_ends.py
@@ -53,7 +53,7 @@
     context.work.take_snapshot(
         [KeyValue(make_work_key(job.job_id, kind), v) for kind, v in entries.items()]
     )
-    context.runner._claims = UnansweredClaims()
+    context.runner.holder._claims = UnansweredClaims()
 
 
 @given("the job's progress is not written again for {seconds:g} s")
--- /dev/null
+++ b/mangogauge/jobs/filling.py
@@ -0,0 +1,120 @@
+"""Fill endpoints with items, and give way where online requests need the slots."""
+
+from ..telemetry import get_logger
+from .scheduling import order_items
+
+__all__ = ["EndpointFiller"]
+
+log = get_logger("jobs")
+
+
+class EndpointFiller:
+    """Chooses which items run where.
+
+    Parameters
+    ----------
+    state : FleetState
+    ends : EndWatch
+    items : ItemRunner
+    room : BatchRoom
+    chooser : EndpointChooser
+    board : LoadBoard
+    starter : ItemStarter
+    clock : Clock
+    """
+
+    def __init__(self, state, ends, items, room, chooser, board, starter, clock):
+        self._state = state
+        self._ends = ends
+        self._items = items
+        self._room = room
+        self._chooser = chooser
+        self._board = board
+        self._starter = starter
+        self._clock = clock
+
+    async def give_way(self):
+        """Break off the least urgent items where online requests need the slots."""
+        running = self._starter.list_running()
+        for name in {item.endpoint for item in running if item.endpoint}:
+            endpoint = self._state.directory.get(name)
+            if endpoint is None:
+                continue
+            excess = self._room.measure_own_excess(endpoint)
+            if excess:
+                await self._break_off(endpoint, excess)
+
+    async def _break_off(self, endpoint, excess):
+        """Break off the least urgent items at an endpoint."""
+        running = self._starter.list_running()
+        here = [item for item in running if item.endpoint == endpoint.name]
+        calendar = self._clock.read_calendar()
+        for item in order_items(here, calendar, self._starter.pace)[-excess:]:
+            log.info(
+                "item gives way",
+                extra={
+                    "request_id": item.item.item_id,
+                    "endpoint": endpoint.name,
+                    "load": self._board.measure(endpoint.name).total,
+                    "slots": endpoint.slots,
+                },
+            )
+            await self._starter.break_off(item)
+
+    async def fill(self, jobs):
+        """Start the most urgent items wherever there is room.
+
+        Parameters
+        ----------
+        jobs : iterable of OwnedJob
+        """
+        now = self._clock.read_elapsed()
+        calendar = self._clock.read_calendar()
+        may_start = [job for job in jobs if self._ends.may_start(job)]
+        ready = [item for job in may_start for item in job.list_ready(now)]
+        all_services = self._state.routes.batch_services
+        rooms = {}
+        for item in order_items(ready, calendar, self._starter.pace):
+            route = self._find_route(item)
+            if route is None:
+                if self._knows_routes_since(item.job.claimed_at):
+                    self._items.give_up(item, "its route is gone")
+                continue
+            if calendar > item.job.manifest.abandon_at:
+                self._items.give_up(item, "its time is up")
+                continue
+            services = route.services
+            if services not in rooms:
+                rooms[services] = self._list_rooms(services)
+            if rooms[services]:
+                await self._starter.start(item, route, rooms[services].pop())
+            elif not any(rooms.values()) and rooms.keys() >= all_services:
+                break
+
+    def _find_route(self, item):
+        return self._state.routes.find(item.job.manifest.host, item.item.path)
+
+    def _knows_routes_since(self, moment):
+        """Return whether the routes in force were the newest at an elapsed time.
+
+        Notes
+        -----
+        A host that had read a newer configuration may have accepted the job.
+        """
+        confirmed_at = self._clock.read_elapsed() - self._state.measure_age()
+        return confirmed_at >= moment
+
+    def _list_rooms(self, services):
+        """Return the endpoints with room for items, the one with the most last.
+
+        Notes
+        -----
+        Each gets one item in a turn: reports of other hosts' starts come in between.
+        """
+        usable = [
+            endpoint
+            for service in services
+            for endpoint in self._chooser.list_usable(service)
+        ]
+        free = [(self._room.measure_free(e), e.name, e) for e in usable]
+        return [row[2] for row in sorted(row for row in free if row[0] > 0)]
--- /dev/null
+++ b/mangogauge/jobs/holding.py
@@ -0,0 +1,159 @@
+"""Claim jobs, and look at what becomes of those that this host has claimed."""
+
+from returns.result import Failure
+
+from ..telemetry import get_logger
+from .scheduling import rank_host
+
+__all__ = ["JobHolder", "note_unwritten"]
+
+# How long the host that should claim a job may take before the next one does.
+CLAIM_TURN_SECONDS = 1.0
+REWRITE_SECONDS = 0.25
+
+log = get_logger("jobs")
+
+
+class JobHolder:
+    """The jobs that this host runs.
+
+    Parameters
+    ----------
+    host : str
+    state : FleetState
+    work : WorkBoard
+    claims : JobClaims
+    board : LoadBoard
+    starter : ItemStarter
+    clock : Clock
+
+    Attributes
+    ----------
+    jobs : dict of str to OwnedJob
+        By id.
+    stopped : bool
+        Whether no further job is claimed.
+    """
+
+    def __init__(self, host, state, work, claims, board, starter, clock):
+        self._host = host
+        self._state = state
+        self._work = work
+        self._claims = claims
+        self._board = board
+        self._starter = starter
+        self._clock = clock
+        self.jobs = {}
+        self.stopped = False
+
+    def list_jobs(self):
+        """Return the jobs."""
+        return list(self.jobs.values())
+
+    def drop(self, job):
+        """Forget a job that is closed or given back."""
+        self.jobs.pop(job.job_id, None)
+
+    async def release(self, job):
+        """Give a job back, so that another host may claim it at once."""
+        self.drop(job)
+        await self._claims.release(job)
+
+    async def abandon(self, job):
+        """Leave a job to the host that has claimed it."""
+        self.drop(job)
+        self._claims.forget(job)
+        await self._starter.break_off_job(job)
+
+    async def claim_once(self):
+        """Claim the jobs that are this host's to claim now."""
+        for entry in self._work.list_unclaimed():
+            if entry.opened is not None and self._is_own_turn(entry):
+                await self._claim(entry)
+        # The answer to a claim may have been lost.
+        for entry in self._work.list_claimed_by(self._claims.claimant):
+            if entry.opened is not None and entry.opened.job_id not in self.jobs:
+                await self._claim(entry)
+
+    def _is_own_turn(self, entry):
+        job_id = entry.opened.job_id
+        if job_id in self.jobs or self._work.may_have_lapsed(entry):
+            return False
+        turn = rank_host(job_id, self._host, self._list_live()) * CLAIM_TURN_SECONDS
+        return self._clock.read_elapsed() >= entry.unclaimed_since + turn
+
+    def _list_live(self):
+        """Return the hosts that could claim; one that is silent has no turn."""
+        runners = self._state.members.list_runners()
+        return [n for n in runners if n == self._host or self._board.hears(n)]
+
+    async def _claim(self, entry):
+        # The entry may change while the store is asked: the job may be closed.
+        job_id = entry.opened.job_id
+        # The claim may lapse while the job is read.
+        asked_at = self._clock.read_elapsed()
+        answer = await self._claims.claim(entry)
+        if isinstance(answer, Failure):
+            log.warning(
+                "job not claimed",
+                extra={"job": job_id, "reason": str(answer.failure())},
+            )
+            return
+        job = answer.unwrap()
+        if job is not None and not self.stopped:
+            job.claimed_at = asked_at
+            self.jobs[job.job_id] = job
+
+    async def check(self):
+        """Look at what has become of the jobs that this host runs."""
+        await self._stop_ended()
+        now = self._clock.read_elapsed()
+        for job in self.list_jobs():
+            entry = self._work.get(job.job_id)
+            if entry is None or now < job.write_after:
+                continue
+            if entry.ended:
+                await self._end(job)
+            elif entry.claimant and entry.claimant != self._claims.claimant:
+                log.warning(
+                    "job taken over",
+                    extra={"job": job.job_id, "claimant": entry.claimant},
+                )
+                await self.abandon(job)
+            elif not entry.claimant and entry.unclaimed_since > job.claimed_at:
+                await self._claim_again(job)
+
+    async def _stop_ended(self):
+        """Break off what runs of jobs that their callers have ended."""
+        for item in self._starter.list_running():
+            if self._work.is_ended(item.job.job_id):
+                await self._starter.break_off(item)
+
+    async def _end(self, job):
+        """Drop a job that its caller has ended."""
+        answer = await self._claims.close(job, self._clock.read_calendar())
+        if isinstance(answer, Failure):
+            note_unwritten(job, answer, self._clock)
+            return
+        self.drop(job)
+        log.info("job closed", extra={"job": job.job_id, "ended": True})
+
+    async def _claim_again(self, job):
+        asked_at = self._clock.read_elapsed()
+        answer = await self._claims.renew(job)
+        if isinstance(answer, Failure):
+            note_unwritten(job, answer, self._clock)
+        elif answer.unwrap():
+            job.claimed_at = asked_at
+            log.warning("claim lapsed, claimed again", extra={"job": job.job_id})
+        else:
+            await self.abandon(job)
+
+
+def note_unwritten(job, answer, clock):
+    """Let a job's next write wait for a moment after one that failed."""
+    job.write_after = clock.read_elapsed() + REWRITE_SECONDS
+    log.warning(
+        "job's progress not written",
+        extra={"job": job.job_id, "reason": str(answer.failure())},
+    )
--- /dev/null
+++ b/mangogauge/jobs/starting.py
@@ -0,0 +1,105 @@
+"""Start items at endpoints, and break them off."""
+
+from ..telemetry import get_logger
+
+__all__ = ["ItemStarter"]
+
+# How long an item takes for each of its tokens, until some have ended.
+FIRST_SECONDS_PER_TOKEN = 0.0025
+PACE_WEIGHT = 0.1
+# An error that nobody foresaw makes an item wait as so many breaks do.
+ERROR_COUNT = 3
+
+log = get_logger("jobs")
+
+
+class ItemStarter:
+    """Keeps a task for each item that runs.
+
+    Parameters
+    ----------
+    items : ItemRunner
+    ends : EndWatch
+    board : LoadBoard
+    notify : async callable
+        Called after this host's own counts have changed.
+    clock : Clock
+
+    Attributes
+    ----------
+    group : curio.TaskGroup or None
+        In which the tasks run; None until there is one.
+    pace : float
+        Seconds that items take for each of their tokens.
+    """
+
+    def __init__(self, items, ends, board, notify, clock):
+        self._items = items
+        self._ends = ends
+        self._board = board
+        self._notify = notify
+        self._clock = clock
+        self._tasks = {}
+        self.group = None
+        self.pace = FIRST_SECONDS_PER_TOKEN
+
+    def __len__(self):
+        return len(self._tasks)
+
+    def list_running(self):
+        """Return the items that run."""
+        return list(self._tasks)
+
+    async def start(self, item, route, endpoint):
+        """Start an item at an endpoint."""
+        item.endpoint = endpoint.name
+        item.started_at = self._clock.read_elapsed()
+        self._board.begin(endpoint.name, batch=True)
+        log.info(
+            "item started",
+            extra={
+                "request_id": item.item.item_id,
+                "job": item.job.job_id,
+                "endpoint": endpoint.name,
+                "last_event": item.last_event,
+                "load": self._board.measure(endpoint.name).total,
+            },
+        )
+        await self._notify()
+        task = await self.group.spawn(self._run, item, route, endpoint, daemon=True)
+        self._tasks[item] = task
+
+    async def break_off(self, item):
+        """Break an item off if it runs."""
+        task = self._tasks.get(item)
+        if task is not None:
+            await task.cancel()
+
+    async def break_off_job(self, job):
+        """Break off what runs of a job."""
+        for item in [i for i in self._tasks if i.job is job]:
+            await self.break_off(item)
+
+    async def _run(self, item, route, endpoint):
+        is_fresh = not item.pieces
+        try:
+            # Time may have passed since it was chosen.
+            if not self._ends.may_start(item.job):
+                return
+            await self._items.run(item, route, endpoint)
+            if is_fresh and item.item.item_id not in item.job.items:
+                self._note_pace(item)
+        except Exception:
+            log.exception("item failed", extra={"request_id": item.item.item_id})
+            self._items.pause(item, "an error here", ERROR_COUNT)
+        finally:
+            item.endpoint = ""
+            self._tasks.pop(item, None)
+            self._board.end(endpoint.name, batch=True)
+            await self._notify()
+
+    def _note_pace(self, item):
+        """Learn from an item that ran without a break how long items take."""
+        seconds = self._clock.read_elapsed() - item.started_at
+        pace = seconds / max(1, item.item.tokens)
+        self.pace += PACE_WEIGHT * (pace - self.pace)
