--- /dev/null
+++ b/features/steps/jobs_claims.py
@@ -0,0 +1,159 @@
+"""Steps of claims on jobs, and of what is committed under them."""
+
+from behave import given, then, when
+from returns.result import Success
+
+from features.steps.jobs import LEASE_SECONDS, read_work, run
+from mangogauge.jobs import ItemState
+from mangogauge.jobs.keys import make_results_prefix
+from mangogauge.jobs.records import ItemResult
+
+SETTLE_TRIES = 5
+
+
+def claim(context, name, job_id):
+    entry = next(
+        e for e in read_work(context).list_unclaimed() if e.opened.job_id == job_id
+    )
+    host = context.hosts[name]
+    host.job = run(host.claims.claim, entry).unwrap()
+    return host.job
+
+
+@when('the {name} host has claimed "{job_id}"')
+@given('the {name} host has claimed "{job_id}"')
+def claim_job(context, name, job_id):
+    assert claim(context, name, job_id) is not None
+
+
+@when('both hosts claim "{job_id}"')
+def claim_both(context, job_id):
+    entry = read_work(context).list_unclaimed()[0]
+    for host in context.hosts.values():
+        host.job = run(host.claims.claim, entry).unwrap()
+
+
+@then("exactly one of them has it")
+def check_one_claim(context):
+    jobs = [host.job for host in context.hosts.values() if host.job is not None]
+    assert len(jobs) == 1
+
+
+def commit(context, name, numbers):
+    host = context.hosts[name]
+    for number in numbers:
+        item = host.job.items[f"{host.job.job_id}-{number}"]
+        item.pieces = [f"text {number}"]
+        host.job.finish(item, ItemState.DONE)
+    context.outcome = run(host.claims.commit, host.job, 1000.0)
+    context.committing = name
+
+
+@when("the {name} host commits the result of item {number:d}")
+def commit_one(context, name, number):
+    commit(context, name, [number])
+
+
+@when("the {name} host commits the results of items {numbers}")
+def commit_many(context, name, numbers):
+    found = [int(n) for n in numbers.replace(" and ", ", ").split(", ")]
+    commit(context, name, found)
+
+
+@when("it commits again until it is settled")
+def commit_again(context):
+    host = context.hosts[context.committing]
+    for _ in range(SETTLE_TRIES):
+        if isinstance(context.outcome, Success):
+            break
+        context.outcome = run(host.claims.commit, host.job, 1000.0)
+    assert context.outcome.unwrap()
+
+
+@when("the writes under way take effect")
+def deliver(context):
+    run(context.store.deliver_late)
+
+
+@when('its lease lapses, and the second host claims "{job_id}"')
+def lapse_and_take(context, job_id):
+    context.clock.advance(LEASE_SECONDS + 1)
+    run(context.hosts["second"].registration._register)
+    assert claim(context, "second", job_id) is not None
+
+
+@when("its lease lapses, and it registers again")
+def lapse_and_register(context):
+    context.clock.advance(LEASE_SECONDS + 1)
+    run(context.hosts["first"].registration._register)
+
+
+@when('the first host claims "{job_id}" again')
+def renew(context, job_id):
+    host = context.hosts["first"]
+    assert run(host.claims.renew, host.job).unwrap()
+
+
+@then("it is told that its claim is lost")
+def check_lost(context):
+    assert context.outcome.unwrap() is False
+
+
+@then("the second host has to run the items {first:d} and {second:d}")
+def check_items(context, first, second):
+    items = sorted(context.hosts["second"].job.items)
+    assert items == [f"{context.job_id}-{n}" for n in (first, second)], items
+
+
+def list_results(context):
+    prefix = make_results_prefix(context.job_id)
+    items = run(context.store.list_prefix, prefix).unwrap()
+    groups = [ItemResult.decode_group(item.value) for item in items]
+    return [result for group in groups for result in group]
+
+
+@then("the results stand once each, in this order: {numbers}")
+def check_results(context, numbers):
+    expected = [f"{context.job_id}-{n}" for n in numbers.split(", ")]
+    results = list_results(context)
+    assert [r.item_id for r in results] == expected, results
+    assert all(r.text == f"text {r.item_id[-1]}" for r in results)
+
+
+@then('"{job_id}" is closed')
+def check_closed(context, job_id):
+    assert not read_work(context).list_unclaimed()
+    assert read_work(context).get(job_id) is None
+
+
+@when("item {number:d} fails {count:d} times at the {name} host")
+def fail_item(context, number, count, name):
+    job = context.hosts[name].job
+    context.item = job.items[f"{job.job_id}-{number}"]
+    context.item.failures = count
+
+
+@then("item {number:d} is not run again before that is written")
+def check_held(context, number):
+    job = context.item.job
+    assert context.item not in job.list_ready(1e9)
+    assert job.has_news
+
+
+@when("the {name} host writes the failures")
+def write_failures(context, name):
+    host = context.hosts[name]
+    assert run(host.claims.write_failures, host.job).unwrap()
+    assert context.item in host.job.list_ready(1e9)
+
+
+@then("the second host knows that item {number:d} has failed {count:d} times")
+def check_failures(context, number, count):
+    job = context.hosts["second"].job
+    assert job.items[f"{job.job_id}-{number}"].failures == count
+
+
+@when('{count:d} items of "{job_id}" get their results')
+def get_results(context, count, job_id):
+    claim(context, "first", job_id)
+    commit(context, "first", range(count))
