--- a/mangogauge/platform/__init__.py
+++ b/mangogauge/platform/__init__.py
@@ -5,11 +5,7 @@
 `EndpointDialect` and `JobDialect`.
 """
 
-from .callers import PlatformCallers
-from .endpoints import PlatformEndpoints
-from .jobs import PlatformJobs
-from .source import PlatformSource
-from .store import PlatformStore
+from ..lazy import attach_lazily
 
 __all__ = [
     "PlatformCallers",
@@ -18,3 +14,14 @@
     "PlatformSource",
     "PlatformStore",
 ]
+
+__getattr__ = attach_lazily(
+    __name__,
+    {
+        "callers": ("PlatformCallers",),
+        "endpoints": ("PlatformEndpoints",),
+        "jobs": ("PlatformJobs",),
+        "source": ("PlatformSource",),
+        "store": ("PlatformStore",),
+    },
+)
--- a/mangogauge/settings/__init__.py
+++ b/mangogauge/settings/__init__.py
@@ -1,33 +1,7 @@
 """Settings: INI files, overlays for data centres, checks with clear messages."""
 
-from .documents import ConfigurationDocuments
-from .fleet import (
-    BatchSettings,
-    ClientAccount,
-    DataCentre,
-    Endpoint,
-    EndpointKind,
-    FleetSettings,
-    IdempotencySettings,
-    KeySettings,
-    LimitSettings,
-    Model,
-    Objective,
-    ObjectiveKind,
-    RoomKind,
-    Route,
-    RouteKind,
-)
-from .host import (
-    CallerSettings,
-    HostSettings,
-    PeerSettings,
-    PlatformSettings,
-    read_host,
-)
-from .kinds import Kind
+from ..lazy import attach_lazily
 from .problems import Problem, SettingsError
-from .reading import read_fleet
 
 __all__ = [
     "CallerSettings",
@@ -56,3 +30,36 @@
     "read_fleet",
     "read_host",
 ]
+
+__getattr__ = attach_lazily(
+    __name__,
+    {
+        "documents": ("ConfigurationDocuments",),
+        "fleet": (
+            "BatchSettings",
+            "ClientAccount",
+            "DataCentre",
+            "Endpoint",
+            "EndpointKind",
+            "FleetSettings",
+            "IdempotencySettings",
+            "KeySettings",
+            "LimitSettings",
+            "Model",
+            "Objective",
+            "ObjectiveKind",
+            "RoomKind",
+            "Route",
+            "RouteKind",
+        ),
+        "host": (
+            "CallerSettings",
+            "HostSettings",
+            "PeerSettings",
+            "PlatformSettings",
+            "read_host",
+        ),
+        "kinds": ("Kind",),
+        "reading": ("read_fleet",),
+    },
+)
