--- a/features/steps/platform_jobs.py
+++ b/features/steps/platform_jobs.py
@@ -165,6 +165,21 @@
     context.deployment.control("store", stuck=False)
 
 
+@when("the store goes away")
+def take_store_away(context):
+    context.deployment.control("store", silent=True)
+    context.away_at = SystemClock().read_elapsed()
+
+
+@then('items of "{job_id}" start at endpoints later than {seconds:g} s after that')
+def check_later_starts(context, job_id, seconds):
+    def has_later():
+        rows = context.deployment.list_arrivals()
+        return [row for row in rows if row["at"] > context.away_at + seconds]
+
+    wait_until(has_later, "items start")
+
+
 @then('no item of "{job_id}" reaches an endpoint later than {seconds:g} s after that')
 def check_last_start(context, job_id, seconds):
     time.sleep(seconds + SETTLE_SECONDS)
