Cut an owner off while it runs items that outlast its lease

Callers saw nothing: the fault is the test's.

Cause, as far as runs show it: the scenario speaks of an owner whose items are cancelled, and made sure of neither half. It cut the host off once it owned a chunk, when it may have started nothing: 0 items ran at the cut in 8 of 8 trials that cut right after the claim. And an item took 0.6 s (150 tokens, 4 ms each) against a lease of 2 s: what ran at the cut had ended by itself long before; only items started in the rest of the lease could be cancelled. A host that gets no processor time then starts none, and there is nothing to cancel.

Evidence: trials with the host stopped for 2.5 s at the cut (it starts nothing more under the lease), load average 20 to 30: cut right after the claim 3 of 4 fail, by the same check, audit passed; with only the wait for a running item 3 of 4 fail; with items of 1.6 s too 2 of 3 fail. Cut after the claim without the stop: 4 of 4 pass. In none did the audit fail, so no fault of the product is seen.

Change: the cut waits until the host runs an item, by its own /endpoints, and items take 4 s (60 of 1000 tokens for 160 of 150), twice the lease. The check that items were cancelled, and the audits, are as they were.

After, at load averages of 28 to 43: 3 of 3 with the host stopped for 2.5 s, 3 of 3 as it is.

--- a/features/batch/durability.feature
+++ b/features/batch/durability.feature
@@ -78,7 +78,7 @@
 
   Scenario: An owner is cut off from the platform while another reaches it
     Given a batch host "a3" that reaches the platform through a proxy
-    When a batch job of 160 chats with 150 tokens each is accepted by "a1"
+    When a batch job of 60 chats with 1000 tokens each is accepted by "a1"
     And the batch host "a3" is cut off from the platform once it owns a chunk
     Then the batch job completes and passes the audit through "b1"
     And batch items were cancelled at the engines
--- a/features/steps/batch_troubles.py
+++ b/features/steps/batch_troubles.py
@@ -90,6 +90,8 @@
     process = world.processes[host]
     wait_until(lambda: "chunk claimed" in process.read_log(), f"{host} owns a chunk")
     context.jobs.wait_until_settled("a1", context.job_id, 1)
+    # An owner that has begun nothing has nothing to cancel.
+    wait_until(lambda: count_running(world, host), f"{host} runs an item")
     world.set_faults("platform", cut_forward=True, cut_backward=True)
 
 
@@ -101,3 +103,9 @@
         lambda: context.jobs.read_job(host, context.job_id).get("id"),
         f"{host} reads the job",
     )
+
+
+def count_running(world, host):
+    """Return how many items a host runs at endpoints; nothing else is asked of it."""
+    answer = world.get_operator(host).request("GET", "/endpoints")
+    return sum(endpoint["running_here"] for endpoint in answer.json["endpoints"])
