--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 ARGS ?=
 
-.PHONY: bench demo test lint format protocol
+.PHONY: bench demo test lint format protocol hotpaths
 
 $(VENV)/.ready: requirements.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -31,3 +31,6 @@
 
 bench: $(VENV)/.ready
 	$(BIN)/python -m bench $(SCENARIO) --seed $(or $(SEED),1) $(ARGS)
+
+hotpaths: $(VENV)/.ready
+	$(BIN)/python -m bench.hotpaths $(ARGS)
