Choose endpoints by trust: requests, items, reports, metrics and log

Wired: what became of requests and items is evidence, hosts tell each other of endpoints that failed (an empty list otherwise), a choice leaves out ejected ones and weighs slow ones by their pace; items try first.

--- a/features/steps/board.py
+++ b/features/steps/board.py
@@ -14,6 +14,7 @@
 from mangogauge.clock import ManualClock
 from mangogauge.placement import EndpointChooser, EndpointHealth
 from mangogauge.sharing import EndpointLoad, LoadBoard
+from mangogauge.trust import EndpointTrust
 
 SEED = 11
 # So long that some hosts fall silent before they report again.
@@ -107,6 +108,7 @@
         FixedDirectory(context.endpoints),
         context.board,
         EndpointHealth(context.clock),
+        EndpointTrust(context.clock),
         "a",
         random.Random(SEED),
     )
--- a/features/steps/entry.py
+++ b/features/steps/entry.py
@@ -13,6 +13,7 @@
 from mangogauge.placement import EndpointChooser, EndpointHealth, SlotQueue
 from mangogauge.refusals import Refusal
 from mangogauge.sharing import LoadBoard
+from mangogauge.trust import EndpointTrust
 
 
 @define(eq=False)
@@ -33,6 +34,7 @@
         FixedDirectory(endpoints),
         context.board,
         EndpointHealth(clock),
+        EndpointTrust(clock),
         "a",
         random.Random(1),
     )
--- a/features/steps/filling.py
+++ b/features/steps/filling.py
@@ -46,7 +46,7 @@
     def get(self, name):
         return self._endpoint
 
-    def list_usable(self, service, excluded=()):
+    def list_usable(self, service, excluded=(), trials=False):
         self.looks += 1
         return [self._endpoint] if service == self._endpoint.service else []
 
--- a/features/steps/health.py
+++ b/features/steps/health.py
@@ -8,6 +8,7 @@
 from mangogauge.clock import ManualClock
 from mangogauge.placement import EndpointChooser, EndpointHealth
 from mangogauge.sharing import LoadBoard
+from mangogauge.trust import EndpointTrust
 
 
 @given('endpoints "{near}" here, and "{far}" in another data centre')
@@ -19,7 +20,12 @@
     endpoints += [make_endpoint(name, data_centre="b") for name in far.split(", ")]
     context.names = [endpoint.name for endpoint in endpoints]
     context.chooser = EndpointChooser(
-        FixedDirectory(endpoints), context.board, context.health, "a", random.Random(1)
+        FixedDirectory(endpoints),
+        context.board,
+        context.health,
+        EndpointTrust(context.clock),
+        "a",
+        random.Random(1),
     )
 
 
--- a/features/steps/items_crashes.py
+++ b/features/steps/items_crashes.py
@@ -18,6 +18,7 @@
 from mangogauge.placement import EndpointHealth
 from mangogauge.routing import Progress
 from mangogauge.telemetry import ServingMetrics
+from mangogauge.trust import EndpointTrust
 
 STEP_SECONDS = 0.025
 LONG_SECONDS = 3600.0
@@ -96,7 +97,12 @@
     context.job = OwnedJob.restore(manifest, [b""], 1, [], {})
     context.endpoints = TroubledEndpoints(clock, trouble)
     context.runner = ItemRunner(
-        context.endpoints, EndpointHealth(clock), clock, Random(SEED), ServingMetrics()
+        context.endpoints,
+        EndpointHealth(clock),
+        EndpointTrust(clock),
+        clock,
+        Random(SEED),
+        ServingMetrics(),
     )
 
 
--- a/features/steps/placement.py
+++ b/features/steps/placement.py
@@ -14,6 +14,7 @@
 from mangogauge.clock import ManualClock
 from mangogauge.placement import BatchRoom, EndpointChooser, EndpointHealth
 from mangogauge.sharing import LoadBoard
+from mangogauge.trust import EndpointTrust
 
 ONLINE_SECONDS = 0.73
 ITEM_SECONDS = 5.0
@@ -151,7 +152,12 @@
         self.front = RoomHost("front", self.clock)
         directory = FixedDirectory([engine.endpoint for engine in self.engines])
         self.chooser = EndpointChooser(
-            directory, self.front.board, EndpointHealth(self.clock), "a", self.random
+            directory,
+            self.front.board,
+            EndpointHealth(self.clock),
+            EndpointTrust(self.clock),
+            "a",
+            self.random,
         )
         self.online = []
         self.refused = 0
--- a/features/steps/spread.py
+++ b/features/steps/spread.py
@@ -14,6 +14,7 @@
 from mangogauge.clock import ManualClock
 from mangogauge.placement import EndpointChooser, EndpointHealth
 from mangogauge.sharing import LoadBoard
+from mangogauge.trust import EndpointTrust
 
 SEED = 5
 DATA_CENTRES = "abcd"
@@ -50,6 +51,7 @@
         FixedDirectory(context.endpoints),
         board,
         EndpointHealth(context.clock),
+        EndpointTrust(context.clock),
         DATA_CENTRES[number % len(DATA_CENTRES)],
         random.Random(SEED + number),
     )
--- a/features/steps/trust.py
+++ b/features/steps/trust.py
@@ -19,8 +19,12 @@
     context.clock = ManualClock()
     context.heard = []
     context.hosts = hosts
+    context.load = 1
     context.trust = EndpointTrust(
-        context.clock, lambda: context.heard, lambda: context.hosts
+        context.clock,
+        lambda: context.heard,
+        lambda: context.hosts,
+        lambda name: context.load,
     )
     context.endpoints = {
         f"e{n}": make_endpoint(f"e{n}", data_centre="abcd"[n % places], born=1)
@@ -32,8 +36,8 @@
     context.trust.judge(context.endpoints.values())
 
 
-def send(context, name, load=1):
-    return context.trust.begin(context.endpoints[name], load)
+def send(context, name):
+    return context.trust.begin(context.endpoints[name])
 
 
 def answer(context, name, count, seconds=0.0, pause=0.0):
@@ -128,8 +132,9 @@
 
 @when('"{name}" refuses {count:d} requests while it runs {load:d}')
 def refuse(context, name, count, load):
+    context.load = load
     for _ in range(count):
-        send(context, name, load).end_refused()
+        send(context, name).end_refused()
 
 
 @when('"{name}" is silent to {count:d} requests for {seconds:g} s')
--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -33,6 +33,7 @@
 from ..supervision import keep_running
 from ..telemetry import get_logger
 from ..ticks import sleep_to_tick
+from ..trust import EndpointTrust
 
 __all__ = ["FleetView"]
 
@@ -46,6 +47,7 @@
 # Entries of open jobs are awaited at the store.
 WAIT_SECONDS = 5.0
 ISOLATION_SECONDS = 0.25
+JUDGE_SECONDS = 0.15
 
 log = get_logger("host")
 
@@ -122,6 +124,12 @@
         self.quota = SharedQuota(clock)
         self.crash_ledger = CrashLedger(clock)
         self.board = LoadBoard(settings.name, incarnation, clock)
+        self.trust = EndpointTrust(
+            clock,
+            self.board.list_failures,
+            self.board.count_heard,
+            lambda name: self.board.measure(name).total,
+        )
         self._freshness = SharedFreshness(
             clock,
             random,
@@ -229,6 +237,7 @@
                 self.registration.run,
                 self._exchange.run,
                 self._watch_isolation,
+                self._judge_endpoints,
             ):
                 await group.spawn(keep_running, run.__qualname__, run)
         if group.exception is not None:
@@ -238,6 +247,12 @@
         """Return the seconds since a host that this one hears reached the store."""
         return self._freshness.measure_age(self._backends.source.orders_prefix)
 
+    async def _judge_endpoints(self):
+        while True:
+            await sleep_to_tick(JUDGE_SECONDS)
+            self.trust.judge(self.directory.list_endpoints())
+            self._backends.metrics.endpoints_barred.set(len(self.trust.list_barred()))
+
     async def _watch_isolation(self):
         while True:
             await sleep_to_tick(ISOLATION_SECONDS)
@@ -265,6 +280,7 @@
             crashes=self.crash_ledger.count_own(),
             departures=self.directory.list_departures(),
             admitted_whole=admitted_whole,
+            failures=self.trust.list_evidence(),
         )
 
     def _make_summary(self):
--- a/mangogauge/entry/attempt.py
+++ b/mangogauge/entry/attempt.py
@@ -5,6 +5,7 @@
 
 from ..http import HTTPConnectError, HTTPError
 from ..routing import Progress
+from ..trust import Sending
 from .dialect import AnswerKind, EndpointOrder
 
 __all__ = ["AttemptFailure", "EndpointAttempt", "KeptAnswer"]
@@ -41,6 +42,14 @@
     body = field()
 
 
+# What an answer tells of the endpoint's soundness; others tell nothing.
+ENDS = {
+    AnswerKind.FAILURE: Sending.end_failed,
+    AnswerKind.GARBLED: Sending.end_failed,
+    AnswerKind.NOT_RUN: Sending.end_refused,
+}
+
+
 class AttemptFailure(Exception):
     """An attempt failed.
 
@@ -78,6 +87,13 @@
         self.kind = kind
         self.answer = answer
 
+    def end(self, sending):
+        """Tell a `Sending` what the attempt showed of its endpoint."""
+        if self.kind is None and self.blames:
+            sending.end_cut()
+        else:
+            ENDS.get(self.kind, Sending.end)(sending)
+
     def note_in(self, health, endpoint):
         """Tell an `EndpointHealth` what the attempt showed of its endpoint."""
         if self.unreachable:
--- a/mangogauge/entry/dispatch.py
+++ b/mangogauge/entry/dispatch.py
@@ -63,6 +63,7 @@
     slots : SlotQueue
     attempt : EndpointAttempt
     health : EndpointHealth
+    trust : EndpointTrust
     crashes : CrashWatch
     retry_policy : RetryPolicy
     clock : Clock
@@ -71,11 +72,21 @@
     """
 
     def __init__(
-        self, slots, attempt, health, crashes, retry_policy, clock, random, metrics
+        self,
+        slots,
+        attempt,
+        health,
+        trust,
+        crashes,
+        retry_policy,
+        clock,
+        random,
+        metrics,
     ):
         self._slots = slots
         self._attempt = attempt
         self._health = health
+        self._trust = trust
         self._crashes = crashes
         self._retry_policy = retry_policy
         self._clock = clock
@@ -106,16 +117,20 @@
             service = self._choose_service(run.call.route)
             endpoint = await self._slots.acquire(run.call, service, run.tried)
             started = self._clock.read_elapsed()
+            sending = run.relay.sending = self._trust.begin(endpoint)
             try:
                 await self._try_once(run, endpoint)
             except AttemptFailure as failure:
+                failure.end(sending)
                 self._note_failure(run, endpoint, failure)
                 await self._crashes.note_failure(run.call, endpoint, failure)
             else:
+                sending.end_answered()
                 self._crashes.note_answer(run.call)
                 self._retry_policy.note_success(run.call)
                 return
             finally:
+                sending.end()
                 held = self._clock.read_elapsed() - started
                 await self._slots.release(endpoint, held)
             if await self._is_settled(run):
--- a/mangogauge/entry/relay.py
+++ b/mangogauge/entry/relay.py
@@ -24,6 +24,8 @@
     pause_limit : float or None
         Seconds without any event after which an endpoint counts as silent;
         None to wait as long as the caller does.
+    sending : Sending
+        Told of what comes of the answer that is taken.
     """
 
     def __init__(self, call, exchange, on_first):
@@ -33,6 +35,7 @@
         self.started = False
         self.last_event = call.last_event
         self.pause_limit = None
+        self.sending = None
 
     async def take(self, response):
         """Pass on an answer's body, and its head unless one has gone out.
@@ -59,6 +62,7 @@
 
     async def _take_bytes(self, response):
         async for piece in response.iterate():
+            self.sending.note_progress(0)
             await self._begin(response)
             await self._exchange.send_data(piece)
         await self._begin(response)
@@ -69,6 +73,7 @@
             events = await stream.read_events(self.pause_limit)
             if not events:
                 break
+            self.sending.note_progress(len(events))
             for event in events:
                 await self._begin(response)
                 # Noted first: a write that fails ends the whole answer.
--- a/mangogauge/jobs/runner.py
+++ b/mangogauge/jobs/runner.py
@@ -310,7 +310,7 @@
         usable = [
             endpoint
             for service in services
-            for endpoint in self._chooser.list_usable(service)
+            for endpoint in self._chooser.list_usable(service, trials=True)
         ]
         free = [(self._room.measure_free(e), e.name, e) for e in usable]
         return [row[2] for row in sorted(row for row in free if row[0] > 0)]
--- a/mangogauge/jobs/running.py
+++ b/mangogauge/jobs/running.py
@@ -24,6 +24,7 @@
     ----------
     attempt : EndpointAttempt
     health : EndpointHealth
+    trust : EndpointTrust
     clock : Clock
     random : random.Random
     metrics : ServingMetrics
@@ -34,9 +35,10 @@
     (`CrashWatch`): an item may wait, and is owed to its caller all the same.
     """
 
-    def __init__(self, attempt, health, clock, random, metrics):
+    def __init__(self, attempt, health, trust, clock, random, metrics):
         self._attempt = attempt
         self._health = health
+        self._trust = trust
         self._clock = clock
         self._random = random
         self._metrics = metrics
@@ -51,13 +53,18 @@
         endpoint : FleetEndpoint
         """
         call = self._make_call(item, route)
+        sending = self._trust.begin(endpoint)
         try:
-            await self._run(item, call, endpoint)
+            await self._run(item, call, endpoint, sending)
         except AttemptFailure as failure:
+            failure.end(sending)
             self._note_failure(item, route, endpoint, failure)
         else:
+            sending.end_answered()
             self._health.note_answer(endpoint.name)
             self._finish(item, ItemState.DONE, "run to its end")
+        finally:
+            sending.end()
 
     def give_up(self, item, reason):
         """End an item without a result of an endpoint."""
@@ -78,14 +85,14 @@
             },
         )
 
-    async def _run(self, item, call, endpoint):
+    async def _run(self, item, call, endpoint, sending):
         again = endpoint.name in item.asked
         item.asked.add(endpoint.name)
         response = await self._attempt.open(
             call, endpoint, item.last_event, SILENCE_SECONDS, again
         )
         try:
-            await self._take_events(item, response)
+            await self._take_events(item, response, sending)
         except HTTPError as error:
             raise AttemptFailure(
                 Progress.MAYBE_RUN, str(error), blames=True, broken=True
@@ -93,13 +100,14 @@
         finally:
             await response.close()
 
-    async def _take_events(self, item, response):
+    async def _take_events(self, item, response, sending):
         response.gather(GATHER_SECONDS)
         stream = EventStream(response)
         while True:
             events = await stream.read_events(SILENCE_SECONDS)
             if not events:
                 break
+            sending.note_progress(len(events))
             for event in events:
                 item.add_event(event)
         if item.last_event is None:
--- a/mangogauge/placement/choice.py
+++ b/mangogauge/placement/choice.py
@@ -43,19 +43,21 @@
     directory : EndpointDirectory
     board : LoadBoard
     health : EndpointHealth
+    trust : EndpointTrust
     data_centre : str
         Of this host; among equals, an endpoint there is taken.
     random : random.Random
     """
 
-    def __init__(self, directory, board, health, data_centre, random):
+    def __init__(self, directory, board, health, trust, data_centre, random):
         self._directory = directory
         self._board = board
         self._health = health
+        self._trust = trust
         self._data_centre = data_centre
         self._random = random
 
-    def choose(self, service, excluded=()):
+    def choose(self, service, excluded=(), may_repeat=False):
         """Return a `FleetEndpoint` with room for an online request, or None.
 
         Parameters
@@ -63,7 +65,12 @@
         service : str
         excluded : collection of str
             Endpoints that were tried already.
+        may_repeat : bool, optional
+            Whether another endpoint may run it if this one fails.
         """
+        trial = self._choose_trial(service, excluded, may_repeat)
+        if trial is not None:
+            return trial
         usable = self.list_usable(service, excluded)
         candidates = [self._measure(endpoint) for endpoint in usable]
         candidates = [c for c in candidates if c.has_room]
@@ -79,8 +86,24 @@
         drawn = self._random.sample(equal, min(len(equal), drawn))
         return min(drawn, key=self._rank).endpoint
 
-    def list_usable(self, service, excluded=()):
-        """Return the endpoints that may get requests, loaded ones included."""
+    def list_usable(self, service, excluded=(), trials=False):
+        """Return the endpoints that may get requests, loaded ones included.
+
+        Parameters
+        ----------
+        service : str
+        excluded : collection of str
+        trials : bool, optional
+            Whether those that may be tried now are among them.
+        """
+        sound = self._list_sound(service, excluded)
+        may_try = self._trust.trials if trials else ()
+        trusted = [
+            e for e in sound if not self._trust.is_barred(e.name) or e.name in may_try
+        ]
+        return trusted or sound
+
+    def _list_sound(self, service, excluded):
         staying = [
             endpoint
             for endpoint in self._directory.list_endpoints()
@@ -96,12 +119,24 @@
         """Return the slots of all endpoints that may get requests."""
         return sum(endpoint.slots for endpoint in self.list_usable(service))
 
+    def _choose_trial(self, service, excluded, may_repeat):
+        """Return an endpoint that a request may try, or None."""
+        if not self._trust.trials:
+            return None
+        for endpoint in self._list_sound(service, excluded):
+            if self._trust.may_try(endpoint.name, may_repeat):
+                self._trust.begin_trial(endpoint.name)
+                return endpoint
+        return None
+
     def _is_shunned(self, name):
         return self._health.is_shunned(name) or self._board.is_shunned(name)
 
     def _measure(self, endpoint):
         load = self._board.measure(endpoint.name)
-        return _Candidate(endpoint, load, endpoint.data_centre == self._data_centre)
+        is_near = endpoint.data_centre == self._data_centre
+        cost = self._trust.measure_cost(endpoint.name)
+        return _Candidate(endpoint, load, is_near, cost)
 
     def _estimate_unknown(self, candidates):
         """Return how many requests other hosts have sent that aren't known of yet.
@@ -137,11 +172,14 @@
     load : EndpointLoad
     is_near : bool
         Whether it is in this host's data centre.
+    cost : float
+        What a request costs there: 1, or more if it is slow or growing back.
     """
 
     endpoint = field()
     load = field()
     is_near = field()
+    cost = field()
 
     @property
     def has_room(self):
@@ -157,9 +195,9 @@
 
     @property
     def ratio(self):
-        """The part of the slots that would be taken, of those that matter."""
+        """The part of the slots that would be taken, of those that matter, by cost."""
         counted = self.load.online if self.is_full else self.load.total
-        return (counted + 1) / self.endpoint.slots
+        return (counted + 1) / self.endpoint.slots * self.cost
 
 
 def _list_preferred(candidates, unknown):
--- a/mangogauge/placement/queue.py
+++ b/mangogauge/placement/queue.py
@@ -31,10 +31,16 @@
 
     service = field()
     excluded = field()
+    may_repeat = field()
     priority = field()
     endpoint = field(default=None)
     decided = field(factory=curio.Event)
 
+    @property
+    def wishes(self):
+        """What `EndpointChooser.choose` is asked."""
+        return self.service, self.excluded, self.may_repeat
+
 
 class SlotQueue:
     """Gives out slots to this host's online requests.
@@ -79,7 +85,7 @@
         """
         endpoint = None
         if not self._has_ahead(call.priority):
-            endpoint = self._take(service, excluded)
+            endpoint = self._take(service, excluded, _may_repeat(call))
         if endpoint is None:
             endpoint = await self._wait(call, service, excluded)
         await self._notify()
@@ -104,7 +110,7 @@
             queue = self._queues[priority]
             while len(queue):
                 waiter = queue.peek().item
-                endpoint = self._take(waiter.service, waiter.excluded)
+                endpoint = self._take(*waiter.wishes)
                 if endpoint is None:
                     return
                 queue.take_next()
@@ -114,8 +120,8 @@
     def _has_ahead(self, priority):
         return any(len(q) for rank, q in self._queues.items() if rank <= priority)
 
-    def _take(self, service, excluded):
-        endpoint = self._chooser.choose(service, excluded)
+    def _take(self, service, excluded, may_repeat):
+        endpoint = self._chooser.choose(service, excluded, may_repeat)
         if endpoint is not None:
             self._board.begin(endpoint.name)
         return endpoint
@@ -127,7 +133,7 @@
             raise self._refuse(RefusalCode.NO_ENDPOINT, "No endpoint can run this.")
         if self._estimate_wait(call, service) > bound:
             raise self._refuse(RefusalCode.OVERLOADED, "No slot is free soon enough.")
-        waiter = _Waiter(service, excluded, call.priority)
+        waiter = _Waiter(service, excluded, _may_repeat(call), call.priority)
         ticket = Ticket(call.account, ACCOUNT_WEIGHT, self._seconds, waiter)
         queue = self._queues.setdefault(call.priority, FairQueue())
         queue.add(ticket)
@@ -180,3 +186,7 @@
         spread = LONGEST_RETRY_SECONDS - LEAST_RETRY_SECONDS
         retry_after = LEAST_RETRY_SECONDS + spread * self._random.random()
         return Refusal(code, message, retry_after=retry_after, step="queue")
+
+
+def _may_repeat(call):
+    return call.repeatable and call.route.attempt_limit > 1
--- a/mangogauge/placement/room.py
+++ b/mangogauge/placement/room.py
@@ -33,6 +33,9 @@
     ----------
     board : LoadBoard
     clock : Clock
+    measure_cost : callable, optional
+        Returns what an item costs at an endpoint, by its name: 1, or more if it is
+        slow.
 
     Notes
     -----
@@ -43,7 +46,8 @@
     way: all hosts compute the same shares from the same counts.
     """
 
-    def __init__(self, board, clock):
+    def __init__(self, board, clock, measure_cost=lambda name: 1.0):
+        self._measure_cost = measure_cost
         self._board = board
         self._clock = clock
         self._crowded_until = {}
@@ -54,7 +58,10 @@
             return 0
         load = self._board.measure(endpoint.name)
         free = endpoint.slots - load.total
-        return free - self._compute_rank(endpoint) if free > 0 else 0
+        if free <= 0:
+            return 0
+        free = int(free / self._measure_cost(endpoint.name))
+        return free - self._compute_rank(endpoint)
 
     def measure_own_excess(self, endpoint):
         """Return how many of this host's items have to give way."""
--- a/mangogauge/sharing/board.py
+++ b/mangogauge/sharing/board.py
@@ -114,6 +114,12 @@
         self._expire()
         return [heard.report for heard in self._heard.values()]
 
+    def list_failures(self):
+        """Return the ``{name: Evidence}`` of each report and totals that has some."""
+        self._expire()
+        reports = (heard.report for heard in self._heard.values())
+        return [report.failures for report in reports if report.failures]
+
     def list_ages(self):
         """Return ``(HostReport, seconds since it came)`` of hosts heard lately."""
         now = self._clock.read_elapsed()
--- a/mangogauge/sharing/reports.py
+++ b/mangogauge/sharing/reports.py
@@ -8,17 +8,34 @@
 from attrs import field, frozen
 
 from ..errors import MangogaugeError
+from ..trust import Evidence
 from .copies import read_copies, write_copies
 
-__all__ = ["EndpointLoad", "HostReport", "ReportError"]
+__all__ = [
+    "EndpointLoad",
+    "HostReport",
+    "ReportError",
+    "read_failures",
+    "write_failures",
+]
 
-FORMAT = 5
+FORMAT = 6
 
 
 class ReportError(MangogaugeError):
     """A datagram is no report."""
 
 
+def read_failures(rows):
+    """Return ``{name: Evidence}`` of what `write_failures` returned."""
+    return {str(n): Evidence(int(a), int(f), int(c)) for n, a, f, c in rows}
+
+
+def write_failures(failures):
+    """Return ``{name: Evidence}`` as rows that JSON can hold."""
+    return [[n, e.answered, e.failed, e.cut] for n, e in failures.items()]
+
+
 def _drop_repeated(names):
     return tuple(dict.fromkeys(names))
 
@@ -73,6 +90,9 @@
     departures : dict of str to int
         Endpoints whose answers say that they are leaving: the start of the process,
         in milliseconds since the Unix epoch, by name.
+    failures : dict of str to Evidence
+        What became of the host's requests of the last seconds, by endpoint; only
+        endpoints at which some failed.
     """
 
     host = field()
@@ -88,6 +108,7 @@
     crashes = field(factory=dict)
     departures = field(factory=dict)
     admitted_whole = field(default=True)
+    failures = field(factory=dict)
 
     @property
     def waiting_hosts(self):
@@ -109,7 +130,7 @@
                 raise ReportError(f"Reports of format {form} are not known.")
             host, incarnation, number, loads, admitted, waiting, *values = values
             shunned, copies, items_waiting, reaches_store, *values = values
-            crashes, departures, admitted_whole = values
+            crashes, departures, admitted_whole, failures = values
             return cls(
                 str(host),
                 str(incarnation),
@@ -124,6 +145,7 @@
                 {str(name): int(count) for name, count in crashes},
                 {str(name): int(born) for name, born in departures},
                 bool(admitted_whole),
+                read_failures(failures),
             )
         except (ValueError, TypeError, ArithmeticError) as error:
             raise ReportError(f"The datagram is no report: {error}.") from error
@@ -146,5 +168,6 @@
                 list(self.crashes.items()),
                 list(self.departures.items()),
                 self.admitted_whole,
+                write_failures(self.failures),
             ]
         )
--- a/mangogauge/sharing/summaries.py
+++ b/mangogauge/sharing/summaries.py
@@ -8,11 +8,17 @@
 from attrs import field, frozen
 
 from .copies import read_copies, write_copies
-from .reports import EndpointLoad, HostReport, ReportError
+from .reports import (
+    EndpointLoad,
+    HostReport,
+    ReportError,
+    read_failures,
+    write_failures,
+)
 
 __all__ = ["DataCentreSummary", "DataCentreTotals"]
 
-FORMAT = "summary 2"
+FORMAT = "summary 3"
 
 
 @frozen
@@ -41,6 +47,8 @@
         Crashes of endpoints by fingerprint of the request that ran there.
     departures : dict of str to int
         Endpoints that are leaving, with the start of their process.
+    failures : dict of str to Evidence
+        Sums of what the hosts there report of endpoints that failed.
     """
 
     data_centre = field()
@@ -54,6 +62,7 @@
     copies = field(factory=dict)
     crashes = field(factory=dict)
     departures = field(factory=dict)
+    failures = field(factory=dict)
     items_waiting = 0
     reaches_store = False
 
@@ -99,7 +108,7 @@
             if form != FORMAT:
                 raise ReportError(f"Summaries of format {form!r} are not known.")
             loads, admitted, waiting, shunned, copies, *value = value
-            crashes, departures, hosts, runners = value
+            crashes, departures, failures, hosts, runners = value
             totals = DataCentreTotals(
                 str(name),
                 str(speaker),
@@ -112,6 +121,7 @@
                 read_copies(copies),
                 {str(n): int(count) for n, count in crashes},
                 {str(n): int(born) for n, born in departures},
+                read_failures(failures),
             )
             return cls(totals, [str(n) for n in hosts], map(_read_runner, runners))
         except (ValueError, TypeError, ArithmeticError) as error:
@@ -134,6 +144,7 @@
                 write_copies(totals.copies),
                 list(totals.crashes.items()),
                 list(totals.departures.items()),
+                write_failures(totals.failures),
                 self.hosts,
                 [_write_runner(report) for report in self.runners],
             ]
--- a/mangogauge/sharing/summing.py
+++ b/mangogauge/sharing/summing.py
@@ -10,6 +10,7 @@
 
 from attrs import evolve
 
+from ..trust import NO_EVIDENCE
 from .reports import EndpointLoad
 from .summaries import DataCentreSummary, DataCentreTotals
 
@@ -49,6 +50,7 @@
         _find_freshest(reports),
         dict(sum((Counter(report.crashes) for report in reports), Counter())),
         {name: born for report in reports for name, born in report.departures.items()},
+        _sum_failures(reports),
     )
     return DataCentreSummary(totals, [report.host for report in reports], runners)
 
@@ -71,6 +73,14 @@
     return {name: EndpointLoad(count, batch[name]) for name, count in online.items()}
 
 
+def _sum_failures(reports):
+    sums = {}
+    for report in reports:
+        for name, found in report.failures.items():
+            sums[name] = sums.get(name, NO_EVIDENCE) + found
+    return sums
+
+
 def _list_shunned(reports):
     counts = Counter(name for report in reports for name in set(report.shunned))
     return [n for n, count in counts.items() for _ in range(min(count, MOST_SHUNNING))]
--- a/mangogauge/telemetry/serving.py
+++ b/mangogauge/telemetry/serving.py
@@ -40,6 +40,9 @@
         self.jobs = self._count("jobs", "Batch jobs by outcome.", "outcome")
         self.items_running = self._gauge("items_running", "Items that run.")
         self.items_waiting = self._gauge("items_waiting", "Items that wait here.")
+        self.endpoints_barred = self._gauge(
+            "endpoints_barred", "Endpoints that get no work but trials."
+        )
         self.lines_dropped = self._count(
             "log_lines_dropped", "Log lines that could not be written."
         )
--- a/mangogauge/trust/sendings.py
+++ b/mangogauge/trust/sendings.py
@@ -15,10 +15,7 @@
     ----------
     trust : EndpointTrust
         Told of what it shows.
-    name : str
-        Of the endpoint.
-    had_room : bool
-        Whether the endpoint had a free slot for it, as far as was known.
+    endpoint : FleetEndpoint
     began_at : float
         Elapsed time in seconds.
 
@@ -29,25 +26,30 @@
     """
 
     __slots__ = (
+        "_ended",
         "_events",
         "_first_at",
         "_last_at",
         "_trust",
         "began_at",
-        "had_room",
-        "name",
+        "endpoint",
         "overdue",
     )
 
-    def __init__(self, trust, name, had_room, began_at):
+    def __init__(self, trust, endpoint, began_at):
         self._trust = trust
-        self.name = name
-        self.had_room = had_room
+        self.endpoint = endpoint
         self.began_at = began_at
         self.overdue = False
         self._first_at = None
         self._last_at = began_at
         self._events = 0
+        self._ended = False
+
+    @property
+    def name(self):
+        """Name of the endpoint."""
+        return self.endpoint.name
 
     def note_progress(self, events=1):
         """Note that events, or the first bytes of an answer, have come."""
@@ -64,20 +66,26 @@
         if self._events >= LEAST_EVENTS:
             pace = (self._last_at - self._first_at) / self._events
             self._trust.note_pace(self.name, pace)
-        self._trust.note_end(self, Outcome.ANSWERED)
+        self._end(Outcome.ANSWERED)
 
     def end_failed(self):
         """Note that the endpoint itself failed."""
-        self._trust.note_end(self, Outcome.FAILED)
+        self._end(Outcome.FAILED)
 
     def end_refused(self):
         """Note that the endpoint refused: that speaks against it if it had room."""
-        self._trust.note_end(self, Outcome.FAILED if self.had_room else None)
+        had_room = self._trust.had_room(self.endpoint)
+        self._end(Outcome.FAILED if had_room else None)
 
     def end_cut(self):
         """Note that the endpoint fell silent, or the connection broke."""
-        self._trust.note_end(self, Outcome.CUT)
+        self._end(Outcome.CUT)
 
     def end(self):
-        """Note an end that says nothing of the endpoint."""
-        self._trust.note_end(self, None)
+        """Note an end that says nothing of the endpoint; nothing if it has ended."""
+        self._end(None)
+
+    def _end(self, outcome):
+        if not self._ended:
+            self._ended = True
+            self._trust.note_end(self, outcome)
--- a/mangogauge/trust/subsystem.py
+++ b/mangogauge/trust/subsystem.py
@@ -62,9 +62,14 @@
         Returns a list of ``{name: Evidence}`` that other hosts report.
     count_hosts : callable, optional
         Returns how many other hosts are heard.
+    measure_load : callable, optional
+        Returns how many requests and items run at an endpoint, by its name.
     """
 
-    def __init__(self, clock, list_heard=list, count_hosts=int):
+    def __init__(
+        self, clock, list_heard=list, count_hosts=int, measure_load=lambda name: 0
+    ):
+        self._measure_load = measure_load
         self._clock = clock
         self._list_heard = list_heard
         self._count_hosts = count_hosts
@@ -79,21 +84,19 @@
         """Return the elapsed time in seconds."""
         return self._clock.read_elapsed()
 
-    def begin(self, endpoint, load=0):
-        """Return the `Sending` of a request or an item that is sent now.
-
-        Parameters
-        ----------
-        endpoint : FleetEndpoint
-        load : int
-            What runs there, this one included.
-        """
+    def begin(self, endpoint):
+        """Return the `Sending` of a request or an item that is sent now."""
         record = self._find(endpoint)
-        name = endpoint.name
-        sending = Sending(self, name, load <= endpoint.slots, self.read_now())
+        sending = Sending(self, endpoint, self.read_now())
         record.waiting.add(sending)
+        if endpoint.name in self.trials:
+            self.begin_trial(endpoint.name)
         return sending
 
+    def had_room(self, endpoint):
+        """Return whether an endpoint had a slot for what it refused just now."""
+        return self._measure_load(endpoint.name) <= endpoint.slots
+
     def begin_trial(self, name):
         """Note that a request that is sent next is a trial."""
         record = self._records.get(name)
@@ -153,6 +156,10 @@
         """Return ``{name: Evidence}`` for other hosts: endpoints that failed here."""
         return self._reported
 
+    def list_barred(self):
+        """Return the names of endpoints that get no work but trials."""
+        return sorted(self._barred)
+
     def list_standings(self):
         """Return ``{name: Standing}`` of the endpoints that aren't fully trusted."""
         return {
