--- a/mangogauge/placement/choice.py
+++ b/mangogauge/placement/choice.py
@@ -71,9 +71,7 @@
         trial = self._choose_trial(service, excluded, may_repeat)
         if trial is not None:
             return trial
-        usable = self.list_usable(service, excluded)
-        candidates = [self._measure(endpoint) for endpoint in usable]
-        candidates = [c for c in candidates if c.has_room]
+        candidates = self._list_candidates(service, excluded)
         if not candidates:
             return None
         unknown = self._estimate_unknown(candidates)
@@ -103,6 +101,20 @@
         ]
         return trusted or sound
 
+    def _list_candidates(self, service, excluded):
+        """Return those with room: ejected ones only where no other has any."""
+        sound = self._list_sound(service, excluded)
+        trusted = [e for e in sound if not self._trust.is_barred(e.name)] or sound
+        candidates = self._measure_roomy(trusted)
+        if not candidates and len(trusted) < len(sound):
+            others = [e for e in sound if self._trust.is_last_resort(e.name)]
+            candidates = self._measure_roomy(others)
+        return candidates
+
+    def _measure_roomy(self, endpoints):
+        candidates = [self._measure(endpoint) for endpoint in endpoints]
+        return [candidate for candidate in candidates if candidate.has_room]
+
     def _list_sound(self, service, excluded):
         staying = [
             endpoint
--- a/mangogauge/trust/subsystem.py
+++ b/mangogauge/trust/subsystem.py
@@ -40,6 +40,8 @@
         Those without an answer yet.
     first, pace : PeakEwma or None
         Time to an answer's beginning, and between its events.
+    is_silent : bool
+        Whether it was ejected for silence rather than for what it answered.
     """
 
     name = field()
@@ -50,6 +52,7 @@
     waiting = field(factory=set)
     first = field(default=None)
     pace = field(default=None)
+    is_silent = field(default=False)
 
 
 class EndpointTrust:
@@ -76,6 +79,7 @@
         self._records = {}
         self._silences = {}
         self._barred = frozenset()
+        self._answering = frozenset()
         self._costs = {}
         self._reported = {}
         self.trials = frozenset()
@@ -140,6 +144,10 @@
         """Return whether an endpoint gets no work but trials."""
         return name in self._barred
 
+    def is_last_resort(self, name):
+        """Return whether an ejected endpoint is better than none: it does answer."""
+        return name in self._answering
+
     def measure_cost(self, name):
         """Return what a request costs there: 1, or more if it is slow or growing."""
         return self._costs.get(name, 1.0)
@@ -213,6 +221,7 @@
     def _eject(self, endpoint, found, now):
         record = self._find(endpoint)
         record.standing.eject(now)
+        record.is_silent = found.cut > found.failed
         log.info(
             "endpoint ejected",
             extra={
@@ -241,6 +250,9 @@
         standings = {n: record.standing for n, record in self._records.items()}
         self._costs = costs
         self._barred = frozenset(n for n, s in standings.items() if s.is_barred)
+        self._answering = frozenset(
+            n for n in self._barred if not self._records[n].is_silent
+        )
         self.trials = frozenset(n for n, s in standings.items() if s.may_try(now))
 
     def _update(self, record, now):
