--- a/mangogauge/placement/choice.py
+++ b/mangogauge/placement/choice.py
@@ -92,19 +92,16 @@
         service : str
         excluded : collection of str
         trials : bool, optional
-            Whether those that may be tried now are among them.
+            Whether ejected ones that do answer, or may be tried, are among them.
         """
         sound = self._list_sound(service, excluded)
-        may_try = self._trust.trials if trials else ()
-        trusted = [
-            e for e in sound if not self._trust.is_barred(e.name) or e.name in may_try
-        ]
-        return trusted or sound
+        may_get = self._trust.may_get_item if trials else self._trust.may_get_request
+        return [e for e in sound if may_get(e.name)] or sound
 
     def _list_candidates(self, service, excluded):
         """Return those with room: ejected ones only where no other has any."""
         sound = self._list_sound(service, excluded)
-        trusted = [e for e in sound if not self._trust.is_barred(e.name)] or sound
+        trusted = [e for e in sound if self._trust.may_get_request(e.name)] or sound
         candidates = self._measure_roomy(trusted)
         if not candidates and len(trusted) < len(sound):
             others = [e for e in sound if self._trust.is_last_resort(e.name)]
--- a/mangogauge/trust/subsystem.py
+++ b/mangogauge/trust/subsystem.py
@@ -24,6 +24,8 @@
 LEAST_SILENCE_SECONDS = 0.4
 # An endpoint that nothing tries for so long may be tried by any request.
 PATIENCE_SECONDS = 3.0
+# What work costs at an ejected endpoint that answers: it is the last to get any.
+BARRED_COST = 2.0
 
 log = get_logger("trust")
 
@@ -144,6 +146,16 @@
         """Return whether an endpoint gets no work but trials."""
         return name in self._barred
 
+    def may_get_request(self, name):
+        """Return whether an endpoint gets requests beside trials."""
+        return name not in self._barred
+
+    def may_get_item(self, name):
+        """Return whether an endpoint gets items, which may fail now and then."""
+        return (
+            name not in self._barred or name in self._answering or name in self.trials
+        )
+
     def is_last_resort(self, name):
         """Return whether an ejected endpoint is better than none: it does answer."""
         return name in self._answering
@@ -247,6 +259,8 @@
             weight = record.standing.measure_weight(now)
             if weight < 1:
                 costs[name] = costs.get(name, 1.0) / weight
+            if record.standing.is_barred:
+                costs[name] = costs.get(name, 1.0) * BARRED_COST
         standings = {n: record.standing for n, record in self._records.items()}
         self._costs = costs
         self._barred = frozenset(n for n, s in standings.items() if s.is_barred)
