--- a/features/steps/trust.py
+++ b/features/steps/trust.py
@@ -154,6 +154,11 @@
     report(context, names, Evidence(answered=1, failed=count))
 
 
+@when("the others report nothing any more")
+def report_nothing(context):
+    context.heard = []
+
+
 def report(context, names, evidence):
     row = dict.fromkeys(split(names), evidence)
     context.heard = [row] * context.hosts
--- a/features/trust/returning.feature
+++ b/features/trust/returning.feature
@@ -53,3 +53,12 @@
   Scenario: An endpoint that starts again is held to what the one before it did
     When "e0" starts again and answers 1 request
     Then no endpoint is barred
+
+  Scenario: Each host spends a request on an endpoint that failed another just now
+    Given a host that hears 3 others, and 10 endpoints in 2 data centres
+    And "e0" was ejected
+    When the others report that "e0" failed 1 requests each
+    And 1.1 s pass
+    Then "e0" may not be tried
+    When the others report nothing any more
+    Then "e0" may be tried
--- a/mangogauge/trust/subsystem.py
+++ b/mangogauge/trust/subsystem.py
@@ -209,6 +209,10 @@
         for group in services.values():
             reported.update(self._judge_service(group, heard, hosts, now))
         self._reported = reported
+        # Who saw the last failure tries first, and the others learn from that.
+        failing = {name for found in heard for name, e in found.items() if e.bad}
+        for name, record in self._records.items():
+            self._update(record, now, name in failing)
         self._put_in_force(services.values(), now)
 
     def _judge_service(self, group, heard, hosts, now):
@@ -255,7 +259,6 @@
                 for name, cost in compare_paces(averages, now).items():
                     costs[name] = max(cost, costs.get(name, 1.0))
         for name, record in self._records.items():
-            self._update(record, now)
             weight = record.standing.measure_weight(now)
             if weight < 1:
                 costs[name] = costs.get(name, 1.0) / weight
@@ -269,9 +272,9 @@
         )
         self.trials = frozenset(n for n, s in standings.items() if s.may_try(now))
 
-    def _update(self, record, now):
+    def _update(self, record, now, is_held):
         before = record.standing.standing
-        record.standing.update(now)
+        record.standing.update(now, is_held)
         if record.standing.standing is not before:
             self._note_change(record, before)
 
