--- a/bench/trust.py
+++ b/bench/trust.py
@@ -108,12 +108,12 @@
         self._trouble = trouble
         self._host = host
 
-    def is_barred(self, name):
-        """Return whether the endpoint is in trouble, unless all are."""
+    def may_get_request(self, name):
+        """Return whether the endpoint is sound, or all are in trouble."""
         trouble = self._trouble
         if trouble.kind == "slow" or len(trouble.endpoints) == ENDPOINTS:
-            return False
-        return self._strikes(name)
+            return True
+        return not self._strikes(name)
 
     def measure_cost(self, name):
         """Return how slow the endpoint is."""
@@ -164,7 +164,7 @@
     def judge(self):
         self.told.judge(self.bench.list_endpoints())
         self.bench.barred += sum(
-            self.trust.is_barred(e.name) and not self.bench.is_struck(e)
+            not self.trust.may_get_request(e.name) and not self.bench.is_struck(e)
             for e in self.bench.list_endpoints()
         )
         self.bench.at(JUDGE_SECONDS, self.judge)
--- a/features/steps/trust.py
+++ b/features/steps/trust.py
@@ -173,6 +173,14 @@
     assert context.trust.is_barred(name)
 
 
+@given('"{name}" was ejected for silence')
+def eject_silent(context, name):
+    answer_everywhere(context, 4)
+    cut(context, name, 6)
+    judge(context)
+    assert context.trust.is_barred(name)
+
+
 @when('"{name}" comes back and is ejected {count:d} times')
 def flap(context, name, count):
     for _ in range(count):
@@ -182,7 +190,7 @@
 
 def come_back(context, name):
     measure_absence(context, name)
-    answer(context, name, 2, USUAL_SECONDS)
+    answer(context, name, 3, USUAL_SECONDS)
     judge(context)
     assert not context.trust.is_barred(name)
 
--- a/features/trust/returning.feature
+++ b/features/trust/returning.feature
@@ -7,12 +7,12 @@
   Scenario: An endpoint that is well again stays away
     When 1.1 s pass
     Then "e0" may be tried
-    When "e0" answers 2 trials
+    When "e0" answers 3 trials
     Then no endpoint is barred
 
   Scenario: An endpoint that comes back gets its whole share at once
     When 1.1 s pass
-    And "e0" answers 2 trials
+    And "e0" answers 3 trials
     Then a request costs 8 times as much at "e0"
     When 1.5 s pass
     Then a request costs 2 times as much at "e0"
@@ -62,3 +62,11 @@
     Then "e0" may not be tried
     When the others report nothing any more
     Then "e0" may be tried
+
+  Scenario: Trials of an endpoint that fell silent cost requests their time
+    Given a host that hears 0 others, and 10 endpoints in 2 data centres
+    And "e0" was ejected for silence
+    When 1.1 s pass
+    Then "e0" may not be tried
+    When 3.1 s pass
+    Then "e0" may be tried
--- a/mangogauge/jobs/runner.py
+++ b/mangogauge/jobs/runner.py
@@ -282,8 +282,9 @@
             services = route.services
             if services not in rooms:
                 rooms[services] = self._list_rooms(services)
-            if rooms[services]:
-                await self._start(item, route, rooms[services].pop())
+            endpoint = self._take_room(item, rooms[services])
+            if endpoint is not None:
+                await self._start(item, route, endpoint)
             elif not any(rooms.values()) and rooms.keys() >= all_services:
                 break
 
@@ -315,6 +316,15 @@
         free = [(self._room.measure_free(e), e.name, e) for e in usable]
         return [row[2] for row in sorted(row for row in free if row[0] > 0)]
 
+    def _take_room(self, item, rooms):
+        """Return the endpoint with the most room; a trusted one if the item failed."""
+        suitable = [
+            number
+            for number, endpoint in enumerate(rooms)
+            if not item.failures or self._chooser.is_trusted(endpoint)
+        ]
+        return rooms.pop(suitable[-1]) if suitable else None
+
     async def _start(self, item, route, endpoint):
         item.endpoint = endpoint.name
         item.started_at = self._clock.read_elapsed()
--- a/mangogauge/placement/choice.py
+++ b/mangogauge/placement/choice.py
@@ -124,6 +124,10 @@
         # If all of them seem unsound, the fault may be this host's own view.
         return sound or staying
 
+    def is_trusted(self, endpoint):
+        """Return whether an endpoint gets work beside trials."""
+        return self._trust.may_get_request(endpoint.name)
+
     def count_slots(self, service):
         """Return the slots of all endpoints that may get requests."""
         return sum(endpoint.slots for endpoint in self.list_usable(service))
--- a/mangogauge/trust/standing.py
+++ b/mangogauge/trust/standing.py
@@ -15,7 +15,7 @@
 LONGEST_EJECTION_SECONDS = 16.0
 # One ejection is forgotten after so long without another.
 FORGET_SECONDS = 20.0
-TRIALS_NEEDED = 2
+TRIALS_NEEDED = 3
 # A trial that never ends, since its request was given up, holds up the next no longer.
 TRIAL_SECONDS = 2.0
 GROWING_SECONDS = 3.0
--- a/mangogauge/trust/subsystem.py
+++ b/mangogauge/trust/subsystem.py
@@ -168,9 +168,11 @@
         """Return whether an endpoint on trial may be tried by a request now."""
         if name not in self.trials:
             return False
-        return repeatable or self._records[name].standing.waits_since(
-            self.read_now() - PATIENCE_SECONDS
-        )
+        record = self._records[name]
+        # A silent one costs a request its time, and an item hardly any.
+        if repeatable and not record.is_silent:
+            return True
+        return record.standing.waits_since(self.read_now() - PATIENCE_SECONDS)
 
     def list_evidence(self):
         """Return ``{name: Evidence}`` for other hosts: endpoints that failed here."""
