--- a/mangogauge/trust/subsystem.py
+++ b/mangogauge/trust/subsystem.py
@@ -22,8 +22,14 @@
 # Silence from which on an endpoint is suspected, and the least time that it takes.
 SILENCE_LIMIT = 3.0
 LEAST_SILENCE_SECONDS = 0.4
-# An endpoint that nothing tries for so long may be tried by any request.
-PATIENCE_SECONDS = 3.0
+# How long an endpoint waits for a trial by an item before a request tries it, by
+# whether it is silent and whether the request may run again elsewhere.
+PATIENCE_SECONDS = {
+    (False, True): 0.0,
+    (False, False): 3.0,
+    (True, True): 3.0,
+    (True, False): 12.0,
+}
 # What work costs at an ejected endpoint that answers: it is the last to get any.
 BARRED_COST = 2.0
 
@@ -169,10 +175,8 @@
         if name not in self.trials:
             return False
         record = self._records[name]
-        # A silent one costs a request its time, and an item hardly any.
-        if repeatable and not record.is_silent:
-            return True
-        return record.standing.waits_since(self.read_now() - PATIENCE_SECONDS)
+        patience = PATIENCE_SECONDS[record.is_silent, repeatable]
+        return record.standing.waits_since(self.read_now() - patience)
 
     def list_evidence(self):
         """Return ``{name: Evidence}`` for other hosts: endpoints that failed here."""
