--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -163,7 +163,7 @@
                 self.random,
                 self.metrics,
             ),
-            BatchRoom(self.fleet.board, clock, self.fleet.trust.measure_cost),
+            BatchRoom(self.fleet.board, clock, self.fleet.trust.measure_pace),
             self.chooser,
             self.fleet.board,
             self.fleet.notify,
--- a/mangogauge/placement/room.py
+++ b/mangogauge/placement/room.py
@@ -33,9 +33,9 @@
     ----------
     board : LoadBoard
     clock : Clock
-    measure_cost : callable, optional
-        Returns what an item costs at an endpoint, by its name: 1, or more if it is
-        slow.
+    measure_pace : callable, optional
+        Returns how many times as long as usual an item takes at an endpoint, by
+        its name.
 
     Notes
     -----
@@ -46,8 +46,8 @@
     way: all hosts compute the same shares from the same counts.
     """
 
-    def __init__(self, board, clock, measure_cost=lambda name: 1.0):
-        self._measure_cost = measure_cost
+    def __init__(self, board, clock, measure_pace=lambda name: 1.0):
+        self._measure_pace = measure_pace
         self._board = board
         self._clock = clock
         self._crowded_until = {}
@@ -60,7 +60,7 @@
         free = endpoint.slots - load.total
         if free <= 0:
             return 0
-        free = int(free / self._measure_cost(endpoint.name))
+        free = int(free / self._measure_pace(endpoint.name))
         return free - self._compute_rank(endpoint)
 
     def measure_own_excess(self, endpoint):
--- a/mangogauge/trust/subsystem.py
+++ b/mangogauge/trust/subsystem.py
@@ -30,9 +30,6 @@
     (True, True): 3.0,
     (True, False): 12.0,
 }
-# What work costs at an ejected endpoint that answers: it is the last to get any.
-BARRED_COST = 2.0
-
 log = get_logger("trust")
 
 
@@ -89,6 +86,7 @@
         self._barred = frozenset()
         self._answering = frozenset()
         self._costs = {}
+        self._paces = {}
         self._reported = {}
         self.trials = frozenset()
 
@@ -170,6 +168,10 @@
         """Return what a request costs there: 1, or more if it is slow or growing."""
         return self._costs.get(name, 1.0)
 
+    def measure_pace(self, name):
+        """Return how many times as long as usual work takes there: 1 at least."""
+        return self._paces.get(name, 1.0)
+
     def may_try(self, name, repeatable=True):
         """Return whether an endpoint on trial may be tried by a request now."""
         if name not in self.trials:
@@ -256,22 +258,22 @@
         )
 
     def _put_in_force(self, groups, now):
-        costs = {}
+        paces = {}
         for group in groups:
             records = {n: self._records[n] for n in group if n in self._records}
             for kind in ("first", "pace"):
                 averages = {n: getattr(r, kind) for n, r in records.items()}
                 averages = {n: a for n, a in averages.items() if a is not None}
                 for name, cost in compare_paces(averages, now).items():
-                    costs[name] = max(cost, costs.get(name, 1.0))
+                    paces[name] = max(cost, paces.get(name, 1.0))
+        costs = dict(paces)
         for name, record in self._records.items():
             weight = record.standing.measure_weight(now)
             if weight < 1:
                 costs[name] = costs.get(name, 1.0) / weight
-            if record.standing.is_barred:
-                costs[name] = costs.get(name, 1.0) * BARRED_COST
         standings = {n: record.standing for n, record in self._records.items()}
         self._costs = costs
+        self._paces = paces
         self._barred = frozenset(n for n, s in standings.items() if s.is_barred)
         self._answering = frozenset(
             n for n in self._barred if not self._records[n].is_silent
