--- a/mangogauge/placement/choice.py
+++ b/mangogauge/placement/choice.py
@@ -43,19 +43,21 @@
     directory : EndpointDirectory
     board : LoadBoard
     health : EndpointHealth
+    trust : EndpointTrust
     data_centre : str
         Of this host; among equals, an endpoint there is taken.
     random : random.Random
     """
 
-    def __init__(self, directory, board, health, data_centre, random):
+    def __init__(self, directory, board, health, trust, data_centre, random):
         self._directory = directory
         self._board = board
         self._health = health
+        self._trust = trust
         self._data_centre = data_centre
         self._random = random
 
-    def choose(self, service, excluded=()):
+    def choose(self, service, excluded=(), may_repeat=False):
         """Return a `FleetEndpoint` with room for an online request, or None.
 
         Parameters
@@ -63,10 +65,13 @@
         service : str
         excluded : collection of str
             Endpoints that were tried already.
+        may_repeat : bool, optional
+            Whether another endpoint may run it if this one fails.
         """
-        usable = self.list_usable(service, excluded)
-        candidates = [self._measure(endpoint) for endpoint in usable]
-        candidates = [c for c in candidates if c.has_room]
+        trial = self._choose_trial(service, excluded, may_repeat)
+        if trial is not None:
+            return trial
+        candidates = self._list_candidates(service, excluded)
         if not candidates:
             return None
         unknown = self._estimate_unknown(candidates)
@@ -79,8 +84,35 @@
         drawn = self._random.sample(equal, min(len(equal), drawn))
         return min(drawn, key=self._rank).endpoint
 
-    def list_usable(self, service, excluded=()):
-        """Return the endpoints that may get requests, loaded ones included."""
+    def list_usable(self, service, excluded=(), trials=False):
+        """Return the endpoints that may get requests, loaded ones included.
+
+        Parameters
+        ----------
+        service : str
+        excluded : collection of str
+        trials : bool, optional
+            Whether ejected ones that do answer, or may be tried, are among them.
+        """
+        sound = self._list_sound(service, excluded)
+        may_get = self._trust.may_get_item if trials else self._trust.may_get_request
+        return [e for e in sound if may_get(e.name)] or sound
+
+    def _list_candidates(self, service, excluded):
+        """Return those with room: ejected ones only where no other has any."""
+        sound = self._list_sound(service, excluded)
+        trusted = [e for e in sound if self._trust.may_get_request(e.name)] or sound
+        candidates = self._measure_roomy(trusted)
+        if not candidates and len(trusted) < len(sound):
+            others = [e for e in sound if self._trust.is_last_resort(e.name)]
+            candidates = self._measure_roomy(others)
+        return candidates
+
+    def _measure_roomy(self, endpoints):
+        candidates = [self._measure(endpoint) for endpoint in endpoints]
+        return [candidate for candidate in candidates if candidate.has_room]
+
+    def _list_sound(self, service, excluded):
         staying = [
             endpoint
             for endpoint in self._directory.list_endpoints()
@@ -92,16 +124,32 @@
         # If all of them seem unsound, the fault may be this host's own view.
         return sound or staying
 
+    def is_trusted(self, endpoint):
+        """Return whether an endpoint gets work beside trials."""
+        return self._trust.may_get_request(endpoint.name)
+
     def count_slots(self, service):
         """Return the slots of all endpoints that may get requests."""
         return sum(endpoint.slots for endpoint in self.list_usable(service))
 
+    def _choose_trial(self, service, excluded, may_repeat):
+        """Return an endpoint that a request may try, or None."""
+        if not self._trust.trials:
+            return None
+        for endpoint in self._list_sound(service, excluded):
+            if self._trust.may_try(endpoint.name, may_repeat):
+                self._trust.begin_trial(endpoint.name)
+                return endpoint
+        return None
+
     def _is_shunned(self, name):
         return self._health.is_shunned(name) or self._board.is_shunned(name)
 
     def _measure(self, endpoint):
         load = self._board.measure(endpoint.name)
-        return _Candidate(endpoint, load, endpoint.data_centre == self._data_centre)
+        is_near = endpoint.data_centre == self._data_centre
+        cost = self._trust.measure_cost(endpoint.name)
+        return _Candidate(endpoint, load, is_near, cost)
 
     def _estimate_unknown(self, candidates):
         """Return how many requests other hosts have sent that aren't known of yet.
@@ -137,11 +185,14 @@
     load : EndpointLoad
     is_near : bool
         Whether it is in this host's data centre.
+    cost : float
+        What a request costs there: 1, or more if it is slow or growing back.
     """
 
     endpoint = field()
     load = field()
     is_near = field()
+    cost = field()
 
     @property
     def has_room(self):
@@ -157,9 +208,9 @@
 
     @property
     def ratio(self):
-        """The part of the slots that would be taken, of those that matter."""
+        """The part of the slots that would be taken, of those that matter, by cost."""
         counted = self.load.online if self.is_full else self.load.total
-        return (counted + 1) / self.endpoint.slots
+        return (counted + 1) / self.endpoint.slots * self.cost
 
 
 def _list_preferred(candidates, unknown):
