Let a caller send again after an answer that began before the drain

What callers saw: a request on a kept connection lost in a planned stop, RemoteDisconnected without a byte of answer, in "All hosts are restarted in turn".

Cause: a host that starts to drain closed each connection after its current answer, also where that answer's head had gone out before, without "Connection: close". Its caller rightly sent the next request, to a connection that was being ended.

A new scenario makes it without load: a stream that begins before and ends within the drain, then a request on the same connection. Before: RemoteDisconnected. After: 200 and "Connection: close".

Change: only an answer that said so ends its connection; idle ones are ended, as before, once the balancer must have noticed.

--- a/features/drain/drain.feature
+++ b/features/drain/drain.feature
@@ -11,6 +11,11 @@
     And drain: the stream ends whole with its own 60 tokens
     And drain: the first host exits with 0
 
+  Scenario: An answer begun before the drain leaves its connection open for a request
+    Given drain: 2 hosts before a slow engine
+    When drain: a stream of 25 tokens ends after the first host was told to end
+    Then drain: a request on the same connection is served, and closes it
+
   Scenario: A second signal ends a host at once
     Given drain: 2 hosts before a slow engine
     When drain: a stream of 2000 tokens has begun at the first host
--- a/features/steps/drain.py
+++ b/features/steps/drain.py
@@ -3,6 +3,7 @@
 import http.client
 from concurrent.futures import ThreadPoolExecutor
 
+import orjson
 from behave import given, then, when
 
 from features.builders import (
@@ -109,6 +110,35 @@
     assert context.world.processes[context.first].wait() == code
 
 
+@when("drain: a stream of {count:d} tokens ends after the first host was told to end")
+def end_within_stream(context, count):
+    context.connection = context.caller.open(*make_chat(count, stream=True))
+    response = context.connection.getresponse()
+    context.world.processes[context.first].terminate()
+    wait_until(lambda: not context.world.is_ready(context.first), "it is not ready")
+    assert response.read() and not response.will_close
+
+
+@then("drain: a request on the same connection is served, and closes it")
+def check_same_connection(context):
+    method, target, body, headers = make_chat(2, stream=False)
+    headers["Authorization"] = f"Bearer {context.key}"
+    context.connection.request(method, target, body=body, headers=headers)
+    response = context.connection.getresponse()
+    assert response.status == 200 and response.will_close, response.headers
+
+
+def make_chat(count, stream):
+    body = {
+        "model": "small",
+        "max_tokens": count,
+        "stream": stream,
+        "messages": [{"role": "user", "content": "once more"}],
+    }
+    headers = {"Content-Type": "application/json"}
+    return "POST", "/v1/chat/completions", orjson.dumps(body), headers
+
+
 @when("drain: every host is restarted in turn under load through a lagging balancer")
 def restart_all(context):
     world = context.world
--- a/mangogauge/http/connection.py
+++ b/mangogauge/http/connection.py
@@ -261,8 +261,7 @@
             return b""
 
     def _prepare_next(self):
-        if self._server.closing:
-            return False
+        # An answer that said "close" isn't DONE; after any other its caller may send.
         if self._h11.our_state is not h11.DONE:
             return False
         if self._h11.their_state is not h11.DONE:
