--- a/mangogauge/jobs/filling.py
+++ b/mangogauge/jobs/filling.py
@@ -86,11 +86,21 @@
             services = route.services
             if services not in rooms:
                 rooms[services] = self._list_rooms(services)
-            if rooms[services]:
-                await self._starter.start(item, route, rooms[services].pop())
+            endpoint = self._take_room(item, rooms[services])
+            if endpoint is not None:
+                await self._starter.start(item, route, endpoint)
             elif not any(rooms.values()) and rooms.keys() >= all_services:
                 break
 
+    def _take_room(self, item, rooms):
+        """Return the endpoint with the most room; a trusted one if the item failed."""
+        suitable = [
+            number
+            for number, endpoint in enumerate(rooms)
+            if not item.failures or self._chooser.is_trusted(endpoint)
+        ]
+        return rooms.pop(suitable[-1]) if suitable else None
+
     def _find_route(self, item):
         return self._state.routes.find(item.job.manifest.host, item.item.path)
 
