Say by how much a lease that lapsed was renewed too late

Change: "lease lapsed" carries the seconds since the lease's end by this host's clock; below zero the store ended it early.

--- a/mangogauge/fleet/members.py
+++ b/mangogauge/fleet/members.py
@@ -270,6 +270,10 @@
             return True
         error = renewed.failure()
         if isinstance(error, StoreRefusedError) and self.lease is lease:
-            log.warning("lease lapsed", extra={"lease": lease.lease_id})
+            late = self._clock.read_elapsed() - lease.valid_until
+            log.warning(
+                "lease lapsed",
+                extra={"lease": lease.lease_id, "late_seconds": round(late, 3)},
+            )
             self.lease = None
         return False
