Judge endpoints that failed thousands of requests

What callers would have seen: once an endpoint had failed and answered about a thousand requests within 6 s, no endpoint was judged any more: what was ejected stayed so, and nothing else was. Cause: numbers of ways were multiplied as whole numbers beyond what a float holds (OverflowError in each judgment). Change: the binomial chances are taken by logarithms.

--- a/features/trust/ejection.feature
+++ b/features/trust/ejection.feature
@@ -8,6 +8,11 @@
     And "e0" answers 2 requests and fails 3
     Then only "e0" is barred
 
+  Scenario: An endpoint that fails thousands of requests ends the judgment
+    When each endpoint answers 4 requests
+    And "e0" answers 2000 requests and fails 3000
+    Then only "e0" is barred
+
   Scenario: A failure that any endpoint may have costs one its share
     When each endpoint answers 20 requests
     And "e0" fails 1
--- a/mangogauge/trust/outliers.py
+++ b/mangogauge/trust/outliers.py
@@ -78,12 +78,16 @@
     """
     usual = min(usual, 0.99)
     n = evidence.total
-    fewer = sum(
-        math.comb(n, k) * usual**k * (1 - usual) ** (n - k) for k in range(evidence.bad)
-    )
+    fewer = sum(_measure_chance(n, k, usual) for k in range(evidence.bad))
     return -math.log10(max(1 - fewer, 1e-12))
 
 
+def _measure_chance(n, k, share):
+    """Return the chance of `k` failures among `n`; by logarithms, for a large `n`."""
+    ways = math.lgamma(n + 1) - math.lgamma(k + 1) - math.lgamma(n - k + 1)
+    return math.exp(ways + k * math.log(share) + (n - k) * math.log1p(-share))
+
+
 def _bound(suspected, data_centres, ejected):
     """Return those that can be ejected without losing too large a part."""
     sizes = Counter(data_centres.values())
