Bound the time of a judgment where thousands of requests fail

What was seen: measured by hand, one endpoint's suspicion at 3,000 failures of 5,000 took 7.5 ms, twice a judgment, seven judgments a second. Cause: the sum runs over each number of failures below the one that was seen. Change: where Chernoff's bound says that the suspicion is at its largest it isn't summed up, nor where failures are no more than usual (0 in place of at most about 0.3; only 2.5 and more counts).

--- a/mangogauge/trust/outliers.py
+++ b/mangogauge/trust/outliers.py
@@ -20,6 +20,7 @@
 LEAST_USUAL_SHARE = 0.03
 LEAST_FAILURES = 2
 SUSPICION_LIMIT = 2.5
+LARGEST_SUSPICION = 12.0
 # Endpoints without which a service can do at most, and a data centre.
 SERVICE_SHARE = 0.4
 DATA_CENTRE_SHARE = 0.67
@@ -68,7 +69,8 @@
     Returns
     -------
     float
-        Negative decimal logarithm of the chance of as many or more.
+        Negative decimal logarithm of the chance of as many or more; 0 if they are
+        no more than usual.
 
     Examples
     --------
@@ -78,8 +80,21 @@
     """
     usual = min(usual, 0.99)
     n = evidence.total
+    if evidence.bad <= n * usual:
+        return 0.0
+    if _bound_suspicion(n, evidence.bad, usual) >= LARGEST_SUSPICION:
+        return LARGEST_SUSPICION
     fewer = sum(_measure_chance(n, k, usual) for k in range(evidence.bad))
-    return -math.log10(max(1 - fewer, 1e-12))
+    return -math.log10(max(1 - fewer, 10**-LARGEST_SUSPICION))
+
+
+def _bound_suspicion(n, bad, usual):
+    """Return what the suspicion is at least, by Chernoff's bound."""
+    share = bad / n
+    distance = share * math.log(share / usual)
+    if share < 1:
+        distance += (1 - share) * math.log((1 - share) / (1 - usual))
+    return n * distance / math.log(10)
 
 
 def _measure_chance(n, k, share):
