--- a/bench/hotpaths.py
+++ b/bench/hotpaths.py
@@ -23,6 +23,7 @@
 from mangogauge.placement import EndpointChooser, EndpointHealth
 from mangogauge.sharing import EndpointLoad, HostReport, LoadBoard, sum_up
 from mangogauge.sharing.messages import decode
+from mangogauge.trust import EndpointTrust
 
 SEED = 5
 HOSTS = 60
@@ -78,8 +79,8 @@
     ]
     reports = make_reports(rng, [e.name for e in endpoints])
     board = LoadBoard("own", "1", clock)
-    health = EndpointHealth(clock)
-    chooser = EndpointChooser(Directory(endpoints), board, health, "z0", rng)
+    health, trust = EndpointHealth(clock), EndpointTrust(clock)
+    chooser = EndpointChooser(Directory(endpoints), board, health, trust, "z0", rng)
     datagrams = [report.to_bytes() for report in reports]
     cutter = EventCutter()
 
