Run items that can end in time first, by Moore's algorithm

Change: Moore's algorithm chooses which items can still end in time with the slots that this host's items got of late; they run first, by due date. The late ones run the shortest remaining first. How long an item has yet to run is learned from those that ended, instead of a number of events that fits one kind of item.

--- a/mangogauge/jobs/dispatch.py
+++ b/mangogauge/jobs/dispatch.py
@@ -1,10 +1,14 @@
 """Dispatch items to endpoints, and preempt them for online requests."""
 
 from ..telemetry import get_logger
-from .scheduling import order_items
+from .estimates import SlotShare
+from .scheduling import find_timely, order_items
 
 __all__ = ["ItemDispatcher"]
 
+# Interval at which it is decided which items can end in time.
+TIMELY_SECONDS = 0.1
+
 log = get_logger("jobs")
 
 
@@ -42,6 +46,9 @@
         self._report_table = report_table
         self._tasks = tasks
         self._clock = clock
+        self._slot_share = SlotShare(clock)
+        self._timely = set()
+        self._timely_at = float("-inf")
 
     async def preempt(self):
         """Interrupt the least urgent items where online requests need their slots."""
@@ -65,8 +72,7 @@
         """
         running = self._tasks.list_running()
         here = [item for item in running if item.endpoint == endpoint.name]
-        now = self._clock.read_calendar()
-        for item in order_items(here, now, self._tasks.seconds_per_token)[-excess:]:
+        for item in order_items(here, self._timely, self._tasks.pace)[-excess:]:
             log.info(
                 "item gives way",
                 extra={
@@ -86,15 +92,18 @@
 
         Parameters
         ----------
-        jobs : iterable of OwnedJob
+        jobs : list of OwnedJob
         """
         now = self._clock.read_elapsed()
         calendar = self._clock.read_calendar()
+        if now >= self._timely_at + TIMELY_SECONDS:
+            self._timely_at = now
+            self._update_timely(jobs, calendar)
         may_start = [job for job in jobs if self._cancellation.may_start(job)]
         ready = [item for job in may_start for item in job.list_ready(now)]
         all_services = self._state.routes.batch_services
         free = {}
-        for item in order_items(ready, calendar, self._tasks.seconds_per_token):
+        for item in order_items(ready, self._timely, self._tasks.pace):
             route = self._find_route(item)
             if route is None:
                 if self._are_routes_confirmed_since(item.job.claimed_at):
@@ -112,6 +121,15 @@
             elif not any(free.values()) and free.keys() >= all_services:
                 break
 
+    def _update_timely(self, jobs, calendar):
+        """Find the items that can end in time with the slots that this host gets."""
+        items = [item for job in jobs for item in job.items.values()]
+        running = len(self._tasks)
+        self._slot_share.note(running, len(items) - running)
+        self._timely = find_timely(
+            items, calendar, self._tasks.pace, self._slot_share.slots
+        )
+
     def _take_endpoint(self, item, free):
         """Remove and return the endpoint with the most free slots, or None.
 
--- a/mangogauge/jobs/item_tasks.py
+++ b/mangogauge/jobs/item_tasks.py
@@ -1,12 +1,10 @@
 """Start items at endpoints, and interrupt them."""
 
 from ..telemetry import get_logger
+from .estimates import ItemPace
 
 __all__ = ["ItemTasks"]
 
-# Estimate until the first items have finished.
-INITIAL_SECONDS_PER_TOKEN = 0.0025
-SMOOTHING_FACTOR = 0.1
 # After an unexpected error an item backs off as after this many interruptions.
 ERROR_BACKOFF_COUNT = 3
 
@@ -29,8 +27,8 @@
     ----------
     group : curio.TaskGroup or None
         Group in which the tasks run; None until `JobRunner` sets it.
-    seconds_per_token : float
-        Moving average of the seconds that items need for each of their tokens.
+    pace : ItemPace
+        Learned from the items that end here.
     """
 
     def __init__(self, item_runner, cancellation, report_table, notify, clock):
@@ -41,7 +39,7 @@
         self._clock = clock
         self._tasks = {}
         self.group = None
-        self.seconds_per_token = INITIAL_SECONDS_PER_TOKEN
+        self.pace = ItemPace()
 
     def __len__(self):
         return len(self._tasks)
@@ -94,8 +92,8 @@
             if not self._cancellation.may_start(item.job):
                 return
             await self._item_runner.run(item, route, endpoint)
-            if is_from_start and item.item.item_id not in item.job.items:
-                self._update_seconds_per_token(item)
+            if item.item.item_id not in item.job.items:
+                self._note_end(item, is_from_start)
         except Exception:
             log.exception("item failed", extra={"request_id": item.item.item_id})
             self._item_runner.pause(item, "internal error", ERROR_BACKOFF_COUNT)
@@ -105,8 +103,11 @@
             self._report_table.end(endpoint.name, batch=True)
             await self._notify()
 
-    def _update_seconds_per_token(self, item):
-        """Update the average by an item that ran without an interruption."""
-        seconds = self._clock.read_elapsed() - item.started_at
-        measured = seconds / max(1, item.item.tokens)
-        self.seconds_per_token += SMOOTHING_FACTOR * (measured - self.seconds_per_token)
+    def _note_end(self, item, is_from_start):
+        """Learn from an item that has ended, if it was done."""
+        tokens, events = item.item.tokens, len(item.event_texts)
+        if not events:
+            return
+        self.pace.note_end(tokens, events)
+        if is_from_start:
+            self.pace.note_run(tokens, self._clock.read_elapsed() - item.started_at)
--- a/mangogauge/jobs/owned.py
+++ b/mangogauge/jobs/owned.py
@@ -11,8 +11,6 @@
 
 # A run at least as long as the longest backoff resets the count of interruptions.
 LONG_RUN_SECONDS = MAX_BACKOFF_SECONDS
-# Number of events after which half of an item's time is estimated to remain.
-HALVING_EVENTS = 100
 # Limit per item, since a page of results holds at least one item.
 MAX_TEXT_BYTES = 1_000_000
 
@@ -111,24 +109,9 @@
         """Postpone the next run until an elapsed time."""
         self.not_before = until
 
-    def estimate_remaining_seconds(self, seconds_per_token):
-        """Return an estimate of the seconds that the item has yet to run.
-
-        Parameters
-        ----------
-        seconds_per_token : float
-
-        Returns
-        -------
-        float
-
-        Notes
-        -----
-        The total number of events is not known beforehand, so the estimate shrinks
-        with the number of events received, but never reaches zero.
-        """
-        seconds = max(1, self.item.tokens) * seconds_per_token
-        return seconds / (1 + len(self.event_texts) / HALVING_EVENTS)
+    def estimate_remaining_seconds(self, pace):
+        """Return the seconds that the item has yet to run, by an `ItemPace`."""
+        return pace.estimate_remaining_seconds(self.item.tokens, len(self.event_texts))
 
     def make_result(self, state):
         """Return the `ItemResult` of the item in a final `ItemState`."""
--- a/mangogauge/jobs/scheduling.py
+++ b/mangogauge/jobs/scheduling.py
@@ -4,21 +4,63 @@
 run, while online requests leave free slots only intermittently.
 """
 
+import heapq
+
 import xxhash
 
-__all__ = ["order_items", "rank_host"]
+__all__ = ["find_timely", "order_items", "rank_host"]
 
 
-def order_items(items, now, seconds_per_token):
-    """Return items in the order in which they should run, most urgent first.
+def find_timely(items, now, pace, slots):
+    """Return the items that can end by their due dates.
 
     Parameters
     ----------
     items : iterable of OwnedItem
+        All items of this host that have not ended.
     now : float
         Seconds since the Unix epoch.
-    seconds_per_token : float
-        Estimated time that an endpoint needs for one token.
+    pace : ItemPace
+    slots : float
+        Number of slots that these items get on average; may be infinite.
+
+    Returns
+    -------
+    set of OwnedItem
+
+    Notes
+    -----
+    Moore's algorithm: items are taken in order of due date, and whenever those taken
+    so far can't all end in time, the one with the most time left to run is dropped.
+    It leaves out as few items as possible, and keeps those that are nearly done.
+
+    References
+    ----------
+    .. [1] J. M. Moore, "An n job, one machine sequencing algorithm for minimizing
+       the number of late jobs", Management Science 15(1), 1968.
+    """
+    taken, work = [], 0.0
+    for number, item in enumerate(sorted(items, key=_get_due)):
+        left = item.job.manifest.due_at - now
+        remaining = item.estimate_remaining_seconds(pace)
+        if remaining > left:
+            continue
+        heapq.heappush(taken, (-remaining, -number, item))
+        work += remaining
+        while work > slots * left:
+            work += heapq.heappop(taken)[0]
+    return {item for _, _, item in taken}
+
+
+def order_items(items, timely, pace):
+    """Return items in the order in which they should run, most urgent first.
+
+    Parameters
+    ----------
+    items : iterable of OwnedItem
+    timely : set of OwnedItem
+        Items that can end by their due dates; see `find_timely`.
+    pace : ItemPace
 
     Returns
     -------
@@ -26,22 +68,26 @@
 
     Notes
     -----
-    Earliest due date first; within a job, the items with the most events first.
-    Items that can no longer finish in time come after all that can, since they are
-    late whenever they run. Preemption uses the same order from its end, so that
-    the most urgent items run to completion while the others wait. If all items
-    shared the slots, all of them could end late.
+    Timely items come first, by due date; within a job, those with the most events.
+    The others are late whenever they run, so those with the least time left to run
+    come first: they free their slots soonest, and the most of them end before they
+    are given up. Preemption uses the same order from its end, so that what has begun
+    runs to completion while the rest waits. If all items shared the slots, all of
+    them could end late.
     """
 
     def rank(item):
-        manifest = item.job.manifest
-        remaining = item.estimate_remaining_seconds(seconds_per_token)
-        is_late = now + remaining > manifest.due_at
-        return (is_late, manifest.due_at, manifest.job_id, -len(item.event_texts))
+        if item in timely:
+            return (0, _get_due(item), item.job.job_id, -len(item.event_texts))
+        return (1, item.estimate_remaining_seconds(pace), item.job.job_id, 0)
 
     return sorted(items, key=rank)
 
 
+def _get_due(item):
+    return item.job.manifest.due_at
+
+
 def rank_host(job_id, host, hosts):
     """Return the rank of a host for a job by rendezvous hashing.
 
