Record the progress of items, so that the next host goes on where one was lost

Callers saw: late batch results after a runner was killed or lost its disk. Each run was begun from its first event at the next host.

Change: every 2 s a runner writes the events of its unfinished items, of up to 16 jobs in one transaction under their claims; a runner that drains writes them before it releases its jobs; the next host resumes after the last one written. Nothing is written while nothing has come, and a lost claim writes nothing.

--- a/mangogauge/jobs/claims.py
+++ b/mangogauge/jobs/claims.py
@@ -20,14 +20,18 @@
     make_failures_key,
     make_input_key,
     make_manifest_key,
+    make_progress_key,
     make_result_key,
     make_results_prefix,
     make_work_key,
 )
 from .owned import OwnedJob
-from .records import ItemResult, JobManifest
+from .records import ItemProgress, ItemResult, JobManifest
 
-__all__ = ["JobClaims"]
+__all__ = ["MAX_JOBS_PER_WRITE", "JobClaims"]
+
+# A transaction has at most 32 entries, and each job takes two.
+MAX_JOBS_PER_WRITE = 16
 
 log = get_logger("claims")
 
@@ -183,6 +187,39 @@
             job.mark_failures_stored(failures)
         return Success(answer.unwrap().succeeded)
 
+    async def write_progress(self, jobs):
+        """Write the events that the unfinished items of several jobs have received.
+
+        Parameters
+        ----------
+        jobs : list of OwnedJob
+            At most `MAX_JOBS_PER_WRITE`.
+
+        Returns
+        -------
+        returns.result.Result
+            ``Success(bool)``: whether it was written, which needs the claims of all
+            these jobs.
+        """
+        written = {job: job.list_progress() for job in jobs}
+        conditions = [
+            Condition(make_work_key(job.job_id, CLAIM), job.claim_revision)
+            for job in jobs
+        ]
+        operations = [
+            Operation(
+                make_progress_key(job.job_id), ItemProgress.encode_group(progress)
+            )
+            for job, progress in written.items()
+        ]
+        answer = await self._store.transact(Transaction(conditions, operations))
+        if isinstance(answer, Failure):
+            return answer
+        if answer.unwrap().succeeded:
+            for job, progress in written.items():
+                job.mark_progress_stored(progress)
+        return Success(answer.unwrap().succeeded)
+
     async def close(self, job, now):
         """Close a job that its caller has cancelled; return as `commit` does."""
         claim = make_work_key(job.job_id, CLAIM)
@@ -236,6 +273,11 @@
             return stored
         stored = stored.unwrap()
         failures = orjson.loads(stored.value) if stored is not None else {}
+        stored = await self._store.get(make_progress_key(job_id))
+        if isinstance(stored, Failure):
+            return stored
+        stored = stored.unwrap()
+        progress = ItemProgress.decode_group(stored.value) if stored else []
         snapshot = await self._feed.read_snapshot(make_results_prefix(job_id))
         if isinstance(snapshot, Failure):
             return snapshot
@@ -246,9 +288,14 @@
         ]
         log.info(
             "job claimed",
-            extra={"job": job_id, "revision": revision, "committed": len(results)},
+            extra={
+                "job": job_id,
+                "revision": revision,
+                "committed": len(results),
+                "begun": len(progress),
+            },
         )
-        job = OwnedJob.restore(manifest, parts, revision, results, failures)
+        job = OwnedJob.restore(manifest, parts, revision, results, failures, progress)
         return Success(job)
 
     def _make_transaction(self, job, commit, now):
--- a/mangogauge/jobs/keys.py
+++ b/mangogauge/jobs/keys.py
@@ -16,6 +16,7 @@
     "make_input_key",
     "make_job_prefix",
     "make_manifest_key",
+    "make_progress_key",
     "make_result_key",
     "make_results_prefix",
     "make_waiting_key",
@@ -34,7 +35,7 @@
 
 
 def make_job_prefix(job_id):
-    """Return the prefix of a job's manifest, input, failures and results."""
+    """Return the prefix of a job's manifest, input, failures, progress and results."""
     return f"{JOBS_PREFIX}{job_id}/"
 
 
@@ -53,6 +54,11 @@
     return f"{make_job_prefix(job_id)}failures"
 
 
+def make_progress_key(job_id):
+    """Return the key of the events that a job's unfinished items have received."""
+    return f"{make_job_prefix(job_id)}progress"
+
+
 def make_results_prefix(job_id):
     """Return the prefix of a job's results."""
     return f"{make_job_prefix(job_id)}results/"
--- a/mangogauge/jobs/owned.py
+++ b/mangogauge/jobs/owned.py
@@ -5,7 +5,7 @@
 from ..http import HTTPLimitError, HTTPReceiveError
 from .backoff import MAX_BACKOFF_SECONDS
 from .packing import unpack_body
-from .records import ItemResult, ItemState
+from .records import ItemProgress, ItemResult, ItemState
 
 __all__ = ["OwnedItem", "OwnedJob"]
 
@@ -13,6 +13,9 @@
 LONG_RUN_SECONDS = MAX_BACKOFF_SECONDS
 # Limit per item, since a page of results holds at least one item.
 MAX_TEXT_BYTES = 1_000_000
+# Limit of the progress of a job's items that is stored: half of a value's largest
+# size, since JSON may need two bytes for one.
+MAX_PROGRESS_BYTES = 500_000
 
 
 @define(eq=False)
@@ -40,6 +43,8 @@
     stored_failures : int
         Failures that are recorded in the store. An item with more is not run, so
         that the next host to claim the job doesn't count from zero.
+    stored_events : int
+        Number of events in the progress last stored.
     refusals : int
         Consecutive endpoints that refused the item.
     interruptions : int
@@ -62,6 +67,7 @@
     last_event = field(default=None)
     failures = field(default=0)
     stored_failures = field(default=0)
+    stored_events = field(default=0)
     refusals = field(default=0)
     interruptions = field(default=0)
     not_before = field(default=float("-inf"))
@@ -93,6 +99,13 @@
         self.last_event = number
         self.refusals = 0
 
+    def restore_progress(self, progress):
+        """Continue after the events of an `ItemProgress`."""
+        self.event_texts = list(progress.event_texts)
+        self.size = sum(len(text.encode()) for text in self.event_texts)
+        self.last_event = progress.last_event
+        self.stored_events = progress.count
+
     def _reset(self):
         """Discard all events: an engine doesn't generate so much text for one item."""
         self.event_texts.clear()
@@ -113,6 +126,10 @@
         """Return the seconds that the item has yet to run, by an `ItemPace`."""
         return pace.estimate_remaining_seconds(self.item.tokens, len(self.event_texts))
 
+    def make_progress(self):
+        """Return the `ItemProgress` of the item."""
+        return ItemProgress(self.item.item_id, self.last_event, tuple(self.event_texts))
+
     def make_result(self, state):
         """Return the `ItemResult` of the item in a final `ItemState`."""
         text = "\n".join(self.event_texts) if state is ItemState.DONE else ""
@@ -152,7 +169,7 @@
     write_after = field(default=float("-inf"))
 
     @classmethod
-    def restore(cls, manifest, parts, claim_revision, results, failures):
+    def restore(cls, manifest, parts, claim_revision, results, failures, progress=()):
         """Restore a job from its records in the store.
 
         Parameters
@@ -165,6 +182,8 @@
             Committed results.
         failures : dict of str to int
             Number of failures, by item id.
+        progress : iterable of ItemProgress, optional
+            Events that items have received at another host.
 
         Returns
         -------
@@ -179,6 +198,9 @@
                 owned.failures = failures.get(item.item_id, 0)
                 owned.stored_failures = owned.failures
                 job.items[item.item_id] = owned
+        for item in progress:
+            if item.item_id in job.items:
+                job.items[item.item_id].restore_progress(item)
         return job
 
     @property
@@ -201,6 +223,35 @@
             and item.failures == item.stored_failures
         ]
 
+    @property
+    def has_new_progress(self):
+        """Whether unfinished items have received events that are not stored."""
+        items = self.items.values()
+        return any(len(item.event_texts) > item.stored_events for item in items)
+
+    def list_progress(self):
+        """Return the `ItemProgress` of the unfinished items, the longest first.
+
+        Notes
+        -----
+        Leaves out what exceeds `MAX_PROGRESS_BYTES`.
+        """
+        begun = [item for item in self.items.values() if item.event_texts]
+        begun.sort(key=lambda item: len(item.event_texts), reverse=True)
+        progress, size = [], 0
+        for item in begun:
+            size += item.size
+            if size > MAX_PROGRESS_BYTES:
+                break
+            progress.append(item.make_progress())
+        return progress
+
+    def mark_progress_stored(self, progress):
+        """Record the `ItemProgress` that has been written to the store."""
+        for item in progress:
+            if item.item_id in self.items:
+                self.items[item.item_id].stored_events = item.count
+
     def count_failures(self):
         """Return the number of failures by item id, for items that have failed."""
         items = self.items.items()
--- a/mangogauge/jobs/progress.py
+++ b/mangogauge/jobs/progress.py
@@ -4,6 +4,7 @@
 
 from ..telemetry import get_logger
 from .claiming import WRITE_RETRY_SECONDS, postpone_writes
+from .claims import MAX_JOBS_PER_WRITE
 
 __all__ = ["ProgressWriter"]
 
@@ -11,7 +12,7 @@
 
 
 class ProgressWriter:
-    """Commits results, and writes failure counts.
+    """Commits results, and writes failure counts and the progress of items.
 
     Parameters
     ----------
@@ -53,6 +54,27 @@
             self._metrics.jobs.labels("closed").inc()
             log.info("job closed", extra={"job": job.job_id, "ended": False})
 
+    async def write_checkpoint(self):
+        """Write the progress of items of several jobs at once.
+
+        Notes
+        -----
+        A host that claims a job after this one was lost resumes its items after these
+        events. Retrying a failed write isn't worth a call: the next one follows soon.
+        """
+        jobs = [job for job in self._claimer.list_jobs() if job.has_new_progress]
+        for start in range(0, len(jobs), MAX_JOBS_PER_WRITE):
+            await self._write_progress(jobs[start : start + MAX_JOBS_PER_WRITE])
+
+    async def _write_progress(self, jobs):
+        answer = await self._claims.write_progress(jobs)
+        if isinstance(answer, Failure):
+            log.info("checkpoint failed", extra={"reason": str(answer.failure())})
+        elif not answer.unwrap() and len(jobs) > 1:
+            # The claim of one of them has lapsed, or is lost.
+            for job in jobs:
+                await self._write_progress([job])
+
     async def _store_failures(self, job):
         answer = await self._claims.write_failures(job)
         if isinstance(answer, Failure):
--- a/mangogauge/jobs/records.py
+++ b/mangogauge/jobs/records.py
@@ -6,6 +6,7 @@
 from attrs import asdict, field, frozen
 
 __all__ = [
+    "ItemProgress",
     "ItemResult",
     "ItemState",
     "JobItem",
@@ -183,3 +184,38 @@
     def encode_group(results):
         """Encode results that are committed together."""
         return orjson.dumps([[r.item_id, r.state.value, r.text] for r in results])
+
+
+@frozen
+class ItemProgress:
+    """Events that an unfinished item has received.
+
+    Parameters
+    ----------
+    item_id : str
+    last_event : int
+        Number of the last of these events.
+    event_texts : tuple of str
+        Data of the events, in order.
+    """
+
+    item_id = field()
+    last_event = field()
+    event_texts = field(converter=tuple)
+
+    @property
+    def count(self):
+        """Number of events."""
+        return len(self.event_texts)
+
+    @staticmethod
+    def decode_group(data):
+        """Decode what `encode_group` returned."""
+        return [ItemProgress(*row) for row in orjson.loads(data)]
+
+    @staticmethod
+    def encode_group(progress):
+        """Encode the progress of a job's items."""
+        return orjson.dumps(
+            [[p.item_id, p.last_event, p.event_texts] for p in progress]
+        )
--- a/mangogauge/jobs/runner.py
+++ b/mangogauge/jobs/runner.py
@@ -18,6 +18,8 @@
 PREEMPT_DELAY_SECONDS = 0.01
 # Results of items that end within this time are committed together.
 COMMIT_INTERVAL_SECONDS = 0.25
+# Work that is lost with a host, against one write of the store for each interval.
+CHECKPOINT_INTERVAL_SECONDS = 2.0
 
 
 class JobRunner:
@@ -106,6 +108,7 @@
                 self._claim_periodically,
                 self._dispatch_periodically,
                 self._commit_periodically,
+                self._write_checkpoints,
             ):
                 await group.spawn(keep_running, run.__qualname__, run)
 
@@ -119,6 +122,7 @@
         self.claimer.stopped = True
         for item in self.tasks.list_running():
             await self.tasks.interrupt(item)
+        await self._progress.write_checkpoint()
         for job in self.claimer.list_jobs():
             await self._progress.commit(job)
             if job.job_id in self.claimer.jobs:
@@ -178,3 +182,9 @@
         while True:
             await sleep_to_tick(COMMIT_INTERVAL_SECONDS)
             await self._progress.write()
+
+    async def _write_checkpoints(self):
+        while True:
+            await sleep_to_tick(CHECKPOINT_INTERVAL_SECONDS)
+            if not self.claimer.stopped:
+                await self._progress.write_checkpoint()
