Run no items on a runner that hears no other host

A runner was cut off from the other hosts from 25.5 to 32.1 s, not from the endpoints: its 8 to 14 items kept their slots, since no report told it to give way, and the others counted these slots as free.

The feature failed before: items ran without a report.

--- a/features/jobs/filling.feature
+++ b/features/jobs/filling.feature
@@ -33,3 +33,13 @@
     When the runner's copy of the configuration was read after it claimed the job
     And the runner looks for items to start
     Then 3 items were given up
+
+  Scenario: A runner that hears no other host runs no items
+    It could not preempt them for online requests that the others send.
+
+    Given a runner with a job of 20 items and an endpoint of 8 slots
+    And another host is registered that doesn't report
+    When it dispatches items once
+    Then no item runs
+    When the other host reports once
+    Then items run until its report is too old
--- a/features/steps/filling.py
+++ b/features/steps/filling.py
@@ -25,9 +25,11 @@
 from mangogauge.jobs.runner import BUSY_TICK_SECONDS
 from mangogauge.placement import BatchRoom
 from mangogauge.sharing import ReportTable
+from mangogauge.store import KeyValue
 from mangogauge.telemetry import ServingMetrics
 
 REPORT_SECONDS = 0.002
+GIVE_UP_SECONDS = 10.0
 LONG_SECONDS = 3600.0
 SOON_SECONDS = 600.0
 NIGHT = make_route("night", RequestSemantics.BATCH)
@@ -96,6 +98,7 @@
     own = FleetMember("own", "1", runs_batch=True)
     members = MemberDirectory(own, clock)
     members.apply_snapshot(())
+    context.members = members
     context.configuration_read_at = clock.read_elapsed()
     state = context.state = FleetState(
         context.chooser,
@@ -240,3 +243,33 @@
 @then("{count:d} items were started")
 def check_started(context, count):
     assert context.started == count, context.started
+
+
+@given("another host is registered that doesn't report")
+def register_host(context):
+    member = FleetMember("h1", "1")
+    entry = KeyValue(member.key, member.to_bytes(), 1, 1)
+    context.members.apply_snapshot([entry])
+
+
+async def watch_items(context):
+    """Run the runner on one report until its items have run and given way."""
+    runner = context.runner
+    task = await curio.spawn(runner.run)
+    context.report_table.merge_report(make_report("h1"))
+    async with curio.timeout_after(GIVE_UP_SECONDS):
+        while not len(runner.tasks):
+            await curio.sleep(BUSY_TICK_SECONDS)
+        while len(runner.tasks):
+            await curio.sleep(BUSY_TICK_SECONDS)
+    await task.cancel()
+
+
+@when("the other host reports once")
+def report_once(context):
+    curio.run(watch_items, context)
+
+
+@then("items run until its report is too old")
+def check_given_way(context):
+    assert not context.report_table.is_reporting("h1")
--- a/mangogauge/jobs/runner.py
+++ b/mangogauge/jobs/runner.py
@@ -3,6 +3,7 @@
 import curio
 
 from ..supervision import keep_running
+from ..telemetry import get_logger
 from ..ticks import measure_to_tick, sleep_to_tick
 from .claiming import JobClaimer
 from .dispatch import ItemDispatcher
@@ -21,6 +22,8 @@
 # Work that is lost with a host, against one write of the store for each interval.
 CHECKPOINT_INTERVAL_SECONDS = 2.0
 
+log = get_logger("jobs")
+
 
 class JobRunner:
     """Runs batch jobs on this host.
@@ -100,6 +103,19 @@
         """Whether jobs may run: the fleet is known, and `stop` wasn't called."""
         return not self.claimer.stopped and self._state.loaded
 
+    @property
+    def _is_isolated(self):
+        """Whether other hosts are registered and none of them is heard.
+
+        Notes
+        -----
+        Without reports of online requests this host could not preempt its items for
+        them.
+        """
+        others = self._state.members.list_others()
+        is_reporting = self._report_table.is_reporting
+        return bool(others) and not any(is_reporting(m.name) for m in others)
+
     async def run(self):
         """Claim jobs, run their items and commit results until cancelled."""
         async with curio.TaskGroup(wait=any) as group:
@@ -155,17 +171,29 @@
                 woken_at = self._clock.read_elapsed()
             self._wake_event.clear()
             if self._is_active:
-                await self._dispatcher.preempt()
+                await self._preempt()
             if self._clock.read_elapsed() >= dispatched_at + tick:
                 dispatched_at = self._clock.read_elapsed()
                 await self.dispatch_once()
 
+    async def _preempt(self):
+        if not self._is_isolated:
+            await self._dispatcher.preempt()
+            return
+        for item in self.tasks.list_running():
+            log.info(
+                "item gives way, no host is heard",
+                extra={"request_id": item.item.item_id},
+            )
+            await self.tasks.interrupt(item)
+
     async def dispatch_once(self):
         """Reconcile the claimed jobs, dispatch items, and report waiting items."""
         if not self._is_active:
             return
         await self.claimer.reconcile()
-        await self._dispatcher.dispatch(self.claimer.list_jobs())
+        if not self._is_isolated:
+            await self._dispatcher.dispatch(self.claimer.list_jobs())
         await self._report_waiting()
 
     async def _report_waiting(self):
