Don't hold a burst against endpoints: evidence at many hosts, refusals, waits

Cause, from the counts in these lines (answered 0, cut 2; answered 0, failed 2): hosts report only failures, and the answers of all others were estimated by this host's own answers of that endpoint. Among dozens of hosts that is none, so two failures of the whole fleet looked like two of two. Besides, a refusal counted as a failure when the counts, which are behind in a burst, showed one slot free; and the wait for a slot at a full endpoint counted as its silence.

Change: the others' answers are estimated by this host's mean over the service's endpoints; a refusal counts if half of the slots were free by the counts; at a full endpoint a silence counts from 1.2 s on instead of 0.4 s.

Three of the new scenarios failed before; endpoints that hang or cut at many hosts are ejected as before.

--- a/features/steps/trust.py
+++ b/features/steps/trust.py
@@ -146,6 +146,25 @@
     context.clock.advance(seconds)
 
 
+@when('"{name}" runs {load:d} requests and is silent to {count:d} for {seconds:g} s')
+def stay_silent_under_load(context, name, load, count, seconds):
+    context.load = load
+    stay_silent(context, name, count, seconds)
+
+
+@when('each endpoint but "{name}" answers {count:d} request')
+def answer_elsewhere(context, name, count):
+    for other in context.endpoints:
+        if other != name:
+            answer(context, other, count)
+
+
+@when('{peers:d} of the peers report that "{names}" cut off {count:d} request each')
+def report_some_cuts(context, peers, names, count):
+    report(context, names, Evidence(cut=count))
+    del context.peer_evidence[peers:]
+
+
 @when('the peers report that "{names}" cut off {count:d} requests each')
 def report_cuts(context, names, count):
     report(context, names, Evidence(answered=1, cut=count))
--- a/features/trust/ejection.feature
+++ b/features/trust/ejection.feature
@@ -99,3 +99,40 @@
     When each endpoint answers 4 requests
     And "e0" refuses 3 requests while it runs 9
     Then no endpoint is barred
+
+  Scenario: An endpoint that may have become full a moment ago isn't ejected
+    In a burst the reports are behind: an endpoint may refuse with 3 of its 8 slots
+    free by the counts.
+
+    When each endpoint answers 4 requests
+    And "e0" refuses 3 requests while it runs 5
+    Then no endpoint is barred
+
+  Scenario: Rare cuts at dozens of hosts don't eject an endpoint that others use too
+    A host among dozens sends an endpoint a request in ten seconds. Counted against
+    this host's own answers alone, two cuts would be all that is known of it.
+
+    Given a host with reports of 50 peers, and 56 endpoints in 4 data centres
+    When each endpoint but "e0" answers 1 request
+    And 2 of the peers report that "e0" cut off 1 request each
+    Then no endpoint is barred
+
+  Scenario: Cuts at many of dozens of hosts eject an endpoint
+    Given a host with reports of 50 peers, and 56 endpoints in 4 data centres
+    When each endpoint but "e0" answers 1 request
+    And 15 of the peers report that "e0" cut off 1 request each
+    Then only "e0" is barred
+
+  Scenario: A wait for a slot isn't held against an endpoint
+    In a burst requests wait at endpoints whose slots are all in use.
+
+    Given a host with reports of 0 peers, and 10 endpoints in 2 data centres
+    When each endpoint answers 4 requests
+    And "e0" runs 8 requests and is silent to 3 for 0.8 s
+    Then no endpoint is barred
+
+  Scenario: An endpoint that stays silent while it is full is ejected
+    Given a host with reports of 0 peers, and 10 endpoints in 2 data centres
+    When each endpoint answers 4 requests
+    And "e0" runs 8 requests and is silent to 3 for 1.5 s
+    Then only "e0" is barred
--- a/mangogauge/trust/endpoints.py
+++ b/mangogauge/trust/endpoints.py
@@ -22,6 +22,9 @@
 # φ from which a silence counts against an endpoint, and its minimum duration.
 SILENCE_PHI_LIMIT = 3.0
 MIN_SILENCE_SECONDS = 0.4
+# Minimum duration at an endpoint whose slots are all in use, where a request waits
+# for one of them.
+MIN_SILENCE_WHEN_FULL_SECONDS = 1.2
 # Delay before a request may be a trial of an endpoint; until then only items are. By
 # whether the endpoint is silent, and whether the request can be retried elsewhere.
 REQUEST_TRIAL_DELAY_SECONDS = {
@@ -30,6 +33,9 @@
     (True, True): 3.0,
     (True, False): 12.0,
 }
+# Largest reported load, as a share of the slots, at which a refusal is a failure.
+MAX_LOAD_SHARE_AT_REFUSAL = 0.5
+
 log = get_logger("trust")
 
 
@@ -110,8 +116,15 @@
         return attempt
 
     def has_free_slot(self, endpoint):
-        """Return whether an endpoint that has just refused had a free slot."""
-        return self._measure_load(endpoint.name) <= endpoint.slots
+        """Return whether an endpoint that has just refused certainly had a free slot.
+
+        Notes
+        -----
+        At the beginning of a burst the other hosts' latest requests are not reported
+        yet, so an endpoint may be full although the reports show some free slots.
+        """
+        load = self._measure_load(endpoint.name)
+        return load <= endpoint.slots * MAX_LOAD_SHARE_AT_REFUSAL
 
     def begin_trial(self, name):
         """Record that the next request to an endpoint is a trial."""
@@ -303,12 +316,18 @@
             detector = self._silence_detectors[record.service]
             for attempt in record.waiting:
                 seconds = now - attempt.began_at
-                if attempt.overdue or seconds < MIN_SILENCE_SECONDS:
+                if attempt.overdue or seconds < self._find_min_silence(attempt):
                     continue
                 if detector.measure_suspicion(seconds) >= SILENCE_PHI_LIMIT:
                     attempt.overdue = True
                     self._record_outcome(record, Outcome.CUT)
 
+    def _find_min_silence(self, attempt):
+        """Return the seconds below which no silence counts against its endpoint."""
+        if self._measure_load(attempt.name) < attempt.endpoint.slots:
+            return MIN_SILENCE_SECONDS
+        return MIN_SILENCE_WHEN_FULL_SECONDS
+
     def _record_outcome(self, record, outcome):
         now = self.read_now()
         record.window.note(outcome, now)
--- a/mangogauge/trust/evidence.py
+++ b/mangogauge/trust/evidence.py
@@ -22,7 +22,12 @@
     own : dict of str to Evidence
         Evidence of this host by endpoint.
     data_centres : dict of str to str
-        Data centre of each endpoint.
+        Data centre of each endpoint of the service.
+
+    Attributes
+    ----------
+    mean_answered : float
+        Mean number of answers that this host had of the service's endpoints.
     """
 
     def __init__(self, own, data_centres):
@@ -31,6 +36,8 @@
             (name, _drop_cuts(found) if name in suspects else found)
             for name, found in own.items()
         )
+        answered = sum(found.answered for found in own.values())
+        self.mean_answered = answered / max(1, len(data_centres))
 
 
 def list_link_suspects(own, data_centres):
@@ -74,8 +81,14 @@
     -------
     Evidence
         Cuts that only one source reports (this host, a peer, or a data centre's
-        totals) count only if there is no other host. Hosts that report no failures
-        are assumed to have had as many answers as this one.
+        totals) count only if there is no other host.
+
+    Notes
+    -----
+    Hosts that report no failures of the endpoint had answers of it, but don't tell
+    how many. They are assumed to have had as many as this host had of the service's
+    endpoints on average: dozens of hosts share the requests, so this host alone may
+    have had none of an endpoint whose rare failures all hosts together report.
     """
     local = own.get(name, NO_EVIDENCE)
     others = [found[name] for found in reports if name in found]
@@ -84,8 +97,8 @@
     reported = sum(others, NO_EVIDENCE)
     if _is_contradicted(local, reported):
         return local
-    silent = max(0, peers - len(others)) * local.answered
-    return local + reported + Evidence(answered=silent)
+    silent = max(0, peers - len(others)) * max(local.answered, own.mean_answered)
+    return local + reported + Evidence(answered=round(silent))
 
 
 def get_own_evidence(name, own, peers):
