--- a/features/builders/itemload.py
+++ b/features/builders/itemload.py
@@ -77,6 +77,9 @@
     burst_slots = field(default=8)
     burst_seconds = field(default=2.4)
     burst_interval = field(default=6.0)
+    pace = field(init=False, default=None)
+    share = field(init=False, default=None)
+    running = field(init=False, factory=set)
 
     def play(self, order, duration):
         """Return how many items end in time in `duration` seconds.
@@ -112,10 +115,6 @@
                     in_time += clock.read_elapsed() <= item.job.manifest.due_at
         return in_time
 
-    pace = field(init=False, default=None)
-    share = field(init=False, default=None)
-    running = field(init=False, factory=set)
-
     def _count_slots(self, now):
         in_burst = now % self.burst_interval < self.burst_seconds
         return self.slots - self.burst_slots if in_burst else self.slots
--- a/mangogauge/jobs/progress.py
+++ b/mangogauge/jobs/progress.py
@@ -62,11 +62,16 @@
         A host that claims a job after this one was lost resumes its items after these
         events. Retrying a failed write isn't worth a call: the next one follows soon.
         """
-        jobs = [job for job in self._claimer.list_jobs() if job.has_new_progress]
+        jobs = [
+            job
+            for job in self._claimer.list_jobs()
+            if job.claim_revision and job.has_new_progress
+        ]
         for start in range(0, len(jobs), MAX_JOBS_PER_WRITE):
             await self._write_progress(jobs[start : start + MAX_JOBS_PER_WRITE])
 
     async def _write_progress(self, jobs):
+        """Write the progress of several jobs, one by one if that isn't possible."""
         answer = await self._claims.write_progress(jobs)
         if isinstance(answer, Failure):
             log.info("checkpoint failed", extra={"reason": str(answer.failure())})
--- a/mangogauge/jobs/runner.py
+++ b/mangogauge/jobs/runner.py
@@ -104,12 +104,12 @@
         return not self.claimer.stopped and self._state.loaded
 
     @property
-    def _is_isolated(self):
-        """Whether other hosts are registered and none of them is heard.
+    def _hears_nobody(self):
+        """Whether other hosts are registered, but none of them reports.
 
         Notes
         -----
-        Without reports of online requests this host could not preempt its items for
+        Without reports of online requests, this host could not preempt its items for
         them.
         """
         others = self._state.members.list_others()
@@ -177,13 +177,18 @@
                 await self.dispatch_once()
 
     async def _preempt(self):
-        if not self._is_isolated:
+        """Preempt the items in excess, or all items if no other host is heard."""
+        if not self._hears_nobody:
             await self._dispatcher.preempt()
             return
         for item in self.tasks.list_running():
             log.info(
-                "item gives way, no host is heard",
-                extra={"request_id": item.item.item_id},
+                "item gives way",
+                extra={
+                    "request_id": item.item.item_id,
+                    "endpoint": item.endpoint,
+                    "reason": "no other host is heard",
+                },
             )
             await self.tasks.interrupt(item)
 
@@ -192,7 +197,7 @@
         if not self._is_active:
             return
         await self.claimer.reconcile()
-        if not self._is_isolated:
+        if not self._hears_nobody:
             await self._dispatcher.dispatch(self.claimer.list_jobs())
         await self._report_waiting()
 
