--- a/features/run.py
+++ b/features/run.py
@@ -103,9 +103,9 @@
     bad = [s for s in ran if s.status != Status.passed]
     outcome = {
         "ran": len(ran),
-        "failed": sorted({s.name for s in bad}),
+        "failed": sorted({s.name.strip() for s in bad}),
         "broken": failed_at_large,
-        "reasons": {s.name: describe_failure(s) for s in bad},
+        "reasons": {s.name.strip(): describe_failure(s) for s in bad},
     }
     print(orjson.dumps(outcome).decode(), flush=True)
     return 0
