Log which shared parts a prompt has when an attempt fails or an endpoint crashes

'attempt failed' and 'endpoint crashed within a request' now name the prompt's shared parts, and whether the answer had begun. No decision uses them yet.

--- a/mangogauge/entry/calls.py
+++ b/mangogauge/entry/calls.py
@@ -26,6 +26,8 @@
         answer; None unless it asks to resume that answer.
     headers : Headers
         Header fields that are forwarded to the endpoint.
+    shared_parts : tuple of str
+        Names of the parts of the prompt that other requests may share, in order.
     """
 
     request_id = field()
@@ -35,6 +37,7 @@
     timeout = field(default=None)
     last_event = field(default=None)
     headers = field(default=None)
+    shared_parts = field(default=())
 
 
 @define(eq=False)
@@ -58,6 +61,8 @@
         Number of the last event that the caller has already received.
     priority : int
         Queueing priority; 0 is served first.
+    shared_parts : tuple of str
+        Names of the parts of the prompt that other requests may share, in order.
     """
 
     request_id = field()
@@ -71,6 +76,7 @@
     deadline = field()
     last_event = field(default=None)
     priority = field(default=0)
+    shared_parts = field(default=())
 
     @property
     def repeatable(self):
--- a/mangogauge/entry/crashes.py
+++ b/mangogauge/entry/crashes.py
@@ -108,6 +108,7 @@
                 "endpoint": endpoint.name,
                 "fingerprint": fingerprint,
                 "condemned": self._ledger.is_quarantined(fingerprint),
+                "shared_parts": call.shared_parts,
             },
         )
         await self._notify()
--- a/mangogauge/entry/dispatch.py
+++ b/mangogauge/entry/dispatch.py
@@ -117,7 +117,8 @@
             service = self._choose_service(state.call.route)
             endpoint = await self._slots.acquire(state.call, service, state.excluded)
             started_at = self._clock.read_elapsed()
-            observer = state.relay.observer = self._trust.begin(endpoint)
+            observer = self._trust.begin(endpoint)
+            state.relay.begin_attempt(observer)
             try:
                 await self._run_attempt(state, endpoint)
             except AttemptFailure as failure:
@@ -182,6 +183,8 @@
             attempt=state.attempts,
             progress=failure.progress.value,
             reason=failure.reason,
+            shared_parts=state.call.shared_parts,
+            answer_begun=state.relay.answer_begun,
         )
 
     async def _handle_failure(self, state):
--- a/mangogauge/entry/handler.py
+++ b/mangogauge/entry/handler.py
@@ -152,6 +152,7 @@
             started_at + timeout,
             request.last_event,
             _find_priority(route, account),
+            request.shared_parts,
         )
         await self._dispatcher.run(call, exchange)
 
--- a/mangogauge/entry/relay.py
+++ b/mangogauge/entry/relay.py
@@ -24,8 +24,8 @@
     idle_timeout : float or None
         Seconds without a complete event after which the attempt fails; None to wait
         until the caller's deadline.
-    observer : AttemptObserver
-        Observes the progress of the answer that is relayed.
+    answer_begun : bool
+        Whether a part of the current attempt's answer has arrived.
     """
 
     def __init__(self, call, exchange, on_first_piece):
@@ -35,7 +35,13 @@
         self.started = False
         self.last_event = call.last_event
         self.idle_timeout = None
-        self.observer = None
+        self.answer_begun = False
+        self._observer = None
+
+    def begin_attempt(self, observer):
+        """Note that a new attempt starts, whose progress `observer` observes."""
+        self._observer = observer
+        self.answer_begun = False
 
     async def relay(self, response):
         """Relay an answer's body, and its head unless one has been sent already.
@@ -62,7 +68,7 @@
 
     async def _relay_bytes(self, response):
         async for piece in response.iterate():
-            self.observer.note_progress(0)
+            self._note_progress(0)
             await self._start_response(response)
             await self._exchange.send_data(piece)
         await self._start_response(response)
@@ -73,7 +79,7 @@
             events = await stream.read_events(self.idle_timeout)
             if not events:
                 break
-            self.observer.note_progress(len(events))
+            self._note_progress(len(events))
             for event in events:
                 await self._start_response(response)
                 # Set before the write: if that fails, the whole answer ends.
@@ -81,6 +87,10 @@
                 await self._exchange.send_data(event.raw)
         await self._start_response(response)
 
+    def _note_progress(self, events):
+        self.answer_begun = True
+        self._observer.note_progress(events)
+
     async def _start_response(self, response):
         if self.started:
             return
--- a/mangogauge/platform/callers.py
+++ b/mangogauge/platform/callers.py
@@ -6,6 +6,7 @@
 from ..http import Headers
 from ..refusals import Refusal, RefusalCode
 from .names import HEADERS
+from .prompts import read_shared_parts
 
 __all__ = ["PlatformCallers"]
 
@@ -38,6 +39,7 @@
             timeout=None if patience is None else patience / 1000,
             last_event=read_count(fields, HEADERS.last_event),
             headers=passed,
+            shared_parts=read_shared_parts(fields.get(HEADERS.prompt_parts, "")),
         )
 
     async def refuse(self, exchange, refusal, request_id):
--- a/mangogauge/platform/names.py
+++ b/mangogauge/platform/names.py
@@ -21,6 +21,8 @@
     # The endpoint takes no new requests and is about to end.
     leaving = field(default="Server-Leaving")
     not_run = field(default="X-Not-Run")
+    # The prompt's parts in order, as ID:TOKENS; the last is the request's own.
+    prompt_parts = field(default="X-Prompt-Prefix")
     retry_after = field(default="Retry-After")
     # How long a reader of results will wait for the first one.
     wait = field(default="X-Wait-Ms")
