Add a failing test of different requests that share a crashing part

All nine endpoints of the feature crash, one after the other: the quarantine counts crashes by client account, target and body, and no two of these requests are alike.

--- a/features/builders/platform/endpoint.py
+++ b/features/builders/platform/endpoint.py
@@ -105,7 +105,8 @@
                 await self.freed.notify_all()
 
     async def _answer(self, exchange, arrival):
-        fault = self._take_fault(arrival.request_id)
+        parts = exchange.headers.get("x-prompt-prefix", "")
+        fault = self._take_fault(arrival.request_id, parts)
         if self.leaving == "a failure":
             fault = "500"
         headers = self._make_headers(arrival.request_id)
@@ -136,10 +137,10 @@
             await exchange.send_data(f"id: {number}\ndata: {text}\n\n".encode())
         await exchange.finish()
 
-    def _take_fault(self, request_id):
-        """Return the fault of this request; empty for none."""
+    def _take_fault(self, request_id, parts):
+        """Return the fault of a request of that id and prompt; empty for none."""
         for word, fault in self.faults.items():
-            if word in request_id:
+            if word in request_id or word in parts:
                 return fault
         for file in sorted(os.listdir(self.folder)):
             try:
--- a/features/steps/platform_crashes.py
+++ b/features/steps/platform_crashes.py
@@ -36,12 +36,58 @@
         time.sleep(PAUSE_SECONDS)
 
 
+def ask_with_parts(context, host, parts, name):
+    """Ask for a stream whose prompt has these parts and one of its own."""
+    names = [*parts.split("+"), f"own-{name}"]
+    prefix = ",".join(f"{part}:100" for part in names)
+    return context.deployment.ask(
+        host, f"/ask/{name}", f"r-{name}", X_Prompt_Prefix=prefix
+    )
+
+
+@when(
+    '"desk" asks "{first}" and "{second}" in turn for {count:d} different prompts '
+    'with "{crashing}", and each time for one with "{sound}"'
+)
+def ask_for_crashing_and_sound(context, first, second, count, crashing, sound):
+    for number in range(count):
+        host = second if number % 2 else first
+        context.answer = ask_with_parts(context, host, crashing, f"bad-{number}")
+        time.sleep(PAUSE_SECONDS)
+        ask_with_parts(context, host, sound, f"good-{number}")
+
+
+@when('"desk" asks "{host}" for {count:d} different prompts with "{parts}"')
+def ask_for_prompts(context, host, count, parts):
+    context.answers = [
+        ask_with_parts(context, host, parts, f"{host}-{parts}-{number}")
+        for number in range(count)
+    ]
+
+
+@when('the host "{name}" starts, and {seconds:g} s pass')
+def start_another_host(context, name, seconds):
+    context.deployment.start_host(name)
+    time.sleep(seconds)
+
+
+@then("all were refused with {status:d}")
+def check_all_refused(context, status):
+    assert {answer.status for answer in context.answers} == {status}, context.answers
+
+
 @then("{count:d} endpoints have crashed, and the last answer is {status:d}")
 def check_refused(context, count, status):
     assert count_crashed(context) == count
     assert context.answer.status == status, context.answer
 
 
+@then("{count:d} endpoints at most have crashed, and the last answer is {status:d}")
+def check_crashes_and_refusal(context, count, status):
+    assert count_crashed(context) <= count, list_crashed(context)
+    assert context.answer.status == status, context.answer
+
+
 @when("{count:d} endpoints or more have crashed")
 def wait_for_crashes(context, count):
     wait_until(lambda: count_crashed(context) >= count, f"{count} endpoints crashed")
