Quarantine parts of prompts that crash endpoints, with what all hosts have seen

Cause: the quarantine counted crashes by the whole request (client account, target, body). Requests that share only what crashes endpoints were never added up. Counts could not be added up by part either: two requests at one endpoint would have counted one crash twice.

Change: a crash accuses the shared parts of the requests whose answer had not begun; an answer clears its parts. What explains three crashes that nothing else explains is quarantined, the narrowest part of equal ones. Sightings name the crashed process, so what hosts tell each other is a union, in any order and any number of times; it spreads by gossip, also to a host that was cut off or has just started. Requests are checked before each attempt, no longer only on arrival. Batch items accuse, clear and wait too.

--- a/features/steps/crashes.py
+++ b/features/steps/crashes.py
@@ -5,9 +5,10 @@
 import curio
 from behave import given, then, when
 
+from features.builders.crashes import make_crash_detector
 from features.builders.fleet import HOST_NAME, make_endpoint, make_route
 from mangogauge.clock import ManualClock, SystemClock
-from mangogauge.entry import AttemptFailure, CrashDetector, OnlineCall
+from mangogauge.entry import AttemptFailure, OnlineCall
 from mangogauge.http import Headers
 from mangogauge.routing import Progress
 from mangogauge.sharing import CrashLedger
@@ -18,10 +19,6 @@
 DIAGNOSIS_SECONDS = 1.5
 
 
-async def ignore_change():
-    """Do nothing."""
-
-
 @given('a host that {receives} reports of data centre "b" after a connection broke')
 def make_detector(context, receives):
     clock = SystemClock()
@@ -31,9 +28,7 @@
         asked.append(data_centre)
         return REPORTS_ARRIVE[receives]
 
-    context.detector = CrashDetector(
-        CrashLedger(clock), ignore_change, clock, has_reported_since
-    )
+    context.detector = make_crash_detector(clock, has_reported_since)
 
 
 def find_refusing_address():
@@ -62,7 +57,7 @@
         Progress.MAYBE_RUN, "reset", endpoint_at_fault=True, connection_broken=True
     )
     for _ in range(count):
-        await context.detector.note_failure(context.call, endpoint, failure)
+        await context.detector.note_failure(context.call, endpoint, failure, 0.0)
     await curio.sleep(DIAGNOSIS_SECONDS)
 
 
--- a/features/steps/items_crashes.py
+++ b/features/steps/items_crashes.py
@@ -7,6 +7,7 @@
 from attrs import define, field
 from behave import given, then, when
 
+from features.builders.crashes import make_crash_detector
 from features.builders.fleet import HOST_NAME, make_endpoint, make_route
 from mangogauge.clock import ManualClock
 from mangogauge.entry import AttemptFailure
@@ -62,6 +63,9 @@
     fault = field()
     runs = field(factory=list)
 
+    def read_shared_parts(self, headers):
+        return ()
+
     async def send(self, call, endpoint, last_event, response_timeout, is_resend):
         self.runs.append((self.clock.read_elapsed(), call.request_id))
         number = (last_event or 0) + 1
@@ -110,6 +114,7 @@
         context.endpoints,
         EndpointHealth(clock),
         EndpointTrust(clock),
+        make_crash_detector(clock),
         clock,
         Random(SEED),
         ServingMetrics(),
--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -20,8 +20,10 @@
     SharedSchedule,
 )
 from ..placement import EndpointHealth
+from ..quarantine import PartQuarantine
 from ..sharing import (
     CrashLedger,
+    Gossip,
     ReportExchange,
     ReportTable,
     ReportTopology,
@@ -124,6 +126,7 @@
         self.health = EndpointHealth(clock)
         self.quota = SharedQuota(clock)
         self.crash_ledger = CrashLedger(clock)
+        self.part_quarantine = PartQuarantine(clock)
         self.board = ReportTable(settings.name, incarnation, clock)
         self.trust = EndpointTrust(
             clock,
@@ -149,6 +152,13 @@
             self._make_summary,
             self._take_report,
             self._take_summary,
+            self._take_crash_news,
+        )
+        self._crash_gossip = Gossip(
+            self.part_quarantine.make_news,
+            lambda: [member.address for member in self.members.list_others()],
+            self._exchange.send,
+            random,
         )
         ports = range(settings.first_report_port, settings.last_report_port + 1)
         self._exchange.bind(settings.address, ports)
@@ -234,6 +244,11 @@
         """Tell the other hosts soon what has changed here."""
         await self._exchange.note_change()
 
+    async def notify_crash(self):
+        """Tell the other hosts soon what is new here about crashes of endpoints."""
+        await self._exchange.note_change()
+        await self._crash_gossip.note_change()
+
     async def run(self):
         """Keep up with the fleet until cancelled."""
         async with curio.TaskGroup(wait=any) as group:
@@ -242,6 +257,7 @@
             for run in (
                 self.registration.run,
                 self._exchange.run,
+                self._crash_gossip.run,
                 self._watch_isolation,
                 self._judge_endpoints,
             ):
@@ -316,6 +332,10 @@
             self.quota.merge_totals(summary.totals, self.state.routes)
         await self._on_report(summary)
 
+    async def _take_crash_news(self, news):
+        if self.part_quarantine.merge(news):
+            await self._crash_gossip.note_change()
+
     async def _take_news(self, report):
         """Take in what a host's report and a data centre's totals both tell."""
         self.crash_ledger.merge_counts(report.host, report.crashes)
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -134,7 +134,8 @@
 
         self.crashes = CrashDetector(
             self.fleet.crash_ledger,
-            self.fleet.notify,
+            self.fleet.part_quarantine,
+            self.fleet.notify_crash,
             self.clock,
             self.fleet.hears_data_centre,
         )
@@ -169,6 +170,7 @@
                 self.attempt,
                 self.fleet.health,
                 self.fleet.trust,
+                self.crashes,
                 clock,
                 self.random,
                 self.metrics,
@@ -304,6 +306,7 @@
                     "endpoints": len(self.fleet.directory.list_endpoints()),
                     "hosts_heard": self.fleet.board.count_reporting_hosts(),
                     "endpoints_barred": self.fleet.trust.list_barred(),
+                    "parts_quarantined": self.fleet.part_quarantine.list_quarantined(),
                     "waiting": len(self.slots),
                     "items_waiting": self.fleet.board.items_waiting,
                     "store_calls": self.metrics.take_store_calls(),
--- a/mangogauge/entry/attempt.py
+++ b/mangogauge/entry/attempt.py
@@ -177,6 +177,10 @@
             return response
         raise await self._make_failure(kind, response)
 
+    def read_shared_parts(self, headers):
+        """Return the shared parts of the prompt, as the caller's headers name them."""
+        return self._dialect.read_shared_parts(headers)
+
     async def _request(self, call, endpoint_request, is_resend):
         return await self._pool.request(
             endpoint_request.endpoint.address,
--- a/mangogauge/entry/crashes.py
+++ b/mangogauge/entry/crashes.py
@@ -9,6 +9,7 @@
 import curio
 import xxhash
 
+from ..fleet import RequestSemantics
 from ..http import ClientConnection, HTTPConnectError
 from ..refusals import Refusal, RefusalCode
 from ..telemetry import get_logger
@@ -26,16 +27,23 @@
 # several within this time.
 CONFIRM_TIMEOUT_SECONDS = 0.75
 CONFIRM_POLL_SECONDS = 0.02
+# An endpoint that crashes this long after it began an answer crashed for another
+# reason than the prompt of that request.
+SOUND_ANSWER_SECONDS = 0.1
 
 log = get_logger("crashes")
 
 
 class CrashDetector:
-    """Counts crashes caused by online requests and refuses quarantined requests.
+    """Notes crashes of endpoints and refuses quarantined requests.
 
     Parameters
     ----------
     ledger : CrashLedger
+        Counts crashes by request. Batch items are not counted: they wait, and their
+        callers must get a result.
+    part_quarantine : PartQuarantine
+        Finds the parts of prompts that crash endpoints, in requests and items.
     notify : async callable
         Called after a crash, so that it is reported to the other hosts.
     clock : Clock
@@ -44,18 +52,34 @@
         there has arrived since, or no other host is registered there.
     """
 
-    def __init__(self, ledger, notify, clock, has_reported_since):
+    def __init__(self, ledger, part_quarantine, notify, clock, has_reported_since):
         self._ledger = ledger
+        self._part_quarantine = part_quarantine
         self._notify = notify
         self._clock = clock
         self._has_reported_since = has_reported_since
 
-    def check(self, call):
-        """Raise `Refusal` if `call` is quarantined."""
+    def check(self, call, executed="no"):
+        """Raise `Refusal` if `call` is quarantined.
+
+        Parameters
+        ----------
+        call : OnlineCall
+        executed : str, optional
+            What the caller is told of earlier attempts, as in `Refusal`.
+        """
         if self.is_quarantined(call):
             raise Refusal(
                 RefusalCode.QUARANTINED,
                 "This request has crashed the endpoints that ran it.",
+                executed=executed,
+                step="check crashes",
+            )
+        if self.has_quarantined_part(call):
+            raise Refusal(
+                RefusalCode.QUARANTINED,
+                "A part of this request's prompt has crashed endpoints.",
+                executed=executed,
                 step="check crashes",
             )
 
@@ -65,23 +89,41 @@
             return False
         return self._ledger.is_quarantined(_make_fingerprint(call))
 
-    def note_answer(self, call):
+    def has_quarantined_part(self, call):
+        """Return whether a part of the prompt of `call` has crashed endpoints."""
+        return self._part_quarantine.is_quarantined(call.shared_parts)
+
+    async def note_answer(self, call):
         """Record that an endpoint ran `call` without a crash."""
         if not self._ledger.is_empty:
             self._ledger.note_answer(_make_fingerprint(call))
-
-    async def note_failure(self, call, endpoint, failure):
-        """Start to check whether a broken connection means that an endpoint crashed."""
+        if self._part_quarantine.note_answer(call.shared_parts):
+            await self._notify()
+
+    async def note_failure(self, call, endpoint, failure, answer_seconds):
+        """Start to check whether a broken connection means that an endpoint crashed.
+
+        Parameters
+        ----------
+        call : OnlineCall
+        endpoint : FleetEndpoint
+        failure : AttemptFailure
+        answer_seconds : float
+            How long ago the answer had begun; 0 if it had not.
+        """
+        is_sound = answer_seconds >= SOUND_ANSWER_SECONDS
+        if is_sound and self._part_quarantine.note_answer(call.shared_parts):
+            await self._notify()
         if failure.connection_broken:
-            await curio.spawn(self._diagnose, call, endpoint, daemon=True)
+            await curio.spawn(self._diagnose, call, endpoint, is_sound, daemon=True)
 
-    async def _diagnose(self, call, endpoint):
+    async def _diagnose(self, call, endpoint, is_sound):
         broke_at = self._clock.read_elapsed()
         await curio.sleep(LISTENER_CLOSE_SECONDS)
         if not await _refuses_connections(endpoint):
             return
         if await self._is_data_centre_reporting(endpoint.data_centre, broke_at):
-            await self._note_crash(call, endpoint)
+            await self._note_crash(call, endpoint, is_sound)
             return
         log.warning(
             "endpoint refuses connections, but its data centre does not report:"
@@ -98,9 +140,13 @@
             await curio.sleep(CONFIRM_POLL_SECONDS)
         return True
 
-    async def _note_crash(self, call, endpoint):
+    async def _note_crash(self, call, endpoint, is_sound):
         fingerprint = _make_fingerprint(call)
-        self._ledger.note_crash(fingerprint)
+        if call.route.semantics is not RequestSemantics.BATCH:
+            self._ledger.note_crash(fingerprint)
+        if not is_sound:
+            crash = f"{endpoint.name}/{endpoint.start_time_ms}"
+            self._part_quarantine.note_crash(crash, fingerprint, call.shared_parts)
         log.warning(
             "endpoint crashed within a request",
             extra={
@@ -109,6 +155,7 @@
                 "fingerprint": fingerprint,
                 "condemned": self._ledger.is_quarantined(fingerprint),
                 "shared_parts": call.shared_parts,
+                "accused": not is_sound,
             },
         )
         await self._notify()
--- a/mangogauge/entry/dialect.py
+++ b/mangogauge/entry/dialect.py
@@ -86,6 +86,16 @@
     def make_headers(self, request):
         """Return the `Headers` that encode an `EndpointRequest`."""
 
+    @abstractmethod
+    def read_shared_parts(self, headers):
+        """Return the names of the parts that a request's prompt may share, in order.
+
+        Parameters
+        ----------
+        headers : Headers
+            The caller's header fields.
+        """
+
     @abstractmethod
     def is_answer(self, request_id, headers):
         """Return whether an answer's headers belong to the request of that id."""
--- a/mangogauge/entry/dispatch.py
+++ b/mangogauge/entry/dispatch.py
@@ -104,7 +104,9 @@
             If the answer was interrupted after a part of it had been relayed.
         """
         self._crashes.check(call)
-        relay = AnswerRelay(call, exchange, lambda: self._observe_first_piece(call))
+        relay = AnswerRelay(
+            call, exchange, lambda: self._observe_first_piece(call), self._clock
+        )
         state = _DispatchState(call, relay)
         try:
             async with curio.timeout_after(self._compute_time_left(call)):
@@ -120,14 +122,18 @@
             observer = self._trust.begin(endpoint)
             state.relay.begin_attempt(observer)
             try:
+                # It may have been quarantined while it waited for a slot.
+                self._crashes.check(state.call, self._describe_execution(state))
                 await self._run_attempt(state, endpoint)
             except AttemptFailure as failure:
                 failure.end_attempt(observer)
                 self._note_failure(state, endpoint, failure)
-                await self._crashes.note_failure(state.call, endpoint, failure)
+                await self._crashes.note_failure(
+                    state.call, endpoint, failure, self._measure_answer(state)
+                )
             else:
                 observer.end_answered()
-                self._crashes.note_answer(state.call)
+                await self._crashes.note_answer(state.call)
                 self._retry_policy.note_success(state.call)
                 return
             finally:
@@ -184,7 +190,7 @@
             progress=failure.progress.value,
             reason=failure.reason,
             shared_parts=state.call.shared_parts,
-            answer_begun=state.relay.answer_begun,
+            answer_begun=state.relay.begun_at is not None,
         )
 
     async def _handle_failure(self, state):
@@ -287,6 +293,15 @@
         weights = [share.weight for share in route.shares]
         return self._random.choices(route.shares, weights)[0].service
 
+    def _measure_answer(self, state):
+        """Return how long ago the answer of the attempt began; 0 if it did not."""
+        begun_at = state.relay.begun_at
+        return 0.0 if begun_at is None else self._clock.read_elapsed() - begun_at
+
+    def _describe_execution(self, state):
+        may_have_run = state.may_be_running or state.possible_runs
+        return "unknown" if may_have_run else "no"
+
     def _compute_time_left(self, call):
         return max(0.0, call.deadline - self._clock.read_elapsed())
 
--- a/mangogauge/entry/relay.py
+++ b/mangogauge/entry/relay.py
@@ -14,6 +14,7 @@
     exchange : Exchange
     on_first_piece : callable
         Called when the first piece of the answer has arrived.
+    clock : Clock
 
     Attributes
     ----------
@@ -24,24 +25,25 @@
     idle_timeout : float or None
         Seconds without a complete event after which the attempt fails; None to wait
         until the caller's deadline.
-    answer_begun : bool
-        Whether a part of the current attempt's answer has arrived.
+    begun_at : float or None
+        Elapsed time at which the answer of the current attempt began to arrive.
     """
 
-    def __init__(self, call, exchange, on_first_piece):
+    def __init__(self, call, exchange, on_first_piece, clock):
         self._exchange = exchange
         self._resumable = call.route.resumable
         self._on_first_piece = on_first_piece
+        self._clock = clock
         self.started = False
         self.last_event = call.last_event
         self.idle_timeout = None
-        self.answer_begun = False
+        self.begun_at = None
         self._observer = None
 
     def begin_attempt(self, observer):
         """Note that a new attempt starts, whose progress `observer` observes."""
         self._observer = observer
-        self.answer_begun = False
+        self.begun_at = None
 
     async def relay(self, response):
         """Relay an answer's body, and its head unless one has been sent already.
@@ -88,7 +90,8 @@
         await self._start_response(response)
 
     def _note_progress(self, events):
-        self.answer_begun = True
+        if self.begun_at is None:
+            self.begun_at = self._clock.read_elapsed()
         self._observer.note_progress(events)
 
     async def _start_response(self, response):
--- a/mangogauge/jobs/item_runner.py
+++ b/mangogauge/jobs/item_runner.py
@@ -13,6 +13,8 @@
 IDLE_TIMEOUT_SECONDS = 3.0
 # Events of items are read in batches, since no caller waits for single ones.
 GATHER_SECONDS = 0.04
+# An item that must not run for now backs off as after this many interrupted runs.
+QUARANTINE_BACKOFF_COUNT = 5
 
 log = get_logger("items")
 
@@ -25,20 +27,23 @@
     endpoint_client : EndpointClient
     health : EndpointHealth
     trust : EndpointTrust
+    crashes : CrashDetector
     clock : Clock
     random : random.Random
     metrics : ServingMetrics
 
     Notes
     -----
-    Unlike requests (`CrashDetector`), items are not quarantined when endpoints crash
-    under them: an item can wait, and its caller must still get a result.
+    Unlike requests, items are not quarantined by themselves when endpoints crash under
+    them: an item can wait, and its caller must still get a result. An item waits while
+    a part of its prompt is quarantined.
     """
 
-    def __init__(self, endpoint_client, health, trust, clock, random, metrics):
+    def __init__(self, endpoint_client, health, trust, crashes, clock, random, metrics):
         self._endpoint_client = endpoint_client
         self._health = health
         self._trust = trust
+        self._crashes = crashes
         self._clock = clock
         self._random = random
         self._metrics = metrics
@@ -53,14 +58,22 @@
         endpoint : FleetEndpoint
         """
         call = self._make_call(item, route)
+        if self._crashes.has_quarantined_part(call):
+            reason = "a part of its prompt has crashed endpoints"
+            self.pause(item, reason, QUARANTINE_BACKOFF_COUNT)
+            return
         observer = self._trust.begin(endpoint)
         try:
             await self._run(item, call, endpoint, observer)
         except AttemptFailure as failure:
             failure.end_attempt(observer)
+            await self._crashes.note_failure(
+                call, endpoint, failure, self._measure_answer(item)
+            )
             self._handle_failure(item, route, endpoint, failure)
         else:
             observer.end_answered()
+            await self._crashes.note_answer(call)
             self._health.note_answer(endpoint.name)
             self._finish(item, ItemState.DONE, "ran to its end")
         finally:
@@ -104,6 +117,7 @@
     async def _run(self, item, call, endpoint, observer):
         is_retry = endpoint.name in item.tried_endpoints
         item.tried_endpoints.add(endpoint.name)
+        item.answer_begun_at = None
         response = await self._endpoint_client.send(
             call, endpoint, item.last_event, IDLE_TIMEOUT_SECONDS, is_retry
         )
@@ -127,11 +141,22 @@
             if not events:
                 break
             observer.note_progress(len(events))
+            self._note_answer_begun(item)
             for event in events:
                 item.add_event(event)
         if item.last_event is None:
             raise HTTPReceiveError("The stream ended without an event.", step="receive")
 
+    def _note_answer_begun(self, item):
+        if item.answer_begun_at is None:
+            item.answer_begun_at = self._clock.read_elapsed()
+
+    def _measure_answer(self, item):
+        """Return how long ago the answer of the run began; 0 if it did not."""
+        if item.answer_begun_at is None:
+            return 0.0
+        return self._clock.read_elapsed() - item.answer_begun_at
+
     def _make_call(self, item, route):
         manifest = item.job.manifest
         headers = Headers([("Host", manifest.host), *item.item.headers])
@@ -147,6 +172,7 @@
             item.body,
             now,
             now + max(1.0, remaining),
+            shared_parts=self._endpoint_client.read_shared_parts(headers),
         )
 
     def _handle_failure(self, item, route, endpoint, failure):
--- a/mangogauge/jobs/owned.py
+++ b/mangogauge/jobs/owned.py
@@ -56,6 +56,8 @@
         Name of the endpoint at which the item runs; empty if it doesn't run.
     started_at : float
         Elapsed time of its last start.
+    answer_begun_at : float or None
+        Elapsed time at which the answer of its last run began.
     """
 
     job = field()
@@ -73,6 +75,7 @@
     not_before = field(default=float("-inf"))
     endpoint = field(default="")
     started_at = field(default=0.0)
+    answer_begun_at = field(default=None)
 
     def add_event(self, event):
         """Append the next event.
--- a/mangogauge/platform/endpoints.py
+++ b/mangogauge/platform/endpoints.py
@@ -2,6 +2,7 @@
 
 from ..entry import AnswerKind, EndpointDialect
 from .names import HEADERS
+from .prompts import read_shared_parts
 
 __all__ = ["PlatformEndpoints"]
 
@@ -32,6 +33,10 @@
             headers.add(HEADERS.last_event, str(request.last_event))
         return headers
 
+    def read_shared_parts(self, headers):
+        """Return the names of the parts that a request's prompt may share."""
+        return read_shared_parts(headers.get(HEADERS.prompt_parts, ""))
+
     def is_answer(self, request_id, headers):
         """Return whether an answer names the request, or names none."""
         return headers.get(HEADERS.request_id, request_id) == request_id
--- /dev/null
+++ b/mangogauge/quarantine/__init__.py
@@ -0,0 +1,14 @@
+"""Find out which requests crash endpoints, and keep them from endpoints."""
+
+from .culprits import find_culprits
+from .news import AnsweredPart, CrashNews
+from .parts import PartQuarantine
+from .sightings import CrashSighting
+
+__all__ = [
+    "AnsweredPart",
+    "CrashNews",
+    "CrashSighting",
+    "PartQuarantine",
+    "find_culprits",
+]
--- /dev/null
+++ b/mangogauge/quarantine/parts.py
@@ -0,0 +1,248 @@
+"""Quarantine parts of prompts that crash endpoints, with what all hosts have seen.
+
+Such a part may come in requests of which no two are alike, at any host, and sound
+requests share their client account and their other parts. So each crash accuses the
+parts of the requests that the endpoint had not begun to answer, and an answer to a
+request clears its parts. Hosts tell each other both. What they tell can be merged in
+any order and any number of times; a host that was cut off or has just started learns
+all of it from any other.
+"""
+
+from collections import OrderedDict
+
+import xxhash
+from attrs import evolve
+
+from ..telemetry import get_logger
+from .culprits import find_culprits
+from .news import AnsweredPart, CrashNews, SightingNews
+from .sightings import CrashSighting
+
+__all__ = ["PartQuarantine"]
+
+# How long a crash accuses parts.
+SIGHTING_LIFETIME_SECONDS = 600.0
+# How long after a crash it counts: within this time other hosts tell of answers that
+# clear the parts.
+SETTLE_SECONDS = 0.75
+# How long an answer keeps its parts from being accused. A part that turned harmful
+# later is accused only after this time.
+ANSWER_LIFETIME_SECONDS = 10.0
+# How long the other hosts are told that an accused part was answered.
+DISPUTE_SECONDS = 10.0
+MAX_ANSWERED_PARTS = 8192
+MAX_SIGHTINGS = 512
+# Sightings that are told at once, so that news fits into a few packets.
+MAX_TOLD_SIGHTINGS = 24
+MAX_TOLD_ANSWERED = 24
+# Longer names are replaced by their hash.
+MAX_NAME_LENGTH = 32
+
+log = get_logger("crashes")
+
+
+class PartQuarantine:
+    """Parts of prompts that must not be run, as far as this host knows.
+
+    Parameters
+    ----------
+    clock : Clock
+
+    Examples
+    --------
+    >>> from mangogauge.clock import ManualClock
+    >>> clock = ManualClock()
+    >>> quarantine = PartQuarantine(clock)
+    >>> for number in range(3):
+    ...     _ = quarantine.note_crash(f"e{number}", f"r{number}", ("a", "b"))
+    >>> _ = quarantine.note_answer(("a", "c"))
+    >>> clock.advance(SETTLE_SECONDS)
+    >>> quarantine.is_quarantined(("a", "b")), quarantine.is_quarantined(("a", "c"))
+    (True, False)
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._sightings = {}
+        # Elapsed times of the last answers, by part; the oldest first.
+        self._answered = OrderedDict()
+        # Until when the other hosts are told of an accused part's answer.
+        self._disputed = {}
+        self._culprits = frozenset()
+        self._evaluate_at = float("inf")
+
+    def is_quarantined(self, parts):
+        """Return whether a request whose prompt has these parts must not be run."""
+        if self._clock.read_elapsed() >= self._evaluate_at:
+            self._evaluate()
+        return bool(self._culprits) and any(
+            _shorten(part) in self._culprits for part in parts
+        )
+
+    def note_crash(self, crash, request, parts):
+        """Note a request that an endpoint had not begun to answer when it crashed.
+
+        Parameters
+        ----------
+        crash, request : str
+            As `CrashSighting`.
+        parts : tuple of str
+            The shared parts of its prompt.
+
+        Returns
+        -------
+        bool
+            Whether the other hosts have to be told.
+        """
+        now = self._clock.read_elapsed()
+        parts = [part for part in map(_shorten, parts) if not self._is_answered(part)]
+        return self._add(CrashSighting(crash, request, parts, now))
+
+    def note_answer(self, parts):
+        """Note that a request with these shared parts was answered.
+
+        Returns
+        -------
+        bool
+            Whether the other hosts have to be told.
+        """
+        now = self._clock.read_elapsed()
+        cleared = [self._note_answered(_shorten(part), now) for part in parts]
+        return any(cleared)
+
+    def merge(self, news):
+        """Merge `CrashNews` of another host.
+
+        Returns
+        -------
+        bool
+            Whether this host learned something that it has to pass on.
+        """
+        now = self._clock.read_elapsed()
+        learned = [
+            self._note_answered(row.part, now - row.age) for row in news.answered
+        ]
+        learned += [self._merge_sighting(row, now) for row in news.sightings]
+        return any(learned)
+
+    def make_news(self):
+        """Return the `CrashNews` for other hosts; false if there are none."""
+        now = self._clock.read_elapsed()
+        self._disputed = {p: end for p, end in self._disputed.items() if end > now}
+        return CrashNews(
+            [
+                SightingNews(s.crash, s.request, s.parts, now - s.seen_at)
+                for s in self._list_relevant(now)[:MAX_TOLD_SIGHTINGS]
+            ],
+            [
+                AnsweredPart(part, now - self._answered[part])
+                for part in list(self._disputed)[-MAX_TOLD_ANSWERED:]
+                if part in self._answered
+            ],
+        )
+
+    def list_quarantined(self):
+        """Return the names of the parts in quarantine."""
+        return sorted(self._culprits)
+
+    def _list_relevant(self, now):
+        """Return the sightings: first those of culprits, then the newest."""
+        self._expire(now)
+        return sorted(
+            self._sightings.values(),
+            key=lambda s: (self._culprits.isdisjoint(s.parts), -s.seen_at),
+        )
+
+    def _merge_sighting(self, row, now):
+        if row.age >= SIGHTING_LIFETIME_SECONDS or (
+            (row.crash, row.request) in self._sightings
+        ):
+            return False
+        answered = [part for part in row.parts if self._is_answered(part)]
+        for part in answered:
+            self._disputed[part] = now + DISPUTE_SECONDS
+        parts = [part for part in row.parts if part not in answered]
+        added = self._add(CrashSighting(row.crash, row.request, parts, now - row.age))
+        return added or bool(answered)
+
+    def _add(self, sighting):
+        if not sighting.parts or sighting.key in self._sightings:
+            return False
+        if len(self._sightings) >= MAX_SIGHTINGS:
+            last = self._list_relevant(self._clock.read_elapsed())[-1]
+            del self._sightings[last.key]
+        self._sightings[sighting.key] = sighting
+        self._plan_evaluation(sighting.seen_at + SETTLE_SECONDS)
+        return True
+
+    def _is_answered(self, part):
+        oldest = self._clock.read_elapsed() - ANSWER_LIFETIME_SECONDS
+        return self._answered.get(part, float("-inf")) > oldest
+
+    def _note_answered(self, part, answered_at):
+        """Note an answer; return whether it clears a part that was accused."""
+        if answered_at <= self._answered.get(part, float("-inf")):
+            return False
+        self._answered[part] = answered_at
+        self._answered.move_to_end(part)
+        if len(self._answered) > MAX_ANSWERED_PARTS:
+            self._answered.popitem(last=False)
+        if not self._sightings or not self._is_answered(part):
+            return False
+        return self._clear(part)
+
+    def _clear(self, part):
+        accusing = [s for s in self._sightings.values() if part in s.parts]
+        for sighting in accusing:
+            parts = [other for other in sighting.parts if other != part]
+            if parts:
+                self._sightings[sighting.key] = evolve(sighting, parts=parts)
+            else:
+                del self._sightings[sighting.key]
+        if accusing:
+            now = self._clock.read_elapsed()
+            self._disputed[part] = now + DISPUTE_SECONDS
+            self._plan_evaluation(now)
+        return bool(accusing)
+
+    def _plan_evaluation(self, moment):
+        self._evaluate_at = min(self._evaluate_at, moment)
+
+    def _evaluate(self):
+        now = self._clock.read_elapsed()
+        self._expire(now)
+        settled, fresh = [], []
+        for sighting in self._sightings.values():
+            is_settled = sighting.seen_at + SETTLE_SECONDS <= now
+            (settled if is_settled else fresh).append(sighting)
+        self._evaluate_at = min(
+            [s.seen_at + SETTLE_SECONDS for s in fresh]
+            + [s.seen_at + SIGHTING_LIFETIME_SECONDS for s in settled],
+            default=float("inf"),
+        )
+        self._replace_culprits(find_culprits(settled))
+
+    def _replace_culprits(self, culprits):
+        if culprits == self._culprits:
+            return
+        log.warning(
+            "quarantine of prompt parts changed",
+            extra={
+                "added": sorted(culprits - self._culprits),
+                "removed": sorted(self._culprits - culprits),
+                "sightings": len(self._sightings),
+            },
+        )
+        self._culprits = culprits
+
+    def _expire(self, now):
+        oldest = now - SIGHTING_LIFETIME_SECONDS
+        for key in [k for k, s in self._sightings.items() if s.seen_at <= oldest]:
+            del self._sightings[key]
+
+
+def _shorten(name):
+    """Return a name that identifies a part and isn't too long to be told."""
+    if len(name) <= MAX_NAME_LENGTH:
+        return name
+    return xxhash.xxh3_64_hexdigest(name)
--- a/mangogauge/sharing/__init__.py
+++ b/mangogauge/sharing/__init__.py
@@ -4,6 +4,7 @@
 from .crashes import CrashLedger
 from .exchange import ReportExchange
 from .freshness import SharedFreshness
+from .gossip import Gossip
 from .pacing import estimate_report_delay
 from .quota import Admission, SharedQuota
 from .report_table import ReportTable
@@ -19,6 +20,7 @@
     "DataCentreSummary",
     "DataCentreTotals",
     "EndpointLoad",
+    "Gossip",
     "HostReport",
     "ReportTable",
     "ReportError",
--- a/mangogauge/sharing/exchange.py
+++ b/mangogauge/sharing/exchange.py
@@ -3,6 +3,7 @@
 import curio
 from attrs import field, frozen
 
+from ..quarantine import CrashNews
 from ..supervision import keep_running
 from ..telemetry import get_logger
 from ..ticks import measure_to_tick, sleep_to_tick
@@ -56,6 +57,8 @@
         Called with each `HostReport` that is newer than the one before.
     on_summary : async callable
         Called with each `DataCentreSummary` that is newer than the one before.
+    on_crash_news : async callable
+        Called with each `CrashNews`.
     """
 
     def __init__(
@@ -68,6 +71,7 @@
         make_summary,
         on_report,
         on_summary,
+        on_crash_news,
     ):
         self._report_table = report_table
         self._members = members
@@ -76,6 +80,7 @@
         self._make_summary = make_summary
         self._on_report = on_report
         self._on_summary = on_summary
+        self._on_crash_news = on_crash_news
         self._socket = DatagramSocket()
         self._clock = clock
         self._pacing = ReportPacing(clock)
@@ -105,6 +110,10 @@
         if not self._changed.is_set():
             await self._changed.set()
 
+    async def send(self, data, addresses):
+        """Send a datagram to each of these addresses."""
+        await self._socket.send(data, addresses)
+
     async def run(self):
         """Send and receive until cancelled."""
         async with curio.TaskGroup(wait=any) as group:
@@ -147,6 +156,9 @@
             if isinstance(message, HostReport):
                 await self._handle_report(message, address)
                 continue
+            if isinstance(message, CrashNews):
+                await self._on_crash_news(message)
+                continue
             if data.startswith(REBROADCAST_MARK):
                 self._pending_summaries[message.totals.data_centre] = encoded
                 await self._has_pending_summaries.set()
--- a/mangogauge/sharing/messages.py
+++ b/mangogauge/sharing/messages.py
@@ -2,6 +2,7 @@
 
 import orjson
 
+from ..quarantine import CrashNews
 from .reports import HostReport, ReportError
 from .summaries import DataCentreSummary
 
@@ -10,10 +11,12 @@
 # First byte of a datagram whose summaries the receiver has to rebroadcast within its
 # data centre. Encoded JSON never begins with it.
 REBROADCAST_MARK = b">"
+# By the first word of a message's format; the format of a report is a number.
+KINDS = {"summary": DataCentreSummary, "crashes": CrashNews}
 
 
 def decode(data):
-    """Return the `HostReport` and `DataCentreSummary` objects of a datagram.
+    """Return the `HostReport`, `DataCentreSummary` and `CrashNews` of a datagram.
 
     Raises
     ------
@@ -59,6 +62,10 @@
 
 
 def _read_message(value):
-    is_summary = isinstance(value, list) and value and isinstance(value[0], str)
-    kind = DataCentreSummary if is_summary else HostReport
-    return kind.from_value(value)
+    kind = HostReport
+    if isinstance(value, list) and value and isinstance(value[0], str):
+        kind = KINDS.get(value[0].partition(" ")[0], HostReport)
+    try:
+        return kind.from_value(value)
+    except (ValueError, TypeError) as error:
+        raise ReportError(f"The datagram can't be decoded: {error}.") from error
