--- a/features/builders/crashes.py
+++ b/features/builders/crashes.py
@@ -1,10 +1,12 @@
 """Test data of crashes: detectors, and hosts that tell each other of crashes."""
 
+from mangogauge.clock import ManualClock
 from mangogauge.entry import CrashDetector
 from mangogauge.quarantine import PartQuarantine
 from mangogauge.sharing import CrashLedger
+from mangogauge.sharing.messages import decode
 
-__all__ = ["make_crash_detector"]
+__all__ = ["GossipingHosts", "make_crash_detector"]
 
 
 async def ignore_change():
@@ -20,3 +22,44 @@
         clock,
         has_reported_since,
     )
+
+
+class GossipingHosts:
+    """Hosts that tell each other of crashes without a network.
+
+    Attributes
+    ----------
+    clock : ManualClock
+    cut_off : set of str
+        Names of the hosts that neither tell nor hear anything.
+    """
+
+    def __init__(self, names):
+        self.clock = ManualClock()
+        self.cut_off = set()
+        self._quarantines = {name: PartQuarantine(self.clock) for name in names}
+
+    def __getitem__(self, name):
+        return self._quarantines[name]
+
+    def restart(self, name):
+        """Forget all that a host knows."""
+        self._quarantines[name] = PartQuarantine(self.clock)
+
+    def tell_all(self):
+        """Let each host tell each other one, in two rounds."""
+        for _ in range(2):
+            for name in self._list_reachable():
+                self._tell_others(name)
+
+    def _list_reachable(self):
+        return [name for name in self._quarantines if name not in self.cut_off]
+
+    def _tell_others(self, name):
+        news = self[name].make_news()
+        if not news:
+            return
+        for other in self._list_reachable():
+            if other != name:
+                for message in decode(news.to_bytes()):
+                    self[other].merge(message)
--- /dev/null
+++ b/features/quarantine/parts.feature
@@ -0,0 +1,85 @@
+Feature: Parts of prompts that crash endpoints are found from what all hosts have seen
+  Hosts a, b and c tell each other by messages that may be lost, late or doubled.
+
+  Scenario: The narrowest of the parts that explain three crashes is quarantined
+    When "a" sees 3 crashes with different requests for "common+rare+deadly"
+    And 1 s passes
+    Then "a" quarantines "deadly" alone
+
+  Scenario: Hosts that each saw one crash add them up
+    When "a" sees a crash of "e1" with a request for "x+deadly"
+    And "b" sees a crash of "e2" with a request for "y+deadly"
+    And "c" sees a crash of "e3" with a request for "z+deadly"
+    And all hosts tell each other, and 1 s passes
+    Then "a, b, c" quarantine "deadly" alone
+
+  Scenario: Hosts that see the same crash count it once
+    When "a" sees a crash of "e1" with a request for "x+some"
+    And "b" sees a crash of "e1" with a request for "y+some"
+    And "c" sees a crash of "e1" with a request for "z+some"
+    And all hosts tell each other twice, and 1 s passes
+    Then "a, b, c" quarantine nothing
+
+  Scenario: A burst of crashes does not quarantine a part that is answered elsewhere
+    When "a" sees 6 crashes with different requests for "common"
+    And "b" is answered a request for "common"
+    And all hosts tell each other, and 1 s passes
+    Then "a, b, c" quarantine nothing
+    When "b" sees 3 crashes with different requests for "common+deadly"
+    And all hosts tell each other, and 1 s passes
+    Then "a, b, c" quarantine "deadly" alone
+
+  Scenario: A request that was at many crashes by chance does not convict its parts
+    When "a" sees 5 crashes with the same request for "unlucky"
+    And 1 s passes
+    Then "a" quarantines nothing
+
+  Scenario: What was at the same crashes as a quarantined part is not quarantined
+    When "a" sees 3 crashes with different requests for "x+deadly"
+    And "a" sees the same crashes with different requests for "bystander"
+    And 1 s passes
+    Then "a" quarantines "deadly" alone
+
+  Scenario: Two parts that crash endpoints are both quarantined
+    When "a" is answered a request for "x"
+    And "a" sees 3 crashes with different requests for "x+deadly"
+    And "a" sees 4 crashes with different requests for "x+other"
+    And 1 s passes
+    Then "a" quarantines "deadly+other"
+
+  Scenario: A host that was cut off lets go of what the others were answered
+    Given "c" is cut off
+    When "c" sees 4 crashes with different requests for "common"
+    And "b" is answered a request for "common"
+    And all hosts tell each other, and 1 s passes
+    Then "c" quarantines "common" alone
+    When "c" is in reach again, and all hosts tell each other
+    Then "a, b, c" quarantine nothing
+
+  Scenario: A host that was cut off learns what the others quarantined
+    Given "c" is cut off
+    When "a" sees 3 crashes with different requests for "x+deadly"
+    And all hosts tell each other, and 60 s pass
+    And "c" is in reach again, and all hosts tell each other
+    Then "c" quarantines "deadly" alone
+
+  Scenario: Hosts that start anew learn from one that did not see the crashes
+    When "a" sees 3 crashes with different requests for "x+deadly"
+    And all hosts tell each other, and 1 s passes
+    And "a, b" start anew, and all hosts tell each other
+    Then "a, b, c" quarantine "deadly" alone
+
+  Scenario: Repeating the news does not prolong a quarantine
+    When "a" sees 3 crashes with different requests for "x+deadly"
+    And all hosts tell each other every 20 s, for 700 s
+    Then "a, b, c" quarantine nothing
+
+  Scenario: News that can't be decoded are dropped
+    Then each of these datagrams is refused as invalid:
+      | datagram                               |
+      | ["crashes 1"]                          |
+      | ["crashes 1", [["e/1", "r", 5, 1]], []] |
+      | ["crashes 1", [], [["part"]]]          |
+      | ["crashes 1", [], [["part", "old"]]]   |
+      | ["crashes 2", [], []]                  |
+      | ["crashes 1", {"a": 1}, []]            |
--- /dev/null
+++ b/features/steps/quarantined_parts.py
@@ -0,0 +1,140 @@
+"""Steps of parts of prompts that crash endpoints."""
+
+from behave import given, then, when
+
+from features.builders.crashes import GossipingHosts
+from mangogauge.sharing import ReportError
+from mangogauge.sharing.messages import decode
+
+HOSTS = ("a", "b", "c")
+
+
+def get_hosts(context):
+    if not hasattr(context, "hosts"):
+        context.hosts = GossipingHosts(HOSTS)
+        context.crash_count = 0
+        context.request_count = 0
+        context.last_crashes = []
+    return context.hosts
+
+
+def split(text):
+    return text.split(", ")
+
+
+def see_crash(context, host, crash, parts, request=None):
+    context.request_count += 1
+    request = request or f"request-{context.request_count}"
+    get_hosts(context)[host].note_crash(crash, request, parts.split("+"))
+
+
+def see_crashes(context, host, count, parts, request=None):
+    get_hosts(context)
+    context.last_crashes = [
+        f"endpoint-{context.crash_count + n}/1" for n in range(count)
+    ]
+    context.crash_count += count
+    for crash in context.last_crashes:
+        see_crash(context, host, crash, parts, request)
+
+
+@given('"{host}" is cut off')
+def cut_off(context, host):
+    get_hosts(context).cut_off.add(host)
+
+
+@when('"{host}" sees {count:d} crashes with different requests for "{parts}"')
+def see_different(context, host, count, parts):
+    see_crashes(context, host, count, parts)
+
+
+@when('"{host}" sees {count:d} crashes with the same request for "{parts}"')
+def see_same(context, host, count, parts):
+    see_crashes(context, host, count, parts, "the same")
+
+
+@when('"{host}" sees the same crashes with different requests for "{parts}"')
+def see_bystanders(context, host, parts):
+    for crash in context.last_crashes:
+        see_crash(context, host, crash, parts)
+
+
+@when('"{host}" sees a crash of "{endpoint}" with a request for "{parts}"')
+def see_one(context, host, endpoint, parts):
+    get_hosts(context)
+    see_crash(context, host, f"{endpoint}/1", parts)
+
+
+@when('"{host}" is answered a request for "{parts}"')
+def be_answered(context, host, parts):
+    get_hosts(context)[host].note_answer(parts.split("+"))
+
+
+@when("{seconds:d} s passes")
+def pass_seconds(context, seconds):
+    context.hosts.clock.advance(seconds)
+
+
+@when("all hosts tell each other, and {seconds:d} s passes")
+@when("all hosts tell each other, and {seconds:d} s pass")
+def tell_and_pass(context, seconds):
+    context.hosts.tell_all()
+    context.hosts.clock.advance(seconds)
+
+
+@when("all hosts tell each other twice, and {seconds:d} s passes")
+def tell_twice(context, seconds):
+    context.hosts.tell_all()
+    tell_and_pass(context, seconds)
+
+
+@when("all hosts tell each other every {gap:d} s, for {seconds:d} s")
+def tell_often(context, gap, seconds):
+    for _ in range(0, seconds, gap):
+        tell_and_pass(context, gap)
+
+
+@when('"{host}" is in reach again, and all hosts tell each other')
+def be_in_reach(context, host):
+    context.hosts.cut_off.discard(host)
+    context.hosts.tell_all()
+
+
+@when('"{hosts}" start anew, and all hosts tell each other')
+def start_anew(context, hosts):
+    for host in split(hosts):
+        context.hosts.restart(host)
+    context.hosts.tell_all()
+
+
+def list_quarantined(context, host):
+    quarantine = context.hosts[host]
+    # The verdict is renewed when a request asks for it.
+    quarantine.is_quarantined(())
+    return quarantine.list_quarantined()
+
+
+@then('"{hosts}" quarantines "{parts}" alone')
+@then('"{hosts}" quarantine "{parts}" alone')
+@then('"{hosts}" quarantines "{parts}"')
+def check_quarantined(context, hosts, parts):
+    for host in split(hosts):
+        found = list_quarantined(context, host)
+        assert found == sorted(parts.split("+")), (host, found)
+
+
+@then('"{hosts}" quarantines nothing')
+@then('"{hosts}" quarantine nothing')
+def check_nothing(context, hosts):
+    for host in split(hosts):
+        assert list_quarantined(context, host) == [], host
+
+
+@then("each of these datagrams is refused as invalid:")
+def check_invalid(context):
+    for row in context.table:
+        try:
+            decode(row["datagram"].encode())
+        except ReportError:
+            continue
+        raise AssertionError(row["datagram"])
