Keep suspected parts from endpoints at once, and don't retry into another crash

Change: a part that explains enough crashes is suspected at once; requests with it get 503 request_suspected with a time to come back, or 502 if they may have run. A call under which two endpoints crashed before they began to answer is not retried. A retry waits for the diagnosis of the crash before it if a part of the prompt was at another crash.

The new scenario fails without the two conditions in the dispatcher.

--- a/features/platform/crashing_parts.feature
+++ b/features/platform/crashing_parts.feature
@@ -14,6 +14,12 @@
     When "desk" asks "h2" for 5 different prompts with "common+other"
     Then all were answered whole
 
+  Scenario: A retry waits for the diagnosis if its part was at a crash before
+    When "desk" asks "h1" for a stream that may be resumed, with "common+deadly"
+    Then 2 endpoints at most have crashed
+    When "desk" asks "h2" for a stream that may be resumed, with "other+deadly"
+    Then 3 endpoints at most have crashed
+
   Scenario: A host that starts afterwards refuses requests with a crashing part
     When "desk" asks "h1" and "h2" in turn for 9 different prompts with "common+deadly", and each time for one with "common"
     Then 5 endpoints at most have crashed, and the last answer is 422
--- a/features/quarantine/parts.feature
+++ b/features/quarantine/parts.feature
@@ -6,6 +6,12 @@
     And 1 s passes
     Then "a" quarantines "deadly" alone
 
+  Scenario: A part that explains three crashes is suspected until others could clear it
+    When "a" sees 3 crashes with different requests for "common+deadly"
+    Then "a" suspects "deadly", and quarantines nothing
+    When 1 s passes
+    Then "a" suspects nothing, and quarantines "deadly"
+
   Scenario: Hosts that each saw one crash add them up
     When "a" sees a crash of "e1" with a request for "x+deadly"
     And "b" sees a crash of "e2" with a request for "y+deadly"
--- a/features/steps/platform_crashes.py
+++ b/features/steps/platform_crashes.py
@@ -36,12 +36,12 @@
         time.sleep(PAUSE_SECONDS)
 
 
-def ask_with_parts(context, host, parts, name):
+def ask_with_parts(context, host, parts, name, route="ask"):
     """Ask for a stream whose prompt has these parts and one of its own."""
     names = [*parts.split("+"), f"own-{name}"]
     prefix = ",".join(f"{part}:100" for part in names)
     return context.deployment.ask(
-        host, f"/ask/{name}", f"r-{name}", X_Prompt_Prefix=prefix
+        host, f"/{route}/{name}", f"r-{name}", X_Prompt_Prefix=prefix
     )
 
 
@@ -82,6 +82,17 @@
     assert context.answer.status == status, context.answer
 
 
+@when('"desk" asks "{host}" for a stream that may be resumed, with "{parts}"')
+def ask_for_resumable(context, host, parts):
+    ask_with_parts(context, host, parts, f"{host}-{parts}", "note")
+
+
+@then("{count:d} endpoints at most have crashed")
+def check_crashes_at_most(context, count):
+    time.sleep(PAUSE_SECONDS)
+    assert 0 < count_crashed(context) <= count, list_crashed(context)
+
+
 @then("{count:d} endpoints at most have crashed, and the last answer is {status:d}")
 def check_crashes_and_refusal(context, count, status):
     assert count_crashed(context) <= count, list_crashed(context)
--- a/features/steps/quarantined_parts.py
+++ b/features/steps/quarantined_parts.py
@@ -130,6 +130,20 @@
         assert list_quarantined(context, host) == [], host
 
 
+@then('"{host}" suspects "{part}", and quarantines nothing')
+def check_suspected(context, host, part):
+    quarantine = context.hosts[host]
+    assert quarantine.is_suspected([part])
+    assert not quarantine.is_quarantined([part])
+
+
+@then('"{host}" suspects nothing, and quarantines "{part}"')
+def check_not_suspected(context, host, part):
+    quarantine = context.hosts[host]
+    assert not quarantine.is_suspected([part])
+    assert quarantine.is_quarantined([part])
+
+
 @then("each of these datagrams is refused as invalid:")
 def check_invalid(context):
     for row in context.table:
--- a/mangogauge/entry/crashes.py
+++ b/mangogauge/entry/crashes.py
@@ -30,6 +30,8 @@
 # An endpoint that crashes this long after it began an answer crashed for another
 # reason than the prompt of that request.
 SOUND_ANSWER_SECONDS = 0.1
+# After this time a suspected part has been quarantined or cleared.
+SUSPECTED_RETRY_SECONDS = 1.0
 
 log = get_logger("crashes")
 
@@ -69,19 +71,15 @@
             What the caller is told of earlier attempts, as in `Refusal`.
         """
         if self.is_quarantined(call):
-            raise Refusal(
-                RefusalCode.QUARANTINED,
-                "This request has crashed the endpoints that ran it.",
-                executed=executed,
-                step="check crashes",
+            raise _make_quarantine_refusal(
+                "This request has crashed the endpoints that ran it.", executed
             )
-        if self.has_quarantined_part(call):
-            raise Refusal(
-                RefusalCode.QUARANTINED,
-                "A part of this request's prompt has crashed endpoints.",
-                executed=executed,
-                step="check crashes",
+        if self._part_quarantine.is_quarantined(call.shared_parts):
+            raise _make_quarantine_refusal(
+                "A part of this request's prompt has crashed endpoints.", executed
             )
+        if self._part_quarantine.is_suspected(call.shared_parts):
+            raise _make_suspicion_refusal(executed)
 
     def is_quarantined(self, call):
         """Return whether `call` has crashed too many endpoints."""
@@ -89,9 +87,16 @@
             return False
         return self._ledger.is_quarantined(_make_fingerprint(call))
 
-    def has_quarantined_part(self, call):
-        """Return whether a part of the prompt of `call` has crashed endpoints."""
-        return self._part_quarantine.is_quarantined(call.shared_parts)
+    def has_crashing_part(self, call):
+        """Return whether a part of the prompt of `call` seems to crash endpoints."""
+        parts = call.shared_parts
+        return self._part_quarantine.is_quarantined(
+            parts
+        ) or self._part_quarantine.is_suspected(parts)
+
+    def is_accused(self, call):
+        """Return whether an endpoint crashed that ran a prompt with a part of this."""
+        return self._part_quarantine.is_accused(call.shared_parts)
 
     async def note_answer(self, call):
         """Record that an endpoint ran `call` without a crash."""
@@ -110,26 +115,33 @@
         failure : AttemptFailure
         answer_seconds : float
             How long ago the answer had begun; 0 if it had not.
+
+        Returns
+        -------
+        curio.Task or None
+            Returns whether the endpoint crashed and the request may be the cause.
         """
         is_sound = answer_seconds >= SOUND_ANSWER_SECONDS
         if is_sound and self._part_quarantine.note_answer(call.shared_parts):
             await self._notify()
-        if failure.connection_broken:
-            await curio.spawn(self._diagnose, call, endpoint, is_sound, daemon=True)
+        if not failure.connection_broken:
+            return None
+        return await curio.spawn(self._diagnose, call, endpoint, is_sound, daemon=True)
 
     async def _diagnose(self, call, endpoint, is_sound):
         broke_at = self._clock.read_elapsed()
         await curio.sleep(LISTENER_CLOSE_SECONDS)
         if not await _refuses_connections(endpoint):
-            return
+            return False
         if await self._is_data_centre_reporting(endpoint.data_centre, broke_at):
             await self._note_crash(call, endpoint, is_sound)
-            return
+            return not is_sound
         log.warning(
             "endpoint refuses connections, but its data centre does not report:"
             " treated as a network partition",
             extra={"request_id": call.request_id, "endpoint": endpoint.name},
         )
+        return False
 
     async def _is_data_centre_reporting(self, data_centre, broke_at):
         """Return whether a report of a data centre arrives after a connection broke."""
@@ -161,6 +173,28 @@
         await self._notify()
 
 
+def _make_quarantine_refusal(message, executed):
+    return Refusal(
+        RefusalCode.QUARANTINED, message, executed=executed, step="check crashes"
+    )
+
+
+def _make_suspicion_refusal(executed):
+    if executed == "no":
+        return Refusal(
+            RefusalCode.REQUEST_SUSPECTED,
+            "A part of this request's prompt may have crashed endpoints.",
+            retry_after=SUSPECTED_RETRY_SECONDS,
+            step="check crashes",
+        )
+    return Refusal(
+        RefusalCode.OUTCOME_UNKNOWN,
+        "The endpoint crashed, and a part of this request's prompt may be the cause.",
+        executed=executed,
+        step="check crashes",
+    )
+
+
 async def _refuses_connections(endpoint):
     """Return whether the endpoint's address refuses connections."""
     try:
--- a/mangogauge/entry/dispatch.py
+++ b/mangogauge/entry/dispatch.py
@@ -20,6 +20,8 @@
 RETRY_AFTER_SECONDS = 0.5
 # Most attempts of one call, including those at endpoints that were full or gone.
 MAX_ATTEMPTS = 8
+# Endpoints that may crash before they begin to answer one call.
+MAX_CRASHES = 2
 
 # Answers that are final: another endpoint would answer the same.
 NON_RETRYABLE_KINDS = frozenset({AnswerKind.REJECTED, AnswerKind.IMPOSSIBLE})
@@ -43,6 +45,8 @@
         Whether any endpoint may be running the call.
     failure : AttemptFailure or None
         Failure of the last attempt.
+    diagnoses : list of curio.Task
+        Each returns whether an attempt crashed its endpoint.
     """
 
     call = field()
@@ -53,6 +57,7 @@
     possible_runs = field(default=0)
     may_be_running = field(default=False)
     failure = field(default=None)
+    diagnoses = field(factory=list)
 
 
 class OnlineDispatcher:
@@ -128,9 +133,7 @@
             except AttemptFailure as failure:
                 failure.end_attempt(observer)
                 self._note_failure(state, endpoint, failure)
-                await self._crashes.note_failure(
-                    state.call, endpoint, failure, self._measure_answer(state)
-                )
+                await self._diagnose(state, endpoint, failure)
             else:
                 observer.end_answered()
                 await self._crashes.note_answer(state.call)
@@ -207,7 +210,7 @@
             As `run`, if the call can't be retried.
         """
         call, failure = state.call, state.failure
-        if self._may_retry(state):
+        if self._may_retry(state) and not await self._has_crashed_endpoints(state):
             if state.attempts >= 2 and failure.progress is Progress.NOT_RUN:
                 # Several endpoints were full: allow them again.
                 state.excluded.clear()
@@ -219,6 +222,30 @@
             return True
         raise self._make_refusal(state)
 
+    async def _diagnose(self, state, endpoint, failure):
+        diagnosis = await self._crashes.note_failure(
+            state.call, endpoint, failure, self._measure_answer(state)
+        )
+        if diagnosis is not None:
+            state.diagnoses.append(diagnosis)
+
+    async def _has_crashed_endpoints(self, state):
+        """Return whether so many endpoints crashed under a call that it is the cause.
+
+        Notes
+        -----
+        Waits for the diagnoses only if there is a reason to: a call at its first crash
+        is hardly ever the cause, and is retried at once. If others with a part of its
+        prompt were at crashes too, it may have become suspected after the diagnosis.
+        """
+        is_reason = len(state.diagnoses) >= MAX_CRASHES or (
+            state.diagnoses and self._crashes.is_accused(state.call)
+        )
+        if not is_reason:
+            return False
+        crashes = [await diagnosis.join() for diagnosis in state.diagnoses]
+        return sum(crashes) >= MAX_CRASHES
+
     def _may_retry(self, state):
         call, failure = state.call, state.failure
         if state.attempts >= MAX_ATTEMPTS or failure.kind in NON_RETRYABLE_KINDS:
--- a/mangogauge/jobs/item_runner.py
+++ b/mangogauge/jobs/item_runner.py
@@ -58,7 +58,7 @@
         endpoint : FleetEndpoint
         """
         call = self._make_call(item, route)
-        if self._crashes.has_quarantined_part(call):
+        if self._crashes.has_crashing_part(call):
             reason = "a part of its prompt has crashed endpoints"
             self.pause(item, reason, QUARANTINE_BACKOFF_COUNT)
             return
--- a/mangogauge/quarantine/parts.py
+++ b/mangogauge/quarantine/parts.py
@@ -44,6 +44,8 @@
 class PartQuarantine:
     """Parts of prompts that must not be run, as far as this host knows.
 
+    A part is suspected while its last crashes haven't settled, and quarantined then.
+
     Parameters
     ----------
     clock : Clock
@@ -69,15 +71,23 @@
         # Until when the other hosts are told of an accused part's answer.
         self._disputed = {}
         self._culprits = frozenset()
+        self._suspects = frozenset()
         self._evaluate_at = float("inf")
 
     def is_quarantined(self, parts):
         """Return whether a request whose prompt has these parts must not be run."""
-        if self._clock.read_elapsed() >= self._evaluate_at:
-            self._evaluate()
-        return bool(self._culprits) and any(
-            _shorten(part) in self._culprits for part in parts
-        )
+        self._update()
+        return _has_any(parts, self._culprits)
+
+    def is_suspected(self, parts):
+        """Return whether one of these parts is about to be quarantined or cleared."""
+        self._update()
+        return _has_any(parts, self._suspects)
+
+    def is_accused(self, parts):
+        """Return whether one of these parts was at a crash that it may have caused."""
+        names = set(map(_shorten, parts))
+        return any(not names.isdisjoint(s.parts) for s in self._sightings.values())
 
     def note_crash(self, crash, request, parts):
         """Note a request that an endpoint had not begun to answer when it crashed.
@@ -172,7 +182,7 @@
             last = self._list_relevant(self._clock.read_elapsed())[-1]
             del self._sightings[last.key]
         self._sightings[sighting.key] = sighting
-        self._plan_evaluation(sighting.seen_at + SETTLE_SECONDS)
+        self._plan_evaluation(self._clock.read_elapsed())
         return True
 
     def _is_answered(self, part):
@@ -208,8 +218,12 @@
     def _plan_evaluation(self, moment):
         self._evaluate_at = min(self._evaluate_at, moment)
 
-    def _evaluate(self):
+    def _update(self):
         now = self._clock.read_elapsed()
+        if now >= self._evaluate_at:
+            self._evaluate(now)
+
+    def _evaluate(self, now):
         self._expire(now)
         settled, fresh = [], []
         for sighting in self._sightings.values():
@@ -221,6 +235,7 @@
             default=float("inf"),
         )
         self._replace_culprits(find_culprits(settled))
+        self._suspects = find_culprits(settled + fresh) - self._culprits
 
     def _replace_culprits(self, culprits):
         if culprits == self._culprits:
@@ -241,6 +256,10 @@
             del self._sightings[key]
 
 
+def _has_any(parts, names):
+    return bool(names) and any(_shorten(part) in names for part in parts)
+
+
 def _shorten(name):
     """Return a name that identifies a part and isn't too long to be told."""
     if len(name) <= MAX_NAME_LENGTH:
--- a/mangogauge/refusals.py
+++ b/mangogauge/refusals.py
@@ -45,6 +45,7 @@
     KEYS_STALE = RefusalKind(503, "keys_stale")
     NO_ENDPOINT = RefusalKind(503, "no_endpoint")
     PLATFORM_AWAY = RefusalKind(503, "platform_away")
+    REQUEST_SUSPECTED = RefusalKind(503, "request_suspected")
     SHUTTING_DOWN = RefusalKind(503, "shutting_down")
     DEADLINE_EXCEEDED = RefusalKind(504, "deadline_exceeded")
 
