Take no copy of an earlier refusal for the answer to another request

Change: an answer that names no request counts only as the first answer of its connection, and a connection that has carried an id is not used for it again. A copy that names another request was dropped before already; the scenario keeps it so.

--- a/features/builders/platform/deployment.py
+++ b/features/builders/platform/deployment.py
@@ -145,7 +145,8 @@
 
     def add_faults(self, fault, count):
         """Let the next requests, at whichever endpoint, meet a fault."""
-        for number in range(count):
+        first = len(list(self.faults.iterdir()))
+        for number in range(first, first + count):
             (self.faults / f"{number:03d}-{fault}").touch()
 
     def write_entry(self, name, **changes):
--- a/features/builders/platform/endpoint.py
+++ b/features/builders/platform/endpoint.py
@@ -123,9 +123,14 @@
         if fault == "unstamped":
             headers.remove("X-Server-Stamp")
         headers.add("Content-Type", "text/event-stream")
+        if fault == "text":
+            await exchange.respond(200, headers, b"out of memory\n\nat step 3\n\n")
+            return
         await exchange.start_response(200, headers)
         count = int(exchange.headers.get("x-token-count", "1,10").split(",")[1])
         first = int(arrival.last_event or 0) + 1
+        if fault == "restart":
+            first = 1
         for number in range(first, count + 1):
             if fault == "cut" and number == first + 3:
                 await exchange.send_data(b"id: %d\ndata: ha" % number)
--- /dev/null
+++ b/features/platform/broken_answers.feature
@@ -0,0 +1,19 @@
+Feature: Answers that break off or come twice are not taken for something else
+  Other operators' reports on issue 35.
+
+  Scenario Outline: A copy of an earlier refusal <copy> is no answer to the next request
+    Given the platform with 0 endpoints, and the hosts "h1"
+    And an endpoint that refuses the first request of a connection, and again <copy>
+    When "desk" asks "h1" for "/ask/1" as "first", and then as "second"
+    Then the first is refused, the second is answered whole, and has run once
+
+    Examples:
+      | copy            |
+      | with its id     |
+      | without an id   |
+
+  Scenario: A copy of an earlier refusal is no answer to a request of the same id
+    Given the platform with 0 endpoints, and the hosts "h1"
+    And an endpoint that refuses the first request of a connection, and again with its id
+    When "desk" asks "h1" for "/ask/1" as "first", and then as "first"
+    Then it was refused each time, and never ran
--- a/mangogauge/entry/attempt.py
+++ b/mangogauge/entry/attempt.py
@@ -190,14 +190,17 @@
             call.body,
             fresh=is_resend,
             idle_limit=None if call.repeatable else MAX_IDLE_SECONDS,
-            is_answer=lambda fields: self._check_head(endpoint_request, fields),
+            is_answer=lambda fields, is_first: self._check_head(
+                endpoint_request, fields, is_first
+            ),
+            request_id=call.request_id,
         )
 
-    def _check_head(self, endpoint_request, fields):
+    def _check_head(self, endpoint_request, fields, is_first):
         """Return whether a head answers the request; note if its endpoint leaves."""
         if self._dialect.announces_leaving(fields):
             self._directory.note_leaving(endpoint_request.endpoint)
-        return self._dialect.is_answer(endpoint_request.request_id, fields)
+        return self._dialect.is_answer(endpoint_request.request_id, fields, is_first)
 
     async def _make_failure(self, kind, response):
         """Return the failure for an unsuccessful answer, with its body if useful."""
--- a/mangogauge/entry/dialect.py
+++ b/mangogauge/entry/dialect.py
@@ -97,8 +97,17 @@
         """
 
     @abstractmethod
-    def is_answer(self, request_id, headers):
-        """Return whether an answer's headers belong to the request of that id."""
+    def is_answer(self, request_id, headers, is_first):
+        """Return whether an answer's headers belong to the request of that id.
+
+        Parameters
+        ----------
+        request_id : str
+        headers : Headers
+        is_first : bool
+            Whether the connection has carried no answer before. Otherwise an answer
+            that names no request may be a copy of an earlier one.
+        """
 
     @abstractmethod
     def classify_answer(self, status, headers):
--- a/mangogauge/http/client.py
+++ b/mangogauge/http/client.py
@@ -2,6 +2,7 @@
 
 import select
 import time
+from collections import deque
 
 import curio
 import h11
@@ -29,6 +30,8 @@
 EAGER_BODY_BYTES = 32_768
 PIECES_PER_TURN = 16
 DEFAULT_CONNECT_TIMEOUT = 2.0
+# Ids that one connection remembers; a copy of an older answer came long before.
+REQUEST_IDS_PER_CONNECTION = 256
 
 
 class ClientResponse:
@@ -129,6 +132,8 @@
         self._sending = None
         self._idle_since = self._idle_until = 0.0
         self.gather_seconds = 0.0
+        self._request_ids = deque(maxlen=REQUEST_IDS_PER_CONNECTION)
+        self._is_first_answer = True
 
     @classmethod
     async def open(
@@ -168,6 +173,15 @@
         poller.register(self._sock.fileno(), select.POLLIN)
         return bool(poller.poll(0))
 
+    def note_request_id(self, request_id):
+        """Remember the id of a request that is about to be sent; may be empty."""
+        if request_id:
+            self._request_ids.append(request_id)
+
+    def has_carried(self, request_id):
+        """Return whether a request of this id was sent on the connection."""
+        return request_id in self._request_ids
+
     async def close(self):
         """Close the connection."""
         if self._sending is not None:
@@ -281,12 +295,14 @@
         Parameters
         ----------
         is_answer : callable
-            Whether header fields belong to the request's answer; answers that
+            Takes header fields, and whether the connection has carried no answer
+            before; returns whether they belong to the request's answer. Answers that
             don't are read and dropped.
         """
         for _ in range(self.limits.skipped_answers + 1):
             status, fields = await self.read_head()
-            if is_answer(fields):
+            is_first, self._is_first_answer = self._is_first_answer, False
+            if is_answer(fields, is_first):
                 return status, fields
             await self.skip_response()
         raise self._over_limit("skipped_answers", self.limits.skipped_answers)
--- a/mangogauge/http/pool.py
+++ b/mangogauge/http/pool.py
@@ -36,6 +36,7 @@
         fresh=False,
         is_answer=None,
         idle_limit=None,
+        request_id="",
     ):
         """Send a request and return the head of its answer.
 
@@ -45,10 +46,14 @@
             Never reuse a connection: a server may close an idle connection
             just as a request is sent, which leaves its outcome unknown.
         is_answer : callable, optional
-            Whether header fields belong to this request's answer; answers that
-            don't are read and dropped.
+            Takes header fields, and whether the connection has carried no answer
+            before; returns whether they belong to this request's answer. Answers
+            that don't are read and dropped.
         idle_limit : float, optional
             Reuse only a connection that was used within so many seconds.
+        request_id : str, optional
+            Don't reuse a connection that has carried a request of this id: a late
+            copy of its answer couldn't be told from the answer of this one.
 
         Returns
         -------
@@ -61,11 +66,12 @@
         """
         connection = None
         if not fresh:
-            connection = await self._take_idle(address, idle_limit)
+            connection = await self._take_idle(address, idle_limit, request_id)
         if connection is None:
             connection = await ClientConnection.open(
                 address, self._connect_timeout, self._tls, self._limits
             )
+        connection.note_request_id(request_id)
         try:
             await connection.send_request(method, target, headers, body)
             status, fields = await connection.read_answer_head(
@@ -83,14 +89,14 @@
             for connection in connections:
                 await connection.close()
 
-    async def _take_idle(self, address, idle_limit):
+    async def _take_idle(self, address, idle_limit, request_id):
         idle = self._idle.get(address, [])
         while idle:
             if idle_limit is not None and idle[-1].idle_seconds > idle_limit:
                 # The others have been idle for longer still.
                 return None
             connection = idle.pop()
-            if not connection.is_stale:
+            if not connection.is_stale and not connection.has_carried(request_id):
                 return connection
             await connection.close()
         return None
@@ -104,7 +110,7 @@
         await connection.close()
 
 
-def _take_any_answer(headers):
+def _take_any_answer(headers, is_first):
     return True
 
 
--- a/mangogauge/platform/endpoints.py
+++ b/mangogauge/platform/endpoints.py
@@ -37,9 +37,10 @@
         """Return the names of the parts that a request's prompt may share."""
         return read_shared_parts(headers.get(HEADERS.prompt_parts, ""))
 
-    def is_answer(self, request_id, headers):
-        """Return whether an answer names the request, or names none."""
-        return headers.get(HEADERS.request_id, request_id) == request_id
+    def is_answer(self, request_id, headers, is_first):
+        """Return whether an answer names the request, or can only be its answer."""
+        named = headers.get(HEADERS.request_id, "")
+        return named == request_id or (not named and is_first)
 
     def classify_answer(self, status, headers):
         """Return what the head of an answer means."""
