--- a/features/builders/platform/brokenanswers.py
+++ b/features/builders/platform/brokenanswers.py
@@ -20,6 +20,7 @@
     "after the status line": lambda name: b"HTTP/1.1 200 OK\r\n",
     "within a header field": lambda name: HEAD % name + b"Content-Le",
     "before the end of the head": lambda name: HEAD % name,
+    "after the head, with no length": lambda name: HEAD % name + b"\r\n",
     "within an event, with no length": lambda name: (
         HEAD % name + b"\r\n" + EVENTS + b"id: 3\nda"
     ),
--- a/features/platform/broken_answers.feature
+++ b/features/platform/broken_answers.feature
@@ -17,3 +17,24 @@
     And an endpoint that refuses the first request of a connection, and again with its id
     When "desk" asks "h1" for "/ask/1" as "first", and then as "first"
     Then it was refused each time, and never ran
+
+  Scenario Outline: An answer that ends <where> is not passed on as a whole one
+    Given the platform with 0 endpoints, and the hosts "h1"
+    And an endpoint whose answers end <where>
+    When "desk" asks "h1" for "<path>" and reads what comes
+    Then what came is no success that looks whole
+
+    Examples:
+      | path    | where                           |
+      | /ask/1  | within the status line          |
+      | /ask/1  | after the status line           |
+      | /ask/1  | within a header field           |
+      | /ask/1  | before the end of the head      |
+      | /ask/1  | after the head, with no length  |
+      | /ask/1  | within an event, with no length |
+      | /ask/1  | within a chunk                  |
+      | /note/1 | before the end of the head      |
+      | /note/1 | after the head, with no length  |
+      | /note/1 | within an event, with no length |
+      | /safe/1 | within a header field           |
+      | /safe/1 | before the end of the head      |
--- a/mangogauge/entry/relay.py
+++ b/mangogauge/entry/relay.py
@@ -1,9 +1,15 @@
 """Relay endpoints' answers to a caller as a single answer."""
 
+from ..fleet import RequestSemantics
+from ..http import HTTPReceiveError
 from .events import EventStream
 
 __all__ = ["AnswerRelay"]
 
+# An event ends with an empty line, of either kind of line ends.
+EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
+MAX_EVENT_END_BYTES = 4
+
 
 class AnswerRelay:
     """One caller's answer, assembled from the answers of one or more endpoints.
@@ -32,6 +38,7 @@
     def __init__(self, call, exchange, on_first_piece, clock):
         self._exchange = exchange
         self._resumable = call.route.resumable
+        self._is_stream = call.route.semantics is RequestSemantics.STREAM
         self._on_first_piece = on_first_piece
         self._clock = clock
         self.started = False
@@ -51,7 +58,8 @@
         Raises
         ------
         HTTPReceiveError
-            If the answer is interrupted or stalls.
+            If the answer is interrupted or stalls, or is a stream that has no event
+            or ends within one.
         """
         try:
             if self._resumable:
@@ -69,10 +77,15 @@
         await self._exchange.respond(answer.status, headers, answer.body)
 
     async def _relay_bytes(self, response):
+        end = b""
         async for piece in response.iterate():
             self._note_progress(0)
             await self._start_response(response)
             await self._exchange.send_data(piece)
+            end = (end + piece)[-MAX_EVENT_END_BYTES:]
+        # The end of a connection may be the end of the answer, or a crash.
+        if self._is_stream and not end.endswith(EVENT_ENDS):
+            raise HTTPReceiveError("The stream ended within an event.", step="receive")
         await self._start_response(response)
 
     async def _relay_events(self, response):
@@ -87,7 +100,8 @@
                 # Set before the write: if that fails, the whole answer ends.
                 self.last_event = event.number
                 await self._exchange.send_data(event.raw)
-        await self._start_response(response)
+        if self.begun_at is None:
+            raise HTTPReceiveError("The stream ended without an event.", step="receive")
 
     def _note_progress(self, events):
         if self.begun_at is None:
