Join only events that follow each other into one stream

Change: each event of an answer that may be resumed has to have a number, and to follow the one before. Else the attempt has failed, and the next one goes on or the caller sees the answer break off.

--- a/features/platform/broken_answers.feature
+++ b/features/platform/broken_answers.feature
@@ -38,3 +38,18 @@
       | /note/1 | within an event, with no length |
       | /safe/1 | within a header field           |
       | /safe/1 | before the end of the head      |
+
+  Scenario Outline: A stream that broke off, and whose next endpoint answers "<fault>", is not mixed
+    Given the platform with 2 endpoints, and the hosts "h1"
+    And the endpoints answer "cut" to the next 1 requests
+    And the endpoints answer "<fault>" to the next 8 requests
+    When "desk" asks "h1" for "/note/1" and reads what comes
+    Then what came are the first events of one run, and doesn't look whole
+
+    Examples:
+      | fault     |
+      | 500       |
+      | 422       |
+      | unstamped |
+      | text      |
+      | restart   |
--- a/features/platform/crashing_parts.feature
+++ b/features/platform/crashing_parts.feature
@@ -16,8 +16,8 @@
 
   Scenario: A retry waits for the diagnosis if its part was at a crash before
     When "desk" asks "h1" for a stream that may be resumed, with "common+deadly"
-    Then 2 endpoints at most have crashed
-    When "desk" asks "h2" for a stream that may be resumed, with "other+deadly"
+    Then 2 endpoints at most have crashed, and "h1" has noted each
+    When "desk" asks "h1" for a stream that may be resumed, with "other+deadly"
     Then 3 endpoints at most have crashed
 
   Scenario: A host that starts afterwards refuses requests with a crashing part
--- a/features/steps/platform_crashes.py
+++ b/features/steps/platform_crashes.py
@@ -87,6 +87,17 @@
     ask_with_parts(context, host, parts, f"{host}-{parts}", "note")
 
 
+@then('{count:d} endpoints at most have crashed, and "{host}" has noted each')
+def check_noted_crashes(context, count, host):
+    check_crashes_at_most(context, count)
+
+    def has_noted_all():
+        log = context.world.processes[host].read_log()
+        return log.count('"endpoint crashed within') >= count_crashed(context)
+
+    wait_until(has_noted_all, f"{host} notes the crashes")
+
+
 @then("{count:d} endpoints at most have crashed")
 def check_crashes_at_most(context, count):
     time.sleep(PAUSE_SECONDS)
--- a/mangogauge/entry/relay.py
+++ b/mangogauge/entry/relay.py
@@ -58,8 +58,8 @@
         Raises
         ------
         HTTPReceiveError
-            If the answer is interrupted or stalls, or is a stream that has no event
-            or ends within one.
+            If the answer is interrupted or stalls, or is a stream that has no event,
+            ends within one, or doesn't follow what was sent before.
         """
         try:
             if self._resumable:
@@ -96,6 +96,7 @@
                 break
             self._note_progress(len(events))
             for event in events:
+                self._check_number(event)
                 await self._start_response(response)
                 # Set before the write: if that fails, the whole answer ends.
                 self.last_event = event.number
@@ -103,6 +104,22 @@
         if self.begun_at is None:
             raise HTTPReceiveError("The stream ended without an event.", step="receive")
 
+    def _check_number(self, event):
+        """Raise `HTTPReceiveError` if an event doesn't follow the one before.
+
+        Notes
+        -----
+        An endpoint that should resume an answer may begin anew, or send the text of
+        an error.
+        """
+        number = event.number
+        if number is None:
+            raise HTTPReceiveError("An event has no number.", step="receive")
+        if self.last_event is not None and number != self.last_event + 1:
+            raise HTTPReceiveError(
+                f"Event {number} followed event {self.last_event}.", step="receive"
+            )
+
     def _note_progress(self, events):
         if self.begun_at is None:
             self.begun_at = self._clock.read_elapsed()
