Record quarantined parts in the store, for hosts that all start anew at once

Hosts learn from each other, so a restart in turn never did this.

Change: the sightings that a quarantine stands on are one key in the store. The first of the reporting hosts writes it when the quarantine changes; each host reads it once at its start. A gauge counts the quarantined parts. The new scenario failed before (the request after the restart got 502 and had crashed an endpoint) and passes.

--- a/features/platform/crashing_parts.feature
+++ b/features/platform/crashing_parts.feature
@@ -26,3 +26,10 @@
     When the host "h3" starts, and 3 s pass
     And "desk" asks "h3" for 5 different prompts with "other+deadly"
     Then all were refused with 422
+
+  Scenario: Hosts that all started anew at once still know the crashing part
+    When "desk" asks "h1" and "h2" in turn for 9 different prompts with "common+deadly", and each time for one with "common"
+    Then 5 endpoints at most have crashed, and the last answer is 422
+    When "h1" and "h2" are killed together and start anew
+    And "desk" asks "h1" for 1 different prompts with "other+deadly"
+    Then all were refused with 422
--- a/features/steps/platform_crashes.py
+++ b/features/steps/platform_crashes.py
@@ -10,6 +10,7 @@
 # Between two requests: longer than a caller's own pause before the next try.
 PAUSE_SECONDS = 0.5
 POLL_SECONDS = 0.02
+RECORDED = '"quarantine record written"'
 # The item whose runs crash endpoints.
 CRASHING = "j1-2"
 
@@ -71,6 +72,22 @@
     time.sleep(seconds)
 
 
+@when('"{first}" and "{second}" are killed together and start anew')
+def restart_together(context, first, second):
+    processes = [context.world.processes[name] for name in (first, second)]
+    wait_until(
+        lambda: any(RECORDED in process.read_log() for process in processes),
+        "the quarantine is recorded",
+    )
+    for process in processes:
+        process.kill()
+    for process in processes:
+        process.wait()
+        process.start()
+    for name in (first, second):
+        context.deployment.wait_until_ready(name)
+
+
 @then("all were refused with {status:d}")
 def check_all_refused(context, status):
     assert {answer.status for answer in context.answers} == {status}, context.answers
--- a/features/steps/quarantined_parts.py
+++ b/features/steps/quarantined_parts.py
@@ -108,10 +108,7 @@
 
 
 def list_quarantined(context, host):
-    quarantine = context.hosts[host]
-    # The verdict is renewed when a request asks for it.
-    quarantine.is_quarantined(())
-    return quarantine.list_quarantined()
+    return context.hosts[host].list_quarantined()
 
 
 @then('"{hosts}" quarantines "{parts}" alone')
--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -20,7 +20,7 @@
     SharedSchedule,
 )
 from ..placement import EndpointHealth
-from ..quarantine import PartQuarantine
+from ..quarantine import PartQuarantine, QuarantineRecord
 from ..sharing import (
     CrashLedger,
     Gossip,
@@ -108,6 +108,9 @@
             self._measure_age,
         )
         self.relays = RelayDirectory(self.members, self.board)
+        self._quarantine_record = QuarantineRecord(
+            backends.store, self.part_quarantine, self._is_first_host, clock
+        )
         self.registration = Registration(
             backends.store,
             self.member,
@@ -258,6 +261,7 @@
                 self.registration.run,
                 self._exchange.run,
                 self._crash_gossip.run,
+                self._quarantine_record.run,
                 self._watch_isolation,
                 self._judge_endpoints,
             ):
@@ -265,6 +269,12 @@
         if group.exception is not None:
             raise group.exception
 
+    def _is_first_host(self):
+        """Return whether this host comes first by name of those that report."""
+        others = [member.name for member in self.members.list_others()]
+        reporting = filter(self.board.is_reporting, others)
+        return all(self.member.name < name for name in reporting)
+
     def _measure_age(self):
         """Return the seconds since a host that this one hears reached the store."""
         return self._freshness.measure_age(self._backends.source.operator_prefix)
@@ -273,7 +283,9 @@
         while True:
             await sleep_to_tick(JUDGE_SECONDS)
             self.trust.evaluate(self.directory.list_endpoints())
-            self._backends.metrics.endpoints_barred.set(len(self.trust.list_barred()))
+            metrics = self._backends.metrics
+            metrics.endpoints_barred.set(len(self.trust.list_barred()))
+            metrics.parts_quarantined.set(len(self.part_quarantine.list_quarantined()))
 
     async def _watch_isolation(self):
         while True:
--- a/mangogauge/quarantine/__init__.py
+++ b/mangogauge/quarantine/__init__.py
@@ -3,6 +3,7 @@
 from .culprits import find_culprits
 from .news import AnsweredPart, CrashNews
 from .parts import PartQuarantine
+from .record import QuarantineRecord
 from .sightings import CrashSighting
 
 __all__ = [
@@ -10,5 +11,6 @@
     "CrashNews",
     "CrashSighting",
     "PartQuarantine",
+    "QuarantineRecord",
     "find_culprits",
 ]
--- a/mangogauge/quarantine/news.py
+++ b/mangogauge/quarantine/news.py
@@ -3,7 +3,7 @@
 import math
 
 import orjson
-from attrs import field, frozen
+from attrs import evolve, field, frozen
 
 __all__ = ["NEWS_FORMAT", "AnsweredPart", "CrashNews"]
 
@@ -73,6 +73,13 @@
             [AnsweredPart(str(part), _read_age(age)) for part, age in answered],
         )
 
+    def grow_older(self, seconds):
+        """Return the same news as they are after some seconds."""
+        return CrashNews(
+            [evolve(row, age=row.age + seconds) for row in self.sightings],
+            [evolve(row, age=row.age + seconds) for row in self.answered],
+        )
+
     def to_bytes(self):
         """Encode the news as JSON for a datagram."""
         return orjson.dumps(
--- a/mangogauge/quarantine/parts.py
+++ b/mangogauge/quarantine/parts.py
@@ -140,10 +140,7 @@
         now = self._clock.read_elapsed()
         self._disputed = {p: end for p, end in self._disputed.items() if end > now}
         return CrashNews(
-            [
-                SightingNews(s.crash, s.request, s.parts, now - s.seen_at)
-                for s in self._list_relevant(now)[:MAX_TOLD_SIGHTINGS]
-            ],
+            [_tell(s, now) for s in self._list_relevant(now)[:MAX_TOLD_SIGHTINGS]],
             [
                 AnsweredPart(part, now - self._answered[part])
                 for part in list(self._disputed)[-MAX_TOLD_ANSWERED:]
@@ -151,8 +148,21 @@
             ],
         )
 
+    def make_quarantine_news(self):
+        """Return the `CrashNews` of the crashes that quarantined parts explain."""
+        self._update()
+        now = self._clock.read_elapsed()
+        return CrashNews(
+            [
+                _tell(sighting, now)
+                for sighting in self._list_relevant(now)[:MAX_TOLD_SIGHTINGS]
+                if not self._culprits.isdisjoint(sighting.parts)
+            ]
+        )
+
     def list_quarantined(self):
         """Return the names of the parts in quarantine."""
+        self._update()
         return sorted(self._culprits)
 
     def _list_relevant(self, now):
@@ -256,6 +266,11 @@
             del self._sightings[key]
 
 
+def _tell(sighting, now):
+    age = now - sighting.seen_at
+    return SightingNews(sighting.crash, sighting.request, sighting.parts, age)
+
+
 def _has_any(parts, names):
     return bool(names) and any(_shorten(part) in names for part in parts)
 
--- a/mangogauge/telemetry/serving.py
+++ b/mangogauge/telemetry/serving.py
@@ -43,6 +43,9 @@
         self.endpoints_barred = self._gauge(
             "endpoints_barred", "Endpoints that get no work but trials."
         )
+        self.parts_quarantined = self._gauge(
+            "parts_quarantined", "Parts of prompts that are kept from endpoints."
+        )
         self.lines_dropped = self._count(
             "log_lines_dropped", "Log lines that could not be written."
         )
