Dispute an accused part also where the sighting is known already

They cleared the part that was answered there, and knew the sightings from then on, so what the host repeated after the cut was passed over, and it kept a sound part in quarantine (LOST on that host, for up to ten minutes). Now a host that knows better says so each time it hears the accusation. The scenario failed before and passes.

--- a/features/builders/crashes.py
+++ b/features/builders/crashes.py
@@ -50,12 +50,13 @@
         """Let each host tell each other one, in two rounds."""
         for _ in range(2):
             for name in self._list_reachable():
-                self._tell_others(name)
+                self.tell_others(name)
 
     def _list_reachable(self):
         return [name for name in self._quarantines if name not in self.cut_off]
 
-    def _tell_others(self, name):
+    def tell_others(self, name):
+        """Let one host tell each other one."""
         news = self[name].make_news()
         if not news:
             return
--- a/features/quarantine/parts.feature
+++ b/features/quarantine/parts.feature
@@ -62,6 +62,17 @@
     When "c" is in reach again, and all hosts tell each other
     Then "a, b, c" quarantine nothing
 
+  Scenario: A host that told others but could not hear them lets go once it can
+    When "a" is answered a request for "common"
+    And "c" sees a crash of "e1" with a request for "common+x"
+    And "c" sees a crash of "e2" with a request for "common+y"
+    And "c" sees a crash of "e3" with a request for "common+z"
+    And "c" tells the others, which it can't hear, and 20 s pass
+    Then "c" quarantines "common" alone
+    When "a" is answered a request for "common"
+    And all hosts tell each other, and 1 s passes
+    Then "a, b, c" quarantine nothing
+
   Scenario: A host that was cut off learns what the others quarantined
     Given "c" is cut off
     When "a" sees 3 crashes with different requests for "x+deadly"
--- a/features/steps/quarantined_parts.py
+++ b/features/steps/quarantined_parts.py
@@ -75,6 +75,12 @@
     context.hosts.clock.advance(seconds)
 
 
+@when('"{host}" tells the others, which it can\'t hear, and {seconds:d} s pass')
+def tell_others(context, host, seconds):
+    context.hosts.tell_others(host)
+    context.hosts.clock.advance(seconds)
+
+
 @when("all hosts tell each other, and {seconds:d} s passes")
 @when("all hosts tell each other, and {seconds:d} s pass")
 def tell_and_pass(context, seconds):
--- a/mangogauge/entry/dispatch.py
+++ b/mangogauge/entry/dispatch.py
@@ -238,10 +238,10 @@
         is hardly ever the cause, and is retried at once. If others with a part of its
         prompt were at crashes too, it may have become suspected after the diagnosis.
         """
-        is_reason = len(state.diagnoses) >= MAX_CRASHES or (
+        must_wait = len(state.diagnoses) >= MAX_CRASHES or (
             state.diagnoses and self._crashes.is_accused(state.call)
         )
-        if not is_reason:
+        if not must_wait:
             return False
         crashes = [await diagnosis.join() for diagnosis in state.diagnoses]
         return sum(crashes) >= MAX_CRASHES
--- a/mangogauge/quarantine/parts.py
+++ b/mangogauge/quarantine/parts.py
@@ -174,12 +174,11 @@
         )
 
     def _merge_sighting(self, row, now):
-        if row.age >= SIGHTING_LIFETIME_SECONDS or (
-            (row.crash, row.request) in self._sightings
-        ):
+        if row.age >= SIGHTING_LIFETIME_SECONDS:
             return False
         answered = [part for part in row.parts if self._is_answered(part)]
         for part in answered:
+            # Also of a known sighting: its sender may not have heard of the answer.
             self._disputed[part] = now + DISPUTE_SECONDS
         parts = [part for part in row.parts if part not in answered]
         added = self._add(CrashSighting(row.crash, row.request, parts, now - row.age))
