Add a failing test of items that are done with a part of their text

An answer with neither length nor chunks that ends with its connection before its first event may be an endpoint's crash. For an item that is resumed it was taken for the empty rest of the text: the item ended as done with the events of its earlier run.

--- a/features/jobs/crashes.feature
+++ b/features/jobs/crashes.feature
@@ -36,3 +36,14 @@
     Given 40 items whose endpoints crash
     When each has been run twice
     Then at most 20 of them are run again at the same moment
+
+  Scenario Outline: An item whose resumed run ends with no event, <framing>, isn't done too early
+    Given an item that has received 2 events
+    And an endpoint whose answer ends with no event, <framing>, then one that runs items
+    When its runs have ended
+    Then its text is that of the events "<events>"
+
+    Examples:
+      | framing         | events |
+      | framed as whole | 1, 2   |
+      | with no length  | 1      |
--- a/features/steps/items_crashes.py
+++ b/features/steps/items_crashes.py
@@ -10,7 +10,7 @@
 from features.builders.crashes import make_crash_detector
 from features.builders.fleet import HOST_NAME, make_endpoint, make_route
 from mangogauge.clock import ManualClock
-from mangogauge.entry import AttemptFailure
+from mangogauge.entry import AttemptFailure, StreamEvent
 from mangogauge.fleet import RequestSemantics
 from mangogauge.http import HTTPReceiveError
 from mangogauge.jobs.item_runner import ItemRunner
@@ -26,21 +26,24 @@
 MAX_SECONDS = 300.0
 REASON = "reset by peer"
 SEED = 1
+# Whether an answer ends with its connection, by how the scenarios call it.
+FRAMINGS = {"framed as whole": False, "with no length": True}
 
 
 class FakeResponse:
     """A response of events that ends whole or, if `broken`, with an error."""
 
-    def __init__(self, events, broken):
+    def __init__(self, events, broken, ends_with_connection=False):
         self._events = events
         self._broken = broken
+        self.ends_with_connection = ends_with_connection
 
     def gather(self, seconds):
         """Do nothing: all events are already there."""
 
     async def iterate(self):
         for number in self._events:
-            yield b"id: %d\ndata: x\n\n" % number
+            yield b"id: %d\ndata: %d\n\n" % (number, number)
         if self._broken:
             raise HTTPReceiveError(REASON, step="receive")
 
@@ -71,6 +74,9 @@
         number = (last_event or 0) + 1
         if self.fault is None:
             return FakeResponse([number], broken=False)
+        if self.fault.framing is not None:
+            fault, self.fault = self.fault, None
+            return FakeResponse([], False, FRAMINGS[fault.framing])
         self.clock.advance(self.fault.seconds)
         if self.fault.events:
             return FakeResponse([number], broken=True)
@@ -94,11 +100,14 @@
         Time until the run fails.
     events : int
         Whether an event is sent before the fault: 0 for none.
+    framing : str or None
+        How the first answer, which has no event, ends: a key of `FRAMINGS`.
     """
 
     progress = field(default=Progress.MAYBE_RUN)
     seconds = field(default=0.0)
     events = field(default=0)
+    framing = field(default=None)
 
 
 def make_items(context, count, fault):
@@ -146,6 +155,31 @@
     make_items(context, count, RunFault())
 
 
+@given("an item that has received {count:d} events")
+def make_begun(context, count):
+    make_items(context, 1, None)
+    (item,) = context.job.items.values()
+    for number in range(1, count + 1):
+        item.add_event(StreamEvent(b"id: %d\ndata: %d\n\n" % (number, number)))
+
+
+@given("an endpoint whose answer ends with no event, {framing}, then one that runs items")
+def end_without_event(context, framing):
+    context.endpoints.fault = RunFault(framing=framing)
+
+
+@when("its runs have ended")
+def run_to_end(context):
+    curio.run(run_until, context, lambda: not context.job.items)
+
+
+@then('its text is that of the events "{events}"')
+def check_text(context, events):
+    (result,) = context.job.finished
+    assert result.state is ItemState.DONE, result
+    assert result.text.split("\n") == events.split(", "), result
+
+
 async def run_until(context, is_over):
     """Run the items that are ready, step by step, until `is_over()` is true."""
     started = context.clock.read_elapsed()
