Run an item anew whose resumed run ended with its connection and no event

What callers saw: a result that is done, with a part of the item's text. A resumed run without any event was the empty rest of the text, also where only the end of the connection ended it, which may be a crash.

Now an answer knows whether only its connection ends it, and an item's empty rest must be framed.

--- a/features/steps/items_crashes.py
+++ b/features/steps/items_crashes.py
@@ -163,7 +163,9 @@
         item.add_event(StreamEvent(b"id: %d\ndata: %d\n\n" % (number, number)))
 
 
-@given("an endpoint whose answer ends with no event, {framing}, then one that runs items")
+@given(
+    "an endpoint whose answer ends with no event, {framing}, then one that runs items"
+)
 def end_without_event(context, framing):
     context.endpoints.fault = RunFault(framing=framing)
 
--- a/mangogauge/http/client.py
+++ b/mangogauge/http/client.py
@@ -32,6 +32,8 @@
 DEFAULT_CONNECT_TIMEOUT = 2.0
 # Ids that one connection remembers; a copy of an older answer came long before.
 REQUEST_IDS_PER_CONNECTION = 256
+# Fields that say where a body ends.
+FRAMING_FIELDS = ("content-length", "transfer-encoding")
 
 
 class ClientResponse:
@@ -52,6 +54,14 @@
         self.headers = headers
         self.complete = False
 
+    @property
+    def ends_with_connection(self):
+        """Whether only the end of the connection ends the body.
+
+        Such a body isn't known to be whole: the server may have crashed.
+        """
+        return not any(name in self.headers for name in FRAMING_FIELDS)
+
     async def iterate(self):
         """Yield the body in pieces as they arrive.
 
--- a/mangogauge/jobs/item_runner.py
+++ b/mangogauge/jobs/item_runner.py
@@ -144,8 +144,21 @@
             self._note_answer_begun(item)
             for event in events:
                 item.add_event(event)
-        if item.last_event is None:
-            raise HTTPReceiveError("The stream ended without an event.", step="receive")
+        if item.answer_begun_at is None:
+            self._check_empty_rest(item, response)
+
+    def _check_empty_rest(self, item, response):
+        """Raise `HTTPReceiveError` if a run without events doesn't complete an item.
+
+        Notes
+        -----
+        An answer that ends with its connection may be a crash. The item then starts
+        anew, since an endpoint that has nothing to add would end each run so.
+        """
+        if item.last_event is not None and not response.ends_with_connection:
+            return
+        item.discard_events()
+        raise HTTPReceiveError("The stream ended without an event.", step="receive")
 
     def _note_answer_begun(self, item):
         if item.answer_begun_at is None:
--- a/mangogauge/jobs/owned.py
+++ b/mangogauge/jobs/owned.py
@@ -95,7 +95,8 @@
                 f"Event {number} followed event {self.last_event}.", step="receive"
             )
         if self.size + len(data) > MAX_TEXT_BYTES:
-            self._reset()
+            # An engine doesn't generate so much text for one item.
+            self.discard_events()
             raise HTTPLimitError("text_bytes", MAX_TEXT_BYTES)
         self.event_texts.append(_decode(data))
         self.size += len(data)
@@ -109,11 +110,12 @@
         self.last_event = progress.last_event
         self.stored_events = progress.count
 
-    def _reset(self):
-        """Discard all events: an engine doesn't generate so much text for one item."""
+    def discard_events(self):
+        """Discard all events, so that the next run starts anew."""
         self.event_texts.clear()
         self.size = 0
         self.last_event = None
+        self.stored_events = 0
 
     def record_interruption(self, now):
         """Count a run that was interrupted at an elapsed time."""
