Reset the connection of an HTTP/1.0 caller whose answer broke off

What callers saw: one that speaks HTTP/1.0 gets no chunks, so the end of the connection is the end of its answer; an answer that broke off ended just as a whole one does.

Such a connection is reset now when its answer isn't finished.

--- a/features/builders/platform/deployment.py
+++ b/features/builders/platform/deployment.py
@@ -265,9 +265,17 @@
         ]
 
     def open_request(
-        self, host, method, path, request_id="", key="desk-key", body=b"", **headers
+        self,
+        host,
+        method,
+        path,
+        request_id="",
+        key="desk-key",
+        body=b"",
+        version=11,
+        **headers,
     ):
-        """Send one request to a host; return its connection."""
+        """Send one request to a host, by HTTP/1.1 or 1.0; return its connection."""
         fields = {"Host": HOST_NAME, "X-Deadline-Ms": "5000"}
         if request_id:
             fields["X-Request-Id"] = request_id
@@ -277,6 +285,8 @@
         connection = http.client.HTTPConnection(
             self.address, self.hosts[host][0], timeout=TIMEOUT_SECONDS
         )
+        connection._http_vsn = version
+        connection._http_vsn_str = f"HTTP/{version // 10}.{version % 10}"
         connection.request(method, path, body=body or None, headers=fields)
         return connection
 
--- a/features/platform/broken_answers.feature
+++ b/features/platform/broken_answers.feature
@@ -39,6 +39,14 @@
       | /safe/1 | within a header field           |
       | /safe/1 | before the end of the head      |
 
+  Scenario: A caller of HTTP/1.0 can tell a stream that broke off from a whole one
+    Given the platform with 1 endpoints, and the hosts "h1"
+    When "desk" asks "h1" for "/ask/1" by HTTP/1.0
+    Then it was answered whole
+    Given the endpoints answer "cut" to the next 1 requests
+    When "desk" asks "h1" for "/ask/1" by HTTP/1.0
+    Then what came is no success that looks whole
+
   Scenario Outline: A stream that broke off, and whose next endpoint answers "<fault>", is not mixed
     Given the platform with 2 endpoints, and the hosts "h1"
     And the endpoints answer "cut" to the next 1 requests
--- a/features/steps/platform_broken_answers.py
+++ b/features/steps/platform_broken_answers.py
@@ -50,6 +50,16 @@
     context.answer = context.deployment.ask(host, path, "r", 12)
 
 
+@when('"desk" asks "{host}" for "{path}" by HTTP/1.0')
+def ask_by_http_1_0(context, host, path):
+    context.answer = context.deployment.ask(host, path, "r", 12, version=10)
+
+
+@then("it was answered whole")
+def check_whole(context):
+    assert context.answer.status == 200 and context.answer.whole, context.answer
+
+
 @then("the first is refused, the second is answered whole, and has run once")
 def check_repeated(context):
     first, second = context.answers
--- a/mangogauge/http/connection.py
+++ b/mangogauge/http/connection.py
@@ -1,6 +1,7 @@
 """A caller's connection: requests one after another, until either side ends it."""
 
 import os
+import struct
 import time
 import uuid
 from socket import socket as make_socket
@@ -24,6 +25,8 @@
 LINGER_BYTES = 16_777_216
 SKIPPED_BODY_BYTES = 65_536
 SKIP_SECONDS = 0.5
+# Socket option that makes closing reset the connection at once.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 SPOKEN_VERSIONS = frozenset({b"1.0", b"1.1"})
 UNREADABLE_CODES = {408: "request_timeout", 413: "too_large", 431: "too_large"}
 
@@ -58,6 +61,7 @@
         self._served = False
         self._opened_at = time.monotonic()
         self._skippable = False
+        self._ends_answer_by_close = False
         self._body_done = curio.Event()
 
     @property
@@ -110,8 +114,19 @@
         ----------
         linger : bool, optional
             Wait for the caller's data, where some is to be expected.
+
+        Notes
+        -----
+        A reset shows that an answer broke off whose end would be that of the
+        connection.
         """
         try:
+            if self._ends_answer_by_close and self._h11.our_state is h11.SEND_BODY:
+                self.sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+                )
+                await self.sock.close()
+                return
             await self.sock.shutdown(socket.SHUT_WR)
             if linger and self._expects_input:
                 async with curio.ignore_after(LINGER_SECONDS):
@@ -143,6 +158,8 @@
 
     async def send_event(self, event):
         """Send one `h11` event, waiting while the caller's window is full."""
+        if isinstance(event, h11.Response):
+            self._ends_answer_by_close = self._is_ended_by_close(event)
         data = self._h11.send(event)
         sent = self._send_at_once(data)
         if sent == len(data):
@@ -153,6 +170,12 @@
         except curio.TaskTimeout:
             raise ConnectionAbortedError("The caller does not read.") from None
 
+    def _is_ended_by_close(self, response):
+        """Return whether nothing but the connection's end ends an answer's body."""
+        if self._h11.their_http_version not in (None, b"1.0"):
+            return False
+        return all(name != b"content-length" for name, _ in response.headers)
+
     def _send_at_once(self, data):
         """Send what fits into the socket's buffer; return how many bytes.
 
