Don't end a service's stream as whole that its service broke off

What callers of the product's own interface saw: an event stream of a plain service with neither length nor chunks that ended within an event, or before the first, was passed on with a proper end.

--- a/mangogauge/entry/relay.py
+++ b/mangogauge/entry/relay.py
@@ -1,15 +1,11 @@
 """Relay endpoints' answers to a caller as a single answer."""
 
 from ..fleet import RequestSemantics
-from ..http import HTTPReceiveError
+from ..http import EventEndCheck, HTTPReceiveError
 from .events import EventStream
 
 __all__ = ["AnswerRelay"]
 
-# An event ends with an empty line, of either kind of line ends.
-EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
-MAX_EVENT_END_BYTES = 4
-
 
 class AnswerRelay:
     """One caller's answer, assembled from the answers of one or more endpoints.
@@ -77,14 +73,14 @@
         await self._exchange.respond(answer.status, headers, answer.body)
 
     async def _relay_bytes(self, response):
-        end = b""
+        end_check = EventEndCheck()
         async for piece in response.iterate():
             self._note_progress(0)
             await self._start_response(response)
             await self._exchange.send_data(piece)
-            end = (end + piece)[-MAX_EVENT_END_BYTES:]
+            end_check.feed(piece)
         # The end of a connection may be the end of the answer, or a crash.
-        if self._is_stream and not end.endswith(EVENT_ENDS):
+        if self._is_stream and not end_check.ends_with_event:
             raise HTTPReceiveError("The stream ended within an event.", step="receive")
         await self._start_response(response)
 
--- a/mangogauge/gateway/relays.py
+++ b/mangogauge/gateway/relays.py
@@ -8,14 +8,13 @@
 import curio
 from curio.meta import finalize
 
-from ..http import HTTPReceiveError
+from ..http import EVENT_STREAM, EventEndCheck, HTTPReceiveError
 from ..settings import RouteKind
 from .events import EventReader
 
 __all__ = ["AnswerRelay"]
 
 HOLD_LIMIT_BYTES = 262_144
-EVENT_STREAM = "text/event-stream"
 LAST_CHUNK_SECONDS = 0.05
 
 
@@ -85,8 +84,12 @@
 
     async def _take_pieces(self, status, headers, pieces):
         await self._sink.start(status, headers)
+        end_check = EventEndCheck()
         async for piece in pieces:
             await self._sink.write(piece)
+            end_check.feed(piece)
+        if _is_event_stream(headers) and not end_check.ends_with_event:
+            raise HTTPReceiveError("The stream ended within an event.", step="receive")
         await self._sink.finish()
 
     async def _take_events(self, status, headers, pieces):
@@ -128,7 +131,7 @@
             status == 200
             and self._call.streams
             and self._call.route.kind is RouteKind.MODEL
-            and headers.get("content-type", "").startswith(EVENT_STREAM)
+            and _is_event_stream(headers)
         )
 
 
@@ -139,6 +142,10 @@
         await anext(pieces, None)
 
 
+def _is_event_stream(headers):
+    return headers.get("content-type", "").startswith(EVENT_STREAM)
+
+
 def _is_small(headers):
     length = headers.get("content-length", "")
     return length.isdigit() and int(length) <= HOLD_LIMIT_BYTES
--- a/mangogauge/http/__init__.py
+++ b/mangogauge/http/__init__.py
@@ -9,6 +9,7 @@
     HTTPRequestError,
     HTTPSendError,
 )
+from .eventends import EVENT_STREAM, EventEndCheck
 from .exchange import Exchange
 from .headers import HOP_BY_HOP_HEADERS, Headers
 from .limits import ClientLimits, ServerLimits
@@ -20,6 +21,8 @@
     "ClientLimits",
     "ClientPool",
     "ClientResponse",
+    "EVENT_STREAM",
+    "EventEndCheck",
     "Exchange",
     "HOP_BY_HOP_HEADERS",
     "HTTPConnectError",
