Log endpoints' software versions, and which stream a request resumes

The entry's version is read into FleetEndpoint.software, and the field Resumes into the request; 'sent' and 'endpoint' log them. Nothing decides by them yet.

--- a/mangogauge/entry/calls.py
+++ b/mangogauge/entry/calls.py
@@ -24,6 +24,9 @@
     last_event : int or None
         Number of the last event that the caller received of an interrupted
         answer; None unless it asks to resume that answer.
+    resumed_id : str
+        Id of the request that brought the first event of the interrupted answer;
+        empty if not given.
     headers : Headers
         Header fields that are forwarded to the endpoint.
     shared_parts : tuple of str
@@ -38,6 +41,7 @@
     last_event = field(default=None)
     headers = field(default=None)
     shared_parts = field(default=())
+    resumed_id = field(default="")
 
 
 @define(eq=False)
@@ -63,6 +67,9 @@
         Queueing priority; 0 is served first.
     shared_parts : tuple of str
         Names of the parts of the prompt that other requests may share, in order.
+    resumed_id : str
+        Id of the request that brought the first event of the answer that is to be
+        resumed; empty if not given.
     """
 
     request_id = field()
@@ -77,6 +84,7 @@
     last_event = field(default=None)
     priority = field(default=0)
     shared_parts = field(default=())
+    resumed_id = field(default="")
 
     @property
     def repeatable(self):
--- a/mangogauge/entry/dispatch.py
+++ b/mangogauge/entry/dispatch.py
@@ -168,7 +168,15 @@
             )
             raise
         self._health.note_answer(endpoint.name)
-        self._log(call, "sent", endpoint=endpoint.name, attempt=state.attempts)
+        self._log(
+            call,
+            "sent",
+            endpoint=endpoint.name,
+            attempt=state.attempts,
+            software=endpoint.software,
+            after_event=state.relay.last_event,
+            resumes=call.resumed_id,
+        )
         try:
             await state.relay.relay(response)
         except HTTPError as error:
--- a/mangogauge/entry/handler.py
+++ b/mangogauge/entry/handler.py
@@ -153,6 +153,7 @@
             request.last_event,
             _find_priority(route, account),
             request.shared_parts,
+            request.resumed_id,
         )
         await self._dispatcher.run(call, exchange)
 
--- a/mangogauge/fleet/directory.py
+++ b/mangogauge/fleet/directory.py
@@ -125,6 +125,7 @@
                 "address": endpoint.address,
                 "leaving": endpoint.leaving,
                 "born": endpoint.start_time_ms,
+                "software": endpoint.software,
                 "known": known is not None,
             },
         )
--- a/mangogauge/fleet/records.py
+++ b/mangogauge/fleet/records.py
@@ -144,6 +144,8 @@
         Whether it accepts no new requests.
     start_time_ms : int
         Start of its process, in milliseconds since the Unix epoch; 0 if unknown.
+    software : str
+        Version of its software; empty if unknown.
     """
 
     name = field()
@@ -153,6 +155,7 @@
     slots = field(default=1)
     leaving = field(default=False)
     start_time_ms = field(default=0)
+    software = field(default="")
 
 
 @frozen
--- a/mangogauge/platform/callers.py
+++ b/mangogauge/platform/callers.py
@@ -38,6 +38,7 @@
             key=fields.get(HEADERS.key, ""),
             timeout=None if patience is None else patience / 1000,
             last_event=read_count(fields, HEADERS.last_event),
+            resumed_id=fields.get(HEADERS.resumed, ""),
             headers=passed,
             shared_parts=read_shared_parts(fields.get(HEADERS.prompt_parts, "")),
         )
--- a/mangogauge/platform/names.py
+++ b/mangogauge/platform/names.py
@@ -13,6 +13,8 @@
     # Milliseconds that the sender will wait, not a point in time.
     patience = field(default="X-Deadline-Ms")
     last_event = field(default="Last-Event-Id")
+    # Id of the request that brought the first event of a stream to be resumed.
+    resumed = field(default="Resumes")
     # Proves that an answer is an endpoint's own.
     stamp = field(default="X-Server-Stamp")
     account = field(default="X-Tenant")
--- a/mangogauge/platform/source.py
+++ b/mangogauge/platform/source.py
@@ -144,4 +144,12 @@
         slots=slots,
         leaving=LEAVING_STATES[value["state"]],
         start_time_ms=value.get("born", 0),
+        software=_read_software(value),
     )
+
+
+def _read_software(value):
+    software = value.get("version", "")
+    if type(software) not in (str, int):
+        raise ValueError(f"{software!r} is no version of software")
+    return str(software)
