--- a/features/builders/platform/deployment.py
+++ b/features/builders/platform/deployment.py
@@ -129,12 +129,12 @@
         self.world.processes[name] = process
         return process.start()
 
-    def start_endpoint(self, name, slots=8):
+    def start_endpoint(self, name, slots=8, **changes):
         """Start an endpoint and write its entry."""
         address = f"{self.address}:{self.world.take_port()}"
         self._start(name, "endpoint", address, name, str(slots), str(self.faults))
         self.endpoints[name] = address
-        self.write_entry(name, slots=slots)
+        self.write_entry(name, slots=slots, **changes)
 
     def restart_endpoint(self, name, *crashing):
         """Start an endpoint that has crashed; a word names what crashes it again."""
--- a/features/builders/platform/store.py
+++ b/features/builders/platform/store.py
@@ -92,6 +92,8 @@
         for key, text in order.pop("put", {}).items():
             operation = Operation(key, text.encode())
             self.keyspace.transact(Transaction((), (operation,)))
+        for key in order.pop("delete", ()):
+            self.keyspace.transact(Transaction((), (Operation(key),)))
         for name, value in order.items():
             setattr(self.faults, name, value)
         items = self.keyspace.get_range("", "\x7f")
--- /dev/null
+++ b/features/steps/platform_software.py
@@ -0,0 +1,152 @@
+"""Steps of streams at endpoints of several software versions."""
+
+import time
+from collections import defaultdict
+
+from behave import given, then, when
+
+from features.builders.platform.takeups import StreamCallers
+from features.builders.processes import wait_until
+
+# Longer than hosts take to tell each other, and to record, which streams they began.
+TOLD_SECONDS = 1.0
+EVENT_SECONDS = 0.03
+
+
+def add_endpoints(context, software, count):
+    deployment = context.deployment
+    first = len(context.software) + 1
+    names = [f"e{number}" for number in range(first, first + count)]
+    for name in names:
+        context.software[name] = software
+        deployment.start_endpoint(name, version=software)
+        deployment.control(name, event_seconds=EVENT_SECONDS)
+    wait_until_heard(context, '"message": "endpoint"', names)
+
+
+def remove_endpoints(context, software):
+    """Let endpoints leave; they go on answering for a while."""
+    deployment = context.deployment
+    names = [name for name, its in context.software.items() if its == software]
+    for name in names:
+        deployment.control("store", delete=[f"servers/{name}"])
+    if any(is_running(context, host) for host in deployment.hosts):
+        wait_until_heard(context, "endpoint's entry gone", names)
+
+
+def is_running(context, host):
+    return context.world.processes[host].is_running
+
+
+def wait_until_heard(context, message, names):
+    """Wait until the logs of all hosts that run have such a line for each name."""
+    for host in context.deployment.hosts:
+        process = context.world.processes[host]
+        if process.is_running:
+            wait_until(
+                lambda process=process: has_heard(process, message, names),
+                f"{host} hears of {names}",
+            )
+
+
+def has_heard(process, message, names):
+    lines = [line for line in process.read_log().splitlines() if message in line]
+    return all(any(f'"{name}"' in line for line in lines) for name in names)
+
+
+@given('{old:d} endpoints of the version "{first}" and {new:d} of "{second}"')
+def start_versions(context, old, first, new, second):
+    context.software = {}
+    context.callers = StreamCallers(context.deployment)
+    add_endpoints(context, first, old)
+    add_endpoints(context, second, new)
+
+
+@when('{count:d} endpoints of "{software}" come, and those of "{other}" leave')
+def replace_version(context, count, software, other):
+    add_endpoints(context, software, count)
+    remove_endpoints(context, other)
+
+
+@when('the endpoints of "{software}" leave')
+def leave(context, software):
+    remove_endpoints(context, software)
+
+
+@when('"desk" asks "{host}" {count:d} times for "/note/1", each as a stream of its own')
+def ask_streams(context, host, count):
+    context.callers.ask(host, count)
+
+
+@when('{count:d} streams begin at "{host}" and break off')
+@when('{count:d} more streams begin at "{host}" and break off')
+def begin(context, count, host):
+    context.callers.begin(host, count)
+    time.sleep(TOLD_SECONDS)
+
+
+@when("nothing else happens")
+def do_nothing(context):
+    """Do nothing: the callers take their streams up at once."""
+
+
+@when('"{names}" end')
+def end_hosts(context, names):
+    for name in names.split(", "):
+        context.world.processes[name].kill()
+
+
+@when('"{names}" start anew')
+def start_hosts(context, names):
+    for name in names.split(", "):
+        context.world.processes[name].start()
+    for name in names.split(", "):
+        context.deployment.wait_until_ready(name)
+
+
+@when('"{names}" end and start anew')
+def restart_hosts(context, names):
+    end_hosts(context, names)
+    start_hosts(context, names)
+
+
+@when('they are taken up at "{host}"')
+def take_up(context, host):
+    context.callers.take_up(host)
+
+
+@when('they are taken up at "{host}", without saying which')
+def take_up_unsaid(context, host):
+    context.callers.take_up(host, says_which=False)
+
+
+def list_versions(context):
+    """Return the versions that have sent events of each stream."""
+    versions = defaultdict(set)
+    for arrival in context.deployment.list_arrivals():
+        stream = arrival["request_id"].partition("-")[0]
+        versions[stream].add(context.software[arrival["endpoint"]])
+    return versions
+
+
+@then("no stream holds events of two versions")
+def check_versions(context):
+    mixed = {s: v for s, v in list_versions(context).items() if len(v) > 1}
+    assert not mixed, (len(mixed), mixed)
+
+
+@then("at least {count:d} of them were answered whole")
+def check_whole(context, count):
+    whole = context.callers.list_whole()
+    assert len(whole) >= count, (len(whole), context.callers.answers)
+
+
+@then('those that "{software}" began were answered whole, the others refused')
+def check_by_version(context, software):
+    whole = context.callers.list_whole()
+    versions = list_versions(context)
+    for stream, answer in context.callers.answers.items():
+        if software in versions[stream]:
+            assert stream in whole, (stream, answer)
+        else:
+            assert answer.status == 503, (stream, answer)
