Let a stream go on only at the software version that began it

Cause: an endpoint's version was not read, so any endpoint of the service could resume any stream, and no host knew the version of a stream that another had begun. Evidence: ten of eleven scenarios of features/platform/software_versions.feature fail before and pass now.

mangogauge.streams decides. Each host remembers which service and version began the streams that it relays, under the digest of the id that Resumes names. Where a service has one version only, an unknown stream is of that one, also after all hosts have started anew: which versions there were lately is one key of the store. Where it has several, hosts tell those of their data centre by datagrams and keep a record each in the store, under a lease, at most every 0.2 s and 200 times a second for all hosts. A stream whose version nobody knows, or has left, is refused with when to come back.

The queue for slots keeps requests that may run at one version apart, ahead of others of their priority: they neither wait behind those nor hold them up.

176 scenarios of entry, placement, sharing, queueing, fleet, quarantine and the platform's online features pass.

--- a/features/steps/pacing.py
+++ b/features/steps/pacing.py
@@ -110,7 +110,7 @@
         lambda: None,
         ignore_report,
         ignore_report,
-        ignore_report,
+        {},
     )
     context.exchange.bind(LOCAL, [0])
 
--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -20,7 +20,7 @@
     SharedSchedule,
 )
 from ..placement import EndpointHealth
-from ..quarantine import PartQuarantine, QuarantineRecord
+from ..quarantine import CrashNews, PartQuarantine, QuarantineRecord
 from ..sharing import (
     CrashLedger,
     Gossip,
@@ -32,6 +32,13 @@
     age_copies,
     sum_up,
 )
+from ..streams import (
+    OriginFinder,
+    StreamNews,
+    StreamOrigins,
+    StreamRecord,
+    VersionHistory,
+)
 from ..supervision import keep_running
 from ..telemetry import get_logger
 from ..ticks import sleep_to_tick
@@ -107,6 +114,7 @@
             settings.data_centre,
             self._measure_age,
         )
+        self._make_streams()
         self.relays = RelayDirectory(self.members, self.board)
         self._quarantine_record = QuarantineRecord(
             backends.store, self.part_quarantine, self._is_first_host, clock
@@ -155,7 +163,7 @@
             self._make_summary,
             self._take_report,
             self._take_summary,
-            self._take_crash_news,
+            {CrashNews: self._take_crash_news, StreamNews: self._take_stream_news},
         )
         self._crash_gossip = Gossip(
             self.part_quarantine.make_news,
@@ -196,6 +204,23 @@
             self.members.prefix, self.members, least_gap=MEMBERS_LEAST_GAP
         )
 
+    def _make_streams(self):
+        backends, clock = self._backends, self._clock
+        self.origins = StreamOrigins(clock)
+        history = VersionHistory(self.directory.list_endpoints, clock)
+        self._stream_record = StreamRecord(
+            backends.store,
+            backends.feed,
+            self.origins,
+            history,
+            self.claimant,
+            self._is_first_host,
+            lambda: len(self.members.list_others()) + 1,
+            self._tell_data_centre,
+            clock,
+        )
+        self.streams = OriginFinder(self.origins, history, self._stream_record)
+
     def _follow_shared(self, prefix, listener, **pace):
         """Keep a copy that is read in turn with the other hosts."""
         schedule = SharedSchedule(self._freshness, prefix, self.notify, **pace)
@@ -262,6 +287,7 @@
                 self._exchange.run,
                 self._crash_gossip.run,
                 self._quarantine_record.run,
+                self._stream_record.run,
                 self._watch_isolation,
                 self._judge_endpoints,
             ):
@@ -269,6 +295,15 @@
         if group.exception is not None:
             raise group.exception
 
+    async def _tell_data_centre(self, data):
+        """Send a message to the other hosts of this data centre."""
+        addresses = [
+            member.address
+            for member in self.members.list_others()
+            if member.data_centre == self.member.data_centre
+        ]
+        await self._exchange.send(data, addresses)
+
     def _is_first_host(self):
         """Return whether this host comes first by name of those that report."""
         others = [member.name for member in self.members.list_others()]
@@ -348,6 +383,9 @@
         if self.part_quarantine.merge(news):
             await self._crash_gossip.note_change()
 
+    async def _take_stream_news(self, news):
+        self.origins.merge(news)
+
     async def _take_news(self, report):
         """Take in what a host's report and a data centre's totals both tell."""
         self.crash_ledger.merge_counts(report.host, report.crashes)
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -199,6 +199,7 @@
             self.fleet.health,
             self.fleet.trust,
             self.crashes,
+            self.fleet.streams,
             RetryPolicy(RetryBudgets(clock)),
             clock,
             self.random,
--- a/mangogauge/entry/calls.py
+++ b/mangogauge/entry/calls.py
@@ -70,6 +70,9 @@
     resumed_id : str
         Id of the request that brought the first event of the answer that is to be
         resumed; empty if not given.
+    origin : StreamOrigin or None
+        What the endpoints have in common that may resume the answer; None until it
+        has begun.
     """
 
     request_id = field()
@@ -85,6 +88,7 @@
     priority = field(default=0)
     shared_parts = field(default=())
     resumed_id = field(default="")
+    origin = field(default=None)
 
     @property
     def repeatable(self):
--- a/mangogauge/entry/dispatch.py
+++ b/mangogauge/entry/dispatch.py
@@ -45,6 +45,8 @@
         Whether any endpoint may be running the call.
     failure : AttemptFailure or None
         Failure of the last attempt.
+    endpoint : FleetEndpoint or None
+        Endpoint of the last attempt.
     diagnoses : list of curio.Task
         Each returns whether an attempt crashed its endpoint.
     """
@@ -57,6 +59,7 @@
     possible_runs = field(default=0)
     may_be_running = field(default=False)
     failure = field(default=None)
+    endpoint = field(default=None)
     diagnoses = field(factory=list)
 
 
@@ -70,6 +73,7 @@
     health : EndpointHealth
     trust : EndpointTrust
     crashes : CrashDetector
+    streams : OriginFinder
     retry_policy : RetryPolicy
     clock : Clock
     random : random.Random
@@ -83,6 +87,7 @@
         health,
         trust,
         crashes,
+        streams,
         retry_policy,
         clock,
         random,
@@ -93,6 +98,7 @@
         self._health = health
         self._trust = trust
         self._crashes = crashes
+        self._streams = streams
         self._retry_policy = retry_policy
         self._clock = clock
         self._random = random
@@ -110,18 +116,19 @@
         """
         self._crashes.check(call)
         relay = AnswerRelay(
-            call, exchange, lambda: self._observe_first_piece(call), self._clock
+            call, exchange, lambda: self._note_first_piece(state), self._clock
         )
         state = _DispatchState(call, relay)
         try:
             async with curio.timeout_after(self._compute_time_left(call)):
+                call.origin = await self._streams.find(call)
                 await self._run_attempts(state)
         except curio.TaskTimeout:
             raise self._make_timeout_error(state) from None
 
     async def _run_attempts(self, state):
         while True:
-            service = self._choose_service(state.call.route)
+            service = self._choose_service(state.call)
             endpoint = await self._slots.acquire(state.call, service, state.excluded)
             started_at = self._clock.read_elapsed()
             observer = self._trust.begin(endpoint)
@@ -149,6 +156,7 @@
     async def _run_attempt(self, state, endpoint):
         call = state.call
         state.attempts += 1
+        state.endpoint = endpoint
         state.excluded.add(endpoint.name)
         is_resend = endpoint.name in state.contacted
         state.contacted.add(endpoint.name)
@@ -324,9 +332,12 @@
         objective = max(call.route.objective, call.route.gap_objective)
         return max(MIN_SILENCE_SECONDS, objective * SILENCE_FACTOR)
 
-    def _choose_service(self, route):
-        weights = [share.weight for share in route.shares]
-        return self._random.choices(route.shares, weights)[0].service
+    def _choose_service(self, call):
+        if call.origin is not None:
+            return call.origin.service
+        shares = call.route.shares
+        weights = [share.weight for share in shares]
+        return self._random.choices(shares, weights)[0].service
 
     def _measure_answer(self, state):
         """Return how long ago the answer of the attempt began; 0 if it did not."""
@@ -340,7 +351,9 @@
     def _compute_time_left(self, call):
         return max(0.0, call.deadline - self._clock.read_elapsed())
 
-    def _observe_first_piece(self, call):
+    def _note_first_piece(self, state):
+        call = state.call
+        self._streams.note(call, state.endpoint)
         seconds = self._clock.read_elapsed() - call.received_at
         self._metrics.first_piece.labels(call.route.name).observe(seconds)
 
--- a/mangogauge/placement/choice.py
+++ b/mangogauge/placement/choice.py
@@ -60,7 +60,7 @@
         self._data_centre = data_centre
         self._random = random
 
-    def choose(self, service, excluded=(), may_repeat=False):
+    def choose(self, service, excluded=(), may_repeat=False, software=None):
         """Return a `FleetEndpoint` with room for an online request, or None.
 
         Parameters
@@ -70,11 +70,13 @@
             Names of endpoints that were tried already.
         may_repeat : bool, optional
             Whether the request may be retried at another endpoint.
+        software : str, optional
+            The only software version at which the request may run.
         """
-        trial = self._choose_trial(service, excluded, may_repeat)
+        trial = self._choose_trial(service, excluded, may_repeat, software)
         if trial is not None:
             return trial
-        candidates = self._list_candidates(service, excluded)
+        candidates = self._list_candidates(service, excluded, software)
         if not candidates:
             return None
         unreported = self._estimate_unreported(candidates)
@@ -88,7 +90,7 @@
         sampled = self._random.sample(best_candidates, min(len(best_candidates), size))
         return min(sampled, key=self._rank).endpoint
 
-    def list_usable(self, service, excluded=(), trials=False):
+    def list_usable(self, service, excluded=(), trials=False, software=None):
         """Return the endpoints that accept requests, whatever their load.
 
         If none does, these are all healthy ones.
@@ -100,14 +102,16 @@
         trials : bool, optional
             Whether to include ejected endpoints that respond or are due for a
             trial.
+        software : str, optional
+            The only software version that is usable.
         """
-        healthy = self._list_healthy(service, excluded)
+        healthy = self._list_healthy(service, excluded, software)
         accepts = self._trust.accepts_items if trials else self._trust.accepts_requests
         return [e for e in healthy if accepts(e.name)] or healthy
 
-    def _list_candidates(self, service, excluded):
+    def _list_candidates(self, service, excluded, software):
         """Return the endpoints with room; ejected ones only if no other has room."""
-        healthy = self._list_healthy(service, excluded)
+        healthy = self._list_healthy(service, excluded, software)
         trusted = [
             e for e in healthy if self._trust.accepts_requests(e.name)
         ] or healthy
@@ -121,13 +125,14 @@
         candidates = [self._measure(endpoint) for endpoint in endpoints]
         return [candidate for candidate in candidates if candidate.has_room]
 
-    def _list_healthy(self, service, excluded):
+    def _list_healthy(self, service, excluded, software):
         available = [
             endpoint
             for endpoint in self._directory.list_endpoints()
             if endpoint.service == service
             and not self._directory.is_leaving(endpoint)
             and endpoint.name not in excluded
+            and software in (None, endpoint.software)
         ]
         healthy = [e for e in available if not self._is_unhealthy(e.name)]
         # If all seem unhealthy, this host's own network may be at fault.
@@ -137,15 +142,16 @@
         """Return whether an endpoint accepts work other than trials."""
         return self._trust.accepts_requests(endpoint.name)
 
-    def count_slots(self, service):
+    def count_slots(self, service, software=None):
         """Return the total slots of the endpoints that accept requests."""
-        return sum(endpoint.slots for endpoint in self.list_usable(service))
+        usable = self.list_usable(service, software=software)
+        return sum(endpoint.slots for endpoint in usable)
 
-    def _choose_trial(self, service, excluded, may_repeat):
+    def _choose_trial(self, service, excluded, may_repeat, software):
         """Return an endpoint for which the request is a trial, or None."""
         if not self._trust.trials:
             return None
-        for endpoint in self._list_healthy(service, excluded):
+        for endpoint in self._list_healthy(service, excluded, software):
             if self._trust.is_ready_for_trial(endpoint.name, may_repeat):
                 self._trust.begin_trial(endpoint.name)
                 return endpoint
--- a/mangogauge/placement/queue.py
+++ b/mangogauge/placement/queue.py
@@ -4,11 +4,13 @@
 that can't start within its objective is refused at once with a time to retry after,
 so that it doesn't take the slot of a request that still can. A client account that
 sends most of the requests waits behind its own requests and doesn't delay those of
-other accounts.
+other accounts. Requests that resume a stream run at endpoints of one software version
+only, and wait in a queue of their own, so that they don't delay those that can run at
+any.
 """
 
 import curio
-from attrs import define, field
+from attrs import define, field, frozen
 
 from ..queueing import FairQueue, Ticket, estimate_wait
 from ..refusals import Refusal, RefusalCode
@@ -26,6 +28,30 @@
 MAX_RETRY_SECONDS = 1.5
 
 
+@frozen(order=True)
+class _QueueKey:
+    """What the requests of one queue have in common, in the order of service.
+
+    Parameters
+    ----------
+    priority : int
+    may_begin : bool
+        Whether they may run at any version; what resumes a stream goes first.
+    software : str
+        Software version at which they may run; empty if `may_begin`.
+    """
+
+    priority = field()
+    may_begin = field()
+    software = field()
+
+    @classmethod
+    def of(cls, call):
+        """Return the key of an `OnlineCall`."""
+        software = _get_software(call)
+        return cls(call.priority, software is None, software or "")
+
+
 @define(eq=False)
 class _Waiter:
     """A waiting request, and the endpoint that is assigned to it."""
@@ -33,14 +59,14 @@
     service = field()
     excluded = field()
     may_repeat = field()
-    priority = field()
+    software = field()
     endpoint = field(default=None)
     assigned = field(factory=curio.Event)
 
     @property
     def choose_arguments(self):
         """Arguments of `EndpointChooser.choose`."""
-        return self.service, self.excluded, self.may_repeat
+        return self.service, self.excluded, self.may_repeat, self.software
 
 
 class SlotQueue:
@@ -85,10 +111,11 @@
             If no endpoint can run it, or it can't start in time.
         """
         endpoint = None
-        if not self._has_waiting_ahead(call.priority):
-            endpoint = self._try_acquire(service, excluded, _may_repeat(call))
+        waiter = _Waiter(service, excluded, _may_repeat(call), _get_software(call))
+        if not self._has_waiting_ahead(call):
+            endpoint = self._try_acquire(waiter)
         if endpoint is None:
-            endpoint = await self._wait(call, service, excluded)
+            endpoint = await self._wait(call, waiter)
         await self._notify()
         return endpoint
 
@@ -107,40 +134,53 @@
 
     async def assign_free_slots(self):
         """Assign free slots to waiting requests, by priority and fair order."""
-        for priority in sorted(self._queues):
-            queue = self._queues[priority]
-            while len(queue):
-                waiter = queue.peek().item
-                endpoint = self._try_acquire(*waiter.choose_arguments)
-                if endpoint is None:
-                    return
-                queue.take_next()
-                waiter.endpoint = endpoint
-                await waiter.assigned.set()
-
-    def _has_waiting_ahead(self, priority):
-        return any(len(q) for other, q in self._queues.items() if other <= priority)
-
-    def _try_acquire(self, service, excluded, may_repeat):
-        endpoint = self._chooser.choose(service, excluded, may_repeat)
+        for key in sorted(self._queues):
+            is_empty = await self._assign_from(self._queues[key])
+            if not is_empty and key.may_begin:
+                # No endpoint has room, of whichever version.
+                return
+
+    async def _assign_from(self, queue):
+        """Assign free slots to a queue's requests; return whether all got one."""
+        while len(queue):
+            waiter = queue.peek().item
+            endpoint = self._try_acquire(waiter)
+            if endpoint is None:
+                return False
+            queue.take_next()
+            waiter.endpoint = endpoint
+            await waiter.assigned.set()
+        return True
+
+    def _has_waiting_ahead(self, call):
+        key = _QueueKey.of(call)
+        return any(
+            len(queue)
+            for other, queue in self._queues.items()
+            if other.software == key.software and other <= key
+        )
+
+    def _try_acquire(self, waiter):
+        endpoint = self._chooser.choose(*waiter.choose_arguments)
         if endpoint is not None:
             self._report_table.begin(endpoint.name)
         return endpoint
 
-    async def _wait(self, call, service, excluded):
+    async def _wait(self, call, waiter):
         max_wait = self._compute_max_wait(call)
-        usable = self._chooser.list_usable(service, excluded)
+        usable = self._chooser.list_usable(
+            waiter.service, waiter.excluded, software=waiter.software
+        )
         if not usable:
             raise self._make_refusal(
                 RefusalCode.NO_ENDPOINT, "No endpoint can run this."
             )
-        if self._estimate_wait(call, service) > max_wait:
+        if self._estimate_wait(call, waiter) > max_wait:
             raise self._make_refusal(
                 RefusalCode.OVERLOADED, "No slot is free soon enough."
             )
-        waiter = _Waiter(service, excluded, _may_repeat(call), call.priority)
         ticket = Ticket(call.account, ACCOUNT_WEIGHT, self._hold_seconds, waiter)
-        queue = self._queues.setdefault(call.priority, FairQueue())
+        queue = self._queues.setdefault(_QueueKey.of(call), FairQueue())
         queue.add(ticket)
         self._report_table.waiting = len(self)
         await self._waiter_added.set()
@@ -168,7 +208,7 @@
         max_wait = call.route.objective * MAX_WAIT_SHARE - age
         return max(0.0, min(max_wait, left))
 
-    def _estimate_wait(self, call, service):
+    def _estimate_wait(self, call, waiter):
         """Return the estimated seconds until this request would start.
 
         Notes
@@ -178,10 +218,13 @@
         waiting.
         """
         hosts = self._report_table.count_waiting_hosts()
-        slots = max(1.0, self._chooser.count_slots(service) / hosts)
-        queue = self._queues.get(call.priority) or FairQueue()
+        all_slots = self._chooser.count_slots(waiter.service, waiter.software)
+        slots = max(1.0, all_slots / hosts)
+        queue = self._queues.get(_QueueKey.of(call)) or FairQueue()
         ahead = sum(
-            len(q) for other, q in self._queues.items() if other < call.priority
+            len(q)
+            for other, q in self._queues.items()
+            if other.priority < call.priority
         )
         own = estimate_wait(
             queue.count(call.account),
@@ -198,5 +241,10 @@
         return Refusal(code, message, retry_after=retry_after, step="queue")
 
 
+def _get_software(call):
+    """Return the only software version at which a call may run, or None."""
+    return None if call.origin is None else call.origin.software
+
+
 def _may_repeat(call):
     return call.repeatable and call.route.attempt_limit > 1
--- a/mangogauge/sharing/exchange.py
+++ b/mangogauge/sharing/exchange.py
@@ -3,7 +3,6 @@
 import curio
 from attrs import field, frozen
 
-from ..quarantine import CrashNews
 from ..supervision import keep_running
 from ..telemetry import get_logger
 from ..ticks import measure_to_tick, sleep_to_tick
@@ -57,8 +56,8 @@
         Called with each `HostReport` that is newer than the one before.
     on_summary : async callable
         Called with each `DataCentreSummary` that is newer than the one before.
-    on_crash_news : async callable
-        Called with each `CrashNews`.
+    on_news : dict of type to async callable
+        Called with each message of the type.
     """
 
     def __init__(
@@ -71,7 +70,7 @@
         make_summary,
         on_report,
         on_summary,
-        on_crash_news,
+        on_news,
     ):
         self._report_table = report_table
         self._members = members
@@ -80,7 +79,7 @@
         self._make_summary = make_summary
         self._on_report = on_report
         self._on_summary = on_summary
-        self._on_crash_news = on_crash_news
+        self._on_news = on_news
         self._socket = DatagramSocket()
         self._clock = clock
         self._pacing = ReportPacing(clock)
@@ -156,8 +155,8 @@
             if isinstance(message, HostReport):
                 await self._handle_report(message, address)
                 continue
-            if isinstance(message, CrashNews):
-                await self._on_crash_news(message)
+            if type(message) in self._on_news:
+                await self._on_news[type(message)](message)
                 continue
             if data.startswith(REBROADCAST_MARK):
                 self._pending_summaries[message.totals.data_centre] = encoded
--- a/mangogauge/sharing/messages.py
+++ b/mangogauge/sharing/messages.py
@@ -3,6 +3,7 @@
 import orjson
 
 from ..quarantine import CrashNews
+from ..streams import StreamNews
 from .reports import HostReport, ReportError
 from .summaries import DataCentreSummary
 
@@ -12,11 +13,15 @@
 # data centre. Encoded JSON never begins with it.
 REBROADCAST_MARK = b">"
 # By the first word of a message's format; the format of a report is a number.
-KINDS = {"summary": DataCentreSummary, "crashes": CrashNews}
+KINDS = {
+    "summary": DataCentreSummary,
+    "crashes": CrashNews,
+    "streams": StreamNews,
+}
 
 
 def decode(data):
-    """Return the `HostReport`, `DataCentreSummary` and `CrashNews` of a datagram.
+    """Return the reports, summaries and news of a datagram.
 
     Raises
     ------
--- /dev/null
+++ b/mangogauge/streams/record.py
@@ -0,0 +1,223 @@
+"""Origins of streams in the platform's store, and as told within a data centre.
+
+While a service has one version only, a stream's origin follows from that, and nothing
+is recorded but which versions there are. While it has several, each host tells the
+other hosts of its data centre of the streams that it begins, and keeps a record of its
+own in the store. Other hosts read the records when a caller resumes a stream that they
+haven't been told of, for example because all hosts have just started.
+"""
+
+from collections import deque
+
+import curio
+import orjson
+from returns.result import Failure
+
+from ..telemetry import get_logger
+from .news import StreamNews
+from .origins import RETENTION_SECONDS, StreamOrigin
+
+__all__ = ["RECORDS_PREFIX", "VERSIONS_KEY", "StreamRecord"]
+
+VERSIONS_KEY = "streams-versions"
+RECORDS_PREFIX = "streams/"
+# Least time between two writes of a host, for all hosts together and for each.
+FLEET_WRITE_GAP_SECONDS = 0.005
+MIN_WRITE_GAP_SECONDS = 0.2
+# Between two looks at which versions there are.
+POLL_SECONDS = 0.5
+RETRY_SECONDS = 0.5
+# Records are deleted with a lease that lives on for at least `RETENTION_SECONDS`.
+LEASE_SECONDS = 2 * RETENTION_SECONDS
+# Streams of one record, and of one datagram; the newest ones.
+MAX_RECORDED = 4_096
+MAX_TOLD = 48
+
+log = get_logger("streams")
+
+
+class StreamRecord:
+    """Writes this host's record, and reads those of all hosts.
+
+    Parameters
+    ----------
+    store : Store
+    feed : ChangeFeed
+    origins : StreamOrigins
+    history : VersionHistory
+    claimant : str
+        Name of this process.
+    is_writer : callable
+        Returns whether this host records which versions there are.
+    count_hosts : callable
+        Returns how many hosts share the store.
+    tell : async callable
+        Sends the bytes of `StreamNews` to the other hosts of the data centre.
+    clock : Clock
+    """
+
+    def __init__(
+        self,
+        store,
+        feed,
+        origins,
+        history,
+        claimant,
+        is_writer,
+        count_hosts,
+        tell,
+        clock,
+    ):
+        self._store = store
+        self._feed = feed
+        self._origins = origins
+        self._history = history
+        self._key = RECORDS_PREFIX + claimant
+        self._is_writer = is_writer
+        self._count_hosts = count_hosts
+        self._tell = tell
+        self._clock = clock
+        self._versions = None
+        self._lease = None
+        self._reading = curio.Lock()
+        self._read_at = float("-inf")
+        # Streams that this host has begun, the oldest first, and when.
+        self._begun = deque(maxlen=MAX_RECORDED)
+        self._untold = deque(maxlen=MAX_RECORDED)
+        self._is_unrecorded = False
+
+    def note_begun(self, stream, origin):
+        """Note a stream that this host relays, by the digest of its id."""
+        self._begun.append((self._clock.read_elapsed(), stream, origin))
+        self._untold.append(self._begun[-1])
+        self._is_unrecorded = True
+
+    async def run(self):
+        """Read which versions there were, then keep the records until cancelled."""
+        while not await self._read_versions():
+            await curio.sleep(RETRY_SECONDS)
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(self._keep_versions)
+            await group.spawn(self._keep_record)
+
+    async def read_newer(self):
+        """Read the records of all hosts, unless that was done since the call.
+
+        Returns
+        -------
+        bool
+            Whether they are known as of the call.
+        """
+        asked_at = self._clock.read_elapsed()
+        async with self._reading:
+            if self._read_at >= asked_at:
+                return True
+            started_at = self._clock.read_elapsed()
+            answer = await self._feed.read_snapshot(RECORDS_PREFIX)
+            if isinstance(answer, Failure):
+                _log_failure("records not read", answer)
+                return False
+            for item in answer.unwrap().items:
+                self._merge(item)
+            self._read_at = started_at
+            return True
+
+    def _merge(self, item):
+        try:
+            news = StreamNews.from_value(orjson.loads(item.value))
+        except (ValueError, TypeError) as error:
+            log.warning(
+                "record of streams is invalid",
+                extra={"key": item.key, "reason": repr(error)},
+            )
+            return
+        self._origins.merge(news)
+
+    async def _read_versions(self):
+        answer = await self._store.get(VERSIONS_KEY)
+        if isinstance(answer, Failure):
+            _log_failure("versions not read", answer)
+            return False
+        entry = answer.unwrap()
+        self._versions = [] if entry is None else _decode_versions(entry.value)
+        self._history.restore(self._versions)
+        return True
+
+    async def _keep_versions(self):
+        while True:
+            versions = self._history.list_all()
+            if versions and versions != self._versions and self._is_writer():
+                await self._write_versions(versions)
+            await curio.sleep(POLL_SECONDS)
+
+    async def _write_versions(self, versions):
+        rows = [[origin.service, origin.software] for origin in versions]
+        answer = await self._store.put(VERSIONS_KEY, orjson.dumps(rows))
+        if isinstance(answer, Failure):
+            _log_failure("versions not written", answer)
+            return
+        self._versions = versions
+        log.info("versions written", extra={"versions": rows})
+
+    async def _keep_record(self):
+        while True:
+            gap = max(
+                MIN_WRITE_GAP_SECONDS, FLEET_WRITE_GAP_SECONDS * self._count_hosts()
+            )
+            await curio.sleep(gap)
+            if not self._history.is_mixed:
+                continue
+            if self._untold:
+                await self._tell_peers()
+            if self._is_unrecorded:
+                await self._write()
+
+    async def _tell_peers(self):
+        rows = self._list_recent(self._untold)
+        self._untold.clear()
+        for start in range(0, len(rows), MAX_TOLD):
+            news = StreamNews.collect(rows[start : start + MAX_TOLD])
+            await self._tell(news.to_bytes())
+
+    async def _write(self):
+        self._is_unrecorded = False
+        news = StreamNews.collect(self._list_recent(self._begun))
+        answer = await self._put(news.to_bytes())
+        if isinstance(answer, Failure):
+            self._is_unrecorded = True
+            self._lease = None
+            _log_failure("streams not recorded", answer)
+
+    def _list_recent(self, begun):
+        """Return pairs of a stream and its origin, without those that are too old."""
+        oldest = self._clock.read_elapsed() - RETENTION_SECONDS
+        while begun and begun[0][0] < oldest:
+            begun.popleft()
+        return [(stream, origin) for _, stream, origin in begun]
+
+    async def _put(self, value):
+        if not self._has_lease():
+            granted = await self._store.grant_lease(LEASE_SECONDS)
+            if isinstance(granted, Failure):
+                return granted
+            self._lease = granted.unwrap()
+        return await self._store.put(self._key, value, self._lease.lease_id)
+
+    def _has_lease(self):
+        """Return whether the lease lives as long as what is written now is needed."""
+        if self._lease is None:
+            return False
+        needed_until = self._clock.read_elapsed() + RETENTION_SECONDS
+        return self._lease.valid_until >= needed_until
+
+
+def _decode_versions(data):
+    try:
+        return [StreamOrigin(str(s), str(v)) for s, v in orjson.loads(data)]
+    except (ValueError, TypeError) as error:
+        log.warning("versions are invalid", extra={"reason": repr(error)})
+        return []
+
+
+def _log_failure(message, answer):
+    log.warning(message, extra={"reason": str(answer.failure())})
