Resume items of batch jobs at the software version that began them only

An item was resumed after its last event at whichever endpoint had a free slot, also by the runner that claimed its job from another.

An item knows the service and version that began it, and runs there only; it starts anew where no usable endpoint has it.

--- a/features/jobs/checkpoints.feature
+++ b/features/jobs/checkpoints.feature
@@ -16,6 +16,24 @@
     And the second host has 4 events of item 1
     And the second host runs item 0 from the start
 
+  Scenario: The next host knows at which software version an item may be resumed
+    When item 1 receives 4 events of "v2" at the first host
+    And the first host writes a checkpoint
+    And its lease lapses, and the second host claims "j1"
+    Then the second host resumes item 1 after event 4
+    And the second host may resume item 1 at version "v2" only
+
+  Scenario: Progress that a host without versions has written is still read
+    When item 1 receives 4 events at the first host
+    And the first host writes a checkpoint as older hosts do
+    And its lease lapses, and the second host claims "j1"
+    Then the second host resumes item 1 after event 4
+
+  Scenario: An older host passes over the versions
+    When item 1 receives 4 events of "v2" at the first host
+    And the first host writes a checkpoint
+    Then each row of the progress of "j1" has three values, and the last row's id is empty
+
   Scenario: A host that lost its claim doesn't overwrite the progress of the next one
     When item 1 receives 4 events at the first host
     And its lease lapses, and the second host claims "j1"
--- a/features/platform/software_versions.feature
+++ b/features/platform/software_versions.feature
@@ -79,3 +79,24 @@
     When 8 streams begin at "h1" and break off
     And they are taken up at "h2", without saying which
     Then no stream holds events of two versions
+
+  Scenario: An item goes on at the version that began it, or starts anew
+    Given the platform with 0 endpoints, and the hosts "h1"
+    And the runners "r1"
+    And 2 endpoints of the version "v1" and 2 of "v2"
+    And the endpoints answer "cut" to the next 48 requests
+    When "desk" submits the job "j1" of 16 items to "h1"
+    Then all 16 results of "j1" can be read whole at "h1" and "h1"
+    And no item went on at another version
+
+  Scenario: An item whose version has left starts anew at another runner
+    Given the platform with 0 endpoints, and the hosts "h1"
+    And the runners "r1, r2"
+    And 2 endpoints of the version "v1" and 0 of "v2"
+    And the endpoints take 0.3 s for an event
+    When "desk" submits the job "j1" of 4 items to "h1"
+    And progress of "j1" is recorded
+    And 2 endpoints of "v2" come, and those of "v1" leave
+    And the runner that has "j1" is killed
+    Then all 4 results of "j1" can be read whole at "h1" and "h1"
+    And no item went on at another version
--- a/features/steps/filling.py
+++ b/features/steps/filling.py
@@ -123,6 +123,7 @@
         context.items,
         BatchRoom(context.report_table, clock),
         context.chooser,
+        None,
         context.report_table,
         skip_notification,
         clock,
--- a/features/steps/jobs_checkpoints.py
+++ b/features/steps/jobs_checkpoints.py
@@ -2,6 +2,7 @@
 
 from types import SimpleNamespace
 
+import orjson
 from behave import given, then, when
 
 from features.steps.jobs import run, submit_job
@@ -11,6 +12,7 @@
 from mangogauge.jobs.progress import ProgressWriter
 from mangogauge.jobs.records import ItemProgress
 from mangogauge.store import Condition, Operation, Transaction
+from mangogauge.streams import StreamOrigin
 
 
 def find_item(context, name, number):
@@ -42,6 +44,38 @@
     receive(find_item(context, name, number), count)
 
 
+@when('item {number:d} receives {count:d} events of "{software}" at the {name} host')
+def receive_events_of_version(context, number, count, software, name):
+    item = find_item(context, name, number)
+    item.origin = StreamOrigin("llm", software)
+    receive(item, count)
+
+
+@when("the first host writes a checkpoint as older hosts do")
+def checkpoint_as_older(context):
+    write_checkpoint(context, "first")
+    key = make_progress_key(context.hosts["first"].job.job_id)
+    rows = orjson.loads(run(context.store.get, key).unwrap().value)
+    run(context.store.put, key, orjson.dumps(rows[:-1]))
+
+
+@then('the second host may resume item {number:d} at version "{software}" only')
+def check_origin(context, number, software):
+    origin = find_item(context, "second", number).origin
+    assert origin == StreamOrigin("llm", software), origin
+
+
+@then(
+    'each row of the progress of "{job_id}" has three values, '
+    "and the last row's id is empty"
+)
+def check_rows(context, job_id):
+    found = run(context.store.get, make_progress_key(job_id)).unwrap()
+    rows = orjson.loads(found.value)
+    assert {len(row) for row in rows} == {3}, rows
+    assert [row[0] for row in rows] == [f"{job_id}-1", ""], rows
+
+
 @when("each item receives an event of {size} bytes at the first host")
 def receive_large_events(context, size):
     data = b"x" * int(size.replace(",", ""))
--- a/features/steps/jobs_claiming.py
+++ b/features/steps/jobs_claiming.py
@@ -42,7 +42,7 @@
     own = FleetMember("first", "1", runs_batch=True)
     members = MemberDirectory(own, context.clock)
     state = FleetState(None, members, None)
-    parts = [None] * 5
+    parts = [None] * 6
     return JobRunner(
         "first", state, job_directory, None, claims, *parts, context.clock, None
     )
--- a/features/steps/platform_software.py
+++ b/features/steps/platform_software.py
@@ -7,6 +7,7 @@
 
 from features.builders.platform.takeups import StreamCallers
 from features.builders.processes import wait_until
+from mangogauge.jobs.keys import make_progress_key
 
 # Longer than hosts take to tell each other, and to record, which streams they began.
 TOLD_SECONDS = 1.0
@@ -150,3 +151,22 @@
             assert stream in whole, (stream, answer)
         else:
             assert answer.status == 503, (stream, answer)
+
+
+@when('progress of "{job_id}" is recorded')
+def wait_for_progress(context, job_id):
+    key = make_progress_key(job_id)
+    wait_until(lambda: key in context.deployment.read_store(), key)
+
+
+@then("no item went on at another version")
+def check_items(context):
+    arrivals = sorted(context.deployment.list_arrivals(), key=lambda row: row["at"])
+    began_at = {}
+    for arrival in arrivals:
+        item, software = arrival["request_id"], context.software[arrival["endpoint"]]
+        if arrival["last_event"] is None:
+            began_at[item] = software
+        assert began_at[item] == software, [
+            r for r in arrivals if r["request_id"] == item
+        ]
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -177,6 +177,7 @@
             ),
             BatchRoom(self.fleet.board, clock, self.fleet.trust.get_slowdown),
             self.chooser,
+            self.fleet.streams,
             self.fleet.board,
             self.fleet.notify,
             clock,
--- a/mangogauge/jobs/dispatch.py
+++ b/mangogauge/jobs/dispatch.py
@@ -1,5 +1,8 @@
 """Dispatch items to endpoints, and preempt them for online requests."""
 
+from attrs import field, frozen
+
+from ..streams import StreamOrigin
 from ..telemetry import get_logger
 from .estimates import SlotShare
 from .scheduling import find_timely, order_items
@@ -12,6 +15,22 @@
 log = get_logger("jobs")
 
 
+@frozen
+class _Places:
+    """Endpoints of some services that items may run at.
+
+    Parameters
+    ----------
+    free : list of FleetEndpoint
+        Those with free slots, most free slots last.
+    origins : set of StreamOrigin
+        Origins of all that are usable.
+    """
+
+    free = field()
+    origins = field()
+
+
 class ItemDispatcher:
     """Chooses which items run at which endpoints.
 
@@ -22,6 +41,7 @@
     item_runner : ItemRunner
     room : BatchRoom
     chooser : EndpointChooser
+    streams : OriginFinder
     report_table : ReportTable
     tasks : ItemTasks
     clock : Clock
@@ -34,6 +54,7 @@
         item_runner,
         room,
         chooser,
+        streams,
         report_table,
         tasks,
         clock,
@@ -43,6 +64,7 @@
         self._item_runner = item_runner
         self._room = room
         self._chooser = chooser
+        self._streams = streams
         self._report_table = report_table
         self._tasks = tasks
         self._clock = clock
@@ -102,7 +124,7 @@
         may_start = [job for job in jobs if self._cancellation.may_start(job)]
         ready = [item for job in may_start for item in job.list_ready(now)]
         all_services = self._state.routes.batch_services
-        free = {}
+        places = {}
         for item in order_items(ready, self._timely, self._tasks.pace):
             route = self._find_route(item)
             if route is None:
@@ -113,12 +135,15 @@
                 self._item_runner.give_up(item, "time limit passed")
                 continue
             services = route.services
-            if services not in free:
-                free[services] = self._list_free_endpoints(services)
-            endpoint = self._take_endpoint(item, free[services])
+            if services not in places:
+                places[services] = self._find_places(services)
+            self._check_origin(item, services, places[services])
+            endpoint = self._take_endpoint(item, places[services].free)
             if endpoint is not None:
                 await self._tasks.start(item, route, endpoint)
-            elif not any(free.values()) and free.keys() >= all_services:
+            elif places.keys() >= all_services and not any(
+                place.free for place in places.values()
+            ):
                 break
 
     def _update_timely(self, jobs, calendar):
@@ -133,12 +158,14 @@
     def _take_endpoint(self, item, free):
         """Remove and return the endpoint with the most free slots, or None.
 
-        An item that has failed before gets a trusted endpoint only.
+        An item that has failed before gets a trusted endpoint only, and one that has
+        begun an endpoint that may resume it.
         """
         suitable = [
             number
             for number, endpoint in enumerate(free)
-            if not item.failures or self._chooser.is_trusted(endpoint)
+            if (not item.failures or self._chooser.is_trusted(endpoint))
+            and item.origin in (None, StreamOrigin.of(endpoint))
         ]
         return free.pop(suitable[-1]) if suitable else None
 
@@ -156,8 +183,28 @@
         confirmed_at = self._clock.read_elapsed() - self._state.measure_age()
         return confirmed_at >= moment
 
-    def _list_free_endpoints(self, services):
-        """Return the endpoints with free slots for items, most free slots last.
+    def _check_origin(self, item, services, places):
+        """Let an item start anew that no usable endpoint may resume."""
+        if item.last_event is None or not places.origins:
+            return
+        if item.origin is None:
+            item.origin = self._streams.find_only(services)
+        if item.origin in places.origins:
+            return
+        log.info(
+            "item starts anew",
+            extra={
+                "request_id": item.item.item_id,
+                "job": item.job.job_id,
+                "events": len(item.event_texts),
+                "software": item.origin.software if item.origin else "",
+                "usable": sorted(origin.software for origin in places.origins),
+            },
+        )
+        item.discard_events()
+
+    def _find_places(self, services):
+        """Return the `_Places` of some services.
 
         Notes
         -----
@@ -169,5 +216,6 @@
             for service in services
             for endpoint in self._chooser.list_usable(service, trials=True)
         ]
-        free = [(self._room.count_free_slots(e), e.name, e) for e in usable]
-        return [row[2] for row in sorted(row for row in free if row[0] > 0)]
+        rows = [(self._room.count_free_slots(e), e.name, e) for e in usable]
+        free = [row[2] for row in sorted(row for row in rows if row[0] > 0)]
+        return _Places(free, {StreamOrigin.of(endpoint) for endpoint in usable})
--- a/mangogauge/jobs/item_runner.py
+++ b/mangogauge/jobs/item_runner.py
@@ -3,6 +3,7 @@
 from ..entry import AnswerKind, AttemptFailure, EventStream, OnlineCall
 from ..http import Headers, HTTPError, HTTPReceiveError
 from ..routing import Progress
+from ..streams import StreamOrigin
 from ..telemetry import get_logger
 from .backoff import compute_backoff
 from .records import ItemState
@@ -118,6 +119,8 @@
         is_retry = endpoint.name in item.tried_endpoints
         item.tried_endpoints.add(endpoint.name)
         item.answer_begun_at = None
+        if item.last_event is None:
+            item.origin = StreamOrigin.of(endpoint)
         response = await self._endpoint_client.send(
             call, endpoint, item.last_event, IDLE_TIMEOUT_SECONDS, is_retry
         )
--- a/mangogauge/jobs/owned.py
+++ b/mangogauge/jobs/owned.py
@@ -38,6 +38,9 @@
         Endpoints to which the item was sent.
     last_event : int or None
         Number of the last event received.
+    origin : StreamOrigin or None
+        What the endpoints have in common that may resume the item; None if it has no
+        events, or if that is unknown.
     failures : int
         Number of runs that an endpoint answered with a failure.
     stored_failures : int
@@ -67,6 +70,7 @@
     size = field(default=0)
     tried_endpoints = field(factory=set)
     last_event = field(default=None)
+    origin = field(default=None)
     failures = field(default=0)
     stored_failures = field(default=0)
     stored_events = field(default=0)
@@ -108,6 +112,7 @@
         self.event_texts = list(progress.event_texts)
         self.size = sum(len(text.encode()) for text in self.event_texts)
         self.last_event = progress.last_event
+        self.origin = progress.origin
         self.stored_events = progress.count
 
     def discard_events(self):
@@ -115,6 +120,7 @@
         self.event_texts.clear()
         self.size = 0
         self.last_event = None
+        self.origin = None
         self.stored_events = 0
 
     def record_interruption(self, now):
@@ -133,7 +139,9 @@
 
     def make_progress(self):
         """Return the `ItemProgress` of the item."""
-        return ItemProgress(self.item.item_id, self.last_event, tuple(self.event_texts))
+        return ItemProgress(
+            self.item.item_id, self.last_event, self.event_texts, self.origin
+        )
 
     def make_result(self, state):
         """Return the `ItemResult` of the item in a final `ItemState`."""
--- a/mangogauge/jobs/records.py
+++ b/mangogauge/jobs/records.py
@@ -5,6 +5,8 @@
 import orjson
 from attrs import asdict, field, frozen
 
+from ..streams import StreamOrigin
+
 __all__ = [
     "ItemProgress",
     "ItemResult",
@@ -16,6 +18,9 @@
     "SubmittedItem",
 ]
 
+# In place of an item's id in a group of progress, before the origins of all items.
+ORIGINS_ROW_ID = ""
+
 
 class ItemState(enum.Enum):
     """How an item ended."""
@@ -197,11 +202,14 @@
         Number of the last of these events.
     event_texts : tuple of str
         Data of the events, in order.
+    origin : StreamOrigin or None
+        What the endpoints have in common that may resume the item; None if unknown.
     """
 
     item_id = field()
     last_event = field()
     event_texts = field(converter=tuple)
+    origin = field(default=None)
 
     @property
     def count(self):
@@ -211,11 +219,32 @@
     @staticmethod
     def decode_group(data):
         """Decode what `encode_group` returned."""
-        return [ItemProgress(*row) for row in orjson.loads(data)]
+        rows = orjson.loads(data)
+        origins = {}
+        if rows and rows[-1][0] == ORIGINS_ROW_ID:
+            origins = dict(rows.pop()[2])
+        return [
+            ItemProgress(*row, origin=_decode_origin(origins.get(row[0])))
+            for row in rows
+        ]
 
     @staticmethod
     def encode_group(progress):
-        """Encode the progress of a job's items."""
-        return orjson.dumps(
-            [[p.item_id, p.last_event, p.event_texts] for p in progress]
-        )
+        """Encode the progress of a job's items.
+
+        Notes
+        -----
+        Origins are in a last row that looks like an item's, since older hosts read
+        rows of three values and pass over items that they don't know.
+        """
+        rows = [[p.item_id, p.last_event, p.event_texts] for p in progress]
+        origins = [
+            [p.item_id, [p.origin.service, p.origin.software]]
+            for p in progress
+            if p.origin is not None
+        ]
+        return orjson.dumps([*rows, [ORIGINS_ROW_ID, 0, origins]])
+
+
+def _decode_origin(pair):
+    return None if pair is None else StreamOrigin(*pair)
--- a/mangogauge/jobs/runner.py
+++ b/mangogauge/jobs/runner.py
@@ -38,6 +38,7 @@
     item_runner : ItemRunner
     room : BatchRoom
     chooser : EndpointChooser
+    streams : OriginFinder
     report_table : ReportTable
     notify : async callable
         Called after this host's own load has changed.
@@ -62,6 +63,7 @@
         item_runner,
         room,
         chooser,
+        streams,
         report_table,
         notify,
         clock,
@@ -83,6 +85,7 @@
             item_runner,
             room,
             chooser,
+            streams,
             report_table,
             self.tasks,
             clock,
