Use no endpoint whose entry has an odd address, zone, start or number of slots

Each field of an entry is checked for its type and range, and an address must be an IP number and a port from 1 to 65535. Where a connection can't even be tried, that is HTTPConnectError like any other, so that nothing was sent. Odd entries among hosts and jobs fail still and are listed; those among records of streams pass.

--- a/mangogauge/http/client.py
+++ b/mangogauge/http/client.py
@@ -32,6 +32,8 @@
 DEFAULT_CONNECT_TIMEOUT = 2.0
 # Ids that one connection remembers; a copy of an older answer came long before.
 REQUEST_IDS_PER_CONNECTION = 256
+# What the system raises for a host or port that can't be one.
+ADDRESS_ERRORS = (ValueError, OverflowError, TypeError)
 # Fields that say where a body ends.
 FRAMING_FIELDS = ("content-length", "transfer-encoding")
 
@@ -154,7 +156,7 @@
         try:
             async with curio.timeout_after(timeout):
                 sock = await _connect(host, int(port), tls)
-        except (OSError, curio.TaskTimeout) as error:
+        except (OSError, curio.TaskTimeout, *ADDRESS_ERRORS) as error:
             raise HTTPConnectError(
                 f"No connection: {error!r}.", step="connect", peer=address
             ) from error
--- a/mangogauge/platform/source.py
+++ b/mangogauge/platform/source.py
@@ -2,6 +2,7 @@
 
 import orjson
 
+from ..addresses import parse_address
 from ..fleet import (
     Account,
     Configuration,
@@ -21,6 +22,9 @@
 CONFIGURATION_KEY = "op/config"
 RETIREMENT_PREFIX = "op/retire/"
 RETIREMENT_REPORT_PREFIX = "status/retire/"
+# More than any endpoint has; an entry with more is a mistake.
+MAX_SLOTS = 65_536
+MAX_START_TIME_MS = 2**53
 LEAVING_STATES = {"ready": False, "draining": True}
 SEMANTICS_BY_KIND = {
     "safe": RequestSemantics.REPEATABLE,
@@ -128,28 +132,26 @@
 
 
 def _read_endpoint(name, value):
-    address, slots = value["address"], value["slots"]
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdecimal():
-        raise ValueError(f"{address!r} is no address")
-    if type(slots) is not int or slots < 1:
-        raise ValueError(f"{slots!r} is no number of slots")
-    if type(value["service"]) is not str:
-        raise ValueError(f"{value['service']!r} is no service")
+    parse_address(value["address"])
     return FleetEndpoint(
         name=name,
-        service=value["service"],
-        address=address,
-        data_centre=value.get("zone", ""),
-        slots=slots,
+        service=_read_text(value["service"], "service"),
+        address=value["address"],
+        data_centre=_read_text(value.get("zone", ""), "zone"),
+        slots=_read_number(value["slots"], "slots", 1, MAX_SLOTS),
         leaving=LEAVING_STATES[value["state"]],
-        start_time_ms=value.get("born", 0),
-        software=_read_software(value),
+        start_time_ms=_read_number(value.get("born", 0), "born", 0, MAX_START_TIME_MS),
+        software=_read_text(value.get("version", ""), "version"),
     )
 
 
-def _read_software(value):
-    software = value.get("version", "")
-    if type(software) not in (str, int):
-        raise ValueError(f"{software!r} is no version of software")
-    return str(software)
+def _read_text(value, name):
+    if type(value) is not str:
+        raise ValueError(f"{name} must be a text")
+    return value
+
+
+def _read_number(value, name, least, most):
+    if type(value) is not int or not least <= value <= most:
+        raise ValueError(f"{name} must be a whole number from {least} to {most}")
+    return value
