Pass over a host's entry that is no host's

Fields are checked for their type, and the name for the key that it stands under, so that an entry can't pass for another host's.

--- a/mangogauge/fleet/members.py
+++ b/mangogauge/fleet/members.py
@@ -3,6 +3,7 @@
 import curio
 import orjson
 from attrs import asdict, field, frozen
+from attrs.validators import instance_of
 from returns.result import Failure
 
 from ..store import Lease, Operation, StoreRefusedError, Transaction
@@ -38,12 +39,12 @@
     runs_batch : bool
     """
 
-    name = field()
-    incarnation = field()
-    data_centre = field(default="")
-    address = field(default="")
-    serves_callers = field(default=True)
-    runs_batch = field(default=False)
+    name = field(validator=instance_of(str))
+    incarnation = field(validator=instance_of(str))
+    data_centre = field(default="", validator=instance_of(str))
+    address = field(default="", validator=instance_of(str))
+    serves_callers = field(default=True, validator=instance_of(bool))
+    runs_batch = field(default=False, validator=instance_of(bool))
 
     @property
     def key(self):
@@ -62,6 +63,7 @@
         try:
             return cls(**orjson.loads(data))
         except TypeError as error:
+            # Not a map, other fields, or a field of another type.
             raise ValueError(str(error)) from error
 
     def to_bytes(self):
@@ -162,13 +164,16 @@
 def _decode(item):
     """Return the `FleetMember` of an item, or None if it is invalid."""
     try:
-        return FleetMember.from_bytes(item.value)
+        member = FleetMember.from_bytes(item.value)
+        if member.key != item.key:
+            raise ValueError(f"it is the entry of {member.name!r}")
     except ValueError as error:
         log.warning(
             "host's entry can't be read",
             extra={"key": item.key, "reason": str(error)},
         )
         return None
+    return member
 
 
 class Registration:
--- a/mangogauge/sharing/datagrams.py
+++ b/mangogauge/sharing/datagrams.py
@@ -78,7 +78,7 @@
         for address in addresses:
             try:
                 await self._sock.sendto(data, self._parse_address(address))
-            except (OSError, ValueError) as error:
+            except (OSError, ValueError, OverflowError, TypeError) as error:
                 log.debug(
                     "datagram not sent", extra={"peer": address, "reason": repr(error)}
                 )
