Pass over a job's entry that is no job's

One odd entry among the open jobs' (no JSON, a list, a due date that is a text) ended the task that follows them at each read: no runner claimed any job any more, and no item of any client account ran.

--- a/mangogauge/jobs/directory.py
+++ b/mangogauge/jobs/directory.py
@@ -10,6 +10,8 @@
 __all__ = ["JobDirectory", "JobEntry"]
 
 LAPSE_GRACE_SECONDS = 1.2
+# What decodes a job's entries, by their kind.
+KINDS = {OPEN: OpenJob.from_bytes, CLAIM: bytes.decode, CANCELLED: lambda value: True}
 
 log = get_logger("work")
 
@@ -116,18 +118,31 @@
         self._grace_until = self._clock.read_elapsed() + LAPSE_GRACE_SECONDS
 
     def _put(self, item):
+        try:
+            self._put_valid(item)
+        except ValueError as error:
+            log.warning(
+                "job's entry can't be read",
+                extra={"key": item.key, "reason": str(error)},
+            )
+
+    def _put_valid(self, item):
+        """Apply an entry, or raise `ValueError` if it is none of a job."""
         job_id, kind = split_work_key(item.key)
+        if kind not in KINDS:
+            raise ValueError("it is of no known kind")
+        value = KINDS[kind](item.value)
+        if kind == OPEN and value.job_id != job_id:
+            raise ValueError(f"it is the entry of {value.job_id!r}")
         now = self._clock.read_elapsed()
         entry = self._entries.setdefault(job_id, JobEntry(now))
         if kind == OPEN:
-            entry.open_job = OpenJob.from_bytes(item.value)
+            entry.open_job = value
             entry.open_revision = item.mod_revision
         elif kind == CLAIM:
-            entry.claimant = item.value.decode()
-        elif kind == CANCELLED:
-            entry.cancelled = True
+            entry.claimant = value
         else:
-            log.warning("entry of unknown kind", extra={"key": item.key})
+            entry.cancelled = value
 
     def _remove(self, key):
         job_id, kind = split_work_key(key)
--- a/mangogauge/jobs/records.py
+++ b/mangogauge/jobs/records.py
@@ -4,6 +4,7 @@
 
 import orjson
 from attrs import asdict, field, frozen
+from attrs.validators import instance_of
 
 from ..streams import StreamOrigin
 
@@ -149,15 +150,25 @@
         Number of items.
     """
 
-    job_id = field()
-    account = field()
-    due_at = field()
-    items = field()
+    job_id = field(validator=instance_of(str))
+    account = field(validator=instance_of(str))
+    due_at = field(validator=instance_of((int, float)))
+    items = field(validator=instance_of(int))
 
     @classmethod
     def from_bytes(cls, data):
-        """Decode what `to_bytes` returned."""
-        return cls(**orjson.loads(data))
+        """Decode what `to_bytes` returned.
+
+        Raises
+        ------
+        ValueError
+            If it is anything else.
+        """
+        try:
+            return cls(**orjson.loads(data))
+        except TypeError as error:
+            # Not a map, other fields, or a field of another type.
+            raise ValueError(str(error)) from error
 
     def to_bytes(self):
         """Encode for the store."""
