Refuse a request that may still run when a host that stops cuts it off

It can happen here: new connections are taken for 0.35 of the time to stop, a fresh one a second longer, and what runs is cut at 0.9 of it; with 8 s and a time-out of 5 s a request taken after 2.2 s may be cut, with a longer time-out any.

A host that stops now compares the time that a request may take, by its route and its caller, with what is left until the cut. One that doesn't fit is refused at once as not run, before it counts against its client account's rate, and may be sent to another host at once.

--- a/features/builders/platform/deployment.py
+++ b/features/builders/platform/deployment.py
@@ -185,7 +185,7 @@
         }
         self.put("op/config", value)
 
-    def start_host(self, name, role="entry", ready=True, store=""):
+    def start_host(self, name, role="entry", ready=True, store="", stop_seconds=4):
         """Start a host from its build's own template."""
         ports = [self.world.take_port() for _ in range(4)]
         values = {
@@ -196,7 +196,7 @@
             "listen.ready": f"{self.address}:{ports[1]}",
             "port_range.0": str(ports[2]),
             "port_range.1": str(ports[2]),
-            "bounds.grace_s": "4",
+            "bounds.grace_s": str(stop_seconds),
             "bounds.status_s": "120",
             "provider.address": store or self.store_address,
             "provider.value_bytes": "1048576",
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -81,6 +81,8 @@
         self.random = random.Random()
         self.metrics = backends.metrics
         self.draining = False
+        # Elapsed time at which what still runs is cut off.
+        self._cut_at = float("inf")
         self._drain_asked = curio.Event()
         self.fleet = FleetView(
             settings,
@@ -214,6 +216,7 @@
             self.dispatcher,
             self.jobs,
             self.fleet.notify,
+            self._measure_serving_time,
             clock,
             self.metrics,
         )
@@ -283,15 +286,21 @@
     async def start_drain(self):
         """Begin to end without cutting off any request."""
         self.draining = True
+        drain_seconds = self.settings.drain_seconds * DRAIN_SHARE
+        self._cut_at = self.clock.read_elapsed() + drain_seconds
         await self._drain_asked.set()
 
+    def _measure_serving_time(self):
+        """Return the seconds until what still runs is cut off; infinity if it isn't."""
+        return self._cut_at - self.clock.read_elapsed()
+
     async def _drain(self):
         await self._drain_asked.wait()
         log.info("draining", extra={"step": "drain"})
         if self.runner is not None:
             await self.runner.stop()
         if self.settings.serves_callers:
-            async with curio.ignore_after(self.settings.drain_seconds * DRAIN_SHARE):
+            async with curio.ignore_after(self._measure_serving_time()):
                 await self._drain_callers()
         await self.fleet.registration.leave()
         log.info("drained", extra={"step": "drain"})
--- a/mangogauge/entry/handler.py
+++ b/mangogauge/entry/handler.py
@@ -16,6 +16,8 @@
     413: RefusalCode.TOO_LARGE,
 }
 STARTING_RETRY_SECONDS = 0.5
+# Another host takes the request; the caller need not wait.
+STOPPING_RETRY_SECONDS = 0.05
 
 log = get_logger("front")
 
@@ -44,6 +46,9 @@
     jobs : JobRequestHandler
     notify : async callable
         Called after an admission, so that it is reported to the other hosts.
+    measure_serving_time : callable
+        Returns the seconds until this host cuts off what still runs; infinity unless
+        it is about to stop.
     clock : Clock
     metrics : ServingMetrics
     """
@@ -57,6 +62,7 @@
         dispatcher,
         jobs,
         notify,
+        measure_serving_time,
         clock,
         metrics,
     ):
@@ -67,6 +73,7 @@
         self._dispatcher = dispatcher
         self._jobs = jobs
         self._notify = notify
+        self._measure_serving_time = measure_serving_time
         self._clock = clock
         self._metrics = metrics
 
@@ -134,11 +141,12 @@
         await self._run(exchange, request, route, account, started_at)
 
     async def _run(self, exchange, request, route, account, started_at):
-        if account is not None:
-            await self._admit(account)
         timeout = route.timeout
         if request.timeout is not None:
             timeout = min(timeout, request.timeout)
+        self._check_serving_time(timeout)
+        if account is not None:
+            await self._admit(account)
         body = await self._read_body(exchange, started_at + timeout)
         call = OnlineCall(
             request.request_id,
@@ -193,6 +201,16 @@
         record.account = account.name
         return account
 
+    def _check_serving_time(self, timeout):
+        """Refuse a request that may still run when this host stops."""
+        if timeout > self._measure_serving_time():
+            raise Refusal(
+                RefusalCode.SHUTTING_DOWN,
+                "The host stops before the request might end.",
+                retry_after=STOPPING_RETRY_SECONDS,
+                step="stop",
+            )
+
     async def _admit(self, account):
         admission = self._quota.admit(account, self._state.compute_quota_share())
         if not admission.admitted:
