Tell streams of a route with several services apart, and bound reads of records

Streams are recorded while the services of some route may have begun them at several origins, and all hosts together read at most 500 times a second.

--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -213,6 +213,7 @@
             backends.feed,
             self.origins,
             history,
+            self.state.list_resumable_services,
             self.claimant,
             self._is_first_host,
             lambda: len(self.members.list_others()) + 1,
--- a/mangogauge/fleet/state.py
+++ b/mangogauge/fleet/state.py
@@ -57,6 +57,11 @@
         self.routes = PrefixRoutes(configuration)
         return True
 
+    def list_resumable_services(self):
+        """Return the services of each route whose streams may be resumed."""
+        routes = self.routes.configuration.routes if self.routes else ()
+        return {route.services for route in routes if route.resumable}
+
     def compute_quota_share(self):
         """Return the share of each rate limit that the reporting hosts may use.
 
--- a/mangogauge/streams/finder.py
+++ b/mangogauge/streams/finder.py
@@ -54,7 +54,7 @@
         if origin is None:
             origin, source = self.find_only(call.route.services), "only version"
         if origin is None and call.resumed_id:
-            origin, source = await self._look_up(stream), "record"
+            origin, source = await self._look_up(call, stream), "record"
         self._log(call, origin, source)
         if origin is None:
             raise _refuse("It isn't known which software version began this stream.")
@@ -78,10 +78,11 @@
         is_certain = self._history.complete and len(possible) == 1
         return possible[0] if is_certain else None
 
-    async def _look_up(self, stream):
+    async def _look_up(self, call, stream):
         async with curio.ignore_after(LOOKUP_SECONDS):
             await self._record.read_newer()
-        return self._origins.find(stream)
+        # Which versions there are may have become known meanwhile.
+        return self._origins.find(stream) or self.find_only(call.route.services)
 
     def _log(self, call, origin, source):
         log.info(
--- a/mangogauge/streams/history.py
+++ b/mangogauge/streams/history.py
@@ -35,11 +35,9 @@
         self._seen_at = {}
         self.complete = False
 
-    @property
-    def is_mixed(self):
-        """Whether some service has, or had lately, several versions."""
-        services = [origin.service for origin in self.list_all()]
-        return len(services) != len(set(services))
+    def is_mixed(self, services):
+        """Return whether streams of some services may have different origins."""
+        return len(self.list_origins(services)) > 1
 
     def list_all(self):
         """Return the origins of all services, in order."""
--- a/mangogauge/streams/record.py
+++ b/mangogauge/streams/record.py
@@ -1,10 +1,11 @@
 """Origins of streams in the platform's store, and as told within a data centre.
 
-While a service has one version only, a stream's origin follows from that, and nothing
-is recorded but which versions there are. While it has several, each host tells the
-other hosts of its data centre of the streams that it begins, and keeps a record of its
-own in the store. Other hosts read the records when a caller resumes a stream that they
-haven't been told of, for example because all hosts have just started.
+While the services of a route have one version only, a stream's origin follows from
+that, and nothing is recorded but which versions there are. While they have several,
+each host tells the other hosts of its data centre of the streams that it begins, and
+keeps a record of its own in the store. Other hosts read the records when a caller
+resumes a stream that they haven't been told of, for example because all hosts have just
+started.
 """
 
 from collections import deque
@@ -21,9 +22,11 @@
 
 VERSIONS_KEY = "streams-versions"
 RECORDS_PREFIX = "streams/"
-# Least time between two writes of a host, for all hosts together and for each.
+# Least time between two writes of all hosts together, and of one host.
 FLEET_WRITE_GAP_SECONDS = 0.005
 MIN_WRITE_GAP_SECONDS = 0.2
+# Least time between two reads of all hosts together.
+FLEET_READ_GAP_SECONDS = 0.002
 # Between two looks at which versions there are.
 POLL_SECONDS = 0.5
 RETRY_SECONDS = 0.5
@@ -45,6 +48,8 @@
     feed : ChangeFeed
     origins : StreamOrigins
     history : VersionHistory
+    list_groups : callable
+        Returns the services of each route whose streams may be resumed.
     claimant : str
         Name of this process.
     is_writer : callable
@@ -62,6 +67,7 @@
         feed,
         origins,
         history,
+        list_groups,
         claimant,
         is_writer,
         count_hosts,
@@ -72,6 +78,7 @@
         self._feed = feed
         self._origins = origins
         self._history = history
+        self._list_groups = list_groups
         self._key = RECORDS_PREFIX + claimant
         self._is_writer = is_writer
         self._count_hosts = count_hosts
@@ -112,6 +119,8 @@
         async with self._reading:
             if self._read_at >= asked_at:
                 return True
+            gap = FLEET_READ_GAP_SECONDS * self._count_hosts()
+            await curio.sleep(max(0.0, self._read_at + gap - asked_at))
             started_at = self._clock.read_elapsed()
             answer = await self._feed.read_snapshot(RECORDS_PREFIX)
             if isinstance(answer, Failure):
@@ -165,7 +174,7 @@
                 MIN_WRITE_GAP_SECONDS, FLEET_WRITE_GAP_SECONDS * self._count_hosts()
             )
             await curio.sleep(gap)
-            if not self._history.is_mixed:
+            if not any(map(self._history.is_mixed, self._list_groups())):
                 continue
             if self._untold:
                 await self._tell_peers()
