--- a/features/steps/streams.py
+++ b/features/steps/streams.py
@@ -60,6 +60,7 @@
         "h1#1",
         lambda: False,
         lambda: HOSTS,
+        list,
         None,
         clock,
     )
--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -217,7 +217,8 @@
             self.claimant,
             self._is_first_host,
             lambda: len(self.members.list_others()) + 1,
-            self._tell_data_centre,
+            self._list_peers,
+            self._exchange.send,
             clock,
         )
         self.streams = OriginFinder(self.origins, history, self._stream_record)
@@ -296,14 +297,13 @@
         if group.exception is not None:
             raise group.exception
 
-    async def _tell_data_centre(self, data):
-        """Send a message to the other hosts of this data centre."""
-        addresses = [
+    def _list_peers(self):
+        """Return the addresses of the other hosts of this data centre."""
+        return [
             member.address
             for member in self.members.list_others()
             if member.data_centre == self.member.data_centre
         ]
-        await self._exchange.send(data, addresses)
 
     def _is_first_host(self):
         """Return whether this host comes first by name of those that report."""
--- a/mangogauge/streams/record.py
+++ b/mangogauge/streams/record.py
@@ -15,6 +15,7 @@
 from returns.result import Failure
 
 from ..telemetry import get_logger
+from ..ticks import sleep_to_tick
 from .news import StreamNews
 from .origins import RETENTION_SECONDS, StreamOrigin
 
@@ -23,8 +24,12 @@
 VERSIONS_KEY = "streams-versions"
 RECORDS_PREFIX = "streams/"
 # Least time between two writes of all hosts together, and of one host.
-FLEET_WRITE_GAP_SECONDS = 0.005
-MIN_WRITE_GAP_SECONDS = 0.2
+FLEET_WRITE_GAP_SECONDS = 0.0025
+MIN_WRITE_GAP_SECONDS = 0.1
+# Least time between two messages of a host to those of its data centre, for each.
+PEER_TELL_GAP_SECONDS = 0.02
+# Between two looks whether a stream has begun, while versions are mixed.
+TICK_SECONDS = 0.025
 # Least time between two reads of all hosts together.
 FLEET_READ_GAP_SECONDS = 0.002
 # Between two looks at which versions there are.
@@ -56,8 +61,10 @@
         Returns whether this host records which versions there are.
     count_hosts : callable
         Returns how many hosts share the store.
-    tell : async callable
-        Sends the bytes of `StreamNews` to the other hosts of the data centre.
+    list_peers : callable
+        Returns the addresses of the other hosts of the data centre.
+    send : async callable
+        Sends the bytes of a message to some addresses.
     clock : Clock
     """
 
@@ -71,7 +78,8 @@
         claimant,
         is_writer,
         count_hosts,
-        tell,
+        list_peers,
+        send,
         clock,
     ):
         self._store = store
@@ -82,7 +90,8 @@
         self._key = RECORDS_PREFIX + claimant
         self._is_writer = is_writer
         self._count_hosts = count_hosts
-        self._tell = tell
+        self._list_peers = list_peers
+        self._send = send
         self._clock = clock
         self._versions = None
         self._lease = None
@@ -92,6 +101,7 @@
         self._begun = deque(maxlen=MAX_RECORDED)
         self._untold = deque(maxlen=MAX_RECORDED)
         self._is_unrecorded = False
+        self._write_after = self._tell_after = float("-inf")
 
     def note_begun(self, stream, origin):
         """Note a stream that this host relays, by the digest of its id."""
@@ -105,7 +115,8 @@
             await curio.sleep(RETRY_SECONDS)
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(self._keep_versions)
-            await group.spawn(self._keep_record)
+            await group.spawn(self._repeat_while_mixed, self._tell_new)
+            await group.spawn(self._repeat_while_mixed, self._record_new)
 
     async def read_newer(self):
         """Read the records of all hosts, unless that was done since the call.
@@ -157,7 +168,7 @@
             versions = self._history.list_all()
             if versions and versions != self._versions and self._is_writer():
                 await self._write_versions(versions)
-            await curio.sleep(POLL_SECONDS)
+            await sleep_to_tick(POLL_SECONDS)
 
     async def _write_versions(self, versions):
         rows = [[origin.service, origin.software] for origin in versions]
@@ -168,25 +179,43 @@
         self._versions = versions
         log.info("versions written", extra={"versions": rows})
 
-    async def _keep_record(self):
+    async def _repeat_while_mixed(self, publish):
+        """Call `publish` often while streams may have several origins."""
         while True:
-            gap = max(
-                MIN_WRITE_GAP_SECONDS, FLEET_WRITE_GAP_SECONDS * self._count_hosts()
-            )
-            await curio.sleep(gap)
             if not any(map(self._history.is_mixed, self._list_groups())):
+                await sleep_to_tick(POLL_SECONDS)
                 continue
-            if self._untold:
-                await self._tell_peers()
-            if self._is_unrecorded:
-                await self._write()
+            until = self._clock.read_elapsed() + POLL_SECONDS
+            while self._clock.read_elapsed() < until:
+                await sleep_to_tick(TICK_SECONDS)
+                await publish()
+
+    async def _tell_new(self):
+        """Tell the data centre of streams that have begun, at once if none did lately.
+
+        Notes
+        -----
+        A stream that breaks off as soon as it has begun goes on only if it is known.
+        """
+        now = self._clock.read_elapsed()
+        if self._untold and now >= self._tell_after:
+            self._tell_after = now + PEER_TELL_GAP_SECONDS * len(self._list_peers())
+            await self._tell_peers()
+
+    async def _record_new(self):
+        """Record the streams that have begun, at once if none did lately."""
+        now = self._clock.read_elapsed()
+        if self._is_unrecorded and now >= self._write_after:
+            gap = FLEET_WRITE_GAP_SECONDS * self._count_hosts()
+            self._write_after = now + max(MIN_WRITE_GAP_SECONDS, gap)
+            await self._write()
 
     async def _tell_peers(self):
         rows = self._list_recent(self._untold)
         self._untold.clear()
         for start in range(0, len(rows), MAX_TOLD):
             news = StreamNews.collect(rows[start : start + MAX_TOLD])
-            await self._tell(news.to_bytes())
+            await self._send(news.to_bytes(), self._list_peers())
 
     async def _write(self):
         self._is_unrecorded = False
@@ -195,6 +224,7 @@
         if isinstance(answer, Failure):
             self._is_unrecorded = True
             self._lease = None
+            self._write_after = self._clock.read_elapsed() + RETRY_SECONDS
             _log_failure("streams not recorded", answer)
 
     def _list_recent(self, begun):
