Split the record of versions from that of streams; forget queues of versions

No change of what is decided: which versions there were is read and written by VersionRecord (streams/versions.py), streams are told and recorded by StreamRecord. Queues of requests that are bound to a version end when they are empty, so that versions that are gone leave none behind. 61 scenarios of streams, software versions and odd entries and 59 of entry and queueing pass.

--- a/features/steps/streams.py
+++ b/features/steps/streams.py
@@ -58,7 +58,6 @@
         history,
         list,
         "h1#1",
-        lambda: False,
         lambda: HOSTS,
         list,
         None,
--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -38,6 +38,7 @@
     StreamOrigins,
     StreamRecord,
     VersionHistory,
+    VersionRecord,
 )
 from ..supervision import keep_running
 from ..telemetry import get_logger
@@ -215,12 +216,14 @@
             history,
             self.state.list_resumable_services,
             self.claimant,
-            self._is_first_host,
             lambda: len(self.members.list_others()) + 1,
             self._list_peers,
             self._exchange.send,
             clock,
         )
+        self._version_record = VersionRecord(
+            backends.store, history, self._is_first_host
+        )
         self.streams = OriginFinder(self.origins, history, self._stream_record)
 
     def _follow_shared(self, prefix, listener, **pace):
@@ -290,6 +293,7 @@
                 self._crash_gossip.run,
                 self._quarantine_record.run,
                 self._stream_record.run,
+                self._version_record.run,
                 self._watch_isolation,
                 self._judge_endpoints,
             ):
--- a/mangogauge/placement/queue.py
+++ b/mangogauge/placement/queue.py
@@ -9,6 +9,8 @@
 any.
 """
 
+from operator import itemgetter
+
 import curio
 from attrs import define, field, frozen
 
@@ -134,8 +136,8 @@
 
     async def assign_free_slots(self):
         """Assign free slots to waiting requests, by priority and fair order."""
-        for key in sorted(self._queues):
-            is_empty = await self._assign_from(self._queues[key])
+        for key, queue in sorted(self._queues.items(), key=itemgetter(0)):
+            is_empty = await self._assign_from(queue)
             if not is_empty and key.may_begin:
                 # No endpoint has room, of whichever version.
                 return
@@ -180,7 +182,8 @@
                 RefusalCode.OVERLOADED, "No slot is free soon enough."
             )
         ticket = Ticket(call.account, ACCOUNT_WEIGHT, self._hold_seconds, waiter)
-        queue = self._queues.setdefault(_QueueKey.of(call), FairQueue())
+        key = _QueueKey.of(call)
+        queue = self._queues.setdefault(key, FairQueue())
         queue.add(ticket)
         self._report_table.waiting = len(self)
         await self._waiter_added.set()
@@ -195,6 +198,9 @@
             raise
         finally:
             queue.remove(ticket)
+            # Versions come and go; another queue may have taken the place of this one.
+            if not len(queue) and self._queues.get(key) is queue:
+                del self._queues[key]
             self._report_table.waiting = len(self)
         if waiter.endpoint is None:
             raise self._make_refusal(
--- a/mangogauge/streams/__init__.py
+++ b/mangogauge/streams/__init__.py
@@ -12,6 +12,7 @@
 from .news import NEWS_FORMAT, StreamNews
 from .origins import StreamOrigin, StreamOrigins
 from .record import StreamRecord
+from .versions import VersionRecord
 
 __all__ = [
     "NEWS_FORMAT",
@@ -21,4 +22,5 @@
     "StreamOrigins",
     "StreamRecord",
     "VersionHistory",
+    "VersionRecord",
 ]
--- a/mangogauge/streams/record.py
+++ b/mangogauge/streams/record.py
@@ -1,11 +1,10 @@
 """Origins of streams in the platform's store, and as told within a data centre.
 
 While the services of a route have one version only, a stream's origin follows from
-that, and nothing is recorded but which versions there are. While they have several,
-each host tells the other hosts of its data centre of the streams that it begins, and
-keeps a record of its own in the store. Other hosts read the records when a caller
-resumes a stream that they haven't been told of, for example because all hosts have just
-started.
+that, and nothing is recorded. While they have several, each host tells the other hosts
+of its data centre of the streams that it begins, and keeps a record of its own in the
+store. Other hosts read the records when a caller resumes a stream that they haven't
+been told of, for example because all hosts have just started.
 """
 
 from collections import deque
@@ -17,11 +16,10 @@
 from ..telemetry import get_logger
 from ..ticks import sleep_to_tick
 from .news import StreamNews
-from .origins import RETENTION_SECONDS, StreamOrigin
+from .origins import RETENTION_SECONDS
 
-__all__ = ["RECORDS_PREFIX", "VERSIONS_KEY", "StreamRecord"]
+__all__ = ["RECORDS_PREFIX", "StreamRecord"]
 
-VERSIONS_KEY = "streams-versions"
 RECORDS_PREFIX = "streams/"
 # Least time between two writes of all hosts together, and of one host.
 FLEET_WRITE_GAP_SECONDS = 0.0025
@@ -32,7 +30,7 @@
 TICK_SECONDS = 0.025
 # Least time between two reads of all hosts together.
 FLEET_READ_GAP_SECONDS = 0.002
-# Between two looks at which versions there are.
+# Between two looks whether there are several versions.
 POLL_SECONDS = 0.5
 RETRY_SECONDS = 0.5
 # Records are deleted with a lease that lives on for at least `RETENTION_SECONDS`.
@@ -57,8 +55,6 @@
         Returns the services of each route whose streams may be resumed.
     claimant : str
         Name of this process.
-    is_writer : callable
-        Returns whether this host records which versions there are.
     count_hosts : callable
         Returns how many hosts share the store.
     list_peers : callable
@@ -76,7 +72,6 @@
         history,
         list_groups,
         claimant,
-        is_writer,
         count_hosts,
         list_peers,
         send,
@@ -88,12 +83,10 @@
         self._history = history
         self._list_groups = list_groups
         self._key = RECORDS_PREFIX + claimant
-        self._is_writer = is_writer
         self._count_hosts = count_hosts
         self._list_peers = list_peers
         self._send = send
         self._clock = clock
-        self._versions = None
         self._lease = None
         self._reading = curio.Lock()
         self._read_at = float("-inf")
@@ -110,11 +103,8 @@
         self._is_unrecorded = True
 
     async def run(self):
-        """Read which versions there were, then keep the records until cancelled."""
-        while not await self._read_versions():
-            await curio.sleep(RETRY_SECONDS)
+        """Tell and record this host's streams until cancelled."""
         async with curio.TaskGroup(wait=any) as group:
-            await group.spawn(self._keep_versions)
             await group.spawn(self._repeat_while_mixed, self._tell_new)
             await group.spawn(self._repeat_while_mixed, self._record_new)
 
@@ -153,32 +143,6 @@
             return
         self._origins.merge(news)
 
-    async def _read_versions(self):
-        answer = await self._store.get(VERSIONS_KEY)
-        if isinstance(answer, Failure):
-            _log_failure("versions not read", answer)
-            return False
-        entry = answer.unwrap()
-        self._versions = [] if entry is None else _decode_versions(entry.value)
-        self._history.restore(self._versions)
-        return True
-
-    async def _keep_versions(self):
-        while True:
-            versions = self._history.list_all()
-            if versions and versions != self._versions and self._is_writer():
-                await self._write_versions(versions)
-            await sleep_to_tick(POLL_SECONDS)
-
-    async def _write_versions(self, versions):
-        rows = [[origin.service, origin.software] for origin in versions]
-        answer = await self._store.put(VERSIONS_KEY, orjson.dumps(rows))
-        if isinstance(answer, Failure):
-            _log_failure("versions not written", answer)
-            return
-        self._versions = versions
-        log.info("versions written", extra={"versions": rows})
-
     async def _repeat_while_mixed(self, publish):
         """Call `publish` often while streams may have several origins."""
         while True:
@@ -250,13 +214,5 @@
         return self._lease.valid_until >= needed_until
 
 
-def _decode_versions(data):
-    try:
-        return [StreamOrigin(str(s), str(v)) for s, v in orjson.loads(data)]
-    except (ValueError, TypeError) as error:
-        log.warning("versions are invalid", extra={"reason": repr(error)})
-        return []
-
-
 def _log_failure(message, answer):
     log.warning(message, extra={"reason": str(answer.failure())})
