Check a host's address before a command asks there

Since odd entries are met, an address that can't be one is HTTPConnectError, which ended the command as unavailable. The command checks the address itself now, before it asks.

--- a/mangogauge/commands/ports.py
+++ b/mangogauge/commands/ports.py
@@ -81,6 +81,7 @@
     body : bytes, optional
     headers : iterable of (str, str), optional
     """
+    _check_address(address.removeprefix(TLS_SCHEME))
     fields = Headers(headers)
     if token:
         fields.add("Authorization", f"Bearer {token}")
@@ -91,13 +92,18 @@
     except (HTTPError, curio.TaskTimeout) as error:
         lost = ExitCode.UNAVAILABLE if method == "GET" else ExitCode.UNKNOWN
         _end(lost, f"No whole answer, so it may have been done: {error}")
-    except ValueError:
-        _end(ExitCode.USAGE, f"Not an address of the form IP:PORT: {address}")
     if answer.status >= 400:
         _end_refused(answer)
     return answer
 
 
+def _check_address(address):
+    """End the process if an address has no host or no port."""
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdecimal():
+        _end(ExitCode.USAGE, f"Not an address of the form IP:PORT: {address}")
+
+
 async def _ask(address, method, target, headers, body):
     tls = None
     if address.startswith(TLS_SCHEME):
