Test streams that are taken up at a cut-off host and in another data centre

Three more scenarios of software versions with real processes: a host that is cut off from the store, another data centre (where only the records tell), and a newer version that comes while a host is cut off. All pass on the code as it is.

--- a/features/builders/platform/deployment.py
+++ b/features/builders/platform/deployment.py
@@ -185,12 +185,14 @@
         }
         self.put("op/config", value)
 
-    def start_host(self, name, role="entry", ready=True, store="", stop_seconds=4):
+    def start_host(
+        self, name, role="entry", ready=True, store="", stop_seconds=4, zone="a"
+    ):
         """Start a host from its build's own template."""
         ports = [self.world.take_port() for _ in range(4)]
         values = {
             "node_name": name,
-            "zone": "a",
+            "zone": zone,
             "ip": self.address,
             "listen.front": f"{self.address}:{ports[0]}",
             "listen.ready": f"{self.address}:{ports[1]}",
--- a/features/platform/software_versions.feature
+++ b/features/platform/software_versions.feature
@@ -34,6 +34,37 @@
     Then no stream holds events of two versions
     And at least 12 of them were answered whole
 
+  Scenario: Streams that callers take up at a host that is cut off from the store
+    Given the platform with 0 endpoints, and the hosts "h1"
+    And the host "h2" behind a link to the store
+    And 2 endpoints of the version "v1" and 2 of "v2"
+    When "h2" is cut off from the store
+    And 16 streams begin at "h1" and break off
+    And they are taken up at "h2"
+    Then no stream holds events of two versions
+    And at least 12 of them were answered whole
+
+  Scenario: Streams that callers take up in another data centre
+    Given the platform with 0 endpoints, and the hosts "h1"
+    And the host "h2" in the data centre "b"
+    And 2 endpoints of the version "v1" and 2 of "v2"
+    When 16 streams begin at "h1" and break off
+    And "h1" is killed
+    And they are taken up at "h2"
+    Then no stream holds events of two versions
+    And at least 12 of them were answered whole
+
+  Scenario: A newer version comes while a host is cut off from the store
+    Given the platform with 0 endpoints, and the hosts "h1"
+    And the host "h2" behind a link to the store
+    And 2 endpoints of the version "v1" and 0 of "v2"
+    When "h2" is cut off from the store
+    And 2 endpoints of "v2" come
+    And 16 streams begin at "h1" and break off
+    And "h1" is killed
+    And they are taken up at "h2"
+    Then no stream holds events of two versions
+
   Scenario: Streams of a version whose endpoints have left are refused, the others go on
     Given the platform with 0 endpoints, and the hosts "h1, h2"
     And 2 endpoints of the version "v1" and 2 of "v2"
--- a/features/steps/platform_software.py
+++ b/features/steps/platform_software.py
@@ -14,7 +14,8 @@
 EVENT_SECONDS = 0.03
 
 
-def add_endpoints(context, software, count):
+def add_endpoints(context, software, count, hosts=None):
+    """Start endpoints; wait until these hosts, or all that run, have heard of them."""
     deployment = context.deployment
     first = len(context.software) + 1
     names = [f"e{number}" for number in range(first, first + count)]
@@ -22,7 +23,7 @@
         context.software[name] = software
         deployment.start_endpoint(name, version=software)
         deployment.control(name, event_seconds=EVENT_SECONDS)
-    wait_until_heard(context, '"message": "endpoint"', names)
+    wait_until_heard(context, '"message": "endpoint"', names, hosts)
 
 
 def remove_endpoints(context, software):
@@ -39,9 +40,9 @@
     return context.world.processes[host].is_running
 
 
-def wait_until_heard(context, message, names):
+def wait_until_heard(context, message, names, hosts=None):
     """Wait until the logs of all hosts that run have such a line for each name."""
-    for host in context.deployment.hosts:
+    for host in hosts or context.deployment.hosts:
         process = context.world.processes[host]
         if process.is_running:
             wait_until(
@@ -69,6 +70,17 @@
     remove_endpoints(context, other)
 
 
+@given('the host "{name}" in the data centre "{zone}"')
+def start_host(context, name, zone):
+    context.deployment.start_host(name, zone=zone)
+
+
+@when('{count:d} endpoints of "{software}" come')
+def add_version(context, count, software):
+    # The other hosts may be cut off.
+    add_endpoints(context, software, count, hosts=["h1"])
+
+
 @when('the endpoints of "{software}" leave')
 def leave(context, software):
     remove_endpoints(context, software)
