Let the test of items whose version has left not depend on the machine's pace

Its endpoints took 0.3 s an event, so 3 s an item, while new endpoints started beside load. The check took the machine's pace for the product's. Now the old version's endpoints stop sending once progress is recorded, so that items can't end before their version has left.

--- a/features/platform/software_versions.feature
+++ b/features/platform/software_versions.feature
@@ -124,9 +124,10 @@
     Given the platform with 0 endpoints, and the hosts "h1"
     And the runners "r1, r2"
     And 2 endpoints of the version "v1" and 0 of "v2"
-    And the endpoints take 0.3 s for an event
+    And the endpoints take 1 s for an event
     When "desk" submits the job "j1" of 4 items to "h1"
     And progress of "j1" is recorded
+    And the endpoints of "v1" send no more events
     And 2 endpoints of "v2" come, and those of "v1" leave
     And the runner that has "j1" is killed
     Then all 4 results of "j1" can be read whole at "h1" and "h1"
--- a/features/steps/platform_software.py
+++ b/features/steps/platform_software.py
@@ -12,6 +12,7 @@
 # Longer than hosts take to tell each other, and to record, which streams they began.
 TOLD_SECONDS = 1.0
 EVENT_SECONDS = 0.03
+STALLED_SECONDS = 3600.0
 
 
 def add_endpoints(context, software, count, hosts=None):
@@ -165,6 +166,13 @@
             assert answer.status == 503, (stream, answer)
 
 
+@when('the endpoints of "{software}" send no more events')
+def stall(context, software):
+    for name, its in context.software.items():
+        if its == software:
+            context.deployment.control(name, event_seconds=STALLED_SECONDS)
+
+
 @when('progress of "{job_id}" is recorded')
 def wait_for_progress(context, job_id):
     key = make_progress_key(job_id)
