Bind an item to a software version only once it has an event

Cause: an item took the version of its endpoint before it was sent; the endpoint was gone, no event came, and the item was then placed at that version only, which had left for good. It starts anew only if it has events, so it never ran again.

An item takes the version with its first event. The features of jobs pass.

--- a/features/platform/software_versions.feature
+++ b/features/platform/software_versions.feature
@@ -120,6 +120,16 @@
     Then all 16 results of "j1" can be read whole at "h1" and "h1"
     And no item went on at another version
 
+  Scenario: An item that had no event when its version left runs at another
+    Given the platform with 0 endpoints, and the hosts "h1"
+    And the runners "r1"
+    And 2 endpoints of the version "v1" and 0 of "v2"
+    And the endpoints of "v1" lose their answers to "j1"
+    When "desk" submits the job "j1" of 4 items to "h1"
+    And 4 items have arrived
+    And 2 endpoints of "v2" come, and those of "v1" leave
+    Then all 4 results of "j1" can be read whole at "h1" and "h1"
+
   Scenario: An item whose version has left starts anew at another runner
     Given the platform with 0 endpoints, and the hosts "h1"
     And the runners "r1, r2"
--- a/features/steps/platform_software.py
+++ b/features/steps/platform_software.py
@@ -173,6 +173,21 @@
             context.deployment.control(name, event_seconds=STALLED_SECONDS)
 
 
+@given('the endpoints of "{software}" lose their answers to "{word}"')
+def lose_answers(context, software, word):
+    for name, its in context.software.items():
+        if its == software:
+            context.deployment.control(name, faults={word: "lost"})
+
+
+@when("{count:d} items have arrived")
+def wait_for_items(context, count):
+    def list_items():
+        return {row["request_id"] for row in context.deployment.list_arrivals()}
+
+    wait_until(lambda: len(list_items()) == count, f"{count} items have arrived")
+
+
 @when('progress of "{job_id}" is recorded')
 def wait_for_progress(context, job_id):
     key = make_progress_key(job_id)
--- a/mangogauge/jobs/item_runner.py
+++ b/mangogauge/jobs/item_runner.py
@@ -119,13 +119,11 @@
         is_retry = endpoint.name in item.tried_endpoints
         item.tried_endpoints.add(endpoint.name)
         item.answer_begun_at = None
-        if item.last_event is None:
-            item.origin = StreamOrigin.of(endpoint)
         response = await self._endpoint_client.send(
             call, endpoint, item.last_event, IDLE_TIMEOUT_SECONDS, is_retry
         )
         try:
-            await self._read_events(item, response, observer)
+            await self._read_events(item, endpoint, response, observer)
         except HTTPError as error:
             raise AttemptFailure(
                 Progress.MAYBE_RUN,
@@ -136,7 +134,7 @@
         finally:
             await response.close()
 
-    async def _read_events(self, item, response, observer):
+    async def _read_events(self, item, endpoint, response, observer):
         response.gather(GATHER_SECONDS)
         stream = EventStream(response)
         while True:
@@ -145,6 +143,8 @@
                 break
             observer.note_progress(len(events))
             self._note_answer_begun(item)
+            if item.last_event is None:
+                item.origin = StreamOrigin.of(endpoint)
             for event in events:
                 item.add_event(event)
         if item.answer_begun_at is None:
