--- a/features/builders/platform/deployment.py
+++ b/features/builders/platform/deployment.py
@@ -47,6 +47,15 @@
         super().__init__(name, [], folder)
         self.settings = settings
 
+    @property
+    def command(self):
+        """The command line."""
+        return self.make_command("mangogauge.platform")
+
+    @staticmethod
+    def make_command(module):
+        return [sys.executable, "-m", module]
+
     def start(self):
         """Start it; whether it is ready is asked of it."""
         environment = {
@@ -54,10 +63,9 @@
             "MANGOGAUGE_SETTINGS": str(self.settings),
             "PYTHONDONTWRITEBYTECODE": "1",
         }
-        command = [sys.executable, "-m", "mangogauge.platform"]
         with self.log_path.open("ab") as log:
             self._popen = subprocess.Popen(
-                command, stdout=log, stderr=log, env=environment, cwd=self.build
+                self.command, stdout=log, stderr=log, env=environment, cwd=self.build
             )
         return self
 
@@ -210,7 +218,7 @@
         text = text.replace("[store]", f"metrics_port = {ports[3]}\n\n[store]")
         path = self.world.folder / f"{name}.ini"
         path.write_text(text)
-        process = HostProcess(name, path, self.world.folder)
+        process = self.make_host(name, path)
         process.build = self.world.build
         self.world.processes[name] = process
         self.hosts[name] = ports
@@ -219,6 +227,10 @@
             self.wait_until_ready(name)
         return process
 
+    def make_host(self, name, path):
+        """Return the process of a host, not started."""
+        return HostProcess(name, path, self.world.folder)
+
     def wait_until_ready(self, name):
         wait_until(lambda: self.is_ready(name), f"{name} is ready")
 
