Carry connections to endpoints for peers, in the bodies of an HTTP exchange

What it is for: a host that can't connect to an endpoint while its peers can.

Ways weighed: passing the caller's request to a peer, which then chooses, counts and judges (every promise of a refusal, the deadline, the slot, the rate, the crash count and the caller's leaving would have to cross a second hop); CONNECT (after the switch of protocols the end of the peer's connection looks like the end of the endpoint's, so an answer without a length could be cut short and look whole). Chosen: a tunnel of bytes, chunked both ways. The host that was asked goes on deciding everything; the peer only connects, to known endpoints, directly, so one hop at most.

ClientPool takes a Connector; opening a socket is a module of its own; a request that HTTP can't carry raises HTTPEncodeError, which is no failure of the connection.

features/paths/tunnels.feature: 10 scenarios, sockets on the loopback: bytes unchanged, reuse, an endpoint's reset and a lost peer that don't look like an end, a caller that leaves, refusals by status, a peer that stops.

--- /dev/null
+++ b/features/builders/paths.py
@@ -0,0 +1,110 @@
+"""A host's paths to one endpoint, with peers that reach it or don't."""
+
+import curio
+from curio import socket
+
+from mangogauge.clock import SystemClock
+from mangogauge.http import (
+    ClientPool,
+    Headers,
+    HTTPConnectError,
+    TunnelRefusedError,
+)
+from mangogauge.paths import PathChecker
+from mangogauge.placement import EndpointHealth, ReachabilityProber
+
+from .fleet import make_endpoint
+from .tunnels import FixedPeers, NamedEndpoints
+
+__all__ = ["PathWorld", "ScriptedTunnels"]
+
+LOCAL = "127.0.0.1"
+ANSWER_SECONDS = 0.01
+
+
+class OpenTunnel:
+    """A connection that a peer carries."""
+
+    async def close(self):
+        pass
+
+
+class ScriptedTunnels:
+    """Stands in for a `TunnelConnector`.
+
+    Attributes
+    ----------
+    reaching : set of str
+        Peers that reach the endpoint.
+    status : int
+        What the others answer.
+    asked : list of str
+        Peers that were asked.
+    """
+
+    def __init__(self):
+        self.reaching = set()
+        self.status = 503
+        self.asked = []
+
+    async def open_through(self, peer, endpoint):
+        self.asked.append(peer)
+        await curio.sleep(ANSWER_SECONDS)
+        if peer not in self.reaching:
+            raise TunnelRefusedError(self.status, peer=peer)
+        return OpenTunnel()
+
+
+class PathWorld:
+    """A host that checks its path to the endpoint "e1".
+
+    Attributes
+    ----------
+    endpoint : FleetEndpoint
+    health : EndpointHealth
+    checker : PathChecker
+    tunnels : ScriptedTunnels
+    """
+
+    def __init__(self, peers):
+        self._listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._listener.bind((LOCAL, 0))
+        address = "{}:{}".format(*self._listener.getsockname())
+        self.endpoint = make_endpoint("e1", address=address)
+        clock = SystemClock()
+        self.health = EndpointHealth(clock)
+        self.tunnels = ScriptedTunnels()
+        self._pool = ClientPool(1.0)
+        self.checker = PathChecker(
+            self.health.paths,
+            FixedPeers(*peers),
+            self.tunnels,
+            self._pool,
+            self.health.note_path_lost,
+            clock,
+        )
+        self._prober = ReachabilityProber(
+            self.health, NamedEndpoints(self.endpoint), self.checker, clock
+        )
+
+    def start_endpoint(self):
+        """Have the endpoint accept this host's connections."""
+        self._listener.listen(16)
+
+    async def fail(self):
+        """Try a connection to the endpoint, and check the path if it fails."""
+        try:
+            await self._pool.request(self.endpoint.address, "GET", "/", Headers())
+        except HTTPConnectError as error:
+            await self.checker.find_path(self.endpoint, error)
+
+    async def check(self):
+        """Check the path."""
+        await self.checker.check(self.endpoint)
+
+    async def probe(self):
+        """Run the background checks until nothing is silent any more."""
+        probing = await curio.spawn(self._prober.run)
+        while self.health.list_silent():
+            await curio.sleep(ANSWER_SECONDS)
+        await probing.cancel()
--- /dev/null
+++ b/features/paths/tunnels.feature
@@ -0,0 +1,46 @@
+Feature: A peer carries a connection to an endpoint
+  The answer must come through as if the endpoint itself had been connected to.
+
+  Scenario: An answer comes through unchanged, and the connection is used again
+    Given a peer that reaches the endpoint "e1"
+    When 3 requests are sent to "e1" through the peer, one after the other
+    Then each gets its own answer, byte for byte
+    And "e1" took 1 connection
+
+  Scenario: An answer that ends with the endpoint's connection is whole
+    Given a peer that reaches the endpoint "e1"
+    When a request is sent whose answer ends with the connection
+    Then the answer is whole
+
+  Scenario Outline: A broken connection doesn't look like the end of an answer
+    Given a peer that reaches the endpoint "e1"
+    When a request is sent whose answer ends with the connection, and <what> within it
+    Then the answer is broken off
+
+    Examples:
+      | what                            |
+      | the endpoint's connection breaks |
+      | the peer is lost                |
+
+  Scenario: An endpoint sees that the caller has left
+    Given a peer that reaches the endpoint "e1"
+    When a request to "e1" is given up before its answer comes
+    Then the connection to "e1" ends
+
+  Scenario Outline: A peer says at once that it carries no connection
+    Given a peer that reaches the endpoint "e1"
+    And <obstacle>
+    When a request is sent to "<endpoint>" through the peer
+    Then it was not sent, and the peer's status is <status>
+
+    Examples:
+      | obstacle                            | endpoint | status |
+      | the endpoint "e1" has ended         | e1       | 502    |
+      | no endpoint is called "e9"          | e9       | 404    |
+      | the peer has lost its path to "e1"  | e1       | 503    |
+      | the peer is about to stop           | e1       | 503    |
+
+  Scenario: A peer that stops waits for connections that carry something
+    Given a peer that reaches the endpoint "e1"
+    When the peer stops while it carries an answer of 1 s
+    Then the answer is whole
--- /dev/null
+++ b/features/steps/paths_tunnels.py
@@ -0,0 +1,173 @@
+"""Steps of connections that peers carry."""
+
+import curio
+from behave import given, then, when
+
+from features.builders.tunnels import PIECE, PIECES, TunnelWorld
+from mangogauge.http import HTTPError, TunnelRefusedError
+
+PATIENCE_SECONDS = 10.0
+
+
+async def read(response):
+    """Return the body, or the error that broke it off."""
+    try:
+        return await response.read()
+    except HTTPError as error:
+        return error
+
+
+def run(context, play):
+    """Run a coroutine function of a `TunnelWorld` with a limit of time."""
+
+    async def play_in_time():
+        async with curio.timeout_after(PATIENCE_SECONDS):
+            world = TunnelWorld()
+            for prepare in context.preparations:
+                await prepare(world)
+            return await world.run(play)
+
+    context.result = curio.run(play_in_time)
+
+
+@given('a peer that reaches the endpoint "e1"')
+def prepare_peer(context):
+    context.preparations = []
+
+
+@given('the endpoint "e1" has ended')
+def end_endpoint(context):
+    async def end(world):
+        await world.endpoint.close()
+
+    context.preparations.append(end)
+
+
+@given('no endpoint is called "e9"')
+def know_no_endpoint(context):
+    pass
+
+
+@given('the peer has lost its path to "e1"')
+def lose_path(context):
+    async def lose(world):
+        world.peer_paths.note_tunnel("e1")
+
+    context.preparations.append(lose)
+
+
+@given("the peer is about to stop")
+def stop_peer(context):
+    async def stop(world):
+        await world.relay.drain()
+
+    context.preparations.append(stop)
+
+
+@when('{count:d} requests are sent to "e1" through the peer, one after the other')
+def send_requests(context, count):
+    async def play(world):
+        answers = []
+        for _ in range(count):
+            response = await world.request("framed")
+            answers.append((response.headers.get("x-number"), await read(response)))
+        return answers, world.endpoint.connections
+
+    run(context, play)
+
+
+@then("each gets its own answer, byte for byte")
+def check_answers(context):
+    answers, _ = context.result
+    assert answers == [(str(n + 1), PIECE) for n in range(len(answers))], answers
+
+
+@then('"e1" took {count:d} connection')
+def check_connections(context, count):
+    assert context.result[1] == count, context.result
+
+
+@when("a request is sent whose answer ends with the connection")
+def send_unframed(context):
+    async def play(world):
+        return await read(await world.request("unframed"))
+
+    run(context, play)
+
+
+@then("the answer is whole")
+def check_whole(context):
+    assert context.result in (PIECE, PIECE * PIECES), context.result
+
+
+@when(
+    "a request is sent whose answer ends with the connection, "
+    "and the endpoint's connection breaks within it"
+)
+def break_endpoint(context):
+    async def play(world):
+        return await read(await world.request("reset"))
+
+    run(context, play)
+
+
+@when(
+    "a request is sent whose answer ends with the connection, "
+    "and the peer is lost within it"
+)
+def lose_peer(context):
+    async def play(world):
+        response = await world.request("slowly")
+        await world.serving_peer.cancel()
+        return await read(response)
+
+    run(context, play)
+
+
+@then("the answer is broken off")
+def check_broken(context):
+    assert isinstance(context.result, HTTPError), context.result
+
+
+@when('a request to "e1" is given up before its answer comes')
+def give_up(context):
+    async def play(world):
+        async with curio.ignore_after(0.2):
+            await world.request("never")
+        await world.endpoint.ended.wait()
+        return world.endpoint.connections
+
+    run(context, play)
+
+
+@then('the connection to "e1" ends')
+def check_ended(context):
+    assert context.result == 1, context.result
+
+
+@when('a request is sent to "{endpoint}" through the peer')
+def send_one(context, endpoint):
+    async def play(world):
+        try:
+            await world.request("framed", endpoint)
+        except TunnelRefusedError as error:
+            return error.status, world.peers.failed == world.peers.addresses
+        return None
+
+    run(context, play)
+
+
+@then("it was not sent, and the peer's status is {status:d}")
+def check_refused(context, status):
+    assert context.result == (status, True), context.result
+
+
+@when("the peer stops while it carries an answer of 1 s")
+def drain_peer(context):
+    async def play(world):
+        response = await world.request("slowly")
+        reading = await curio.spawn(read, response)
+        await world.relay.drain()
+        return await reading.join()
+
+    run(context, play)
--- a/mangogauge/http/__init__.py
+++ b/mangogauge/http/__init__.py
@@ -1,8 +1,10 @@
 """HTTP/1.1 on both sides, by `h11` over curio sockets."""
 
 from .client import ClientConnection, ClientResponse
+from .connectors import Connector, DirectConnector
 from .errors import (
     HTTPConnectError,
+    HTTPEncodeError,
     HTTPError,
     HTTPLimitError,
     HTTPReceiveError,
@@ -15,17 +17,22 @@
 from .limits import ClientLimits, ServerLimits
 from .pool import ClientPool, open_response
 from .server import HTTPServer
+from .sockets import open_socket
+from .tunnel import TunnelRefusedError, TunnelSocket
 
 __all__ = [
     "ClientConnection",
     "ClientLimits",
     "ClientPool",
     "ClientResponse",
+    "Connector",
+    "DirectConnector",
     "EVENT_STREAM",
     "EventEndCheck",
     "Exchange",
     "HOP_BY_HOP_HEADERS",
     "HTTPConnectError",
+    "HTTPEncodeError",
     "HTTPError",
     "HTTPLimitError",
     "HTTPReceiveError",
@@ -34,5 +41,8 @@
     "HTTPServer",
     "Headers",
     "ServerLimits",
+    "TunnelRefusedError",
+    "TunnelSocket",
     "open_response",
+    "open_socket",
 ]
--- a/mangogauge/http/client.py
+++ b/mangogauge/http/client.py
@@ -6,18 +6,18 @@
 
 import curio
 import h11
-from curio import socket
 
 from ..ticks import sleep_to_tick
 from .errors import (
-    HTTPConnectError,
+    HTTPEncodeError,
     HTTPLimitError,
     HTTPReceiveError,
     HTTPSendError,
 )
 from .headers import Headers
 from .limits import ClientLimits
-from .liveness import detect_dead_peer, read_idle_seconds
+from .liveness import read_idle_seconds
+from .sockets import DEFAULT_CONNECT_TIMEOUT, open_socket
 
 __all__ = [
     "ClientConnection",
@@ -29,11 +29,8 @@
 # answer is awaited: a server may answer before it has read it.
 EAGER_BODY_BYTES = 32_768
 PIECES_PER_TURN = 16
-DEFAULT_CONNECT_TIMEOUT = 2.0
 # Ids that one connection remembers; a copy of an older answer came long before.
 REQUEST_IDS_PER_CONNECTION = 256
-# What the system raises for a host or port that can't be one.
-ADDRESS_ERRORS = (ValueError, OverflowError, TypeError)
 # Fields that say where a body ends.
 FRAMING_FIELDS = ("content-length", "transfer-encoding")
 
@@ -127,7 +124,8 @@
     Parameters
     ----------
     address : str
-        ``host:port``, the host by IP number.
+        Names the server, in logs and as the key of idle connections.
+    sock : curio.io.Socket or TunnelSocket
     limits : ClientLimits, optional
 
     Attributes
@@ -152,24 +150,7 @@
         cls, address, timeout=DEFAULT_CONNECT_TIMEOUT, tls=None, limits=None
     ):
         """Connect, or raise `HTTPConnectError`."""
-        host, _, port = address.rpartition(":")
-        try:
-            async with curio.timeout_after(timeout):
-                sock = await _connect(host, int(port), tls)
-        except (OSError, curio.TaskTimeout, *ADDRESS_ERRORS) as error:
-            raise HTTPConnectError(
-                f"No connection: {error!r}.", step="connect", peer=address
-            ) from error
-        try:
-            detect_dead_peer(sock)
-        except OSError as error:
-            await sock.close()
-            raise HTTPConnectError(
-                f"The connection ended at once: {error!r}.",
-                step="connect",
-                peer=address,
-            ) from error
-        return cls(address, sock, limits)
+        return cls(address, await open_socket(address, timeout, tls), limits)
 
     @property
     def idle_seconds(self):
@@ -233,7 +214,7 @@
 
         Raises
         ------
-        HTTPConnectError
+        HTTPEncodeError
             If the request is none that HTTP can carry; nothing was sent.
         HTTPSendError
             If the connection breaks first.
@@ -263,7 +244,7 @@
                 data += self._h11.send(h11.Data(data=body))
             return data + self._h11.send(h11.EndOfMessage())
         except (h11.LocalProtocolError, UnicodeError) as error:
-            raise HTTPConnectError(
+            raise HTTPEncodeError(
                 f"The request can't be written as HTTP: {error}.",
                 step="send",
                 peer=self.address,
@@ -367,17 +348,3 @@
         return HTTPReceiveError(
             f"The connection ended {where}.", step="receive", peer=self.address
         )
-
-
-async def _connect(host, port, tls):
-    if tls is not None:
-        return await curio.open_connection(host, port, ssl=tls, server_hostname=host)
-    # Not by open_connection, which looks every host up in a thread: it is an
-    # IP number here.
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        await sock.connect((host, port))
-    except BaseException:
-        await sock.close()
-        raise
-    return sock
--- a/mangogauge/http/errors.py
+++ b/mangogauge/http/errors.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "HTTPConnectError",
+    "HTTPEncodeError",
     "HTTPError",
     "HTTPLimitError",
     "HTTPReceiveError",
@@ -24,6 +25,10 @@
     """No connection was made, so nothing was sent."""
 
 
+class HTTPEncodeError(HTTPConnectError):
+    """The request is none that HTTP can carry, whatever the connection."""
+
+
 class HTTPSendError(HTTPError):
     """The connection broke while the request was being sent."""
 
--- a/mangogauge/http/pool.py
+++ b/mangogauge/http/pool.py
@@ -1,7 +1,10 @@
 """Connections to servers, kept for later requests."""
 
-from .client import DEFAULT_CONNECT_TIMEOUT, ClientConnection, ClientResponse
+from .client import ClientResponse
+from .connectors import DirectConnector
+from .errors import HTTPConnectError
 from .headers import Headers
+from .sockets import DEFAULT_CONNECT_TIMEOUT
 
 __all__ = ["ClientPool", "open_response"]
 
@@ -18,12 +21,18 @@
     tls : ssl.SSLContext, optional
         Context for connections to the other side; plain TCP if absent.
     limits : ClientLimits, optional
+    connector : Connector, optional
+        Opens connections in place of a `DirectConnector` with the arguments above.
     """
 
-    def __init__(self, connect_timeout=DEFAULT_CONNECT_TIMEOUT, tls=None, limits=None):
-        self._connect_timeout = connect_timeout
-        self._tls = tls
-        self._limits = limits
+    def __init__(
+        self,
+        connect_timeout=DEFAULT_CONNECT_TIMEOUT,
+        tls=None,
+        limits=None,
+        connector=None,
+    ):
+        self._connector = connector or DirectConnector(connect_timeout, tls, limits)
         self._idle = {}
 
     async def request(
@@ -37,6 +46,7 @@
         is_answer=None,
         idle_limit=None,
         request_id="",
+        only_idle=False,
     ):
         """Send a request and return the head of its answer.
 
@@ -54,6 +64,8 @@
         request_id : str, optional
             Don't reuse a connection that has carried a request of this id: a late
             copy of its answer couldn't be told from the answer of this one.
+        only_idle : bool, optional
+            Raise `HTTPConnectError` rather than open a connection.
 
         Returns
         -------
@@ -67,10 +79,10 @@
         connection = None
         if not fresh:
             connection = await self._take_idle(address, idle_limit, request_id)
+        if connection is None and only_idle:
+            raise HTTPConnectError("No connection is idle.", peer=address)
         if connection is None:
-            connection = await ClientConnection.open(
-                address, self._connect_timeout, self._tls, self._limits
-            )
+            connection = await self._connector.open(address)
         connection.note_request_id(request_id)
         try:
             await connection.send_request(method, target, headers, body)
@@ -89,6 +101,11 @@
             for connection in connections:
                 await connection.close()
 
+    async def drop(self, address):
+        """Close the idle connections to an address."""
+        for connection in self._idle.pop(address, []):
+            await connection.close()
+
     async def _take_idle(self, address, idle_limit, request_id):
         idle = self._idle.get(address, [])
         while idle:
--- /dev/null
+++ b/mangogauge/paths/checker.py
@@ -0,0 +1,188 @@
+"""Find out whether an endpoint, or only the path to it, has failed.
+
+A connection that can't be made shows either. Peers tell the two apart: if one of them
+reaches the endpoint, it is sound, and the peers carry its connections.
+"""
+
+import curio
+from attrs import define, field
+
+from ..http import DirectConnector, HTTPConnectError, TunnelRefusedError
+from ..telemetry import get_logger
+from .relay import REFUSED_STATUS
+from .states import PathState
+
+__all__ = ["PathChecker"]
+
+CONNECT_SECONDS = 0.2
+# Peers that are asked at once: more than one may have lost the endpoint too.
+PEERS_ASKED = 3
+# How often peers are asked again for an endpoint that none of them reached.
+ASK_INTERVAL_SECONDS = 0.5
+
+log = get_logger("paths")
+
+
+@define
+class _PeerVerdict:
+    """What the peers that were asked have found.
+
+    Attributes
+    ----------
+    reached : bool
+        Whether one of them reached the endpoint.
+    refused : bool
+        Whether the endpoint refused a connection of one of them.
+    """
+
+    reached = field(default=False)
+    refused = field(default=False)
+
+
+class PathChecker:
+    """Checks the paths of one host, for all requests that wait for the result.
+
+    Parameters
+    ----------
+    paths : PathTable
+    peers : TunnelPeers
+    tunnels : TunnelConnector
+    pool : ClientPool
+        Direct connections; idle ones are closed once the path is silent.
+    on_path_lost : callable
+        Called with an endpoint's name when it turns out that only the path failed.
+    clock : Clock
+    """
+
+    def __init__(self, paths, peers, tunnels, pool, on_path_lost, clock):
+        self._paths = paths
+        self._peers = peers
+        self._tunnels = tunnels
+        self._pool = pool
+        self._on_path_lost = on_path_lost
+        self._clock = clock
+        self._connector = DirectConnector(CONNECT_SECONDS)
+        self._running = {}
+        self._asked_at = {}
+
+    async def find_path(self, endpoint, error):
+        """Return the `PathState` after a direct connection has failed.
+
+        Parameters
+        ----------
+        endpoint : FleetEndpoint
+        error : HTTPConnectError
+        """
+        self._paths.note_failed_connection(endpoint.name)
+        await self._drop_silent(endpoint, error)
+        return await self._share(endpoint, self._ask)
+
+    async def check(self, endpoint):
+        """Try to connect directly, and ask peers if that fails; return the state."""
+        return await self._share(endpoint, self._connect)
+
+    async def refuses_connections(self, endpoint):
+        """Return whether an endpoint refuses connections, not only those of this host.
+
+        Notes
+        -----
+        Without an answer of a peer, this host's own connection decides.
+        """
+        if self._paths.is_tunnelled(endpoint.name):
+            verdict = await self._ask_peers(endpoint)
+            return verdict.refused and not verdict.reached
+        try:
+            connection = await self._connector.open(endpoint.address)
+        except HTTPConnectError as error:
+            if not isinstance(error.__cause__, ConnectionRefusedError):
+                return False
+            state = await self.find_path(endpoint, error)
+            return state is not PathState.TUNNELLED
+        await connection.close()
+        return False
+
+    async def _share(self, endpoint, check):
+        """Run a check, or wait for the one that runs already."""
+        done = self._running.get(endpoint.name)
+        if done is None:
+            done = self._running[endpoint.name] = curio.Event()
+            await curio.spawn(self._run, endpoint, check, done, daemon=True)
+        await done.wait()
+        return self._paths.get(endpoint.name)
+
+    async def _run(self, endpoint, check, done):
+        try:
+            await check(endpoint)
+        finally:
+            del self._running[endpoint.name]
+            await done.set()
+
+    async def _connect(self, endpoint):
+        try:
+            connection = await self._connector.open(endpoint.address)
+        except HTTPConnectError as error:
+            await self._drop_silent(endpoint, error)
+            await self._handle_failed_connection(endpoint)
+            return
+        await connection.close()
+        if self._paths.get(endpoint.name) is not PathState.DIRECT:
+            self._log("endpoint reachable", endpoint)
+        self._paths.note_connection(endpoint.name)
+
+    async def _handle_failed_connection(self, endpoint):
+        state = self._paths.get(endpoint.name)
+        if state is PathState.DIRECT:
+            self._paths.note_failed_connection(endpoint.name)
+        asked_at = self._asked_at.get(endpoint.name, float("-inf"))
+        is_due = self._clock.read_elapsed() >= asked_at + ASK_INTERVAL_SECONDS
+        if state is PathState.LOST and not is_due:
+            return
+        if state is not PathState.TUNNELLED:
+            await self._ask(endpoint)
+
+    async def _ask(self, endpoint):
+        """Ask peers, and conclude which has failed: the endpoint or the path."""
+        verdict = await self._ask_peers(endpoint)
+        self._asked_at[endpoint.name] = self._clock.read_elapsed()
+        if verdict.reached:
+            self._paths.note_tunnel(endpoint.name)
+            self._on_path_lost(endpoint.name)
+            self._log("endpoint reached through peers only", endpoint)
+            return
+        if self._paths.get(endpoint.name) is not PathState.LOST:
+            self._log("endpoint not reached", endpoint, refused=verdict.refused)
+        self._paths.note_loss(endpoint.name)
+
+    async def _ask_peers(self, endpoint):
+        verdict = _PeerVerdict()
+        # The first that reaches the endpoint ends the others' attempts.
+        async with curio.TaskGroup(wait=object) as group:
+            for peer in self._peers.choose(endpoint, PEERS_ASKED):
+                await group.spawn(self._ask_peer, peer, endpoint, verdict)
+        return verdict
+
+    async def _ask_peer(self, peer, endpoint, verdict):
+        """Return True if a peer reaches the endpoint, else None."""
+        try:
+            connection = await self._tunnels.open_through(peer, endpoint)
+        except TunnelRefusedError as error:
+            verdict.refused |= error.status == REFUSED_STATUS
+            return None
+        except HTTPConnectError:
+            return None
+        await connection.close()
+        verdict.reached = True
+        return True
+
+    async def _drop_silent(self, endpoint, error):
+        """Close idle connections that may have gone silent with the path.
+
+        Notes
+        -----
+        Where new connections are refused, open ones may live on.
+        """
+        if not isinstance(error.__cause__, ConnectionRefusedError):
+            await self._pool.drop(endpoint.address)
+
+    def _log(self, message, endpoint, **extra):
+        log.info(message, extra={"endpoint": endpoint.name, **extra})
--- /dev/null
+++ b/mangogauge/paths/connector.py
@@ -0,0 +1,73 @@
+"""Open connections to endpoints through peers."""
+
+from ..http import (
+    ClientConnection,
+    Connector,
+    HTTPConnectError,
+    TunnelSocket,
+)
+from .relay import make_tunnel_target
+
+__all__ = ["TunnelConnector"]
+
+# Peers that one connection is asked of.
+PEERS_PER_CONNECTION = 2
+PEER_CONNECT_SECONDS = 0.15
+# The peer tries to connect to the endpoint within this time.
+OPEN_SECONDS = 0.35
+
+
+class TunnelConnector(Connector):
+    """Opens connections that peers carry; an address is an endpoint's name.
+
+    Parameters
+    ----------
+    directory : EndpointDirectory
+    peers : TunnelPeers
+    limits : ClientLimits
+    """
+
+    def __init__(self, directory, peers, limits):
+        self._directory = directory
+        self._peers = peers
+        self._limits = limits
+
+    async def open(self, address):
+        """Return a connection through a peer; see `Connector`."""
+        endpoint = self._directory.get(address)
+        if endpoint is None:
+            raise HTTPConnectError("The endpoint is gone.", peer=address)
+        failure = HTTPConnectError("No peer is heard.", peer=address)
+        for peer in self._peers.choose(endpoint, PEERS_PER_CONNECTION):
+            try:
+                return await self.open_through(peer, endpoint)
+            except HTTPConnectError as error:
+                failure = error
+        raise failure
+
+    async def open_through(self, peer, endpoint):
+        """Return a connection to an endpoint that one peer carries.
+
+        Parameters
+        ----------
+        peer : str
+            Address of the peer.
+        endpoint : FleetEndpoint
+
+        Raises
+        ------
+        TunnelRefusedError
+            If the peer answers that it doesn't reach the endpoint.
+        HTTPConnectError
+            If the peer doesn't answer.
+        """
+        target = make_tunnel_target(endpoint.name)
+        try:
+            sock = await TunnelSocket.open(
+                peer, target, PEER_CONNECT_SECONDS, OPEN_SECONDS
+            )
+        except HTTPConnectError:
+            self._peers.note_failure(peer)
+            raise
+        self._peers.note_success(peer)
+        return ClientConnection(endpoint.name, sock, self._limits)
--- /dev/null
+++ b/mangogauge/paths/pool.py
@@ -0,0 +1,57 @@
+"""Requests to endpoints, by whichever path leads there."""
+
+from ..http import HTTPConnectError, HTTPEncodeError
+from .states import PathState
+
+__all__ = ["EndpointPool"]
+
+
+class EndpointPool:
+    """Connections to endpoints: direct ones, and those that peers carry.
+
+    Parameters
+    ----------
+    direct : ClientPool
+        By the endpoints' addresses.
+    tunnels : ClientPool
+        By the endpoints' names; opens connections by a `TunnelConnector`.
+    paths : PathTable
+    checker : PathChecker
+    """
+
+    def __init__(self, direct, tunnels, paths, checker):
+        self._direct = direct
+        self._tunnels = tunnels
+        self._paths = paths
+        self._checker = checker
+
+    async def request(self, endpoint, *request, **options):
+        """Send a request and return the head of its answer.
+
+        Parameters
+        ----------
+        endpoint : FleetEndpoint
+        *request, **options
+            As of `ClientPool.request`, after the address.
+
+        Raises
+        ------
+        HTTPConnectError, HTTPSendError, HTTPReceiveError
+            According to how far the request got.
+        """
+        is_tunnelled = self._paths.is_tunnelled(endpoint.name)
+        if not is_tunnelled:
+            await self._tunnels.drop(endpoint.name)
+        try:
+            # Open connections may live on while new ones fail.
+            return await self._direct.request(
+                endpoint.address, *request, only_idle=is_tunnelled, **options
+            )
+        except HTTPEncodeError:
+            raise
+        except HTTPConnectError as error:
+            if not is_tunnelled:
+                state = await self._checker.find_path(endpoint, error)
+                if state is not PathState.TUNNELLED:
+                    raise
+        return await self._tunnels.request(endpoint.name, *request, **options)
--- /dev/null
+++ b/mangogauge/paths/relay.py
@@ -0,0 +1,139 @@
+"""Carry connections to endpoints for hosts that don't reach them.
+
+Only known endpoints are connected to, and only directly, so that a connection takes
+one hop at most. The bytes are passed on as they are: whoever asked chooses the
+endpoint, counts the request's slot and rate, and judges the answer.
+"""
+
+from urllib.parse import quote, unquote
+
+import curio
+
+from ..http import Headers, HTTPConnectError, open_socket
+from ..telemetry import get_logger
+from .states import PathState
+
+__all__ = ["TUNNEL_PREFIX", "EndpointRelay", "make_tunnel_target"]
+
+TUNNEL_PREFIX = "/tunnels/"
+CONNECT_SECONDS = 0.2
+READ_SIZE_BYTES = 65_536
+# Each holds two descriptors and a few buffers.
+MAX_TUNNELS = 256
+# A stopping host ends a tunnel that has carried nothing for so long.
+QUIET_SECONDS = 0.6
+DRAIN_INTERVAL_SECONDS = 0.1
+
+UNKNOWN_STATUS = 404
+REFUSED_STATUS = 502
+UNABLE_STATUS = 503
+SILENT_STATUS = 504
+
+# Paths on which no connection is tried for another host.
+INDIRECT_STATES = frozenset({PathState.TUNNELLED, PathState.LOST})
+
+log = get_logger("tunnels")
+
+
+def make_tunnel_target(name):
+    """Return the request target that asks for a connection to an endpoint."""
+    return TUNNEL_PREFIX + quote(name, safe="")
+
+
+class EndpointRelay:
+    """Carries connections to endpoints for other hosts.
+
+    Parameters
+    ----------
+    directory : EndpointDirectory
+    paths : PathTable
+    clock : Clock
+    """
+
+    def __init__(self, directory, paths, clock):
+        self._directory = directory
+        self._paths = paths
+        self._clock = clock
+        self._closing = False
+        # Elapsed time at which each open tunnel last carried bytes.
+        self._carried_at = {}
+
+    async def handle(self, exchange):
+        """Open a connection and carry its bytes until either side ends it."""
+        name = unquote(exchange.path.removeprefix(TUNNEL_PREFIX))
+        endpoint = self._directory.get(name)
+        status = self._find_obstacle(endpoint)
+        if status is None:
+            try:
+                sock = await open_socket(endpoint.address, CONNECT_SECONDS)
+            except HTTPConnectError as error:
+                self._paths.note_failed_connection(name)
+                status = _get_failure_status(error)
+        if status is not None:
+            log.info(
+                "tunnel refused",
+                extra={"endpoint": name, "peer": exchange.peer, "status": status},
+            )
+            await exchange.respond(status, Headers(), b"")
+            return
+        log.info("tunnel opened", extra={"endpoint": name, "peer": exchange.peer})
+        try:
+            await self._carry(exchange, sock)
+        finally:
+            await sock.close()
+
+    def start_close(self):
+        """Open no more tunnels; those that are open go on."""
+        self._closing = True
+
+    async def drain(self):
+        """Open no more tunnels, and wait until those that are open are quiet."""
+        self.start_close()
+        while self._has_active_tunnels():
+            await curio.sleep(DRAIN_INTERVAL_SECONDS)
+
+    def _has_active_tunnels(self):
+        quiet_since = self._clock.read_elapsed() - QUIET_SECONDS
+        return any(at > quiet_since for at in self._carried_at.values())
+
+    def _find_obstacle(self, endpoint):
+        """Return the status that tells why no connection is tried; None if it is."""
+        if endpoint is None:
+            return UNKNOWN_STATUS
+        if self._closing or len(self._carried_at) >= MAX_TUNNELS:
+            return UNABLE_STATUS
+        if self._paths.get(endpoint.name) in INDIRECT_STATES:
+            return UNABLE_STATUS
+        return None
+
+    async def _carry(self, exchange, sock):
+        try:
+            self._note_bytes(exchange)
+            await exchange.start_response(200, Headers())
+            async with curio.TaskGroup(wait=any) as group:
+                await group.spawn(self._carry_forward, exchange, sock)
+                await group.spawn(self._carry_back, exchange, sock)
+            if group.exception is not None:
+                raise group.exception
+        finally:
+            self._carried_at.pop(exchange, None)
+
+    async def _carry_forward(self, exchange, sock):
+        async for piece in exchange.iterate_body():
+            self._note_bytes(exchange)
+            await sock.sendall(piece)
+
+    async def _carry_back(self, exchange, sock):
+        while piece := await sock.recv(READ_SIZE_BYTES):
+            self._note_bytes(exchange)
+            await exchange.send_data(piece)
+        # Not sent if the connection broke: the other side sees no whole answer.
+        await exchange.finish()
+
+    def _note_bytes(self, exchange):
+        self._carried_at[exchange] = self._clock.read_elapsed()
+
+
+def _get_failure_status(error):
+    is_refused = isinstance(error.__cause__, ConnectionRefusedError)
+    return REFUSED_STATUS if is_refused else SILENT_STATUS
