--- /dev/null
+++ b/features/paths/verdicts.feature
@@ -0,0 +1,83 @@
+Feature: A host tells an endpoint's failure from that of its own path
+  A host that has lost its path must neither give up sound endpoints nor tell others to.
+
+  Background:
+    Given a host that can ask the peers "p1, p2, p3" about the endpoint "e1"
+
+  Scenario: A path that only this host has lost leads through peers
+    Given "e1" refuses this host's connections, and "p2" reaches it
+    When a connection to "e1" fails
+    Then "e1" is tunnelled, and gets requests
+    And others aren't told that "e1" is unhealthy
+
+  Scenario: An endpoint that peers don't reach either is unhealthy
+    Given "e1" refuses this host's connections, and peers refuse with 502
+    When a connection to "e1" fails
+    Then "e1" is lost, and gets no requests
+    And others are told that "e1" is unhealthy
+
+  Scenario: Nobody is told before a peer has been asked
+    When a connection to "e1" has failed, and no peer has answered yet
+    Then "e1" is suspected, and gets no requests
+    And others aren't told that "e1" is unhealthy
+
+  Scenario: Requests that fail at the same time ask peers once
+    Given "e1" refuses this host's connections, and "p2" reaches it
+    When 5 connections to "e1" fail at the same time
+    Then each peer was asked once at most
+
+  Scenario: The direct path is used again as soon as it is back
+    Given "e1" refuses this host's connections, and "p2" reaches it
+    When a connection to "e1" fails
+    And "e1" accepts this host's connections, and its path is checked
+    Then "e1" is direct, and gets requests
+
+  Scenario: An answer through a peer doesn't show that the direct path is back
+    Given "e1" refuses this host's connections, and "p2" reaches it
+    When a connection to "e1" fails
+    And an answer of "e1" comes
+    Then "e1" is tunnelled, and gets requests
+
+  Scenario: A peer that is lost too leads to another check
+    Given "e1" refuses this host's connections, and "p2" reaches it
+    When a connection to "e1" fails
+    And no peer reaches "e1" any longer, and a connection through one fails
+    Then "e1" is suspected, and gets no requests
+
+  Scenario Outline: A crash is noted only if the endpoint refuses peers too
+    Given "e1" refuses this host's connections, and <peers>
+    When it is asked whether "e1" refuses connections
+    Then a crash would be noted: <answer>
+
+    Examples:
+      | peers                   | answer |
+      | "p2" reaches it         | no     |
+      | peers refuse with 502   | yes    |
+      | peers refuse with 503   | yes    |
+
+  Scenario Outline: A host without a path leaves the judgement of a crash to its peers
+    Given "e1" refuses this host's connections, and "p2" reaches it
+    When a connection to "e1" fails
+    And after that <peers>
+    And it is asked whether "e1" refuses connections
+    Then a crash would be noted: <answer>
+
+    Examples:
+      | peers                 | answer |
+      | peers refuse with 502 | yes    |
+      | peers refuse with 503 | no     |
+      | peers refuse with 504 | no     |
+
+  Scenario: A silence is the endpoint's only once its path has been checked
+    Given "e1" accepts this host's connections
+    When a request to "e1" gets no answer
+    Then others aren't told that "e1" is unhealthy
+    When its path is checked in the background
+    Then others are told that "e1" is unhealthy
+
+  Scenario: A silence of the path is held against nobody
+    Given "e1" refuses this host's connections, and "p2" reaches it
+    When a request to "e1" gets no answer
+    And its path is checked in the background
+    Then "e1" is tunnelled, and gets requests
+    And others aren't told that "e1" is unhealthy
--- /dev/null
+++ b/features/steps/paths_verdicts.py
@@ -0,0 +1,119 @@
+"""Steps of hosts that find out whether an endpoint or the path to it has failed."""
+
+import curio
+from behave import given, then, when
+
+from features.builders.paths import PathWorld
+
+
+@given('a host that can ask the peers "{names}" about the endpoint "e1"')
+def make_world(context, names):
+    context.world_of_paths = PathWorld(names.split(", "))
+
+
+@given('"e1" accepts this host\'s connections')
+def accept(context):
+    context.world_of_paths.start_endpoint()
+
+
+@given('"e1" refuses this host\'s connections, and "{peer}" reaches it')
+def reach(context, peer):
+    context.world_of_paths.tunnels.reaching.add(peer)
+
+
+@given('"e1" refuses this host\'s connections, and peers refuse with {status:d}')
+@when("after that peers refuse with {status:d}")
+def refuse(context, status):
+    tunnels = context.world_of_paths.tunnels
+    tunnels.reaching.clear()
+    tunnels.status = status
+
+
+@when('a connection to "e1" fails')
+def fail(context):
+    curio.run(context.world_of_paths.fail)
+
+
+@when('{count:d} connections to "e1" fail at the same time')
+def fail_together(context, count):
+    async def fail_all():
+        async with curio.TaskGroup() as group:
+            for _ in range(count):
+                await group.spawn(context.world_of_paths.fail)
+
+    curio.run(fail_all)
+
+
+@when('a connection to "e1" has failed, and no peer has answered yet')
+def fail_only(context):
+    context.world_of_paths.health.note_unreachable("e1")
+
+
+@when('"e1" accepts this host\'s connections, and its path is checked')
+def check_accepting(context):
+    world = context.world_of_paths
+    world.start_endpoint()
+    curio.run(world.check)
+
+
+@when('an answer of "e1" comes')
+def answer(context):
+    context.world_of_paths.health.note_answer("e1")
+
+
+@when('no peer reaches "e1" any longer, and a connection through one fails')
+def fail_tunnel(context):
+    world = context.world_of_paths
+    world.tunnels.reaching.clear()
+    world.health.note_unreachable("e1")
+
+
+@when('it is asked whether "e1" refuses connections')
+def ask_refusal(context):
+    world = context.world_of_paths
+    context.result = curio.run(world.checker.refuses_connections, world.endpoint)
+
+
+@then("a crash would be noted: {answer}")
+def check_refusal(context, answer):
+    assert context.result is (answer == "yes"), context.result
+
+
+@when('a request to "e1" gets no answer')
+def go_silent(context):
+    context.world_of_paths.health.note_failure("e1", is_confirmed=False)
+
+
+@when("its path is checked in the background")
+def probe(context):
+    curio.run(context.world_of_paths.probe)
+
+
+@then('"e1" is {state}, and gets requests')
+def check_used(context, state):
+    health = context.world_of_paths.health
+    assert health.paths.get("e1").value == state, health.paths.get("e1")
+    assert not health.is_unhealthy("e1")
+
+
+@then('"e1" is {state}, and gets no requests')
+def check_unused(context, state):
+    health = context.world_of_paths.health
+    assert health.paths.get("e1").value == state, health.paths.get("e1")
+    assert health.is_unhealthy("e1")
+
+
+@then('others aren\'t told that "e1" is unhealthy')
+def check_silent(context):
+    assert context.world_of_paths.health.list_unhealthy() == []
+
+
+@then('others are told that "e1" is unhealthy')
+def check_told(context):
+    assert context.world_of_paths.health.list_unhealthy() == ["e1"]
+
+
+@then("each peer was asked once at most")
+def check_asked(context):
+    asked = context.world_of_paths.tunnels.asked
+    assert len(asked) == len(set(asked)) > 0, asked
--- a/features/steps/trust.py
+++ b/features/steps/trust.py
@@ -202,6 +202,18 @@
     assert context.trust.is_barred(name)
 
 
+@when('it turns out that only this host\'s path to "{name}" was lost')
+def forgive(context, name):
+    context.trust.forgive_cuts(name)
+    evaluate_trust(context)
+
+
+@then("no cut is told to the peers")
+def check_no_cut_told(context):
+    evidence = context.trust.list_evidence()
+    assert not any(found.cut for found in evidence.values()), evidence
+
+
 @when('"{name}" returns and is ejected again {count:d} times')
 def flap(context, name, count):
     for _ in range(count):
--- a/features/trust/returning.feature
+++ b/features/trust/returning.feature
@@ -81,3 +81,10 @@
     Then "e0" may not be tried
     When 3.1 s pass
     Then "e0" may be tried
+
+  Scenario: An endpoint isn't held back for cuts of this host's own path
+    Given a host with reports of 0 peers, and 4 endpoints in 2 data centres
+    And "e0" was ejected for silence
+    When it turns out that only this host's path to "e0" was lost
+    Then no endpoint is barred
+    And no cut is told to the peers
--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -145,6 +145,7 @@
             self.board.list_failures,
             self.board.count_reporting_hosts,
             lambda name: self.board.measure(name).total,
+            self.health.note_silence,
         )
         self._freshness = SharedFreshness(
             clock,
@@ -325,6 +326,7 @@
             self.trust.evaluate(self.directory.list_endpoints())
             metrics = self._backends.metrics
             metrics.endpoints_barred.set(len(self.trust.list_barred()))
+            metrics.endpoints_indirect.set(len(self.health.list_unreachable()))
             metrics.parts_quarantined.set(len(self.part_quarantine.list_quarantined()))
 
     async def _watch_isolation(self):
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -13,7 +13,7 @@
     OnlineDispatcher,
 )
 from ..fleet import RetirementController
-from ..http import ClientLimits, ClientPool, Headers, HTTPServer, ServerLimits
+from ..http import Headers, HTTPServer, ServerLimits
 from ..jobs import (
     CancellationCheck,
     JobAcceptance,
@@ -26,24 +26,23 @@
 from ..jobs.claims import JobClaims
 from ..jobs.item_runner import ItemRunner
 from ..jobs.keys import WORK_PREFIX
+from ..paths import TUNNEL_PREFIX
 from ..placement import BatchRoom, EndpointChooser, ReachabilityProber, SlotQueue
 from ..routing import RetryBudgets, RetryPolicy
 from ..store import StoreRelay
 from ..supervision import keep_running
 from ..telemetry import get_logger
+from .endpointaccess import EndpointAccess
 from .fleetview import FleetView
 
 __all__ = ["ServingHost"]
 
 WORK_PAUSE_SECONDS = 0.5
-# How long an endpoint may take to accept a connection: a request still starts
-# within its objective at the next one.
-CONNECT_SECONDS = 0.2
-# Largest answer of an endpoint that is passed on.
-ANSWER_BYTES = 67_108_864
 SUMMARY_SECONDS = 10.0
 # Largest call to the store that is passed on for another host.
 RELAYED_BYTES = 33_554_432
+# How long a connection that is carried for another host may be idle.
+TUNNEL_IDLE_SECONDS = 60.0
 FIXED_SETTINGS = (
     "name",
     "data_centre",
@@ -93,6 +92,7 @@
             self._take_configuration,
             self._take_retirement,
         )
+        self.access = EndpointAccess(self.fleet, self.clock, self.random)
         self._make_placement()
         self._make_jobs()
         self._make_entry()
@@ -119,7 +119,9 @@
             self.settings.data_centre,
             self.random,
         )
-        self.prober = ReachabilityProber(self.fleet.health, self.fleet.directory)
+        self.prober = ReachabilityProber(
+            self.fleet.health, self.fleet.directory, self.access.checker, self.clock
+        )
         self.slots = SlotQueue(
             self.chooser,
             self.fleet.board,
@@ -128,7 +130,7 @@
             self.random,
         )
         self.attempt = EndpointClient(
-            ClientPool(CONNECT_SECONDS, limits=ClientLimits(body_bytes=ANSWER_BYTES)),
+            self.access.pool,
             self.backends.endpoints,
             self.fleet.directory,
             self.clock,
@@ -140,6 +142,7 @@
             self.fleet.notify_crash,
             self.clock,
             self.fleet.hears_data_centre,
+            self.access.checker.refuses_connections,
         )
 
     def _make_jobs(self):
@@ -235,12 +238,13 @@
         )
         transport = self.backends.transport
         transport.use_relays(self.fleet.relays.list_addresses)
-        relay = HTTPServer(
-            StoreRelay(transport.direct).handle,
-            ServerLimits(body_bytes=RELAYED_BYTES),
+        self.store_relay = StoreRelay(transport.direct)
+        peers = HTTPServer(
+            self._serve_peer,
+            ServerLimits(body_bytes=RELAYED_BYTES, body_timeout=TUNNEL_IDLE_SECONDS),
         )
         # The same number as that of the reports, which are datagrams.
-        self._bind(relay, self.fleet.member.address)
+        self._bind(peers, self.fleet.member.address)
 
     def _bind(self, server, address):
         host, _, port = address.rpartition(":")
@@ -286,6 +290,7 @@
     async def start_drain(self):
         """Begin to end without cutting off any request."""
         self.draining = True
+        self.access.relay.start_close()
         drain_seconds = self.settings.drain_seconds * DRAIN_SHARE
         self._cut_at = self.clock.read_elapsed() + drain_seconds
         await self._drain_asked.set()
@@ -302,6 +307,8 @@
         if self.settings.serves_callers:
             async with curio.ignore_after(self._measure_serving_time()):
                 await self._drain_callers()
+        async with curio.ignore_after(self._measure_serving_time()):
+            await self.access.relay.drain()
         await self.fleet.registration.leave()
         log.info("drained", extra={"step": "drain"})
 
@@ -317,6 +324,7 @@
                     "endpoints": len(self.fleet.directory.list_endpoints()),
                     "hosts_heard": self.fleet.board.count_reporting_hosts(),
                     "endpoints_barred": self.fleet.trust.list_barred(),
+                    "endpoints_indirect": self.fleet.health.list_unreachable(),
                     "parts_quarantined": self.fleet.part_quarantine.list_quarantined(),
                     "waiting": len(self.slots),
                     "items_waiting": self.fleet.board.items_waiting,
@@ -356,6 +364,12 @@
         if self.runner is not None:
             self.retirement.add_request(order)
 
+    async def _serve_peer(self, exchange):
+        """Pass on what another host can't reach itself."""
+        is_tunnel = exchange.path.startswith(TUNNEL_PREFIX)
+        relay = self.access.relay if is_tunnel else self.store_relay
+        await relay.handle(exchange)
+
     async def _show_readiness(self, exchange):
         status = 200 if self.ready else 503
         await exchange.respond(status, Headers(), b"")
--- a/mangogauge/entry/attempt.py
+++ b/mangogauge/entry/attempt.py
@@ -103,7 +103,9 @@
         if self.unreachable:
             health.note_unreachable(endpoint.name)
         elif self.endpoint_at_fault:
-            health.note_failure(endpoint.name)
+            # Without an answer, the path may have failed in place of the endpoint.
+            is_confirmed = self.kind is not None
+            health.note_failure(endpoint.name, is_confirmed)
 
 
 class EndpointClient:
@@ -111,7 +113,7 @@
 
     Parameters
     ----------
-    pool : ClientPool
+    pool : EndpointPool
     dialect : EndpointDialect
     directory : EndpointDirectory
         Notified of endpoints whose answers announce that they are leaving.
@@ -183,7 +185,7 @@
 
     async def _request(self, call, endpoint_request, is_resend):
         return await self._pool.request(
-            endpoint_request.endpoint.address,
+            endpoint_request.endpoint,
             call.method,
             call.target,
             self._dialect.make_headers(endpoint_request),
--- a/mangogauge/entry/crashes.py
+++ b/mangogauge/entry/crashes.py
@@ -52,14 +52,26 @@
     has_reported_since : callable
         Takes a data centre and an elapsed time; returns whether a report of a host
         there has arrived since, or no other host is registered there.
+    refuses_connections : async callable, optional
+        Takes a `FleetEndpoint`; returns whether it refuses connections. By default
+        this host's own connection decides.
     """
 
-    def __init__(self, ledger, part_quarantine, notify, clock, has_reported_since):
+    def __init__(
+        self,
+        ledger,
+        part_quarantine,
+        notify,
+        clock,
+        has_reported_since,
+        refuses_connections=None,
+    ):
         self._ledger = ledger
         self._part_quarantine = part_quarantine
         self._notify = notify
         self._clock = clock
         self._has_reported_since = has_reported_since
+        self._refuses_connections = refuses_connections or _refuses_connections
 
     def check(self, call, executed="no"):
         """Raise `Refusal` if `call` is quarantined.
@@ -131,7 +143,7 @@
     async def _diagnose(self, call, endpoint, is_sound):
         broke_at = self._clock.read_elapsed()
         await curio.sleep(LISTENER_CLOSE_SECONDS)
-        if not await _refuses_connections(endpoint):
+        if not await self._refuses_connections(endpoint):
             return False
         if await self._is_data_centre_reporting(endpoint.data_centre, broke_at):
             await self._note_crash(call, endpoint, is_sound)
--- a/mangogauge/entry/dispatch.py
+++ b/mangogauge/entry/dispatch.py
@@ -181,6 +181,7 @@
             "sent",
             endpoint=endpoint.name,
             attempt=state.attempts,
+            path=self._health.paths.get(endpoint.name).value,
             software=endpoint.software,
             after_event=state.relay.last_event,
             resumes=call.resumed_id,
--- a/mangogauge/placement/choice.py
+++ b/mangogauge/placement/choice.py
@@ -165,8 +165,9 @@
     def _measure(self, endpoint):
         load = self._report_table.measure(endpoint.name)
         is_local = endpoint.data_centre == self._data_centre
+        is_direct = not self._health.paths.is_tunnelled(endpoint.name)
         cost = self._trust.get_cost(endpoint.name)
-        return _Candidate(endpoint, load, is_local, cost)
+        return _Candidate(endpoint, load, is_local, is_direct, cost)
 
     def _estimate_unreported(self, candidates):
         """Return how many requests of other hosts aren't reported yet.
@@ -193,7 +194,12 @@
         )
 
     def _rank(self, candidate):
-        return candidate.ratio, not candidate.is_local, self._random.random()
+        return (
+            candidate.ratio,
+            not candidate.is_direct,
+            not candidate.is_local,
+            self._random.random(),
+        )
 
 
 @frozen
@@ -206,6 +212,8 @@
     load : EndpointLoad
     is_local : bool
         Whether it is in this host's data centre.
+    is_direct : bool
+        Whether this host reaches it without a peer.
     cost : float
         Relative cost of a request there: 1, or more if it is slow or in slow start.
     """
@@ -213,6 +221,7 @@
     endpoint = field()
     load = field()
     is_local = field()
+    is_direct = field()
     cost = field()
 
     @property
--- a/mangogauge/placement/health.py
+++ b/mangogauge/placement/health.py
@@ -2,14 +2,16 @@
 
 An endpoint may crash, stop answering or become unreachable while requests keep
 arriving. After a failure it is unhealthy for a backoff that grows with each further
-failure in a row; one answer clears it. An endpoint that refuses connections is
-unhealthy until it accepts one again. The connection is tried in the background, so
-that no request is spent on it. While any endpoint is unreachable, those that
-haven't answered since are unverified: the same network fault may affect them.
+failure in a row; one answer clears it. An endpoint to which no path leads is unhealthy
+until one does again. The paths are tried in the background, so that no request is
+spent on it. A silence or a broken connection may be the path's fault, so it is told to
+other hosts only once the path has been checked.
 """
 
 from attrs import define, field
 
+from ..paths import PathState, PathTable
+
 __all__ = ["EndpointHealth"]
 
 FIRST_BACKOFF_SECONDS = 0.5
@@ -19,11 +21,17 @@
 
 @define
 class _FailureRecord:
-    """Consecutive failures of an endpoint, and the end of its backoff."""
+    """Consecutive failures of an endpoint, and the end of its backoff.
+
+    Attributes
+    ----------
+    is_confirmed : bool
+        Whether the failures are known to be the endpoint's, not the path's.
+    """
 
     failures = field(default=0)
-    unreachable = field(default=False)
     backoff_until = field(default=float("-inf"))
+    is_confirmed = field(default=True)
 
 
 class EndpointHealth:
@@ -33,6 +41,11 @@
     ----------
     clock : Clock
 
+    Attributes
+    ----------
+    paths : PathTable
+        Paths from this host to the endpoints.
+
     Examples
     --------
     >>> from mangogauge.clock import ManualClock
@@ -49,16 +62,24 @@
     def __init__(self, clock):
         self._clock = clock
         self._records = {}
-        self._answered_at = {}
-        self._unreachable_since = None
+        self._silent = set()
+        self.paths = PathTable(clock)
 
     def note_answer(self, name):
         """Record that an endpoint answered."""
         self._records.pop(name, None)
-        self._note_contact(name)
-
-    def note_failure(self, name):
-        """Record that an endpoint failed or stopped answering."""
+        self._silent.discard(name)
+        self.paths.note_answer(name)
+
+    def note_failure(self, name, is_confirmed=True):
+        """Record that an endpoint failed or stopped answering.
+
+        Parameters
+        ----------
+        name : str
+        is_confirmed : bool, optional
+            Whether the endpoint itself has failed; otherwise the path may have.
+        """
         now = self._clock.read_elapsed()
         record = self._records.setdefault(name, _FailureRecord())
         if now < record.backoff_until:
@@ -67,53 +88,72 @@
         seconds = FIRST_BACKOFF_SECONDS * BACKOFF_FACTOR**record.failures
         record.failures += 1
         record.backoff_until = now + min(LONGEST_BACKOFF_SECONDS, seconds)
+        record.is_confirmed = is_confirmed
+        if not is_confirmed:
+            self._silent.add(name)
+
+    def note_silence(self, name):
+        """Record that an answer is overdue, so that the path is checked."""
+        self._silent.add(name)
 
     def note_unreachable(self, name):
-        """Record that an endpoint accepted no connection."""
-        if self._unreachable_since is None:
-            self._unreachable_since = self._clock.read_elapsed()
-        self._records.setdefault(name, _FailureRecord()).unreachable = True
+        """Record that no connection to an endpoint could be made."""
+        self.paths.note_failed_connection(name)
 
     def note_reachable(self, name):
         """Record that an endpoint accepted a connection again."""
+        self.paths.note_connection(name)
+        self.confirm(name)
+
+    def note_path_lost(self, name):
+        """Forget failures: only this host's path to the endpoint has failed."""
+        self._records.pop(name, None)
+        self._silent.discard(name)
+
+    def confirm(self, name):
+        """Record that a silence or a broken connection was the endpoint's own."""
+        self._silent.discard(name)
         record = self._records.get(name)
         if record is not None:
-            record.unreachable = False
-        self._note_contact(name)
+            record.is_confirmed = True
 
     def is_unverified(self, name):
         """Return whether it hasn't answered since another became unreachable."""
-        if self._unreachable_since is None:
-            return False
-        return self._answered_at.get(name, float("-inf")) < self._unreachable_since
+        return self.paths.is_unverified(name)
 
     def list_unreachable(self):
-        """Return the names of endpoints that last accepted no connection."""
-        return [name for name, r in self._records.items() if r.unreachable]
+        """Return the names of endpoints that aren't reached directly."""
+        return self.paths.list_indirect()
+
+    def list_silent(self):
+        """Return the names of endpoints whose path has to be checked."""
+        return list(self._silent)
 
     def is_unhealthy(self, name):
         """Return whether an endpoint should get no requests for now."""
-        record = self._records.get(name)
-        if record is None:
-            return False
-        if record.unreachable:
-            return True
-        return self._clock.read_elapsed() < record.backoff_until
+        return not self.paths.is_usable(name) or self._is_backing_off(name)
 
     def list_unhealthy(self):
-        """Return the names of unhealthy endpoints."""
-        return [name for name in self._records if self.is_unhealthy(name)]
+        """Return the names of unhealthy endpoints, as other hosts are told them."""
+        lost = [n for n in self.paths.list_indirect() if self._is_lost(n)]
+        failed = [
+            name
+            for name, record in self._records.items()
+            if record.is_confirmed and self._is_backing_off(name)
+        ]
+        return list(dict.fromkeys([*lost, *failed]))
 
     def forget(self, name):
         """Remove an endpoint that no longer exists."""
         self._records.pop(name, None)
-        self._answered_at.pop(name, None)
-        self._update_unreachable_since()
+        self._silent.discard(name)
+        self.paths.forget(name)
 
-    def _note_contact(self, name):
-        self._answered_at[name] = self._clock.read_elapsed()
-        self._update_unreachable_since()
+    def _is_lost(self, name):
+        return self.paths.get(name) is PathState.LOST
 
-    def _update_unreachable_since(self):
-        if not self.list_unreachable():
-            self._unreachable_since = None
+    def _is_backing_off(self, name):
+        record = self._records.get(name)
+        if record is None:
+            return False
+        return self._clock.read_elapsed() < record.backoff_until
--- a/mangogauge/telemetry/serving.py
+++ b/mangogauge/telemetry/serving.py
@@ -43,6 +43,9 @@
         self.endpoints_barred = self._gauge(
             "endpoints_barred", "Endpoints that get no work but trials."
         )
+        self.endpoints_indirect = self._gauge(
+            "endpoints_indirect", "Endpoints that this host doesn't reach directly."
+        )
         self.parts_quarantined = self._gauge(
             "parts_quarantined", "Parts of prompts that are kept from endpoints."
         )
--- a/mangogauge/trust/ejection.py
+++ b/mangogauge/trust/ejection.py
@@ -85,6 +85,11 @@
         self._decay_at = now + seconds + EJECTION_MEMORY_SECONDS
         self._enter(EjectionState.EJECTED, now, now + seconds)
 
+    def restore(self, now):
+        """Return to full trust: the ejection was a mistake."""
+        self.ejections = max(0, self.ejections - 1)
+        self._enter(EjectionState.TRUSTED, now)
+
     def update(self, now, stays_ejected=False):
         """Apply the transitions that are due.
 
--- a/mangogauge/trust/endpoints.py
+++ b/mangogauge/trust/endpoints.py
@@ -80,6 +80,8 @@
         data centre's summary, recently.
     measure_load : callable, optional
         Returns how many requests and items run at an endpoint, given its name.
+    on_silence : callable, optional
+        Called with the name of an endpoint whose answer is overdue.
     """
 
     def __init__(
@@ -88,8 +90,10 @@
         list_peer_evidence=list,
         count_peers=int,
         measure_load=lambda name: 0,
+        on_silence=lambda name: None,
     ):
         self._measure_load = measure_load
+        self._on_silence = on_silence
         self._clock = clock
         self._list_peer_evidence = list_peer_evidence
         self._count_peers = count_peers
@@ -165,6 +169,16 @@
         if outcome is not None and not (attempt.overdue and outcome is Outcome.CUT):
             self._record_outcome(record, outcome)
 
+    def forgive_cuts(self, name):
+        """Forget the cuts of an endpoint: only this host's path to it has failed."""
+        record = self._records.get(name)
+        if record is None:
+            return
+        record.window.forget(Outcome.CUT)
+        if record.is_silent and record.ejection.is_barred:
+            record.ejection.restore(self.read_now())
+            self._barred -= {name}
+
     def is_barred(self, name):
         """Return whether an endpoint gets no work except trials."""
         return name in self._barred
@@ -321,6 +335,7 @@
                 if detector.measure_suspicion(seconds) >= SILENCE_PHI_LIMIT:
                     attempt.overdue = True
                     self._record_outcome(record, Outcome.CUT)
+                    self._on_silence(record.name)
 
     def _find_min_silence(self, attempt):
         """Return the seconds below which no silence counts against its endpoint."""
--- a/mangogauge/trust/outcomes.py
+++ b/mangogauge/trust/outcomes.py
@@ -81,6 +81,11 @@
             self._buckets.append((number, dict.fromkeys(Outcome, 0)))
         self._buckets[-1][1][outcome] += 1
 
+    def forget(self, outcome):
+        """Remove all outcomes of one kind."""
+        for _, counts in self._buckets:
+            counts[outcome] = 0
+
     def sum_up(self, now):
         """Return the `Evidence` of the window that ends at an elapsed time."""
         self._expire(now)
