--- a/mangogauge/paths/table.py
+++ b/mangogauge/paths/table.py
@@ -4,6 +4,9 @@
 
 __all__ = ["PathTable"]
 
+# None stands for an endpoint that is reached directly.
+USABLE_STATES = (None, PathState.TUNNELLED)
+
 
 class PathTable:
     """State of the path to each endpoint.
@@ -41,11 +44,11 @@
 
     def is_usable(self, name):
         """Return whether requests can be sent to an endpoint."""
-        return self.get(name) in (PathState.DIRECT, PathState.TUNNELLED)
+        return self._indirect.get(name) in USABLE_STATES
 
     def is_tunnelled(self, name):
         """Return whether an endpoint is reached through peers only."""
-        return self.get(name) is PathState.TUNNELLED
+        return self._indirect.get(name) is PathState.TUNNELLED
 
     def list_indirect(self):
         """Return the names of the endpoints that aren't reached directly."""
--- a/mangogauge/placement/choice.py
+++ b/mangogauge/placement/choice.py
@@ -165,9 +165,8 @@
     def _measure(self, endpoint):
         load = self._report_table.measure(endpoint.name)
         is_local = endpoint.data_centre == self._data_centre
-        is_direct = not self._health.paths.is_tunnelled(endpoint.name)
         cost = self._trust.get_cost(endpoint.name)
-        return _Candidate(endpoint, load, is_local, is_direct, cost)
+        return _Candidate(endpoint, load, is_local, cost)
 
     def _estimate_unreported(self, candidates):
         """Return how many requests of other hosts aren't reported yet.
@@ -196,7 +195,7 @@
     def _rank(self, candidate):
         return (
             candidate.ratio,
-            not candidate.is_direct,
+            self._health.paths.is_tunnelled(candidate.endpoint.name),
             not candidate.is_local,
             self._random.random(),
         )
@@ -212,8 +211,6 @@
     load : EndpointLoad
     is_local : bool
         Whether it is in this host's data centre.
-    is_direct : bool
-        Whether this host reaches it without a peer.
     cost : float
         Relative cost of a request there: 1, or more if it is slow or in slow start.
     """
@@ -221,7 +218,6 @@
     endpoint = field()
     load = field()
     is_local = field()
-    is_direct = field()
     cost = field()
 
     @property
--- a/mangogauge/placement/health.py
+++ b/mangogauge/placement/health.py
@@ -131,15 +131,19 @@
 
     def is_unhealthy(self, name):
         """Return whether an endpoint should get no requests for now."""
-        return not self.paths.is_usable(name) or self._is_backing_off(name)
+        if not self.paths.is_usable(name):
+            return True
+        record = self._records.get(name)
+        return record is not None and self._clock.read_elapsed() < record.backoff_until
 
     def list_unhealthy(self):
         """Return the names of unhealthy endpoints, as other hosts are told them."""
+        now = self._clock.read_elapsed()
         lost = [n for n in self.paths.list_indirect() if self._is_lost(n)]
         failed = [
             name
             for name, record in self._records.items()
-            if record.is_confirmed and self._is_backing_off(name)
+            if record.is_confirmed and record.backoff_until > now
         ]
         return list(dict.fromkeys([*lost, *failed]))
 
@@ -151,9 +155,3 @@
 
     def _is_lost(self, name):
         return self.paths.get(name) is PathState.LOST
-
-    def _is_backing_off(self, name):
-        record = self._records.get(name)
-        if record is None:
-            return False
-        return self._clock.read_elapsed() < record.backoff_until
