Log each request that ends without a whole answer while its caller is there (LOST)

Now 'caller hung up' means that the caller's end was seen; else the handler logs 'ended without an answer', and the connection 'request ended without a whole answer' with the reason, whether the request was read and an answer begun. No change of logic.

--- a/mangogauge/entry/handler.py
+++ b/mangogauge/entry/handler.py
@@ -108,9 +108,12 @@
             record.outcome = "caller_lost"
             self._log(record, "caller lost", reason=repr(error))
             raise
-        except curio.CancelledError:
+        except curio.CancelledError as error:
             record.outcome = "cancelled"
-            self._log(record, "caller hung up")
+            if exchange.caller_left:
+                self._log(record, "caller hung up")
+            else:
+                self._log(record, "ended without an answer", reason=repr(error))
             raise
         finally:
             seconds = self._clock.read_elapsed() - started_at
--- a/mangogauge/gateway/front.py
+++ b/mangogauge/gateway/front.py
@@ -100,9 +100,13 @@
             outcome = "caller_lost"
             self._log(request_id, labels, "caller lost", reason=repr(error))
             raise
-        except curio.CancelledError:
+        except curio.CancelledError as error:
             outcome = "cancelled"
-            self._log(request_id, labels, "caller hung up")
+            if exchange.caller_left:
+                self._log(request_id, labels, "caller hung up")
+            else:
+                reason = repr(error)
+                self._log(request_id, labels, "ended without an answer", reason=reason)
             raise
         except Exception as error:
             outcome = "internal_error"
--- a/mangogauge/http/connection.py
+++ b/mangogauge/http/connection.py
@@ -27,6 +27,8 @@
 SKIP_SECONDS = 0.5
 # Socket option that makes closing reset the connection at once.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# States of this side once an answer has been sent whole.
+ANSWERED_STATES = frozenset({h11.DONE, h11.MUST_CLOSE, h11.CLOSED})
 SPOKEN_VERSIONS = frozenset({b"1.0", b"1.1"})
 UNREADABLE_CODES = {408: "request_timeout", 413: "too_large", 431: "too_large"}
 
@@ -46,6 +48,8 @@
     ----------
     busy : bool
         Whether a request is being served.
+    caller_left : bool
+        Whether the caller ended the connection within a request.
     """
 
     def __init__(self, server, sock, peer):
@@ -54,10 +58,12 @@
         self.peer = peer
         self.limits = server.limits
         self.busy = False
+        self.caller_left = False
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self.limits.header_bytes
         )
         self._broken = False
+        self._end_reason = "the handler was cancelled"
         self._served = False
         self._opened_at = time.monotonic()
         self._skippable = False
@@ -222,9 +228,12 @@
 
     async def _serve_request(self, handler, request):
         exchange = Exchange(self, request)
-        async with curio.TaskGroup(wait=any) as group:
-            handling = await group.spawn(self._call_handler, handler, exchange)
-            await group.spawn(self._watch_caller)
+        try:
+            async with curio.TaskGroup(wait=any) as group:
+                handling = await group.spawn(self._call_handler, handler, exchange)
+                await group.spawn(self._watch_caller)
+        finally:
+            self._log_incomplete(exchange)
         if not handling.terminated or handling.exception is not None:
             self._broken = True
         if not self._broken:
@@ -233,8 +242,9 @@
     async def _call_handler(self, handler, exchange):
         try:
             await handler(exchange)
-        except (OSError, h11.ProtocolError, curio.TaskTimeout):
+        except (OSError, h11.ProtocolError, curio.TaskTimeout) as error:
             self._broken = True
+            self._end_reason = repr(error)
         except HTTPRequestError as error:
             self._broken = True
             await self._refuse_unreadable(error.status, error.message)
@@ -250,11 +260,26 @@
         while len(self._h11.trailing_data[0]) < PIPELINE_LIMIT_BYTES:
             data = await self._receive()
             if not data:
-                self._broken = True
+                self._broken = self.caller_left = True
                 return
             self._h11.receive_data(data)
         await curio.Event().wait()
 
+    def _log_incomplete(self, exchange):
+        """Log a request whose answer is not whole, unless its caller left."""
+        if self.caller_left or self._h11.our_state in ANSWERED_STATES:
+            return
+        log.info(
+            "request ended without a whole answer",
+            extra={
+                "peer": self.peer,
+                "reason": self._end_reason,
+                "answer_begun": exchange.response_started,
+                "request_read": self._body_done.is_set(),
+                "closing": self._server.closing,
+            },
+        )
+
     async def _skip_body(self):
         """Read the short rest of a body that the handler did not want."""
         if self._h11.their_state is not h11.SEND_BODY:
--- a/mangogauge/http/exchange.py
+++ b/mangogauge/http/exchange.py
@@ -33,6 +33,11 @@
         self.peer = connection.peer
         self.response_started = False
 
+    @property
+    def caller_left(self):
+        """Whether the caller ended the connection within this request."""
+        return self._connection.caller_left
+
     @property
     def path(self):
         """The target without its query."""
--- a/mangogauge/telemetry/explanation.py
+++ b/mangogauge/telemetry/explanation.py
@@ -17,6 +17,7 @@
 ENDINGS = {
     "refused": "{host} refused it ({code}): {reason}",
     "answer broke off": "{host} ended the answer before it was whole: {reason}",
+    "ended without an answer": "{host} ended the request unanswered: {reason}",
     "caller hung up": "the caller left before {host} had the whole answer",
     "caller lost": "{host} lost the connection to the caller: {reason}",
     "item ended": "{host} ended the item as {state}: {reason}",
