Test a stream whose endpoint is silent for 2 s and goes on, known red (LOST)

The host ends the run after 1.2 s, finds no slot elsewhere, and cuts the answer off: 3 of 12 events.

--- a/features/builders/platform/endpoint.py
+++ b/features/builders/platform/endpoint.py
@@ -18,6 +18,8 @@
 BODY_BYTES = 8_000_000
 EVENT_SECONDS = 0.01
 QUEUE = 24
+# How long an endpoint with a fault sends nothing within an answer.
+SILENCE_SECONDS = {"mute": 3600, "pause": 2}
 
 
 @define(eq=False)
@@ -135,8 +137,8 @@
             if fault == "cut" and number == first + 3:
                 await exchange.send_data(b"id: %d\ndata: ha" % number)
                 raise ConnectionAbortedError("broken off")
-            if fault == "mute" and number == first + 3:
-                await curio.sleep(3600)
+            if fault in SILENCE_SECONDS and number == first + 3:
+                await curio.sleep(SILENCE_SECONDS[fault])
             await curio.sleep(self.event_seconds)
             text = f"{arrival.request_id}-{number}"
             await exchange.send_data(f"id: {number}\ndata: {text}\n\n".encode())
--- a/features/steps/platform.py
+++ b/features/steps/platform.py
@@ -21,6 +21,23 @@
         context.deployment.wait_until_ready(name)
 
 
+@given(
+    'the platform with {count:d} endpoints of {slots:d} slot, and the hosts "{names}"'
+)
+def start_small(context, count, slots, names):
+    start_deployment(context, 0, names)
+    for number in range(1, count + 1):
+        context.deployment.start_endpoint(f"e{number}", slots=slots)
+        for name in names.split(", "):
+            process = context.world.processes[name]
+            wait_until(
+                lambda process=process, number=number: (
+                    f'"e{number}"' in process.read_log()
+                ),
+                f"{name} knows e{number}",
+            )
+
+
 @given('the endpoints answer "{fault}" to the next {count:d} requests')
 def add_faults(context, fault, count):
     context.deployment.add_faults(fault, count)
@@ -128,6 +145,11 @@
     assert not context.deployment.list_arrivals()
 
 
+@then("the endpoints have got it {count:d} times")
+def check_attempts(context, count):
+    assert len(context.deployment.list_arrivals()) == count
+
+
 @then("{count:d} request arrived at the endpoints")
 def check_count(context, count):
     assert len(context.deployment.list_arrivals()) == count
