--- a/mangogauge/http/connection.py
+++ b/mangogauge/http/connection.py
@@ -56,12 +56,9 @@
         self._server = server
         self.sock = sock
         self.peer = peer
-        self.limits = server.limits
         self.busy = False
         self.caller_left = False
-        self._h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self.limits.header_bytes
-        )
+        self._make_parser()
         self._broken = False
         self._end_reason = "the handler was cancelled"
         self._served = False
@@ -70,6 +67,11 @@
         self._ends_answer_by_close = False
         self._body_done = curio.Event()
 
+    @property
+    def limits(self):
+        """The limits in force, which may change while the connection is open."""
+        return self._server.limits
+
     @property
     def must_close(self):
         """Whether the connection ends with the answer under way."""
@@ -194,10 +196,32 @@
         except BlockingIOError:
             return 0
 
+    def _make_parser(self):
+        self._header_bytes = self.limits.header_bytes
+        self._h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._header_bytes
+        )
+
+    async def _await_head(self):
+        """Return the event that follows; its time-out may change meanwhile.
+
+        Notes
+        -----
+        Callers use the connection again by the idle time that is in force then.
+        """
+        began = time.monotonic()
+        while True:
+            left = began + self.limits.header_timeout - time.monotonic()
+            try:
+                async with curio.timeout_after(max(0.0, left)):
+                    return await self._next_event()
+            except curio.TaskTimeout:
+                if time.monotonic() >= began + self.limits.header_timeout:
+                    raise
+
     async def _read_request(self):
         try:
-            async with curio.timeout_after(self.limits.header_timeout):
-                event = await self._next_event()
+            event = await self._await_head()
         except h11.RemoteProtocolError as error:
             await self._refuse_unreadable(error.error_status_hint or 400)
             return None
@@ -338,10 +362,19 @@
                 )
             event = self._h11.next_event()
             if event is h11.NEED_DATA:
-                self._h11.receive_data(await self._receive())
+                data = await self._receive()
+                self._update_parser()
+                self._h11.receive_data(data)
                 continue
             return event
 
+    def _update_parser(self):
+        """Put the limit on a head in force, if no part of one has come."""
+        if self._header_bytes == self.limits.header_bytes:
+            return
+        if self._h11.their_state is h11.IDLE and not self._h11.trailing_data[0]:
+            self._make_parser()
+
     async def _refuse_unreadable(self, status, message="", executed="no"):
         if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
