--- a/mangogauge/http/connection.py
+++ b/mangogauge/http/connection.py
@@ -1,6 +1,7 @@
 """A caller's connection: requests one after another, until either side ends it."""
 
 import os
+import select
 import struct
 import time
 import uuid
@@ -60,6 +61,7 @@
         self.caller_left = False
         self._make_parser()
         self._broken = False
+        self._ended = False
         self._end_reason = "the handler was cancelled"
         self._served = False
         self._opened_at = time.monotonic()
@@ -96,15 +98,17 @@
     async def end_if_idle(self):
         """End the connection if no part of a request has come.
 
-        Shutting the receiving side only wakes the reader: what the caller
-        had already sent is still read, and served.
+        Shutting the receiving side wakes the reader, which reads no more: a
+        request that comes later is left unread, so that its caller may send it
+        again.
         """
-        if self.busy or self._h11.trailing_data[0]:
+        if self.busy or self._h11.trailing_data[0] or self._has_unread():
             return
         if not self._served and time.monotonic() < self._opened_at + FRESH_SECONDS:
             # Its first request is still on the way; nothing told its caller
             # not to send one.
             return
+        self._ended = True
         try:
             # A twin of the socket, since TLS would end with its own shutdown.
             with make_socket(fileno=os.dup(self.sock.fileno())) as twin:
@@ -112,6 +116,15 @@
         except (OSError, ValueError):
             pass
 
+    def _has_unread(self):
+        """Return whether bytes have come that were not read yet."""
+        poller = select.poll()
+        try:
+            poller.register(self.sock.fileno(), select.POLLIN)
+            return bool(poller.poll(0))
+        except (OSError, ValueError):
+            return False
+
     async def close(self, linger=True):
         """Close, first reading what the caller still sends.
 
@@ -327,6 +340,8 @@
             discarded += len(data)
 
     async def _receive(self):
+        if self._ended:
+            return b""
         try:
             return await self.sock.recv(READ_SIZE_BYTES)
         except ConnectionError:
