--- a/mangogauge/http/connection.py
+++ b/mangogauge/http/connection.py
@@ -1,6 +1,7 @@
 """A caller's connection: requests one after another, until either side ends it."""
 
 import os
+import select
 import struct
 import time
 import uuid
@@ -27,6 +28,8 @@
 SKIP_SECONDS = 0.5
 # Socket option that makes closing reset the connection at once.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# States of this side once an answer has been sent whole.
+ANSWERED_STATES = frozenset({h11.DONE, h11.MUST_CLOSE, h11.CLOSED})
 SPOKEN_VERSIONS = frozenset({b"1.0", b"1.1"})
 UNREADABLE_CODES = {408: "request_timeout", 413: "too_large", 431: "too_large"}
 
@@ -46,24 +49,31 @@
     ----------
     busy : bool
         Whether a request is being served.
+    caller_left : bool
+        Whether the caller ended the connection within a request.
     """
 
     def __init__(self, server, sock, peer):
         self._server = server
         self.sock = sock
         self.peer = peer
-        self.limits = server.limits
         self.busy = False
-        self._h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self.limits.header_bytes
-        )
+        self.caller_left = False
+        self._make_parser()
         self._broken = False
+        self._ended = False
+        self._end_reason = "the handler was cancelled"
         self._served = False
         self._opened_at = time.monotonic()
         self._skippable = False
         self._ends_answer_by_close = False
         self._body_done = curio.Event()
 
+    @property
+    def limits(self):
+        """The limits in force, which may change while the connection is open."""
+        return self._server.limits
+
     @property
     def must_close(self):
         """Whether the connection ends with the answer under way."""
@@ -88,15 +98,17 @@
     async def end_if_idle(self):
         """End the connection if no part of a request has come.
 
-        Shutting the receiving side only wakes the reader: what the caller
-        had already sent is still read, and served.
+        Shutting the receiving side wakes the reader, which reads no more: a
+        request that comes later is left unread, so that its caller may send it
+        again.
         """
-        if self.busy or self._h11.trailing_data[0]:
+        if self.busy or self._h11.trailing_data[0] or self._has_unread():
             return
         if not self._served and time.monotonic() < self._opened_at + FRESH_SECONDS:
             # Its first request is still on the way; nothing told its caller
             # not to send one.
             return
+        self._ended = True
         try:
             # A twin of the socket, since TLS would end with its own shutdown.
             with make_socket(fileno=os.dup(self.sock.fileno())) as twin:
@@ -104,6 +116,15 @@
         except (OSError, ValueError):
             pass
 
+    def _has_unread(self):
+        """Return whether bytes have come that were not read yet."""
+        poller = select.poll()
+        try:
+            poller.register(self.sock.fileno(), select.POLLIN)
+            return bool(poller.poll(0))
+        except (OSError, ValueError):
+            return False
+
     async def close(self, linger=True):
         """Close, first reading what the caller still sends.
 
@@ -188,10 +209,32 @@
         except BlockingIOError:
             return 0
 
+    def _make_parser(self):
+        self._header_bytes = self.limits.header_bytes
+        self._h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._header_bytes
+        )
+
+    async def _await_head(self):
+        """Return the event that follows; its time-out may change meanwhile.
+
+        Notes
+        -----
+        Callers use the connection again by the idle time that is in force then.
+        """
+        began = time.monotonic()
+        while True:
+            left = began + self.limits.header_timeout - time.monotonic()
+            try:
+                async with curio.timeout_after(max(0.0, left)):
+                    return await self._next_event()
+            except curio.TaskTimeout:
+                if time.monotonic() >= began + self.limits.header_timeout:
+                    raise
+
     async def _read_request(self):
         try:
-            async with curio.timeout_after(self.limits.header_timeout):
-                event = await self._next_event()
+            event = await self._await_head()
         except h11.RemoteProtocolError as error:
             await self._refuse_unreadable(error.error_status_hint or 400)
             return None
@@ -222,9 +265,12 @@
 
     async def _serve_request(self, handler, request):
         exchange = Exchange(self, request)
-        async with curio.TaskGroup(wait=any) as group:
-            handling = await group.spawn(self._call_handler, handler, exchange)
-            await group.spawn(self._watch_caller)
+        try:
+            async with curio.TaskGroup(wait=any) as group:
+                handling = await group.spawn(self._call_handler, handler, exchange)
+                await group.spawn(self._watch_caller)
+        finally:
+            self._log_incomplete(exchange)
         if not handling.terminated or handling.exception is not None:
             self._broken = True
         if not self._broken:
@@ -233,8 +279,9 @@
     async def _call_handler(self, handler, exchange):
         try:
             await handler(exchange)
-        except (OSError, h11.ProtocolError, curio.TaskTimeout):
+        except (OSError, h11.ProtocolError, curio.TaskTimeout) as error:
             self._broken = True
+            self._end_reason = repr(error)
         except HTTPRequestError as error:
             self._broken = True
             await self._refuse_unreadable(error.status, error.message)
@@ -250,11 +297,26 @@
         while len(self._h11.trailing_data[0]) < PIPELINE_LIMIT_BYTES:
             data = await self._receive()
             if not data:
-                self._broken = True
+                self._broken = self.caller_left = True
                 return
             self._h11.receive_data(data)
         await curio.Event().wait()
 
+    def _log_incomplete(self, exchange):
+        """Log a request whose answer is not whole, unless its caller left."""
+        if self.caller_left or self._h11.our_state in ANSWERED_STATES:
+            return
+        log.info(
+            "request ended without a whole answer",
+            extra={
+                "peer": self.peer,
+                "reason": self._end_reason,
+                "answer_begun": exchange.response_started,
+                "request_read": self._body_done.is_set(),
+                "closing": self._server.closing,
+            },
+        )
+
     async def _skip_body(self):
         """Read the short rest of a body that the handler did not want."""
         if self._h11.their_state is not h11.SEND_BODY:
@@ -278,6 +340,8 @@
             discarded += len(data)
 
     async def _receive(self):
+        if self._ended:
+            return b""
         try:
             return await self.sock.recv(READ_SIZE_BYTES)
         except ConnectionError:
@@ -313,10 +377,19 @@
                 )
             event = self._h11.next_event()
             if event is h11.NEED_DATA:
-                self._h11.receive_data(await self._receive())
+                data = await self._receive()
+                self._update_parser()
+                self._h11.receive_data(data)
                 continue
             return event
 
+    def _update_parser(self):
+        """Put the limit on a head in force, if no part of one has come."""
+        if self._header_bytes == self.limits.header_bytes:
+            return
+        if self._h11.their_state is h11.IDLE and not self._h11.trailing_data[0]:
+            self._make_parser()
+
     async def _refuse_unreadable(self, status, message="", executed="no"):
         if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
