Keep the end of a tunnelled answer that comes together with its last bytes

What callers saw: through a peer, an answer that ends with the endpoint's connection was whole 0.5 s late; and where an endpoint closed right after a framed answer, the next request was sent into the dead tunnel and ended as "may have run", which a request that may not be repeated can't survive.

Cause: TunnelSocket.recv takes the end of the chunked body out of its parser together with the last bytes and forgets it. The next read waits until the peer closes, after the 0.5 s that its server skips body for, and a poll of the idle connection shows nothing.

Change: the end shuts the input of the socket, so that reads and polls find it at once.

--- a/features/builders/tunnels.py
+++ b/features/builders/tunnels.py
@@ -109,6 +109,10 @@
         await sock.sendall(UNFRAMED % number + PIECE)
         await sock.close()
 
+    async def _answer_last(self, sock, number):
+        await self._answer_framed(sock, number)
+        await sock.close()
+
     async def _answer_reset(self, sock, number):
         await sock.sendall(UNFRAMED % number + PIECE)
         await curio.sleep(0.05)
--- a/features/paths/tunnels.feature
+++ b/features/paths/tunnels.feature
@@ -12,6 +12,16 @@
     When a request is sent whose answer ends with the connection
     Then the answer is whole
 
+  Scenario: The end of an answer that ends with the connection comes at once
+    Given a peer that reaches the endpoint "e1"
+    When a request is sent whose answer ends with the connection
+    Then the answer is whole, within 0.3 s
+
+  Scenario: A tunnel whose far end has closed isn't used for another request
+    Given a peer that reaches the endpoint "e1"
+    When 3 requests are sent to "e1" through the peer, each answer closing the connection
+    Then each is answered on a connection of its own
+
   Scenario Outline: A broken connection doesn't look like the end of an answer
     Given a peer that reaches the endpoint "e1"
     When a request is sent whose answer ends with the connection, and <what> within it
--- a/features/steps/paths_tunnels.py
+++ b/features/steps/paths_tunnels.py
@@ -1,5 +1,7 @@
 """Steps of connections that peers carry."""
 
+import time
+
 import curio
 from behave import given, then, when
 
@@ -90,11 +92,40 @@
 @when("a request is sent whose answer ends with the connection")
 def send_unframed(context):
     async def play(world):
-        return await read(await world.request("unframed"))
+        began_at = time.monotonic()
+        body = await read(await world.request("unframed"))
+        context.seconds = time.monotonic() - began_at
+        return body
 
     run(context, play)
 
 
+@then("the answer is whole, within {seconds:f} s")
+def check_whole_soon(context, seconds):
+    check_whole(context)
+    assert context.seconds <= seconds, context.seconds
+
+
+@when(
+    '{count:d} requests are sent to "e1" through the peer, '
+    "each answer closing the connection"
+)
+def send_to_closing(context, count):
+    async def play(world):
+        answers = []
+        for _ in range(count):
+            response = await world.request("last")
+            answers.append((response.headers.get("x-number"), await read(response)))
+        return answers
+
+    run(context, play)
+
+
+@then("each is answered on a connection of its own")
+def check_own_connections(context):
+    assert context.result == [("1", PIECE)] * len(context.result), context.result
+
+
 @then("the answer is whole")
 def check_whole(context):
     assert context.result in (PIECE, PIECE * PIECES), context.result
--- a/mangogauge/http/tunnel.py
+++ b/mangogauge/http/tunnel.py
@@ -8,6 +8,7 @@
 
 import curio
 import h11
+from curio import socket
 
 from .errors import HTTPConnectError
 from .sockets import open_socket
@@ -109,6 +110,8 @@
                 pieces.append(bytes(event.data))
                 # Nothing may stay buffered here: idle connections are polled for input.
                 event = self._h11.next_event()
+            if isinstance(event, h11.EndOfMessage):
+                await self._end_input()
             return b"".join(pieces)
         except h11.RemoteProtocolError as error:
             raise ConnectionResetError(str(error)) from error
@@ -117,6 +120,14 @@
         """Close the connection to the peer, which then closes that to the server."""
         await self._sock.close()
 
+    async def _end_input(self):
+        """Have later reads, and polls of an idle connection, find the end at once."""
+        try:
+            await self._sock.shutdown(socket.SHUT_RD)
+        except OSError:
+            # The connection to the peer has ended too.
+            return
+
     async def _begin(self, target):
         headers = [("Host", self.peer), ("Transfer-Encoding", "chunked")]
         request = h11.Request(method="POST", target=target, headers=headers)
