Tell endpoints the time that is left once there is a connection

What endpoints saw: a deadline that lay later than the caller's by as long as the connection took.

Cause: the header fields were made before the connection was.

Evidence: features/entry/sending.feature, a connection of 0.4 s within a deadline of 0.7 s: the endpoint was told 0.699 s before, less than 0.3 s after.

Change: ClientPool.request takes a callable in place of the header fields, and calls it right before it sends.

--- /dev/null
+++ b/features/builders/sending.py
@@ -0,0 +1,148 @@
+"""A dispatcher whose connections to endpoints are made late, or never."""
+
+import random
+
+import curio
+
+from mangogauge.clock import SystemClock
+from mangogauge.entry import EndpointClient, OnlineCall, OnlineDispatcher
+from mangogauge.fleet import RequestSemantics
+from mangogauge.http import ClientConnection, ClientPool, Connector, Headers
+from mangogauge.paths import EndpointPool
+from mangogauge.placement import EndpointHealth
+from mangogauge.platform.endpoints import PlatformEndpoints
+from mangogauge.platform.names import HEADERS
+from mangogauge.refusals import Refusal
+from mangogauge.routing import RetryBudgets, RetryPolicy
+from mangogauge.telemetry import ServingMetrics
+from mangogauge.trust import EndpointTrust
+
+from .crashes import make_crash_detector
+from .fleet import FixedDirectory, make_endpoint, make_route
+
+__all__ = ["NEVER", "SendingWorld"]
+
+NEVER = 3600.0
+
+
+class _DeafSocket:
+    """Takes a request, and then breaks or stays silent."""
+
+    def __init__(self, sent, breaks):
+        self._sent = sent
+        self._breaks = breaks
+
+    async def sendall(self, data):
+        self._sent.append(data.decode())
+
+    async def recv(self, size):
+        if self._breaks:
+            raise ConnectionResetError
+        await curio.sleep(NEVER)
+
+    async def close(self):
+        pass
+
+
+class _LateConnector(Connector):
+    """Takes its time for each connection.
+
+    Attributes
+    ----------
+    plan : list
+        Seconds that each connection takes, and whether it breaks once used.
+    sent : list of str
+        Requests that were sent.
+    """
+
+    def __init__(self, plan):
+        self.plan = list(plan)
+        self.sent = []
+
+    async def open(self, address):
+        seconds, breaks = self.plan.pop(0)
+        await curio.sleep(seconds)
+        return ClientConnection(address, _DeafSocket(self.sent, breaks))
+
+
+class _Slots:
+    """Stands in for a `SlotQueue` that always has room at another endpoint."""
+
+    def __init__(self):
+        self._number = 0
+
+    async def acquire(self, call, service, excluded=()):
+        self._number += 1
+        return make_endpoint(f"e{self._number}")
+
+    async def release(self, endpoint, seconds):
+        pass
+
+
+class _NewStreams:
+    """Stands in for an `OriginFinder`: all calls are new."""
+
+    async def find(self, call):
+        return None
+
+
+class SendingWorld:
+    """A dispatcher with endpoints that never answer.
+
+    Parameters
+    ----------
+    *plan
+        See `_LateConnector`.
+    """
+
+    def __init__(self, *plan):
+        self._clock = SystemClock()
+        self._connector = _LateConnector(plan)
+        health = EndpointHealth(self._clock)
+        pool = ClientPool(connector=self._connector)
+        client = EndpointClient(
+            EndpointPool(pool, pool, health.paths, None),
+            PlatformEndpoints(),
+            FixedDirectory([]),
+            self._clock,
+        )
+        self._dispatcher = OnlineDispatcher(
+            _Slots(),
+            client,
+            health,
+            EndpointTrust(self._clock),
+            make_crash_detector(self._clock),
+            _NewStreams(),
+            RetryPolicy(RetryBudgets(self._clock)),
+            self._clock,
+            random.Random(1),
+            ServingMetrics(),
+        )
+
+    def dispatch(self, seconds, semantics=RequestSemantics.ONCE):
+        """Dispatch a request with a deadline; return its `Refusal`."""
+        return curio.run(self._dispatch, seconds, semantics)
+
+    @property
+    def patience(self):
+        """Seconds that the endpoint was told it has."""
+        _, _, field = self._connector.sent[0].partition(f"{HEADERS.patience}: ")
+        return int(field.split()[0]) / 1000
+
+    async def _dispatch(self, seconds, semantics):
+        now = self._clock.read_elapsed()
+        call = OnlineCall(
+            "r1",
+            make_route(semantics=semantics, attempt_limit=2),
+            "desk",
+            "POST",
+            "/ask/1",
+            Headers(),
+            b"{}",
+            now,
+            now + seconds,
+        )
+        try:
+            await self._dispatcher.run(call, None)
+        except Refusal as refusal:
+            return refusal
--- a/mangogauge/entry/attempt.py
+++ b/mangogauge/entry/attempt.py
@@ -147,17 +147,13 @@
         AttemptFailure
             If there is no answer, or an unsuccessful one.
         """
-        endpoint_request = EndpointRequest(
-            call.request_id,
-            endpoint,
-            call.account,
-            call.headers,
-            call.deadline - self._clock.read_elapsed(),
-            last_event,
-        )
+
+        def make_headers():
+            return self._make_headers(call, endpoint, last_event)
+
         try:
             async with curio.timeout_after(response_timeout):
-                response = await self._request(call, endpoint_request, is_resend)
+                response = await self._request(call, endpoint, make_headers, is_resend)
         except HTTPConnectError as error:
             raise AttemptFailure(
                 Progress.NOT_SENT, str(error), unreachable=True
@@ -183,26 +179,38 @@
         """Return the shared parts of the prompt, as the caller's headers name them."""
         return self._dialect.read_shared_parts(headers)
 
-    async def _request(self, call, endpoint_request, is_resend):
+    def _make_headers(self, call, endpoint, last_event):
+        seconds_left = call.deadline - self._clock.read_elapsed()
+        request = EndpointRequest(
+            call.request_id,
+            endpoint,
+            call.account,
+            call.headers,
+            seconds_left,
+            last_event,
+        )
+        return self._dialect.make_headers(request)
+
+    async def _request(self, call, endpoint, make_headers, is_resend):
         return await self._pool.request(
-            endpoint_request.endpoint,
+            endpoint,
             call.method,
             call.target,
-            self._dialect.make_headers(endpoint_request),
+            make_headers,
             call.body,
             fresh=is_resend,
             idle_limit=None if call.repeatable else MAX_IDLE_SECONDS,
             is_answer=lambda fields, is_first: self._check_head(
-                endpoint_request, fields, is_first
+                call, endpoint, fields, is_first
             ),
             request_id=call.request_id,
         )
 
-    def _check_head(self, endpoint_request, fields, is_first):
+    def _check_head(self, call, endpoint, fields, is_first):
         """Return whether a head answers the request; note if its endpoint leaves."""
         if self._dialect.announces_leaving(fields):
-            self._directory.note_leaving(endpoint_request.endpoint)
-        return self._dialect.is_answer(endpoint_request.request_id, fields, is_first)
+            self._directory.note_leaving(endpoint)
+        return self._dialect.is_answer(call.request_id, fields, is_first)
 
     async def _make_failure(self, kind, response):
         """Return the failure for an unsuccessful answer, with its body if useful."""
--- a/mangogauge/http/pool.py
+++ b/mangogauge/http/pool.py
@@ -52,6 +52,9 @@
 
         Parameters
         ----------
+        headers : Headers or callable
+            If callable, it returns them. It is called once there is a connection,
+            right before the request is sent.
         fresh : bool, optional
             Never reuse a connection: a server may close an idle connection
             just as a request is sent, which leaves its outcome unknown.
@@ -85,6 +88,8 @@
             connection = await self._connector.open(address)
         connection.note_request_id(request_id)
         try:
+            if callable(headers):
+                headers = headers()
             await connection.send_request(method, target, headers, body)
             status, fields = await connection.read_answer_head(
                 is_answer or _take_any_answer
