Count a request as running only from its first byte on

Cause: the dispatcher counted an attempt as running before it had a connection, and a timeout of the attempt as "maybe run" whatever it was spent on.

Evidence: features/entry/sending.feature; before, 2 of the 5 new rows were red (executed "unknown" though nothing was sent; sent to 0 endpoints). The rows where the request was sent, now or by an earlier attempt, were and stay "unknown".

Change: the connection pool's call for the header fields, which comes before the first byte, marks the request. From then on it may run, whatever happens; an error that says nothing was sent takes the mark back, as before. An attempt that is given up before its mark was not sent, and says nothing of the endpoint.

--- a/features/builders/sending.py
+++ b/features/builders/sending.py
@@ -123,6 +123,11 @@
         """Dispatch a request with a deadline; return its `Refusal`."""
         return curio.run(self._dispatch, seconds, semantics)
 
+    @property
+    def sent_count(self):
+        """Number of times that the request was sent."""
+        return len(self._connector.sent)
+
     @property
     def patience(self):
         """Seconds that the endpoint was told it has."""
--- a/features/entry/sending.feature
+++ b/features/entry/sending.feature
@@ -5,3 +5,20 @@
     Given a connection that is made after 0.4 s
     When a request with a deadline of 0.7 s is dispatched
     Then the endpoint was told that it has 0.3 s at most
+
+  Scenario Outline: The deadline passes: a request has not run if it was never sent
+    Given connections that are made after <seconds> s, <which>
+    When a request with a deadline of 0.5 s is dispatched, <semantics>
+    Then it is refused, and executed is "<executed>"
+
+    Examples:
+      | seconds     | which                          | semantics  | executed |
+      | 3600        | each silent once it is used    | once       | no       |
+      | 0.1         | each silent once it is used    | once       | unknown  |
+      | 0, 3600     | the first broken once it is used | repeatable | unknown  |
+      | 0.1, 3600   | the first broken once it is used | once     | unknown  |
+
+  Scenario: A silence before a request was sent takes none of its runs
+    Given connections that are made after 3600, 3600, 0 s, each silent once it is used
+    When a request with a deadline of 2.6 s is dispatched, repeatable
+    Then it was sent to 1 endpoint, and executed is "unknown"
--- a/features/steps/entry_sending.py
+++ b/features/steps/entry_sending.py
@@ -2,7 +2,11 @@
 
 from behave import given, then, when
 
-from features.builders.sending import SendingWorld
+from features.builders.sending import NEVER, SendingWorld
+from mangogauge.fleet import RequestSemantics
+
+MORE_CONNECTIONS = 8
+SEMANTICS = {"once": RequestSemantics.ONCE, "repeatable": RequestSemantics.REPEATABLE}
 
 
 @given("a connection that is made after {seconds:g} s")
@@ -18,3 +22,28 @@
 @then("the endpoint was told that it has {seconds:g} s at most")
 def check_patience(context, seconds):
     assert 0 < context.sending.patience <= seconds, context.sending.patience
+
+
+@given("connections that are made after {seconds} s, {which}")
+def prepare_plan(context, seconds, which):
+    seconds = [float(part) for part in seconds.split(", ")]
+    breaks = [which.startswith("the first broken"), *[False] * len(seconds)]
+    plan = list(zip(seconds, breaks, strict=False))
+    # Further connections are never made.
+    context.sending = SendingWorld(*plan, *[(NEVER, False)] * MORE_CONNECTIONS)
+
+
+@when("a request with a deadline of {seconds:g} s is dispatched, {semantics}")
+def dispatch_as(context, seconds, semantics):
+    context.refusal = context.sending.dispatch(seconds, SEMANTICS[semantics])
+
+
+@then('it is refused, and executed is "{executed}"')
+def check_executed(context, executed):
+    assert context.refusal.executed == executed, context.refusal
+
+
+@then('it was sent to {count:d} endpoint, and executed is "{executed}"')
+def check_sent(context, count, executed):
+    assert context.sending.sent_count == count, context.sending.sent_count
+    check_executed(context, executed)
--- a/mangogauge/entry/attempt.py
+++ b/mangogauge/entry/attempt.py
@@ -126,7 +126,15 @@
         self._directory = directory
         self._clock = clock
 
-    async def send(self, call, endpoint, last_event, response_timeout, is_resend=False):
+    async def send(
+        self,
+        call,
+        endpoint,
+        last_event,
+        response_timeout,
+        is_resend=False,
+        on_send=lambda: None,
+    ):
         """Send `call` and return a successful `ClientResponse` with its body unread.
 
         Parameters
@@ -141,6 +149,9 @@
             Whether the call was sent to this endpoint before. A late duplicate of the
             earlier answer has the same request id, so the call must not share a
             connection with it.
+        on_send : callable, optional
+            Called right before the first byte is sent: from then on the endpoint may
+            run the call.
 
         Raises
         ------
@@ -148,7 +159,12 @@
             If there is no answer, or an unsuccessful one.
         """
 
+        is_sent = False
+
         def make_headers():
+            nonlocal is_sent
+            is_sent = True
+            on_send()
             return self._make_headers(call, endpoint, last_event)
 
         try:
@@ -167,6 +183,9 @@
             ) from error
         except curio.TaskTimeout:
             reason = f"no answer within {response_timeout:.3f} s"
+            if not is_sent:
+                # Whether a path leads there has still to be found out.
+                raise AttemptFailure(Progress.NOT_SENT, reason) from None
             raise AttemptFailure(
                 Progress.MAYBE_RUN, reason, endpoint_at_fault=True
             ) from None
--- a/mangogauge/entry/dispatch.py
+++ b/mangogauge/entry/dispatch.py
@@ -62,6 +62,10 @@
     endpoint = field(default=None)
     diagnoses = field(factory=list)
 
+    def note_sending(self):
+        """Note that the first byte is about to be sent to an endpoint."""
+        self.may_be_running = True
+
 
 class OnlineDispatcher:
     """Runs online calls.
@@ -160,14 +164,19 @@
         state.excluded.add(endpoint.name)
         is_resend = endpoint.name in state.contacted
         state.contacted.add(endpoint.name)
-        was_running, state.may_be_running = state.may_be_running, True
+        was_running = state.may_be_running
         response_timeout = self._compute_silence_limit(state)
         state.relay.idle_timeout = response_timeout
         if response_timeout is None:
             response_timeout = self._compute_time_left(call)
         try:
             response = await self._endpoint_client.send(
-                call, endpoint, state.relay.last_event, response_timeout, is_resend
+                call,
+                endpoint,
+                state.relay.last_event,
+                response_timeout,
+                is_resend,
+                state.note_sending,
             )
         except AttemptFailure as failure:
             state.may_be_running = was_running or failure.progress not in (
