Answer a request whose handler ends by a time-out or another socket's error (LOST)

What left a handler as a time-out of curio, which is no Exception, as an OSError or as a protocol error closed the caller's connection without a word: each was taken for the loss of the caller, also where a call to the store or an endpoint had raised it. The class: one error type stands for two peers.

Only what is raised while an answer is sent to the caller tells that the caller is lost (CallerLostError); a handler cuts an answer off by ConnectionAbortedError.

--- a/mangogauge/entry/handler.py
+++ b/mangogauge/entry/handler.py
@@ -83,9 +83,8 @@
         Raises
         ------
         ConnectionAbortedError
-            If the answer has to be cut off after a part of it was sent.
-        OSError
-            If the connection to the caller is lost.
+            If the answer has to be cut off after a part of it was sent, or the
+            connection to the caller is lost.
         """
         started_at = self._clock.read_elapsed()
         record = _RequestRecord()
@@ -104,10 +103,14 @@
             record.outcome = "broken"
             self._log(record, "answer broke off", reason=str(error))
             raise ConnectionAbortedError(str(error)) from error
-        except OSError as error:
+        except ConnectionAbortedError as error:
             record.outcome = "caller_lost"
             self._log(record, "caller lost", reason=repr(error))
             raise
+        except (Exception, curio.TaskTimeout) as error:
+            record.outcome = "internal_error"
+            log.exception("request failed", extra={"request_id": record.request_id})
+            await self._refuse(exchange, record, _make_internal_refusal(error))
         except curio.CancelledError as error:
             record.outcome = "cancelled"
             if exchange.caller_left:
@@ -270,6 +273,15 @@
         )
 
 
+def _make_internal_refusal(error):
+    return Refusal(
+        RefusalCode.INTERNAL,
+        "The host failed; the request may have been run.",
+        executed="unknown",
+        step=type(error).__name__,
+    )
+
+
 def _check_path(path):
     # An endpoint could resolve such a path to one of another route.
     if any(segment in path + "/" for segment in FORBIDDEN_SEGMENTS):
--- a/mangogauge/gateway/front.py
+++ b/mangogauge/gateway/front.py
@@ -96,19 +96,11 @@
             outcome = "broken"
             self._log(request_id, labels, "answer broke off", reason=str(error))
             raise ConnectionAbortedError(str(error)) from error
-        except OSError as error:
+        except ConnectionAbortedError as error:
             outcome = "caller_lost"
             self._log(request_id, labels, "caller lost", reason=repr(error))
             raise
-        except curio.CancelledError as error:
-            outcome = "cancelled"
-            if exchange.caller_left:
-                self._log(request_id, labels, "caller hung up")
-            else:
-                reason = repr(error)
-                self._log(request_id, labels, "ended without an answer", reason=reason)
-            raise
-        except Exception as error:
+        except (Exception, curio.TaskTimeout) as error:
             outcome = "internal_error"
             log.exception("request failed", extra={"request_id": request_id})
             refusal = Refusal(
@@ -118,6 +110,14 @@
                 step=type(error).__name__,
             )
             await self._refuse(exchange, request_id, refusal, labels)
+        except curio.CancelledError as error:
+            outcome = "cancelled"
+            if exchange.caller_left:
+                self._log(request_id, labels, "caller hung up")
+            else:
+                reason = repr(error)
+                self._log(request_id, labels, "ended without an answer", reason=reason)
+            raise
         finally:
             seconds = self._clock.read_elapsed() - started
             self._observe(labels, outcome or labels.outcome, seconds)
--- a/mangogauge/http/connection.py
+++ b/mangogauge/http/connection.py
@@ -13,7 +13,7 @@
 from curio import socket
 
 from ..telemetry import get_logger
-from .errors import HTTPRequestError
+from .errors import CallerLostError, HTTPRequestError
 from .exchange import Exchange, make_response
 from .headers import Headers
 
@@ -182,14 +182,16 @@
         if isinstance(event, h11.Response):
             self._ends_answer_by_close = self._is_ended_by_close(event)
         data = self._h11.send(event)
-        sent = self._send_at_once(data)
-        if sent == len(data):
-            return
         try:
+            sent = self._send_at_once(data)
+            if sent == len(data):
+                return
             async with curio.timeout_after(self.limits.write_timeout):
                 await self.sock.sendall(data[sent:])
         except curio.TaskTimeout:
-            raise ConnectionAbortedError("The caller does not read.") from None
+            raise CallerLostError("The caller does not read.") from None
+        except OSError as error:
+            raise CallerLostError(repr(error)) from error
 
     def _is_ended_by_close(self, response):
         """Return whether nothing but the connection's end ends an answer's body."""
@@ -279,15 +281,17 @@
     async def _call_handler(self, handler, exchange):
         try:
             await handler(exchange)
-        except (OSError, h11.ProtocolError, curio.TaskTimeout) as error:
+        except ConnectionAbortedError as error:
+            # The caller is gone, or the answer is cut off on purpose.
             self._broken = True
             self._end_reason = repr(error)
         except HTTPRequestError as error:
             self._broken = True
             await self._refuse_unreadable(error.status, error.message)
-        except Exception:
+        except (Exception, curio.TaskTimeout) as error:
             # A mistake in a handler costs this request, never the daemon.
             self._broken = True
+            self._end_reason = repr(error)
             log.exception("handler failed", extra={"peer": self.peer, "step": "handle"})
             await self._refuse_unreadable(500, "The host failed.", "unknown")
 
@@ -344,7 +348,7 @@
             return b""
         try:
             return await self.sock.recv(READ_SIZE_BYTES)
-        except ConnectionError:
+        except OSError:
             return b""
 
     def _prepare_next(self):
--- a/mangogauge/http/errors.py
+++ b/mangogauge/http/errors.py
@@ -7,6 +7,7 @@
 from ..errors import MangogaugeError, PeerError
 
 __all__ = [
+    "CallerLostError",
     "HTTPConnectError",
     "HTTPError",
     "HTTPLimitError",
@@ -48,6 +49,10 @@
         self.limit = limit
 
 
+class CallerLostError(ConnectionAbortedError):
+    """An answer can't be sent on: the caller is gone, or doesn't read it."""
+
+
 class HTTPRequestError(MangogaugeError):
     """A caller's request can't be served as it stands.
 
