--- a/mangogauge/http/errors.py
+++ b/mangogauge/http/errors.py
@@ -7,6 +7,7 @@
 from ..errors import MangogaugeError, PeerError
 
 __all__ = [
+    "CallerLostError",
     "HTTPConnectError",
     "HTTPEncodeError",
     "HTTPError",
@@ -53,6 +54,10 @@
         self.limit = limit
 
 
+class CallerLostError(ConnectionAbortedError):
+    """An answer can't be sent on: the caller is gone, or doesn't read it."""
+
+
 class HTTPRequestError(MangogaugeError):
     """A caller's request can't be served as it stands.
 
