Avoid a peer for the one endpoint that it doesn't reach

What callers of a cut-off host would see: while any endpoint is down, tunnels to the sound ones are tried at peers that are cut off themselves.

Cause: a peer that answers truthfully that an endpoint is down was avoided for 2 s for all endpoints. A host asks three peers each 0.5 s about an endpoint that nobody reaches, so with up to twelve peers all are avoided all the time, and those that are cut off aren't told from those that aren't: a request that asks two of them finds both cut off in a third of the cases when six in ten are. The dictionary also kept the addresses of peers that are gone.

Change: a peer is avoided for all endpoints only if it doesn't answer or says that it can't try (503); if it tried and failed, for that endpoint. A peer to which an endpoint is lost, as to those that it asked, answers 504, not 503: that says nothing of its other paths.

--- a/features/builders/tunnels.py
+++ b/features/builders/tunnels.py
@@ -42,19 +42,29 @@
 
 
 class FixedPeers:
-    """Stands in for the choice of peers."""
+    """Stands in for the choice of peers.
+
+    Attributes
+    ----------
+    failed : list of str
+        Addresses of peers that failed.
+    failed_for : list of str or None
+        The endpoint that each of them didn't reach; None if it may reach none.
+    """
 
     def __init__(self, *addresses):
         self.addresses = list(addresses)
         self.failed = []
+        self.failed_for = []
 
     def choose(self, endpoint, count):
         return self.addresses[:count]
 
-    def note_failure(self, address):
+    def note_failure(self, address, endpoint=None):
         self.failed.append(address)
+        self.failed_for.append(endpoint and endpoint.name)
 
-    def note_success(self, address):
+    def note_success(self, address, endpoint):
         pass
 
 
--- a/features/paths/tunnels.feature
+++ b/features/paths/tunnels.feature
@@ -42,13 +42,15 @@
     And <obstacle>
     When a request is sent to "<endpoint>" through the peer
     Then it was not sent, and the peer's status is <status>
+    And the peer is avoided for <extent>
 
     Examples:
-      | obstacle                            | endpoint | status |
-      | the endpoint "e1" has ended         | e1       | 502    |
-      | no endpoint is called "e9"          | e9       | 404    |
-      | the peer has lost its path to "e1"  | e1       | 503    |
-      | the peer is about to stop           | e1       | 503    |
+      | obstacle                            | endpoint | status | extent |
+      | the endpoint "e1" has ended         | e1       | 502    | "e1"   |
+      | no endpoint is called "e9"          | e9       | 404    | "e9"   |
+      | the peer has lost its path to "e1"  | e1       | 503    | all    |
+      | nobody reaches "e1"                 | e1       | 504    | "e1"   |
+      | the peer is about to stop           | e1       | 503    | all    |
 
   Scenario: A peer that stops waits for connections that carry something
     Given a peer that reaches the endpoint "e1"
--- a/features/steps/paths_tunnels.py
+++ b/features/steps/paths_tunnels.py
@@ -58,6 +58,14 @@
     context.preparations.append(lose)
 
 
+@given('nobody reaches "e1"')
+def lose_endpoint(context):
+    async def lose(world):
+        world.peer_paths.note_loss("e1")
+
+    context.preparations.append(lose)
+
+
 @given("the peer is about to stop")
 def stop_peer(context):
     async def stop(world):
@@ -182,6 +190,7 @@
         try:
             await world.request("framed", endpoint)
         except TunnelRefusedError as error:
+            context.failed_for = world.peers.failed_for
             return error.status, world.peers.failed == world.peers.addresses
         return None
 
@@ -193,6 +202,16 @@
     assert context.result == (status, True), context.result
 
 
+@then("the peer is avoided for all")
+def check_avoided(context):
+    assert context.failed_for == [None], context.failed_for
+
+
+@then('the peer is avoided for "{endpoint}"')
+def check_avoided_for(context, endpoint):
+    assert context.failed_for == [endpoint], context.failed_for
+
+
 @when("the peer stops while it carries an answer of 1 s")
 def drain_peer(context):
     async def play(world):
--- a/mangogauge/paths/connector.py
+++ b/mangogauge/paths/connector.py
@@ -4,9 +4,10 @@
     ClientConnection,
     Connector,
     HTTPConnectError,
+    TunnelRefusedError,
     TunnelSocket,
 )
-from .relay import make_tunnel_target
+from .relay import UNABLE_STATUS, make_tunnel_target
 
 __all__ = ["TunnelConnector"]
 
@@ -66,8 +67,13 @@
             sock = await TunnelSocket.open(
                 peer, target, PEER_CONNECT_SECONDS, OPEN_SECONDS
             )
+        except TunnelRefusedError as error:
+            # A peer that tried and failed shows nothing of its other paths.
+            has_tried = error.status != UNABLE_STATUS
+            self._peers.note_failure(peer, endpoint if has_tried else None)
+            raise
         except HTTPConnectError:
             self._peers.note_failure(peer)
             raise
-        self._peers.note_success(peer)
+        self._peers.note_success(peer, endpoint)
         return ClientConnection(endpoint.name, sock, self._limits)
--- a/mangogauge/paths/peers.py
+++ b/mangogauge/paths/peers.py
@@ -44,11 +44,12 @@
             if self._report_table.is_reporting(member.name)
         ]
         self._random.shuffle(peers)
-        peers.sort(key=lambda member: self._is_avoided(member.address))
+        avoided = {m.address for m in peers if self._is_avoided(m.address, endpoint)}
+        peers.sort(key=lambda member: member.address in avoided)
         near = min(
             peers,
             key=lambda member: (
-                self._is_avoided(member.address),
+                member.address in avoided,
                 member.data_centre != endpoint.data_centre,
             ),
             default=None,
@@ -57,19 +58,30 @@
         chosen = [near, *others][:count] if peers else []
         return [member.address for member in chosen]
 
-    def note_failure(self, address):
-        """Record that a peer carried no connection."""
-        self._avoided_until[address] = self._clock.read_elapsed() + AVOID_SECONDS
+    def note_failure(self, address, endpoint=None):
+        """Record that a peer carried no connection.
 
-    def note_success(self, address):
+        Parameters
+        ----------
+        address : str
+        endpoint : FleetEndpoint, optional
+            The only endpoint that it doesn't reach; by default it may reach none.
+        """
+        now = self._clock.read_elapsed()
+        self._avoided_until = {
+            key: until for key, until in self._avoided_until.items() if now < until
+        }
+        name = endpoint and endpoint.name
+        self._avoided_until[address, name] = now + AVOID_SECONDS
+
+    def note_success(self, address, endpoint):
         """Record that a peer carries a connection."""
-        self._avoided_until.pop(address, None)
+        for name in (None, endpoint.name):
+            self._avoided_until.pop((address, name), None)
 
-    def _is_avoided(self, address):
-        until = self._avoided_until.get(address)
-        if until is None:
-            return False
-        if self._clock.read_elapsed() < until:
-            return True
-        del self._avoided_until[address]
-        return False
+    def _is_avoided(self, address, endpoint):
+        now = self._clock.read_elapsed()
+        return any(
+            now < self._avoided_until.get((address, name), now)
+            for name in (None, endpoint.name)
+        )
--- a/mangogauge/paths/relay.py
+++ b/mangogauge/paths/relay.py
@@ -29,8 +29,12 @@
 UNABLE_STATUS = 503
 SILENT_STATUS = 504
 
-# Paths on which no connection is tried for another host.
-INDIRECT_STATES = frozenset({PathState.TUNNELLED, PathState.LOST})
+# Answers for paths on which no connection is tried for another host. Nobody who was
+# asked reaches a lost endpoint: that says nothing of this host's other paths.
+STATUS_BY_STATE = {
+    PathState.TUNNELLED: UNABLE_STATUS,
+    PathState.LOST: SILENT_STATUS,
+}
 
 log = get_logger("tunnels")
 
@@ -102,9 +106,7 @@
             return UNKNOWN_STATUS
         if self._closing or len(self._carried_at) >= MAX_TUNNELS:
             return UNABLE_STATUS
-        if self._paths.get(endpoint.name) in INDIRECT_STATES:
-            return UNABLE_STATUS
-        return None
+        return STATUS_BY_STATE.get(self._paths.get(endpoint.name))
 
     async def _carry(self, exchange, sock):
         try:
