Show what else hosts without endpoints do wrong

Among them are three faults beside the refusals themselves: sound requests are refused by 422 as crashing endpoints when connections are reset under them, a sound endpoint is shunned by hosts that reach it once two others don't, and a request that reached no endpoint is refused by 504 as if it might have run.

--- a/features/builders/platform/linked.py
+++ b/features/builders/platform/linked.py
@@ -8,8 +8,8 @@
 from .deployment import PACKAGE, HostProcess, PlatformDeployment
 
 SOURCE_PREFIX = "127.250.0"
-# How a host's connections may be cut, and where new ones lead then.
-SILENT, REFUSED, RESET = "silent", "refused", "reset"
+# The way of cutting in which new connections hang; in all others they are refused.
+SILENT = "silent"
 
 
 class LinkedHost(HostProcess):
@@ -70,6 +70,11 @@
             self.control_links(open={name: way})
         super().write_entry(name, **{"address": self.links[name], **changes})
 
+    def crash_endpoint(self, name):
+        """End an endpoint at once; nobody listens at its address any more."""
+        self.world.processes[name].kill()
+        self.control_links(close=[name])
+
     def make_host(self, name, path):
         """Return the process of a host, not started."""
         source = f"{SOURCE_PREFIX}.{len(self.hosts) + 1}"
@@ -92,7 +97,7 @@
         process.write_ways({})
 
     def count_direct_bytes(self, host):
-        """Return how many bytes a host has sent to endpoints by itself."""
+        """Return how many bytes a host has sent to each endpoint by itself."""
         source = self.world.processes[host].source
         counts = self.control_links()["bytes"]
-        return sum(n for link, n in counts.items() if link.split()[0] == source)
+        return {name: counts.get(f"{source} {name}", 0) for name in self.links}
--- a/features/builders/platform/links.py
+++ b/features/builders/platform/links.py
@@ -22,7 +22,7 @@
 # Connections of our own that fill the queue of a listener that accepts none.
 FILLING_CONNECTIONS = 4
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-SILENT, RESET = "silent", "reset"
+SILENT, RESET, RESET_WHEN_USED = "silent", "reset", "reset when used"
 
 
 @define(eq=False)
@@ -32,8 +32,9 @@
     how = field(default="")
     endpoints = field(default=(), converter=frozenset)
 
-    def is_silent(self, endpoint):
-        return self.how == SILENT and endpoint in self.endpoints
+    def holds(self, how, endpoint):
+        """Return whether the link to an endpoint is cut in this way."""
+        return self.how == how and endpoint in self.endpoints
 
 
 @define(eq=False)
@@ -59,7 +60,8 @@
         self.cuts = {}
         self.carried = set()
         self.bytes = Counter()
-        self.opened = curio.Queue()
+        # Listener of each endpoint's link, and the task that accepts at it.
+        self.links = {}
         self.server = HTTPServer(self.handle)
         self.server.bind(self.ip, int(port))
         self.abyss, self.filling = self._fill_listener()
@@ -77,19 +79,15 @@
             filling.append(sock)
         return listener, filling
 
-    async def serve(self):
-        """Serve until killed."""
-        async with curio.TaskGroup(wait=any) as group:
-            await group.spawn(self.server.serve)
-            while True:
-                link = await self.opened.get()
-                await group.spawn(self._serve_link, *link)
-
     async def handle(self, exchange):
-        """Open links and change cuts; tell what is carried."""
+        """Open and close links, change cuts; tell what was carried."""
         order = orjson.loads(await exchange.read_body() or b"{}")
         for endpoint, (address, target) in order.get("open", {}).items():
-            await self.opened.put((endpoint, self._listen(address), target))
+            await self._open(endpoint, address, target)
+        for endpoint in order.get("close", ()):
+            listener, task = self.links.pop(endpoint)
+            await task.cancel()
+            await listener.close()
         for host, (how, endpoints) in order.get("cut", {}).items():
             await self._cut(host, Cut(how, endpoints))
         value = {
@@ -99,13 +97,14 @@
         headers = Headers([("Content-Type", "application/json")])
         await exchange.respond(200, headers, orjson.dumps(value))
 
-    def _listen(self, address):
+    async def _open(self, endpoint, address, target):
         host, _, port = address.rpartition(":")
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind((host, int(port)))
         listener.listen(LISTEN_BACKLOG)
-        return listener
+        task = await curio.spawn(self._accept, endpoint, listener, target, daemon=True)
+        self.links[endpoint] = (listener, task)
 
     async def _cut(self, host, cut):
         self.cuts[host] = cut
@@ -115,15 +114,14 @@
             if carried.host == host and carried.endpoint in cut.endpoints:
                 await carried.task.cancel()
 
-    async def _serve_link(self, endpoint, listener, target):
-        async with curio.TaskGroup(wait=None) as group:
-            while True:
-                sock, (host, _) = await listener.accept()
-                carried = Carried(host, endpoint)
-                self.carried.add(carried)
-                carried.task = await group.spawn(
-                    self._serve_connection, carried, sock, target, daemon=True
-                )
+    async def _accept(self, endpoint, listener, target):
+        while True:
+            sock, (host, _) = await listener.accept()
+            carried = Carried(host, endpoint)
+            self.carried.add(carried)
+            carried.task = await curio.spawn(
+                self._serve_connection, carried, sock, target, daemon=True
+            )
 
     async def _serve_connection(self, carried, sock, target):
         host, _, port = target.rpartition(":")
@@ -150,20 +148,25 @@
         """Pass bytes on, and hold them back while the link is silent."""
         while True:
             data = await source.recv(READ_SIZE_BYTES)
-            while self.cuts.get(carried.host, Cut()).is_silent(carried.endpoint):
+            while self._is_cut(carried, SILENT):
                 await curio.sleep(POLL_SECONDS)
+            if self._is_cut(carried, RESET_WHEN_USED):
+                raise ConnectionResetError
             if not data:
                 return
             if is_forward:
                 self.bytes[carried.host, carried.endpoint] += len(data)
             await sink.sendall(data)
 
+    def _is_cut(self, carried, how):
+        return self.cuts.get(carried.host, Cut()).holds(how, carried.endpoint)
+
 
 def main(address):
     """Serve until killed."""
     links = EndpointLinks(address)
     print(orjson.dumps({"address": address}).decode(), flush=True)
-    curio.run(links.serve)
+    curio.run(links.server.serve)
 
 
 if __name__ == "__main__":
