--- a/features/builders/platform/store.py
+++ b/features/builders/platform/store.py
@@ -26,6 +26,8 @@
 class StoreFaults:
     """What the store does wrong: status for all calls, lost and late writes, no end.
 
+    Each answer takes `delay` seconds more.
+
     Watches that wait, or come, while it is stuck get no answer any more.
     """
 
@@ -35,6 +37,7 @@
     deaf = field(default=False)
     stuck = field(default=False)
     endless = field(default=False)
+    delay = field(default=0.0)
 
 
 class StoreServer:
@@ -72,6 +75,8 @@
         if self.faults.status:
             await send(exchange, self.faults.status, {"error": "away"})
             return
+        if self.faults.delay:
+            await curio.sleep(self.faults.delay)
         query = {k: v[0] for k, v in parse_qs(exchange.query).items()}
         data = await exchange.read_body()
         body = orjson.loads(data) if data else {}
--- a/features/platform/software_versions.feature
+++ b/features/platform/software_versions.feature
@@ -65,6 +65,34 @@
     And they are taken up at "h2"
     Then no stream holds events of two versions
 
+  Scenario: A host that stood still doesn't resume streams at the only version that it knows
+    Given the platform with 0 endpoints, and the hosts "h1"
+    And the host "h2" in the data centre "b"
+    And 2 endpoints of the version "v1" and 0 of "v2"
+    When "h2" stands still
+    And 2 endpoints of "v2" come
+    And 16 streams begin at "h1" and break off
+    And the store takes 0.15 s for an answer
+    And they are taken up at "h2", which goes on meanwhile
+    Then no stream holds events of two versions
+    And at least 12 of them were answered whole
+
+  Scenario: A host that is cut off doesn't resume streams at the only version that it knows
+    Given the platform with 0 endpoints, and the hosts "h1"
+    And the host "h2" behind a link to the store
+    And 2 endpoints of the version "v1" and 0 of "v2"
+    When "h2" is cut off from the store and all other hosts
+    And a host "h3" starts
+    And 2 endpoints of "v2" come, and "h3" hears of them
+    And 16 streams begin at "h3" and break off
+    And they are taken up at "h2"
+    Then no stream holds events of two versions
+    And each of them was answered whole or refused
+    When "h2" reaches the store again
+    And they are taken up at "h2"
+    Then no stream holds events of two versions
+    And at least 12 of them were answered whole
+
   Scenario: Streams of a version whose endpoints have left are refused, the others go on
     Given the platform with 0 endpoints, and the hosts "h1, h2"
     And 2 endpoints of the version "v1" and 2 of "v2"
--- a/features/steps/platform_software.py
+++ b/features/steps/platform_software.py
@@ -1,5 +1,6 @@
 """Steps of streams at endpoints of several software versions."""
 
+import threading
 import time
 from collections import defaultdict
 
@@ -7,12 +8,15 @@
 
 from features.builders.platform.takeups import StreamCallers
 from features.builders.processes import wait_until
+from features.steps.platform_detour import LINK, cut_link
 from mangogauge.jobs.keys import make_progress_key
 
 # Longer than hosts take to tell each other, and to record, which streams they began.
 TOLD_SECONDS = 1.0
 EVENT_SECONDS = 0.03
 STALLED_SECONDS = 3600.0
+# Long enough for all callers to have sent their requests to a host that stands still.
+SENT_SECONDS = 0.5
 
 
 def add_endpoints(context, software, count, hosts=None):
@@ -82,6 +86,11 @@
     add_endpoints(context, software, count, hosts=["h1"])
 
 
+@when('{count:d} endpoints of "{software}" come, and "{host}" hears of them')
+def add_version_at(context, count, software, host):
+    add_endpoints(context, software, count, hosts=[host])
+
+
 @when('the endpoints of "{software}" leave')
 def leave(context, software):
     remove_endpoints(context, software)
@@ -129,6 +138,42 @@
     context.callers.take_up(host)
 
 
+@when('"{host}" stands still')
+def pause_host(context, host):
+    context.world.processes[host].pause()
+
+
+@when("the store takes {seconds:g} s for an answer")
+def slow_store(context, seconds):
+    context.deployment.control("store", delay=seconds)
+
+
+@when('they are taken up at "{host}", which goes on meanwhile')
+def take_up_at_woken(context, host):
+    wake = threading.Timer(SENT_SECONDS, context.world.processes[host].resume)
+    wake.start()
+    context.callers.take_up(host)
+    wake.join()
+
+
+@when('"{host}" is cut off from the store and all other hosts')
+def cut_off(context, host):
+    cut_link(context, host)
+    for name in set(context.deployment.hosts) - {host}:
+        context.world.processes[name].kill()
+    # Hosts that start later don't know of it then.
+    key = f"members/{host}"
+    wait_until(
+        lambda: not any(k.startswith(key) for k in context.deployment.read_store()),
+        f"{host} is no longer registered",
+    )
+
+
+@when('"{host}" reaches the store again')
+def heal_link(context, host):
+    context.world.set_faults(LINK, cut_forward=False, cut_backward=False)
+
+
 @when('they are taken up at "{host}", without saying which')
 def take_up_unsaid(context, host):
     context.callers.take_up(host, says_which=False)
@@ -155,6 +200,13 @@
     assert len(whole) >= count, (len(whole), context.callers.answers)
 
 
+@then("each of them was answered whole or refused")
+def check_whole_or_refused(context):
+    whole = context.callers.list_whole()
+    for stream, answer in context.callers.answers.items():
+        assert stream in whole or answer.status == 503, (stream, answer)
+
+
 @then('those that "{software}" began were answered whole, the others refused')
 def check_by_version(context, software):
     whole = context.callers.list_whole()
