--- a/features/sharing/freshness.feature
+++ b/features/sharing/freshness.feature
@@ -62,3 +62,8 @@
     When they run for 3 s
     And the store is unavailable for 2 s
     Then the age of each copy is at least 1.8 s
+
+  Scenario: Reports that waited for a suspended host don't make its old copy young
+    Given a host with a copy of the orders that it has read 3 s ago
+    When reports of a read that is 0.1 s old wait 0.5 s for the host
+    Then the copy is at least 0.5 s old for it
--- a/features/steps/gathering.py
+++ b/features/steps/gathering.py
@@ -97,7 +97,7 @@
 def read_datagrams(context):
     context.groups = []
     while datagrams := context.datagram_socket.read_pending():
-        context.groups.append([data for data, _ in datagrams])
+        context.groups.append([datagram.data for datagram in datagrams])
 
 
 @then("all of them were read, in order, at most {most:d} at a time")
--- a/mangogauge/sharing/datagrams.py
+++ b/mangogauge/sharing/datagrams.py
@@ -1,20 +1,47 @@
 """A UDP socket for reports between hosts, read in groups of pending datagrams."""
 
 import socket
+import struct
+import time
 
 import curio.io
+from attrs import field, frozen
 
 from ..telemetry import get_logger
 
-__all__ = ["DATAGRAM_BYTES", "DatagramSocket"]
+__all__ = ["DATAGRAM_BYTES", "Datagram", "DatagramSocket"]
 
 DATAGRAM_BYTES = 65_000
 # Limits one read, so that other tasks can run in between.
 MAX_DATAGRAMS_PER_READ = 128
+# Linux's option that stamps each datagram with the calendar time of its arrival.
+SO_TIMESTAMPNS = getattr(socket, "SO_TIMESTAMPNS", 35)
+TIMESTAMP = struct.Struct("@ll")
+TIMESTAMP_SPACE_BYTES = socket.CMSG_SPACE(TIMESTAMP.size)
+NANOSECONDS = 1e-9
 
 log = get_logger("sharing")
 
 
+@frozen
+class Datagram:
+    """A datagram that was received.
+
+    Parameters
+    ----------
+    data : bytes
+    address : str
+        Its sender's.
+    waited : float
+        Seconds between its arrival at this host and its being read; long after this
+        process has been suspended. 0 if unknown.
+    """
+
+    data = field()
+    address = field()
+    waited = field(default=0.0)
+
+
 class DatagramSocket:
     """A UDP socket, bound to one of several ports."""
 
@@ -45,29 +72,30 @@
                 sock.close()
                 last_error = error
                 continue
+            _enable_timestamps(sock)
             self._raw = sock
             self._sock = curio.io.Socket(sock)
             return
         raise OSError(f"None of the ports {list(ports)} is free: {last_error}.")
 
     async def read(self):
-        """Wait for a datagram; return its data and its sender's address."""
-        data, sender = await self._sock.recvfrom(DATAGRAM_BYTES)
-        return data, _format_address(sender)
+        """Wait for a `Datagram`."""
+        received = await self._sock.recvmsg(DATAGRAM_BYTES, TIMESTAMP_SPACE_BYTES)
+        return _make_datagram(*received)
 
     def read_pending(self):
         """Return the datagrams received so far, at most `MAX_DATAGRAMS_PER_READ`.
 
         Returns
         -------
-        list of (bytes, str)
-            Data and sender's address of each; empty if none is pending.
+        list of Datagram
+            Empty if none is pending.
         """
         datagrams = []
         try:
             while len(datagrams) < MAX_DATAGRAMS_PER_READ:
-                data, sender = self._raw.recvfrom(DATAGRAM_BYTES)
-                datagrams.append((data, _format_address(sender)))
+                received = self._raw.recvmsg(DATAGRAM_BYTES, TIMESTAMP_SPACE_BYTES)
+                datagrams.append(_make_datagram(*received))
         except OSError:
             # None is pending, or the next `read` raises the same error.
             pass
@@ -91,5 +119,22 @@
         return parsed
 
 
-def _format_address(sender):
-    return f"{sender[0]}:{sender[1]}"
+def _enable_timestamps(sock):
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 1)
+    except OSError as error:
+        log.info("datagrams are not timestamped", extra={"reason": repr(error)})
+
+
+def _make_datagram(data, ancillary, flags, sender):
+    address = f"{sender[0]}:{sender[1]}"
+    return Datagram(data, address, _measure_wait(ancillary))
+
+
+def _measure_wait(ancillary):
+    """Return the seconds since a datagram's arrival; 0 if it bears no timestamp."""
+    for level, kind, value in ancillary:
+        if (level, kind) == (socket.SOL_SOCKET, SO_TIMESTAMPNS):
+            seconds, nanoseconds = TIMESTAMP.unpack(value)
+            return max(0.0, time.time() - seconds - nanoseconds * NANOSECONDS)
+    return 0.0
--- a/mangogauge/sharing/exchange.py
+++ b/mangogauge/sharing/exchange.py
@@ -1,7 +1,7 @@
 """Exchange reports and summaries with the other hosts by UDP."""
 
 import curio
-from attrs import field, frozen
+from attrs import evolve, field, frozen
 
 from ..supervision import keep_running
 from ..telemetry import get_logger
@@ -10,6 +10,7 @@
 from .messages import REBROADCAST_MARK, decode, join
 from .pacing import ReportPacing, compute_read_delay
 from .reports import HostReport, ReportError
+from .summing import age_copies
 
 __all__ = ["ReportExchange"]
 
@@ -23,6 +24,8 @@
 ROLE_CHECK_SECONDS = 0.3
 # How long reports are sent to an unregistered host after its last report.
 UNREGISTERED_SECONDS = 1.5
+# Datagrams that waited for less are taken as just received, which costs nothing.
+LEAST_WAIT_SECONDS = 0.1
 
 log = get_logger("sharing")
 
@@ -128,8 +131,8 @@
         while True:
             datagrams = [await self._socket.read()]
             while datagrams:
-                for data, address in datagrams:
-                    await self._handle_datagram(data, address)
+                for datagram in datagrams:
+                    await self._handle_datagram(datagram)
                 datagrams = await self._read_pending()
 
     async def _read_pending(self):
@@ -141,8 +144,9 @@
         await curio.sleep(delay)
         return self._socket.read_pending()
 
-    async def _handle_datagram(self, data, address):
-        """Handle the messages of one datagram."""
+    async def _handle_datagram(self, datagram):
+        """Handle the messages of one `Datagram`."""
+        data, address = datagram.data, datagram.address
         encoded = data.removeprefix(REBROADCAST_MARK)
         try:
             messages = decode(encoded)
@@ -153,7 +157,7 @@
             return
         for message in messages:
             if isinstance(message, HostReport):
-                await self._handle_report(message, address)
+                await self._handle_report(_age(message, datagram), address)
                 continue
             if type(message) in self._on_news:
                 await self._on_news[type(message)](message)
@@ -161,7 +165,7 @@
             if data.startswith(REBROADCAST_MARK):
                 self._pending_summaries[message.totals.data_centre] = encoded
                 await self._has_pending_summaries.set()
-            await self._handle_summary(message)
+            await self._handle_summary(_age_summary(message, datagram))
 
     async def _handle_report(self, report, address):
         await self._track_sender(report, address)
@@ -242,3 +246,25 @@
         registered = self._topology.list_report_targets()
         unregistered = [host.address for host in self._unregistered.values()]
         return list(dict.fromkeys(registered + unregistered))
+
+
+def _age(report, datagram):
+    """Return a report whose copies are older by the time that its datagram waited.
+
+    Notes
+    -----
+    A process that has been suspended reads reports of before as if they had just come.
+    """
+    if datagram.waited < LEAST_WAIT_SECONDS:
+        return report
+    return age_copies(report, datagram.waited)
+
+
+def _age_summary(summary, datagram):
+    if datagram.waited < LEAST_WAIT_SECONDS:
+        return summary
+    return evolve(
+        summary,
+        totals=_age(summary.totals, datagram),
+        runners=[_age(report, datagram) for report in summary.runners],
+    )
