--- a/features/steps/streams.py
+++ b/features/steps/streams.py
@@ -1,54 +1,54 @@
 """Steps of the origins of streams."""
 
+import time
+
 import curio
 from behave import given, then, when
-from returns.result import Success
 
 from features.builders.fleet import SERVICE, make_endpoint, make_route
+from features.builders.streamhosts import (
+    ENDPOINTS_PREFIX,
+    NO_NEWER_COPY,
+    VersionsFeed,
+    VersionsStore,
+)
 from mangogauge.clock import ManualClock
 from mangogauge.entry import OnlineCall
 from mangogauge.fleet import ServiceShare
 from mangogauge.refusals import Refusal
-from mangogauge.store import KeyValue, Snapshot
+from mangogauge.store import KeyValue
 from mangogauge.streams import (
     OriginFinder,
     StreamNews,
     StreamOrigin,
     StreamOrigins,
     StreamRecord,
+    VersionConfirmation,
     VersionHistory,
+    VersionRecord,
 )
 from mangogauge.streams.origins import digest_stream_id
 from mangogauge.streams.record import RECORDS_PREFIX
 
-SILENCE_SECONDS = 3600.0
-READ_SECONDS = 0.02
 HOSTS = 4
 OTHER = "other"
 
 
-class RecordsFeed:
-    """A feed of records that counts how often they are read."""
-
-    def __init__(self):
-        self.items = []
-        self.reads = 0
-        self.silent = False
-
-    async def read_snapshot(self, prefix, start_after=""):
-        assert prefix == RECORDS_PREFIX
-        self.reads += 1
-        await curio.sleep(SILENCE_SECONDS if self.silent else READ_SECONDS)
-        return Success(Snapshot(self.items, 1))
-
-
 def make_host(context, complete):
     clock = context.clock = ManualClock()
     context.endpoints = []
     context.route = make_route(resumable=True)
-    context.feed = RecordsFeed()
+    context.feed = VersionsFeed()
+    context.store = VersionsStore()
     context.origins = StreamOrigins(clock)
-    history = VersionHistory(lambda: context.endpoints, clock)
+    context.copy_age, context.newer_age = 0.5, NO_NEWER_COPY
+    history = context.history = VersionHistory(
+        lambda: context.endpoints,
+        lambda: context.copy_age,
+        lambda: context.newer_age,
+        clock,
+    )
+    version_record = VersionRecord(context.store, history, lambda: False)
     if complete:
         history.restore([])
     record = StreamRecord(
@@ -63,7 +63,15 @@
         None,
         clock,
     )
-    context.finder = OriginFinder(context.origins, history, record)
+    confirmation = VersionConfirmation(
+        context.feed,
+        ENDPOINTS_PREFIX,
+        lambda item: make_endpoint(item.key, software=item.value),
+        history,
+        version_record,
+        clock,
+    )
+    context.finder = OriginFinder(context.origins, history, record, confirmation)
 
 
 def make_call(context, request_id, stream="", last_event=None):
@@ -124,7 +132,7 @@
 
 @given("reads of the records get no answer")
 def silence_store(context):
-    context.feed.silent = True
+    context.feed.silent.add(RECORDS_PREFIX)
 
 
 @when('the stream "{stream}" begins at "{software}"')
@@ -141,13 +149,16 @@
 
 @when('another host tells that the stream "{stream}" began at "{software}"')
 def tell(context, stream, software):
-    context.origins.merge(make_news(stream, software))
+    news = make_news(stream, software)
+    context.origins.merge(news)
+    context.history.add(news.streams)
 
 
 @when('another host has recorded that the stream "{stream}" began at "{software}"')
 def record_stream(context, stream, software):
     value = make_news(stream, software).to_bytes()
-    context.feed.items.append(KeyValue(f"{RECORDS_PREFIX}h2#1", value))
+    item = KeyValue(f"{RECORDS_PREFIX}h2#1", value)
+    context.feed.items[RECORDS_PREFIX].append(item)
 
 
 def make_news(stream, software):
@@ -168,7 +179,9 @@
 
 @when('a caller resumes the stream "{stream}"')
 def resume(context, stream):
+    started_at = time.monotonic()
     context.found = curio.run(find, context, stream)
+    context.took = time.monotonic() - started_at
 
 
 @when("{count:d} callers resume unknown streams at the same time")
@@ -177,8 +190,11 @@
         async with curio.TaskGroup() as group:
             for number in range(count):
                 await group.spawn(find, context, f"s{number}")
+        return group.results
 
-    curio.run(run)
+    started_at = time.monotonic()
+    context.all_found = curio.run(run)
+    context.took = time.monotonic() - started_at
 
 
 @when("{seconds:d} s pass")
@@ -193,9 +209,13 @@
 
 @then("it is refused, and may come back")
 def check_refused(context):
-    assert isinstance(context.found, Refusal), context.found
-    assert context.found.status == 503 and context.found.executed == "no"
-    assert context.found.retry_after is not None
+    check_refusal(context.found)
+
+
+def check_refusal(found):
+    assert isinstance(found, Refusal), found
+    assert found.status == 503 and found.executed == "no"
+    assert found.retry_after is not None
 
 
 @then("it may run anywhere")
@@ -205,4 +225,69 @@
 
 @then("the records were read at most {count:d} times")
 def check_reads(context, count):
-    assert context.feed.reads <= count, context.feed.reads
+    reads = context.feed.reads[RECORDS_PREFIX]
+    assert reads <= count, reads
+
+
+@given('its copy of the endpoints is {seconds:g} s old, and the store has "{versions}"')
+def age_copy(context, seconds, versions):
+    context.copy_age = seconds
+    context.feed.items[ENDPOINTS_PREFIX] = [
+        KeyValue(f"e{number}", version)
+        for number, version in enumerate(versions.split(", "))
+    ]
+
+
+@given("another host has a newer copy, read {seconds:g} s ago")
+def have_newer(context, seconds):
+    context.newer_age = seconds
+
+
+@given("all reads of the store fail")
+def take_store_away(context):
+    context.feed.away = context.store.away = True
+
+
+@given("all reads of the store get no answer")
+def silence_all(context):
+    context.feed.silent.update([ENDPOINTS_PREFIX, RECORDS_PREFIX])
+
+
+@when("{seconds:d} s pass, and its copy was confirmed {age:g} s ago")
+def miss_time(context, seconds, age):
+    context.clock.advance(seconds)
+    context.copy_age = age
+
+
+@when('the record of versions holds "{versions}"')
+def record_versions(context, versions):
+    context.store.versions = [[SERVICE, version] for version in versions.split(", ")]
+
+
+@then('all of them go on at "{software}"')
+def check_all_found(context, software):
+    expected = [StreamOrigin(SERVICE, software)] * len(context.all_found)
+    assert context.all_found == expected, context.all_found
+
+
+@then("all of them are refused, and may come back")
+def check_all_refused(context):
+    for found in context.all_found:
+        check_refusal(found)
+
+
+@then("the endpoints' entries were read {count:d} time")
+@then("the endpoints' entries were read {count:d} times")
+def check_entry_reads(context, count):
+    reads = context.feed.reads[ENDPOINTS_PREFIX]
+    assert reads == count, reads
+
+
+@then("it took at most {seconds:g} s")
+def check_time(context, seconds):
+    assert context.took <= seconds, context.took
+
+
+@then("no version is known to be the only one")
+def check_no_only(context):
+    assert context.finder.find_only([SERVICE]) is None
--- a/features/streams/origins.feature
+++ b/features/streams/origins.feature
@@ -15,6 +15,7 @@
   Scenario: A host that doesn't know yet which versions there were doesn't guess
     Given a host that has just started
     And endpoints of the versions "v2"
+    And all reads of the store fail
     When a caller resumes the stream "s1"
     Then it is refused, and may come back
 
--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -37,6 +37,7 @@
     StreamNews,
     StreamOrigins,
     StreamRecord,
+    VersionConfirmation,
     VersionHistory,
     VersionRecord,
 )
@@ -207,8 +208,14 @@
 
     def _make_streams(self):
         backends, clock = self._backends, self._clock
+        prefix = backends.source.endpoints_prefix
         self.origins = StreamOrigins(clock)
-        history = VersionHistory(self.directory.list_endpoints, clock)
+        history = self._version_history = VersionHistory(
+            self.directory.list_endpoints,
+            lambda: self._freshness.measure_age(prefix),
+            lambda: self._freshness.measure_newer_age(prefix),
+            clock,
+        )
         self._stream_record = StreamRecord(
             backends.store,
             backends.feed,
@@ -224,7 +231,17 @@
         self._version_record = VersionRecord(
             backends.store, history, self._is_first_host
         )
-        self.streams = OriginFinder(self.origins, history, self._stream_record)
+        confirmation = VersionConfirmation(
+            backends.feed,
+            prefix,
+            backends.source.read_endpoint,
+            history,
+            self._version_record,
+            clock,
+        )
+        self.streams = OriginFinder(
+            self.origins, history, self._stream_record, confirmation
+        )
 
     def _follow_shared(self, prefix, listener, **pace):
         """Keep a copy that is read in turn with the other hosts."""
@@ -390,6 +407,7 @@
 
     async def _take_stream_news(self, news):
         self.origins.merge(news)
+        self._version_history.add(news.streams)
 
     async def _take_news(self, report):
         """Take in what a host's report and a data centre's totals both tell."""
--- a/mangogauge/sharing/freshness.py
+++ b/mangogauge/sharing/freshness.py
@@ -230,6 +230,19 @@
             return float("inf")
         return self._clock.read_elapsed() - copy.confirmed_at
 
+    def measure_newer_age(self, topic):
+        """Return the seconds since the read of a newer copy that another host has.
+
+        Returns
+        -------
+        float
+            Infinity if no other host is known to have one.
+        """
+        copy = self._copies.get(topic)
+        if copy is None or not copy.is_outdated:
+            return float("inf")
+        return self._clock.read_elapsed() - copy.newer.read_at
+
     def measure_read_age(self, topic):
         """Return the seconds since this host last read a topic; infinity if never."""
         copy = self._copies.get(topic)
--- a/mangogauge/streams/__init__.py
+++ b/mangogauge/streams/__init__.py
@@ -7,6 +7,7 @@
 also at one that has just started.
 """
 
+from .confirmation import VersionConfirmation
 from .finder import OriginFinder
 from .history import VersionHistory
 from .news import NEWS_FORMAT, StreamNews
@@ -21,6 +22,7 @@
     "StreamOrigin",
     "StreamOrigins",
     "StreamRecord",
+    "VersionConfirmation",
     "VersionHistory",
     "VersionRecord",
 ]
--- a/mangogauge/streams/finder.py
+++ b/mangogauge/streams/finder.py
@@ -8,7 +8,7 @@
 
 __all__ = ["OriginFinder"]
 
-# Longest time to look a stream up in the record.
+# Longest time to look a stream up in the store.
 LOOKUP_SECONDS = 0.5
 RETRY_AFTER_SECONDS = 0.5
 
@@ -16,19 +16,21 @@
 
 
 class OriginFinder:
-    """Finds origins: in memory, by there being only one, or in the record.
+    """Finds origins: in memory, by there being only one, or by reads of the store.
 
     Parameters
     ----------
     origins : StreamOrigins
     history : VersionHistory
     record : StreamRecord
+    confirmation : VersionConfirmation
     """
 
-    def __init__(self, origins, history, record):
+    def __init__(self, origins, history, record, confirmation):
         self._origins = origins
         self._history = history
         self._record = record
+        self._confirmation = confirmation
 
     async def find(self, call):
         """Return the `StreamOrigin` of the stream that a call resumes.
@@ -53,8 +55,8 @@
         origin, source = self._origins.find(stream), "memory"
         if origin is None:
             origin, source = self.find_only(call.route.services), "only version"
-        if origin is None and call.resumed_id:
-            origin, source = await self._look_up(call, stream), "record"
+        if origin is None:
+            origin, source = await self._look_up(call, stream), "read"
         self._log(call, origin, source)
         if origin is None:
             raise _refuse("It isn't known which software version began this stream.")
@@ -75,14 +77,18 @@
     def find_only(self, services):
         """Return the one origin that streams of some services can have, or None."""
         possible = self._history.list_origins(services)
-        is_certain = self._history.complete and len(possible) == 1
+        is_certain = len(possible) == 1 and self._history.is_current()
         return possible[0] if is_certain else None
 
     async def _look_up(self, call, stream):
+        services = call.route.services
         async with curio.ignore_after(LOOKUP_SECONDS):
-            await self._record.read_newer()
+            if not self._history.is_mixed(services):
+                await self._confirmation.confirm()
+            if call.resumed_id and self._history.is_mixed(services):
+                await self._record.read_newer()
         # Which versions there are may have become known meanwhile.
-        return self._origins.find(stream) or self.find_only(call.route.services)
+        return self._origins.find(stream) or self.find_only(services)
 
     def _log(self, call, origin, source):
         log.info(
@@ -93,6 +99,7 @@
                 "after_event": call.last_event,
                 "software": origin.software if origin else "",
                 "found_by": source,
+                "age": self._history.measure_age(),
                 "known": [o.software for o in self._history.list_all()],
             },
         )
--- a/mangogauge/streams/record.py
+++ b/mangogauge/streams/record.py
@@ -4,7 +4,8 @@
 that, and nothing is recorded. While they have several, each host tells the other hosts
 of its data centre of the streams that it begins, and keeps a record of its own in the
 store. Other hosts read the records when a caller resumes a stream that they haven't
-been told of, for example because all hosts have just started.
+been told of, for example because all hosts have just started. While the store is lost,
+when nobody knows whether there are several versions, hosts tell each other as well.
 """
 
 from collections import deque
@@ -105,8 +106,8 @@
     async def run(self):
         """Tell and record this host's streams until cancelled."""
         async with curio.TaskGroup(wait=any) as group:
-            await group.spawn(self._repeat_while_mixed, self._tell_new)
-            await group.spawn(self._repeat_while_mixed, self._record_new)
+            await group.spawn(self._repeat_while, self._must_tell, self._tell_new)
+            await group.spawn(self._repeat_while, self._is_mixed, self._record_new)
 
     async def read_newer(self):
         """Read the records of all hosts, unless that was done since the call.
@@ -143,10 +144,23 @@
             return
         self._origins.merge(news)
 
-    async def _repeat_while_mixed(self, publish):
-        """Call `publish` often while streams may have several origins."""
+    def _is_mixed(self):
+        """Return whether streams of any route may have several origins."""
+        return any(map(self._history.is_mixed, self._list_groups()))
+
+    def _must_tell(self):
+        """Return whether other hosts may need to be told of streams.
+
+        Notes
+        -----
+        While the store is lost, no host knows whether there are several versions.
+        """
+        return self._is_mixed() or self._history.is_lost()
+
+    async def _repeat_while(self, is_needed, publish):
+        """Call `publish` often while `is_needed` returns true."""
         while True:
-            if not any(map(self._history.is_mixed, self._list_groups())):
+            if not is_needed():
                 await sleep_to_tick(POLL_SECONDS)
                 continue
             until = self._clock.read_elapsed() + POLL_SECONDS
--- a/mangogauge/streams/versions.py
+++ b/mangogauge/streams/versions.py
@@ -1,11 +1,11 @@
-"""Record of the software versions of each service, for hosts that start anew.
+"""Record of the software versions of each service, for hosts that missed some.
 
 A host that starts sees which versions there are, and learns from the record which
-others may have begun the streams that callers resume now. It is one key of the
-platform's store, read at the start and written by one host whenever it changes.
+others may have begun the streams that callers resume now; so does a host that was out
+of touch for a while. It is one key of the platform's store, read then and written by
+one host whenever it changes.
 """
 
-import curio
 import orjson
 from returns.result import Failure
 
@@ -17,7 +17,6 @@
 
 VERSIONS_KEY = "streams-versions"
 POLL_SECONDS = 0.5
-RETRY_SECONDS = 0.5
 
 log = get_logger("streams")
 
@@ -40,16 +39,22 @@
         self._recorded = []
 
     async def run(self):
-        """Read the record, then keep it until cancelled."""
-        while not await self._read():
-            await curio.sleep(RETRY_SECONDS)
+        """Read the record wherever the history isn't complete, and keep it.
+
+        Notes
+        -----
+        A host that is out of step doesn't write: others know more.
+        """
         while True:
+            if not self._history.complete:
+                await self.read()
             origins = self._history.list_all()
-            if origins and origins != self._recorded and self._is_writer():
+            if origins and origins != self._recorded and self._may_write():
                 await self._write(origins)
             await sleep_to_tick(POLL_SECONDS)
 
-    async def _read(self):
+    async def read(self):
+        """Read the record into the history; return whether that succeeded."""
         answer = await self._store.get(VERSIONS_KEY)
         if isinstance(answer, Failure):
             _log_failure("versions not read", answer)
@@ -59,6 +64,9 @@
         self._history.restore(self._recorded)
         return True
 
+    def _may_write(self):
+        return self._is_writer() and self._history.is_current()
+
     async def _write(self, origins):
         rows = [[origin.service, origin.software] for origin in origins]
         answer = await self._store.put(VERSIONS_KEY, orjson.dumps(rows))
