Serve callers as long as a stopping host carries connections for others

Change: it waits for tunnels first, while callers are still answered, and closes their port after that.

--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -304,11 +304,8 @@
         log.info("draining", extra={"step": "drain"})
         if self.runner is not None:
             await self.runner.stop()
-        if self.settings.serves_callers:
-            async with curio.ignore_after(self._measure_serving_time()):
-                await self._drain_callers()
         async with curio.ignore_after(self._measure_serving_time()):
-            await self.access.relay.drain()
+            await self._drain_connections()
         await self.fleet.registration.leave()
         log.info("drained", extra={"step": "drain"})
 
@@ -332,11 +329,19 @@
                 },
             )
 
-    async def _drain_callers(self):
-        """Serve on until the balancer has noticed, then finish what came."""
-        self.callers.start_close()
-        await curio.sleep(self.settings.drain_seconds * NOTICE_SHARE)
-        await self.callers.drain()
+    async def _drain_connections(self):
+        """Serve on until the balancer has noticed, then finish what came.
+
+        Notes
+        -----
+        Callers are still served while connections are carried for other hosts.
+        """
+        if self.settings.serves_callers:
+            self.callers.start_close()
+            await curio.sleep(self.settings.drain_seconds * NOTICE_SHARE)
+        await self.access.relay.drain()
+        if self.settings.serves_callers:
+            await self.callers.drain()
 
     async def _pump(self):
         """Give out slots that others' reports, or time, have freed."""
