Conclude nothing from peers that could not try an endpoint

What callers would see: where many hosts are cut off together and their connections reset, requests under way count as crashes of sound endpoints, and so may requests with a part of their prompts be refused by 422; and two cut-off hosts that happen to ask only cut-off peers tell all others that a sound endpoint is unhealthy. Three peers that are asked are all cut off in a fifth of the cases when six in ten of many hosts are.

Cause: a peer that answers 503, that it can't try, counted like one that tried and failed.

Evidence: features/paths/verdicts.feature, 3 scenarios red before (a crash noted; the endpoint lost, and others told).

The row "peers refuse with 503: a crash" said the opposite and is replaced. Noticed no more: a crash at which all three peers asked are cut off themselves or about to stop; other hosts note it.

--- a/features/builders/paths.py
+++ b/features/builders/paths.py
@@ -36,8 +36,8 @@
     ----------
     reaching : set of str
         Peers that reach the endpoint.
-    status : int
-        What the others answer.
+    status : int or None
+        What the others answer; None if they don't.
     asked : list of str
         Peers that were asked.
     """
@@ -50,6 +50,8 @@
     async def open_through(self, peer, endpoint):
         self.asked.append(peer)
         await curio.sleep(ANSWER_SECONDS)
+        if self.status is None:
+            raise HTTPConnectError("The peer is silent.", peer=peer)
         if peer not in self.reaching:
             raise TunnelRefusedError(self.status, peer=peer)
         return OpenTunnel()
@@ -108,3 +110,8 @@
         while self.health.list_silent():
             await curio.sleep(ANSWER_SECONDS)
         await probing.cancel()
+
+    async def probe_for(self, seconds):
+        """Run the background checks for a while."""
+        async with curio.ignore_after(seconds):
+            await self._prober.run()
--- a/features/paths/verdicts.feature
+++ b/features/paths/verdicts.feature
@@ -16,6 +16,19 @@
     Then "e1" is lost, and gets no requests
     And others are told that "e1" is unhealthy
 
+  Scenario: Peers that could not try say nothing of the endpoint
+    Given "e1" refuses this host's connections, and peers refuse with 503
+    When a connection to "e1" fails
+    Then "e1" is suspected, and gets no requests
+    And others aren't told that "e1" is unhealthy
+
+  Scenario: A silence is held against nobody while peers could not try
+    Given "e1" refuses this host's connections, and peers refuse with 503
+    When a request to "e1" gets no answer
+    And its path is checked in the background for 0.6 s
+    Then "e1" is suspected, and gets no requests
+    And others aren't told that "e1" is unhealthy
+
   Scenario: Nobody is told before a peer has been asked
     When a connection to "e1" has failed, and no peer has answered yet
     Then "e1" is suspected, and gets no requests
@@ -53,7 +66,9 @@
       | peers                   | answer |
       | "p2" reaches it         | no     |
       | peers refuse with 502   | yes    |
-      | peers refuse with 503   | yes    |
+      | peers refuse with 503   | no     |
+      | peers refuse with 504   | yes    |
+      | no peer answers         | yes    |
 
   Scenario Outline: A host without a path leaves the judgement of a crash to its peers
     Given "e1" refuses this host's connections, and "p2" reaches it
--- a/features/steps/paths_verdicts.py
+++ b/features/steps/paths_verdicts.py
@@ -29,6 +29,11 @@
     tunnels.status = status
 
 
+@given('"e1" refuses this host\'s connections, and no peer answers')
+def lose_peers(context):
+    context.world_of_paths.tunnels.status = None
+
+
 @when('a connection to "e1" fails')
 def fail(context):
     curio.run(context.world_of_paths.fail)
@@ -89,6 +94,11 @@
     curio.run(context.world_of_paths.probe)
 
 
+@when("its path is checked in the background for {seconds:g} s")
+def probe_for(context, seconds):
+    curio.run(context.world_of_paths.probe_for, seconds)
+
+
 @then('"e1" is {state}, and gets requests')
 def check_used(context, state):
     health = context.world_of_paths.health
--- a/mangogauge/paths/checker.py
+++ b/mangogauge/paths/checker.py
@@ -9,7 +9,7 @@
 
 from ..http import DirectConnector, HTTPConnectError, TunnelRefusedError
 from ..telemetry import get_logger
-from .relay import REFUSED_STATUS
+from .relay import REFUSED_STATUS, SILENT_STATUS
 from .states import PathState
 
 __all__ = ["PathChecker"]
@@ -17,9 +17,14 @@
 CONNECT_SECONDS = 0.2
 # Peers that are asked at once: more than one may have lost the endpoint too.
 PEERS_ASKED = 3
+# Answers of peers that tried to reach the endpoint themselves.
+TRIED_STATUSES = frozenset({REFUSED_STATUS, SILENT_STATUS})
 # How often peers are asked again for an endpoint that none of them reached.
 ASK_INTERVAL_SECONDS = 0.5
 
+# States of a refused path in which the endpoint isn't known to refuse others too.
+NOT_REFUSED_STATES = frozenset({PathState.TUNNELLED, PathState.SUSPECTED})
+
 log = get_logger("paths")
 
 
@@ -33,10 +38,21 @@
         Whether one of them reached the endpoint.
     refused : bool
         Whether the endpoint refused a connection of one of them.
+    failed : bool
+        Whether one of them tried and didn't reach the endpoint.
+    is_unable : bool
+        Whether one of them could not try.
     """
 
     reached = field(default=False)
     refused = field(default=False)
+    failed = field(default=False)
+    is_unable = field(default=False)
+
+    @property
+    def is_open(self):
+        """Whether peers have answered, but none by what it found at the endpoint."""
+        return self.is_unable and not self.reached and not self.failed
 
 
 class PathChecker:
@@ -97,7 +113,7 @@
             if not isinstance(error.__cause__, ConnectionRefusedError):
                 return False
             state = await self.find_path(endpoint, error)
-            return state is not PathState.TUNNELLED
+            return state not in NOT_REFUSED_STATES
         await connection.close()
         return False
 
@@ -149,6 +165,9 @@
             self._on_path_lost(endpoint.name)
             self._log("endpoint reached through peers only", endpoint)
             return
+        if verdict.is_open:
+            # Others are asked soon: those are avoided now.
+            return
         if self._paths.get(endpoint.name) is not PathState.LOST:
             self._log("endpoint not reached", endpoint, refused=verdict.refused)
         self._paths.note_loss(endpoint.name)
@@ -167,6 +186,8 @@
             connection = await self._tunnels.open_through(peer, endpoint)
         except TunnelRefusedError as error:
             verdict.refused |= error.status == REFUSED_STATUS
+            verdict.failed |= error.status in TRIED_STATUSES
+            verdict.is_unable |= error.status not in TRIED_STATUSES
             return None
         except HTTPConnectError:
             return None
--- a/mangogauge/paths/states.py
+++ b/mangogauge/paths/states.py
@@ -9,7 +9,7 @@
     """How a host reaches an endpoint."""
 
     DIRECT = "direct"
-    # A connection failed, and no peer has been asked yet.
+    # A connection failed, and no peer that was asked has tried one of its own.
     SUSPECTED = "suspected"
     # Peers reach the endpoint, but this host doesn't.
     TUNNELLED = "tunnelled"
--- a/mangogauge/placement/prober.py
+++ b/mangogauge/placement/prober.py
@@ -2,6 +2,7 @@
 
 import curio
 
+from ..paths import PathState
 from ..ticks import sleep_to_tick
 
 __all__ = ["ReachabilityProber"]
@@ -61,6 +62,8 @@
             self._checked_at.pop(name, None)
             return
         self._checked_at[name] = self._clock.read_elapsed()
-        await self._checker.check(endpoint)
+        state = await self._checker.check(endpoint)
+        if state is PathState.SUSPECTED:
+            return
         # A path that turned out to be lost has cleared the failure already.
         self._health.confirm(name)
