Have a stopping peer wait for answers that haven't begun

What callers saw: a request that a host had sent through a peer broke off when the peer was stopped more than 0.6 s before the answer began, long before its time to drain was over; one that may not be repeated then ends as "may have run".

Cause: EndpointRelay.drain waits for tunnels that carried bytes within the last 0.6 s, and a request that an endpoint holds in its queue or works on carries none.

Evidence: features/paths/tunnels.feature, an answer that begins 1 s after the peer is told to stop: red before ("peer closed connection"), green after. Idle tunnels still hold up nobody (a scenario of its own, green before too).

Change: a tunnel whose last bytes went to the endpoint counts as active, within the same limit of time.

--- a/features/builders/tunnels.py
+++ b/features/builders/tunnels.py
@@ -75,12 +75,15 @@
     ----------
     connections : int
         Number of connections accepted.
+    asked : curio.Event
+        Set when a request has come.
     ended : curio.Event
         Set when a connection has ended.
     """
 
     def __init__(self):
         self.connections = 0
+        self.asked = curio.Event()
         self.ended = curio.Event()
         self._listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._listener.bind((LOCAL, 0))
@@ -104,6 +107,7 @@
         try:
             while data := await sock.recv(READ_SIZE_BYTES):
                 number += 1
+                await self.asked.set()
                 target = data.split(b" ")[1].decode().removeprefix("/")
                 await getattr(self, f"_answer_{target}")(sock, number)
         except (OSError, ValueError):
@@ -135,6 +139,10 @@
             await sock.sendall(PIECE)
             await curio.sleep(0.1)
 
+    async def _answer_late(self, sock, number):
+        await curio.sleep(1.0)
+        await self._answer_framed(sock, number)
+
     async def _answer_never(self, sock, number):
         return
 
--- a/features/paths/tunnels.feature
+++ b/features/paths/tunnels.feature
@@ -56,3 +56,13 @@
     Given a peer that reaches the endpoint "e1"
     When the peer stops while it carries an answer of 1 s
     Then the answer is whole
+
+  Scenario: A peer that stops waits for an answer that hasn't begun
+    Given a peer that reaches the endpoint "e1"
+    When the peer stops 1 s before an answer begins that it is to carry
+    Then the answer is whole
+
+  Scenario: A peer that stops doesn't wait for idle tunnels
+    Given a peer that reaches the endpoint "e1"
+    When the peer stops after it carried an answer
+    Then it stops within 1 s
--- a/features/steps/paths_tunnels.py
+++ b/features/steps/paths_tunnels.py
@@ -221,3 +221,31 @@
         return await reading.join()
 
     run(context, play)
+
+
+@when("the peer stops 1 s before an answer begins that it is to carry")
+def drain_awaited(context):
+    async def play(world):
+        requesting = await curio.spawn(world.request, "late")
+        await world.endpoint.asked.wait()
+        await world.relay.drain()
+        await world.serving_peer.cancel()
+        return await read(await requesting.join())
+
+    run(context, play)
+
+
+@when("the peer stops after it carried an answer")
+def drain_idle(context):
+    async def play(world):
+        await read(await world.request("framed"))
+        began_at = time.monotonic()
+        await world.relay.drain()
+        return time.monotonic() - began_at
+
+    run(context, play)
+
+
+@then("it stops within {seconds:g} s")
+def check_stopped(context, seconds):
+    assert context.result <= seconds, context.result
--- a/mangogauge/paths/relay.py
+++ b/mangogauge/paths/relay.py
@@ -8,6 +8,7 @@
 from urllib.parse import quote, unquote
 
 import curio
+from attrs import field, frozen
 
 from ..http import Headers, HTTPConnectError, open_socket
 from ..telemetry import get_logger
@@ -20,7 +21,8 @@
 READ_SIZE_BYTES = 65_536
 # Each holds two descriptors and a few buffers.
 MAX_TUNNELS = 256
-# A stopping host ends a tunnel that has carried nothing for so long.
+# A stopping host ends a tunnel that has carried nothing for so long, unless an answer
+# is due.
 QUIET_SECONDS = 0.6
 DRAIN_INTERVAL_SECONDS = 0.1
 
@@ -44,6 +46,22 @@
     return TUNNEL_PREFIX + quote(name, safe="")
 
 
+@frozen
+class _OpenTunnel:
+    """What an open tunnel carried last.
+
+    Parameters
+    ----------
+    carried_at : float
+        Elapsed time of its last bytes.
+    is_awaited : bool
+        Whether they went to the endpoint, so that its answer hasn't begun.
+    """
+
+    carried_at = field()
+    is_awaited = field()
+
+
 class EndpointRelay:
     """Carries connections to endpoints for other hosts.
 
@@ -59,8 +77,7 @@
         self._paths = paths
         self._clock = clock
         self._closing = False
-        # Elapsed time at which each open tunnel last carried bytes.
-        self._carried_at = {}
+        self._tunnels = {}
 
     async def handle(self, exchange):
         """Open a connection and carry its bytes until either side ends it."""
@@ -98,19 +115,22 @@
 
     def _has_active_tunnels(self):
         quiet_since = self._clock.read_elapsed() - QUIET_SECONDS
-        return any(at > quiet_since for at in self._carried_at.values())
+        return any(
+            tunnel.is_awaited or tunnel.carried_at > quiet_since
+            for tunnel in self._tunnels.values()
+        )
 
     def _find_obstacle(self, endpoint):
         """Return the status that tells why no connection is tried; None if it is."""
         if endpoint is None:
             return UNKNOWN_STATUS
-        if self._closing or len(self._carried_at) >= MAX_TUNNELS:
+        if self._closing or len(self._tunnels) >= MAX_TUNNELS:
             return UNABLE_STATUS
         return STATUS_BY_STATE.get(self._paths.get(endpoint.name))
 
     async def _carry(self, exchange, sock):
         try:
-            self._note_bytes(exchange)
+            self._note_bytes(exchange, is_awaited=False)
             await exchange.start_response(200, Headers())
             async with curio.TaskGroup(wait=any) as group:
                 await group.spawn(self._carry_forward, exchange, sock)
@@ -118,22 +138,23 @@
             if group.exception is not None:
                 raise group.exception
         finally:
-            self._carried_at.pop(exchange, None)
+            self._tunnels.pop(exchange, None)
 
     async def _carry_forward(self, exchange, sock):
         async for piece in exchange.iterate_body():
-            self._note_bytes(exchange)
+            self._note_bytes(exchange, is_awaited=True)
             await sock.sendall(piece)
 
     async def _carry_back(self, exchange, sock):
         while piece := await sock.recv(READ_SIZE_BYTES):
-            self._note_bytes(exchange)
+            self._note_bytes(exchange, is_awaited=False)
             await exchange.send_data(piece)
         # Not sent if the connection broke: the other side sees no whole answer.
         await exchange.finish()
 
-    def _note_bytes(self, exchange):
-        self._carried_at[exchange] = self._clock.read_elapsed()
+    def _note_bytes(self, exchange, is_awaited):
+        now = self._clock.read_elapsed()
+        self._tunnels[exchange] = _OpenTunnel(now, is_awaited)
 
 
 def _get_failure_status(error):
