Hold nothing against an endpoint for what breaks after its path was lost

What other hosts saw: a cut-off host tells them that a sound endpoint is unhealthy, once requests that were under way when the path was lost break off, seconds after the path was found to be lost (TCP gives a silent connection up after 4 s), or once a peer that carries a tunnel is lost. Two such reports make all hosts avoid the endpoint; the cut-off host itself avoids it for 0.5 s to 4 s.

Cause: the background check of an endpoint that is reached through peers learns nothing when the direct connection fails, and the prober then confirms the failure as the endpoint's own.

Evidence: features/paths/verdicts.feature, "What breaks off after the path was lost is held against nobody", red before (unhealthy here, and told to others: list_unhealthy() == ['e1']), green after.

Change: each check that still finds the direct path lost forgets what may be the path's fault, as the first did: unconfirmed failures and cuts. Answers that show a fault of the endpoint stay, which the first check had forgotten too. An endpoint that takes connections and is silent is judged by hosts with a direct path meanwhile.

--- a/features/paths/verdicts.feature
+++ b/features/paths/verdicts.feature
@@ -96,3 +96,18 @@
     And its path is checked in the background
     Then "e1" is tunnelled, and gets requests
     And others aren't told that "e1" is unhealthy
+
+  Scenario: What breaks off after the path was lost is held against nobody
+    Given "e1" refuses this host's connections, and "p2" reaches it
+    When a connection to "e1" fails
+    And a request to "e1" gets no answer
+    And its path is checked in the background
+    Then "e1" is tunnelled, and gets requests
+    And others aren't told that "e1" is unhealthy
+
+  Scenario: A wrong answer counts whatever the path
+    Given "e1" refuses this host's connections, and "p2" reaches it
+    When a connection to "e1" fails
+    And a request to "e1" gets a wrong answer
+    And its path is checked in the background for 0.4 s
+    Then others are told that "e1" is unhealthy
--- a/features/steps/paths_verdicts.py
+++ b/features/steps/paths_verdicts.py
@@ -89,6 +89,11 @@
     context.world_of_paths.health.note_failure("e1", is_confirmed=False)
 
 
+@when('a request to "e1" gets a wrong answer')
+def answer_wrongly(context):
+    context.world_of_paths.health.note_failure("e1")
+
+
 @when("its path is checked in the background")
 def probe(context):
     curio.run(context.world_of_paths.probe)
--- a/mangogauge/paths/checker.py
+++ b/mangogauge/paths/checker.py
@@ -66,7 +66,7 @@
     pool : ClientPool
         Direct connections; idle ones are closed once the path is silent.
     on_path_lost : callable
-        Called with an endpoint's name when it turns out that only the path failed.
+        Called with an endpoint's name whenever it turns out that only the path failed.
     clock : Clock
     """
 
@@ -153,8 +153,11 @@
         is_due = self._clock.read_elapsed() >= asked_at + ASK_INTERVAL_SECONDS
         if state is PathState.LOST and not is_due:
             return
-        if state is not PathState.TUNNELLED:
-            await self._ask(endpoint)
+        if state is PathState.TUNNELLED:
+            # What broke since may have been on the lost path, or carried by a peer.
+            self._on_path_lost(endpoint.name)
+            return
+        await self._ask(endpoint)
 
     async def _ask(self, endpoint):
         """Ask peers, and conclude which has failed: the endpoint or the path."""
--- a/mangogauge/placement/health.py
+++ b/mangogauge/placement/health.py
@@ -106,9 +106,11 @@
         self.confirm(name)
 
     def note_path_lost(self, name):
-        """Forget failures: only this host's path to the endpoint has failed."""
-        self._records.pop(name, None)
+        """Forget what may be the fault of this host's path to the endpoint."""
         self._silent.discard(name)
+        record = self._records.get(name)
+        if record is not None and not record.is_confirmed:
+            del self._records[name]
 
     def confirm(self, name):
         """Record that a silence or a broken connection was the endpoint's own."""
