Tell peers of no cuts that this host's own path may explain

What other hosts saw: cuts at sound endpoints, told by hosts that had lost their paths.

Cause: health tells others of a silence only once the path has been checked, trust told them at once, and until the path was found to be lost.

Evidence: features/trust/returning.feature, red with the one condition taken out (cut=2 of "e0" told).

Change: cuts of an endpoint that isn't reached directly, or that hasn't answered since another became unreachable, stay with this host. Failures that an endpoint answers with are told as before, and so are all cuts at hosts whose paths are sound.

--- a/features/steps/trust.py
+++ b/features/steps/trust.py
@@ -20,11 +20,13 @@
     context.peer_evidence = []
     context.peers = peers
     context.load = 1
+    context.doubtful = set()
     context.trust = EndpointTrust(
         context.clock,
         lambda: context.peer_evidence,
         lambda: context.peers,
         lambda name: context.load,
+        is_path_doubtful=lambda name: name in context.doubtful,
     )
     context.endpoints = {
         f"e{n}": make_endpoint(f"e{n}", data_centre="abcd"[n % places], start_time_ms=1)
@@ -208,6 +210,26 @@
     evaluate_trust(context)
 
 
+@given('this host\'s path to "{name}" is in doubt')
+def doubt(context, name):
+    context.doubtful.add(name)
+
+
+@then('cuts of "{names}" are told to the peers')
+def check_cuts_told(context, names):
+    evaluate_trust(context)
+    evidence = context.trust.list_evidence()
+    told = [name for name, found in evidence.items() if found.cut]
+    assert told == split_names(names), evidence
+
+
+@then('failures of "{names}" are told to the peers')
+def check_failures_told(context, names):
+    evidence = context.trust.list_evidence()
+    told = [name for name, found in evidence.items() if found.failed]
+    assert told == split_names(names), evidence
+
+
 @then("no cut is told to the peers")
 def check_no_cut_told(context):
     evidence = context.trust.list_evidence()
--- a/features/trust/returning.feature
+++ b/features/trust/returning.feature
@@ -88,3 +88,12 @@
     When it turns out that only this host's path to "e0" was lost
     Then no endpoint is barred
     And no cut is told to the peers
+
+  Scenario: Peers aren't told of cuts that this host's own path may explain
+    Given a host with reports of 0 peers, and 4 endpoints in 2 data centres
+    And this host's path to "e0" is in doubt
+    When each endpoint answers 4 requests
+    And "e0, e1" are cut off from 2 requests each
+    And "e0" answers 0 requests and fails 1
+    Then cuts of "e1" are told to the peers
+    And failures of "e0" are told to the peers
--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -146,6 +146,7 @@
             self.board.count_reporting_hosts,
             lambda name: self.board.measure(name).total,
             self.health.note_silence,
+            self.health.is_path_doubtful,
         )
         self._freshness = SharedFreshness(
             clock,
--- a/mangogauge/placement/health.py
+++ b/mangogauge/placement/health.py
@@ -123,6 +123,10 @@
         """Return whether it hasn't answered since another became unreachable."""
         return self.paths.is_unverified(name)
 
+    def is_path_doubtful(self, name):
+        """Return whether a broken connection may be the fault of this host's path."""
+        return self.paths.get(name) is not PathState.DIRECT or self.is_unverified(name)
+
     def list_unreachable(self):
         """Return the names of endpoints that aren't reached directly."""
         return self.paths.list_indirect()
--- a/mangogauge/trust/endpoints.py
+++ b/mangogauge/trust/endpoints.py
@@ -11,7 +11,7 @@
 from ..telemetry import get_logger
 from .attempts import AttemptObserver
 from .ejection import EjectionState, EndpointEjection
-from .evidence import EndpointEvidence, get_own_evidence, merge
+from .evidence import EndpointEvidence, drop_cuts, get_own_evidence, merge
 from .outcomes import Outcome, OutcomeWindow
 from .outliers import find_outliers
 from .silence import SilenceDetector
@@ -82,6 +82,9 @@
         Returns how many requests and items run at an endpoint, given its name.
     on_silence : callable, optional
         Called with the name of an endpoint whose answer is overdue.
+    is_path_doubtful : callable, optional
+        Returns whether cuts of an endpoint, given its name, may be the fault of this
+        host's path to it; they aren't told to peers then.
     """
 
     def __init__(
@@ -91,7 +94,9 @@
         count_peers=int,
         measure_load=lambda name: 0,
         on_silence=lambda name: None,
+        is_path_doubtful=lambda name: False,
     ):
+        self._is_path_doubtful = is_path_doubtful
         self._measure_load = measure_load
         self._on_silence = on_silence
         self._clock = clock
@@ -276,7 +281,12 @@
             for name in find_outliers(evidence, data_centres, barred):
                 self._eject(group[name], evidence[name], now)
                 barred.add(name)
-        return {name: evidence for name, evidence in own.items() if evidence.bad}
+        told = {name: self._drop_doubtful(name, found) for name, found in own.items()}
+        return {name: evidence for name, evidence in told.items() if evidence.bad}
+
+    def _drop_doubtful(self, name, evidence):
+        """Return the evidence of an endpoint without cuts that its path may explain."""
+        return drop_cuts(evidence) if self._is_path_doubtful(name) else evidence
 
     def _eject(self, endpoint, evidence, now):
         record = self._find(endpoint)
--- a/mangogauge/trust/evidence.py
+++ b/mangogauge/trust/evidence.py
@@ -4,7 +4,13 @@
 
 from .outcomes import NO_EVIDENCE, Evidence
 
-__all__ = ["EndpointEvidence", "get_own_evidence", "list_link_suspects", "merge"]
+__all__ = [
+    "EndpointEvidence",
+    "drop_cuts",
+    "get_own_evidence",
+    "list_link_suspects",
+    "merge",
+]
 
 # Share of a data centre's endpoints that must be cut off at the same time for its
 # link, or this host's own link, to be suspected.
@@ -33,7 +39,7 @@
     def __init__(self, own, data_centres):
         suspects = list_link_suspects(own, data_centres)
         super().__init__(
-            (name, _drop_cuts(found) if name in suspects else found)
+            (name, drop_cuts(found) if name in suspects else found)
             for name, found in own.items()
         )
         answered = sum(found.answered for found in own.values())
@@ -93,7 +99,7 @@
     local = own.get(name, NO_EVIDENCE)
     others = [found[name] for found in reports if name in found]
     if peers and sum(found.cut > 0 for found in (local, *others)) < MIN_CUTS:
-        local, others = _drop_cuts(local), [_drop_cuts(found) for found in others]
+        local, others = drop_cuts(local), [drop_cuts(found) for found in others]
     reported = sum(others, NO_EVIDENCE)
     if _is_contradicted(local, reported):
         return local
@@ -104,10 +110,11 @@
 def get_own_evidence(name, own, peers):
     """Return this host's `Evidence`; cuts count only if there is no other host."""
     local = own.get(name, NO_EVIDENCE)
-    return _drop_cuts(local) if peers else local
+    return drop_cuts(local) if peers else local
 
 
-def _drop_cuts(found):
+def drop_cuts(found):
+    """Return `Evidence` without its cuts."""
     return Evidence(found.answered, found.failed, 0)
 
 
