--- a/features/builders/tunnels.py
+++ b/features/builders/tunnels.py
@@ -77,12 +77,15 @@
     ----------
     connections, requests : int
         Number of connections accepted, and of requests read.
+    asked : curio.Event
+        Set when a request has come.
     ended : curio.Event
         Set when a connection has ended.
     """
 
     def __init__(self):
         self.connections = self.requests = 0
+        self.asked = curio.Event()
         self.ended = curio.Event()
         self._listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._listener.bind((LOCAL, 0))
@@ -105,6 +108,7 @@
         try:
             while data := await sock.recv(READ_SIZE_BYTES):
                 number = self.requests = self.requests + 1
+                await self.asked.set()
                 target = data.split(b" ")[1].decode().removeprefix("/")
                 await getattr(self, f"_answer_{target}")(sock, number)
         except (OSError, ValueError):
@@ -136,6 +140,10 @@
             await sock.sendall(PIECE)
             await curio.sleep(0.1)
 
+    async def _answer_late(self, sock, number):
+        await curio.sleep(1.0)
+        await self._answer_framed(sock, number)
+
     async def _answer_never(self, sock, number):
         return
 
--- a/mangogauge/paths/checker.py
+++ b/mangogauge/paths/checker.py
@@ -9,7 +9,7 @@
 
 from ..http import DirectConnector, HTTPConnectError, TunnelRefusedError
 from ..telemetry import get_logger
-from .relay import REFUSED_STATUS
+from .relay import REFUSED_STATUS, SILENT_STATUS
 from .states import PathState
 
 __all__ = ["PathChecker"]
@@ -17,9 +17,14 @@
 CONNECT_SECONDS = 0.2
 # Peers that are asked at once: more than one may have lost the endpoint too.
 PEERS_ASKED = 3
+# Answers of peers that tried to reach the endpoint themselves.
+TRIED_STATUSES = frozenset({REFUSED_STATUS, SILENT_STATUS})
 # How often peers are asked again for an endpoint that none of them reached.
 ASK_INTERVAL_SECONDS = 0.5
 
+# States of a refused path in which the endpoint isn't known to refuse others too.
+NOT_REFUSED_STATES = frozenset({PathState.TUNNELLED, PathState.SUSPECTED})
+
 log = get_logger("paths")
 
 
@@ -33,10 +38,21 @@
         Whether one of them reached the endpoint.
     refused : bool
         Whether the endpoint refused a connection of one of them.
+    failed : bool
+        Whether one of them tried and didn't reach the endpoint.
+    is_unable : bool
+        Whether one of them could not try.
     """
 
     reached = field(default=False)
     refused = field(default=False)
+    failed = field(default=False)
+    is_unable = field(default=False)
+
+    @property
+    def is_open(self):
+        """Whether peers have answered, but none by what it found at the endpoint."""
+        return self.is_unable and not self.reached and not self.failed
 
 
 class PathChecker:
@@ -50,7 +66,7 @@
     pool : ClientPool
         Direct connections; idle ones are closed once the path is silent.
     on_path_lost : callable
-        Called with an endpoint's name when it turns out that only the path failed.
+        Called with an endpoint's name whenever it turns out that only the path failed.
     clock : Clock
     """
 
@@ -97,7 +113,7 @@
             if not isinstance(error.__cause__, ConnectionRefusedError):
                 return False
             state = await self.find_path(endpoint, error)
-            return state is not PathState.TUNNELLED
+            return state not in NOT_REFUSED_STATES
         await connection.close()
         return False
 
@@ -137,8 +153,11 @@
         is_due = self._clock.read_elapsed() >= asked_at + ASK_INTERVAL_SECONDS
         if state is PathState.LOST and not is_due:
             return
-        if state is not PathState.TUNNELLED:
-            await self._ask(endpoint)
+        if state is PathState.TUNNELLED:
+            # What broke since may have been on the lost path, or carried by a peer.
+            self._on_path_lost(endpoint.name)
+            return
+        await self._ask(endpoint)
 
     async def _ask(self, endpoint):
         """Ask peers, and conclude which has failed: the endpoint or the path."""
@@ -149,6 +168,9 @@
             self._on_path_lost(endpoint.name)
             self._log("endpoint reached through peers only", endpoint)
             return
+        if verdict.is_open:
+            # Others are asked soon: those are avoided now.
+            return
         if self._paths.get(endpoint.name) is not PathState.LOST:
             self._log("endpoint not reached", endpoint, refused=verdict.refused)
         self._paths.note_loss(endpoint.name)
@@ -167,6 +189,8 @@
             connection = await self._tunnels.open_through(peer, endpoint)
         except TunnelRefusedError as error:
             verdict.refused |= error.status == REFUSED_STATUS
+            verdict.failed |= error.status in TRIED_STATUSES
+            verdict.is_unable |= error.status not in TRIED_STATUSES
             return None
         except HTTPConnectError:
             return None
--- a/mangogauge/placement/health.py
+++ b/mangogauge/placement/health.py
@@ -106,9 +106,11 @@
         self.confirm(name)
 
     def note_path_lost(self, name):
-        """Forget failures: only this host's path to the endpoint has failed."""
-        self._records.pop(name, None)
+        """Forget what may be the fault of this host's path to the endpoint."""
         self._silent.discard(name)
+        record = self._records.get(name)
+        if record is not None and not record.is_confirmed:
+            del self._records[name]
 
     def confirm(self, name):
         """Record that a silence or a broken connection was the endpoint's own."""
@@ -121,6 +123,10 @@
         """Return whether it hasn't answered since another became unreachable."""
         return self.paths.is_unverified(name)
 
+    def is_path_doubtful(self, name):
+        """Return whether a broken connection may be the fault of this host's path."""
+        return self.paths.get(name) is not PathState.DIRECT or self.is_unverified(name)
+
     def list_unreachable(self):
         """Return the names of endpoints that aren't reached directly."""
         return self.paths.list_indirect()
