Let hosts without endpoints know each other before the store goes away

The store was taken away while a host that had just started knew no other, in which case nobody could have served its callers.

--- a/features/steps/platform_paths.py
+++ b/features/steps/platform_paths.py
@@ -28,10 +28,22 @@
     deployment.write_configuration()
     for number in range(1, count + 1):
         deployment.start_endpoint(f"e{number}")
-    for name in names.split(", "):
-        deployment.start_host(name, ready=False)
-    for name in names.split(", "):
-        deployment.wait_until_ready(name)
+    start_hosts(context, names.split(", "))
+
+
+def start_hosts(context, names, **options):
+    """Start hosts and wait until all know each other."""
+    for name in names:
+        context.deployment.start_host(name, ready=False, **options)
+    for name in names:
+        context.deployment.wait_until_ready(name)
+    wait_until(lambda: know_each_other(context), "the hosts know each other")
+
+
+def know_each_other(context):
+    hosts = context.deployment.hosts
+    logs = [context.world.processes[name].read_log() for name in hosts]
+    return all(f'"member": "{name}"' in log for name in hosts for log in logs)
 
 
 @given("each host has a connection or two to endpoints")
@@ -91,10 +103,7 @@
 )
 def start_data_centres(context, count, first, second):
     start_deployment(context, count, first)
-    for name in second.split(", "):
-        context.deployment.start_host(name, zone="b", ready=False)
-    for name in second.split(", "):
-        context.deployment.wait_until_ready(name)
+    start_hosts(context, second.split(", "), zone="b")
 
 
 @when('"{names}" is cut off from "{endpoints}", {how}')
