Show what hosts without endpoints do as a peer ends or stands still

Callers of the tests pause before they ask again after a failure: those of a host that had been killed asked 20742 times in 3 s.

--- a/features/builders/platform/callers.py
+++ b/features/builders/platform/callers.py
@@ -8,6 +8,9 @@
 
 from ..processes import wait_until
 
+# Before the next request after one that wasn't served.
+PAUSE_SECONDS = 0.05
+
 
 @define
 class Asked:
@@ -21,7 +24,7 @@
 
 
 class Callers:
-    """One caller for each host and path, each asking without a pause.
+    """One caller for each host and path, each asking again once answered.
 
     Parameters
     ----------
@@ -67,3 +70,5 @@
             row = Asked(host, path, f"c{next(self._numbers)}", time.monotonic())
             self.rows.append(row)
             row.answer = self.deployment.ask(host, path, row.request_id, self.events)
+            if row.answer.status != 200:
+                time.sleep(PAUSE_SECONDS)
--- a/features/platform/work_of_hosts_without_endpoints.feature
+++ b/features/platform/work_of_hosts_without_endpoints.feature
@@ -126,3 +126,28 @@
     When "e1" is silent for 1 s
     Then "h1" goes on to send requests to each endpoint, and has ejected none
     And "h1" and "h2" have served all, each unsafe request once
+
+  Scenario: A request runs twice as the host that carries it is killed
+    Given the platform with 3 endpoints behind links, and the hosts "h1, h2, h3"
+    And callers ask all hosts again and again
+    When "h1" is cut off from all endpoints, silent
+    And the cut has lasted 3 s
+    And "h2" is killed
+    And the cut has lasted 6 s
+    Then "h1" has served from 3 s to 6 s of the cut as "h3" have
+    And no unsafe request ran twice, and none that was refused ran
+
+  Scenario: A host that stands still is asked to carry requests
+    Given the platform with 3 endpoints behind links, and the hosts "h1, h2, h3"
+    When "h1" is cut off from all endpoints, silent
+    And the cut has lasted 3 s
+    And "h2" stands still
+    Then first tries at "h1, h3" are served
+
+  Scenario: Items wait as all runners have lost their way
+    Given the platform with 3 endpoints behind links, and the hosts "h1, h2"
+    And the runners "r1, r2"
+    And the endpoints take 0.05 s for an event
+    When "r1, r2" are cut off from all endpoints, refused
+    And "desk" submits the job "j1" of 30 items of 20 events to "h1"
+    Then all 30 results of "j1" can be read whole at "h1" and "h2"
