--- a/features/platform/software_versions.feature
+++ b/features/platform/software_versions.feature
@@ -132,6 +132,14 @@
     And they are taken up at "h2"
     Then at least 8 of them were answered whole
 
+  Scenario: Streams of the only version go on while the store is away
+    Given the platform with 0 endpoints, and the hosts "h1, h2"
+    And 2 endpoints of the version "v1" and 0 of "v2"
+    And the store has been away for 2.5 s
+    When 8 streams begin at "h1" and break off
+    And they are taken up at "h2"
+    Then at least 8 of them were answered whole
+
   Scenario: A caller that doesn't say which stream it takes up is refused while there are two versions
     Given the platform with 0 endpoints, and the hosts "h1, h2"
     And 2 endpoints of the version "v1" and 2 of "v2"
--- a/features/steps/platform_software.py
+++ b/features/steps/platform_software.py
@@ -8,6 +8,7 @@
 
 from features.builders.platform.takeups import StreamCallers
 from features.builders.processes import wait_until
+from features.steps.platform import take_store_away
 from features.steps.platform_detour import LINK, cut_link
 from mangogauge.jobs.keys import make_progress_key
 
@@ -138,6 +139,12 @@
     context.callers.take_up(host)
 
 
+@given("the store has been away for {seconds:g} s")
+def have_store_away(context, seconds):
+    take_store_away(context)
+    time.sleep(seconds)
+
+
 @when('"{host}" stands still')
 def pause_host(context, host):
     context.world.processes[host].pause()
--- a/mangogauge/streams/history.py
+++ b/mangogauge/streams/history.py
@@ -8,7 +8,7 @@
 # reaches the store.
 MAX_AGE_SECONDS = 1.25
 # With a copy older than this the host has lost touch with the store.
-LOST_SECONDS = 2.0
+LOST_SECONDS = 1.5
 # Endpoints are registered for longer than this, so that each version that there was
 # shows in a copy, if no more time lies between two confirmations of it.
 MAX_GAP_SECONDS = 3.0
