Forward calls to a peer where the own path to endpoints is lost (RECOVER)

What callers saw: a host of mangogauge.gateway that alone couldn't connect to the endpoints of its data centre refused (502 endpoint_failed, executed no), though the hosts beside it reached them.

Cause: _choose_attempt knew other hosts of other data centres only, so the failure of a host's own path was the end of what it tried at home.

Change: after an attempt that made no connection, or where this host's latest try to connect to the next endpoint failed, an online call goes to a host of the own data centre that reports a suitable endpoint as up (PeerChooser, from the load reports that hosts exchange), one hop as before (call.forwarded). A call that may have run and may not be repeated is refused as before. Endpoints that couldn't be connected to are probed by this host too, and what the lost path looked like is forgotten once it connects. A deadline that has passed is no longer blamed on the endpoint.

Evidence: features/gateway/hosts_without_endpoints.feature, on before: refused: bookings 502; reset: chats 502; both pass now. The scenario with silence was written with the change and wasn't run alone before; on a chat on a connection that had fallen silent ended as 504 after its deadline, which this doesn't mend.

--- a/features/builders/processes.py
+++ b/features/builders/processes.py
@@ -42,11 +42,14 @@
     ----------
     build : pathlib.Path or None
         Folder of the build that it runs; None for this one.
+    module : str
+        The module that it runs.
     """
 
     def __init__(self, name, arguments, folder):
         self.name = name
         self.build = None
+        self.module = "mangogauge"
         self.arguments = [str(argument) for argument in arguments]
         self.log_path = folder / f"{name}.log"
         self.ready = {}
@@ -62,7 +65,7 @@
 
     def start(self):
         """Start it and wait for its line of ports."""
-        return self.start_module("mangogauge", {})
+        return self.start_module(self.module, {})
 
     def start_module(self, module, variables):
         """Start a module as a program and wait for its first line."""
--- a/features/builders/world.py
+++ b/features/builders/world.py
@@ -54,6 +54,8 @@
         Folder of the build whose hosts and commands start; None for this one.
     processes : dict
         `Process` by name.
+    programs : dict
+        Module and its first arguments of processes that run another program.
     """
 
     def __init__(self, name="world"):
@@ -62,6 +64,7 @@
         self.build = None
         self.folder = Path(tempfile.mkdtemp(prefix="mangogauge-"))
         self.processes = {}
+        self.programs = {}
         self.hosts = {}
         self.endpoints = {}
         self.routes = []
@@ -81,7 +84,9 @@
 
     def start_process(self, name, *arguments, build=None):
         """Start a process and wait until it is up."""
-        process = Process(name, arguments, self.folder)
+        module, first = self.programs.get(name, ("mangogauge", ()))
+        process = Process(name, [*first, *arguments], self.folder)
+        process.module = module
         process.build = build
         self.processes[name] = process
         return process.start()
--- /dev/null
+++ b/features/gateway/hosts_without_endpoints.feature
@@ -0,0 +1,28 @@
+Feature: Hosts that lose their own way to the endpoints
+  A host that can't connect to endpoints which its peers reach takes the failure
+  of its path for theirs: it refuses callers, and has others avoid the endpoints.
+
+  Background:
+    Given paths: engines "e1, e2", a service, and the hosts "a1, a2, a3" behind links
+
+  Scenario Outline: A host without a way to the endpoints refuses what its peers could serve
+    Given paths: "a1, a2, a3" have answered callers
+    When paths: "a1" is cut off from all endpoints, <how>
+    And paths: 16 chats and 8 streams are asked for at "a1"
+    Then paths: each got its own whole answer
+    When paths: 4 bookings are posted at "a1"
+    Then paths: each booking was answered, and ran once
+    When paths: the cut of "a1" ends
+    Then paths: "a1" reaches endpoints by itself again
+
+    Examples:
+      | how     |
+      | refused |
+      | reset   |
+
+  Scenario: A host whose connections fall silent refuses what its peers could serve
+    When paths: "a1" is cut off from all endpoints, silent
+    And paths: 4 bookings are posted at "a1"
+    Then paths: each booking was answered, and ran once
+    When paths: 4 chats and 2 streams are asked for at "a1"
+    Then paths: each got its own whole answer
--- a/mangogauge/daemon/host.py
+++ b/mangogauge/daemon/host.py
@@ -37,6 +37,7 @@
     AnswerTimes,
     BalancedRouter,
     EndpointLoadExchange,
+    PeerChooser,
     Quarantine,
     RetryBudgets,
     RetryPolicy,
@@ -179,6 +180,7 @@
         self.dispatcher = Dispatcher(
             self.router,
             self.spill,
+            PeerChooser(self.view, self.router, self.random),
             self.channels,
             crashes,
             gate,
--- a/mangogauge/gateway/calls.py
+++ b/mangogauge/gateway/calls.py
@@ -54,7 +54,7 @@
     resuming : bool
         Whether only endpoints that can resume a stream will do.
     forwarded : bool
-        Whether another data centre's host passed the call on to this one.
+        Whether another host passed the call on to this one.
     affinity : int
         Same for calls whose prompts begin alike; 0 for none.
     """
--- a/mangogauge/gateway/dispatch.py
+++ b/mangogauge/gateway/dispatch.py
@@ -7,6 +7,7 @@
 from ..routing import Decision, Progress
 from ..telemetry import get_logger
 from .attempts import AttemptFailed, EndpointAttempt
+from .calls import Priority
 from .forwarding import ForwardAttempt
 from .relays import AnswerRelay
 
@@ -26,8 +27,10 @@
     router : Router
     spill : SpillChooser
         Finds hosts of other data centres.
+    peers : PeerChooser
+        Finds hosts of this data centre.
     channels : ChannelPool
-        Connections to them.
+        Connections to hosts.
     crashes : CrashWatch
     gate : CapacityGate
     retry_policy : RetryPolicy
@@ -43,6 +46,7 @@
         self,
         router,
         spill,
+        peers,
         channels,
         crashes,
         gate,
@@ -55,6 +59,7 @@
     ):
         self._router = router
         self._spill = spill
+        self._peers = peers
         self._channels = channels
         self._crashes = crashes
         self._gate = gate
@@ -92,7 +97,8 @@
     async def _try_once(self, run):
         """Make one attempt and return it."""
         entry = None
-        if self._router.choose(run.call, run.tried) is not None:
+        has_endpoint = self._router.choose(run.call, run.tried) is not None
+        if has_endpoint and self._find_peer(run) is None:
             entry = await self._gate.enter(run.call, urgent=bool(run.tried))
         try:
             attempt = await self._choose_attempt(run)
@@ -110,8 +116,11 @@
                 await self._gate.leave(entry)
 
     async def _choose_attempt(self, run):
-        """Return the next attempt: here, in another data centre, or again here."""
+        """Return the next attempt: here, at another host, or again here."""
         call = run.call
+        peer = self._find_peer(run)
+        if peer is not None:
+            return self._make_forward(call, peer)
         if not run.tried and self._can_forward(call) and self._spill.should_spill(call):
             member = self._spill.choose(call)
             if member is not None:
@@ -132,6 +141,23 @@
             call, endpoint, self._router, self._pool, self._times, self._clock
         )
 
+    def _find_peer(self, run):
+        """Return a host that reaches what this one can't connect to, or None."""
+        call = run.call
+        # A batch item has its place at one endpoint, counted at this host.
+        if not self._can_forward(call) or call.priority is Priority.BATCH:
+            return None
+        if run.unreached or not self._reaches_next(run):
+            return self._peers.choose(call, run.tried)
+        return None
+
+    def _reaches_next(self, run):
+        """Return whether this host's path to the next endpoint isn't in doubt."""
+        endpoint = self._router.choose(run.call, run.tried)
+        if endpoint is None:
+            return bool(run.tried)
+        return not self._router.is_unreached(endpoint.name)
+
     def _can_forward(self, call):
         return not call.forwarded
 
@@ -141,7 +167,9 @@
     async def _make_attempt(self, run, attempt):
         left = run.call.deadline - self._clock.read_elapsed()
         if left <= 0:
-            raise AttemptFailed(Progress.NOT_SENT, "The deadline has passed.")
+            raise AttemptFailed(
+                Progress.NOT_SENT, "The deadline has passed.", blames=False
+            )
         self._router.begin(attempt.peer)
         try:
             async with curio.timeout_after(left):
@@ -193,7 +221,8 @@
     def _note_failure(self, run, attempt, error):
         run.note_failure(error)
         if error.blames:
-            self._router.note_failure(attempt.peer)
+            reached = error.progress is not Progress.NOT_SENT
+            self._router.note_failure(attempt.peer, reached)
         self._count(attempt, error.progress.value)
         self._log_failure(run.call, attempt, error)
 
@@ -287,6 +316,7 @@
         self.relay = relay
         self.tried = []
         self.worst = Progress.NOT_SENT
+        self.unreached = False
         self.decision = None
 
     def begin(self, attempt):
@@ -295,6 +325,7 @@
         self.decision = None
 
     def note_failure(self, error):
-        """Keep the worst that is known of all attempts."""
+        """Keep the worst that is known of all attempts, and the last one's path."""
+        self.unreached = error.progress is Progress.NOT_SENT
         if error.progress.executed == "unknown":
             self.worst = error.progress
--- a/mangogauge/gateway/forwarding.py
+++ b/mangogauge/gateway/forwarding.py
@@ -1,7 +1,8 @@
-"""Calls that another data centre runs, one hop at most.
+"""Calls that another host runs, one hop at most.
 
 A call that the local endpoints can't run, or only much later, is passed to an
-entry host of another data centre over one stream between hosts. Its deadline
+entry host of another data centre over one stream between hosts; one that this
+host alone can't connect for, to a host of its own data centre. Its deadline
 and attempt id go with it; the caller's key does not, since the call has been
 authenticated. Giving it up resets the stream, which cancels it there.
 """
@@ -45,7 +46,7 @@
 
 
 class ForwardAttempt(Attempt):
-    """An attempt through an entry host of another data centre.
+    """An attempt through another entry host.
 
     Parameters
     ----------
@@ -136,7 +137,7 @@
 
 
 class ForwardService(HostPart):
-    """Runs calls for hosts of other data centres.
+    """Runs calls for other hosts.
 
     Parameters
     ----------
--- a/mangogauge/routing/__init__.py
+++ b/mangogauge/routing/__init__.py
@@ -15,6 +15,7 @@
     "EndpointLoadExchange",
     "EndpointState",
     "LoadReport",
+    "PeerChooser",
     "Progress",
     "Quarantine",
     "QuarantineStatus",
@@ -30,6 +31,7 @@
     __name__,
     {
         "balanced": ("BalancedRouter",),
+        "peers": ("PeerChooser",),
         "quarantine": ("Quarantine", "QuarantineStatus"),
         "sharing": ("EndpointLoadExchange",),
         "spill": ("SpillChooser",),
--- a/mangogauge/routing/balanced.py
+++ b/mangogauge/routing/balanced.py
@@ -103,10 +103,14 @@
         if name in self._states:
             self._states[name].note_success(self._clock.read_elapsed())
 
-    def note_failure(self, name):
-        """Record that an endpoint failed."""
+    def note_failure(self, name, reached=True):
+        """Record that an endpoint failed; see `Router`."""
         if name in self._states:
-            self._states[name].note_failure(self._clock.read_elapsed())
+            self._states[name].note_failure(self._clock.read_elapsed(), reached)
+
+    def is_unreached(self, name):
+        """Return whether this host's latest try to connect to an endpoint failed."""
+        return name in self._states and self._states[name].unreached
 
     def note_slowness(self, name, slowness):
         """Record an answer's time, as a multiple of the typical one."""
--- a/mangogauge/routing/choice.py
+++ b/mangogauge/routing/choice.py
@@ -42,8 +42,19 @@
         """Record that the endpoint answered."""
 
     @abstractmethod
-    def note_failure(self, name):
-        """Record that an attempt failed because of the endpoint."""
+    def note_failure(self, name, reached=True):
+        """Record that an attempt failed because of the endpoint.
+
+        Parameters
+        ----------
+        name : str
+        reached : bool, optional
+            Whether this host had connected to the endpoint.
+        """
+
+    @abstractmethod
+    def is_unreached(self, name):
+        """Return whether this host's latest try to connect to an endpoint failed."""
 
     @abstractmethod
     def note_slowness(self, name, slowness):
--- a/mangogauge/routing/sharing.py
+++ b/mangogauge/routing/sharing.py
@@ -36,6 +36,8 @@
         state = self._router.get_state(name)
         if state is not None:
             state.apply_report(report, self._clock.read_elapsed())
+            if not report.down:
+                state.note_reached()
 
     def retain_reports(self, names):
         """Drop reports of endpoints that this host no longer probes."""
--- a/mangogauge/routing/states.py
+++ b/mangogauge/routing/states.py
@@ -62,6 +62,8 @@
         Past ejections that still count; each doubles the time of the next.
     slowness : float
         Moving average of its response times as multiples of the typical one.
+    unreached : bool
+        Whether this host's latest try to connect to it failed. Peers may reach it.
     """
 
     endpoint = field()
@@ -77,6 +79,7 @@
     ejected_until = field(default=float("-inf"))
     slowness = field(default=1.0)
     answered_at = field(default=float("-inf"))
+    unreached = field(default=False)
 
     def is_leaving(self, now):
         """Return whether it must get no new work, by the host list or its report."""
@@ -139,13 +142,22 @@
 
     def note_success(self, now):
         """Record an answer, which resets the count of failures."""
+        self.note_reached()
         self.failures = 0
         self.answered_at = now
         if now > self.ejected_until + LONGEST_EJECTION_SECONDS:
             self.ejections = 0
 
-    def note_failure(self, now):
+    def note_reached(self):
+        """Record that this host has connected to it; forget that it couldn't."""
+        if self.unreached:
+            self.unreached = False
+            self.failures = 0
+            self.ejected_until = float("-inf")
+
+    def note_failure(self, now, reached=True):
         """Count a failure; eject the endpoint after several in a row."""
+        self.unreached = not reached
         self.failures += 1
         if self.failures < FAILURES_TO_EJECT or self.is_ejected(now):
             return
--- a/mangogauge/routing/watch.py
+++ b/mangogauge/routing/watch.py
@@ -69,7 +69,7 @@
             await curio.sleep(pace * (0.75 + self._random.random() / 2))
 
     async def _probe_all(self):
-        assigned = [n for n in self._router.names if self._is_assigned(n)]
+        assigned = [n for n in self._router.names if self._has_to_probe(n)]
         self._load_exchange.retain_reports(frozenset(assigned))
         self._timeouts = {n: c for n, c in self._timeouts.items() if n in assigned}
         async with curio.TaskGroup() as group:
@@ -100,6 +100,10 @@
         except (HTTPError, curio.TaskTimeout):
             return None
 
+    def _has_to_probe(self, name):
+        # What this host alone has lost, its own probes have to find again.
+        return self._is_assigned(name) or self._router.is_unreached(name)
+
     def _is_assigned(self, name):
         own = self._view.own
         members = self._view.list_members(own.data_centre)
