--- a/features/gateway/hosts_without_endpoints.feature
+++ b/features/gateway/hosts_without_endpoints.feature
@@ -26,3 +26,8 @@
     Then paths: each booking was answered, and ran once
     When paths: 4 chats and 2 streams are asked for at "a1"
     Then paths: each got its own whole answer
+
+  Scenario: Sound endpoints are down at all hosts because two cut-off hosts say so
+    When paths: "a1, a2" are cut off from all endpoints, reset
+    Then paths: "a1, a2" see "e1" as down
+    And paths: "a3" sees no endpoint as down for long
--- a/mangogauge/routing/sharing.py
+++ b/mangogauge/routing/sharing.py
@@ -10,6 +10,7 @@
 LOAD_ENTRY = "endpoint-load"
 SUMMARY_ENTRY = "data-centre-load"
 COUNT_LIMIT = 255
+ANSWER_SECONDS = 1.0
 
 
 class EndpointLoadExchange:
@@ -19,12 +20,18 @@
     ----------
     router : BalancedRouter
     clock : Clock
+
+    Attributes
+    ----------
+    doubted : frozenset of str
+        Names of endpoints that a peer reports as down.
     """
 
     def __init__(self, router, clock):
         self._router = router
         self._clock = clock
         self._own_reports = {}
+        self.doubted = frozenset()
 
     def read_now(self):
         """Return the elapsed time in seconds of the router's clock."""
@@ -72,10 +79,13 @@
         digest = _digest(names)
         running = [0] * len(names)
         ejecting = [0] * len(names)
-        for host, raw in loads.items():
-            load = HostLoad.FromString(raw)
-            if seen.get(host) != raw:
-                self._apply_reports(load)
+        decoded = {host: HostLoad.FromString(raw) for host, raw in loads.items()}
+        rows = [row for load in decoded.values() for row in load.reports]
+        self.doubted = frozenset(row.endpoint for row in rows if row.down)
+        reached = {row.endpoint for row in rows if not row.down}
+        for host, load in decoded.items():
+            if seen.get(host) != loads[host]:
+                self._apply_reports(load, reached)
             if load.endpoints_digest == digest:
                 _add_counts(load, running, ejecting)
         seen.clear()
@@ -93,12 +103,17 @@
         ]
         return DataCentreLoad(models=models).SerializeToString()
 
-    def _apply_reports(self, load):
+    def _apply_reports(self, load, reached):
         now = self._clock.read_elapsed()
         for row in load.reports:
             state = self._router.get_state(row.endpoint)
-            if state is not None and row.endpoint not in self._own_reports:
-                state.apply_report(_decode(row), now)
+            if state is None or row.endpoint in self._own_reports:
+                continue
+            # A host that has lost its own path reports sound endpoints as down.
+            has_answered = now - state.answered_at < ANSWER_SECONDS
+            if row.down and (row.endpoint in reached or has_answered):
+                continue
+            state.apply_report(_decode(row), now)
 
 
 def _add_counts(load, running, ejecting):
--- a/mangogauge/routing/watch.py
+++ b/mangogauge/routing/watch.py
@@ -1,7 +1,8 @@
 """Health probes of the data centre's endpoints, shared among its hosts.
 
 Each endpoint is probed by two hosts, chosen by rendezvous hashing, so that the
-cost of probing doesn't grow with the number of hosts.
+cost of probing doesn't grow with the number of hosts. One that is reported as down
+is probed by all: whoever reports it may have lost its own path.
 """
 
 import curio
@@ -101,8 +102,10 @@
             return None
 
     def _has_to_probe(self, name):
-        # What this host alone has lost, its own probes have to find again.
-        return self._is_assigned(name) or self._router.is_unreached(name)
+        # What peers report as down is seen for oneself; what this host alone has
+        # lost, its own probes have to find again.
+        is_doubted = name in self._load_exchange.doubted
+        return is_doubted or self._is_assigned(name) or self._router.is_unreached(name)
 
     def _is_assigned(self, name):
         own = self._view.own
