--- a/features/routing/reports.feature
+++ b/features/routing/reports.feature
@@ -20,3 +20,13 @@
     When reports: "a1" and then "a2" report "e1" as down, down
     Then reports: "e1" counts as up
     And reports: this host doubts "e1"
+
+  Scenario: An ejection for the host's own path is told to others as the endpoint's
+    When reports: this host fails to connect to "e1" 3 times
+    Then reports: "e1" is ejected here and hidden from others
+    When reports: this host connects to "e1"
+    Then reports: "e1" is no longer ejected
+
+  Scenario: An ejection for the failures of the endpoint is told to others
+    When reports: "e1" fails 3 times
+    Then reports: "e1" is ejected here and told to others
--- a/mangogauge/routing/sharing.py
+++ b/mangogauge/routing/sharing.py
@@ -55,7 +55,7 @@
         now = self._clock.read_elapsed()
         names = self._router.names
         states = [self._router.get_state(name) for name in names]
-        bits = sum(state.is_ejected(now) << i for i, state in enumerate(states))
+        bits = sum(_has_failed(state, now) << i for i, state in enumerate(states))
         load = HostLoad(
             endpoints_digest=_digest(names),
             running=bytes(min(COUNT_LIMIT, state.running) for state in states),
@@ -116,6 +116,11 @@
             state.apply_report(_decode(row), now)
 
 
+def _has_failed(state, now):
+    """Return whether an endpoint is ejected, and not for this host's own path."""
+    return state.is_ejected(now) and not state.unreached
+
+
 def _add_counts(load, running, ejecting):
     bits = int.from_bytes(load.ejected, "little")
     for i, count in enumerate(load.running):
