Ask two peers before a broken connection counts as a crash (RECOVER)

What callers saw: their requests became suspects, which run again one at a time, and after a second such cut may be refused as quarantined, because the host that ran them had lost its own path: its connections were reset and new ones refused.

Cause: CrashWatch took an endpoint that refuses this host for one that is gone.

Change: after its own probes a host asks two others of its data centre to connect (Quarantine/Reach). If one does, no crash is reported and 'own path to an endpoint lost' is logged. A host of an older build doesn't know the call, which counts as no word. The gap that docs/design/routing.md names, an engine restarted before the probe, is longer by the call.

--- a/features/gateway/hosts_without_endpoints.feature
+++ b/features/gateway/hosts_without_endpoints.feature
@@ -31,3 +31,7 @@
     When paths: "a1, a2" are cut off from all endpoints, reset
     Then paths: "a1, a2" see "e1" as down
     And paths: "a3" sees no endpoint as down for long
+
+  Scenario: A host that loses its connections reports crashes of sound endpoints
+    When paths: "a1" loses its connections while it runs 4 long chats
+    Then paths: no host has noted a crash
--- a/mangogauge/gateway/crashes.py
+++ b/mangogauge/gateway/crashes.py
@@ -15,6 +15,8 @@
 from ..protocol.quarantine_pb2 import (
     CrashReport,
     QuarantineState,
+    ReachReply,
+    ReachRequest,
     TrialReply,
     TrialRequest,
     TrialStep,
@@ -29,10 +31,13 @@
 QUARANTINE_ENTRY = "quarantine"
 REPORT_METHOD = "/mangogauge.Quarantine/Report"
 TRIAL_METHOD = "/mangogauge.Quarantine/Trial"
+REACH_METHOD = "/mangogauge.Quarantine/Reach"
 SHARE_SECONDS = 0.2
 COLLECT_SECONDS = 0.3
 CALL_TIMEOUT = 2.0
 PROBE_TIMEOUT = 0.5
+REACH_TIMEOUT = 1.0
+ASKED_HOSTS = 2
 # A process that ends closes its connections a moment before its listener.
 PROBE_PAUSES = (0.0, 0.15)
 TRIAL_POLL_SECONDS = 0.1
@@ -57,14 +62,20 @@
         self._channels = channels
         self._clock = clock
         self._running = {}
+        self._endpoints = {}
 
     def protocol_methods(self):
         """Return the methods that peers call."""
         return [
             Method(REPORT_METHOD, CrashReport, self._serve_report),
             Method(TRIAL_METHOD, TrialRequest, self._serve_trial),
+            Method(REACH_METHOD, ReachRequest, self._serve_reach),
         ]
 
+    def take_fleet(self, fleet):
+        """Put newer settings in force."""
+        self._endpoints = fleet.endpoints
+
     def operator_handlers(self):
         """Return the path that shows suspects and condemned requests."""
         return {"/quarantine": self._show}
@@ -143,6 +154,9 @@
         present = sorted(self._running.get(endpoint.name, ()))
         if not await _is_dead(endpoint):
             return
+        if await self._is_reached_by_peers(endpoint):
+            log.warning("own path to an endpoint lost", extra={"peer": endpoint.name})
+            return
         log.warning("an endpoint crashed", extra={"peer": endpoint.name})
         report = CrashReport(endpoint=endpoint.name, fingerprints=present)
         state = await self._call_judge(REPORT_METHOD, report, QuarantineState)
@@ -150,6 +164,25 @@
             state = await self._judge_crash(report)
         self._quarantine.merge(state)
 
+    async def _is_reached_by_peers(self, endpoint):
+        """Return whether another host connects to an endpoint that refuses this one."""
+        own = self._view.own
+        members = self._view.list_members(own.data_centre)
+        others = [member for member in members if member.name != own.name]
+        for member in others[:ASKED_HOSTS]:
+            if await self._is_reached_by(member, endpoint):
+                return True
+        return False
+
+    async def _is_reached_by(self, member, endpoint):
+        request = ReachRequest(endpoint=endpoint.name)
+        channel = self._channels.get(member.address)
+        try:
+            reply = await channel.call(REACH_METHOD, request, ReachReply, REACH_TIMEOUT)
+        except (ChannelError, CallError):
+            return False
+        return reply.reached
+
     async def _ask_trial(self, call, endpoint, step):
         request = TrialRequest(
             fingerprint=call.fingerprint, endpoint=endpoint.name, step=step
@@ -196,6 +229,11 @@
         granted = self._judge_trial(request)
         await context.send(TrialReply(granted=granted, state=self._quarantine.export()))
 
+    async def _serve_reach(self, request, context):
+        endpoint = self._endpoints.get(request.endpoint)
+        reached = endpoint is not None and await _connects(endpoint)
+        await context.send(ReachReply(reached=reached))
+
     async def _show(self, exchange):
         state = self._quarantine.export()
         value = {
@@ -224,13 +262,25 @@
 
 
 async def _refuses(endpoint):
-    host, _, port = endpoint.address.rpartition(":")
     try:
-        async with curio.timeout_after(PROBE_TIMEOUT):
-            sock = await curio.open_connection(host, int(port))
+        await _try_connect(endpoint)
     except ConnectionRefusedError:
         return True
     except (OSError, curio.TaskTimeout):
         return False
-    await sock.close()
     return False
+
+
+async def _connects(endpoint):
+    try:
+        await _try_connect(endpoint)
+    except (OSError, curio.TaskTimeout):
+        return False
+    return True
+
+
+async def _try_connect(endpoint):
+    host, _, port = endpoint.address.rpartition(":")
+    async with curio.timeout_after(PROBE_TIMEOUT):
+        sock = await curio.open_connection(host, int(port))
+    await sock.close()
