--- a/mangogauge/routing/watch.py
+++ b/mangogauge/routing/watch.py
@@ -1,7 +1,8 @@
 """Health probes of the data centre's endpoints, shared among its hosts.
 
 Each endpoint is probed by two hosts, chosen by rendezvous hashing, so that the
-cost of probing doesn't grow with the number of hosts.
+cost of probing doesn't grow with the number of hosts. One that is reported as down
+is probed by all: whoever reports it may have lost its own path.
 """
 
 import curio
@@ -69,7 +70,7 @@
             await curio.sleep(pace * (0.75 + self._random.random() / 2))
 
     async def _probe_all(self):
-        assigned = [n for n in self._router.names if self._is_assigned(n)]
+        assigned = [n for n in self._router.names if self._has_to_probe(n)]
         self._load_exchange.retain_reports(frozenset(assigned))
         self._timeouts = {n: c for n, c in self._timeouts.items() if n in assigned}
         async with curio.TaskGroup() as group:
@@ -100,6 +101,12 @@
         except (HTTPError, curio.TaskTimeout):
             return None
 
+    def _has_to_probe(self, name):
+        # What peers report as down is seen for oneself; what this host alone has
+        # lost, its own probes have to find again.
+        is_doubted = name in self._load_exchange.doubted
+        return is_doubted or self._is_assigned(name) or self._router.is_unreached(name)
+
     def _is_assigned(self, name):
         own = self._view.own
         members = self._view.list_members(own.data_centre)
