Give a silent stream up only for an endpoint that goes on with it (LOST)

Callers saw a stream cut off 1.2 s into the silence of an endpoint that was sound and went on after 2 s: the host closed the run at four objectives without an event, and only then looked for a slot, the retry budget and an endpoint of the same software version; where one lacked, the answer ended.

After the silence the dispatcher first holds a slot elsewhere and takes the retry from the budget; until it has both, the answer is read on and looked at again each 0.2 s.

--- a/mangogauge/entry/dispatch.py
+++ b/mangogauge/entry/dispatch.py
@@ -49,6 +49,8 @@
         Endpoint of the last attempt.
     diagnoses : list of curio.Task
         Each returns whether an attempt crashed its endpoint.
+    successor : FleetEndpoint or None
+        Endpoint that goes on with a silent endpoint's answer; a slot is held there.
     """
 
     call = field()
@@ -61,6 +63,7 @@
     failure = field(default=None)
     endpoint = field(default=None)
     diagnoses = field(factory=list)
+    successor = field(default=None)
 
 
 class OnlineDispatcher:
@@ -119,17 +122,20 @@
             call, exchange, lambda: self._note_first_piece(state), self._clock
         )
         state = _DispatchState(call, relay)
+        relay.may_give_up = lambda: self._reserve_successor(state)
         try:
             async with curio.timeout_after(self._compute_time_left(call)):
                 call.origin = await self._streams.find(call)
                 await self._run_attempts(state)
         except curio.TaskTimeout:
             raise self._make_timeout_error(state) from None
+        finally:
+            if state.successor is not None:
+                await self._slots.release(state.successor, 0.0)
 
     async def _run_attempts(self, state):
         while True:
-            service = self._choose_service(state.call)
-            endpoint = await self._slots.acquire(state.call, service, state.excluded)
+            endpoint = await self._acquire_endpoint(state)
             started_at = self._clock.read_elapsed()
             observer = self._trust.begin(endpoint)
             state.relay.begin_attempt(observer)
@@ -153,6 +159,36 @@
             if await self._handle_failure(state):
                 return
 
+    async def _acquire_endpoint(self, state):
+        """Return the endpoint of the next attempt, at which a slot is held."""
+        successor, state.successor = state.successor, None
+        if successor is not None:
+            return successor
+        service = self._choose_service(state.call)
+        return await self._slots.acquire(state.call, service, state.excluded)
+
+    async def _reserve_successor(self, state):
+        """Return whether another endpoint goes on with a silent endpoint's answer.
+
+        Notes
+        -----
+        A silent endpoint may be sound. Its answer is given up only for one that has
+        a slot, so that no answer ends for nothing.
+        """
+        call = state.call
+        service = self._choose_service(call)
+        endpoint = await self._slots.try_acquire(call, service, state.excluded)
+        if endpoint is None:
+            return False
+        state.successor = endpoint
+        time_left = self._compute_time_left(call)
+        decision = self._retry_policy.decide(Progress.MAYBE_RUN, call, 0, time_left)
+        if state.attempts < MAX_ATTEMPTS and decision is Decision.RETRY:
+            return True
+        state.successor = None
+        await self._slots.release(endpoint, 0.0)
+        return False
+
     async def _run_attempt(self, state, endpoint):
         call = state.call
         state.attempts += 1
@@ -264,6 +300,8 @@
 
     def _may_retry(self, state):
         call, failure = state.call, state.failure
+        if state.successor is not None:
+            return True
         if state.attempts >= MAX_ATTEMPTS or failure.kind in NON_RETRYABLE_KINDS:
             return False
         if state.relay.started and not call.route.resumable:
--- a/mangogauge/entry/events.py
+++ b/mangogauge/entry/events.py
@@ -13,6 +13,8 @@
 __all__ = ["EventParser", "EventStream", "StreamEvent"]
 
 EVENT_LIMIT_BYTES = 1_048_576
+# How often a silent stream is asked for again whether it may be given up.
+SILENCE_CHECK_SECONDS = 0.2
 EVENT_BOUNDARY = b"\n\n"
 ID_FIELD = b"id:"
 DATA_FIELD = b"data:"
@@ -93,10 +95,11 @@
     """
 
     def __init__(self, response):
+        self._response = response
         self._pieces = response.iterate()
         self._parser = EventParser()
 
-    async def read_events(self, idle_timeout=None):
+    async def read_events(self, idle_timeout=None, may_give_up=None):
         """Return the next complete events; an empty list at the end of the stream.
 
         Parameters
@@ -104,6 +107,9 @@
         idle_timeout : float, optional
             Seconds within which a complete event has to arrive. Incomplete events
             don't count: a stalled endpoint may still send single bytes.
+        may_give_up : async callable, optional
+            Asked each time that none has; the stream is read on while it returns
+            False.
 
         Raises
         ------
@@ -113,13 +119,19 @@
         """
         if idle_timeout is None:
             return await self._read_complete_events()
-        try:
-            async with curio.timeout_after(idle_timeout):
-                return await self._read_complete_events()
-        except curio.TaskTimeout:
-            raise HTTPReceiveError(
-                f"No event within {idle_timeout:.3f} s.", step="receive"
-            ) from None
+        patience = idle_timeout
+        while True:
+            try:
+                async with curio.timeout_after(patience):
+                    return await self._read_complete_events()
+            except curio.TaskTimeout:
+                # Its generator has ended with the time-out; nothing read is lost.
+                self._pieces = self._response.iterate()
+            patience = min(idle_timeout, SILENCE_CHECK_SECONDS)
+            if may_give_up is None or await may_give_up():
+                raise HTTPReceiveError(
+                    f"No event within {idle_timeout:.3f} s.", step="receive"
+                )
 
     async def _read_complete_events(self):
         events = []
--- a/mangogauge/entry/relay.py
+++ b/mangogauge/entry/relay.py
@@ -25,8 +25,10 @@
     last_event : int or None
         Number of the last event that was sent to the caller.
     idle_timeout : float or None
-        Seconds without a complete event after which the attempt fails; None to wait
-        until the caller's deadline.
+        Seconds without a complete event after which the attempt may fail; None to
+        wait until the caller's deadline.
+    may_give_up : async callable or None
+        Asked after that time; the attempt fails if it returns True.
     begun_at : float or None
         Elapsed time at which the answer of the current attempt began to arrive.
     """
@@ -40,6 +42,7 @@
         self.started = False
         self.last_event = call.last_event
         self.idle_timeout = None
+        self.may_give_up = None
         self.begun_at = None
         self._observer = None
 
@@ -87,7 +90,7 @@
     async def _relay_events(self, response):
         stream = EventStream(response)
         while True:
-            events = await stream.read_events(self.idle_timeout)
+            events = await stream.read_events(self.idle_timeout, self.may_give_up)
             if not events:
                 break
             self._note_progress(len(events))
--- a/mangogauge/placement/queue.py
+++ b/mangogauge/placement/queue.py
@@ -65,6 +65,11 @@
     endpoint = field(default=None)
     assigned = field(factory=curio.Event)
 
+    @classmethod
+    def of(cls, call, service, excluded):
+        """Return the waiter of an `OnlineCall`."""
+        return cls(service, excluded, _may_repeat(call), _get_software(call))
+
     @property
     def choose_arguments(self):
         """Arguments of `EndpointChooser.choose`."""
@@ -112,13 +117,27 @@
         Refusal
             If no endpoint can run it, or it can't start in time.
         """
-        endpoint = None
-        waiter = _Waiter(service, excluded, _may_repeat(call), _get_software(call))
-        if not self._has_waiting_ahead(call):
-            endpoint = self._try_acquire(waiter)
+        endpoint = await self.try_acquire(call, service, excluded)
         if endpoint is None:
-            endpoint = await self._wait(call, waiter)
-        await self._notify()
+            endpoint = await self._wait(call, _Waiter.of(call, service, excluded))
+            await self._notify()
+        return endpoint
+
+    async def try_acquire(self, call, service, excluded=()):
+        """Return the endpoint at which the call may run at once, or None.
+
+        Parameters
+        ----------
+        call : OnlineCall
+        service : str
+        excluded : collection of str
+            Names of endpoints that were tried already.
+        """
+        if self._has_waiting_ahead(call):
+            return None
+        endpoint = self._try_acquire(_Waiter.of(call, service, excluded))
+        if endpoint is not None:
+            await self._notify()
         return endpoint
 
     async def release(self, endpoint, seconds):
