--- a/features/routing/streams.feature
+++ b/features/routing/streams.feature
@@ -35,3 +35,9 @@
     When routing: a stream of 40 tokens has begun
     And routing: the engine that runs it is killed
     Then routing: the stream ends visibly incomplete
+
+  Scenario: A stream that no engine can resume goes on at the engine that was paused
+    Given routing: the engines can't resume
+    When routing: a stream of 40 tokens has begun
+    And routing: the engine that runs it is paused for 3 s
+    Then routing: the stream is complete with its own 40 tokens
--- a/features/steps/routing.py
+++ b/features/steps/routing.py
@@ -294,6 +294,13 @@
     context.paused.pause()
 
 
+@when("routing: the engine that runs it is paused for {seconds:g} s")
+def pause_for_a_while(context, seconds):
+    pause_running_engine(context)
+    time.sleep(seconds)
+    resume_paused_engine(context)
+
+
 @when("routing: the paused engine is resumed")
 def resume_paused_engine(context):
     context.paused.resume()
--- a/mangogauge/gateway/attempts.py
+++ b/mangogauge/gateway/attempts.py
@@ -117,6 +117,8 @@
         self._pool = pool
         self._times = times
         self._clock = clock
+        # Whether an answer that stands still may be given up.
+        self.may_give_up = lambda: True
 
     async def run(self, relay, bound, may_retry):
         """Run the call at the endpoint."""
@@ -181,7 +183,7 @@
         return headers
 
     async def _iterate(self, response):
-        """Yield the body; a stream that stands still counts as broken."""
+        """Yield the body; a stream that stands still may be given up."""
         pieces = response.iterate()
         gap_class = ("gap", *self.call.timing_class)
         while True:
@@ -190,9 +192,13 @@
                 async with curio.timeout_after(self._compute_stall(gap_class)):
                     piece = await anext(pieces, None)
             except curio.TaskTimeout:
-                raise AttemptFailed(
-                    Progress.MAYBE_RUN, "The answer stands still."
-                ) from None
+                if self.may_give_up():
+                    raise AttemptFailed(
+                        Progress.MAYBE_RUN, "The answer stands still."
+                    ) from None
+                # Its generator has ended with the time-out; nothing read is lost.
+                pieces = response.iterate()
+                continue
             if piece is None:
                 return
             self._times.note(gap_class, self._clock.read_elapsed() - started)
--- a/mangogauge/gateway/dispatch.py
+++ b/mangogauge/gateway/dispatch.py
@@ -164,6 +164,7 @@
         if endpoint is None:
             await attempt.run(run.relay, bound, may_retry)
             return
+        attempt.may_give_up = lambda: self._may_give_up(run)
         executed = run.worst.executed
         on_trial = await self._crashes.enter(run.call, endpoint, executed)
         answered = False
@@ -177,6 +178,13 @@
         finally:
             await self._crashes.leave(run.call, endpoint, on_trial, answered)
 
+    def _may_give_up(self, run):
+        """Return whether another endpoint may go on with a silent endpoint's answer."""
+        if run.relay.started and not run.relay.can_resume:
+            return False
+        run.call.resuming = run.relay.started
+        return self._has_other(run) and self._decide(run, Progress.MAYBE_RUN)
+
     def _compute_bound(self, run, left):
         if not run.call.repeatable or not self._has_other(run):
             return left
