Reach an endpoint before a silent stream is given up for it (LOST)

A connection to the successor is made first, and used by the attempt that follows; where none can be made, the answer is read on.

--- a/features/steps/platform.py
+++ b/features/steps/platform.py
@@ -28,14 +28,26 @@
     start_deployment(context, 0, names)
     for number in range(1, count + 1):
         context.deployment.start_endpoint(f"e{number}", slots=slots)
-        for name in names.split(", "):
-            process = context.world.processes[name]
-            wait_until(
-                lambda process=process, number=number: (
-                    f'"e{number}"' in process.read_log()
-                ),
-                f"{name} knows e{number}",
-            )
+        wait_until_known(context, f"e{number}")
+
+
+def wait_until_known(context, endpoint):
+    for name in context.deployment.hosts:
+        process = context.world.processes[name]
+        wait_until(
+            lambda process=process: f'"{endpoint}"' in process.read_log(),
+            f"{name} knows {endpoint}",
+        )
+
+
+@given('an endpoint "{name}" of another data centre that refuses connections')
+def add_closed_endpoint(context, name):
+    deployment = context.deployment
+    deployment.endpoints[name] = f"{deployment.address}:{context.world.take_port()}"
+    deployment.write_entry(name, zone="b")
+    # It can't be asked what arrived there.
+    del deployment.endpoints[name]
+    wait_until_known(context, name)
 
 
 @given('the endpoints answer "{fault}" to the next {count:d} requests')
--- a/mangogauge/entry/attempt.py
+++ b/mangogauge/entry/attempt.py
@@ -177,6 +177,21 @@
             return response
         raise await self._make_failure(kind, response)
 
+    async def connect(self, endpoint):
+        """Make a connection to an endpoint, for the next call there.
+
+        Raises
+        ------
+        AttemptFailure
+            If none can be made.
+        """
+        try:
+            await self._pool.connect(endpoint.address)
+        except HTTPConnectError as error:
+            raise AttemptFailure(
+                Progress.NOT_SENT, str(error), unreachable=True
+            ) from error
+
     def read_shared_parts(self, headers):
         """Return the shared parts of the prompt, as the caller's headers name them."""
         return self._dialect.read_shared_parts(headers)
--- a/mangogauge/entry/dispatch.py
+++ b/mangogauge/entry/dispatch.py
@@ -173,7 +173,8 @@
         Notes
         -----
         A silent endpoint may be sound. Its answer is given up only for one that has
-        a slot, so that no answer ends for nothing.
+        a slot and can be reached, so that no answer ends for nothing: the silence may
+        be that of this host's own links.
         """
         call = state.call
         service = self._choose_service(call)
@@ -181,14 +182,27 @@
         if endpoint is None:
             return False
         state.successor = endpoint
-        time_left = self._compute_time_left(call)
-        decision = self._retry_policy.decide(Progress.MAYBE_RUN, call, 0, time_left)
-        if state.attempts < MAX_ATTEMPTS and decision is Decision.RETRY:
+        if await self._reaches(endpoint) and self._takes_retry(state):
             return True
         state.successor = None
         await self._slots.release(endpoint, 0.0)
         return False
 
+    async def _reaches(self, endpoint):
+        try:
+            await self._endpoint_client.connect(endpoint)
+        except AttemptFailure as failure:
+            failure.report_to_health(self._health, endpoint)
+            return False
+        return True
+
+    def _takes_retry(self, state):
+        """Return whether a running call may be retried; charge its budget."""
+        call = state.call
+        time_left = self._compute_time_left(call)
+        decision = self._retry_policy.decide(Progress.MAYBE_RUN, call, 0, time_left)
+        return state.attempts < MAX_ATTEMPTS and decision is Decision.RETRY
+
     async def _run_attempt(self, state, endpoint):
         call = state.call
         state.attempts += 1
--- a/mangogauge/http/client.py
+++ b/mangogauge/http/client.py
@@ -142,7 +142,8 @@
         self._sock = sock
         self._h11 = self._make_parser()
         self._sending = None
-        self._idle_since = self._idle_until = 0.0
+        self._idle_since = time.monotonic()
+        self._idle_until = self._idle_since + read_idle_seconds(Headers())
         self.gather_seconds = 0.0
         self._request_ids = deque(maxlen=REQUEST_IDS_PER_CONNECTION)
         self._is_first_answer = True
--- a/mangogauge/http/pool.py
+++ b/mangogauge/http/pool.py
@@ -82,6 +82,19 @@
             raise
         return ClientResponse(connection, status, fields, self._release)
 
+    async def connect(self, address):
+        """Make a connection and keep it for the next request.
+
+        Raises
+        ------
+        HTTPConnectError
+            If none can be made.
+        """
+        connection = await ClientConnection.open(
+            address, self._connect_timeout, self._tls, self._limits
+        )
+        self._idle.setdefault(address, []).append(connection)
+
     async def close(self):
         """Close every idle connection."""
         idle, self._idle = self._idle, {}
