--- a/mangogauge/entry/attempt.py
+++ b/mangogauge/entry/attempt.py
@@ -203,7 +203,7 @@
             If none can be made.
         """
         try:
-            await self._pool.connect(endpoint.address)
+            await self._pool.connect(endpoint)
         except HTTPConnectError as error:
             raise AttemptFailure(
                 Progress.NOT_SENT, str(error), unreachable=True
--- a/mangogauge/http/pool.py
+++ b/mangogauge/http/pool.py
@@ -111,9 +111,7 @@
         HTTPConnectError
             If none can be made.
         """
-        connection = await ClientConnection.open(
-            address, self._connect_timeout, self._tls, self._limits
-        )
+        connection = await self._connector.open(address)
         self._idle.setdefault(address, []).append(connection)
 
     async def close(self):
--- a/mangogauge/paths/pool.py
+++ b/mangogauge/paths/pool.py
@@ -53,3 +53,20 @@
                 if state is not PathState.TUNNELLED:
                     raise
         return await self._tunnels.request(endpoint.name, *request, **options)
+
+    async def connect(self, endpoint):
+        """Make sure that a path leads to an endpoint.
+
+        Raises
+        ------
+        HTTPConnectError
+            If none does.
+        """
+        if self._paths.is_tunnelled(endpoint.name):
+            return
+        try:
+            await self._direct.connect(endpoint.address)
+        except HTTPConnectError as error:
+            state = await self._checker.find_path(endpoint, error)
+            if state is not PathState.TUNNELLED:
+                raise
