--- a/features/steps/platform_paths.py
+++ b/features/steps/platform_paths.py
@@ -336,8 +336,3 @@
     bad = [row for row in rows if not is_served(row.answer)]
     assert not bad, bad
     check_runs(context)
-
-
-@when('"{name}" stands still')
-def stand_still(context, name):
-    context.world.processes[name].pause()
