Keep a tunnel open while its answer lasts

What callers saw: an answer that a peer carries broke off 60 s after its request was sent, however well it went.

Cause: what a host sends to an endpoint is the body of its request to the peer, and the peer's server ends a request whose body pauses for 60 s.

Change: the pause ends a tunnel only if no answer is due and neither side has sent anything since the pause before.

--- a/features/builders/tunnels.py
+++ b/features/builders/tunnels.py
@@ -11,6 +11,7 @@
     ClientPool,
     Headers,
     HTTPServer,
+    ServerLimits,
 )
 from mangogauge.paths import EndpointRelay, PathTable, TunnelConnector
 
@@ -168,7 +169,7 @@
         clock = SystemClock()
         self.peer_paths = PathTable(clock)
         self.relay = EndpointRelay(self.directory, self.peer_paths, clock)
-        self.server = HTTPServer(self.relay.handle)
+        self.server = HTTPServer(self.relay.handle, ServerLimits(body_timeout=0.3))
         self.server.bind(LOCAL, 0)
         self.peers = FixedPeers(f"{LOCAL}:{self.server.port}")
         asked = NamedEndpoints(*self.directory.list_endpoints(), make_endpoint("e9"))
--- a/features/paths/tunnels.feature
+++ b/features/paths/tunnels.feature
@@ -66,3 +66,9 @@
     Given a peer that reaches the endpoint "e1"
     When the peer stops after it carried an answer
     Then it stops within 1 s
+
+  Scenario: A tunnel lives while it carries an answer, and not much longer
+    Given a peer that reaches the endpoint "e1"
+    When a request is sent whose answer lasts longer than a tunnel may be idle
+    Then the answer is whole
+    And the tunnel ends by itself
--- a/features/steps/paths_tunnels.py
+++ b/features/steps/paths_tunnels.py
@@ -249,3 +249,19 @@
 @then("it stops within {seconds:g} s")
 def check_stopped(context, seconds):
     assert context.result <= seconds, context.result
+
+
+@when("a request is sent whose answer lasts longer than a tunnel may be idle")
+def send_long(context):
+    async def play(world):
+        body = await read(await world.request("slowly"))
+        await world.endpoint.ended.wait()
+        return body
+
+    run(context, play)
+
+
+@then("the tunnel ends by itself")
+def check_tunnel_ended(context):
+    # The play ends only when it has.
+    assert context.result
--- a/mangogauge/paths/relay.py
+++ b/mangogauge/paths/relay.py
@@ -10,7 +10,7 @@
 import curio
 from attrs import field, frozen
 
-from ..http import Headers, HTTPConnectError, open_socket
+from ..http import Headers, HTTPConnectError, HTTPRequestError, open_socket
 from ..telemetry import get_logger
 from .states import PathState
 
@@ -30,6 +30,8 @@
 REFUSED_STATUS = 502
 UNABLE_STATUS = 503
 SILENT_STATUS = 504
+# Status of the error that a body pauses for too long.
+PAUSED_STATUS = 408
 
 # Answers for paths on which no connection is tried for another host. Nobody who was
 # asked reaches a lost endpoint: that says nothing of this host's other paths.
@@ -141,6 +143,21 @@
             self._tunnels.pop(exchange, None)
 
     async def _carry_forward(self, exchange, sock):
+        before = None
+        while True:
+            tunnel = self._tunnels[exchange]
+            if tunnel is before and not tunnel.is_awaited:
+                # Neither side has sent anything for as long as a body may pause.
+                return
+            before = tunnel
+            try:
+                await self._carry_requests(exchange, sock)
+                return
+            except HTTPRequestError as error:
+                if error.status != PAUSED_STATUS:
+                    raise
+
+    async def _carry_requests(self, exchange, sock):
         async for piece in exchange.iterate_body():
             self._note_bytes(exchange, is_awaited=True)
             await sock.sendall(piece)
