--- a/mangogauge/paths/relay.py
+++ b/mangogauge/paths/relay.py
@@ -26,6 +26,8 @@
 REFUSED_STATUS = 502
 UNABLE_STATUS = 503
 SILENT_STATUS = 504
+# Status of the error that a body pauses for too long.
+PAUSED_STATUS = 408
 
 # Answers for paths on which no connection is tried for another host. Nobody who was
 # asked reaches a lost endpoint: that says nothing of this host's other paths.
@@ -120,12 +122,17 @@
 
 async def _carry_forward(exchange, sock):
     """Send what the asking host sends to the endpoint, until it closes the tunnel."""
-    try:
-        async for piece in exchange.iterate_body():
-            await sock.sendall(piece)
-    except (OSError, HTTPRequestError):
-        # The asking host is done with the endpoint, or the endpoint is lost.
-        return
+    while True:
+        try:
+            async for piece in exchange.iterate_body():
+                await sock.sendall(piece)
+            return
+        except OSError:
+            return
+        except HTTPRequestError as error:
+            # Nothing is sent while the answer lasts, which is no reason to end.
+            if error.status != PAUSED_STATUS:
+                return
 
 
 async def _carry_back(exchange, sock):
