--- a/features/steps/paths_tunnels.py
+++ b/features/steps/paths_tunnels.py
@@ -227,11 +227,14 @@
 @when("the peer stops 1 s before an answer begins that it is to carry")
 def drain_awaited(context):
     async def play(world):
-        requesting = await curio.spawn(world.request, "late")
+        async def ask():
+            return await read(await world.request("late"))
+
+        asking = await curio.spawn(ask)
         await world.endpoint.asked.wait()
         await world.relay.drain()
         await world.serving_peer.cancel()
-        return await read(await requesting.join())
+        return await asking.join()
 
     run(context, play)
 
