--- a/features/gateway/hosts_without_endpoints.feature
+++ b/features/gateway/hosts_without_endpoints.feature
@@ -35,3 +35,9 @@
   Scenario: A host that loses its connections reports crashes of sound endpoints
     When paths: "a1" loses its connections while it runs 4 long chats
     Then paths: no host has noted a crash
+
+  Scenario: A request waits on a silent connection until its deadline
+    Given paths: "a1, a2, a3" have answered callers
+    When paths: "a1" is cut off from all endpoints, silent
+    And paths: a chat is asked for at "a1" with a deadline of 12 s
+    Then paths: each got its own whole answer
