Ask peers ever more rarely about an endpoint that is down

Change: the pause doubles from 0.5 s to 4 s while no peer reaches the endpoint; the direct connection is tried as before, and a peer that reaches it ends the pauses. Names of endpoints that are gone are forgotten.

Test: in 30 s each peer is asked 11 times at most (fails before); a path that peers report after a long time is used within 5 s.

--- a/features/builders/paths.py
+++ b/features/builders/paths.py
@@ -3,7 +3,7 @@
 import curio
 from curio import socket
 
-from mangogauge.clock import SystemClock
+from mangogauge.clock import ManualClock
 from mangogauge.http import (
     ClientPool,
     Headers,
@@ -62,6 +62,7 @@
 
     Attributes
     ----------
+    clock : ManualClock
     endpoint : FleetEndpoint
     health : EndpointHealth
     checker : PathChecker
@@ -73,7 +74,7 @@
         self._listener.bind((LOCAL, 0))
         address = "{}:{}".format(*self._listener.getsockname())
         self.endpoint = make_endpoint("e1", address=address)
-        clock = SystemClock()
+        clock = self.clock = ManualClock()
         self.health = EndpointHealth(clock)
         self.tunnels = ScriptedTunnels()
         self._pool = ClientPool(1.0)
--- a/features/paths/verdicts.feature
+++ b/features/paths/verdicts.feature
@@ -111,3 +111,18 @@
     And a request to "e1" gets a wrong answer
     And its path is checked in the background for 0.4 s
     Then others are told that "e1" is unhealthy
+
+  Scenario: Peers are asked ever more rarely about an endpoint that is down
+    Given "e1" refuses this host's connections, and peers refuse with 502
+    When a connection to "e1" fails
+    And its path is checked each 0.1 s for 30 s
+    Then each peer was asked 11 times at most
+    And "e1" is lost, and gets no requests
+
+  Scenario: A path that peers report after a long time is used again
+    Given "e1" refuses this host's connections, and peers refuse with 502
+    When a connection to "e1" fails
+    And its path is checked each 0.1 s for 30 s
+    And "p2" reaches it from then on
+    And its path is checked each 0.1 s for 5 s
+    Then "e1" is tunnelled, and gets requests
--- a/features/steps/paths_verdicts.py
+++ b/features/steps/paths_verdicts.py
@@ -1,5 +1,7 @@
 """Steps of hosts that find out whether an endpoint or the path to it has failed."""
 
+from collections import Counter
+
 import curio
 from behave import given, then, when
 
@@ -17,6 +19,7 @@
 
 
 @given('"e1" refuses this host\'s connections, and "{peer}" reaches it')
+@when('"{peer}" reaches it from then on')
 def reach(context, peer):
     context.world_of_paths.tunnels.reaching.add(peer)
 
@@ -128,6 +131,24 @@
     assert context.world_of_paths.health.list_unhealthy() == ["e1"]
 
 
+@when("its path is checked each {pause:g} s for {seconds:g} s")
+def check_again(context, pause, seconds):
+    world = context.world_of_paths
+
+    async def check_all():
+        for _ in range(round(seconds / pause)):
+            world.clock.advance(pause)
+            await world.check()
+
+    curio.run(check_all)
+
+
+@then("each peer was asked {count:d} times at most")
+def check_asked_rarely(context, count):
+    asked = Counter(context.world_of_paths.tunnels.asked)
+    assert all(times <= count for times in asked.values()), asked
+
+
 @then("each peer was asked once at most")
 def check_asked(context):
     asked = context.world_of_paths.tunnels.asked
--- a/mangogauge/paths/checker.py
+++ b/mangogauge/paths/checker.py
@@ -5,7 +5,7 @@
 """
 
 import curio
-from attrs import define, field
+from attrs import define, field, frozen
 
 from ..http import DirectConnector, HTTPConnectError, TunnelRefusedError
 from ..telemetry import get_logger
@@ -19,8 +19,11 @@
 PEERS_ASKED = 3
 # Answers of peers that tried to reach the endpoint themselves.
 TRIED_STATUSES = frozenset({REFUSED_STATUS, SILENT_STATUS})
-# How often peers are asked again for an endpoint that none of them reached.
-ASK_INTERVAL_SECONDS = 0.5
+# Pause before peers are asked again for an endpoint that none of them reached; it grows
+# by the factor each time, since many hosts ask about an endpoint that is down.
+FIRST_PAUSE_SECONDS = 0.5
+LONGEST_PAUSE_SECONDS = 4.0
+PAUSE_FACTOR = 2.0
 
 # States of a refused path in which the endpoint isn't known to refuse others too.
 NOT_REFUSED_STATES = frozenset({PathState.TUNNELLED, PathState.SUSPECTED})
@@ -55,6 +58,21 @@
         return self.is_unable and not self.reached and not self.failed
 
 
+@frozen
+class _AskPause:
+    """Time for which peers aren't asked about an endpoint.
+
+    Parameters
+    ----------
+    seconds : float
+    until : float
+        Elapsed time of its end.
+    """
+
+    seconds = field()
+    until = field()
+
+
 class PathChecker:
     """Checks the paths of one host, for all requests that wait for the result.
 
@@ -79,7 +97,7 @@
         self._clock = clock
         self._connector = DirectConnector(CONNECT_SECONDS)
         self._running = {}
-        self._asked_at = {}
+        self._pauses = {}
 
     async def find_path(self, endpoint, error):
         """Return the `PathState` after a direct connection has failed.
@@ -117,6 +135,10 @@
         await connection.close()
         return False
 
+    def forget(self, name):
+        """Forget an endpoint that no longer exists."""
+        self._pauses.pop(name, None)
+
     async def _share(self, endpoint, check):
         """Run a check, or wait for the one that runs already."""
         done = self._running.get(endpoint.name)
@@ -143,15 +165,14 @@
         await connection.close()
         if self._paths.get(endpoint.name) is not PathState.DIRECT:
             self._log("endpoint reachable", endpoint)
+        self._pauses.pop(endpoint.name, None)
         self._paths.note_connection(endpoint.name)
 
     async def _handle_failed_connection(self, endpoint):
         state = self._paths.get(endpoint.name)
         if state is PathState.DIRECT:
             self._paths.note_failed_connection(endpoint.name)
-        asked_at = self._asked_at.get(endpoint.name, float("-inf"))
-        is_due = self._clock.read_elapsed() >= asked_at + ASK_INTERVAL_SECONDS
-        if state is PathState.LOST and not is_due:
+        if state is PathState.LOST and self._is_pausing(endpoint):
             return
         if state is PathState.TUNNELLED:
             # What broke since may have been on the lost path, or carried by a peer.
@@ -162,8 +183,8 @@
     async def _ask(self, endpoint):
         """Ask peers, and conclude which has failed: the endpoint or the path."""
         verdict = await self._ask_peers(endpoint)
-        self._asked_at[endpoint.name] = self._clock.read_elapsed()
         if verdict.reached:
+            self._pauses.pop(endpoint.name, None)
             self._paths.note_tunnel(endpoint.name)
             self._on_path_lost(endpoint.name)
             self._log("endpoint reached through peers only", endpoint)
@@ -173,8 +194,21 @@
             return
         if self._paths.get(endpoint.name) is not PathState.LOST:
             self._log("endpoint not reached", endpoint, refused=verdict.refused)
+        self._pause(endpoint)
         self._paths.note_loss(endpoint.name)
 
+    def _is_pausing(self, endpoint):
+        pause = self._pauses.get(endpoint.name)
+        return pause is not None and self._clock.read_elapsed() < pause.until
+
+    def _pause(self, endpoint):
+        previous = self._pauses.get(endpoint.name)
+        seconds = FIRST_PAUSE_SECONDS
+        if previous is not None:
+            seconds = min(LONGEST_PAUSE_SECONDS, previous.seconds * PAUSE_FACTOR)
+        until = self._clock.read_elapsed() + seconds
+        self._pauses[endpoint.name] = _AskPause(seconds, until)
+
     async def _ask_peers(self, endpoint):
         verdict = _PeerVerdict()
         # The first that reaches the endpoint ends the others' attempts.
--- a/mangogauge/placement/prober.py
+++ b/mangogauge/placement/prober.py
@@ -59,6 +59,7 @@
         endpoint = self._directory.get(name)
         if endpoint is None:
             self._health.forget(name)
+            self._checker.forget(name)
             self._checked_at.pop(name, None)
             return
         self._checked_at[name] = self._clock.read_elapsed()
