--- a/mangogauge/entry/dispatch.py
+++ b/mangogauge/entry/dispatch.py
@@ -1,7 +1,6 @@
 """Dispatch online requests: acquire a slot, send, and retry where that is safe."""
 
 import curio
-from attrs import define, field
 
 from ..http import HTTPError
 from ..refusals import Refusal, RefusalCode
@@ -10,6 +9,7 @@
 from .attempt import AttemptFailure
 from .dialect import AnswerKind
 from .relay import AnswerRelay
+from .state import DispatchState
 
 __all__ = ["OnlineDispatcher"]
 
@@ -29,47 +29,6 @@
 log = get_logger("dispatch")
 
 
-@define(eq=False)
-class _DispatchState:
-    """State of one call's dispatch.
-
-    Attributes
-    ----------
-    excluded : set of str
-        Names of endpoints that the next attempt must not use.
-    contacted : set of str
-        Names of endpoints that the call was sent to.
-    possible_runs : int
-        Number of attempts that may have run the call.
-    may_be_running : bool
-        Whether any endpoint may be running the call.
-    failure : AttemptFailure or None
-        Failure of the last attempt.
-    endpoint : FleetEndpoint or None
-        Endpoint of the last attempt.
-    diagnoses : list of curio.Task
-        Each returns whether an attempt crashed its endpoint.
-    successor : FleetEndpoint or None
-        Endpoint that goes on with a silent endpoint's answer; a slot is held there.
-    """
-
-    call = field()
-    relay = field()
-    excluded = field(factory=set)
-    contacted = field(factory=set)
-    attempts = field(default=0)
-    possible_runs = field(default=0)
-    may_be_running = field(default=False)
-    failure = field(default=None)
-    endpoint = field(default=None)
-    diagnoses = field(factory=list)
-    successor = field(default=None)
-
-    def note_sending(self):
-        """Note that the first byte is about to be sent to an endpoint."""
-        self.may_be_running = True
-
-
 class OnlineDispatcher:
     """Runs online calls.
 
@@ -125,7 +84,7 @@
         relay = AnswerRelay(
             call, exchange, lambda: self._note_first_piece(state), self._clock
         )
-        state = _DispatchState(call, relay)
+        state = DispatchState(call, relay)
         relay.may_give_up = lambda: self._reserve_successor(state)
         try:
             async with curio.timeout_after(self._compute_time_left(call)):
--- /dev/null
+++ b/mangogauge/entry/state.py
@@ -0,0 +1,46 @@
+"""State of one call while it is dispatched."""
+
+from attrs import define, field
+
+__all__ = ["DispatchState"]
+
+
+@define(eq=False)
+class DispatchState:
+    """State of one call's dispatch.
+
+    Attributes
+    ----------
+    excluded : set of str
+        Names of endpoints that the next attempt must not use.
+    contacted : set of str
+        Names of endpoints that the call was sent to.
+    possible_runs : int
+        Number of attempts that may have run the call.
+    may_be_running : bool
+        Whether any endpoint may be running the call.
+    failure : AttemptFailure or None
+        Failure of the last attempt.
+    endpoint : FleetEndpoint or None
+        Endpoint of the last attempt.
+    diagnoses : list of curio.Task
+        Each returns whether an attempt crashed its endpoint.
+    successor : FleetEndpoint or None
+        Endpoint that goes on with a silent endpoint's answer; a slot is held there.
+    """
+
+    call = field()
+    relay = field()
+    excluded = field(factory=set)
+    contacted = field(factory=set)
+    attempts = field(default=0)
+    possible_runs = field(default=0)
+    may_be_running = field(default=False)
+    failure = field(default=None)
+    endpoint = field(default=None)
+    diagnoses = field(factory=list)
+    successor = field(default=None)
+
+    def note_sending(self):
+        """Note that the first byte is about to be sent to an endpoint."""
+        self.may_be_running = True
--- a/mangogauge/http/connection.py
+++ b/mangogauge/http/connection.py
@@ -4,20 +4,18 @@
 import select
 import struct
 import time
-import uuid
 from socket import socket as make_socket
 
 import curio
 import h11
-import orjson
 from curio import socket
 
 from ..telemetry import get_logger
 from .errors import CallerLostError, HTTPRequestError
 from .exchange import Exchange, make_response
-from .headers import Headers
+from .heads import has_body, has_short_body, judge_head, render_unreadable
 
-__all__ = ["ServerConnection", "render_unreadable"]
+__all__ = ["ServerConnection"]
 
 READ_SIZE_BYTES = 65_536
 PIPELINE_LIMIT_BYTES = 65_536
@@ -30,8 +28,6 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # States of this side once an answer has been sent whole.
 ANSWERED_STATES = frozenset({h11.DONE, h11.MUST_CLOSE, h11.CLOSED})
-SPOKEN_VERSIONS = frozenset({b"1.0", b"1.1"})
-UNREADABLE_CODES = {408: "request_timeout", 413: "too_large", 431: "too_large"}
 
 log = get_logger("http")
 
@@ -246,25 +242,17 @@
             return None
         if not isinstance(event, h11.Request):
             return None
-        status = self._judge_head(event)
+        status = judge_head(event, self.limits)
         if status:
             await self._refuse_unreadable(status)
             return None
-        self._skippable = _has_short_body(event)
+        self._skippable = has_short_body(event, SKIPPED_BODY_BYTES)
         self._body_done.clear()
-        if not _has_body(event):
+        if not has_body(event):
             self._h11.next_event()
             await self._body_done.set()
         return event
 
-    def _judge_head(self, request):
-        """Return the status with which a request's head is refused, or 0."""
-        if request.http_version not in SPOKEN_VERSIONS:
-            return 505
-        if _measure_head(request) > self.limits.header_bytes:
-            return 431
-        return 400 if _is_framed_twice(request) else 0
-
     async def _serve_request(self, handler, request):
         exchange = Exchange(self, request)
         try:
@@ -404,50 +392,3 @@
             await self.send_event(h11.EndOfMessage())
         except (OSError, h11.ProtocolError):
             return
-
-
-def render_unreadable(status, message="", executed="no"):
-    """Return header fields and body for a request that can't be handled."""
-    request_id = uuid.uuid4().hex
-    default = "internal_error" if status == 500 else "malformed_request"
-    error = {
-        "code": UNREADABLE_CODES.get(status, default),
-        "message": message or "The request can't be read as HTTP/1.1.",
-        "type": "refusal",
-        "request_id": request_id,
-        "executed": executed,
-    }
-    body = orjson.dumps({"error": error})
-    headers = Headers(
-        [
-            ("Content-Type", "application/json"),
-            ("Content-Length", str(len(body))),
-            ("X-Request-Id", request_id),
-            ("Connection", "close"),
-        ]
-    )
-    return headers, body
-
-
-def _measure_head(request):
-    fields = sum(len(name) + len(value) for name, value in request.headers)
-    return len(request.target) + fields
-
-
-def _has_body(request):
-    names = {name for name, _ in request.headers}
-    return b"content-length" in names or b"transfer-encoding" in names
-
-
-def _has_short_body(request):
-    """Return whether reading a body that nobody wants is cheap."""
-    headers = Headers.from_raw(request.headers)
-    if "expect" in headers:
-        return False
-    return int(headers.get("content-length", LINGER_BYTES)) <= SKIPPED_BODY_BYTES
-
-
-def _is_framed_twice(request):
-    # A length beside an encoding is how requests are smuggled past a proxy.
-    names = {name for name, _ in request.headers}
-    return b"content-length" in names and b"transfer-encoding" in names
