--- a/features/builders/platform/deployment.py
+++ b/features/builders/platform/deployment.py
@@ -231,6 +231,14 @@
         """Return the process of a host, not started."""
         return HostProcess(name, path, self.world.folder)
 
+    def wait_until_acquainted(self):
+        """Wait until each host knows all of them."""
+        wait_until(self._are_acquainted, "the hosts know each other")
+
+    def _are_acquainted(self):
+        logs = [self.world.processes[name].read_log() for name in self.hosts]
+        return all(f'"member": "{name}"' in log for name in self.hosts for log in logs)
+
     def wait_until_ready(self, name):
         wait_until(lambda: self.is_ready(name), f"{name} is ready")
 
--- a/features/steps/platform_paths.py
+++ b/features/steps/platform_paths.py
@@ -37,13 +37,7 @@
         context.deployment.start_host(name, ready=False, **options)
     for name in names:
         context.deployment.wait_until_ready(name)
-    wait_until(lambda: know_each_other(context), "the hosts know each other")
-
-
-def know_each_other(context):
-    hosts = context.deployment.hosts
-    logs = [context.world.processes[name].read_log() for name in hosts]
-    return all(f'"member": "{name}"' in log for name in hosts for log in logs)
+    context.deployment.wait_until_acquainted()
 
 
 @given("each host has a connection or two to endpoints")
--- a/features/steps/platform_software.py
+++ b/features/steps/platform_software.py
@@ -141,6 +141,7 @@
 
 @given("the store has been away for {seconds:g} s")
 def have_store_away(context, seconds):
+    context.deployment.wait_until_acquainted()
     take_store_away(context)
     time.sleep(seconds)
 
