--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -14,6 +14,7 @@
     Follower,
     IsolationDetector,
     MemberDirectory,
+    Neighbours,
     OperatorListener,
     Registration,
     RelayDirectory,
@@ -85,6 +86,8 @@
     ----------
     member : FleetMember
         This host.
+    neighbours : Neighbours
+        The other hosts.
     confirmation : ConfigurationConfirmation
     isolated : bool
         Whether its data centre reaches nothing else.
@@ -119,7 +122,7 @@
         self._make_streams()
         self.relays = RelayDirectory(self.members, self.board)
         self._quarantine_record = QuarantineRecord(
-            backends.store, self.part_quarantine, self._is_first_host, clock
+            backends.store, self.part_quarantine, self.neighbours.is_first, clock
         )
         self.registration = Registration(
             backends.store,
@@ -157,6 +160,7 @@
             incarnation,
         )
         self.members = MemberDirectory(FleetMember(settings.name, incarnation), clock)
+        self.neighbours = Neighbours(self.members, self.board)
         self._topology = ReportTopology(self.members, self.board, random)
         self._exchange = ReportExchange(
             self.board,
@@ -171,7 +175,7 @@
         )
         self._crash_gossip = Gossip(
             self.part_quarantine.make_news,
-            lambda: [member.address for member in self.members.list_others()],
+            self.neighbours.list_addresses,
             self._exchange.send,
             random,
         )
@@ -225,13 +229,13 @@
             history,
             self.state.list_resumable_services,
             self.claimant,
-            lambda: len(self.members.list_others()) + 1,
-            self._list_peers,
+            self.neighbours.count_hosts,
+            self.neighbours.list_near_addresses,
             self._exchange.send,
             clock,
         )
         self._version_record = VersionRecord(
-            backends.store, history, self._is_first_host
+            backends.store, history, self.neighbours.is_first
         )
         confirmation = VersionConfirmation(
             backends.feed,
@@ -274,24 +278,6 @@
         self._followers.append(follower)
         return follower
 
-    def hears_data_centre(self, data_centre, since):
-        """Return whether another host of a data centre has been heard since.
-
-        Parameters
-        ----------
-        data_centre : str
-        since : float
-            Elapsed time.
-
-        Returns
-        -------
-        bool
-            True also if no other host is registered there: nobody could tell.
-        """
-        others = self.members.list_others()
-        there = [m.name for m in others if m.data_centre == data_centre]
-        return not there or any(self.board.has_reported_since(n, since) for n in there)
-
     async def notify(self):
         """Tell the other hosts soon what has changed here."""
         await self._exchange.note_change()
@@ -320,20 +306,6 @@
         if group.exception is not None:
             raise group.exception
 
-    def _list_peers(self):
-        """Return the addresses of the other hosts of this data centre."""
-        return [
-            member.address
-            for member in self.members.list_others()
-            if member.data_centre == self.member.data_centre
-        ]
-
-    def _is_first_host(self):
-        """Return whether this host comes first by name of those that report."""
-        others = [member.name for member in self.members.list_others()]
-        reporting = filter(self.board.is_reporting, others)
-        return all(self.member.name < name for name in reporting)
-
     def _measure_age(self):
         """Return the seconds since a host that this one hears reached the store."""
         return self._freshness.measure_age(self._backends.source.operator_prefix)
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -141,7 +141,7 @@
             self.fleet.part_quarantine,
             self.fleet.notify_crash,
             self.clock,
-            self.fleet.hears_data_centre,
+            self.fleet.neighbours.hears_data_centre,
             self.access.checker.refuses_connections,
         )
 
--- a/mangogauge/fleet/__init__.py
+++ b/mangogauge/fleet/__init__.py
@@ -6,6 +6,7 @@
 from .follower import Follower, Listener
 from .isolation import IsolationDetector
 from .members import FleetMember, MemberDirectory, Registration
+from .neighbours import Neighbours
 from .records import (
     Account,
     Configuration,
@@ -34,6 +35,7 @@
     "IsolationDetector",
     "Listener",
     "MemberDirectory",
+    "Neighbours",
     "ConfigurationConfirmation",
     "OperatorListener",
     "OperatorEntry",
--- a/mangogauge/limits/budget.py
+++ b/mangogauge/limits/budget.py
@@ -2,14 +2,14 @@
 
 import itertools
 
-from attrs import define, field, frozen
+from attrs import define, field
 
 from .allocations import HostAllocations
 from .demand import DemandEstimate
 from .ledger import AccountLedger
-from .loans import NO_RESERVE, LoanGrant, Reserve
+from .loans import NO_RESERVE, LoanGrant, LoanPlan, Reserve
 
-__all__ = ["HostBudget", "LoanPlan"]
+__all__ = ["HostBudget"]
 
 SHORT_LOAN_SECONDS = 0.25
 PREFETCH_SECONDS = 0.3
@@ -24,28 +24,6 @@
 MAX_BACKOFF_SECONDS = 0.5
 
 
-@frozen
-class LoanPlan:
-    """What to borrow: shares of rate and burst, tokens, and for how many seconds.
-
-    Parameters
-    ----------
-    rate, burst : float
-        Shares of the account's rate and burst.
-    tokens : float
-    seconds : float
-        Duration of the loan.
-    demand : float
-        Requests per second at the borrower.
-    """
-
-    rate = field()
-    burst = field()
-    tokens = field()
-    seconds = field()
-    demand = field()
-
-
 @define(eq=False)
 class _Borrower:
     demand = field(default=0.0)
--- a/mangogauge/limits/loans.py
+++ b/mangogauge/limits/loans.py
@@ -1,8 +1,30 @@
-"""Messages between borrowers and lenders, and the reserve of a lender."""
+"""Plans of loans, messages between borrowers and lenders, a lender's reserve."""
 
 from attrs import evolve, field, frozen
 
-__all__ = ["NO_RESERVE", "LoanGrant", "LoanRequest", "Reserve"]
+__all__ = ["NO_RESERVE", "LoanGrant", "LoanPlan", "LoanRequest", "Reserve"]
+
+
+@frozen
+class LoanPlan:
+    """What to borrow: shares of rate and burst, tokens, and for how many seconds.
+
+    Parameters
+    ----------
+    rate, burst : float
+        Shares of the account's rate and burst.
+    tokens : float
+    seconds : float
+        Duration of the loan.
+    demand : float
+        Requests per second at the borrower.
+    """
+
+    rate = field()
+    burst = field()
+    tokens = field()
+    seconds = field()
+    demand = field()
 
 
 @frozen
