--- a/features/steps/cuts.py
+++ b/features/steps/cuts.py
@@ -4,7 +4,8 @@
 
 from behave import given, then, when
 
-from features.builders import StreamReader, join_stream, make_text, wait_until
+from features.builders import StreamReader, wait_until
+from features.builders.chats import ask_chats, check_whole
 
 CUT = {"cut_forward": True, "cut_backward": True}
 HEALED = {"cut_forward": False, "cut_backward": False}
@@ -62,24 +63,13 @@
 
 @when('cuts: {chats:d} chats and {streams:d} streams are asked for at "{host}"')
 def ask(context, chats, streams, host):
-    caller = context.callers[host]
-    context.asked = []
-    for number in range(chats + streams):
-        prompt = f"{host} question {number}"
-        stream = number >= chats
-        answer = caller.chat(prompt, max_tokens=TOKENS, stream=stream)
-        context.asked.append((prompt, stream, answer))
+    prompts = [f"{host} question {number}" for number in range(chats + streams)]
+    context.asked = ask_chats(context.callers[host], prompts, streams, TOKENS)
 
 
 @then("cuts: each got its own whole answer")
 def check_answers(context):
-    for prompt, stream, answer in context.asked:
-        assert answer.status == 200, (prompt, answer)
-        if stream:
-            text = join_stream(answer.body)
-        else:
-            text = answer.json["choices"][0]["message"]["content"]
-        assert text == make_text(prompt, TOKENS), (prompt, answer)
+    check_whole(context.asked, TOKENS)
 
 
 @then('cuts: the engine of "{data_centre}" saw no key')
--- a/features/steps/gateway_paths.py
+++ b/features/steps/gateway_paths.py
@@ -6,7 +6,8 @@
 
 from behave import given, then, when
 
-from features.builders import join_stream, make_text, run_together, wait_until
+from features.builders import run_together, wait_until
+from features.builders.chats import ask_chats, check_whole
 from features.builders.hostlinks import HostLinks
 
 TOKENS = 6
@@ -72,34 +73,20 @@
 
 @when('paths: {chats:d} chats and {streams:d} streams are asked for at "{host}"')
 def ask(context, chats, streams, host):
-    caller = context.callers[host]
-
-    def ask_one(number):
-        prompt = f"{host} question {next(_numbers)}"
-        stream = number >= chats
-        answer = caller.chat(prompt, max_tokens=TOKENS, stream=stream)
-        return prompt, stream, answer
-
-    context.asked = [ask_one(number) for number in range(chats + streams)]
+    prompts = [f"{host} question {next(_numbers)}" for _ in range(chats + streams)]
+    context.asked = ask_chats(context.callers[host], prompts, streams, TOKENS)
 
 
 @then("paths: each got its own whole answer")
 def check_answers(context):
-    for prompt, stream, answer in context.asked:
-        assert answer.status == 200, (prompt, answer)
-        if stream:
-            text = join_stream(answer.body)
-        else:
-            text = answer.json["choices"][0]["message"]["content"]
-        assert text == make_text(prompt, TOKENS), (prompt, answer)
+    check_whole(context.asked, TOKENS)
 
 
 @when('paths: a chat is asked for at "{host}" with a deadline of {seconds:d} s')
 def ask_with_deadline(context, host, seconds):
-    prompt = f"{host} question {next(_numbers)}"
+    prompts = [f"{host} question {next(_numbers)}"]
     headers = {"X-Deadline-Ms": str(seconds * 1000)}
-    answer = context.callers[host].chat(prompt, max_tokens=TOKENS, headers=headers)
-    context.asked = [(prompt, False, answer)]
+    context.asked = ask_chats(context.callers[host], prompts, 0, TOKENS, headers)
 
 
 @when('paths: {number:d} bookings are posted at "{host}"')
@@ -128,7 +115,7 @@
     def is_direct():
         ask(context, 1, 0, host)
         check_answers(context)
-        size = len(context.asked[0][0])
+        size = len(context.asked[0].prompt)
         return context.links.count_direct_bytes(host) > before + size
 
     wait_until(is_direct, f"{host} sends requests itself")
