Count earlier attempts in the refusal of a retry that finds no slot

Callers of a request that may be repeated got 503 no_endpoint or overloaded, executed "no", though an earlier attempt of it may have run: the connection of the first attempt broke, the retry waited for a slot, and the slot queue refused it knowing nothing of the first. 503 and 429 promise that a request has not run and won't, for all its attempts together.

Such a refusal is now 502 outcome_unknown, executed "unknown", and still says when to come back. What the dispatcher says of a call that failed stands in one module.

--- a/features/builders/sending.py
+++ b/features/builders/sending.py
@@ -7,13 +7,20 @@
 from mangogauge.clock import SystemClock
 from mangogauge.entry import EndpointClient, OnlineCall, OnlineDispatcher
 from mangogauge.fleet import RequestSemantics
-from mangogauge.http import ClientConnection, ClientPool, Connector, Headers
-from mangogauge.paths import EndpointPool
-from mangogauge.placement import EndpointHealth
+from mangogauge.http import (
+    ClientConnection,
+    ClientPool,
+    Connector,
+    Headers,
+    HTTPConnectError,
+)
+from mangogauge.paths import EndpointPool, PathState
+from mangogauge.placement import EndpointChooser, EndpointHealth, SlotQueue
 from mangogauge.platform.endpoints import PlatformEndpoints
 from mangogauge.platform.names import HEADERS
 from mangogauge.refusals import Refusal
 from mangogauge.routing import RetryBudgets, RetryPolicy
+from mangogauge.sharing import ReportTable
 from mangogauge.telemetry import ServingMetrics
 from mangogauge.trust import EndpointTrust
 
@@ -50,7 +57,8 @@
     Attributes
     ----------
     plan : list
-        Seconds that each connection takes, and whether it breaks once used.
+        Seconds that each connection takes, and whether it breaks once used. None if
+        it is refused.
     sent : list of str
         Requests that were sent.
     """
@@ -60,11 +68,21 @@
         self.sent = []
 
     async def open(self, address):
-        seconds, breaks = self.plan.pop(0)
+        connection = self.plan.pop(0)
+        if connection is None:
+            raise HTTPConnectError("Refused.", peer=address)
+        seconds, breaks = connection
         await curio.sleep(seconds)
         return ClientConnection(address, _DeafSocket(self.sent, breaks))
 
 
+class _NoPeers:
+    """Stands in for a `PathChecker` of a host that has no peers."""
+
+    async def find_path(self, endpoint, error):
+        return PathState.LOST
+
+
 class _Slots:
     """Stands in for a `SlotQueue` that always has room at another endpoint."""
 
@@ -79,6 +97,28 @@
         pass
 
 
+async def _skip_notification():
+    await curio.sleep(0)
+
+
+def make_slot_queue(endpoints, full, health, clock):
+    """Return a `SlotQueue` of some endpoints, those that are named in `full` full."""
+    report_table = ReportTable("h1", "1", clock)
+    for endpoint in endpoints:
+        # One request may queue at an endpoint beyond its slots.
+        for _ in range((endpoint.slots + 1) * (endpoint.name in full)):
+            report_table.begin(endpoint.name)
+    chooser = EndpointChooser(
+        FixedDirectory(endpoints),
+        report_table,
+        health,
+        EndpointTrust(clock),
+        "a",
+        random.Random(1),
+    )
+    return SlotQueue(chooser, report_table, _skip_notification, clock, random.Random(2))
+
+
 class _NewStreams:
     """Stands in for an `OriginFinder`: all calls are new."""
 
@@ -93,21 +133,28 @@
     ----------
     *plan
         See `_LateConnector`.
+    endpoints : list of FleetEndpoint, optional
+        Those that there are; by default there is always another one with room.
+    full : collection of str, optional
+        Names of endpoints that have no room.
     """
 
-    def __init__(self, *plan):
+    def __init__(self, *plan, endpoints=None, full=()):
         self._clock = SystemClock()
         self._connector = _LateConnector(plan)
         health = EndpointHealth(self._clock)
         pool = ClientPool(connector=self._connector)
         client = EndpointClient(
-            EndpointPool(pool, pool, health.paths, None),
+            EndpointPool(pool, pool, health.paths, _NoPeers()),
             PlatformEndpoints(),
             FixedDirectory([]),
             self._clock,
         )
+        slots = _Slots()
+        if endpoints is not None:
+            slots = make_slot_queue(endpoints, full, health, self._clock)
         self._dispatcher = OnlineDispatcher(
-            _Slots(),
+            slots,
             client,
             health,
             EndpointTrust(self._clock),
--- a/features/entry/sending.feature
+++ b/features/entry/sending.feature
@@ -22,3 +22,16 @@
     Given connections that are made after 3600, 3600, 0 s, each silent once it is used
     When a request with a deadline of 2.6 s is dispatched, repeatable
     Then it was sent to 1 endpoint, and executed is "unknown"
+
+  Scenario Outline: A retry that finds no slot is no promise that the first attempt has not run
+    Given the endpoints "<endpoints>", <room>
+    And connections of which the first <trouble>
+    When a request with a deadline of 1 s is dispatched, repeatable
+    Then it is refused with status <status>, and executed is "<executed>"
+
+    Examples:
+      | endpoints | room         | trouble                | status | executed |
+      | e1        | all free     | breaks once it is used | 502    | unknown  |
+      | e1, e2    | "e2" is full | breaks once it is used | 502    | unknown  |
+      | e1        | all free     | is refused             | 503    | no       |
+      | e1, e2    | "e2" is full | is refused             | 503    | no       |
--- a/features/steps/entry_sending.py
+++ b/features/steps/entry_sending.py
@@ -1,11 +1,15 @@
 """Steps of requests that wait for a connection."""
 
+import re
+
 from behave import given, then, when
 
+from features.builders.fleet import make_endpoint
 from features.builders.sending import NEVER, SendingWorld
 from mangogauge.fleet import RequestSemantics
 
 MORE_CONNECTIONS = 8
+FIRST_CONNECTIONS = {"breaks once it is used": (0.0, True), "is refused": None}
 SEMANTICS = {"once": RequestSemantics.ONCE, "repeatable": RequestSemantics.REPEATABLE}
 
 
@@ -33,6 +37,25 @@
     context.sending = SendingWorld(*plan, *[(NEVER, False)] * MORE_CONNECTIONS)
 
 
+@given('the endpoints "{names}", {room}')
+def name_endpoints(context, names, room):
+    context.endpoints = [make_endpoint(name) for name in names.split(", ")]
+    context.full = set(re.findall('"(.*?)" is full', room))
+
+
+@given("connections of which the first {trouble}")
+def prepare_first(context, trouble):
+    context.sending = SendingWorld(
+        FIRST_CONNECTIONS[trouble], endpoints=context.endpoints, full=context.full
+    )
+
+
+@then('it is refused with status {status:d}, and executed is "{executed}"')
+def check_status(context, status, executed):
+    assert context.refusal.status == status, context.refusal
+    check_executed(context, executed)
+
+
 @when("a request with a deadline of {seconds:g} s is dispatched, {semantics}")
 def dispatch_as(context, seconds, semantics):
     context.refusal = context.sending.dispatch(seconds, SEMANTICS[semantics])
--- a/mangogauge/entry/dispatch.py
+++ b/mangogauge/entry/dispatch.py
@@ -3,11 +3,12 @@
 import curio
 
 from ..http import HTTPError
-from ..refusals import Refusal, RefusalCode
+from ..refusals import Refusal
 from ..routing import Decision, Progress
 from ..telemetry import get_logger
 from .attempt import AttemptFailure
 from .dialect import AnswerKind
+from .outcomes import include_attempts, make_refusal, make_timeout_error
 from .relay import AnswerRelay
 from .state import DispatchState
 
@@ -17,7 +18,6 @@
 # applies only if another endpoint may take over.
 SILENCE_FACTOR = 4.0
 MIN_SILENCE_SECONDS = 0.8
-RETRY_AFTER_SECONDS = 0.5
 # Most attempts of one call, including those at endpoints that were full or gone.
 MAX_ATTEMPTS = 8
 # Endpoints that may crash before they begin to answer one call.
@@ -91,7 +91,7 @@
                 call.origin = await self._streams.find(call)
                 await self._run_attempts(state)
         except curio.TaskTimeout:
-            raise self._make_timeout_error(state) from None
+            raise make_timeout_error(state) from None
         finally:
             if state.successor is not None:
                 await self._slots.release(state.successor, 0.0)
@@ -104,7 +104,7 @@
             state.relay.begin_attempt(observer)
             try:
                 # It may have been quarantined while it waited for a slot.
-                self._crashes.check(state.call, self._describe_execution(state))
+                self._crashes.check(state.call, state.executed)
                 await self._run_attempt(state, endpoint)
             except AttemptFailure as failure:
                 failure.end_attempt(observer)
@@ -128,7 +128,10 @@
         if successor is not None:
             return successor
         service = self._choose_service(state.call)
-        return await self._slots.acquire(state.call, service, state.excluded)
+        try:
+            return await self._slots.acquire(state.call, service, state.excluded)
+        except Refusal as refusal:
+            raise include_attempts(refusal, state) from None
 
     async def _reserve_successor(self, state):
         """Return whether another endpoint goes on with a silent endpoint's answer.
@@ -255,7 +258,7 @@
         if failure.progress is Progress.RUN and failure.answer is not None:
             await state.relay.relay_buffered(failure.answer)
             return True
-        raise self._make_refusal(state)
+        raise make_refusal(state)
 
     async def _diagnose(self, state, endpoint, failure):
         diagnosis = await self._crashes.note_failure(
@@ -304,39 +307,6 @@
         decision = self._retry_policy.decide(progress, call, 0, time_left)
         return decision is Decision.RETRY
 
-    def _make_refusal(self, state):
-        """Return a refusal that states whether the call may have run."""
-        if state.may_be_running or state.possible_runs:
-            return Refusal(
-                RefusalCode.OUTCOME_UNKNOWN,
-                f"The endpoint's answer was lost: {state.failure.reason}.",
-                executed="unknown",
-                step="dispatch",
-            )
-        return Refusal(
-            RefusalCode.NO_ENDPOINT,
-            f"No endpoint took the request: {state.failure.reason}.",
-            retry_after=RETRY_AFTER_SECONDS,
-            step="dispatch",
-        )
-
-    def _make_timeout_error(self, state):
-        if state.relay.started:
-            return HTTPError("The deadline passed within the answer.", step="relay")
-        if state.may_be_running or state.possible_runs:
-            return Refusal(
-                RefusalCode.DEADLINE_EXCEEDED,
-                "The deadline passed before the endpoint answered.",
-                executed="unknown",
-                step="dispatch",
-            )
-        return Refusal(
-            RefusalCode.OVERLOADED,
-            "The deadline passed before an endpoint was free.",
-            retry_after=RETRY_AFTER_SECONDS,
-            step="dispatch",
-        )
-
     def _compute_silence_limit(self, state):
         """Return how long an endpoint may send nothing, in seconds; None for no limit.
 
@@ -365,10 +335,6 @@
         begun_at = state.relay.begun_at
         return 0.0 if begun_at is None else self._clock.read_elapsed() - begun_at
 
-    def _describe_execution(self, state):
-        may_have_run = state.may_be_running or state.possible_runs
-        return "unknown" if may_have_run else "no"
-
     def _compute_time_left(self, call):
         return max(0.0, call.deadline - self._clock.read_elapsed())
 
--- a/mangogauge/entry/state.py
+++ b/mangogauge/entry/state.py
@@ -41,6 +41,11 @@
     diagnoses = field(factory=list)
     successor = field(default=None)
 
+    @property
+    def executed(self):
+        """Whether an attempt may have run the call, as `Refusal` tells the caller."""
+        return "unknown" if self.may_be_running or self.possible_runs else "no"
+
     def note_sending(self):
         """Note that the first byte is about to be sent to an endpoint."""
         self.may_be_running = True
