Refuse a submission that may still run when a host that stops cuts it off

A host that stops takes no request that may outlast it since; submissions of jobs were not asked how long they may take. One that came late in the grace, and waited for the store, was cut off at the end of it: its caller got no answer and couldn't know whether the job was accepted.

A submission is compared like other requests, by its route's time-out and its caller's deadline, and refused at once as not run if it doesn't fit; another host takes it.

--- a/features/platform/planned_stop.feature
+++ b/features/platform/planned_stop.feature
@@ -15,6 +15,14 @@
       | /note/1 |
       | /safe/1 |
 
+  Scenario: A job that may be accepted only after the stop is refused at once
+    When "desk" submits a job to "h1" with 30000 ms to wait
+    Then it is refused as not run, and may be sent again at once
+
+  Scenario: A job that is accepted before the stop is taken
+    When "desk" submits a job to "h1" with 4000 ms to wait
+    Then the job is accepted
+
   Scenario: A request that ends before the stop is served
     When "desk" asks "h1" for "/ask/1" with 4000 ms to wait
     Then it was answered whole
--- a/features/steps/platform_stops.py
+++ b/features/steps/platform_stops.py
@@ -37,6 +37,19 @@
     )
 
 
+@when('"desk" submits a job to "{host}" with {milliseconds:d} ms to wait')
+def submit(context, host, milliseconds):
+    items = [("i1", "/night/item", EVENTS)]
+    context.answer = context.deployment.submit(
+        host, "j1", items, X_Deadline_Ms=milliseconds
+    )
+
+
+@then("the job is accepted")
+def check_accepted(context):
+    assert context.answer.status == 202, context.answer
+
+
 @then("it is refused as not run, and may be sent again at once")
 def check_refused(context):
     answer = context.answer
--- a/mangogauge/entry/handler.py
+++ b/mangogauge/entry/handler.py
@@ -141,16 +141,14 @@
         if target is not None:
             await self._jobs.serve(exchange, target, account)
             return
+        timeout = _find_timeout(request, route)
+        self._check_serving_time(timeout)
         if route.semantics is RequestSemantics.BATCH:
             await self._jobs.submit(exchange, request, route, account, started_at)
             return
-        await self._run(exchange, request, route, account, started_at)
+        await self._run(exchange, request, route, account, started_at, timeout)
 
-    async def _run(self, exchange, request, route, account, started_at):
-        timeout = route.timeout
-        if request.timeout is not None:
-            timeout = min(timeout, request.timeout)
-        self._check_serving_time(timeout)
+    async def _run(self, exchange, request, route, account, started_at, timeout):
         if account is not None:
             await self._admit(account)
         body = await self._read_body(exchange, started_at + timeout)
@@ -290,6 +288,13 @@
         )
 
 
+def _find_timeout(request, route):
+    """Return the seconds that a request may take."""
+    if request.timeout is None:
+        return route.timeout
+    return min(route.timeout, request.timeout)
+
+
 def _find_priority(route, account):
     if account is not None and account.priority is not None:
         return account.priority
