Answer a submission by its deadline, whatever its body or the store does

A submission had no bound of its own: its body was awaited for as long as pieces of it might come, and a call to a silent store went on past the caller's deadline. So the time that a submission may take, which a stopping host compares with the time it has left, was not the time that it took: one whose body stayed away was cut off without an answer 18 s later, when the host had stopped.

The body is awaited until the deadline, as for other requests (408, not run), and the acceptance ends there (504, executed unknown: the job may have been written).

--- a/features/platform/planned_stop.feature
+++ b/features/platform/planned_stop.feature
@@ -23,6 +23,15 @@
     When "desk" submits a job to "h1" with 4000 ms to wait
     Then the job is accepted
 
+  Scenario Outline: A job that can't be accepted in time is answered at its deadline
+    When "desk" submits a job to "h1" with 300 ms to wait, and <trouble>
+    Then it is answered with <status> within 1 s
+
+    Examples:
+      | trouble              | status |
+      | its body never comes | 408    |
+      | the store is silent  | 504    |
+
   Scenario: A request that ends before the stop is served
     When "desk" asks "h1" for "/ask/1" with 4000 ms to wait
     Then it was answered whole
--- a/features/steps/platform_stops.py
+++ b/features/steps/platform_stops.py
@@ -1,5 +1,7 @@
 """Steps of hosts that are about to stop."""
 
+import time
+
 from behave import given, then, when
 
 from features.builders.platform import PlatformDeployment
@@ -7,6 +9,7 @@
 
 ROUTE_TIMEOUT_MS = 30_000
 EVENTS = 4
+BODY_BYTES = 100
 
 
 @given(
@@ -45,6 +48,39 @@
     )
 
 
+@when(
+    '"desk" submits a job to "{host}" with {milliseconds:d} ms to wait, '
+    "and its body never comes"
+)
+def submit_without_body(context, host, milliseconds):
+    context.asked_at = time.monotonic()
+    context.answer = context.deployment.request(
+        host,
+        "POST",
+        "/night/submit",
+        "j1",
+        Content_Length=BODY_BYTES,
+        X_Deadline_Ms=milliseconds,
+    )
+
+
+@when(
+    '"desk" submits a job to "{host}" with {milliseconds:d} ms to wait, '
+    "and the store is silent"
+)
+def submit_without_store(context, host, milliseconds):
+    context.deployment.control("store", silent=True)
+    context.asked_at = time.monotonic()
+    submit(context, host, milliseconds)
+
+
+@then("it is answered with {status:d} within {seconds:g} s")
+def check_in_time(context, status, seconds):
+    elapsed = time.monotonic() - context.asked_at
+    assert elapsed < seconds, (elapsed, context.answer)
+    assert context.answer.status == status, context.answer
+
+
 @then("the job is accepted")
 def check_accepted(context):
     assert context.answer.status == 202, context.answer
--- a/mangogauge/entry/handler.py
+++ b/mangogauge/entry/handler.py
@@ -144,10 +144,14 @@
         timeout = _find_timeout(request, route)
         self._check_serving_time(timeout)
         if route.semantics is RequestSemantics.BATCH:
-            await self._jobs.submit(exchange, request, route, account, started_at)
+            await self._submit(exchange, request, route, account, started_at + timeout)
             return
         await self._run(exchange, request, route, account, started_at, timeout)
 
+    async def _submit(self, exchange, request, route, account, deadline):
+        body = await self._read_body(exchange, deadline)
+        await self._jobs.submit(exchange, request, route, account, body, deadline)
+
     async def _run(self, exchange, request, route, account, started_at, timeout):
         if account is not None:
             await self._admit(account)
--- a/mangogauge/jobs/handler.py
+++ b/mangogauge/jobs/handler.py
@@ -71,7 +71,7 @@
         handler = self._handlers[target.operation]
         await handler(exchange, target.job_id, account.name)
 
-    async def submit(self, exchange, request, route, account, started):
+    async def submit(self, exchange, request, route, account, body, deadline):
         """Accept a new job, or confirm one that is submitted again.
 
         Parameters
@@ -80,24 +80,25 @@
         request : IncomingRequest
         route : PrefixRoute
         account : ClientAccount or None
-        started : float
-            Elapsed time at which the request arrived.
+        body : bytes
+        deadline : float
+            Elapsed time by which the caller is answered.
 
         Raises
         ------
         Refusal
             If the job is invalid or not accepted.
         """
-        timeout = route.timeout
-        if request.timeout is not None:
-            timeout = min(timeout, request.timeout)
         if not request.request_id:
             raise Refusal(RefusalCode.MALFORMED, "A job needs an id.")
-        data = await exchange.read_body()
-        submission = self._dialect.read_submission(request, data)
-        remaining = started + timeout - self._clock.read_elapsed()
+        submission = self._dialect.read_submission(request, body)
+        remaining = deadline - self._clock.read_elapsed()
         name = account.name if account else ""
-        await self._acceptance.accept(submission, route, name, remaining)
+        try:
+            async with curio.timeout_after(remaining):
+                await self._acceptance.accept(submission, route, name, remaining)
+        except curio.TaskTimeout:
+            raise _make_timeout_refusal() from None
         self._metrics.jobs.labels("accepted").inc()
         await exchange.respond(202, JSON, b"{}")
 
@@ -139,6 +140,15 @@
         )
 
 
+def _make_timeout_refusal():
+    return Refusal(
+        RefusalCode.DEADLINE_EXCEEDED,
+        "The deadline passed before the platform's store had answered.",
+        executed="unknown",
+        step="accept job",
+    )
+
+
 def _cut_page(results):
     """Return the leading results that fit into one response, at least one."""
     page, size = [], 0
