Count tunnels that are being opened toward the bound on them

A peer counted the connections that it carries for other hosts once they were open. All that came while others were being made passed the bound of 256, which is there for the peer's descriptors and memory: after a cut of most hosts they come in bursts, and each takes up to 0.2 s where the endpoint is silent. A peer that stops didn't wait for those either.

A tunnel counts from the moment that the peer tries to connect.

--- a/features/builders/tunnels.py
+++ b/features/builders/tunnels.py
@@ -152,6 +152,11 @@
 class TunnelWorld:
     """An endpoint "e1", a peer that reaches it, and a pool of tunnels.
 
+    Parameters
+    ----------
+    max_tunnels : int
+        Most connections that the peer carries.
+
     Attributes
     ----------
     endpoint : ScriptedEndpoint
@@ -162,14 +167,14 @@
         Its connections go through the peer.
     """
 
-    def __init__(self):
+    def __init__(self, max_tunnels):
         self.endpoint = ScriptedEndpoint()
         self.directory = NamedEndpoints(
             make_endpoint("e1", address=self.endpoint.address)
         )
         clock = SystemClock()
         self.peer_paths = PathTable(clock)
-        self.relay = EndpointRelay(self.directory, self.peer_paths)
+        self.relay = EndpointRelay(self.directory, self.peer_paths, max_tunnels)
         self.server = HTTPServer(self.relay.handle, ServerLimits(body_timeout=0.3))
         self.server.bind(LOCAL, 0)
         self.peers = FixedPeers(f"{LOCAL}:{self.server.port}")
--- a/features/paths/tunnels.feature
+++ b/features/paths/tunnels.feature
@@ -52,6 +52,11 @@
       | nobody reaches "e1"                 | e1       | 504    | "e1"   |
       | the peer is about to stop           | e1       | 503    | all    |
 
+  Scenario: A burst of connections doesn't pass the bound on what a peer carries
+    Given a peer that reaches the endpoint "e1" and carries 2 connections at most
+    When 6 requests are sent to "e1" through the peer at the same time
+    Then 2 connections were carried, and 4 refused with 503
+
   Scenario: A peer that stops waits for connections that carry something
     Given a peer that reaches the endpoint "e1"
     When the peer stops while it carries an answer of 1 s
--- a/features/steps/paths_tunnels.py
+++ b/features/steps/paths_tunnels.py
@@ -1,5 +1,7 @@
 """Steps of connections that peers carry."""
 
+from collections import Counter
+
 import curio
 from behave import given, then, when
 
@@ -7,6 +9,9 @@
 from mangogauge.http import HTTPError, TunnelRefusedError
 
 PATIENCE_SECONDS = 10.0
+HOLD_SECONDS = 0.5
+# More than any scenario opens, unless it is about the bound.
+MAX_TUNNELS = 64
 
 
 async def read(response):
@@ -22,7 +27,7 @@
 
     async def play_in_time():
         async with curio.timeout_after(PATIENCE_SECONDS):
-            world = TunnelWorld()
+            world = TunnelWorld(context.max_tunnels)
             for prepare in context.preparations:
                 await prepare(world)
             return await world.run(play)
@@ -33,6 +38,15 @@
 @given('a peer that reaches the endpoint "e1"')
 def prepare_peer(context):
     context.preparations = []
+    context.max_tunnels = MAX_TUNNELS
+
+
+@given(
+    'a peer that reaches the endpoint "e1" and carries {count:d} connections at most'
+)
+def prepare_bounded_peer(context, count):
+    prepare_peer(context)
+    context.max_tunnels = count
 
 
 @given('the endpoint "e1" has ended')
@@ -213,6 +227,31 @@
     assert context.failed_for == [endpoint], context.failed_for
 
 
+@when('{count:d} requests are sent to "e1" through the peer at the same time')
+def send_together(context, count):
+    async def play(world):
+        statuses = Counter()
+
+        async def send():
+            try:
+                async with curio.ignore_after(HOLD_SECONDS):
+                    await world.request("never")
+            except TunnelRefusedError as error:
+                statuses[error.status] += 1
+
+        async with curio.TaskGroup() as group:
+            for _ in range(count):
+                await group.spawn(send)
+        return world.endpoint.connections, statuses
+
+    run(context, play)
+
+
+@then("{carried:d} connections were carried, and {refused:d} refused with {status:d}")
+def check_bound(context, carried, refused, status):
+    assert context.result == (carried, {status: refused}), context.result
+
+
 @when("the peer stops while it carries an answer of 1 s")
 def drain_peer(context):
     async def play(world):
--- a/mangogauge/paths/relay.py
+++ b/mangogauge/paths/relay.py
@@ -51,13 +51,16 @@
     ----------
     directory : EndpointDirectory
     paths : PathTable
+    max_tunnels : int, optional
+        Most tunnels that are open or being opened.
     """
 
-    def __init__(self, directory, paths):
+    def __init__(self, directory, paths, max_tunnels=MAX_TUNNELS):
         self._directory = directory
         self._paths = paths
+        self._max_tunnels = max_tunnels
         self._closing = False
-        self._open_count = 0
+        self._count = 0
 
     async def handle(self, exchange):
         """Open a connection and carry its bytes until either side ends it."""
@@ -65,25 +68,17 @@
         endpoint = self._directory.get(name)
         status = self._find_obstacle(endpoint)
         if status is None:
+            self._count += 1
             try:
-                sock = await open_socket(endpoint.address, CONNECT_SECONDS)
-            except HTTPConnectError as error:
-                self._paths.note_failed_connection(name)
-                status = _get_failure_status(error)
+                status = await self._open(exchange, endpoint)
+            finally:
+                self._count -= 1
         if status is not None:
             log.info(
                 "tunnel refused",
                 extra={"endpoint": name, "peer": exchange.peer, "status": status},
             )
             await exchange.respond(status, Headers(), b"")
-            return
-        log.info("tunnel opened", extra={"endpoint": name, "peer": exchange.peer})
-        self._open_count += 1
-        try:
-            await self._carry(exchange, sock)
-        finally:
-            self._open_count -= 1
-            await sock.close()
 
     def start_close(self):
         """Open no more tunnels; those that are open go on."""
@@ -92,17 +87,32 @@
     async def drain(self):
         """Open no more tunnels, and wait until those that are open have ended."""
         self.start_close()
-        while self._open_count:
+        while self._count:
             await curio.sleep(DRAIN_INTERVAL_SECONDS)
 
     def _find_obstacle(self, endpoint):
         """Return the status that tells why no connection is tried; None if it is."""
         if endpoint is None:
             return UNKNOWN_STATUS
-        if self._closing or self._open_count >= MAX_TUNNELS:
+        if self._closing or self._count >= self._max_tunnels:
             return UNABLE_STATUS
         return STATUS_BY_STATE.get(self._paths.get(endpoint.name))
 
+    async def _open(self, exchange, endpoint):
+        """Connect and carry the bytes; return a status if there is no connection."""
+        try:
+            sock = await open_socket(endpoint.address, CONNECT_SECONDS)
+        except HTTPConnectError as error:
+            self._paths.note_failed_connection(endpoint.name)
+            return _get_failure_status(error)
+        extra = {"endpoint": endpoint.name, "peer": exchange.peer}
+        log.info("tunnel opened", extra=extra)
+        try:
+            await self._carry(exchange, sock)
+        finally:
+            await sock.close()
+        return None
+
     async def _carry(self, exchange, sock):
         """Carry bytes both ways until one side ends its connection.
 
