Keep a path through peers when a direct connection fails that began before

At the onset of a silent cut several requests try the same endpoint within 0.2 s. The first that failed asked the peers and found a path through them; each of the others, failing later, threw that path away and asked again. The endpoint got no requests meanwhile, and if the peers asked then didn't reach it, it counted as lost and was told as unhealthy, though tunnels to it were in use. A peer whose own late connection failed did the same with its own path.

A failed direct connection says nothing of a path through peers: only a tunnel that fails does.

--- a/features/paths/verdicts.feature
+++ b/features/paths/verdicts.feature
@@ -39,6 +39,13 @@
     When 5 connections to "e1" fail at the same time
     Then each peer was asked once at most
 
+  Scenario: A direct connection that fails after the path was found leaves it in use
+    Given "e1" refuses this host's connections, and "p2" reaches it
+    When a connection to "e1" fails
+    And a direct connection that was begun before fails now, while peers refuse with 504
+    Then "e1" is tunnelled, and gets requests
+    And each peer was asked once at most
+
   Scenario: The direct path is used again as soon as it is back
     Given "e1" refuses this host's connections, and "p2" reaches it
     When a connection to "e1" fails
--- a/features/steps/paths_verdicts.py
+++ b/features/steps/paths_verdicts.py
@@ -42,6 +42,15 @@
     curio.run(context.world_of_paths.fail)
 
 
+@when(
+    "a direct connection that was begun before fails now, "
+    "while peers refuse with {status:d}"
+)
+def fail_late(context, status):
+    refuse(context, status)
+    curio.run(context.world_of_paths.fail)
+
+
 @when('{count:d} connections to "e1" fail at the same time')
 def fail_together(context, count):
     async def fail_all():
--- a/mangogauge/paths/checker.py
+++ b/mangogauge/paths/checker.py
@@ -107,8 +107,11 @@
         endpoint : FleetEndpoint
         error : HTTPConnectError
         """
-        self._paths.note_failed_connection(endpoint.name)
         await self._drop_silent(endpoint, error)
+        if self._paths.is_tunnelled(endpoint.name):
+            # Found while this connection was being tried; only tunnels may deny it.
+            return PathState.TUNNELLED
+        self._paths.note_failed_connection(endpoint.name)
         return await self._share(endpoint, self._ask)
 
     async def check(self, endpoint):
--- a/mangogauge/paths/relay.py
+++ b/mangogauge/paths/relay.py
@@ -103,7 +103,7 @@
         try:
             sock = await open_socket(endpoint.address, CONNECT_SECONDS)
         except HTTPConnectError as error:
-            self._paths.note_failed_connection(endpoint.name)
+            self._paths.note_failed_direct(endpoint.name)
             return _get_failure_status(error)
         extra = {"endpoint": endpoint.name, "peer": exchange.peer}
         log.info("tunnel opened", extra=extra)
--- a/mangogauge/paths/table.py
+++ b/mangogauge/paths/table.py
@@ -30,6 +30,9 @@
     >>> paths.note_tunnel("e")
     >>> paths.get("e").value
     'tunnelled'
+    >>> paths.note_failed_direct("e")
+    >>> paths.get("e").value
+    'tunnelled'
     """
 
     def __init__(self, clock):
@@ -66,6 +69,16 @@
             self._indirect_since = self._clock.read_elapsed()
         self._indirect[name] = NEXT_ON_FAILED_CONNECTION[self.get(name)]
 
+    def note_failed_direct(self, name):
+        """Record that a direct connection could not be made.
+
+        Notes
+        -----
+        It may have been begun before another path was found.
+        """
+        if not self.is_tunnelled(name):
+            self.note_failed_connection(name)
+
     def note_connection(self, name):
         """Record that a direct connection was made."""
         self._indirect.pop(name, None)
