Keep an item's own header fields from forging those that this system sets

What callers saw: an item of a batch job whose headers hold X-Tenant reached an endpoint with that account, first, and its own account after it: a caller could act for any other account. In the same way an item's X-Api-Key reached endpoints; Last-Event-Id cut off the beginning of its result, which was listed as done; X-Expect-Instance and Transfer-Encoding kept it from being run at all.

Cause: an online request loses the fields that are this system's or concern one connection when it is read. An item's were stored and sent as they came, and the endpoint's dialect appended ours to them.

Change: one function selects what is passed on, for requests and items; the dialect sets its fields in place of appending them, which also covers items that an older host has accepted.

--- a/features/builders/platform/deployment.py
+++ b/features/builders/platform/deployment.py
@@ -333,13 +333,14 @@
         question = make_question(tokens)
         return self.request(host, "POST", path, request_id, **question, **options)
 
-    def submit(self, host, job_id, items, **options):
+    def submit(self, host, job_id, items, item_headers=(), **options):
         """Submit a job whose items are ``(id, path, tokens)``."""
+        own = {"X-Model": "m", **dict(item_headers)}
         rows = [
             {
                 "id": item_id,
                 "path": path,
-                "headers": {"X-Token-Count": f"50,{tokens}", "X-Model": "m"},
+                "headers": {"X-Token-Count": f"50,{tokens}", **own},
                 "body": base64.b64encode(f"body of {item_id}".encode()).decode(),
                 "tokens": 50 + tokens,
             }
--- a/features/platform/batch.feature
+++ b/features/platform/batch.feature
@@ -102,6 +102,24 @@
     When operators ask for "r1" to be emptied
     Then the platform is told that this is done
 
+  Scenario Outline: An item's own <name> neither replaces what this system sets nor reaches an endpoint
+    When "desk" submits the job "j1" of 3 items to "h1", with these header fields in each
+      | name   | value   |
+      | <name> | <value> |
+    Then all 3 results of "j1" can be read whole at "h1" and "h2"
+    And the endpoints saw the account "desk", no key and a whole body with 3 items
+
+    Examples:
+      | name              | value     |
+      | X-Tenant          | other     |
+      | X-Api-Key         | desk-key  |
+      | Last-Event-Id     | 4         |
+      | X-Expect-Instance | elsewhere |
+      | X-Request-Id      | q1        |
+      | X-Deadline-Ms     | 1         |
+      | Transfer-Encoding | chunked   |
+      | Content-Length    | 3         |
+
   Scenario: A job that is not well formed is refused
     When these jobs are submitted to "h1"
       | body                                            |
--- a/features/steps/platform_jobs.py
+++ b/features/steps/platform_jobs.py
@@ -12,6 +12,8 @@
 READ_SECONDS = 40
 SUBMIT_SECONDS = 30
 SETTLE_SECONDS = 1.5
+# An item has nearly its route's whole time left when it first runs.
+MIN_PATIENCE_MS = 10_000
 
 
 @given('the runners "{names}"')
@@ -32,18 +34,18 @@
     context.deployment.control("store", lose_writes=count)
 
 
-def submit(context, account, job_id, count, events, host):
+def submit(context, account, job_id, count, events, host, item_headers=()):
     items = [(f"{job_id}-{n}", f"/night/{n}", events) for n in range(count)]
     context.items = {job_id: (count, events)}
     context.answer = context.deployment.submit(
-        host, job_id, items, key=f"{account}-key"
+        host, job_id, items, item_headers, key=f"{account}-key"
     )
     # Whoever is not told that the job was accepted sends it again.
     deadline = time.monotonic() + SUBMIT_SECONDS
     while context.answer.status != 202:
         assert time.monotonic() < deadline, context.answer
         context.answer = context.deployment.submit(
-            host, job_id, items, key=f"{account}-key"
+            host, job_id, items, item_headers, key=f"{account}-key"
         )
 
 
@@ -60,6 +62,15 @@
     submit(context, account, job_id, count, events, host)
 
 
+@when(
+    '"{account}" submits the job "{job_id}" of {count:d} items to "{host}", '
+    "with these header fields in each"
+)
+def submit_with_headers(context, account, job_id, count, host):
+    fields = [(row["name"], row["value"]) for row in context.table]
+    submit(context, account, job_id, count, 10, host, fields)
+
+
 @then("it is accepted")
 def check_accepted(context):
     assert context.answer.status == 202, context.answer
@@ -124,6 +135,23 @@
     return claim.decode().partition("#")[0]
 
 
+@then(
+    'the endpoints saw the account "{account}", no key and a whole body '
+    "with {count:d} items"
+)
+def check_item_fields(context, account, count):
+    rows = context.deployment.list_arrivals()
+    bodies = {row["request_id"]: row["body"] for row in rows}
+    (job_id,) = context.items
+    ids = [f"{job_id}-{n}" for n in range(count)]
+    assert bodies == {item_id: f"body of {item_id}" for item_id in ids}, rows
+    for row in rows:
+        assert row["account"] == account, row
+        assert row["key"] is None, row
+        assert row["last_event"] is None, row
+        assert int(row["patience"]) > MIN_PATIENCE_MS, row
+
+
 @when('the runner that has "{job_id}" is killed')
 def kill_runner(context, job_id):
     wait_until(context.deployment.list_arrivals, "items run")
--- a/mangogauge/platform/callers.py
+++ b/mangogauge/platform/callers.py
@@ -8,7 +8,7 @@
 from .names import HEADERS
 from .prompts import read_shared_parts
 
-__all__ = ["PlatformCallers"]
+__all__ = ["PlatformCallers", "read_count", "select_passed"]
 
 # What an endpoint must not see, or gets from this host alone.
 PRIVATE_HEADERS = (
@@ -28,8 +28,6 @@
     def read_request(self, exchange):
         """Return the `IncomingRequest`."""
         fields = exchange.headers
-        passed = fields.without_hop_by_hop()
-        passed.remove(*PRIVATE_HEADERS)
         patience = read_count(fields, HEADERS.patience)
         return IncomingRequest(
             request_id=fields.get(HEADERS.request_id, ""),
@@ -39,7 +37,7 @@
             timeout=None if patience is None else patience / 1000,
             last_event=read_count(fields, HEADERS.last_event),
             resumed_id=fields.get(HEADERS.resumed, ""),
-            headers=passed,
+            headers=select_passed(fields),
             shared_parts=read_shared_parts(fields.get(HEADERS.prompt_parts, "")),
         )
 
@@ -55,6 +53,13 @@
         await exchange.respond(refusal.status, headers, body)
 
 
+def select_passed(fields):
+    """Return a copy of a caller's header fields without those kept from endpoints."""
+    passed = fields.without_hop_by_hop()
+    passed.remove(*PRIVATE_HEADERS)
+    return passed
+
+
 def read_count(fields, name):
     """Return a header field's whole number, or None if it is absent.
 
--- a/mangogauge/platform/endpoints.py
+++ b/mangogauge/platform/endpoints.py
@@ -25,12 +25,12 @@
         headers = request.headers.copy()
         headers.set(HEADERS.request_id, request.request_id)
         patience = max(1, int(request.seconds_left * 1000))
-        headers.add(HEADERS.patience, str(patience))
-        headers.add(HEADERS.expected_endpoint, request.endpoint.name)
+        headers.set(HEADERS.patience, str(patience))
+        headers.set(HEADERS.expected_endpoint, request.endpoint.name)
         if request.account:
-            headers.add(HEADERS.account, request.account)
+            headers.set(HEADERS.account, request.account)
         if request.last_event is not None:
-            headers.add(HEADERS.last_event, str(request.last_event))
+            headers.set(HEADERS.last_event, str(request.last_event))
         return headers
 
     def read_shared_parts(self, headers):
--- a/mangogauge/platform/jobs.py
+++ b/mangogauge/platform/jobs.py
@@ -7,10 +7,11 @@
 
 import orjson
 
+from ..http import Headers
 from ..jobs import ItemState, JobDialect, JobOperation, JobTarget, Submission
 from ..jobs.records import SubmittedItem
 from ..refusals import Refusal, RefusalCode
-from .callers import read_count
+from .callers import read_count, select_passed
 from .names import HEADERS
 
 __all__ = ["PlatformJobs"]
@@ -87,7 +88,15 @@
     texts = (row["id"], row["path"])
     if not all(isinstance(text, str) and text for text in texts):
         raise ValueError("an id or a path is no text")
-    return SubmittedItem(*texts, row["headers"].items(), body, tokens)
+    return SubmittedItem(*texts, _read_headers(row["headers"]), body, tokens)
+
+
+def _read_headers(value):
+    """Return the header fields of an item that an endpoint gets."""
+    passed = select_passed(Headers(value.items()))
+    # The host is the job's, and the id the item's.
+    passed.remove("Host", HEADERS.request_id)
+    return passed
 
 
 def _read_query(exchange, name, default):
