Count an attempt that is given up before its connection is made as not sent

Callers of a host whose new connections to endpoints hang got 504 with "executed: unknown" for requests of which nothing had been sent, and a chat wasn't passed on to a host that reaches the endpoints.

Cause: if the bound of an attempt, or the call's deadline, ended while the connection was still being made, the attempt counted as "maybe run". So a booking wasn't tried elsewhere, a chat's retry was charged to its budget, and the host didn't take the endpoint as out of its reach.

Change: an attempt at an endpoint is "not sent" until there is a connection; the pool asks for the headers right before it sends, which marks the change.

Evidence: two scenarios in features/gateway/hosts_without_endpoints.feature, with real processes and a silent cut. Before: both fail, 504 deadline_exceeded with "executed: unknown" for a booking with a deadline of 1 s and a chat with one of 3 s (one run). After: all 8 scenarios of the file pass (one run).

Not changed: a call to another host of which the connection is still being made counts as "maybe run".

--- a/features/gateway/hosts_without_endpoints.feature
+++ b/features/gateway/hosts_without_endpoints.feature
@@ -41,3 +41,13 @@
     When paths: "a1" is cut off from all endpoints, silent
     And paths: a chat is asked for at "a1" with a deadline of 12 s
     Then paths: each got its own whole answer
+
+  Scenario: A refusal says that a request may have run though it was never sent
+    When paths: "a1" is cut off from all endpoints, silent
+    And paths: a booking is posted at "a1" with a deadline of 1 s
+    Then paths: it is refused with 504 as not executed, and didn't run
+
+  Scenario: A request waits at an endpoint that a bound has shown to be out of reach
+    When paths: "a1" is cut off from all endpoints, silent
+    And paths: a chat is asked for at "a1" with a deadline of 3 s
+    Then paths: each got its own whole answer
--- a/features/steps/gateway_paths.py
+++ b/features/steps/gateway_paths.py
@@ -113,6 +113,24 @@
         )
 
 
+@when('paths: a booking is posted at "{host}" with a deadline of {seconds:d} s')
+def post_with_deadline(context, host, seconds):
+    name = f"b{next(_numbers)}"
+    headers = {"X-Reference": name, "X-Deadline-Ms": str(seconds * 1000)}
+    caller = context.callers[host]
+    answer = caller.request("POST", f"/bookings/{name}", b"one", headers)
+    context.bookings = {name: answer}
+
+
+@then("paths: it is refused with {status:d} as not executed, and didn't run")
+def check_not_executed(context, status):
+    runs = context.world.get_standin("desk").control()["runs"]
+    for name, answer in context.bookings.items():
+        assert answer.status == status, answer
+        assert answer.json["error"]["executed"] == "no", answer
+        assert f"POST {name}" not in runs, runs
+
+
 @then("paths: each booking was answered, and ran once")
 def check_bookings(context):
     runs = context.world.get_standin("desk").control()["runs"]
--- a/mangogauge/gateway/attempts.py
+++ b/mangogauge/gateway/attempts.py
@@ -69,9 +69,12 @@
         Name of the endpoint or host that it is made at.
     endpoint : Endpoint or None
         The endpoint, if it is one of this data centre.
+    progress : Progress
+        How far it may have got if it is given up without an answer.
     """
 
     endpoint = None
+    progress = Progress.MAYBE_RUN
 
     def __init__(self, call, peer):
         self.call = call
@@ -117,6 +120,7 @@
         self._pool = pool
         self._times = times
         self._clock = clock
+        self.progress = Progress.NOT_SENT
         # Whether an answer that stands still may be given up.
         self.may_give_up = lambda: True
 
@@ -151,11 +155,15 @@
         self._times.note(self.call.timing_class, seconds)
 
     async def _request(self, relay, bound):
+        def begin_sending():
+            self.progress = Progress.MAYBE_RUN
+            return self._make_headers(relay)
+
         arguments = (
             self.endpoint.address,
             self.call.method,
             self.call.target,
-            self._make_headers(relay),
+            begin_sending,
             self.call.body,
         )
         fresh = not self.call.repeatable
@@ -164,7 +172,7 @@
                 return await self._pool.request(*arguments, fresh=fresh)
         except curio.TaskTimeout:
             raise AttemptFailed(
-                Progress.MAYBE_RUN, f"No answer within {bound:.3f} s."
+                self.progress, f"No answer within {bound:.3f} s."
             ) from None
         except HTTPConnectError as error:
             raise AttemptFailed(Progress.NOT_SENT, str(error)) from error
--- a/mangogauge/gateway/dispatch.py
+++ b/mangogauge/gateway/dispatch.py
@@ -177,7 +177,7 @@
                 await self._run_watched(run, attempt, bound)
         except curio.TaskTimeout:
             raise AttemptFailed(
-                Progress.MAYBE_RUN, "No answer before the deadline.", blames=False
+                attempt.progress, "No answer before the deadline.", blames=False
             ) from None
         finally:
             self._router.end(attempt.peer)
