Use the endpoints that a read for a request has shown at once

A caller that resumed a stream at a host that had been cut off got 503 no_endpoint, "No endpoint can run this.", though the host had just read from the store that the stream's version had endpoints.

The log of h2: its link to the store heals, a read for requests is answered at 50.529 s and shows v2; streams of v2 are known from 50.540 on, and all 8 of them are refused in the queue, three times each within 50 ms, until the host's copy of the endpoints is read again at 50.705. The 8 streams of v1 were resumed and whole.

Cause: the read that confirms which versions there are took only the versions from the endpoints' entries. The copy that requests are placed by kept lacking the endpoints until its own next read, which was on its way or waiting after a failure.

The endpoints of such a read are now added to the copy, if that was last confirmed before the read began. Nothing is removed by it, so that the grace period of entries stays as it is.

--- a/features/builders/streamhosts.py
+++ b/features/builders/streamhosts.py
@@ -8,7 +8,13 @@
 
 from mangogauge.store import KeyValue, Snapshot, StoreUnavailableError
 
-__all__ = ["ENDPOINTS_PREFIX", "NO_NEWER_COPY", "VersionsFeed", "VersionsStore"]
+__all__ = [
+    "ENDPOINTS_PREFIX",
+    "NO_NEWER_COPY",
+    "READ_SECONDS",
+    "VersionsFeed",
+    "VersionsStore",
+]
 
 ENDPOINTS_PREFIX = "endpoints/"
 # Age of the newer copy that another host has, if none has one.
--- a/features/steps/streams.py
+++ b/features/steps/streams.py
@@ -7,12 +7,13 @@
 from features.builders.streamhosts import (
     ENDPOINTS_PREFIX,
     NO_NEWER_COPY,
+    READ_SECONDS,
     VersionsFeed,
     VersionsStore,
 )
 from mangogauge.clock import ManualClock
 from mangogauge.entry import OnlineCall
-from mangogauge.fleet import ServiceShare
+from mangogauge.fleet import EndpointDirectory, ServiceShare
 from mangogauge.refusals import Refusal
 from mangogauge.store import KeyValue
 from mangogauge.streams import (
@@ -32,16 +33,20 @@
 OTHER = "other"
 
 
+def read_endpoint(item):
+    return make_endpoint(item.key, software=item.value)
+
+
 def make_host(context, complete):
     clock = context.clock = ManualClock()
-    context.endpoints = []
+    context.directory = EndpointDirectory(read_endpoint, str, clock)
     context.route = make_route(resumable=True)
     context.feed = VersionsFeed()
     context.store = VersionsStore()
     context.origins = StreamOrigins(clock)
     context.copy_age, context.newer_age = 0.5, NO_NEWER_COPY
     history = context.history = VersionHistory(
-        lambda: context.endpoints,
+        context.directory.list_endpoints,
         lambda: context.copy_age,
         lambda: context.newer_age,
         clock,
@@ -64,7 +69,8 @@
     confirmation = VersionConfirmation(
         context.feed,
         ENDPOINTS_PREFIX,
-        lambda item: make_endpoint(item.key, software=item.value),
+        read_endpoint,
+        context.directory.add_endpoints,
         history,
         version_record,
         clock,
@@ -115,17 +121,18 @@
 
 @given('endpoints of the versions "{versions}"')
 def add_endpoints(context, versions):
-    context.endpoints += make_endpoints(versions)
+    context.directory.add_endpoints(make_endpoints(versions))
 
 
 @given('endpoints of the service "{service}"')
 def add_other_service(context, service):
-    context.endpoints += make_endpoints("v1", service)
+    context.directory.add_endpoints(make_endpoints("v1", service))
 
 
 @when('endpoints of the versions "{versions}" take the place of all others')
 def replace_endpoints(context, versions):
-    context.endpoints[:] = make_endpoints(versions)
+    context.directory.apply_snapshot([])
+    context.directory.add_endpoints(make_endpoints(versions))
 
 
 @given("reads of the records get no answer")
@@ -180,6 +187,18 @@
     context.found = curio.run(find, context, stream)
 
 
+@when('a caller resumes the stream "{stream}", and the copy is confirmed meanwhile')
+def resume_beside_read(context, stream):
+    async def run():
+        found = await curio.spawn(find, context, stream)
+        await curio.sleep(READ_SECONDS / 2)
+        context.clock.advance(READ_SECONDS / 2)
+        context.copy_age = 0.0
+        return await found.join()
+
+    context.found = curio.run(run)
+
+
 @when("{count:d} callers resume unknown streams at the same time")
 def resume_many(context, count):
     async def run():
@@ -280,3 +299,9 @@
 @then("no version is known to be the only one")
 def check_no_only(context):
     assert context.finder.find_only([SERVICE]) is None
+
+
+@then('it knows endpoints of the versions "{versions}"')
+def check_endpoints(context, versions):
+    known = {endpoint.software for endpoint in context.directory.list_endpoints()}
+    assert known == set(versions.split(", ")), known
--- a/features/streams/out_of_step.feature
+++ b/features/streams/out_of_step.feature
@@ -32,6 +32,22 @@
     And a caller resumes the stream "s1"
     Then it goes on at "v2"
 
+  Scenario: Endpoints that a read for a request has shown can serve it at once
+    Given a host that has read which versions there were
+    And endpoints of the versions "v1"
+    And its copy of the endpoints is 5 s old, and the store has "v1, v2"
+    When another host has recorded that the stream "s1" began at "v2"
+    And a caller resumes the stream "s1"
+    Then it goes on at "v2"
+    And it knows endpoints of the versions "v1, v2"
+
+  Scenario: A read for a request that is older than the copy doesn't change the copy
+    Given a host that has read which versions there were
+    And endpoints of the versions "v1"
+    And its copy of the endpoints is 5 s old, and the store has "v1, v2"
+    When a caller resumes the stream "s1", and the copy is confirmed meanwhile
+    Then it knows endpoints of the versions "v1"
+
   Scenario: Nothing has changed, so that streams go on after one read
     Given a host that has read which versions there were
     And endpoints of the versions "v1"
--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -241,6 +241,7 @@
             backends.feed,
             prefix,
             backends.source.read_endpoint,
+            self.directory.add_endpoints,
             history,
             self._version_record,
             clock,
--- a/mangogauge/fleet/directory.py
+++ b/mangogauge/fleet/directory.py
@@ -86,6 +86,11 @@
             if self._leaving.note(name, start_time_ms):
                 self._log_leaving(name, start_time_ms, host)
 
+    def add_endpoints(self, endpoints):
+        """Add endpoints, or their newer entries; none of the others is removed."""
+        for endpoint in endpoints:
+            self._put(endpoint)
+
     def apply_snapshot(self, items):
         """Replace the endpoints by the valid entries among `items`."""
         found = self._decode_all(items)
--- a/mangogauge/streams/confirmation.py
+++ b/mangogauge/streams/confirmation.py
@@ -27,15 +27,21 @@
         Prefix of the endpoints' entries.
     decode : callable
         Turns a `KeyValue` into a `FleetEndpoint`, or None if it is not valid.
+    add_endpoints : callable
+        Takes the `FleetEndpoint` objects of a read that is newer than this host's
+        copy, so that streams can go on at them before the copy is read again.
     history : VersionHistory
     version_record : VersionRecord
     clock : Clock
     """
 
-    def __init__(self, feed, prefix, decode, history, version_record, clock):
+    def __init__(
+        self, feed, prefix, decode, add_endpoints, history, version_record, clock
+    ):
         self._feed = feed
         self._prefix = prefix
         self._decode = decode
+        self._add_endpoints = add_endpoints
         self._history = history
         self._version_record = version_record
         self._clock = clock
@@ -82,7 +88,9 @@
             await done.set()
 
     async def _note(self, items, asked_at):
-        endpoints = filter(None, map(self._decode, items))
+        endpoints = list(filter(None, map(self._decode, items)))
+        if self._history.is_copy_older(asked_at):
+            self._add_endpoints(endpoints)
         origins = [StreamOrigin.of(endpoint) for endpoint in endpoints]
         self._history.note_read(origins, asked_at)
         if not self._history.complete:
--- a/mangogauge/streams/history.py
+++ b/mangogauge/streams/history.py
@@ -71,6 +71,10 @@
             return False
         return self.complete and self.measure_age() <= MAX_AGE_SECONDS
 
+    def is_copy_older(self, asked_at):
+        """Return whether this host's copy was last confirmed before an elapsed time."""
+        return self._clock.read_elapsed() - self._measure_age() < asked_at
+
     def is_lost(self):
         """Return whether this host, and all that it hears, have lost the store."""
         self._follow_copy()
