Have other peers confirm that an endpoint is lost

At the onset of a cut of most hosts, all three peers that a host asks may be cut off too without knowing it. The endpoint then counted as lost: it got no requests by way of the peers that do reach it and was told to all as unhealthy until the next question 0.5 s later, and a broken connection counted as a crash of the endpoint.

Before a loss is concluded, three other peers are asked, once an outage: what an endpoint that is down costs grows by three questions a host, not by the length of the outage. Requests don't wait for them: they go on once the first three have answered, as before; only the diagnosis of a crash waits.

Weighed and left: a shorter wait for a peer that doesn't answer at all (0.5 s). Where peers are slow, a host without endpoints would give up paths that they are about to find, at each endpoint in turn.

Evidence, features/paths/verdicts.feature: of the five new cases, four fail before (lost in place of tunnelled after 502s and after 504s, a crash noted, a loss told after three answers) and pass after; that requests don't wait longer passes both. 29 of 29 scenarios pass.

--- a/features/builders/paths.py
+++ b/features/builders/paths.py
@@ -20,6 +20,9 @@
 
 LOCAL = "127.0.0.1"
 ANSWER_SECONDS = 0.01
+WATCH_SECONDS = 0.001
+# Enough for two rounds of questions to peers.
+SETTLE_SECONDS = 0.2
 
 
 class OpenTunnel:
@@ -40,16 +43,20 @@
         What the others answer; None if they don't.
     asked : list of str
         Peers that were asked.
+    answered : int
+        Number of peers that have answered.
     """
 
     def __init__(self):
         self.reaching = set()
         self.status = 503
         self.asked = []
+        self.answered = 0
 
     async def open_through(self, peer, endpoint):
         self.asked.append(peer)
         await curio.sleep(ANSWER_SECONDS)
+        self.answered += 1
         if self.status is None:
             raise HTTPConnectError("The peer is silent.", peer=peer)
         if peer not in self.reaching:
@@ -67,6 +74,8 @@
     health : EndpointHealth
     checker : PathChecker
     tunnels : ScriptedTunnels
+    was_told : bool
+        Whether others would have been told that the endpoint is unhealthy.
     """
 
     def __init__(self, peers):
@@ -74,6 +83,7 @@
         self._listener.bind((LOCAL, 0))
         address = "{}:{}".format(*self._listener.getsockname())
         self.endpoint = make_endpoint("e1", address=address)
+        self.was_told = False
         clock = self.clock = ManualClock()
         self.health = EndpointHealth(clock)
         self.tunnels = ScriptedTunnels()
@@ -101,6 +111,18 @@
         except HTTPConnectError as error:
             await self.checker.find_path(self.endpoint, error)
 
+    async def fail_and_settle(self):
+        """As `fail`; wait until the check of the path has ended."""
+        watching = await curio.spawn(self._watch, daemon=True)
+        await self.fail()
+        await curio.sleep(SETTLE_SECONDS)
+        await watching.cancel()
+
+    async def _watch(self):
+        while True:
+            self.was_told |= bool(self.health.list_unhealthy())
+            await curio.sleep(WATCH_SECONDS)
+
     async def check(self):
         """Check the path."""
         await self.checker.check(self.endpoint)
--- a/features/builders/tunnels.py
+++ b/features/builders/tunnels.py
@@ -60,8 +60,8 @@
         self.failed = []
         self.failed_for = []
 
-    def choose(self, endpoint, count):
-        return self.addresses[:count]
+    def choose(self, endpoint, count, excluded=()):
+        return [a for a in self.addresses if a not in excluded][:count]
 
     def note_failure(self, address, endpoint=None):
         self.failed.append(address)
--- a/features/paths/verdicts.feature
+++ b/features/paths/verdicts.feature
@@ -133,3 +133,39 @@
     And "p2" reaches it from then on
     And its path is checked each 0.1 s for 5 s
     Then "e1" is tunnelled, and gets requests
+
+  Scenario Outline: Peers that are cut off too don't make a sound endpoint lost
+    Given a host that can ask the peers "p1, p2, p3, p4, p5, p6" about the endpoint "e1"
+    And "e1" refuses this host's connections, and peers refuse with <status>
+    And the peer "p5" reaches it all the same
+    When a connection to "e1" fails, and the check of its path ends
+    Then "e1" is tunnelled, and gets requests
+    And others were never told that "e1" is unhealthy
+    And each peer was asked once at most
+
+    Examples:
+      | status |
+      | 502    |
+      | 504    |
+
+  Scenario: A crash isn't noted because three peers are cut off too
+    Given a host that can ask the peers "p1, p2, p3, p4, p5, p6" about the endpoint "e1"
+    And "e1" refuses this host's connections, and peers refuse with 502
+    And the peer "p5" reaches it all the same
+    When it is asked whether "e1" refuses connections
+    Then a crash would be noted: no
+
+  Scenario: A request doesn't wait until more peers have confirmed a loss
+    Given a host that can ask the peers "p1, p2, p3, p4, p5, p6" about the endpoint "e1"
+    And "e1" refuses this host's connections, and peers refuse with 504
+    When a connection to "e1" fails
+    Then 3 peers had answered when its request went on
+
+  Scenario: A loss that six peers confirm is told, and fewer are asked from then on
+    Given a host that can ask the peers "p1, p2, p3, p4, p5, p6" about the endpoint "e1"
+    And "e1" refuses this host's connections, and peers refuse with 502
+    When a connection to "e1" fails, and the check of its path ends
+    Then others are told that "e1" is unhealthy
+    And "e1" is lost, and gets no requests
+    When its path is checked each 0.1 s for 1 s
+    Then 9 peers were asked in all
--- a/features/steps/paths_verdicts.py
+++ b/features/steps/paths_verdicts.py
@@ -19,6 +19,7 @@
 
 
 @given('"e1" refuses this host\'s connections, and "{peer}" reaches it')
+@given('the peer "{peer}" reaches it all the same')
 @when('"{peer}" reaches it from then on')
 def reach(context, peer):
     context.world_of_paths.tunnels.reaching.add(peer)
@@ -51,6 +52,11 @@
     curio.run(context.world_of_paths.fail)
 
 
+@when('a connection to "e1" fails, and the check of its path ends')
+def fail_and_settle(context):
+    curio.run(context.world_of_paths.fail_and_settle)
+
+
 @when('{count:d} connections to "e1" fail at the same time')
 def fail_together(context, count):
     async def fail_all():
@@ -140,6 +146,22 @@
     assert context.world_of_paths.health.list_unhealthy() == ["e1"]
 
 
+@then('others were never told that "e1" is unhealthy')
+def check_never_told(context):
+    assert not context.world_of_paths.was_told
+
+
+@then("{count:d} peers had answered when its request went on")
+def check_answered(context, count):
+    assert context.world_of_paths.tunnels.answered == count
+
+
+@then("{count:d} peers were asked in all")
+def check_asked_in_all(context, count):
+    asked = context.world_of_paths.tunnels.asked
+    assert len(asked) == count, asked
+
+
 @when("its path is checked each {pause:g} s for {seconds:g} s")
 def check_again(context, pause, seconds):
     world = context.world_of_paths
--- a/mangogauge/paths/checker.py
+++ b/mangogauge/paths/checker.py
@@ -15,7 +15,8 @@
 __all__ = ["PathChecker"]
 
 CONNECT_SECONDS = 0.2
-# Peers that are asked at once: more than one may have lost the endpoint too.
+# Peers that are asked at once: more than one may have lost the endpoint too. As many
+# others have to confirm a loss, since a cut of most hosts may have hit all of these.
 PEERS_ASKED = 3
 # Answers of peers that tried to reach the endpoint themselves.
 TRIED_STATUSES = frozenset({REFUSED_STATUS, SILENT_STATUS})
@@ -37,6 +38,8 @@
 
     Attributes
     ----------
+    asked : list of str
+        Their addresses.
     reached : bool
         Whether one of them reached the endpoint.
     refused : bool
@@ -47,17 +50,39 @@
         Whether one of them could not try.
     """
 
+    asked = field()
     reached = field(default=False)
     refused = field(default=False)
     failed = field(default=False)
     is_unable = field(default=False)
 
+    @property
+    def is_refusal(self):
+        """Whether the endpoint refused them all, as far as they could try."""
+        return self.refused and not self.reached
+
     @property
     def is_open(self):
         """Whether peers have answered, but none by what it found at the endpoint."""
         return self.is_unable and not self.reached and not self.failed
 
 
+@define(eq=False)
+class _Check:
+    """A check of a path that is under way.
+
+    Attributes
+    ----------
+    answered : curio.Event
+        Set once requests need not wait any longer.
+    ended : curio.Event
+        Set once a loss is confirmed or disproved.
+    """
+
+    answered = field(factory=curio.Event)
+    ended = field(factory=curio.Event)
+
+
 @frozen
 class _AskPause:
     """Time for which peers aren't asked about an endpoint.
@@ -126,15 +151,15 @@
         Without an answer of a peer, this host's own connection decides.
         """
         if self._paths.is_tunnelled(endpoint.name):
-            verdict = await self._ask_peers(endpoint)
-            return verdict.refused and not verdict.reached
+            return await self._do_peers_find_refusal(endpoint)
         try:
             connection = await self._connector.open(endpoint.address)
         except HTTPConnectError as error:
             if not isinstance(error.__cause__, ConnectionRefusedError):
                 return False
-            state = await self.find_path(endpoint, error)
-            return state not in NOT_REFUSED_STATES
+            await self.find_path(endpoint, error)
+            await self._wait_until_settled(endpoint)
+            return self._paths.get(endpoint.name) not in NOT_REFUSED_STATES
         await connection.close()
         return False
 
@@ -144,48 +169,83 @@
 
     async def _share(self, endpoint, check):
         """Run a check, or wait for the one that runs already."""
-        done = self._running.get(endpoint.name)
-        if done is None:
-            done = self._running[endpoint.name] = curio.Event()
-            await curio.spawn(self._run, endpoint, check, done, daemon=True)
-        await done.wait()
+        running = self._running.get(endpoint.name)
+        if running is None:
+            running = self._running[endpoint.name] = _Check()
+            await curio.spawn(self._run, endpoint, check, running, daemon=True)
+        await running.answered.wait()
         return self._paths.get(endpoint.name)
 
-    async def _run(self, endpoint, check, done):
+    async def _run(self, endpoint, check, running):
         try:
-            await check(endpoint)
+            doubtful = await check(endpoint)
+            await running.answered.set()
+            if doubtful is not None:
+                await self._confirm_loss(endpoint, doubtful)
         finally:
             del self._running[endpoint.name]
-            await done.set()
+            await running.answered.set()
+            await running.ended.set()
+
+    async def _wait_until_settled(self, endpoint):
+        running = self._running.get(endpoint.name)
+        if running is not None:
+            await running.ended.wait()
 
     async def _connect(self, endpoint):
+        """Try to connect directly; return as `_ask`."""
         try:
             connection = await self._connector.open(endpoint.address)
         except HTTPConnectError as error:
             await self._drop_silent(endpoint, error)
-            await self._handle_failed_connection(endpoint)
-            return
+            return await self._handle_failed_connection(endpoint)
         await connection.close()
         if self._paths.get(endpoint.name) is not PathState.DIRECT:
             self._log("endpoint reachable", endpoint)
         self._pauses.pop(endpoint.name, None)
         self._paths.note_connection(endpoint.name)
+        return None
 
     async def _handle_failed_connection(self, endpoint):
         state = self._paths.get(endpoint.name)
         if state is PathState.DIRECT:
             self._paths.note_failed_connection(endpoint.name)
         if state is PathState.LOST and self._is_pausing(endpoint):
-            return
+            return None
         if state is PathState.TUNNELLED:
             # What broke since may have been on the lost path, or carried by a peer.
             self._on_path_lost(endpoint.name)
-            return
-        await self._ask(endpoint)
+            return None
+        return await self._ask(endpoint)
 
     async def _ask(self, endpoint):
-        """Ask peers, and conclude which has failed: the endpoint or the path."""
+        """Ask peers, and conclude which has failed: the endpoint or the path.
+
+        Returns
+        -------
+        _PeerVerdict or None
+            A loss that other peers have yet to confirm.
+        """
         verdict = await self._ask_peers(endpoint)
+        if self._is_doubtful_loss(endpoint, verdict):
+            return verdict
+        self._conclude(endpoint, verdict)
+        return None
+
+    def _is_doubtful_loss(self, endpoint, verdict):
+        is_loss = not verdict.reached and not verdict.is_open
+        is_known = self._paths.get(endpoint.name) is PathState.LOST
+        return is_loss and not is_known and self._choose_others(endpoint, verdict)
+
+    async def _confirm_loss(self, endpoint, verdict):
+        """Ask others than the peers that didn't reach the endpoint, and conclude."""
+        others = self._choose_others(endpoint, verdict)
+        self._conclude(endpoint, await self._ask_peers(endpoint, others))
+
+    def _choose_others(self, endpoint, verdict):
+        return self._peers.choose(endpoint, PEERS_ASKED, verdict.asked)
+
+    def _conclude(self, endpoint, verdict):
         if verdict.reached:
             self._pauses.pop(endpoint.name, None)
             self._paths.note_tunnel(endpoint.name)
@@ -200,6 +260,14 @@
         self._pause(endpoint)
         self._paths.note_loss(endpoint.name)
 
+    async def _do_peers_find_refusal(self, endpoint):
+        """Return whether two groups of peers find that an endpoint refuses them."""
+        verdict = await self._ask_peers(endpoint)
+        others = self._choose_others(endpoint, verdict)
+        if verdict.is_refusal and others:
+            verdict = await self._ask_peers(endpoint, others)
+        return verdict.is_refusal
+
     def _is_pausing(self, endpoint):
         pause = self._pauses.get(endpoint.name)
         return pause is not None and self._clock.read_elapsed() < pause.until
@@ -212,11 +280,14 @@
         until = self._clock.read_elapsed() + seconds
         self._pauses[endpoint.name] = _AskPause(seconds, until)
 
-    async def _ask_peers(self, endpoint):
-        verdict = _PeerVerdict()
+    async def _ask_peers(self, endpoint, peers=None):
+        """Return the `_PeerVerdict` of some peers, by default of chosen ones."""
+        if peers is None:
+            peers = self._peers.choose(endpoint, PEERS_ASKED)
+        verdict = _PeerVerdict(peers)
         # The first that reaches the endpoint ends the others' attempts.
         async with curio.TaskGroup(wait=object) as group:
-            for peer in self._peers.choose(endpoint, PEERS_ASKED):
+            for peer in peers:
                 await group.spawn(self._ask_peer, peer, endpoint, verdict)
         return verdict
 
--- a/mangogauge/paths/peers.py
+++ b/mangogauge/paths/peers.py
@@ -24,13 +24,15 @@
         self._random = random
         self._avoided_until = {}
 
-    def choose(self, endpoint, count):
+    def choose(self, endpoint, count, excluded=()):
         """Return the addresses of up to `count` peers, the preferred one first.
 
         Parameters
         ----------
         endpoint : FleetEndpoint
         count : int
+        excluded : collection of str, optional
+            Addresses of peers that aren't chosen.
 
         Notes
         -----
@@ -41,7 +43,8 @@
         peers = [
             member
             for member in self._members.list_others()
-            if self._report_table.is_reporting(member.name)
+            if member.address not in excluded
+            and self._report_table.is_reporting(member.name)
         ]
         self._random.shuffle(peers)
         avoided = {m.address for m in peers if self._is_avoided(m.address, endpoint)}
