Tell a broken connection as evidence only once its path has been checked

Two hosts whose links to one endpoint are reset each see its connections break. They told the others of these cuts at once, before they had found that only their paths were lost and forgave them: two sources are enough, and a host that reaches the endpoint ejected it. An unconfirmed failure was held back from the others already, but not the cuts, since the path counts as sound until a new connection fails.

A path is in doubt, so that cuts aren't told, from the moment that a connection breaks until the background check has found out whose fault it was. A runner notes the failure before it waits for anything else.

The two new scenarios of features/paths/verdicts.feature fail before (cut=1 told) and pass after.

--- a/features/builders/paths.py
+++ b/features/builders/paths.py
@@ -4,6 +4,7 @@
 from curio import socket
 
 from mangogauge.clock import ManualClock
+from mangogauge.entry.attempt import AttemptFailure
 from mangogauge.http import (
     ClientPool,
     Headers,
@@ -12,6 +13,8 @@
 )
 from mangogauge.paths import PathChecker
 from mangogauge.placement import EndpointHealth, ReachabilityProber
+from mangogauge.routing import Progress
+from mangogauge.trust import EndpointTrust
 
 from .fleet import make_endpoint
 from .tunnels import FixedPeers, NamedEndpoints
@@ -86,6 +89,9 @@
         self.was_told = False
         clock = self.clock = ManualClock()
         self.health = EndpointHealth(clock)
+        self._trust = EndpointTrust(
+            clock, is_path_doubtful=self.health.is_path_doubtful
+        )
         self.tunnels = ScriptedTunnels()
         self._pool = ClientPool(1.0)
         self.checker = PathChecker(
@@ -93,13 +99,30 @@
             FixedPeers(*peers),
             self.tunnels,
             self._pool,
-            self.health.note_path_lost,
+            self._take_lost_path,
             clock,
         )
         self._prober = ReachabilityProber(
             self.health, NamedEndpoints(self.endpoint), self.checker, clock
         )
 
+    def _take_lost_path(self, name):
+        self.health.note_path_lost(name)
+        self._trust.forgive_cuts(name)
+
+    def break_connection(self):
+        """Note that a connection broke before a request was answered."""
+        failure = AttemptFailure(
+            Progress.MAYBE_RUN, "reset", endpoint_at_fault=True, connection_broken=True
+        )
+        failure.end_attempt(self._trust.begin(self.endpoint))
+        failure.report_to_health(self.health, self.endpoint)
+
+    def list_evidence(self):
+        """Return the evidence of endpoints that other hosts are told."""
+        self._trust.evaluate([self.endpoint])
+        return self._trust.list_evidence()
+
     def start_endpoint(self):
         """Have the endpoint accept this host's connections."""
         self._listener.listen(16)
--- a/features/paths/verdicts.feature
+++ b/features/paths/verdicts.feature
@@ -97,6 +97,20 @@
     When its path is checked in the background
     Then others are told that "e1" is unhealthy
 
+  Scenario: A broken connection is told as evidence only once its path has been checked
+    Given "e1" accepts this host's connections
+    When a connection breaks that carries a request to "e1"
+    Then others get no evidence against "e1"
+    When its path is checked in the background
+    Then others get the evidence that "e1" was cut off once
+
+  Scenario: A connection that breaks with the path is no evidence for others
+    Given "e1" refuses this host's connections, and "p2" reaches it
+    When a connection breaks that carries a request to "e1"
+    Then others get no evidence against "e1"
+    When its path is checked in the background
+    Then others get no evidence against "e1"
+
   Scenario: A silence of the path is held against nobody
     Given "e1" refuses this host's connections, and "p2" reaches it
     When a request to "e1" gets no answer
--- a/features/steps/paths_verdicts.py
+++ b/features/steps/paths_verdicts.py
@@ -107,6 +107,23 @@
     context.world_of_paths.health.note_failure("e1", is_confirmed=False)
 
 
+@when('a connection breaks that carries a request to "e1"')
+def break_connection(context):
+    context.world_of_paths.break_connection()
+
+
+@then('others get no evidence against "e1"')
+def check_no_evidence(context):
+    evidence = context.world_of_paths.list_evidence()
+    assert evidence == {}, evidence
+
+
+@then('others get the evidence that "e1" was cut off once')
+def check_evidence(context):
+    evidence = context.world_of_paths.list_evidence()
+    assert evidence["e1"].cut == 1, evidence
+
+
 @when('a request to "e1" gets a wrong answer')
 def answer_wrongly(context):
     context.world_of_paths.health.note_failure("e1")
--- a/mangogauge/jobs/item_runner.py
+++ b/mangogauge/jobs/item_runner.py
@@ -68,6 +68,7 @@
             await self._run(item, call, endpoint, observer)
         except AttemptFailure as failure:
             failure.end_attempt(observer)
+            failure.report_to_health(self._health, endpoint)
             await self._crashes.note_failure(
                 call, endpoint, failure, self._measure_answer(item)
             )
@@ -192,7 +193,6 @@
         )
 
     def _handle_failure(self, item, route, endpoint, failure):
-        failure.report_to_health(self._health, endpoint)
         log.info(
             "item broke off",
             extra={
--- a/mangogauge/placement/health.py
+++ b/mangogauge/placement/health.py
@@ -125,7 +125,9 @@
 
     def is_path_doubtful(self, name):
         """Return whether a broken connection may be the fault of this host's path."""
-        return self.paths.get(name) is not PathState.DIRECT or self.is_unverified(name)
+        if name in self._silent or self.is_unverified(name):
+            return True
+        return self.paths.get(name) is not PathState.DIRECT
 
     def list_unreachable(self):
         """Return the names of endpoints that aren't reached directly."""
