Don't conclude that an endpoint is lost once it has answered

If none of the peers reached it, the endpoint counted as lost all the same, got no requests and was told as unhealthy, by a verdict older than the answer.

A loss is concluded only if the path is still in question.

--- a/features/paths/verdicts.feature
+++ b/features/paths/verdicts.feature
@@ -148,6 +148,12 @@
     And its path is checked each 0.1 s for 5 s
     Then "e1" is tunnelled, and gets requests
 
+  Scenario: An answer that comes while peers are asked shows that an endpoint isn't lost
+    Given "e1" refuses this host's connections, and peers refuse with 502
+    When a connection to "e1" fails, and an open one brings an answer meanwhile
+    Then "e1" is direct, and gets requests
+    And others aren't told that "e1" is unhealthy
+
   Scenario Outline: Peers that are cut off too don't make a sound endpoint lost
     Given a host that can ask the peers "p1, p2, p3, p4, p5, p6" about the endpoint "e1"
     And "e1" refuses this host's connections, and peers refuse with <status>
--- a/features/steps/paths_verdicts.py
+++ b/features/steps/paths_verdicts.py
@@ -57,6 +57,20 @@
     curio.run(context.world_of_paths.fail_and_settle)
 
 
+@when('a connection to "e1" fails, and an open one brings an answer meanwhile')
+def fail_beside_answer(context):
+    world = context.world_of_paths
+
+    async def fail_and_answer():
+        failing = await curio.spawn(world.fail)
+        while not world.tunnels.asked:
+            await curio.sleep(0)
+        world.health.note_answer("e1")
+        await failing.join()
+
+    curio.run(fail_and_answer)
+
+
 @when('{count:d} connections to "e1" fail at the same time')
 def fail_together(context, count):
     async def fail_all():
--- a/mangogauge/paths/checker.py
+++ b/mangogauge/paths/checker.py
@@ -255,6 +255,9 @@
         if verdict.is_open:
             # Others are asked soon: those are avoided now.
             return
+        if self._paths.get(endpoint.name) is PathState.DIRECT:
+            # An open connection has brought an answer meanwhile.
+            return
         if self._paths.get(endpoint.name) is not PathState.LOST:
             self._log("endpoint not reached", endpoint, refused=verdict.refused)
         self._pause(endpoint)
