End the wait of a read before its host stops

A read of a job's results may ask to wait up to 5 s for new ones. A host that stops within 8 s takes new connections for nearly 3 s, and cuts what still runs after 7.2 s: a read that came late was cut off without an answer.

The wait ends early enough for the read to be answered; the caller gets the results that there are, and reads on elsewhere.

--- a/features/steps/platform_stops.py
+++ b/features/steps/platform_stops.py
@@ -74,6 +74,12 @@
     submit(context, host, milliseconds)
 
 
+@when('"desk" reads "{job_id}" at "{host}" and asks to wait for {milliseconds:d} ms')
+def read(context, job_id, host, milliseconds):
+    context.asked_at = time.monotonic()
+    context.answer = context.deployment.read_job(host, job_id, wait_ms=milliseconds)
+
+
 @then("it is answered with {status:d} within {seconds:g} s")
 def check_in_time(context, status, seconds):
     elapsed = time.monotonic() - context.asked_at
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -153,6 +153,7 @@
             JobAcceptance(store, feed, clock, value_bytes),
             JobReader(store, feed, clock),
             store,
+            self._measure_serving_time,
             clock,
             self.metrics,
         )
--- a/mangogauge/jobs/handler.py
+++ b/mangogauge/jobs/handler.py
@@ -17,6 +17,8 @@
 # Largest text of the results in one response, unless a single result is larger.
 PAGE_BYTES = 900_000
 MAX_WAIT_SECONDS = 5.0
+# Time to read results once the wait is over, one call to the store included.
+READ_SECONDS = 1.5
 CANCEL_ATTEMPTS = 6
 RETRY_SECONDS = 0.15
 RETRY_AFTER_SECONDS = 0.5
@@ -33,15 +35,21 @@
     acceptance : JobAcceptance
     reader : JobReader
     store : Store
+    measure_serving_time : callable
+        Returns the seconds until this host cuts off what still runs; infinity unless
+        it is about to stop.
     clock : Clock
     metrics : ServingMetrics
     """
 
-    def __init__(self, dialect, acceptance, reader, store, clock, metrics):
+    def __init__(
+        self, dialect, acceptance, reader, store, measure_serving_time, clock, metrics
+    ):
         self._dialect = dialect
         self._acceptance = acceptance
         self._reader = reader
         self._store = store
+        self._measure_serving_time = measure_serving_time
         self._clock = clock
         self._metrics = metrics
         self._handlers = {
@@ -104,7 +112,7 @@
 
     async def _serve_results(self, exchange, job_id, account):
         position = self._dialect.read_position(exchange)
-        wait = min(MAX_WAIT_SECONDS, self._dialect.read_wait(exchange))
+        wait = self._limit_wait(self._dialect.read_wait(exchange))
         manifest, results = await self._reader.read_results(
             job_id, account, position, wait
         )
@@ -112,6 +120,11 @@
         body = self._dialect.render_results(len(manifest.items), position, page)
         await exchange.respond(200, JSON, body)
 
+    def _limit_wait(self, seconds):
+        """Return how long a read may wait, so that it is answered before a stop."""
+        time_left = self._measure_serving_time() - READ_SECONDS
+        return max(0.0, min(seconds, MAX_WAIT_SECONDS, time_left))
+
     async def _serve_body(self, exchange, job_id, account):
         item_id = self._dialect.read_item_id(exchange)
         body = await self._reader.read_body(job_id, account, item_id)
