--- a/features/paths/verdicts.feature
+++ b/features/paths/verdicts.feature
@@ -97,6 +97,20 @@
     When its path is checked in the background
     Then others are told that "e1" is unhealthy
 
+  Scenario: A broken connection is told as evidence only once its path has been checked
+    Given "e1" accepts this host's connections
+    When a connection breaks that carries a request to "e1"
+    Then others get no evidence against "e1"
+    When its path is checked in the background
+    Then others get the evidence that "e1" was cut off once
+
+  Scenario: A connection that breaks with the path is no evidence for others
+    Given "e1" refuses this host's connections, and "p2" reaches it
+    When a connection breaks that carries a request to "e1"
+    Then others get no evidence against "e1"
+    When its path is checked in the background
+    Then others get no evidence against "e1"
+
   Scenario: A silence of the path is held against nobody
     Given "e1" refuses this host's connections, and "p2" reaches it
     When a request to "e1" gets no answer
@@ -133,3 +147,45 @@
     And "p2" reaches it from then on
     And its path is checked each 0.1 s for 5 s
     Then "e1" is tunnelled, and gets requests
+
+  Scenario: An answer that comes while peers are asked shows that an endpoint isn't lost
+    Given "e1" refuses this host's connections, and peers refuse with 502
+    When a connection to "e1" fails, and an open one brings an answer meanwhile
+    Then "e1" is direct, and gets requests
+    And others aren't told that "e1" is unhealthy
+
+  Scenario Outline: Peers that are cut off too don't make a sound endpoint lost
+    Given a host that can ask the peers "p1, p2, p3, p4, p5, p6" about the endpoint "e1"
+    And "e1" refuses this host's connections, and peers refuse with <status>
+    And the peer "p5" reaches it all the same
+    When a connection to "e1" fails, and the check of its path ends
+    Then "e1" is tunnelled, and gets requests
+    And others were never told that "e1" is unhealthy
+    And each peer was asked once at most
+
+    Examples:
+      | status |
+      | 502    |
+      | 504    |
+
+  Scenario: A crash isn't noted because three peers are cut off too
+    Given a host that can ask the peers "p1, p2, p3, p4, p5, p6" about the endpoint "e1"
+    And "e1" refuses this host's connections, and peers refuse with 502
+    And the peer "p5" reaches it all the same
+    When it is asked whether "e1" refuses connections
+    Then a crash would be noted: no
+
+  Scenario: A request doesn't wait until more peers have confirmed a loss
+    Given a host that can ask the peers "p1, p2, p3, p4, p5, p6" about the endpoint "e1"
+    And "e1" refuses this host's connections, and peers refuse with 504
+    When a connection to "e1" fails
+    Then 3 peers had answered when its request went on
+
+  Scenario: A loss that six peers confirm is told, and fewer are asked from then on
+    Given a host that can ask the peers "p1, p2, p3, p4, p5, p6" about the endpoint "e1"
+    And "e1" refuses this host's connections, and peers refuse with 502
+    When a connection to "e1" fails, and the check of its path ends
+    Then others are told that "e1" is unhealthy
+    And "e1" is lost, and gets no requests
+    When its path is checked each 0.1 s for 1 s
+    Then 9 peers were asked in all
