Refuse a job with an item that HTTP can't carry

What callers saw: a job whose item has a header field, a path or an id that no HTTP request can hold (a line break, a space in a name, a number in place of a text, a character beyond Latin-1) was accepted with 202, though no endpoint can ever be asked to run it.

Cause: an online request is parsed before it is read, an item's fields are only JSON, and nobody checked them before the item was sent.

What such an item did until its time was up was not tried.

Change: the head of a request is made in one place (http/requests.py), when it is sent and when a job is submitted.

--- a/features/platform/batch.feature
+++ b/features/platform/batch.feature
@@ -131,3 +131,14 @@
       | {"items":[{"id":"","path":"/night/x","headers":{},"body":"","tokens":1}]} |
       | {"items":[{"id":"a","path":"/night/x","headers":{},"body":"","tokens":-1}]} |
     Then each was refused by 400
+
+  Scenario: A job with an item that no request can carry is refused
+    When these jobs are submitted to "h1"
+      | body                                                                                |
+      | {"items":[{"id":"a","path":"/night/x","headers":{"X-A":"b\r\nc"},"body":"","tokens":1}]} |
+      | {"items":[{"id":"a","path":"/night/x","headers":{"X A":"b"},"body":"","tokens":1}]}    |
+      | {"items":[{"id":"a","path":"/night/x","headers":{"X-A":1},"body":"","tokens":1}]}      |
+      | {"items":[{"id":"a","path":"/night/x","headers":{"X-A":"\u20ac"},"body":"","tokens":1}]}   |
+      | {"items":[{"id":"a\nb","path":"/night/x","headers":{},"body":"","tokens":1}]}         |
+      | {"items":[{"id":"a","path":"/night/x y","headers":{},"body":"","tokens":1}]}         |
+    Then each was refused by 400
--- a/mangogauge/http/__init__.py
+++ b/mangogauge/http/__init__.py
@@ -16,6 +16,7 @@
 from .headers import HOP_BY_HOP_HEADERS, Headers
 from .limits import ClientLimits, ServerLimits
 from .pool import ClientPool, open_response
+from .requests import make_request
 from .server import HTTPServer
 from .sockets import open_socket
 from .tunnel import TunnelRefusedError, TunnelSocket
@@ -43,6 +44,7 @@
     "ServerLimits",
     "TunnelRefusedError",
     "TunnelSocket",
+    "make_request",
     "open_response",
     "open_socket",
 ]
--- a/mangogauge/http/client.py
+++ b/mangogauge/http/client.py
@@ -17,6 +17,7 @@
 from .headers import Headers
 from .limits import ClientLimits
 from .liveness import read_idle_seconds
+from .requests import make_request
 from .sockets import DEFAULT_CONNECT_TIMEOUT, open_socket
 
 __all__ = [
@@ -237,14 +238,13 @@
             ) from error
 
     def _frame_request(self, method, target, headers, body):
+        request = make_request(method, target, headers, self.address)
         try:
-            data = self._h11.send(
-                h11.Request(method=method, target=target, headers=headers.to_raw())
-            )
+            data = self._h11.send(request)
             if body:
                 data += self._h11.send(h11.Data(data=body))
             return data + self._h11.send(h11.EndOfMessage())
-        except (h11.LocalProtocolError, UnicodeError) as error:
+        except h11.LocalProtocolError as error:
             raise HTTPEncodeError(
                 f"The request can't be written as HTTP: {error}.",
                 step="send",
--- a/mangogauge/platform/jobs.py
+++ b/mangogauge/platform/jobs.py
@@ -7,7 +7,7 @@
 
 import orjson
 
-from ..http import Headers
+from ..http import Headers, HTTPEncodeError, make_request
 from ..jobs import ItemState, JobDialect, JobOperation, JobTarget, Submission
 from ..jobs.records import SubmittedItem
 from ..refusals import Refusal, RefusalCode
@@ -23,6 +23,13 @@
     ("GET", "items"): JobOperation.READ_BODY,
     ("DELETE", "lots"): JobOperation.CANCEL,
 }
+MALFORMED_ERRORS = (
+    LookupError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    HTTPEncodeError,
+)
 STATES = {ItemState.DONE: "done", ItemState.GIVEN_UP: "dead"}
 
 
@@ -39,8 +46,8 @@
         """Return the `Submission`."""
         try:
             rows = orjson.loads(data)["items"]
-            items = [_read_item(row) for row in rows]
-        except (LookupError, TypeError, ValueError, AttributeError) as error:
+            items = [_read_item(row, request.host) for row in rows]
+        except MALFORMED_ERRORS as error:
             raise Refusal(
                 RefusalCode.MALFORMED, f"The body is no batch job: {error!r}."
             ) from error
@@ -77,7 +84,7 @@
         return orjson.dumps(value)
 
 
-def _read_item(row):
+def _read_item(row, host):
     try:
         body = b64decode(row["body"], validate=True)
     except binascii.Error as error:
@@ -88,16 +95,28 @@
     texts = (row["id"], row["path"])
     if not all(isinstance(text, str) and text for text in texts):
         raise ValueError("an id or a path is no text")
-    return SubmittedItem(*texts, _read_headers(row["headers"]), body, tokens)
+    headers = _read_headers(row["headers"])
+    _check_sendable(*texts, host, headers)
+    return SubmittedItem(*texts, headers, body, tokens)
 
 
 def _read_headers(value):
     """Return the header fields of an item that an endpoint gets."""
+    if not all(isinstance(text, str) for text in value.values()):
+        raise ValueError("the value of a header field is no text")
     passed = select_passed(Headers(value.items()))
     # The host is the job's, and the id the item's.
     passed.remove("Host", HEADERS.request_id)
     return passed
 
 
+def _check_sendable(item_id, path, host, headers):
+    """Raise `HTTPEncodeError` if HTTP can't carry an item."""
+    headers = headers.copy()
+    headers.set("Host", host)
+    headers.set(HEADERS.request_id, item_id)
+    make_request("POST", path, headers)
+
+
 def _read_query(exchange, name, default):
     return parse_qs(exchange.query).get(name, [default])[0]
