Give no slot to an item that must not run for now

What was seen: an item whose prompt has a quarantined part took the most free endpoint of a tick each 1 to 2 s, was logged as "item started" and told to the other hosts as load, and was then found out and paused; the item that could have had the slot waited for the next tick.

Cause: the quarantine was asked within the run, after the slot was taken.

Change: the dispatcher asks before it takes an endpoint (`hold_back`), and the run asks once more.

--- a/features/jobs/filling.feature
+++ b/features/jobs/filling.feature
@@ -18,6 +18,12 @@
     When it dispatches items once
     Then 1 item runs
 
+  Scenario: Items that may not run for now take no slot from one that may
+    Given a runner with a job of 3 items and an endpoint of 1 slot
+    And the items "i0, i1" may not run for now
+    When it dispatches items once
+    Then the item "i2" runs
+
   Scenario: A runner that hasn't read a new job's route yet gives up none of its items
     Given a runner with a job of 3 items and an endpoint of 8 slots
     And the job's route is not in the runner's copy of the configuration, read before it claimed the job
--- a/features/steps/filling.py
+++ b/features/steps/filling.py
@@ -54,10 +54,21 @@
 
 
 class EndlessItemRunner:
-    """Runs items until they are interrupted; records why items were given up."""
+    """Runs items until they are interrupted; records why items were given up.
+
+    Attributes
+    ----------
+    given_up : list of str
+    held : set of str
+        Ids of the items that may not run.
+    """
 
     def __init__(self):
         self.given_up = []
+        self.held = set()
+
+    def hold_back(self, item, route):
+        return item.item.item_id in self.held
 
     def give_up(self, item, reason):
         item.job.finish(item, ItemState.GIVEN_UP)
@@ -140,19 +151,30 @@
     context.runner.claimer.jobs[job.job_id] = job
 
 
-async def dispatch_once(runner):
-    """Dispatch items once; return how many run afterwards."""
+@given('the items "{names}" may not run for now')
+def hold_items(context, names):
+    context.items.held.update(names.split(", "))
+
+
+async def dispatch_items(runner):
+    """Dispatch items once; return the ids of those that run afterwards."""
     async with curio.TaskGroup() as group:
         runner.tasks.group = group
         await runner.dispatch_once()
-        running = len(runner.tasks)
+        running = [item.item.item_id for item in runner.tasks.list_running()]
         await group.cancel_remaining()
     return running
 
 
+async def dispatch_once(runner):
+    """Dispatch items once; return how many run afterwards."""
+    return len(await dispatch_items(runner))
+
+
 @when("it dispatches items once")
 def fill(context):
-    context.running = curio.run(dispatch_once, context.runner)
+    context.names = curio.run(dispatch_items, context.runner)
+    context.running = len(context.names)
 
 
 async def receive_reports(context, count, loads):
@@ -198,6 +220,11 @@
     assert context.running == count, context.running
 
 
+@then('the item "{name}" runs')
+def check_running_item(context, name):
+    assert context.names == [name], context.names
+
+
 @then("no item runs")
 def check_none_running(context):
     assert context.running == 0, context.running
--- a/mangogauge/jobs/item_runner.py
+++ b/mangogauge/jobs/item_runner.py
@@ -58,11 +58,10 @@
         route : PrefixRoute
         endpoint : FleetEndpoint
         """
-        call = self._make_call(item, route)
-        if self._crashes.has_crashing_part(call):
-            reason = "a part of its prompt has crashed endpoints"
-            self.pause(item, reason, QUARANTINE_BACKOFF_COUNT)
+        # The part may have been quarantined since dispatch.
+        if self.hold_back(item, route):
             return
+        call = self._make_call(item, route)
         observer = self._trust.begin(endpoint)
         try:
             await self._run(item, call, endpoint, observer)
@@ -80,6 +79,20 @@
         finally:
             observer.end()
 
+    def hold_back(self, item, route):
+        """Pause an item that must not run for now; return whether it must not.
+
+        Parameters
+        ----------
+        item : OwnedItem
+        route : PrefixRoute
+        """
+        if not self._crashes.has_crashing_part(self._make_call(item, route)):
+            return False
+        reason = "a part of its prompt has crashed endpoints"
+        self.pause(item, reason, QUARANTINE_BACKOFF_COUNT)
+        return True
+
     def give_up(self, item, reason):
         """Finish an item as given up.
 
