--- a/features/builders/crashes.py
+++ b/features/builders/crashes.py
@@ -13,11 +13,13 @@
     """Do nothing."""
 
 
-def make_crash_detector(clock, has_reported_since=lambda data_centre, since: True):
+def make_crash_detector(
+    clock, has_reported_since=lambda data_centre, since: True, part_quarantine=None
+):
     """Return a `CrashDetector` of a host that tells nobody."""
     return CrashDetector(
         CrashLedger(clock),
-        PartQuarantine(clock),
+        part_quarantine or PartQuarantine(clock),
         ignore_change,
         clock,
         has_reported_since,
--- a/features/jobs/crashes.feature
+++ b/features/jobs/crashes.feature
@@ -37,6 +37,14 @@
     When each has been run twice
     Then at most 20 of them are run again at the same moment
 
+  Scenario: An item isn't run while a part of its prompt is quarantined
+    Given an item whose prompt shares the parts "a, b"
+    And 3 endpoints have crashed at requests with these parts
+    When it is run again and again for 20 s
+    Then it has run at least 0 times and at most 0 times
+    When the quarantine has ended after 600 s
+    Then it is run again within 2.1 s, and completes
+
   Scenario Outline: An item whose resumed run ends with no event, <framing>, isn't done too early
     Given an item that has received 2 events
     And an endpoint whose answer ends with no event, <framing>, then one that runs items
--- a/features/steps/items_crashes.py
+++ b/features/steps/items_crashes.py
@@ -17,6 +17,7 @@
 from mangogauge.jobs.owned import OwnedJob
 from mangogauge.jobs.records import ItemState, JobItem, JobManifest
 from mangogauge.placement import EndpointHealth
+from mangogauge.quarantine import PartQuarantine
 from mangogauge.routing import Progress
 from mangogauge.telemetry import ServingMetrics
 from mangogauge.trust import EndpointTrust
@@ -58,16 +59,19 @@
     Attributes
     ----------
     fault : RunFault or None
+    shared_parts : tuple of str
+        Of each item's prompt.
     runs : list of (float, str)
         When runs were sent, in seconds of the clock, and the id of their item.
     """
 
     clock = field()
     fault = field()
+    shared_parts = field(default=())
     runs = field(factory=list)
 
     def read_shared_parts(self, headers):
-        return ()
+        return self.shared_parts
 
     async def send(self, call, endpoint, last_event, response_timeout, is_resend):
         self.runs.append((self.clock.read_elapsed(), call.request_id))
@@ -119,11 +123,12 @@
     )
     context.job = OwnedJob.restore(manifest, [b""], 1, [], {})
     context.endpoints = FaultyEndpoints(clock, fault)
+    context.part_quarantine = PartQuarantine(clock)
     context.runner = ItemRunner(
         context.endpoints,
         EndpointHealth(clock),
         EndpointTrust(clock),
-        make_crash_detector(clock),
+        make_crash_detector(clock, part_quarantine=context.part_quarantine),
         clock,
         Random(SEED),
         ServingMetrics(),
@@ -150,6 +155,25 @@
     make_items(context, 1, RunFault(Progress.NOT_RUN))
 
 
+@given('an item whose prompt shares the parts "{names}"')
+def make_sharing(context, names):
+    make_items(context, 1, None)
+    context.endpoints.shared_parts = tuple(names.split(", "))
+
+
+@given("{count:d} endpoints have crashed at requests with these parts")
+def crash_endpoints(context, count):
+    parts = context.endpoints.shared_parts
+    for number in range(count):
+        context.part_quarantine.note_crash(f"e{number}", f"r{number}", parts)
+
+
+@when("the quarantine has ended after {seconds:d} s")
+def end_quarantine(context, seconds):
+    context.clock.advance(seconds)
+    context.mended_at = context.clock.read_elapsed()
+
+
 @given("{count:d} items whose endpoints crash")
 def make_many(context, count):
     make_items(context, count, RunFault())
