--- a/features/builders/kept.py
+++ b/features/builders/kept.py
@@ -32,10 +32,16 @@
     handler : async callable, optional
     **limits
         Those of `ServerLimits`.
+
+    Attributes
+    ----------
+    begun_count : int
+        How many requests were given to the handler.
     """
 
     def __init__(self, handler=answer_whole, **limits):
         self.handler = handler
+        self.begun_count = 0
         self._kernel = curio.Kernel()
         self._server = HTTPServer(self._handle, ServerLimits(**limits))
         self._caller, served = _connect()
@@ -66,6 +72,12 @@
         self._caller.sendall(data[middle:])
         return self.read_answer()
 
+    def ask_after_end(self, body=b""):
+        """End the connection, and send a request before the server runs again."""
+        self.wait(STEP_SECONDS)
+        self._kernel.run(self._end_before, make_request(body=body))
+        return self.read_answer()
+
     def read_answer(self):
         """Return the bytes of one answer, or what came before the connection's end."""
         return self._kernel.run(self._read_answer)
@@ -81,7 +93,13 @@
         await self._connection.end_if_idle()
         await curio.sleep(STEP_SECONDS)
 
+    async def _end_before(self, data):
+        await self._connection.end_if_idle()
+        self._caller.sendall(data)
+        await curio.sleep(STEP_SECONDS)
+
     async def _handle(self, exchange):
+        self.begun_count += 1
         await self.handler(exchange)
 
     async def _start(self):
--- a/features/http/kept_connections.feature
+++ b/features/http/kept_connections.feature
@@ -15,6 +15,11 @@
     When half of a request has come, the connection is to end, and the rest comes
     Then that request is answered by 200
 
+  Scenario: A request that crosses the end of its connection is not begun and dropped
+    Given a kept connection whose caller may be idle for 5 s
+    When the connection is to end, and a request comes before its reader has noticed
+    Then that request was not begun, and its connection ended without a byte
+
   Scenario Outline: A request whose handler ends by <error> is answered
     Given a kept connection whose caller may be idle for 5 s
     When the handler of a request ends by <error>
--- a/features/steps/kept_connections.py
+++ b/features/steps/kept_connections.py
@@ -50,6 +50,12 @@
     context.answer = context.kept.ask_across_end(BODY)
 
 
+@when("the connection is to end, and a request comes before its reader has noticed")
+def ask_after_end(context):
+    context.begun_before = context.kept.begun_count
+    context.answer = context.kept.ask_after_end()
+
+
 @when("the handler of a request ends by {error}")
 def ask_for_error(context, error):
     async def fail(exchange):
@@ -63,3 +69,9 @@
 @then("that request is answered by {status:d}")
 def check(context, status):
     assert context.answer.startswith(b"HTTP/1.1 %d" % status), context.answer
+
+
+@then("that request was not begun, and its connection ended without a byte")
+def check_unread(context):
+    assert context.kept.begun_count == context.begun_before
+    assert context.answer == b"", context.answer
--- a/mangogauge/http/connection.py
+++ b/mangogauge/http/connection.py
@@ -1,10 +1,8 @@
 """A caller's connection: requests one after another, until either side ends it."""
 
 import os
-import select
 import struct
 import time
-from socket import socket as make_socket
 
 import curio
 import h11
@@ -14,6 +12,7 @@
 from .errors import CallerLostError, HTTPRequestError
 from .exchange import Exchange, make_response
 from .heads import has_body, has_short_body, judge_head, render_unreadable
+from .unread import has_unread, wait_for_unread, wake_reader
 
 __all__ = ["ServerConnection"]
 
@@ -94,32 +93,17 @@
     async def end_if_idle(self):
         """End the connection if no part of a request has come.
 
-        Shutting the receiving side wakes the reader, which reads no more: a
-        request that comes later is left unread, so that its caller may send it
+        A request that comes later is left unread, so that its caller may send it
         again.
         """
-        if self.busy or self._h11.trailing_data[0] or self._has_unread():
+        if self.busy or self._h11.trailing_data[0] or has_unread(self.sock):
             return
         if not self._served and time.monotonic() < self._opened_at + FRESH_SECONDS:
             # Its first request is still on the way; nothing told its caller
             # not to send one.
             return
         self._ended = True
-        try:
-            # A twin of the socket, since TLS would end with its own shutdown.
-            with make_socket(fileno=os.dup(self.sock.fileno())) as twin:
-                twin.shutdown(socket.SHUT_RD)
-        except (OSError, ValueError):
-            pass
-
-    def _has_unread(self):
-        """Return whether bytes have come that were not read yet."""
-        poller = select.poll()
-        try:
-            poller.register(self.sock.fileno(), select.POLLIN)
-            return bool(poller.poll(0))
-        except (OSError, ValueError):
-            return False
+        wake_reader(self.sock)
 
     async def close(self, linger=True):
         """Close, first reading what the caller still sends.
@@ -332,9 +316,13 @@
             discarded += len(data)
 
     async def _receive(self):
-        if self._ended:
-            return b""
         try:
+            if not self.busy and not self._ended:
+                # To read what comes after the end would be to take a request that
+                # nobody answers.
+                await wait_for_unread(self.sock, self._server.tls is not None)
+            if self._ended:
+                return b""
             return await self.sock.recv(READ_SIZE_BYTES)
         except OSError:
             return b""
