Refuse at a stopping host what a caller asks of jobs and might not be told in time (LOST)

What callers saw: a job submitted to a host that is about to stop, or a read that waits for results there, ended without answer or refusal; whether the job was taken, nobody said.

Cause: only online requests were compared with the time that a stopping host has left; a submission tries for half of its caller's time to reach the store, a read waits up to 5 s, and the host cuts both off when its time is over.

Evidence: features/platform/planned_stop_jobs.feature, a host with 4 s to stop. Before: a submission with 30 s to wait while the store is silent, and a read with 5 s to wait, got no byte (2 of 3 scenarios failed; the third, a read that ends in time, passed). After: 3 of 3; planned_stop.feature 4 of 4, batch.feature 19 of 19.

Change: both are refused at once as not run, to be sent again at another host, if they may last longer than the host does. Other requests for jobs don't wait but for calls to the store, which have a time-out of their own: with a silent store, a read without waiting and the end of a job got a 503 before the stop in a run of their own.

--- a/features/steps/platform_stops.py
+++ b/features/steps/platform_stops.py
@@ -30,6 +30,30 @@
     wait_until(lambda: '"draining"' in process.read_log(), f"{name} drains")
 
 
+@given("the store doesn't answer")
+def silence_store(context):
+    context.deployment.control("store", silent=True)
+
+
+@given('a job of "desk" that nobody runs, submitted to "{host}"')
+def submit_before(context, host):
+    submit(context, host, ROUTE_TIMEOUT_MS)
+    assert context.answer.status == 202, context.answer
+
+
+@when('"desk" submits a job to "{host}" with {milliseconds:d} ms to wait')
+def submit(context, host, milliseconds):
+    items = [("j1-1", "/night/ask/1", EVENTS)]
+    context.answer = context.deployment.submit(
+        host, "j1", items, X_Deadline_Ms=milliseconds
+    )
+
+
+@when('"desk" reads the job at "{host}" with {milliseconds:d} ms to wait for results')
+def read(context, host, milliseconds):
+    context.answer = context.deployment.read_job(host, "j1", wait_ms=milliseconds)
+
+
 @when('"desk" asks "{host}" for "{path}" with {milliseconds:d} ms to wait')
 def ask(context, host, path, milliseconds):
     context.answer = context.deployment.ask(
--- a/mangogauge/entry/handler.py
+++ b/mangogauge/entry/handler.py
@@ -139,21 +139,21 @@
             look_up, request, record, started_at
         )
         if target is not None:
+            self._check_serving_time(self._jobs.read_wait(exchange))
             await self._jobs.serve(exchange, target, account)
             return
+        timeout = _compute_timeout(route, request)
+        self._check_serving_time(timeout)
+        deadline = started_at + timeout
         if route.semantics is RequestSemantics.BATCH:
-            await self._jobs.submit(exchange, request, route, account, started_at)
+            await self._jobs.submit(exchange, request, route, account, deadline)
             return
-        await self._run(exchange, request, route, account, started_at)
+        await self._run(exchange, request, route, account, started_at, deadline)
 
-    async def _run(self, exchange, request, route, account, started_at):
-        timeout = route.timeout
-        if request.timeout is not None:
-            timeout = min(timeout, request.timeout)
-        self._check_serving_time(timeout)
+    async def _run(self, exchange, request, route, account, started_at, deadline):
         if account is not None:
             await self._admit(account)
-        body = await self._read_body(exchange, started_at + timeout)
+        body = await self._read_body(exchange, deadline)
         call = OnlineCall(
             request.request_id,
             route,
@@ -163,7 +163,7 @@
             request.headers,
             body,
             started_at,
-            started_at + timeout,
+            deadline,
             request.last_event,
             _find_priority(route, account),
             request.shared_parts,
@@ -290,6 +290,13 @@
         )
 
 
+def _compute_timeout(route, request):
+    """Return how long the route and the caller allow a request to last, in seconds."""
+    if request.timeout is None:
+        return route.timeout
+    return min(route.timeout, request.timeout)
+
+
 def _find_priority(route, account):
     if account is not None and account.priority is not None:
         return account.priority
--- a/mangogauge/jobs/handler.py
+++ b/mangogauge/jobs/handler.py
@@ -54,6 +54,10 @@
         """Return the `JobTarget` of a request, or None if it is for no job."""
         return self._dialect.find_target(exchange)
 
+    def read_wait(self, exchange):
+        """Return how long a request for a job may wait for results, in seconds."""
+        return min(MAX_WAIT_SECONDS, self._dialect.read_wait(exchange))
+
     async def serve(self, exchange, target, account):
         """Respond to a request for a `JobTarget`.
 
@@ -71,7 +75,7 @@
         handler = self._handlers[target.operation]
         await handler(exchange, target.job_id, account.name)
 
-    async def submit(self, exchange, request, route, account, started):
+    async def submit(self, exchange, request, route, account, deadline):
         """Accept a new job, or confirm one that is submitted again.
 
         Parameters
@@ -80,22 +84,19 @@
         request : IncomingRequest
         route : PrefixRoute
         account : ClientAccount or None
-        started : float
-            Elapsed time at which the request arrived.
+        deadline : float
+            Elapsed time until which the caller waits.
 
         Raises
         ------
         Refusal
             If the job is invalid or not accepted.
         """
-        timeout = route.timeout
-        if request.timeout is not None:
-            timeout = min(timeout, request.timeout)
         if not request.request_id:
             raise Refusal(RefusalCode.MALFORMED, "A job needs an id.")
         data = await exchange.read_body()
         submission = self._dialect.read_submission(request, data)
-        remaining = started + timeout - self._clock.read_elapsed()
+        remaining = deadline - self._clock.read_elapsed()
         name = account.name if account else ""
         await self._acceptance.accept(submission, route, name, remaining)
         self._metrics.jobs.labels("accepted").inc()
@@ -103,7 +104,7 @@
 
     async def _serve_results(self, exchange, job_id, account):
         position = self._dialect.read_position(exchange)
-        wait = min(MAX_WAIT_SECONDS, self._dialect.read_wait(exchange))
+        wait = self.read_wait(exchange)
         manifest, results = await self._reader.read_results(
             job_id, account, position, wait
         )
