Log a connection that is ended with bytes unread (LOST)

The host now logs it, with the peer, whether the connection had served a request, and whether the host was closing its connections.

--- a/features/builders/kept.py
+++ b/features/builders/kept.py
@@ -1,5 +1,6 @@
 """One caller's kept connection to a server in the same process."""
 
+import logging
 import socket
 
 import curio
@@ -24,6 +25,23 @@
     await exchange.respond(200, Headers(), ANSWER)
 
 
+class MessageRecorder(logging.Handler):
+    """Keeps the messages of a logger.
+
+    Attributes
+    ----------
+    messages : list of str
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.messages = []
+
+    def emit(self, record):
+        """Keep the message of a record."""
+        self.messages.append(record.getMessage())
+
+
 class KeptConnection:
     """A connection of one caller.
 
@@ -37,11 +55,18 @@
     ----------
     begun_count : int
         How many requests were given to the handler.
+    recorder : MessageRecorder
+        Of what the server logs.
     """
 
     def __init__(self, handler=answer_whole, **limits):
         self.handler = handler
         self.begun_count = 0
+        self.recorder = MessageRecorder()
+        self._log = logging.getLogger("mangogauge.http")
+        self._level = self._log.level
+        self._log.setLevel(logging.INFO)
+        self._log.addHandler(self.recorder)
         self._kernel = curio.Kernel()
         self._server = HTTPServer(self._handle, ServerLimits(**limits))
         self._caller, served = _connect()
@@ -84,6 +109,8 @@
 
     def close(self):
         """End both sides."""
+        self._log.removeHandler(self.recorder)
+        self._log.setLevel(self._level)
         self._caller.close()
         self._kernel.run(shutdown=True)
 
--- a/features/http/kept_connections.feature
+++ b/features/http/kept_connections.feature
@@ -19,6 +19,7 @@
     Given a kept connection whose caller may be idle for 5 s
     When the connection is to end, and a request comes before its reader has noticed
     Then that request was not begun, and its connection ended without a byte
+    And the server's log says "connection ended with bytes unread"
 
   Scenario Outline: A request whose handler ends by <error> is answered
     Given a kept connection whose caller may be idle for 5 s
--- a/features/steps/kept_connections.py
+++ b/features/steps/kept_connections.py
@@ -75,3 +75,8 @@
 def check_unread(context):
     assert context.kept.begun_count == context.begun_before
     assert context.answer == b"", context.answer
+
+
+@then('the server\'s log says "{message}"')
+def check_log(context, message):
+    assert message in context.kept.recorder.messages, context.kept.recorder.messages
--- a/mangogauge/http/connection.py
+++ b/mangogauge/http/connection.py
@@ -12,7 +12,7 @@
 from .errors import CallerLostError, HTTPRequestError
 from .exchange import Exchange, make_response
 from .heads import has_body, has_short_body, judge_head, render_unreadable
-from .unread import has_unread, wait_for_unread, wake_reader
+from .unread import has_unread, has_unread_bytes, wait_for_unread, wake_reader
 
 __all__ = ["ServerConnection"]
 
@@ -121,6 +121,7 @@
         A reset shows that an answer broke off whose end would be that of the
         connection.
         """
+        self._log_unread()
         try:
             if self._ends_answer_by_close and self._h11.our_state is h11.SEND_BODY:
                 self.sock.setsockopt(
@@ -221,6 +222,7 @@
             await self._refuse_unreadable(error.error_status_hint or 400)
             return None
         except curio.TaskTimeout:
+            self._ended = True
             if self._h11.trailing_data[0]:
                 await self._refuse_unreadable(408)
             return None
@@ -293,6 +295,18 @@
             },
         )
 
+    def _log_unread(self):
+        """Log that a request may have crossed the end of its connection."""
+        if self._ended and has_unread_bytes(self.sock):
+            log.info(
+                "connection ended with bytes unread",
+                extra={
+                    "peer": self.peer,
+                    "served": self._served,
+                    "closing": self._server.closing,
+                },
+            )
+
     async def _skip_body(self):
         """Read the short rest of a body that the handler did not want."""
         if self._h11.their_state is not h11.SEND_BODY:
