--- a/features/platform/planned_stop_jobs.feature
+++ b/features/platform/planned_stop_jobs.feature
@@ -1,4 +1,6 @@
 Feature: A host that is about to stop leaves no request for a job without an answer
+  A stopping host cuts off what still runs when its time is over. A submission that
+  retries at the store, or a read that waits for results, could last longer.
 
   Background:
     Given the platform with 1 endpoints, and the host "h1", which has 4 s to stop
--- a/mangogauge/http/connection.py
+++ b/mangogauge/http/connection.py
@@ -296,7 +296,7 @@
         )
 
     def _log_unread(self):
-        """Log that a request may have crossed the end of its connection."""
+        """Log bytes that arrived too late to be read, such as those of a request."""
         if self._ended and has_unread_bytes(self.sock):
             log.info(
                 "connection ended with bytes unread",
@@ -332,8 +332,8 @@
     async def _receive(self):
         try:
             if not self.busy and not self._ended:
-                # To read what comes after the end would be to take a request that
-                # nobody answers.
+                # Bytes that come after the end stay unread: a request read here would
+                # not be answered.
                 await wait_for_unread(self.sock, self._server.tls is not None)
             if self._ended:
                 return b""
--- a/mangogauge/http/unread.py
+++ b/mangogauge/http/unread.py
@@ -1,4 +1,4 @@
-"""What has come on a socket, told without reading it."""
+"""Received but unread bytes of a socket, examined without reading them."""
 
 import os
 import select
@@ -11,7 +11,7 @@
 
 
 def has_unread(sock):
-    """Return whether bytes or an end have come that were not read yet."""
+    """Return whether there are unread bytes, or an unread end of the stream."""
     poller = select.poll()
     try:
         poller.register(sock.fileno(), select.POLLIN)
@@ -21,22 +21,22 @@
 
 
 def has_unread_bytes(sock):
-    """Return whether bytes have come that were not read yet; an end is none."""
+    """Return whether there are unread bytes; the end of the stream doesn't count."""
     try:
-        with _duplicate(sock) as twin:
-            return bool(twin.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        with _duplicate(sock) as duplicate:
+            return bool(duplicate.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
     except (OSError, ValueError):
         return False
 
 
 async def wait_for_unread(sock, is_tls=False):
-    """Wait until bytes or an end have come, and leave them unread.
+    """Wait until bytes or the end of the stream arrive, without reading them.
 
     Parameters
     ----------
     sock : curio.io.Socket
     is_tls : bool, optional
-        Whether it may hold decrypted bytes, of which its descriptor doesn't tell.
+        Whether it may hold decrypted bytes, which polling its descriptor misses.
     """
     if is_tls and sock.pending():
         return
@@ -44,15 +44,15 @@
 
 
 def wake_reader(sock):
-    """Shut the receiving side, so that whoever waits for input finds its end.
+    """Shut the receiving side, which wakes a task that waits for bytes.
 
     Notes
     -----
-    By a twin of the socket, since TLS would end with its own shutdown.
+    A duplicate of the socket is used, since TLS would end with its own shutdown.
     """
     try:
-        with _duplicate(sock) as twin:
-            twin.shutdown(socket.SHUT_RD)
+        with _duplicate(sock) as duplicate:
+            duplicate.shutdown(socket.SHUT_RD)
     except (OSError, ValueError):
         return
 
