--- a/features/builders/kept.py
+++ b/features/builders/kept.py
@@ -1,5 +1,6 @@
 """One caller's kept connection to a server in the same process."""
 
+import logging
 import socket
 
 import curio
@@ -24,6 +25,23 @@
     await exchange.respond(200, Headers(), ANSWER)
 
 
+class MessageRecorder(logging.Handler):
+    """Keeps the messages of a logger.
+
+    Attributes
+    ----------
+    messages : list of str
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.messages = []
+
+    def emit(self, record):
+        """Keep the message of a record."""
+        self.messages.append(record.getMessage())
+
+
 class KeptConnection:
     """A connection of one caller.
 
@@ -32,10 +50,23 @@
     handler : async callable, optional
     **limits
         Those of `ServerLimits`.
+
+    Attributes
+    ----------
+    begun_count : int
+        How many requests were given to the handler.
+    recorder : MessageRecorder
+        Of what the server logs.
     """
 
     def __init__(self, handler=answer_whole, **limits):
         self.handler = handler
+        self.begun_count = 0
+        self.recorder = MessageRecorder()
+        self._log = logging.getLogger("mangogauge.http")
+        self._level = self._log.level
+        self._log.setLevel(logging.INFO)
+        self._log.addHandler(self.recorder)
         self._kernel = curio.Kernel()
         self._server = HTTPServer(self._handle, ServerLimits(**limits))
         self._caller, served = _connect()
@@ -66,12 +97,20 @@
         self._caller.sendall(data[middle:])
         return self.read_answer()
 
+    def ask_after_end(self, body=b""):
+        """End the connection, and send a request before the server runs again."""
+        self.wait(STEP_SECONDS)
+        self._kernel.run(self._end_before, make_request(body=body))
+        return self.read_answer()
+
     def read_answer(self):
         """Return the bytes of one answer, or what came before the connection's end."""
         return self._kernel.run(self._read_answer)
 
     def close(self):
         """End both sides."""
+        self._log.removeHandler(self.recorder)
+        self._log.setLevel(self._level)
         self._caller.close()
         self._kernel.run(shutdown=True)
 
@@ -81,7 +120,13 @@
         await self._connection.end_if_idle()
         await curio.sleep(STEP_SECONDS)
 
+    async def _end_before(self, data):
+        await self._connection.end_if_idle()
+        self._caller.sendall(data)
+        await curio.sleep(STEP_SECONDS)
+
     async def _handle(self, exchange):
+        self.begun_count += 1
         await self.handler(exchange)
 
     async def _start(self):
--- a/mangogauge/http/connection.py
+++ b/mangogauge/http/connection.py
@@ -1,10 +1,8 @@
 """A caller's connection: requests one after another, until either side ends it."""
 
 import os
-import select
 import struct
 import time
-from socket import socket as make_socket
 
 import curio
 import h11
@@ -14,6 +12,7 @@
 from .errors import CallerLostError, HTTPRequestError
 from .exchange import Exchange, make_response
 from .heads import has_body, has_short_body, judge_head, render_unreadable
+from .unread import has_unread, has_unread_bytes, wait_for_unread, wake_reader
 
 __all__ = ["ServerConnection"]
 
@@ -94,32 +93,17 @@
     async def end_if_idle(self):
         """End the connection if no part of a request has come.
 
-        Shutting the receiving side wakes the reader, which reads no more: a
-        request that comes later is left unread, so that its caller may send it
+        A request that comes later is left unread, so that its caller may send it
         again.
         """
-        if self.busy or self._h11.trailing_data[0] or self._has_unread():
+        if self.busy or self._h11.trailing_data[0] or has_unread(self.sock):
             return
         if not self._served and time.monotonic() < self._opened_at + FRESH_SECONDS:
             # Its first request is still on the way; nothing told its caller
             # not to send one.
             return
         self._ended = True
-        try:
-            # A twin of the socket, since TLS would end with its own shutdown.
-            with make_socket(fileno=os.dup(self.sock.fileno())) as twin:
-                twin.shutdown(socket.SHUT_RD)
-        except (OSError, ValueError):
-            pass
-
-    def _has_unread(self):
-        """Return whether bytes have come that were not read yet."""
-        poller = select.poll()
-        try:
-            poller.register(self.sock.fileno(), select.POLLIN)
-            return bool(poller.poll(0))
-        except (OSError, ValueError):
-            return False
+        wake_reader(self.sock)
 
     async def close(self, linger=True):
         """Close, first reading what the caller still sends.
@@ -137,6 +121,7 @@
         A reset shows that an answer broke off whose end would be that of the
         connection.
         """
+        self._log_unread()
         try:
             if self._ends_answer_by_close and self._h11.our_state is h11.SEND_BODY:
                 self.sock.setsockopt(
@@ -237,6 +222,7 @@
             await self._refuse_unreadable(error.error_status_hint or 400)
             return None
         except curio.TaskTimeout:
+            self._ended = True
             if self._h11.trailing_data[0]:
                 await self._refuse_unreadable(408)
             return None
@@ -309,6 +295,18 @@
             },
         )
 
+    def _log_unread(self):
+        """Log bytes that arrived too late to be read, such as those of a request."""
+        if self._ended and has_unread_bytes(self.sock):
+            log.info(
+                "connection ended with bytes unread",
+                extra={
+                    "peer": self.peer,
+                    "served": self._served,
+                    "closing": self._server.closing,
+                },
+            )
+
     async def _skip_body(self):
         """Read the short rest of a body that the handler did not want."""
         if self._h11.their_state is not h11.SEND_BODY:
@@ -332,9 +330,13 @@
             discarded += len(data)
 
     async def _receive(self):
-        if self._ended:
-            return b""
         try:
+            if not self.busy and not self._ended:
+                # Bytes that come after the end stay unread: a request read here would
+                # not be answered.
+                await wait_for_unread(self.sock, self._server.tls is not None)
+            if self._ended:
+                return b""
             return await self.sock.recv(READ_SIZE_BYTES)
         except OSError:
             return b""
