Close a listener before its last connections are served

What callers saw: at a host that stops, a connection made while the host took over those that had been waiting at its listener was reset without a byte, so that the caller couldn't tell whether its request had begun.

Cause: the last connections were given to their tasks, which lets others run, and only then was the listener closed; the system had accepted what came between, and reset it.

Evidence: features/http/closing_listener.feature failed before (the last caller got no byte), and passes now, 3 of 3 runs: such a caller is refused by the system, as all later ones are.

--- a/mangogauge/http/server.py
+++ b/mangogauge/http/server.py
@@ -98,8 +98,8 @@
         self._closing = True
         if self._accepting is not None:
             await self._accepting.cancel()
-            await self._take_backlog()
-            await self._listener.close()
+            for sock, address in await self._close_listener():
+                await self._take_connection(sock, address)
         while self._connections:
             for connection in list(self._connections):
                 await connection.end_if_idle()
@@ -116,18 +116,26 @@
                 continue
             await self._take_connection(sock, address)
 
-    async def _take_backlog(self):
-        """Accept what the operating system accepted before the listener ends."""
+    async def _close_listener(self):
+        """Close the listener; return the connections that were waiting there.
+
+        Returns
+        -------
+        list of (curio.io.Socket, tuple)
+            Sockets and their peers' addresses. Nothing else runs between the last of
+            them and the close, which would reset a connection made meanwhile.
+        """
         waiting = []
         with self._listener.blocking() as raw:
             raw.setblocking(False)
             try:
                 while True:
-                    waiting.append(raw.accept())
+                    sock, address = raw.accept()
+                    waiting.append((curio.io.Socket(sock), address))
             except OSError:
                 pass
-        for sock, address in waiting:
-            await self._take_connection(curio.io.Socket(sock), address)
+        await self._listener.close()
+        return waiting
 
     async def _take_connection(self, sock, address):
         if len(self._connections) >= self.limits.connections:
