Let a host that reaches an endpoint do the batch work of one that doesn't

Cause: one host fills an endpoint, chosen by hashing over the hosts that live and reach the platform. Whether it reaches the endpoint wasn't asked. Its items failed at the connection, which costs no attempt, so they were tried there again and again; as something was always being started, the chunk never counted as stalled. It is the class of the incident: one observer's failure to reach something is taken for the failure of the thing.

Change: - A host whose own reports say for 2 s that an endpoint is down has lost it, until they say for 5 s that it is up. It is chosen to fill it only if all have lost it. One that hears no peer any more, and did, fills nothing it has lost. - It starts no item at an endpoint that it has lost while the host that fills it reports it as up, and gives back chunks of which nothing succeeded for 3 s if such items are left. What may not be repeated is awaited, results and unused intents are committed, and only then is the claim released. - A chunk of which nothing could be started for 10 s is kept if this host fills endpoints of its data centre for all its items, unless its place is needed; before, it went round. - A host that begins to fill an endpoint starts from two items, looks at all jobs anew, and soon again at those whose owner has lost the endpoint. - A host goes on asking an endpoint that it reports as down. Before, its report could lapse while the endpoint was still out of its reach.

Evidence: features/batch/hosts_without_endpoints.feature, real processes behind links. The two of an endpoint that no host reaches pass before too; they guard that chunks don't go round.

All of features/batch was not run again on this code.

--- a/mangogauge/batch/__init__.py
+++ b/mangogauge/batch/__init__.py
@@ -5,11 +5,12 @@
 from .commits import ChunkStore, CommitOutcome, OwnedChunk
 from .file_resource import FileResource
 from .files import FileRecord, FileStore
+from .fillers import FillerChooser, choose_host
 from .jobs import Job, JobCounts, JobState, JobStore
 from .ownership import Continuation, HostLease, LapsePolicy, LeaseSight
 from .part import BatchPart
 from .results import ResultReader
-from .room import FixedRoom, RoomLimits, SpareRoom, choose_host
+from .room import FixedRoom, RoomLimits, SpareRoom
 from .runner import BatchParts, BatchRunner
 from .scheduling import FairShare, JobOutlook, OpenWork, RiskBoard
 
@@ -27,6 +28,7 @@
     "FileRecord",
     "FileResource",
     "FileStore",
+    "FillerChooser",
     "FixedRoom",
     "HostLease",
     "Job",
--- a/mangogauge/batch/chunks.py
+++ b/mangogauge/batch/chunks.py
@@ -142,7 +142,7 @@
         """Return the next item to start, or None."""
         while self._waiting:
             index = self._waiting.pop()
-            if not self._has(index) and index not in self.results:
+            if not self.has_result(index):
                 return index
         return None
 
@@ -175,6 +175,10 @@
         """Keep the result of an item that is not to be run."""
         self.results.setdefault(result.index, result)
 
+    def has_result(self, index):
+        """Return whether an item has a result, committed or not."""
+        return self._has(index) or index in self.results
+
     def has_intent(self, index):
         """Return whether it is committed that the item may be run."""
         return bool(self.state.intended >> index & 1)
--- a/mangogauge/batch/claiming.py
+++ b/mangogauge/batch/claiming.py
@@ -39,15 +39,15 @@
         self._risks = RiskBoard(parts.metrics.batch_jobs_at_risk)
         self.work = OpenWork(share, parts.clock)
 
-    async def find(self, lease_id, settings, can_run, without=()):
+    async def find(self, lease_id, settings, executor, without=()):
         """Return an `OwnedChunk` of the most urgent job, or None.
 
         Parameters
         ----------
         lease_id : int
         settings : BatchSettings
-        can_run : callable
-            Whether this host should run an `OpenJob`.
+        executor : Executor
+            Tells which jobs this host should run, and which owners it does work for.
         without : collection of str
             Jobs that are left out.
         """
@@ -56,9 +56,13 @@
         if isinstance(listed, Failure):
             return None
         jobs = [
-            job for job in listed.unwrap() if job.job_id not in without and can_run(job)
+            job
+            for job in listed.unwrap()
+            if job.job_id not in without and executor.can_run(job)
         ]
-        for entry in self.work.choose(jobs, self._is_owner_sound, JOBS_PER_LOOK):
+        for entry in self.work.choose(
+            jobs, self._is_owner_sound, JOBS_PER_LOOK, executor.has_taken_over
+        ):
             chunk = await self._claim_from(entry.job_id, lease_id, settings)
             if chunk is not None:
                 return chunk
--- a/mangogauge/batch/commits.py
+++ b/mangogauge/batch/commits.py
@@ -105,6 +105,11 @@
     claim_revision = field()
     ledger = field()
 
+    @property
+    def can_start(self):
+        """Whether its items may be started."""
+        return bool(self.claim_revision) and not self.ledger.is_closing
+
     @property
     def name(self):
         """Name for logs."""
--- a/mangogauge/batch/execution.py
+++ b/mangogauge/batch/execution.py
@@ -2,20 +2,20 @@
 
 import heapq
 import itertools
-from collections import Counter
 
 import curio
 import orjson
-from attrs import define, field
 
 from ..gateway.sinks import MemorySink
 from ..http import ClientPool, HTTPError
 from ..refusals import Refusal
 from ..settings import RoomKind
+from .fillers import FillerChooser
 from .items import ItemError, ItemReader, Verdict, judge_answer, judge_refusal
 from .load import LoadWatcher
 from .packing import PACKED_LIMIT_BYTES, pack
-from .room import FixedRoom, RoomLimits, SpareRoom, choose_host
+from .room import FixedRoom, RoomLimits, SpareRoom
+from .runs import ChunkRun, ReleaseRule, StartedItem
 
 __all__ = ["Executor"]
 
@@ -25,7 +25,6 @@
 RESTING_SECONDS = 0.25
 RESTING_ROOM_TICK_SECONDS = 0.5
 ROOM_PAUSE_SECONDS = 0.05
-STALL_SECONDS = 10.0
 TICKS_PER_REPORT = 5
 BACKOFF_LIMIT_SECONDS = 30.0
 DEFAULT_WORK = 16
@@ -37,30 +36,6 @@
 )
 
 
-@define(eq=False)
-class _Run:
-    """A claimed chunk with its items."""
-
-    chunk = field()
-    lines = field()
-    tasks = field(factory=dict)
-    failures = field(factory=Counter)
-    delays = field(factory=Counter)
-    delayed = field(factory=list)
-    intending = field(factory=list)
-    started_at = field(default=0.0)
-
-
-@define(eq=False)
-class _Started:
-    """An item that runs."""
-
-    task = field()
-    repeatable = field()
-    endpoint = field()
-    number = field()
-
-
 class Executor:
     """Runs the items of the chunks that a host owns.
 
@@ -91,6 +66,9 @@
         }
         self._room = self._rooms[RoomKind.SPARE]
         self._loads = LoadWatcher(ClientPool())
+        self._fillers = FillerChooser(parts.view)
+        self._assigned = frozenset()
+        self._has_gained = False
         self._endpoints = {}
         self._started = itertools.count()
         self.pending_bytes = 0
@@ -98,7 +76,10 @@
     @property
     def is_hungry(self):
         """Whether there are fewer items to start than room to run them."""
-        waiting = sum(run.chunk.ledger.waiting_count for run in self._runs.values())
+        ledgers = [run.chunk.ledger for run in self._runs.values()]
+        waiting = sum(
+            ledger.waiting_count for ledger in ledgers if not ledger.is_closing
+        )
         return waiting < self._settings.concurrency
 
     def take_fleet(self, fleet):
@@ -117,7 +98,7 @@
     def add(self, chunk, lines):
         """Run the items of a chunk."""
         now = self._parts.clock.read_elapsed()
-        self._runs[chunk] = _Run(chunk, lines, started_at=now)
+        self._runs[chunk] = ChunkRun(chunk, lines, now, now)
 
     def remove(self, chunk):
         """Forget a chunk that is finished."""
@@ -150,14 +131,32 @@
             return True
         return any(map(self._room.fills_place, probes))
 
-    def list_stalled(self):
-        """Return chunks of which nothing could be started for a while."""
-        oldest = self._parts.clock.read_elapsed() - STALL_SECONDS
-        return [
-            run.chunk
-            for run in self._runs.values()
-            if not run.tasks and run.started_at < oldest
-        ]
+    def list_releasable(self, is_crowded):
+        """Return chunks to give back; see `ReleaseRule`.
+
+        Parameters
+        ----------
+        is_crowded : bool
+            Whether this host can't claim another chunk.
+        """
+        now = self._parts.clock.read_elapsed()
+        own = self._parts.view.own.data_centre
+        rule = ReleaseRule(self._room, self._reader, now, own)
+        return rule.choose(self._runs.values(), is_crowded)
+
+    def is_running(self, chunk):
+        """Return whether items of a chunk run."""
+        run = self._runs.get(chunk)
+        return run is not None and bool(run.tasks)
+
+    def take_gain(self):
+        """Return whether this host fills more endpoints since the last call."""
+        has_gained, self._has_gained = self._has_gained, False
+        return has_gained
+
+    def has_taken_over(self, host):
+        """Return whether this host fills an endpoint that another has lost."""
+        return not self._assigned.isdisjoint(self._fillers.list_lost(host))
 
     def stop_starting(self):
         """Start nothing more at all."""
@@ -198,17 +197,21 @@
             members = self._parts.view.list_members()
             # A host that can't claim chunks fills nothing, unless none can.
             members = [m for m in members if self._is_sound(m.name)] or members
-            own = self._parts.host
-            assigned = {
-                endpoint.name
-                for endpoint in self._endpoints.values()
-                if choose_host(endpoint, members) == own
-            }
-            self._room.set_endpoints(self._endpoints, assigned)
+            self._fillers.refresh(members)
+            self._assign()
             if self._runs:
                 await self._loads.ask_all(self._room.list_assigned(), self._room)
             await self._adjust_room()
 
+    def _assign(self):
+        endpoints, fillers = self._endpoints, self._fillers
+        own = self._parts.host
+        assigned = {n for n, e in endpoints.items() if fillers.choose(e) == own}
+        handed = {n for n, e in endpoints.items() if fillers.is_handed(e)}
+        self._has_gained = self._has_gained or not assigned <= self._assigned
+        self._assigned = frozenset(assigned)
+        self._room.set_endpoints(endpoints, assigned, handed)
+
     async def _adjust_room(self):
         for _ in range(TICKS_PER_REPORT):
             for name in self._endpoints:
@@ -244,7 +247,7 @@
 
     def _list_runs(self):
         """Return runs that may start items, the most urgent first."""
-        runs = [run for run in self._runs.values() if run.chunk.claim_revision]
+        runs = [run for run in self._runs.values() if run.chunk.can_start]
         rank = self._share.get_rank({run.chunk.job.account for run in runs})
         runs.sort(key=lambda r: (rank(r.chunk.job.account), r.chunk.job.due_at))
         return runs
@@ -285,7 +288,7 @@
         task = await group.spawn(
             self._run_item, run, index, item, attempt_id, work, daemon=True
         )
-        run.tasks[index] = _Started(
+        run.tasks[index] = StartedItem(
             task, item.call.repeatable, endpoint, next(self._started)
         )
         return True
@@ -315,6 +318,8 @@
             room.give(call.endpoint)
             run.tasks.pop(index, None)
         room.note_outcome(call.endpoint, verdict not in FAILURES)
+        if verdict not in FAILURES:
+            run.worked_at = self._parts.clock.read_elapsed()
         if verdict is Verdict.DONE:
             result = item.make_result(index, sink)
             self._share.charge(run.chunk.job.account, result.tokens - work)
--- a/mangogauge/batch/room.py
+++ b/mangogauge/batch/room.py
@@ -5,14 +5,13 @@
 when they come, and comes back a little at a time.
 """
 
-import hashlib
 import math
 from abc import ABC, abstractmethod
 from collections import Counter, deque
 
 from attrs import define, field, frozen
 
-__all__ = ["FixedRoom", "LoadReport", "Room", "RoomLimits", "SpareRoom", "choose_host"]
+__all__ = ["FixedRoom", "LoadReport", "Room", "RoomLimits", "SpareRoom"]
 
 HISTORY_SECONDS = 10.0
 REPORT_LIFE_SECONDS = 3.0
@@ -43,6 +42,14 @@
     def fills_place(self, call):
         """Return whether this host fills an endpoint that could run an item."""
 
+    @abstractmethod
+    def list_handed(self):
+        """Return names of endpoints whose items are left to other hosts."""
+
+    @abstractmethod
+    def is_handed(self, call):
+        """Return whether only other hosts can run an item now."""
+
     @abstractmethod
     def note_outcome(self, endpoint, worked):
         """Take in whether an endpoint ran an item."""
@@ -96,6 +103,7 @@
 
     endpoint = field()
     assigned = field(default=False)
+    handed = field(default=False)
     batch = field(default=0)
     online = field(default=0)
     limit = field(default=0.0)
@@ -105,6 +113,15 @@
     avoided_until = field(default=0.0)
     history = field(factory=deque)
 
+    def take_part(self, assigned, handed):
+        """Take this host's part in it; see `SpareRoom.set_endpoints`."""
+        if assigned and not self.assigned:
+            # Items of the host that filled it before may still run.
+            self.limit = min(self.limit, FOREIGN_LIMIT)
+        if self.handed and not handed:
+            self.failures, self.avoided_until = 0, 0.0
+        self.assigned, self.handed = assigned, handed
+
     def note(self, now):
         """Keep what this host ran, to compare with a report that lags."""
         self.history.append((now, self.batch, self.online))
@@ -138,7 +155,7 @@
         """Number of items that run now."""
         return sum(place.batch for place in self._places.values())
 
-    def set_endpoints(self, endpoints, assigned):
+    def set_endpoints(self, endpoints, assigned, handed=()):
         """Take the endpoints.
 
         Parameters
@@ -146,11 +163,14 @@
         endpoints : dict of str to Endpoint
         assigned : collection of str
             Names of those that this host, rather than another, fills.
+        handed : collection of str, optional
+            Names of those at which it starts nothing, since it can't connect and
+            another host does.
         """
         for name, endpoint in endpoints.items():
             place = self._places.setdefault(name, _Place(endpoint))
             place.endpoint = endpoint
-            place.assigned = name in assigned
+            place.take_part(name in assigned, name in handed)
         for name in set(self._places) - set(endpoints):
             if not self._places[name].batch:
                 del self._places[name]
@@ -180,6 +200,7 @@
             place
             for place in self._places.values()
             if call.suits(place.endpoint) and place.avoided_until <= now
+            if not place.handed
         ]
         candidates = [p for p in suited if p.assigned] or suited
         free = [p for p in candidates if p.batch < self._get_limit(p)]
@@ -200,6 +221,15 @@
             for place in self._places.values()
         )
 
+    def list_handed(self):
+        """Return names of endpoints at which this host starts nothing."""
+        return {name for name, place in self._places.items() if place.handed}
+
+    def is_handed(self, call):
+        """Return whether all endpoints that suit are left to other hosts."""
+        suited = [p for p in self._places.values() if call.suits(p.endpoint)]
+        return bool(suited) and all(place.handed for place in suited)
+
     def give(self, endpoint):
         """Count one item less at an endpoint."""
         self._places[endpoint].batch -= 1
@@ -268,10 +298,12 @@
     def __init__(self, limits):
         self.limits = limits
         self._endpoints = {}
+        self._handed = {}
         self._running = Counter()
 
-    def set_endpoints(self, endpoints, assigned):
+    def set_endpoints(self, endpoints, assigned, handed=()):
         """Take the endpoints that this host fills."""
+        self._handed = {n: e for n, e in endpoints.items() if n in handed}
         self._endpoints = {n: e for n, e in endpoints.items() if n in assigned}
 
     def list_assigned(self):
@@ -299,6 +331,15 @@
         """Return whether an endpoint of this host suits."""
         return self.has_place(call)
 
+    def list_handed(self):
+        """Return names of endpoints that other hosts fill for this one."""
+        return set(self._handed)
+
+    def is_handed(self, call):
+        """Return whether only endpoints that were handed to others suit."""
+        is_elsewhere = any(map(call.suits, self._handed.values()))
+        return is_elsewhere and not self.has_place(call)
+
     def give(self, endpoint):
         """Count one item less."""
         self._running[endpoint] -= 1
@@ -309,19 +350,3 @@
     def decide(self):
         """Return nothing: a fixed room never gives way."""
         return {}
-
-
-def choose_host(endpoint, members):
-    """Return the name of the host that fills an endpoint with batch work.
-
-    One of the hosts in the endpoint's data centre, by rendezvous hashing; one
-    of all if there is none. If hosts disagree for a while, each sees the
-    other's items in the endpoint's report and leaves them their slots.
-    """
-    near = [m.name for m in members if m.data_centre == endpoint.data_centre]
-    names = near or [m.name for m in members]
-    return min(names, key=lambda name: _rank(endpoint.name, name), default="")
-
-
-def _rank(endpoint, host):
-    return hashlib.blake2b(f"{endpoint}\0{host}".encode(), digest_size=8).digest()
--- a/mangogauge/batch/runner.py
+++ b/mangogauge/batch/runner.py
@@ -202,6 +202,8 @@
             pause = self._settings.poll_seconds * 2 ** min(fruitless, 2)
             await curio.sleep(pause * (0.5 + self._parts.random.random()))
             await self._release_stalled()
+            if self._executor.take_gain():
+                self._claimer.work.note_all_free()
             if not self._may_claim():
                 continue
             chunk = await self._claim_one()
@@ -217,15 +219,18 @@
 
     async def _release_stalled(self):
         """Make room for chunks that can be run; these are looked at again later."""
-        for chunk in self._executor.list_stalled():
-            if chunk.name in self._owned and not chunk.ledger.results:
-                await self._executor.drop(chunk)
-                # The next owner must not take what never started for lost.
-                chunk.ledger.close()
+        is_crowded = len(self._owned) >= CHUNKS_OWNED
+        for chunk in self._executor.list_releasable(is_crowded):
+            # The next owner must not take what never started for lost.
+            chunk.ledger.close()
         closing = [c for c in self._owned.values() if c.ledger.is_closing]
+        for chunk in closing:
+            await self._executor.stop_repeatable(chunk)
         await self._flush(closing)
         for chunk in closing:
-            if chunk.name in self._owned and not chunk.ledger.is_dirty:
+            # What may not be repeated is awaited: its answer may still come.
+            is_quiet = not (chunk.ledger.is_dirty or self._executor.is_running(chunk))
+            if chunk.name in self._owned and is_quiet:
                 await self._release(chunk)
 
     async def _release(self, chunk):
@@ -242,7 +247,7 @@
         owned = () if self._executor.is_hungry else self._owned.values()
         jobs = {chunk.job.job_id for chunk in owned}
         chunk = await self._claimer.find(
-            self._lease.lease_id, self._settings, self._executor.can_run, jobs
+            self._lease.lease_id, self._settings, self._executor, jobs
         )
         if chunk is not None:
             await self._take_chunk(chunk)
--- a/mangogauge/batch/scheduling.py
+++ b/mangogauge/batch/scheduling.py
@@ -9,6 +9,8 @@
 # due earlier doesn't hold up small ones of the same account.
 SMALL_JOB_TURN = 4
 RECHECK_SECONDS = 30.0
+# A job whose owner is about to give chunks back is looked at sooner.
+HANDOVER_RECHECK_SECONDS = 2.0
 FORGET_SECONDS = 600.0
 # A job of which nothing is done yet is at risk once so much of its time is gone.
 IDLE_RISK_PART = 0.5
@@ -90,7 +92,7 @@
         self._notes = {}
         self._turn = 0
 
-    def choose(self, jobs, is_owner_sound, limit):
+    def choose(self, jobs, is_owner_sound, limit, is_handing=lambda host: False):
         """Return up to `limit` of `jobs`, the most urgent first.
 
         Parameters
@@ -99,8 +101,10 @@
         is_owner_sound : callable
             Whether a host, by name, seems to live and to reach the platform.
         limit : int
+        is_handing : callable, optional
+            Whether a host, by name, is expected to give chunks back.
         """
-        worth = [job for job in jobs if self._is_worth(job, is_owner_sound)]
+        worth = [job for job in jobs if self._is_worth(job, is_owner_sound, is_handing)]
         rank = self._share.get_rank({job.account for job in worth})
         self._turn = (self._turn + 1) % SMALL_JOB_TURN
         by_size = self._turn == 0
@@ -121,11 +125,17 @@
         """Note that a job may have free chunks."""
         self._notes.pop(job_id, None)
 
-    def _is_worth(self, job, is_owner_sound):
+    def note_all_free(self):
+        """Note that any job may have chunks that this host can run now."""
+        self._notes.clear()
+
+    def _is_worth(self, job, is_owner_sound, is_handing):
         note = self._notes.get(job.job_id)
         if note is None or not all(map(is_owner_sound, note.owners)):
             return True
-        return self._clock.read_elapsed() - note.checked_at > RECHECK_SECONDS
+        is_soon = any(map(is_handing, note.owners))
+        pause = HANDOVER_RECHECK_SECONDS if is_soon else RECHECK_SECONDS
+        return self._clock.read_elapsed() - note.checked_at > pause
 
     def _forget(self):
         oldest = self._clock.read_elapsed() - FORGET_SECONDS
--- a/mangogauge/routing/sharing.py
+++ b/mangogauge/routing/sharing.py
@@ -46,6 +46,11 @@
             if not report.down:
                 state.note_reached()
 
+    def is_lost(self, name):
+        """Return whether this host's own report says that an endpoint is down."""
+        report = self._own_reports.get(name)
+        return report is not None and report.down
+
     def retain_reports(self, names):
         """Drop reports of endpoints that this host no longer probes."""
         self._own_reports = {n: r for n, r in self._own_reports.items() if n in names}
--- a/mangogauge/routing/watch.py
+++ b/mangogauge/routing/watch.py
@@ -105,7 +105,8 @@
         # What peers report as down is seen for oneself; what this host alone has
         # lost, its own probes have to find again.
         is_doubted = name in self._load_exchange.doubted
-        return is_doubted or self._is_assigned(name) or self._router.is_unreached(name)
+        is_lost = self._router.is_unreached(name) or self._load_exchange.is_lost(name)
+        return is_doubted or is_lost or self._is_assigned(name)
 
     def _is_assigned(self, name):
         own = self._view.own
