Give requests that wait the slots that became free while the host stood still

Callers got 503 overloaded, "No slot became free in time.", from a host whose slots were free: a host that stands still wakes with the ends of requests and the ends of waits due at the same moment. The request whose slot had been released was still telling other hosts of it when those that waited for the slot gave up.

A request whose wait has ended now has free slots assigned once more, by priority and fair order, if it would still start within its objective and its deadline; later it is refused as before, which a second scenario holds.

--- a/features/steps/entry.py
+++ b/features/steps/entry.py
@@ -1,6 +1,7 @@
 """Steps of online requests that wait for a slot."""
 
 import random
+import time
 
 import curio
 from attrs import define, field
@@ -46,6 +47,12 @@
         chooser, context.report_table, notify, clock, random.Random(2)
     )
     context.requests = []
+    context.standstill = 0.0
+
+
+@given("the host stands still for {seconds:g} s once requests wait")
+def plan_standstill(context, seconds):
+    context.standstill = seconds
 
 
 @given("recent requests have held a slot for {seconds:g} s")
@@ -87,6 +94,8 @@
             tasks.append(await curio.spawn(hold, context, request, seconds, priority))
     await curio.sleep(0.01)
     context.started_at_once = sum(request.started for request in context.requests)
+    # Neither timers nor other tasks run meanwhile.
+    time.sleep(context.standstill)
     for task in tasks:
         await task.join()
 
@@ -141,6 +150,13 @@
     assert any(r.refusal for r in context.requests if r.account == account)
 
 
+@then("all others were refused")
+def check_others_refused(context):
+    others = [request for request in context.requests if not request.started]
+    assert len(others) == len(context.requests) - context.started_at_once, others
+    assert all(request.refusal for request in others), others
+
+
 @then('each refusal is a 503 with "not run" and a time to retry after')
 def check_refusals(context):
     for request in context.requests:
--- a/mangogauge/placement/queue.py
+++ b/mangogauge/placement/queue.py
@@ -210,6 +210,9 @@
         try:
             async with curio.ignore_after(max_wait):
                 await waiter.assigned.wait()
+            if waiter.endpoint is None and self._may_still_start(call):
+                # This host may have stood still while slots became free.
+                await self.assign_free_slots()
         except BaseException:
             # The caller disconnected, possibly just after a slot was assigned.
             if waiter.endpoint is not None:
@@ -227,6 +230,11 @@
             )
         return waiter.endpoint
 
+    def _may_still_start(self, call):
+        """Return whether a call would start within its objective and its deadline."""
+        now = self._clock.read_elapsed()
+        return now < min(call.received_at + call.route.objective, call.deadline)
+
     def _compute_max_wait(self, call):
         left = call.deadline - self._clock.read_elapsed()
         age = self._clock.read_elapsed() - call.received_at
