Begin the next renewal of a lease on time after a slow answer, and log late ones

A host whose store answers slowly came closer to losing its lease with each renewal: the pause before the next one was counted from the answer, not from when it was asked for. With answers after 0.8 s of the 0.875 s that a renewal waits, renewals of a lease of 2.5 s were 1.63 s apart, so that one of them that is lost or late ends the lease. They are now asked for 1.05 s apart. "A store that answers slowly doesn't make the next renewal late" fails without the change (1.63 s) and passes with it.

--- a/features/fleet/registration.feature
+++ b/features/fleet/registration.feature
@@ -17,3 +17,8 @@
     Given a store, and two hosts that have read that no other is registered
     When both register, and the store is lost
     Then one of them knows the other
+
+  Scenario: A store that answers slowly doesn't make the next renewal late
+    Given a store that takes 0.8 s to answer a renewal
+    When a host is registered for 30 s
+    Then its renewals were asked for at most 1.1 s apart
--- a/features/steps/registration.py
+++ b/features/steps/registration.py
@@ -1,6 +1,8 @@
 """Steps of how hosts register."""
 
 import random
+from itertools import pairwise
+from unittest.mock import patch
 
 import curio
 from behave import given, then, when
@@ -137,6 +139,62 @@
         await task.cancel()
 
 
+class SlowStore(MemoryStore):
+    """Store whose answers to renewals take a while by the clock.
+
+    Attributes
+    ----------
+    asked_at : list of float
+        Elapsed times at which renewals were asked for.
+    """
+
+    def __init__(self, clock, answer_seconds):
+        super().__init__(clock)
+        self._manual_clock = clock
+        self._answer_seconds = answer_seconds
+        self.asked_at = []
+
+    async def renew_lease(self, lease):
+        self.asked_at.append(self._manual_clock.read_elapsed())
+        answer = await super().renew_lease(lease)
+        self._manual_clock.advance(self._answer_seconds)
+        return answer
+
+
+@given("a store that takes {seconds:g} s to answer a renewal")
+def make_slow_store(context, seconds):
+    context.clock = ManualClock()
+    context.store = SlowStore(context.clock, seconds)
+
+
+@when("a host is registered for {seconds:g} s")
+def register_for(context, seconds):
+    registration = Registration(
+        context.store, FleetMember("h1", "1"), context.clock, LEASE_SECONDS
+    )
+    until = context.clock.read_elapsed() + seconds
+
+    async def pass_time(pause_seconds):
+        context.clock.advance(pause_seconds)
+        if context.clock.read_elapsed() > until:
+            await registration.leave()
+
+    async def run():
+        task = await curio.spawn(registration.run)
+        while context.clock.read_elapsed() <= until:
+            await curio.sleep(0)
+        await task.cancel()
+
+    with patch("mangogauge.fleet.members.sleep_to_tick", pass_time):
+        curio.run(run)
+
+
+@then("its renewals were asked for at most {seconds:g} s apart")
+def check_renewals(context, seconds):
+    gaps = [b - a for a, b in pairwise(context.store.asked_at)]
+    assert gaps and max(gaps) <= seconds, gaps
+
+
 @then("one of them knows the other")
 def check_known(context):
     assert any(host.members.list_others() for host in context.starting)
--- a/mangogauge/fleet/members.py
+++ b/mangogauge/fleet/members.py
@@ -19,6 +19,8 @@
 RETRY_SECONDS = 0.25
 # Renewals within the time of one lease, so that one may be lost without harm.
 RENEWALS_PER_LEASE = 3.0
+# A renewal that leaves less of the lease than this part is logged.
+LATE_SHARE = 0.5
 
 log = get_logger("members")
 
@@ -214,12 +216,19 @@
     async def run(self):
         """Register, renew the lease, and register again after it has expired."""
         while not self._ended:
+            began_at = self._clock.read_elapsed()
             renewed = await (self._renew() if self.lease else self._register())
-            interval = self._lease_seconds / RENEWALS_PER_LEASE
-            await sleep_to_tick(interval if renewed else RETRY_SECONDS)
+            await sleep_to_tick(self._compute_pause(began_at, renewed))
         # The host's process ends later than its registration.
         await curio.Event().wait()
 
+    def _compute_pause(self, began_at, renewed):
+        """Return the seconds to the next renewal; a slow answer doesn't delay it."""
+        if not renewed:
+            return RETRY_SECONDS
+        due_at = began_at + self._lease_seconds / RENEWALS_PER_LEASE
+        return max(RETRY_SECONDS, due_at - self._clock.read_elapsed())
+
     async def leave(self):
         """Revoke the lease, and with it the registration and all claims."""
         self._ended = True
@@ -275,7 +284,9 @@
 
     async def _renew(self):
         lease = self.lease
+        asked_at = self._clock.read_elapsed()
         renewed = await self._store.renew_lease(lease)
+        self._log_late(lease, asked_at, renewed)
         if not isinstance(renewed, Failure):
             if self.lease is lease:
                 self.lease = renewed.unwrap()
@@ -289,3 +300,19 @@
             )
             self.lease = None
         return False
+
+    def _log_late(self, lease, asked_at, renewed):
+        """Log a renewal that failed, or that left little of the lease."""
+        left = lease.valid_until - self._clock.read_elapsed()
+        failed = isinstance(renewed, Failure)
+        if not failed and left >= lease.seconds * LATE_SHARE:
+            return
+        log.info(
+            "lease renewed late",
+            extra={
+                "lease": lease.lease_id,
+                "reason": str(renewed.failure()) if failed else "",
+                "left_when_asked": round(lease.valid_until - asked_at, 3),
+                "left": round(left, 3),
+            },
+        )
