Let a request wait for budget that is about to come

"budget lacking" now logs what the host and the lenders that it asked held at a refusal. Five refusals of two of these fleets, account with rate and burst 5000, demand 3 to 22 a second:

- a0 at 09:11:11.783 had just recorded a slot as its own and held 0.25 of the rate, with 0.101 tokens: the next would have come 0.7 ms later.
It was refused within that time.
- b5 at 09:11:14.009 and .019, b3 at 09:11:11.226: nothing of their own; the lenders asked held 0.25 and 0.50 of the rate and had no token to lend, slots having just changed hands.
- b5 at 09:10:34.144 held 0.0002 of the rate and 0.902 tokens, while its lenders were still being asked; another request was admitted 2 ms later.

Cause: a right that changes hands starts without tokens, and a request waited only if nobody was known to hold any of the rate. As soon as someone did, it was refused, however soon the tokens were due.

A request now waits for tokens that are due within 0.1 s, counting what those need that wait before it; beyond that it is refused at once as before. It gives up after 0.6 s, and not before it has looked three times: a first form that gave up after 0.1 s refused two requests at b1 (09:21:39.698) after no host of the fleet had run for 1.8 s. While lenders are still being asked, what they hold isn't taken as known. What is admitted is still decided by the ledger alone, so that the bound isn't touched.

--- a/mangogauge/limits/budget.py
+++ b/mangogauge/limits/budget.py
@@ -104,10 +104,11 @@
         now = self._clock.read_elapsed()
         return max(0.0, self._get_state(account).backoff_until - now)
 
-    def estimate_wait(self, account, cost):
+    def estimate_wait(self, account, cost, is_last=False):
         """Estimate seconds until `cost` tokens accrue here and at the lenders asked.
 
-        Infinite if neither this host nor they hold any of the rate.
+        Infinite if neither this host nor they hold any of the rate. With `is_last`
+        also what other requests wait for has to accrue.
         """
         now = self._clock.read_elapsed()
         state = self._get_state(account)
@@ -116,7 +117,8 @@
         accrual = reach * state.ledger.rate
         if accrual <= 0:
             return float("inf")
-        return max(0.0, cost - state.ledger.tokens) / accrual
+        needed = cost + state.waiting if is_last else cost
+        return max(0.0, needed - state.ledger.tokens) / accrual
 
     def start_backoff(self, account, cost, reach):
         """Back off from lenders that don't have enough at present.
@@ -226,6 +228,12 @@
         now = self._clock.read_elapsed()
         return {name: self._describe(name, now) for name in list(self._states)}
 
+    def describe_account(self, account):
+        """Return the state of one account, also what it waits for, for the log."""
+        state, now = self._get_state(account), self._clock.read_elapsed()
+        more = {"waiting": state.waiting, "reach": round(state.reach, 4)}
+        return {**self._describe(account, now), **more}
+
     def list_active(self):
         """Return accounts with recent demand."""
         now = self._clock.read_elapsed()
--- a/mangogauge/limits/lending.py
+++ b/mangogauge/limits/lending.py
@@ -58,6 +58,10 @@
                 self._budget.remove_idle_accounts()
             await curio.sleep(PREFETCH_INTERVAL_SECONDS)
 
+    def is_asking(self, account):
+        """Return whether lenders are being asked for an account's budget."""
+        return account in self._rounds
+
     async def borrow(self, account, amount, seconds=MAX_WAIT_SECONDS):
         """Wait, for a bounded time, until lenders have been asked for budget.
 
--- a/mangogauge/limits/limiter.py
+++ b/mangogauge/limits/limiter.py
@@ -1,5 +1,6 @@
 """Rate limiters that admit or refuse requests of client accounts."""
 
+import itertools
 import math
 from abc import ABC, abstractmethod
 
@@ -15,12 +16,20 @@
 MIN_RETRY_AFTER_SECONDS = 0.05
 UNANSWERED_RETRY_AFTER_SECONDS = 1.0
 MAX_UNREADY_SECONDS = 10.0
-# Longest wait of a request while no host holds its account's budget: a slot that is
-# handed over from one host to another has no owner for about this long.
+# Longest wait of a request while no host that answers holds its account's budget: a
+# slot that is handed over from one host to another has no owner for about this long.
 HANDOVER_SECONDS = 0.6
 HANDOVER_POLL_SECONDS = 0.1
+# Requests wait for tokens that accrue in this time: a slot that has changed hands
+# starts without any.
+ACCRUAL_SECONDS = 0.1
+MIN_PAUSE_SECONDS = 0.005
+# Looks before tokens that are due count as not coming. A host that stands still between
+# two of them has waited for long, and has not looked.
+MIN_LOOKS = 3
 
 log = get_logger("admissions")
+limits_log = get_logger("limits")
 
 
 @frozen
@@ -91,8 +100,9 @@
             await self._exchange.borrow(account, cost)
             if self._take(account, cost):
                 return Admission(True)
-        if await self._await_handover(account, cost):
+        if await self._await_budget(account, cost):
             return Admission(True)
+        self._log_lack(account, cost)
         wait = self._budget.estimate_wait(account, cost)
         if wait == math.inf and self._directory.find_lenders(account):
             # There are lenders that have not answered yet and may do so soon.
@@ -104,17 +114,48 @@
         """Set rates and bursts."""
         self._budget.set_accounts(accounts)
 
-    async def _await_handover(self, account, cost):
-        """Wait while no host holds the account's budget; return whether admitted."""
+    async def _await_budget(self, account, cost):
+        """Wait while budget may come soon; return whether the request was admitted."""
         until = self._clock.read_elapsed() + HANDOVER_SECONDS
-        while self._clock.read_elapsed() < until:
-            if self._budget.estimate_wait(account, cost) < math.inf:
+        for look in itertools.count():
+            pause = self._compute_pause(account, cost)
+            is_due = self._budget.estimate_wait(account, cost) < math.inf
+            has_looked = look >= MIN_LOOKS or not is_due
+            is_late = self._clock.read_elapsed() >= until
+            if pause is None or (is_late and has_looked):
                 return False
-            await curio.sleep(HANDOVER_POLL_SECONDS)
-            await self._exchange.borrow(account, cost)
-            if self._take(account, cost):
+            if await self._look_after(pause, account, cost):
                 return True
-        return False
+
+    async def _look_after(self, pause, account, cost):
+        """Take budget here, or from lenders, after a pause; return whether it came."""
+        self._budget.add_waiting_tokens(account, cost)
+        try:
+            await curio.sleep(pause)
+        finally:
+            self._budget.add_waiting_tokens(account, -cost)
+        if self._take(account, cost):
+            return True
+        if self._budget.get_backoff(account):
+            return False
+        await self._exchange.borrow(account, cost)
+        return self._take(account, cost)
+
+    def _compute_pause(self, account, cost):
+        """Return seconds until a waiting request looks again; None to refuse it.
+
+        Notes
+        -----
+        Requests wait for tokens that accrue only as many as these will do for in time:
+        those of an account beyond its rate are refused at once.
+        """
+        wait = self._budget.estimate_wait(account, cost)
+        if wait == math.inf or self._exchange.is_asking(account):
+            # What the lenders hold isn't known.
+            return HANDOVER_POLL_SECONDS
+        if self._budget.estimate_wait(account, cost, True) > ACCRUAL_SECONDS:
+            return None
+        return max(MIN_PAUSE_SECONDS, wait)
 
     def _take(self, account, cost):
         now = self._clock.read_elapsed()
@@ -124,6 +165,12 @@
         log.info("admitted", extra=fields)
         return True
 
+    def _log_lack(self, account, cost):
+        lenders = [lender.key for lender in self._directory.find_lenders(account)]
+        state = self._budget.describe_account(account)
+        fields = {"client_account": account, "cost": cost, "lenders": lenders, **state}
+        limits_log.info("budget lacking", extra=fields)
+
 
 class LocalLimiter(Limiter):
     """Limiter that admits from a fixed share of each budget, without loans.
