Count the requests that start at once when all are placed, not after 10 ms

"Requests that fit start at once, the others are queued or refused" failed with 0 of 18 requests started, at a load average of 44: the check slept for 10 ms and counted, and on a busy machine no request had been asked for by then. It now counts as soon as each request has a slot, waits for one or is refused, which no request's end can precede unless the process stands still for 0.1 s. It asks for the same 18. features/entry/queue.feature passed 2 of 2 with it.

--- a/features/steps/entry.py
+++ b/features/steps/entry.py
@@ -85,6 +85,15 @@
     await context.queue.release(endpoint, seconds)
 
 
+async def wait_until_placed(context):
+    """Wait until each request has a slot, waits for one or is refused."""
+    while True:
+        placed = [r for r in context.requests if r.started or r.refusal]
+        if len(placed) + len(context.queue) == len(context.requests):
+            return
+        await curio.sleep(0)
+
+
 async def send_all(context, groups, seconds):
     tasks = []
     for account, count, priority in groups:
@@ -92,7 +101,7 @@
             request = QueuedRequest(account)
             context.requests.append(request)
             tasks.append(await curio.spawn(hold, context, request, seconds, priority))
-    await curio.sleep(0.01)
+    await wait_until_placed(context)
     context.started_at_once = sum(request.started for request in context.requests)
     # Neither timers nor other tasks run meanwhile.
     time.sleep(context.standstill)
