Retry on a new connection where an open one has broken

Cause: an attempt took any open connection, although the one before had just broken.

Change: after an attempt that may have run, the next one makes a new connection, unless one has just been made to its endpoint. A new one that fails counts as not sent, and the host asks its peers.

--- a/features/builders/sending.py
+++ b/features/builders/sending.py
@@ -1,6 +1,7 @@
 """A dispatcher whose connections to endpoints are made late, or never."""
 
 import random
+import socket
 
 import curio
 
@@ -38,6 +39,11 @@
     def __init__(self, sent, breaks):
         self._sent = sent
         self._breaks = breaks
+        # Nothing ever comes there.
+        self._quiet, self._far = socket.socketpair()
+
+    def fileno(self):
+        return self._quiet.fileno()
 
     async def sendall(self, data):
         self._sent.append(data.decode())
@@ -48,7 +54,8 @@
         await curio.sleep(NEVER)
 
     async def close(self):
-        pass
+        self._quiet.close()
+        self._far.close()
 
 
 class _LateConnector(Connector):
@@ -137,13 +144,16 @@
         Those that there are; by default there is always another one with room.
     full : collection of str, optional
         Names of endpoints that have no room.
+    kept : int, optional
+        How many of the connections were made before the request came.
     """
 
-    def __init__(self, *plan, endpoints=None, full=()):
+    def __init__(self, *plan, endpoints=None, full=(), kept=0):
         self._clock = SystemClock()
+        self._kept = kept
         self._connector = _LateConnector(plan)
         health = EndpointHealth(self._clock)
-        pool = ClientPool(connector=self._connector)
+        pool = self._pool = ClientPool(connector=self._connector)
         client = EndpointClient(
             EndpointPool(pool, pool, health.paths, _NoPeers()),
             PlatformEndpoints(),
@@ -182,6 +192,8 @@
         return int(field.split()[0]) / 1000
 
     async def _dispatch(self, seconds, semantics):
+        for _ in range(self._kept):
+            await self._pool.connect(make_endpoint().address)
         now = self._clock.read_elapsed()
         call = OnlineCall(
             "r1",
--- a/features/entry/sending.feature
+++ b/features/entry/sending.feature
@@ -35,3 +35,8 @@
       | e1, e2    | "e2" is full | breaks once it is used | 502    | unknown  |
       | e1        | all free     | is refused             | 503    | no       |
       | e1, e2    | "e2" is full | is refused             | 503    | no       |
+
+  Scenario: A retry after a broken connection trusts no other that was made before
+    Given 2 kept connections that break once they are used, and no new ones
+    When a request with a deadline of 2 s is dispatched, repeatable
+    Then it was sent to 1 endpoint, and executed is "unknown"
--- a/features/steps/entry_sending.py
+++ b/features/steps/entry_sending.py
@@ -37,6 +37,12 @@
     context.sending = SendingWorld(*plan, *[(NEVER, False)] * MORE_CONNECTIONS)
 
 
+@given("{count:d} kept connections that break once they are used, and no new ones")
+def prepare_kept(context, count):
+    plan = [(0.0, True)] * count
+    context.sending = SendingWorld(*plan, *[None] * MORE_CONNECTIONS, kept=count)
+
+
 @given('the endpoints "{names}", {room}')
 def name_endpoints(context, names, room):
     context.endpoints = [make_endpoint(name) for name in names.split(", ")]
--- a/features/steps/items_crashes.py
+++ b/features/steps/items_crashes.py
@@ -73,7 +73,7 @@
     def read_shared_parts(self, headers):
         return self.shared_parts
 
-    async def send(self, call, endpoint, last_event, response_timeout, is_resend):
+    async def send(self, call, endpoint, last_event, response_timeout, is_fresh):
         self.runs.append((self.clock.read_elapsed(), call.request_id))
         number = (last_event or 0) + 1
         if self.fault is None:
--- a/mangogauge/entry/attempt.py
+++ b/mangogauge/entry/attempt.py
@@ -132,7 +132,7 @@
         endpoint,
         last_event,
         response_timeout,
-        is_resend=False,
+        is_fresh=False,
         on_send=lambda: None,
     ):
         """Send `call` and return a successful `ClientResponse` with its body unread.
@@ -145,10 +145,10 @@
             Number of the event after which the answer has to resume.
         response_timeout : float
             Longest time in seconds until the head of the answer.
-        is_resend : bool, optional
-            Whether the call was sent to this endpoint before. A late duplicate of the
-            earlier answer has the same request id, so the call must not share a
-            connection with it.
+        is_fresh : bool, optional
+            Whether to send it on a new connection. A call that was sent to this
+            endpoint before must not share a connection with a late duplicate of the
+            earlier answer, which has the same request id.
         on_send : callable, optional
             Called right before the first byte is sent: from then on the endpoint may
             run the call.
@@ -169,7 +169,7 @@
 
         try:
             async with curio.timeout_after(response_timeout):
-                response = await self._request(call, endpoint, make_headers, is_resend)
+                response = await self._request(call, endpoint, make_headers, is_fresh)
         except HTTPConnectError as error:
             raise AttemptFailure(
                 Progress.NOT_SENT, str(error), unreachable=True
@@ -225,14 +225,14 @@
         )
         return self._dialect.make_headers(request)
 
-    async def _request(self, call, endpoint, make_headers, is_resend):
+    async def _request(self, call, endpoint, make_headers, is_fresh):
         return await self._pool.request(
             endpoint,
             call.method,
             call.target,
             make_headers,
             call.body,
-            fresh=is_resend,
+            fresh=is_fresh,
             idle_limit=None if call.repeatable else MAX_IDLE_SECONDS,
             is_answer=lambda fields, is_first: self._check_head(
                 call, endpoint, fields, is_first
--- a/mangogauge/entry/dispatch.py
+++ b/mangogauge/entry/dispatch.py
@@ -149,6 +149,7 @@
             return False
         state.successor = endpoint
         if await self._reaches(endpoint) and self._takes_retry(state):
+            state.connected = endpoint.name
             return True
         state.successor = None
         await self._slots.release(endpoint, 0.0)
@@ -174,7 +175,7 @@
         state.attempts += 1
         state.endpoint = endpoint
         state.excluded.add(endpoint.name)
-        is_resend = endpoint.name in state.contacted
+        is_fresh = state.needs_new_connection(endpoint)
         state.contacted.add(endpoint.name)
         was_running = state.may_be_running
         response_timeout = self._compute_silence_limit(state)
@@ -187,7 +188,7 @@
                 endpoint,
                 state.relay.last_event,
                 response_timeout,
-                is_resend,
+                is_fresh,
                 state.note_sending,
             )
         except AttemptFailure as failure:
--- a/mangogauge/entry/state.py
+++ b/mangogauge/entry/state.py
@@ -27,6 +27,8 @@
         Each returns whether an attempt crashed its endpoint.
     successor : FleetEndpoint or None
         Endpoint that goes on with a silent endpoint's answer; a slot is held there.
+    connected : str
+        Name of the endpoint to which a connection has just been made.
     """
 
     call = field()
@@ -40,6 +42,7 @@
     endpoint = field(default=None)
     diagnoses = field(factory=list)
     successor = field(default=None)
+    connected = field(default="")
 
     @property
     def executed(self):
@@ -49,3 +52,14 @@
     def note_sending(self):
         """Note that the first byte is about to be sent to an endpoint."""
         self.may_be_running = True
+
+    def needs_new_connection(self, endpoint):
+        """Return whether the next attempt must not use an open connection.
+
+        Notes
+        -----
+        What has broken one connection may have broken all that were open. A late
+        duplicate of an endpoint's earlier answer has the request's id.
+        """
+        is_retry = self.may_be_running and endpoint.name != self.connected
+        return is_retry or endpoint.name in self.contacted
