Let one class choose among the other hosts, relays to the store included

Cause: RelayDirectory and Neighbours had the same two collaborators and half of the same answers, and hosts made both.

Change: Neighbours.list_relays, with the text and logic as they were.

--- a/features/steps/relays.py
+++ b/features/steps/relays.py
@@ -4,7 +4,7 @@
 
 from features.builders.fleet import make_report
 from mangogauge.clock import ManualClock
-from mangogauge.fleet import FleetMember, MemberDirectory, RelayDirectory
+from mangogauge.fleet import FleetMember, MemberDirectory, Neighbours
 from mangogauge.sharing import ReportTable
 from mangogauge.store import KeyValue
 
@@ -16,7 +16,7 @@
     members = MemberDirectory(FleetMember("own", "1"), clock)
     known = [FleetMember(name, "1", address=name) for name in names.split(", ")]
     members.apply_snapshot([KeyValue(m.key, m.to_bytes()) for m in known])
-    context.relays = RelayDirectory(members, context.report_table)
+    context.neighbours = Neighbours(members, context.report_table)
 
 
 @when('"{reporting:Words}" report, of which "{reaching:Words}" reach the store')
@@ -29,4 +29,4 @@
 
 @then('its relays are "{names:Words}"')
 def check_relays(context, names):
-    assert sorted(context.relays.list_addresses()) == names
+    assert sorted(context.neighbours.list_relays()) == names
--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -17,7 +17,6 @@
     Neighbours,
     OperatorListener,
     Registration,
-    RelayDirectory,
     SharedSchedule,
 )
 from ..placement import EndpointHealth
@@ -120,7 +119,6 @@
             self._measure_age,
         )
         self._make_streams()
-        self.relays = RelayDirectory(self.members, self.board)
         self._quarantine_record = QuarantineRecord(
             backends.store, self.part_quarantine, self.neighbours.is_first, clock
         )
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -238,7 +238,7 @@
             f"{settings.address}:{settings.metrics_port}",
         )
         transport = self.backends.transport
-        transport.use_relays(self.fleet.relays.list_addresses)
+        transport.use_relays(self.fleet.neighbours.list_relays)
         self.store_relay = StoreRelay(transport.direct)
         peers = HTTPServer(
             self._serve_peer,
--- a/mangogauge/fleet/__init__.py
+++ b/mangogauge/fleet/__init__.py
@@ -15,7 +15,6 @@
     RequestSemantics,
     ServiceShare,
 )
-from .relays import RelayDirectory
 from .retirement import RetirementController
 from .routes import PrefixRoutes
 from .schedule import FixedDelaySchedule, ReadSchedule, SharedSchedule
@@ -43,7 +42,6 @@
     "PrefixRoutes",
     "ReadSchedule",
     "Registration",
-    "RelayDirectory",
     "RetirementController",
     "RetirementRequest",
     "RequestSemantics",
--- a/mangogauge/fleet/neighbours.py
+++ b/mangogauge/fleet/neighbours.py
@@ -29,6 +29,21 @@
         near = self._members.own.data_centre
         return [m.address for m in self._list_members(near)]
 
+    def list_relays(self):
+        """Return addresses of hosts that may pass on calls to the store.
+
+        Notes
+        -----
+        A host that receives no reports is not known to the others yet, or no longer.
+        Any of them may then reach the store.
+        """
+        reports = self._report_table.list_reports()
+        if not reports:
+            return self.list_addresses()
+        names = [report.host for report in reports if report.reaches_store]
+        members = [self._members.get(name) for name in names]
+        return [member.address for member in members if member is not None]
+
     def is_first(self):
         """Return whether this host comes first by name of those that report."""
         others = [member.name for member in self._members.list_others()]
