Give the choices of a host to forward to one base

Cause: PeerChooser and SpillChooser repeated constructor, docstring and the pick among members.

Change: HostChooser, an abstract base, in routing/choosers.py.

Measured: features/routing/cuts and features/gateway/hosts_without_endpoints pass, among the 232 scenarios; no behaviour changes.

--- a/mangogauge/routing/peers.py
+++ b/mangogauge/routing/peers.py
@@ -1,44 +1,24 @@
 """Choice of a host of the own data centre that reaches what this one can't."""
 
 from ..protocol.routing_pb2 import HostLoad
+from .choosers import HostChooser
 from .sharing import LOAD_ENTRY
 
 __all__ = ["PeerChooser"]
 
 
-class PeerChooser:
-    """Chooses hosts of this data centre to forward calls to.
-
-    Parameters
-    ----------
-    view : MembershipView
-    router : BalancedRouter
-    random : random.Random
-    """
-
-    def __init__(self, view, router, random):
-        self._view = view
-        self._router = router
-        self._random = random
+class PeerChooser(HostChooser):
+    """Chooses hosts of this data centre; see `HostChooser`."""
 
     def choose(self, call, excluded=()):
-        """Return a `Member` that reports a suitable endpoint as up, or None.
-
-        Parameters
-        ----------
-        call : Call
-        excluded : collection of str
-            Names of hosts that were tried already.
-        """
+        """Return a `Member` that reports a suitable endpoint as up, or None."""
         own = self._view.own
         members = [
             member
             for member in self._view.list_members(own.data_centre)
-            if member.name != own.name
-            and member.name not in excluded
-            and self._has_reached(member, call)
+            if member.name != own.name and self._has_reached(member, call)
         ]
-        return self._random.choice(members) if members else None
+        return self._pick(members, excluded)
 
     def _has_reached(self, member, call):
         raw = self._view.read(member.name, LOAD_ENTRY)
--- a/mangogauge/routing/spill.py
+++ b/mangogauge/routing/spill.py
@@ -1,6 +1,7 @@
 """Spillover of calls to other data centres, and the choice of a host there."""
 
 from ..protocol.routing_pb2 import DataCentreLoad
+from .choosers import HostChooser
 from .sharing import SUMMARY_ENTRY
 
 __all__ = ["SpillChooser"]
@@ -11,20 +12,11 @@
 MIN_PRESSURE = 1.0
 
 
-class SpillChooser:
-    """Chooses hosts of other data centres to forward calls to.
-
-    Parameters
-    ----------
-    view : MembershipView
-    router : BalancedRouter
-    random : random.Random
-    """
+class SpillChooser(HostChooser):
+    """Chooses hosts of other data centres; see `HostChooser`."""
 
     def __init__(self, view, router, random):
-        self._view = view
-        self._router = router
-        self._random = random
+        super().__init__(view, router, random)
         self._endpoints = {}
 
     def set_endpoints(self, endpoints):
@@ -32,14 +24,7 @@
         self._endpoints = dict(endpoints)
 
     def choose(self, call, excluded=()):
-        """Return a `Member` of another data centre that can run `call`, or None.
-
-        Parameters
-        ----------
-        call : Call
-        excluded : collection of str
-            Names of hosts that were tried already.
-        """
+        """Return a `Member` of another data centre that can run `call`, or None."""
         own = self._view.own.data_centre
         suitable = {e.data_centre for e in self._endpoints.values() if call.suits(e)}
         pressures = {
@@ -48,13 +33,9 @@
         for name in sorted(
             pressures, key=lambda n: (pressures[n], self._random.random())
         ):
-            members = [
-                member
-                for member in self._view.list_members(name)
-                if member.name not in excluded
-            ]
-            if members:
-                return self._random.choice(members)
+            member = self._pick(self._view.list_members(name), excluded)
+            if member is not None:
+                return member
         return None
 
     def should_spill(self, call):
