--- a/features/steps/batch_fillers.py
+++ b/features/steps/batch_fillers.py
@@ -138,14 +138,18 @@
 
 @then('items for the engine are handed over at "{host}" only')
 def check_handed(context, host):
-    handed = [n for n, c in context.choosers.items() if c.is_handed(context.engine)]
-    assert handed == [host], handed
+    handed_over = [
+        n for n, c in context.choosers.items() if c.is_handed_over(context.engine)
+    ]
+    assert handed_over == [host], handed_over
 
 
 @then("items for the engine are handed over at no host")
 def check_unhanded(context):
-    handed = [n for n, c in context.choosers.items() if c.is_handed(context.engine)]
-    assert not handed, handed
+    handed_over = [
+        n for n, c in context.choosers.items() if c.is_handed_over(context.engine)
+    ]
+    assert not handed_over, handed_over
 
 
 @then("each host saw the engine change hands once")
--- a/mangogauge/batch/execution.py
+++ b/mangogauge/batch/execution.py
@@ -207,10 +207,10 @@
         endpoints, fillers = self._endpoints, self._fillers
         own = self._parts.host
         assigned = {n for n, e in endpoints.items() if fillers.choose(e) == own}
-        handed = {n for n, e in endpoints.items() if fillers.is_handed(e)}
+        handed_over = {n for n, e in endpoints.items() if fillers.is_handed_over(e)}
         self._has_gained = self._has_gained or not assigned <= self._assigned
         self._assigned = frozenset(assigned)
-        self._room.set_endpoints(endpoints, assigned, handed)
+        self._room.set_endpoints(endpoints, assigned, handed_over)
 
     async def _adjust_room(self):
         for _ in range(TICKS_PER_REPORT):
--- a/mangogauge/batch/fillers.py
+++ b/mangogauge/batch/fillers.py
@@ -72,7 +72,8 @@
     def __init__(self, view):
         self._view = view
         self._members = ()
-        # By host: {endpoint: whether it is reported as down}.
+        # By host: its report as it came, and {endpoint: whether it is down}.
+        self._parsed = {}
         self._reports = {}
         self._paths = {}
         self._has_heard_peers = False
@@ -90,7 +91,9 @@
         live = self._view.list_members(self._view.own.data_centre)
         self._is_alone = len(live) == 1
         self._has_heard_peers = self._has_heard_peers or not self._is_alone
-        self._reports = {member.name: self._read(member.name) for member in live}
+        names = [member.name for member in live]
+        self._parsed = {name: self._read(name) for name in names}
+        self._reports = {name: down for name, (_, down) in self._parsed.items()}
         self._follow_paths(self._view.read_now(), self._view.interval_factor)
 
     def choose(self, endpoint):
@@ -106,7 +109,7 @@
             return ""
         return choose_host(endpoint, self._members, self._has_lost)
 
-    def is_handed(self, endpoint):
+    def is_handed_over(self, endpoint):
         """Return whether items for an endpoint are to be left to another host.
 
         It is if this host can't connect to it and the one that fills it does: an
@@ -126,10 +129,15 @@
         return {n for (h, n), path in self._paths.items() if h == host and path.is_lost}
 
     def _read(self, host):
+        """Return a host's report, and which endpoints it has as down by name."""
         raw = self._view.read(host, LOAD_ENTRY)
         if raw is None:
-            return {}
-        return {row.endpoint: row.down for row in HostLoad.FromString(raw).reports}
+            return raw, {}
+        known = self._parsed.get(host)
+        if known is not None and known[0] == raw:
+            return known
+        rows = HostLoad.FromString(raw).reports
+        return raw, {row.endpoint: row.down for row in rows}
 
     def _follow_paths(self, now, factor):
         down = {
--- a/mangogauge/batch/room.py
+++ b/mangogauge/batch/room.py
@@ -43,11 +43,11 @@
         """Return whether this host fills an endpoint that could run an item."""
 
     @abstractmethod
-    def list_handed(self):
+    def list_handed_over(self):
         """Return names of endpoints whose items are left to other hosts."""
 
     @abstractmethod
-    def is_handed(self, call):
+    def is_handed_over(self, call):
         """Return whether only other hosts can run an item now."""
 
     @abstractmethod
@@ -103,7 +103,7 @@
 
     endpoint = field()
     assigned = field(default=False)
-    handed = field(default=False)
+    handed_over = field(default=False)
     batch = field(default=0)
     online = field(default=0)
     limit = field(default=0.0)
@@ -113,14 +113,14 @@
     avoided_until = field(default=0.0)
     history = field(factory=deque)
 
-    def take_part(self, assigned, handed):
+    def take_part(self, assigned, handed_over):
         """Take this host's part in it; see `SpareRoom.set_endpoints`."""
         if assigned and not self.assigned:
             # Items of the host that filled it before may still run.
             self.limit = min(self.limit, FOREIGN_LIMIT)
-        if self.handed and not handed:
+        if self.handed_over and not handed_over:
             self.failures, self.avoided_until = 0, 0.0
-        self.assigned, self.handed = assigned, handed
+        self.assigned, self.handed_over = assigned, handed_over
 
     def note(self, now):
         """Keep what this host ran, to compare with a report that lags."""
@@ -155,7 +155,7 @@
         """Number of items that run now."""
         return sum(place.batch for place in self._places.values())
 
-    def set_endpoints(self, endpoints, assigned, handed=()):
+    def set_endpoints(self, endpoints, assigned, handed_over=()):
         """Take the endpoints.
 
         Parameters
@@ -163,14 +163,14 @@
         endpoints : dict of str to Endpoint
         assigned : collection of str
             Names of those that this host, rather than another, fills.
-        handed : collection of str, optional
+        handed_over : collection of str, optional
             Names of those at which it starts nothing, since it can't connect and
             another host does.
         """
         for name, endpoint in endpoints.items():
             place = self._places.setdefault(name, _Place(endpoint))
             place.endpoint = endpoint
-            place.take_part(name in assigned, name in handed)
+            place.take_part(name in assigned, name in handed_over)
         for name in set(self._places) - set(endpoints):
             if not self._places[name].batch:
                 del self._places[name]
@@ -200,7 +200,7 @@
             place
             for place in self._places.values()
             if call.suits(place.endpoint) and place.avoided_until <= now
-            if not place.handed
+            if not place.handed_over
         ]
         candidates = [p for p in suited if p.assigned] or suited
         free = [p for p in candidates if p.batch < self._get_limit(p)]
@@ -221,14 +221,14 @@
             for place in self._places.values()
         )
 
-    def list_handed(self):
+    def list_handed_over(self):
         """Return names of endpoints at which this host starts nothing."""
-        return {name for name, place in self._places.items() if place.handed}
+        return {name for name, place in self._places.items() if place.handed_over}
 
-    def is_handed(self, call):
+    def is_handed_over(self, call):
         """Return whether all endpoints that suit are left to other hosts."""
         suited = [p for p in self._places.values() if call.suits(p.endpoint)]
-        return bool(suited) and all(place.handed for place in suited)
+        return bool(suited) and all(place.handed_over for place in suited)
 
     def give(self, endpoint):
         """Count one item less at an endpoint."""
@@ -298,12 +298,12 @@
     def __init__(self, limits):
         self.limits = limits
         self._endpoints = {}
-        self._handed = {}
+        self._handed_over = {}
         self._running = Counter()
 
-    def set_endpoints(self, endpoints, assigned, handed=()):
+    def set_endpoints(self, endpoints, assigned, handed_over=()):
         """Take the endpoints that this host fills."""
-        self._handed = {n: e for n, e in endpoints.items() if n in handed}
+        self._handed_over = {n: e for n, e in endpoints.items() if n in handed_over}
         self._endpoints = {n: e for n, e in endpoints.items() if n in assigned}
 
     def list_assigned(self):
@@ -331,13 +331,13 @@
         """Return whether an endpoint of this host suits."""
         return self.has_place(call)
 
-    def list_handed(self):
+    def list_handed_over(self):
         """Return names of endpoints that other hosts fill for this one."""
-        return set(self._handed)
+        return set(self._handed_over)
 
-    def is_handed(self, call):
+    def is_handed_over(self, call):
         """Return whether only endpoints that were handed to others suit."""
-        is_elsewhere = any(map(call.suits, self._handed.values()))
+        is_elsewhere = any(map(call.suits, self._handed_over.values()))
         return is_elsewhere and not self.has_place(call)
 
     def give(self, endpoint):
--- a/mangogauge/batch/runs.py
+++ b/mangogauge/batch/runs.py
@@ -103,7 +103,7 @@
         if self._is_stalled(run) and self._has_foreign_items(run):
             return True
         is_fruitless = self._now - run.worked_at > FRUITLESS_SECONDS
-        return is_fruitless and self._is_handed(run)
+        return is_fruitless and self._is_handed_over(run)
 
     def _is_stalled(self, run):
         return not run.tasks and self._now - run.started_at > STALL_SECONDS
@@ -115,13 +115,15 @@
         probes = self._make_probes(run)
         return any(not any(map(probe.suits, near)) for probe in probes)
 
-    def _is_handed(self, run):
+    def _is_handed_over(self, run):
         """Return whether nothing can come of a chunk here, and can elsewhere."""
-        handed = self._room.list_handed()
-        if not handed or any(s.endpoint not in handed for s in run.tasks.values()):
+        handed_over = self._room.list_handed_over()
+        if not handed_over or any(
+            s.endpoint not in handed_over for s in run.tasks.values()
+        ):
             return False
         probes = self._make_probes(run)
-        return any(self._room.is_handed(probe) for probe in probes)
+        return any(self._room.is_handed_over(probe) for probe in probes)
 
     def _make_probes(self, run):
         needs = list_needs(run.list_unsettled_lines())
