Log lacking budget only of requests that have waited for it

Cause: each request of a client account beyond its rate was logged as lacking budget, with a look for lenders: work on the path that sheds load, and lines that bury the ones looked for.

Change: what is refused at the first look isn't logged.

--- a/mangogauge/limits/limiter.py
+++ b/mangogauge/limits/limiter.py
@@ -102,7 +102,6 @@
                 return Admission(True)
         if await self._await_budget(account, cost):
             return Admission(True)
-        self._log_lack(account, cost)
         wait = self._budget.estimate_wait(account, cost)
         if wait == math.inf and self._directory.find_lenders(account):
             # There are lenders that have not answered yet and may do so soon.
@@ -123,9 +122,13 @@
             has_looked = look >= MIN_LOOKS or not is_due
             is_late = self._clock.read_elapsed() >= until
             if pause is None or (is_late and has_looked):
-                return False
+                break
             if await self._look_after(pause, account, cost):
                 return True
+        if look:
+            # A client account beyond its rate is refused at the first look.
+            self._log_lack(account, cost)
+        return False
 
     async def _look_after(self, pause, account, cost):
         """Take budget here, or from lenders, after a pause; return whether it came."""
