Say what the check of a refusal asks

Cause: the name _do_peers_find_refusal had to be read twice.

Change: _is_refused_to_peers; no logic.

--- a/mangogauge/paths/checker.py
+++ b/mangogauge/paths/checker.py
@@ -151,7 +151,7 @@
         Without an answer of a peer, this host's own connection decides.
         """
         if self._paths.is_tunnelled(endpoint.name):
-            return await self._do_peers_find_refusal(endpoint)
+            return await self._is_refused_to_peers(endpoint)
         try:
             connection = await self._connector.open(endpoint.address)
         except HTTPConnectError as error:
@@ -263,7 +263,7 @@
         self._pause(endpoint)
         self._paths.note_loss(endpoint.name)
 
-    async def _do_peers_find_refusal(self, endpoint):
+    async def _is_refused_to_peers(self, endpoint):
         """Return whether two groups of peers find that an endpoint refuses them."""
         verdict = await self._ask_peers(endpoint)
         others = self._choose_others(endpoint, verdict)
