Start hosts behind links in one place

Cause: two step files started such a fleet by the same ten lines.

Change: HostLinks.start_hosts and wait_until_known; what is waited for is the same.

--- a/features/builders/hostlinks.py
+++ b/features/builders/hostlinks.py
@@ -5,7 +5,7 @@
 import orjson
 
 from .callers import Caller
-from .processes import Process
+from .processes import Process, wait_until
 
 LINKS_MODULE = "features.builders.platform.links"
 HOST_MODULE = "features.builders.linkedprocess"
@@ -52,6 +52,33 @@
         self._world.programs[name] = (HOST_MODULE, arguments)
         return self._world.start_host(name, data_centre, **options)
 
+    def start_hosts(self, names):
+        """Start some hosts of one data centre, without waiting until they are ready."""
+        for name in names:
+            self._world.reserve_host(name)
+        for name in names:
+            self.start_host(name, ready=False)
+
+    def wait_until_known(self, callers):
+        """Wait until each host is ready, and knows all of them and the callers' key.
+
+        Parameters
+        ----------
+        callers : dict of str to Caller
+            By the name of the host that they ask.
+        """
+        for name, caller in callers.items():
+            self._world.wait_until_ready(name)
+            wait_until(
+                lambda name=name, caller=caller: self._knows_all(name, caller, callers),
+                f"{name} knows all",
+            )
+
+    def _knows_all(self, name, caller, hosts):
+        members = self._world.read_state(name)["members"]
+        is_key_known = caller.request("GET", "/v1/batches").status == 200
+        return is_key_known and len(members) == len(hosts)
+
     def cut(self, host, how):
         """Cut a host off from all endpoints."""
         abyss = self._control.control()["abyss"]
--- a/features/steps/batch_paths.py
+++ b/features/steps/batch_paths.py
@@ -37,20 +37,9 @@
     context.links = HostLinks(world)
     world.apply_configuration()
     hosts = names.split(", ")
-    for name in hosts:
-        world.reserve_host(name)
-    for name in hosts:
-        context.links.start_host(name, ready=False)
+    context.links.start_hosts(hosts)
     context.jobs = JobCaller(world, world.grant_key())
-    for name in hosts:
-        world.wait_until_ready(name)
-        wait_until(lambda name=name: is_complete(context, name), f"{name} knows all")
-
-
-def is_complete(context, host):
-    answer = context.jobs.get_caller(host).request("GET", "/v1/batches")
-    members = context.world.read_state(host)["members"]
-    return answer.status == 200 and len(members) == len(context.world.hosts)
+    context.links.wait_until_known({h: context.jobs.get_caller(h) for h in hosts})
 
 
 @given('"{names}", which fill the engines, are cut off from all endpoints')
--- a/features/steps/gateway_paths.py
+++ b/features/steps/gateway_paths.py
@@ -34,22 +34,10 @@
     context.links = HostLinks(world)
     world.apply_configuration()
     names = hosts.split(", ")
-    for name in names:
-        world.reserve_host(name)
-    for name in names:
-        context.links.start_host(name, ready=False)
+    context.links.start_hosts(names)
     context.key = world.grant_key()
     context.callers = {name: world.get_caller(name, context.key) for name in names}
-    for name in names:
-        world.wait_until_ready(name)
-        wait_until(lambda name=name: is_complete(context, name), f"{name} knows all")
-
-
-def is_complete(context, host):
-    caller = context.callers[host]
-    members = context.world.read_state(host)["members"]
-    known = caller.request("GET", "/v1/batches").status == 200
-    return known and len(members) == len(context.callers)
+    context.links.wait_until_known(context.callers)
 
 
 @given('paths: "{hosts}" have answered callers')
