Review case 4: a part that crashes workers after the first event

A worker that writes the first event on a harmful part and is gone 0.2 s later is taken as proof that the part is sound, so that nothing is ever quarantined: 22 requests with the part reach workers later than 3 s after the fifth crash.

--- a/review/standins.py
+++ b/review/standins.py
@@ -140,6 +140,10 @@
         """Write an item, as the operator or a worker does."""
         self._apply(key, json.dumps(value).encode(), 0)
 
+    def delete(self, key):
+        """Remove an item."""
+        self._apply(key, None, 0)
+
     async def handle(self, writer, method, target, headers, body):
         """Answer one call."""
         if self.silent:
@@ -284,6 +288,7 @@
         self.event_seconds = event_seconds
         self.event_bytes = event_bytes
         self.running = {}
+        self.version = "v1"
         self.born = int(time.time() * 1000)
         self._room = asyncio.Semaphore(slots)
 
@@ -307,6 +312,10 @@
             finally:
                 self.running.pop(request_id, None)
 
+    def make_data(self, request_id, number):
+        """Return the data of one event."""
+        return make_event_data(request_id, number, self.event_bytes)
+
     async def answer(self, writer, headers, fields):
         """Answer one request by a stream of events."""
         request_id = headers["x-request-id"]
@@ -318,7 +327,7 @@
         count = int(headers["x-token-count"].split(",")[1])
         for number in range(int(headers.get("last-event-id", 0)) + 1, count + 1):
             await asyncio.sleep(self.event_seconds)
-            data = make_event_data(request_id, number, self.event_bytes)
+            data = self.make_data(request_id, number)
             event = f"id: {number}\ndata: {data}\n\n".encode()
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
@@ -396,7 +405,7 @@
             "service": "llm",
             "address": worker.address,
             "zone": zone,
-            "version": "v1",
+            "version": worker.version,
             "slots": worker.slots,
             "state": "ready",
             "cold_left_ms": 0,
@@ -523,7 +532,7 @@
                 return Answer(int(first.split(" ")[1]), received, data)
             finally:
                 writer.close()
-    except (OSError, TimeoutError, asyncio.IncompleteReadError):
+    except (OSError, TimeoutError, ValueError, asyncio.IncompleteReadError):
         return Answer()
 
 
