--- a/review/standins.py
+++ b/review/standins.py
@@ -13,6 +13,7 @@
 import shutil
 import signal
 import subprocess
+import sys
 import tempfile
 import time
 from pathlib import Path
@@ -27,6 +28,11 @@
     8688,
     9000,
 )
+ZONES = ("brum-a", "notts-b")
+# Hosts have heard of each other after this time.
+ACQUAINTANCE_SECONDS = 4.0
+# An entry goes after three heartbeat intervals of silence.
+FORGOTTEN_SECONDS = 3.6
 VALUE_BYTES = 1_048_576
 TXN_ENTRIES = 32
 PAGE_ITEMS = 500
@@ -456,6 +462,14 @@
         """Return what a host has written."""
         return (self.folder / f"{name}.log").read_text(errors="replace")
 
+    async def start_hosts(self):
+        """Start two entry hosts and two runners; wait until they know each other."""
+        for number, zone in enumerate(ZONES):
+            self.start_host(f"front-{number}", "entry.ini", zone)
+            self.start_host(f"store-{number}", "runner.ini", zone)
+        await self.wait_until_ready()
+        await asyncio.sleep(ACQUAINTANCE_SECONDS)
+
     async def wait_until_ready(self):
         """Wait until all entry hosts are ready."""
         for name, address in self.fronts.items():
@@ -565,3 +579,50 @@
         if not value["results"]:
             return results, 200
         results += value["results"]
+
+
+class Case:
+    """One play of a case; its classes say what is played and judged.
+
+    Parameters
+    ----------
+    record : Record
+    trouble : bool
+        Whether there is the disruption.
+    """
+
+    def __init__(self, record, trouble):
+        self.record = record
+        self.trouble = trouble
+        self.fleet = Fleet(record)
+        self._tasks = set()
+
+    def spawn(self, coroutine):
+        """Run a task beside the others."""
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def play(self):
+        """Play the case; return the exit status."""
+        raise NotImplementedError
+
+    async def run(self):
+        """Play the case, and end all processes; return the exit status."""
+        try:
+            return await self.play()
+        finally:
+            self.fleet.end()
+
+    @classmethod
+    def main(cls, folder):
+        """Play the case with its record in a folder, and exit."""
+        record = Record(folder / "record.txt")
+        trouble = os.environ.get("TROUBLE", "1") != "0"
+        try:
+            status = asyncio.run(cls(record, trouble).run())
+        except Exception as error:
+            record(f"could not run: {error!r}")
+            status = 2
+        record(f"exit {status}")
+        sys.exit(status)
