Review case 2: items with a harmful part lie till they are given up

Two items with a part that has crashed workers four times are not tried again and not given up for 43 s, while all workers are idle.

--- a/review/standins.py
+++ b/review/standins.py
@@ -550,13 +550,27 @@
         return Answer()
 
 
-async def submit(address, job_id, items, key="key-a"):
-    """Submit a batch job of ``(id, events)``; return the `Answer`."""
+async def submit(address, job_id, items, key="key-a", prompts=None):
+    """Submit a batch job; return the `Answer`.
+
+    Parameters
+    ----------
+    address, job_id : str
+    items : list of (str, int)
+        Id and number of events of each item.
+    key : str, optional
+    prompts : dict of str to str, optional
+        Parts of the prompts, by item.
+    """
     rows = [
         {
             "id": item_id,
             "path": f"/night/{item_id}",
-            "headers": {"X-Model": "m", "X-Token-Count": f"250,{events}"},
+            "headers": {
+                "X-Model": "m",
+                "X-Token-Count": f"250,{events}",
+                "X-Prompt-Prefix": (prompts or {}).get(item_id, f"{item_id}:250"),
+            },
             "body": base64.b64encode(item_id.encode()).decode(),
             "tokens": 250 + events,
         }
