Hold all that jobs write to the store's limits

Cause: all results that are ready were written as one value. The store refuses values over its limit, the refusal counted as an outage, and the same bytes were sent again every 0.25 s for ever.

Change: StoreLimits is the one place that knows the limits, and stores refuse a transaction beyond them without a call. Results are committed group by group, one that is larger than a value in pieces; the last group closes the job. A refusal is told from an outage: smaller groups follow, then longer and longer pauses, a counter and an error in the log, while other jobs go on. Progress is measured as it is encoded; a job that can't be stored is refused with 413 at once, where it was answered 503 and tried at each host.

Why it works: no write of a job depends any more on how much ends at once. Both builds read groups of the other; a row that names pieces can't be read by the former build, which answers 500 there rather than list an empty text.

The stand-in of the store now refuses by size and entries, in all features.

--- a/features/builders/jobstore.py
+++ b/features/builders/jobstore.py
@@ -4,9 +4,9 @@
 
 from features.machines.stores import LossyStore
 from mangogauge.clock import ManualClock
-from mangogauge.store import Snapshot, StoreUnavailableError
+from mangogauge.store import Snapshot, StoreRefusedError, StoreUnavailableError
 
-__all__ = ["TickingClock", "UnreliableStore"]
+__all__ = ["FixedClaimer", "TickingClock", "UnreliableStore"]
 
 
 class UnreliableStore(LossyStore):
@@ -18,12 +18,27 @@
         self.calls = 0
         # State that reads from copies return; None for the newest state.
         self.stale_copy = None
+        # Writes of keys with this prefix are refused.
+        self.refused_prefix = None
+        self.refused = 0
 
     async def transact(self, transaction):
         self.calls += 1
         if self.unavailable:
             return Failure(StoreUnavailableError("unavailable", step="transact"))
-        return await super().transact(transaction)
+        if self._refuses(transaction):
+            answer = Failure(StoreRefusedError("no such key", step="transact"))
+        else:
+            answer = await super().transact(transaction)
+        if isinstance(answer, Failure):
+            self.refused += isinstance(answer.failure(), StoreRefusedError)
+        return answer
+
+    def _refuses(self, transaction):
+        return self.refused_prefix is not None and any(
+            operation.key.startswith(self.refused_prefix)
+            for operation in transaction.operations
+        )
 
     async def get(self, key):
         self.calls += 1
@@ -43,6 +58,24 @@
         return Success(Snapshot(items, keyspace.revision))
 
 
+class FixedClaimer:
+    """Claimer of a fixed set of jobs, until they are closed or lost."""
+
+    stopped = False
+
+    def __init__(self, jobs):
+        self.jobs = {job.job_id: job for job in jobs}
+
+    def list_jobs(self):
+        return list(self.jobs.values())
+
+    def drop(self, job):
+        del self.jobs[job.job_id]
+
+    async def abandon(self, job):
+        self.drop(job)
+
+
 class TickingClock(ManualClock):
     """Advances by 10 ms each time it is read, as if the reading code took time."""
 
--- a/features/builders/platform/endpoint.py
+++ b/features/builders/platform/endpoint.py
@@ -50,6 +50,8 @@
         self.arrivals = []
         self.faults = {}
         self.event_seconds = EVENT_SECONDS
+        # Bytes that each event has beside its name.
+        self.padding = 0
         # By which answers it says that it is leaving, if it is.
         self.leaving = ""
         self.freed = curio.Condition()
@@ -140,7 +142,7 @@
             if fault in SILENCE_SECONDS and number == first + 3:
                 await curio.sleep(SILENCE_SECONDS[fault])
             await curio.sleep(self.event_seconds)
-            text = f"{arrival.request_id}-{number}"
+            text = f"{arrival.request_id}-{number}" + "x" * self.padding
             await exchange.send_data(f"id: {number}\ndata: {text}\n\n".encode())
         await exchange.finish()
 
@@ -173,6 +175,7 @@
     async def _control(self, exchange):
         order = orjson.loads(await exchange.read_body() or b"{}")
         self.faults.update(order.get("faults", {}))
+        self.padding = order.get("padding", self.padding)
         self.event_seconds = order.get("event_seconds", self.event_seconds)
         self.leaving = order.get("leaving", self.leaving)
         rows = [asdict(row) for row in self.arrivals]
--- a/features/builders/platform/store.py
+++ b/features/builders/platform/store.py
@@ -20,6 +20,8 @@
 BODY_BYTES = 8_000_000
 PAGE_ITEMS = 5
 BLOCK_BYTES = 65_536
+VALUE_BYTES = 1_048_576
+TRANSACTION_ENTRIES = 32
 
 
 @define
@@ -152,8 +154,14 @@
             for p in body["puts"]
         ]
         deletes = [Operation(key) for key in body.get("delete", [])]
+        operations = puts + deletes
+        if any(len(o.value) > VALUE_BYTES for o in puts) or (
+            len(conditions) + len(operations) > TRANSACTION_ENTRIES
+        ):
+            self.counts["refused"] += 1
+            return 400, {"error": "too large"}
         try:
-            done = self.keyspace.transact(Transaction(conditions, puts + deletes))
+            done = self.keyspace.transact(Transaction(conditions, operations))
         except KeyError:
             return 404, {}
         if done.succeeded:
--- a/features/builds/builds.feature
+++ b/features/builds/builds.feature
@@ -45,3 +45,16 @@
     When "desk" sends 60 requests to "h1" and "h2" in turn within a second
     Then no more were admitted than its rate, its burst and what is spare allow
     And both hosts admitted and refused some
+
+  Scenario Outline: A job with large results goes half-way from a <first> to a <second> runner
+    Given the platform with 2 endpoints, "h1, r1" of the <first> build, "h2" of the <second>
+    And each event has 2,000 bytes
+    When "desk" submits the job "j1" of 24 items of 20 events to "h1"
+    And 4 results of "j1" are listed at "h2"
+    And "r1" is killed, and "r2" of the <second> build starts
+    Then all 24 results of "j1" can be read whole at "h1" and "h2"
+
+    Examples:
+      | first | second |
+      | old   | new    |
+      | new   | old    |
--- a/features/platform/batch.feature
+++ b/features/platform/batch.feature
@@ -142,3 +142,18 @@
       | {"items":[{"id":"a\nb","path":"/night/x","headers":{},"body":"","tokens":1}]}         |
       | {"items":[{"id":"a","path":"/night/x y","headers":{},"body":"","tokens":1}]}         |
     Then each was refused by 400
+
+  # Guards against results that end together and exceed a value of the store (LOST).
+  Scenario: Results of 3 MB that end within moments are listed on a calm day
+    Given each event has 7,000 bytes
+    When "desk" submits the job "j1" of 24 items of 20 events to "h1"
+    Then all 24 results of "j1" can be read whole at "h1" and "h2"
+    And the platform's store refused no write
+
+  # Guards against results that gather while the store is away (LOST).
+  Scenario: Results of 3 MB that end while the store is away are listed afterwards
+    Given each event has 7,000 bytes
+    When "desk" submits the job "j1" of 24 items of 20 events to "h1"
+    And the store is away for 2 s and back
+    Then all 24 results of "j1" can be read whole at "h1" and "h2"
+    And the platform's store refused no write
--- a/features/steps/builds.py
+++ b/features/steps/builds.py
@@ -123,6 +123,21 @@
         check_build(process, build)
 
 
+@when('{count:d} results of "{job_id}" are listed at "{host}"')
+def wait_for_results(context, count, job_id, host):
+    def are_listed():
+        answer = context.deployment.read_job(host, job_id)
+        return answer.status == 200 and len(answer.json["results"]) >= count
+
+    wait_until(are_listed, f"{count} results are listed")
+
+
+@when('"{name}" is killed, and "{other}" of the {build:w} build starts')
+def replace_killed(context, name, other, build):
+    context.world.processes[name].kill()
+    start_platform_hosts(context, [other], build)
+
+
 def run_both(context, *arguments):
     """Run a command in both builds; return how it ended in each."""
     outcomes = []
--- a/features/steps/jobs.py
+++ b/features/steps/jobs.py
@@ -24,6 +24,7 @@
     make_waiting_key,
 )
 from mangogauge.refusals import Refusal
+from mangogauge.store import StoreLimits
 
 VALUE_BYTES = 100_000
 TIMEOUT_SECONDS = 0.6
@@ -59,7 +60,7 @@
         registration = Registration(store, member, clock, LEASE_SECONDS)
         run(registration._register)
         context.hosts[name] = JobHost(
-            JobAcceptance(store, store, clock, VALUE_BYTES),
+            JobAcceptance(store, store, clock, StoreLimits(VALUE_BYTES)),
             registration,
             JobClaims(store, store, registration, f"{name}#1"),
             JobReader(store, store, clock),
--- a/features/steps/platform_jobs.py
+++ b/features/steps/platform_jobs.py
@@ -29,6 +29,19 @@
         context.deployment.control(name, faults={word: fault})
 
 
+@given("each event has {size} bytes")
+def set_padding(context, size):
+    context.padding = int(size.replace(",", ""))
+    for name in context.deployment.endpoints:
+        context.deployment.control(name, padding=context.padding)
+
+
+@then("the platform's store refused no write")
+def check_none_refused(context):
+    counts = context.deployment.control("store")["counts"]
+    assert not counts.get("refused"), counts
+
+
 @given("the answers to the store's next {count:d} writes are lost")
 def lose_writes(context, count):
     context.deployment.control("store", lose_writes=count)
@@ -93,8 +106,9 @@
     return results
 
 
-def make_text(item_id, events):
-    return "\n".join(f"{item_id}-{n}" for n in range(1, events + 1))
+def make_text(item_id, events, padding=0):
+    tail = "x" * padding
+    return "\n".join(f"{item_id}-{n}{tail}" for n in range(1, events + 1))
 
 
 @then(
@@ -108,7 +122,8 @@
     assert sorted(r["id"] for r in found) == expected
     for result in found:
         assert result["state"] == "done", result
-        assert result["text"] == make_text(result["id"], events), result
+        text = make_text(result["id"], events, getattr(context, "padding", 0))
+        assert result["text"] == text, (result["id"], result["text"][:200])
 
 
 @then('"{job_id}" ends with "{item_id}" given up and {count:d} items done')
--- a/mangogauge/daemon/backends.py
+++ b/mangogauge/daemon/backends.py
@@ -14,6 +14,8 @@
     transport : DetourTransport
         Carries the store's calls.
     store : Store
+    limits : StoreLimits
+        The store's.
     feed : ChangeFeed
     source : FleetSource
     callers : CallerDialect
@@ -24,6 +26,7 @@
 
     transport = field()
     store = field()
+    limits = field()
     feed = field()
     source = field()
     callers = field()
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -147,10 +147,10 @@
 
     def _make_jobs(self):
         store, feed, clock = self.backends.store, self.backends.feed, self.clock
-        value_bytes = self.settings.store.value_bytes
+        limits = self.backends.limits
         self.jobs = JobRequestHandler(
             self.backends.jobs,
-            JobAcceptance(store, feed, clock, value_bytes),
+            JobAcceptance(store, feed, clock, limits),
             JobReader(store, feed, clock),
             store,
             self._measure_serving_time,
@@ -171,7 +171,9 @@
             self.fleet.state,
             job_directory,
             cancellation_check,
-            JobClaims(store, feed, self.fleet.registration, self.fleet.claimant),
+            JobClaims(
+                store, feed, self.fleet.registration, self.fleet.claimant, limits
+            ),
             ItemRunner(
                 self.attempt,
                 self.fleet.health,
--- a/mangogauge/jobs/acceptance.py
+++ b/mangogauge/jobs/acceptance.py
@@ -12,7 +12,14 @@
 from returns.result import Failure
 
 from ..refusals import Refusal, RefusalCode
-from ..store import Condition, Operation, StoreLostAnswerError, Transaction
+from ..store import (
+    Condition,
+    Operation,
+    StoreLimitError,
+    StoreLostAnswerError,
+    StoreRefusedError,
+    Transaction,
+)
 from ..telemetry import get_logger
 from .keys import (
     OPEN,
@@ -31,8 +38,8 @@
 RETRY_AFTER_SECONDS = 1.0
 # Share of the caller's timeout that is spent on retries while the store is unavailable.
 TIMEOUT_SHARE = 0.5
-# Share of the largest value that a part fills; the store's encoding needs the rest.
-PART_SHARE = 0.7
+# Jobs of an account with waiting items, above which those that ended are counted out.
+MAX_WAITING_JOBS = 4096
 
 log = get_logger("jobs")
 
@@ -73,15 +80,14 @@
     store : Store
     feed : ChangeFeed
     clock : Clock
-    value_bytes : int
-        Largest value that the store accepts.
+    limits : StoreLimits
     """
 
-    def __init__(self, store, feed, clock, value_bytes):
+    def __init__(self, store, feed, clock, limits):
         self._store = store
         self._feed = feed
         self._clock = clock
-        self._part_bytes = int(value_bytes * PART_SHARE)
+        self._part_bytes = limits.group_bytes
 
     async def accept(self, submission, route, account, timeout):
         """Write a job to the store, and return once it is accepted.
@@ -110,6 +116,8 @@
             answer = await self._store.transact(transaction)
             if isinstance(answer, Failure):
                 error = answer.failure()
+                if isinstance(error, StoreLimitError):
+                    raise _make_size_refusal(error)
                 answer_lost = answer_lost or isinstance(error, StoreLostAnswerError)
                 await self._wait_or_refuse(retry_until, answer_lost, error)
                 continue
@@ -156,14 +164,18 @@
 
     def _exceeds_limit(self, waiting, manifest, route):
         limit = route.waiting_token_limit
-        return bool(limit) and waiting.tokens + manifest.tokens > limit
+        if not limit:
+            return False
+        is_full = len(waiting.jobs) >= MAX_WAITING_JOBS
+        return is_full or waiting.tokens + manifest.tokens > limit
 
     def _check_limit(self, waiting, manifest, route):
         if self._exceeds_limit(waiting, manifest, route):
             raise Refusal(
                 RefusalCode.RATE_EXCEEDED,
-                f"{waiting.tokens} tokens wait on this route; with this job they "
-                f"would be over {route.waiting_token_limit}.",
+                f"{waiting.tokens} tokens in {len(waiting.jobs)} jobs wait on this "
+                f"route; with this job they would be over {route.waiting_token_limit} "
+                f"tokens or {MAX_WAITING_JOBS} jobs.",
                 retry_after=RETRY_AFTER_SECONDS,
                 step="accept job",
             )
@@ -177,8 +189,9 @@
             )
 
     async def _wait_or_refuse(self, retry_until, answer_lost, error):
-        """Wait before the next attempt, or refuse if there is no time for one."""
-        if self._clock.read_elapsed() + RETRY_SECONDS < retry_until:
+        """Wait before the next attempt, or refuse if none may succeed in time."""
+        may_succeed = not isinstance(error, StoreRefusedError)
+        if may_succeed and self._clock.read_elapsed() + RETRY_SECONDS < retry_until:
             await curio.sleep(RETRY_SECONDS)
             return
         if answer_lost:
@@ -224,6 +237,14 @@
         return sum(item.tokens for item in items if item.item_id not in ended)
 
 
+def _make_size_refusal(error):
+    return Refusal(
+        RefusalCode.TOO_LARGE,
+        f"The job can't be stored: {error.message}",
+        step="accept job",
+    )
+
+
 def _make_transaction(manifest, packed, waiting, route):
     job_id = manifest.job_id
     manifest_key = make_manifest_key(job_id)
--- a/mangogauge/jobs/claiming.py
+++ b/mangogauge/jobs/claiming.py
@@ -1,7 +1,10 @@
 """Claim jobs, and reconcile the claimed ones with the store's entries."""
 
+from logging import ERROR, WARNING
+
 from returns.result import Failure
 
+from ..store import StoreRefusedError
 from ..telemetry import get_logger
 from .scheduling import rank_host
 
@@ -10,6 +13,10 @@
 # Time by which each host in the ranking waits longer for the hosts before it.
 CLAIM_TURN_SECONDS = 1.0
 WRITE_RETRY_SECONDS = 0.25
+# After a write that the store refused, doubled with each further one: most likely it
+# refuses the next one too.
+REFUSED_RETRY_SECONDS = 1.0
+MAX_REFUSED_RETRY_SECONDS = 60.0
 
 log = get_logger("jobs")
 
@@ -157,9 +164,28 @@
 
 
 def postpone_writes(job, answer, clock):
-    """Postpone a job's writes by `WRITE_RETRY_SECONDS` after one that failed."""
-    job.write_after = clock.read_elapsed() + WRITE_RETRY_SECONDS
-    log.warning(
+    """Postpone a job's writes after one that failed.
+
+    Parameters
+    ----------
+    job : OwnedJob
+    answer : returns.result.Failure
+    clock : Clock
+    """
+    refused = isinstance(answer.failure(), StoreRefusedError)
+    seconds = WRITE_RETRY_SECONDS
+    if refused:
+        seconds = REFUSED_RETRY_SECONDS * 2**job.refused_writes
+        seconds = min(seconds, MAX_REFUSED_RETRY_SECONDS)
+        job.refused_writes += 1
+    job.write_after = clock.read_elapsed() + seconds
+    log.log(
+        ERROR if refused else WARNING,
         "job's progress not written",
-        extra={"job": job.job_id, "reason": str(answer.failure())},
+        extra={
+            "job": job.job_id,
+            "reason": str(answer.failure()),
+            "refused": refused,
+            "pause": seconds,
+        },
     )
--- a/mangogauge/jobs/claims.py
+++ b/mangogauge/jobs/claims.py
@@ -7,11 +7,17 @@
 """
 
 import orjson
-from attrs import define, field
 from returns.result import Failure, Success
 
-from ..store import Condition, Operation, StoreUnavailableError, Transaction
+from ..store import (
+    Condition,
+    Operation,
+    StoreLimits,
+    StoreUnavailableError,
+    Transaction,
+)
 from ..telemetry import get_logger
+from .commits import ResultCommits
 from .keys import (
     CANCELLED,
     CLAIM,
@@ -21,12 +27,12 @@
     make_input_key,
     make_manifest_key,
     make_progress_key,
-    make_result_key,
     make_results_prefix,
     make_work_key,
 )
 from .owned import OwnedJob
 from .records import ItemProgress, ItemResult, JobManifest
+from .writesizes import WriteSizes
 
 __all__ = ["MAX_JOBS_PER_WRITE", "JobClaims"]
 
@@ -36,19 +42,6 @@
 log = get_logger("claims")
 
 
-@define(eq=False)
-class _PendingCommit:
-    """Results of a commit that the store has not confirmed yet.
-
-    Retries send the same data, so that a conflict with an earlier attempt can be
-    recognized.
-    """
-
-    position = field()
-    results = field()
-    data = field()
-
-
 class JobClaims:
     """Store operations on the jobs that a host claims.
 
@@ -60,14 +53,16 @@
         Provides the lease to which claims are attached.
     claimant : str
         Name of this process in its claims, unique among all processes.
+    limits : StoreLimits, optional
     """
 
-    def __init__(self, store, feed, registration, claimant):
+    def __init__(self, store, feed, registration, claimant, limits=None):
         self._store = store
         self._feed = feed
         self._registration = registration
         self.claimant = claimant
-        self._commits = {}
+        self._sizes = WriteSizes(limits or StoreLimits())
+        self._commits = ResultCommits(store, self._sizes)
 
     async def claim(self, entry):
         """Claim an open job and load its contents.
@@ -129,7 +124,7 @@
     async def release(self, job):
         """Delete the claim, so that another host can claim the job at once."""
         key = make_work_key(job.job_id, CLAIM)
-        self._commits.pop(job.job_id, None)
+        self._commits.discard(job)
         transaction = Transaction(
             [Condition(key, job.claim_revision)], [Operation(key)]
         )
@@ -142,7 +137,7 @@
 
     def discard_commit(self, job):
         """Discard the pending commit of a job that another host has claimed."""
-        self._commits.pop(job.job_id, None)
+        self._commits.discard(job)
 
     async def commit(self, job, now):
         """Write a job's finished results; close the job with the last of them.
@@ -159,20 +154,7 @@
             ``Success(bool)``: whether the claim is still valid. After a
             ``Failure`` the call must be retried.
         """
-        commit = self._commits.get(job.job_id)
-        if commit is None:
-            results = list(job.finished)
-            data = ItemResult.encode_group(results)
-            commit = _PendingCommit(job.position, results, data)
-            self._commits[job.job_id] = commit
-        answer = await self._store.transact(self._make_transaction(job, commit, now))
-        if isinstance(answer, Failure):
-            return answer
-        outcome = answer.unwrap()
-        if not outcome.succeeded:
-            return self._resolve_conflict(job, commit, outcome)
-        self._apply_commit(job, commit)
-        return Success(True)
+        return await self._commits.commit(job, now)
 
     async def write_failures(self, job):
         """Write the failure counts of a job's items; return as `commit` does."""
@@ -201,7 +183,8 @@
             ``Success(bool)``: whether it was written, which needs the claims of all
             these jobs.
         """
-        written = {job: job.list_progress() for job in jobs}
+        max_bytes = self._sizes.group_bytes
+        written = {job: job.list_progress(max_bytes) for job in jobs}
         conditions = [
             Condition(make_work_key(job.job_id, CLAIM), job.claim_revision)
             for job in jobs
@@ -214,6 +197,7 @@
         ]
         answer = await self._store.transact(Transaction(conditions, operations))
         if isinstance(answer, Failure):
+            self._sizes.note_failure(answer.failure())
             return answer
         if answer.unwrap().succeeded:
             for job, progress in written.items():
@@ -298,46 +282,6 @@
         job = OwnedJob.restore(manifest, parts, revision, results, failures, progress)
         return Success(job)
 
-    def _make_transaction(self, job, commit, now):
-        claim = make_work_key(job.job_id, CLAIM)
-        result_key = make_result_key(job.job_id, commit.position)
-        conditions = [Condition(claim, job.claim_revision), Condition(result_key, 0)]
-        operations = [Operation(result_key, commit.data)]
-        if commit.position + len(commit.results) >= len(job.manifest.items):
-            operations += [
-                Operation(make_work_key(job.job_id, OPEN)),
-                Operation(make_closed_key(int(now), job.job_id), b"-"),
-                Operation(claim),
-            ]
-        return Transaction(conditions, operations)
-
-    def _resolve_conflict(self, job, commit, outcome):
-        current = {item.key: item for item in outcome.current}
-        written = current.get(make_result_key(job.job_id, commit.position))
-        claim = current.get(make_work_key(job.job_id, CLAIM))
-        if written is not None and written.value == commit.data:
-            # An earlier attempt took effect, but its answer was lost.
-            self._apply_commit(job, commit)
-            return Success(True)
-        if written is None and claim is None:
-            # No other host has claimed the job: this one reclaims it and retries.
-            return Failure(StoreUnavailableError("The claim lapsed.", step="commit"))
-        log.warning(
-            "claim lost",
-            extra={
-                "job": job.job_id,
-                "claimant": claim.value.decode() if claim else "",
-                "dropped": len(commit.results),
-            },
-        )
-        self._commits.pop(job.job_id, None)
-        return Success(False)
-
-    def _apply_commit(self, job, commit):
-        self._commits.pop(job.job_id, None)
-        job.position = commit.position + len(commit.results)
-        job.finished = job.finished[len(commit.results) :]
-
 
 def _require_not_cancelled(job_id):
     return Condition(make_work_key(job_id, CANCELLED), 0)
--- a/mangogauge/jobs/keys.py
+++ b/mangogauge/jobs/keys.py
@@ -16,6 +16,7 @@
     "make_input_key",
     "make_job_prefix",
     "make_manifest_key",
+    "make_piece_key",
     "make_progress_key",
     "make_result_key",
     "make_results_prefix",
@@ -69,6 +70,11 @@
     return f"{make_results_prefix(job_id)}{position:0{POSITION_DIGITS}d}"
 
 
+def make_piece_key(job_id, name, number):
+    """Return the key of one piece of a result that is larger than a value."""
+    return f"{make_job_prefix(job_id)}pieces/{name}/{number:0{POSITION_DIGITS}d}"
+
+
 def make_work_key(job_id, kind):
     """Return the key of an open job's entry of a kind: OPEN, CLAIM or CANCELLED."""
     return f"{WORK_PREFIX}{job_id}/{kind}"
--- a/mangogauge/jobs/owned.py
+++ b/mangogauge/jobs/owned.py
@@ -13,9 +13,11 @@
 LONG_RUN_SECONDS = MAX_BACKOFF_SECONDS
 # Limit per item, since a page of results holds at least one item.
 MAX_TEXT_BYTES = 1_000_000
-# Limit of the progress of a job's items that is stored: half of a value's largest
-# size, since JSON may need two bytes for one.
+# Limit of the progress of a job's items that is stored: it is written every few
+# seconds.
 MAX_PROGRESS_BYTES = 500_000
+# Room for an item's origin beside its events.
+ORIGIN_BYTES = 256
 
 
 @define(eq=False)
@@ -171,6 +173,8 @@
         Elapsed time at which this host sent its claim.
     write_after : float
         Elapsed time before which no write is retried.
+    refused_writes : int
+        Consecutive writes that the store refused.
     """
 
     manifest = field()
@@ -180,6 +184,7 @@
     finished = field(factory=list)
     claimed_at = field(default=0.0)
     write_after = field(default=float("-inf"))
+    refused_writes = field(default=0)
 
     @classmethod
     def restore(cls, manifest, parts, claim_revision, results, failures, progress=()):
@@ -242,23 +247,36 @@
         items = self.items.values()
         return any(len(item.event_texts) > item.stored_events for item in items)
 
-    def list_progress(self):
+    def list_progress(self, max_bytes=MAX_PROGRESS_BYTES):
         """Return the `ItemProgress` of the unfinished items, the longest first.
 
-        Notes
-        -----
-        Leaves out what exceeds `MAX_PROGRESS_BYTES`.
+        Parameters
+        ----------
+        max_bytes : int, optional
+            Items that exceed it, or `MAX_PROGRESS_BYTES`, once they are encoded are
+            left out.
         """
+        max_bytes = min(max_bytes, MAX_PROGRESS_BYTES)
         begun = [item for item in self.items.values() if item.event_texts]
         begun.sort(key=lambda item: len(item.event_texts), reverse=True)
         progress, size = [], 0
         for item in begun:
-            size += item.size
-            if size > MAX_PROGRESS_BYTES:
+            # Most are too large already before they are encoded.
+            if size + item.size > max_bytes:
+                break
+            made = item.make_progress()
+            size += len(made.encode()) + ORIGIN_BYTES
+            if size > max_bytes:
                 break
-            progress.append(item.make_progress())
+            progress.append(made)
         return progress
 
+    @property
+    def progress_bytes(self):
+        """Approximate size of what `list_progress` returns."""
+        size = sum(item.size for item in self.items.values())
+        return min(size, MAX_PROGRESS_BYTES)
+
     def mark_progress_stored(self, progress):
         """Record the `ItemProgress` that has been written to the store."""
         for item in progress:
--- a/mangogauge/jobs/reading.py
+++ b/mangogauge/jobs/reading.py
@@ -16,6 +16,7 @@
     CANCELLED,
     make_input_key,
     make_manifest_key,
+    make_piece_key,
     make_results_prefix,
     make_work_key,
 )
@@ -155,7 +156,7 @@
             raise _make_unavailable_refusal(answer.failure())
         items = answer.unwrap().items
         job.copy_read = True
-        self._add(job, items)
+        await self._add(job, items)
         # The copy's age is unknown, so only the revisions of its results count.
         job.revision = max([job.revision, *(item.mod_revision for item in items)])
 
@@ -166,7 +167,7 @@
         if isinstance(answer, Failure):
             raise _make_unavailable_refusal(answer.failure())
         snapshot = answer.unwrap()
-        self._add(job, snapshot.items)
+        await self._add(job, snapshot.items)
         job.revision = snapshot.revision
 
     async def _wait_for_more(self, job, wait_seconds):
@@ -179,17 +180,36 @@
             await self._read_more(job)
             return
         changes = answer.unwrap()
-        self._add(job, [e for e in changes.events if e.value is not None])
+        await self._add(job, [e for e in changes.events if e.value is not None])
         job.revision = changes.revision
 
-    def _add(self, job, items):
+    async def _add(self, job, items):
         for item in items:
             if item.key <= job.last_key:
                 continue
-            results = ItemResult.decode_group(item.value)
+            data = item.value
+            results = ItemResult.decode_group(data)
+            pieces = results[0].pieces
+            if pieces is not None:
+                data = await self._join_pieces(job, pieces)
+                results = ItemResult.decode_group(data)
+            # Another reader may have added them meanwhile.
+            if item.key <= job.last_key:
+                continue
             job.results += results
             job.last_key = item.key
-            job.text_bytes += len(item.value)
+            job.text_bytes += len(data)
+
+    async def _join_pieces(self, job, pieces):
+        """Return the group of a result that is larger than a value of the store."""
+        joined = b""
+        for number in range(pieces.count):
+            key = make_piece_key(job.manifest.job_id, pieces.name, number)
+            piece = await self._get_constant(key)
+            if piece is None:
+                raise _make_not_found_refusal("The job has been forgotten.")
+            joined += piece.value
+        return joined
 
     def _evict_oldest(self):
         size = sum(job.text_bytes for job in self._jobs.values())
--- a/mangogauge/jobs/records.py
+++ b/mangogauge/jobs/records.py
@@ -15,6 +15,7 @@
     "JobItem",
     "JobManifest",
     "OpenJob",
+    "ResultPieces",
     "Submission",
     "SubmittedItem",
 ]
@@ -175,6 +176,20 @@
         return orjson.dumps(asdict(self))
 
 
+@frozen
+class ResultPieces:
+    """Where the pieces are of a result that is larger than a value of the store.
+
+    Parameters
+    ----------
+    name : str
+    count : int
+    """
+
+    name = field(validator=instance_of(str))
+    count = field(validator=instance_of(int))
+
+
 @frozen
 class ItemResult:
     """The result of one item; immutable once written.
@@ -183,23 +198,50 @@
     ----------
     item_id : str
     state : ItemState
-    text : str
+    text : str, optional
         Data of all events in order, separated by line feeds.
+    pieces : ResultPieces, optional
+        Where the text is if it isn't here: the pieces together are the group of this
+        one result.
     """
 
     item_id = field()
     state = field(converter=ItemState)
     text = field(default="")
+    pieces = field(default=None)
 
-    @staticmethod
-    def decode_group(data):
+    @classmethod
+    def decode_group(cls, data):
         """Decode what `encode_group` returned."""
-        return [ItemResult(*row) for row in orjson.loads(data)]
+        return [cls.from_row(*row) for row in orjson.loads(data)]
+
+    @classmethod
+    def from_row(cls, item_id, state, text, pieces=None):
+        """Decode one row of a group."""
+        return cls(item_id, state, text, pieces and ResultPieces(*pieces))
 
     @staticmethod
     def encode_group(results):
         """Encode results that are committed together."""
-        return orjson.dumps([[r.item_id, r.state.value, r.text] for r in results])
+        return ItemResult.join_group([result.encode() for result in results])
+
+    @staticmethod
+    def join_group(rows):
+        """Return the encoded group of results that are encoded one by one."""
+        return b"[" + b",".join(rows) + b"]"
+
+    def encode(self):
+        """Encode the result as one row of a group.
+
+        Notes
+        -----
+        Hosts of builds that know no pieces fail to read the row that names some,
+        rather than take its text for empty.
+        """
+        row = [self.item_id, self.state.value, self.text]
+        if self.pieces is not None:
+            row.append([self.pieces.name, self.pieces.count])
+        return orjson.dumps(row)
 
 
 @frozen
@@ -227,6 +269,10 @@
         """Number of events."""
         return len(self.event_texts)
 
+    def encode(self):
+        """Encode the progress as one row of a group."""
+        return orjson.dumps([self.item_id, self.last_event, self.event_texts])
+
     @staticmethod
     def decode_group(data):
         """Decode what `encode_group` returned."""
--- a/mangogauge/platform/service.py
+++ b/mangogauge/platform/service.py
@@ -7,13 +7,13 @@
 from ..daemon.running import run_host
 from ..settings.problems import SettingsError
 from ..settings.serving import read_serving
-from ..store import DetourTransport
+from ..store import DetourTransport, StoreLimits
 from ..telemetry import BoundedStreamHandler, ServingMetrics, configure_logs
 from .callers import PlatformCallers
 from .endpoints import PlatformEndpoints
 from .jobs import PlatformJobs
 from .source import PlatformSource
-from .store import PlatformStore
+from .store import TRANSACTION_ENTRIES, PlatformStore
 
 __all__ = ["main"]
 
@@ -51,10 +51,12 @@
 
 def _make_backends(settings, metrics):
     transport = DetourTransport(settings.store.address, CONNECT_SECONDS)
-    store = PlatformStore(transport, on_call=metrics.note_store_call)
+    limits = StoreLimits(settings.store.value_bytes, TRANSACTION_ENTRIES)
+    store = PlatformStore(transport, on_call=metrics.note_store_call, limits=limits)
     return ServingBackends(
         transport=transport,
         store=store,
+        limits=limits,
         feed=store,
         source=PlatformSource(),
         callers=PlatformCallers(),
--- a/mangogauge/platform/store.py
+++ b/mangogauge/platform/store.py
@@ -18,6 +18,7 @@
     Snapshot,
     Store,
     StoreCompactedError,
+    StoreLimits,
     StoreLostAnswerError,
     StoreRefusedError,
     StoreUnavailableError,
@@ -25,9 +26,11 @@
     WatchEvent,
 )
 
-__all__ = ["PlatformStore"]
+__all__ = ["TRANSACTION_ENTRIES", "PlatformStore"]
 
 DEFAULT_TIMEOUT = 1.2
+# Conditions and operations of one transaction.
+TRANSACTION_ENTRIES = 32
 # Part of a lease that one renewal may take, so that another can follow in time.
 RENEWAL_SHARE = 0.35
 # Nothing was done: the store is too busy, or away.
@@ -49,13 +52,23 @@
     clock : Clock, optional
     on_call : callable, optional
         Called with the path and the status of each call; 0 where none came.
+    limits : StoreLimits, optional
+        A transaction beyond them is refused without a call.
     """
 
-    def __init__(self, transport, timeout=DEFAULT_TIMEOUT, clock=None, on_call=None):
+    def __init__(
+        self,
+        transport,
+        timeout=DEFAULT_TIMEOUT,
+        clock=None,
+        on_call=None,
+        limits=None,
+    ):
         self._transport = transport
         self._timeout = timeout
         self._clock = clock or SystemClock()
         self._on_call = on_call or (lambda path, status: None)
+        self._limits = limits or StoreLimits(entries=TRANSACTION_ENTRIES)
 
     async def close(self):
         """Close idle connections."""
@@ -132,6 +145,9 @@
 
     async def transact(self, transaction):
         """Return ``Success(TransactionResult)``."""
+        excess = self._limits.find_excess(transaction)
+        if excess is not None:
+            return Failure(excess)
         operations = transaction.operations
         body = {
             "expect": [
--- a/mangogauge/store/base.py
+++ b/mangogauge/store/base.py
@@ -21,17 +21,15 @@
     "Store",
     "StoreCompactedError",
     "StoreError",
+    "StoreLimitError",
     "StoreLostAnswerError",
     "StoreRefusedError",
     "StoreUnavailableError",
     "Transaction",
     "TransactionResult",
-    "VALUE_LIMIT_BYTES",
     "WatchEvent",
 ]
 
-VALUE_LIMIT_BYTES = 1_000_000
-
 
 class StoreError(PeerError):
     """A call to the store failed."""
@@ -49,6 +47,10 @@
     """The store refused the call; nothing took effect."""
 
 
+class StoreLimitError(StoreRefusedError):
+    """The call exceeds a limit of the store: repeating it can't succeed."""
+
+
 class StoreCompactedError(StoreError):
     """The store has dropped the history that was asked for."""
 
--- a/mangogauge/store/gateway.py
+++ b/mangogauge/store/gateway.py
@@ -14,7 +14,6 @@
     HTTPError,
 )
 from .base import (
-    VALUE_LIMIT_BYTES,
     KeyValue,
     Lease,
     Store,
@@ -24,10 +23,12 @@
     TransactionResult,
     WatchEvent,
 )
+from .limits import StoreLimits
 
 __all__ = ["GatewayStore"]
 
 DEFAULT_TIMEOUT = 2.0
+LIMITS = StoreLimits()
 # What a lost answer means: a read has no effect that could be unknown.
 READ_ERRORS = {"/v3/kv/range": StoreUnavailableError}
 JSON_HEADERS = Headers([("Content-Type", "application/json")])
@@ -83,15 +84,9 @@
 
     async def transact(self, transaction):
         """Return ``Success(TransactionResult)``."""
-        for operation in transaction.operations:
-            if operation.value and len(operation.value) > VALUE_LIMIT_BYTES:
-                return Failure(
-                    StoreRefusedError(
-                        f"The value of {operation.key} is over "
-                        f"{VALUE_LIMIT_BYTES} bytes.",
-                        step="transact",
-                    )
-                )
+        excess = LIMITS.find_excess(transaction)
+        if excess is not None:
+            return Failure(excess)
         request = {
             "compare": [_encode_condition(c) for c in transaction.conditions],
             "success": [_encode_operation(o) for o in transaction.operations],
--- a/mangogauge/store/memory.py
+++ b/mangogauge/store/memory.py
@@ -18,10 +18,13 @@
     Parameters
     ----------
     clock : Clock, optional
+    limits : StoreLimits, optional
+        By default there are none.
     """
 
-    def __init__(self, clock=None):
+    def __init__(self, clock=None, limits=None):
         self._clock = clock or SystemClock()
+        self.limits = limits
         self.keyspace = Keyspace(self._clock)
 
     async def get(self, key):
@@ -38,6 +41,9 @@
 
     async def transact(self, transaction):
         """Return ``Success(TransactionResult)``."""
+        excess = self.limits and self.limits.find_excess(transaction)
+        if excess:
+            return Failure(excess)
         try:
             return Success(self.keyspace.transact(transaction))
         except KeyError as error:
--- a/mangogauge/telemetry/serving.py
+++ b/mangogauge/telemetry/serving.py
@@ -36,6 +36,9 @@
         self.store_calls = self._count(
             "store_calls", "Calls to the store; status 0 for none.", "call", "status"
         )
+        self.writes_refused = self._count(
+            "writes_refused", "Writes of jobs' progress that the store refused."
+        )
         self.items = self._count("items", "Batch items by outcome.", "outcome")
         self.jobs = self._count("jobs", "Batch jobs by outcome.", "outcome")
         self.items_running = self._gauge("items_running", "Items that run.")
