Apply a commit of results once, though two calls send it

What callers could see: an item that had ended was neither listed nor run again by the host that had its job; after the host's stop the next one ran it anew.

Cause: a stop commits what is ready while the periodic write of the same results may be on its way. Both learn that the results are stored, and each took as many off the list as it had written: what had ended in between went unwritten.

Change: a commit is applied only while it is the pending one. Why it works: the first call to apply it removes it, so the second changes nothing.

--- a/features/builders/jobstore.py
+++ b/features/builders/jobstore.py
@@ -1,5 +1,6 @@
 """A store that loses answers, is unavailable, or has stale copies."""
 
+import curio
 from returns.result import Failure, Success
 
 from features.machines.stores import LossyStore
@@ -21,9 +22,13 @@
         # Writes of keys with this prefix are refused.
         self.refused_prefix = None
         self.refused = 0
+        # Seconds that each write takes.
+        self.delay = 0.0
 
     async def transact(self, transaction):
         self.calls += 1
+        if self.delay:
+            await curio.sleep(self.delay)
         if self.unavailable:
             return Failure(StoreUnavailableError("unavailable", step="transact"))
         if self._refuses(transaction):
--- a/features/jobs/claims.feature
+++ b/features/jobs/claims.feature
@@ -126,3 +126,11 @@
     And the first host has claimed "j9"
     And the first host commits the result of item 1
     Then a waiting reader at the second host reads the items 1 from the store
+
+  # Guards against results that are dropped when a stop commits beside a periodic write.
+  Scenario: Two calls commit the same results at the same time while another item ends
+    Given the first host has claimed "j1"
+    When the result of item 0 is committed by two calls at once, and item 1 ends meanwhile
+    And the first host commits the result of item 2
+    And it commits again until the outcome is known
+    Then each result is stored once, in this order: 0, 1, 2
--- a/features/steps/jobs_claims.py
+++ b/features/steps/jobs_claims.py
@@ -1,5 +1,6 @@
 """Steps of claims on jobs, and of what is committed under them."""
 
+import curio
 from behave import given, then, when
 from returns.result import Success
 
@@ -9,6 +10,7 @@
 from mangogauge.jobs.records import ItemResult
 
 COMMIT_ATTEMPTS = 5
+WRITE_SECONDS = 0.02
 
 
 def claim(context, name, job_id):
@@ -44,9 +46,7 @@
 def commit(context, name, numbers):
     host = context.hosts[name]
     for number in numbers:
-        item = host.job.items[f"{host.job.job_id}-{number}"]
-        item.event_texts = [f"text {number}"]
-        host.job.finish(item, ItemState.DONE)
+        finish(host.job, number)
     context.outcome = run(host.claims.commit, host.job, 1000.0)
     context.committing = name
 
@@ -62,6 +62,33 @@
     commit(context, name, found)
 
 
+def finish(job, number):
+    item = job.items[f"{job.job_id}-{number}"]
+    item.event_texts = [f"text {number}"]
+    job.finish(item, ItemState.DONE)
+
+
+@when(
+    "the result of item {number:d} is committed by two calls at once, "
+    "and item {other:d} ends meanwhile"
+)
+def commit_twice(context, number, other):
+    host = context.hosts["first"]
+    context.store.delay = WRITE_SECONDS
+    finish(host.job, number)
+
+    async def commit_both():
+        calls = [
+            await curio.spawn(host.claims.commit, host.job, 1000.0) for _ in range(2)
+        ]
+        await curio.sleep(WRITE_SECONDS / 2)
+        finish(host.job, other)
+        return [(await call.join()).unwrap() for call in calls]
+
+    assert run(commit_both) == [True, True]
+    context.store.delay = 0.0
+
+
 @when("it commits again until the outcome is known")
 def commit_again(context):
     host = context.hosts[context.committing]
--- a/mangogauge/jobs/commits.py
+++ b/mangogauge/jobs/commits.py
@@ -197,6 +197,9 @@
         return Success(False)
 
     def _apply(self, job, commit):
+        if self._pending.get(job.job_id) is not commit:
+            # A call at the same time, such as that of a stop, has applied it.
+            return
         self.discard(job)
         job.position = commit.position + len(commit.results)
         job.finished = job.finished[len(commit.results) :]
