Let only whole or longer answers clear parts of prompts that crash endpoints

Cause: a run that broke off 0.1 s or more after its answer began accused no part of its prompt, and cleared all of them for 10 s at all hosts. An answer that has merely begun is what the harmful case shows too. Evidence: the crashes' lines said accused: false; the time decides, not the number. Ruled out: a crash that isn't recognised (each has its line), and sound answers that clear the part.

Change: crashes up to 2 s into an answer accuse its parts too, four of them where three before an answer are needed. Whole answers clear; others clear only crashes that they outlast, and answers that still go on are held against crashes every 0.25 s. Why it works: no answer with a harmful part goes on beyond its crash, while sound requests that share a part outlast each other's chance crashes. Items and streams that go on elsewhere take the same path; gateway clears by whole answers only and was not affected.

--- a/features/builders/platform/endpoint.py
+++ b/features/builders/platform/endpoint.py
@@ -17,6 +17,8 @@
 
 BODY_BYTES = 8_000_000
 EVENT_SECONDS = 0.01
+# From the second event of an answer to a crash within it.
+CRASH_SECONDS = 0.2
 QUEUE = 24
 # How long an endpoint with a fault sends nothing within an answer.
 SILENCE_SECONDS = {"mute": 3600, "pause": 2}
@@ -144,6 +146,9 @@
             await curio.sleep(self.event_seconds)
             text = f"{arrival.request_id}-{number}" + "x" * self.padding
             await exchange.send_data(f"id: {number}\ndata: {text}\n\n".encode())
+            if fault == "crash within" and number > first:
+                await curio.sleep(CRASH_SECONDS)
+                os._exit(1)
         await exchange.finish()
 
     def _take_fault(self, request_id, parts):
--- a/features/builds/builds.feature
+++ b/features/builds/builds.feature
@@ -58,3 +58,13 @@
       | first | second |
       | old   | new    |
       | new   | old    |
+
+  Scenario: An old host refuses what a new one found to crash endpoints within answers
+    Given the platform with 8 endpoints, "h1" of the old build, "h2" of the new
+    And the endpoints answer "crash within" to requests for "deadly"
+    When "desk" asks "h2" and "h2" in turn for 6 different prompts with "common+deadly", and each time for one with "common"
+    Then 5 endpoints at most have crashed, and the last answer is 422
+    When "desk" asks "h1" for 2 different prompts with "common+deadly"
+    Then all were refused with 422
+    When "desk" asks "h1" for 2 different prompts with "common"
+    Then all were answered whole
--- a/features/platform/crashing_parts.feature
+++ b/features/platform/crashing_parts.feature
@@ -33,3 +33,40 @@
     When "h1" and "h2" are killed together and start anew
     And "desk" asks "h1" for 1 different prompts with "other+deadly"
     Then all were refused with 422
+
+  # Guards against a part taken for sound since the crash comes after the first event
+  # (BUDGET).
+  Scenario: A part that crashes endpoints within their answers is refused, sound ones are served
+    Given the endpoints answer "crash within" to requests for "deadly"
+    When "desk" asks "h1" and "h2" in turn for 9 different prompts with "common+deadly", and each time for one with "common"
+    Then 5 endpoints at most have crashed, and the last answer is 422
+    When "desk" asks "h1" for 5 different prompts with "common+other"
+    Then all were answered whole
+
+  Scenario: A stream that goes on at another endpoint crashes that within the answer too
+    Given the endpoints answer "crash within" to requests for "deadly"
+    When "desk" asks "h1" for a stream that may be resumed, with "common+deadly"
+    And "desk" asks "h1" for a stream that may be resumed, with "other+deadly"
+    And "desk" asks "h2" for a stream that may be resumed, with "third+deadly"
+    And 2 s pass for the endpoints
+    And "desk" asks "h2" for 3 different prompts with "common+deadly"
+    Then 5 endpoints at most have crashed
+    And all were refused with 422
+
+  Scenario: Items with a part that crashes endpoints within their answers don't take all of these
+    Given the endpoints answer "crash within" to requests for "deadly"
+    And the runners "r1, r2"
+    When "desk" submits the job "j1" of 3 items to "h1", with these header fields in each
+      | name            | value                            |
+      | X-Prompt-Prefix | common:100,deadly:100,own:100    |
+    And 6 s pass for the endpoints
+    Then 6 endpoints at most have crashed
+    When "desk" asks "h2" for 5 different prompts with "common+other"
+    Then all were answered whole
+
+  # The other side: endpoints that crash by chance cost no sound request a refusal.
+  Scenario: Endpoints crash by chance within long answers that share a part
+    When "desk" asks "h1" and "h2" for 24 streams of 300 events with "common", and 6 endpoints are killed meanwhile, one every 0.5 s
+    Then none of them was refused, and some were answered whole
+    When "desk" asks "h1" for 3 different prompts with "common"
+    Then all were answered whole
--- a/features/quarantine/parts.feature
+++ b/features/quarantine/parts.feature
@@ -100,3 +100,56 @@
       | ["crashes 1", [], [["part", "old"]]]   |
       | ["crashes 2", [], []]                  |
       | ["crashes 1", {"a": 1}, []]            |
+
+  # Guards against a part that is taken for sound since answers with it had begun.
+  Scenario: A part that crashes endpoints within the answer is quarantined
+    When "a" sees 4 crashes with different requests for "common+deadly", 0.6 s into their answers
+    And 1 s passes
+    Then "a" quarantines "deadly" alone
+
+  Scenario: Three crashes within answers are not enough
+    When "a" sees 3 crashes with different requests for "common+deadly", 0.6 s into their answers
+    And 1 s passes
+    Then "a" quarantines nothing
+
+  Scenario: Hosts tell each other how long answers had gone on
+    When "a" sees 2 crashes with different requests for "x+deadly", 0.2 s into their answers
+    And "b" sees 2 crashes with different requests for "y+deadly", 0.3 s into their answers
+    And all hosts tell each other, and 1 s passes
+    Then "a, b, c" quarantine "deadly" alone
+
+  Scenario Outline: An answer clears its parts if it went on for much longer than others
+    When "a" sees 4 crashes with different requests for "common", <crash> s into their answers
+    And "b" has an answer to a request for "common" that goes on for <seconds> s
+    And all hosts tell each other, and 1 s passes
+    Then "a, b, c" quarantine <parts>
+
+    Examples:
+      | crash | seconds | parts          |
+      | 0.2   | 0.3     | "common" alone |
+      | 0.2   | 1.0     | nothing        |
+      | 1.9   | 2.5     | "common" alone |
+      | 1.9   | 3.5     | nothing        |
+
+  Scenario: An answer that goes on keeps its parts from being accused of later crashes
+    When "a" has an answer to a request for "common" that goes on for 4 s
+    And "a" sees 6 crashes with different requests for "common", 0.6 s into their answers
+    And 1 s passes
+    Then "a" quarantines nothing
+    When "a" sees 4 crashes with different requests for "common+deadly", 0.6 s into their answers
+    And 1 s passes
+    Then "a" quarantines "deadly" alone
+
+  Scenario: Sound requests that share all parts but one are not quarantined
+    When "a" sees 4 crashes with different requests for "x+y+deadly+z", 0.2 s into their answers
+    And "b" is answered a request for "x+y+sound+z"
+    And all hosts tell each other, and 1 s passes
+    Then "a, b, c" quarantine "deadly" alone
+
+  Scenario: News of the former build and of this one are read by both
+    When "a" sees 2 crashes with different requests for "x+deadly", 0.2 s into their answers
+    Then the former build reads the news of "a" as 2 sightings of "x+deadly"
+    When "a" hears of 3 sightings of "y+other" from the former build, and 1 s passes
+    Then "a" quarantines "other" alone
+    When "a" has an answer to a request for "x+deadly" that goes on for 4 s
+    Then the former build takes the news of "a" for no answer to "x" or "deadly"
--- a/features/steps/platform_crashes.py
+++ b/features/steps/platform_crashes.py
@@ -2,6 +2,7 @@
 
 import http.client
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 from behave import then, when
 
@@ -66,6 +67,46 @@
     ]
 
 
+@when(
+    '"desk" asks "{first}" and "{second}" for {count:d} streams of {events:d} events '
+    'with "{part}", and {killed:d} endpoints are killed meanwhile, one every '
+    "{gap:g} s"
+)
+def kill_within_answers(context, first, second, count, events, part, killed, gap):
+    deployment = context.deployment
+    with ThreadPoolExecutor(count) as pool:
+        asked = []
+        for number in range(count):
+            host = (first, second)[number % 2]
+            prefix = f"{part}:100,own-{number}:100"
+            asked.append(
+                pool.submit(
+                    deployment.ask,
+                    host,
+                    f"/ask/{number}",
+                    f"s-{number}",
+                    events,
+                    X_Prompt_Prefix=prefix,
+                )
+            )
+        for name in list(deployment.endpoints)[:killed]:
+            time.sleep(gap)
+            context.world.processes[name].kill()
+        context.answers = [future.result() for future in asked]
+
+
+@then("none of them was refused, and some were answered whole")
+def check_none_refused(context):
+    statuses = [answer.status for answer in context.answers]
+    assert not {422, 503} & set(statuses), statuses
+    assert any(a.status == 200 and a.whole for a in context.answers), statuses
+
+
+@when("{seconds:g} s pass for the endpoints")
+def pass_time(context, seconds):
+    time.sleep(seconds)
+
+
 @when('the host "{name}" starts, and {seconds:g} s pass')
 def start_another_host(context, name, seconds):
     context.deployment.start_host(name)
--- a/features/steps/quarantined_parts.py
+++ b/features/steps/quarantined_parts.py
@@ -1,5 +1,6 @@
 """Steps of parts of prompts that crash endpoints."""
 
+import orjson
 from behave import given, then, when
 
 from features.builders.crashes import GossipingHosts
@@ -22,20 +23,22 @@
     return text.split(", ")
 
 
-def see_crash(context, host, crash, parts, request=None):
+def see_crash(context, host, crash, parts, request=None, answer_seconds=0.0):
     context.request_count += 1
     request = request or f"request-{context.request_count}"
-    get_hosts(context)[host].note_crash(crash, request, parts.split("+"))
+    get_hosts(context)[host].note_crash(
+        crash, request, parts.split("+"), answer_seconds
+    )
 
 
-def see_crashes(context, host, count, parts, request=None):
+def see_crashes(context, host, count, parts, request=None, answer_seconds=0.0):
     get_hosts(context)
     context.last_crashes = [
         f"endpoint-{context.crash_count + n}/1" for n in range(count)
     ]
     context.crash_count += count
     for crash in context.last_crashes:
-        see_crash(context, host, crash, parts, request)
+        see_crash(context, host, crash, parts, request, answer_seconds)
 
 
 @given('"{host}" is cut off')
@@ -48,6 +51,49 @@
     see_crashes(context, host, count, parts)
 
 
+@when(
+    '"{host}" sees {count:d} crashes with different requests for "{parts}", '
+    "{seconds:g} s into their answers"
+)
+def see_within_answers(context, host, count, parts, seconds):
+    see_crashes(context, host, count, parts, answer_seconds=seconds)
+
+
+@when(
+    '"{host}" has an answer to a request for "{parts}" that goes on for {seconds:g} s'
+)
+def have_long_answer(context, host, parts, seconds):
+    get_hosts(context)[host].note_answer(parts.split("+"), seconds)
+
+
+@then('the former build reads the news of "{host}" as {count:d} sightings of "{parts}"')
+def check_former_sightings(context, host, count, parts):
+    version, sightings, _ = orjson.loads(context.hosts[host].make_news().to_bytes())
+    assert version == "crashes 1"
+    assert [row[2] for row in sightings] == [parts.split("+")] * count, sightings
+    assert all(isinstance(row[3], int) and len(row) == 4 for row in sightings)
+
+
+@when(
+    '"{host}" hears of {count:d} sightings of "{parts}" from the former build, '
+    "and {seconds:d} s passes"
+)
+def hear_from_former(context, host, count, parts, seconds):
+    rows = [[f"old-{n}/1", f"0123abcd{n}", parts.split("+"), 1] for n in range(count)]
+    for message in decode(orjson.dumps(["crashes 1", rows, []])):
+        context.hosts[host].merge(message)
+    context.hosts.clock.advance(seconds)
+
+
+@then(
+    'the former build takes the news of "{host}" for no answer to "{part}" or "{other}"'
+)
+def check_former_answers(context, host, part, other):
+    _, _, answered = orjson.loads(context.hosts[host].make_news().to_bytes())
+    assert answered, "there is no news"
+    assert not {part, other} & {row[0] for row in answered}, answered
+
+
 @when('"{host}" sees {count:d} crashes with the same request for "{parts}"')
 def see_same(context, host, count, parts):
     see_crashes(context, host, count, parts, "the same")
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -260,7 +260,12 @@
             for server in self.servers:
                 await group.spawn(server.serve)
             await group.spawn(self.fleet.run)
-            for run in (self._pump, self.prober.run, self._summarize):
+            for run in (
+                self._pump,
+                self.prober.run,
+                self.crashes.run,
+                self._summarize,
+            ):
                 await group.spawn(keep_running, run.__qualname__, run)
             for keeper in self.keepers:
                 await group.spawn(keep_running, type(keeper).__name__, keeper.run)
--- a/mangogauge/entry/crashes.py
+++ b/mangogauge/entry/crashes.py
@@ -6,6 +6,8 @@
 centre is partitioned, so a failure counts as a crash only if such reports arrive.
 """
 
+from contextlib import contextmanager
+
 import curio
 import xxhash
 
@@ -13,6 +15,7 @@
 from ..http import ClientConnection, HTTPConnectError
 from ..refusals import Refusal, RefusalCode
 from ..telemetry import get_logger
+from ..ticks import sleep_to_tick
 
 __all__ = ["CrashDetector"]
 
@@ -27,9 +30,16 @@
 # several within this time.
 CONFIRM_TIMEOUT_SECONDS = 0.75
 CONFIRM_POLL_SECONDS = 0.02
-# An endpoint that crashes this long after it began an answer crashed for another
+# An endpoint that crashes once its answer has gone on for so long crashed for another
 # reason than the prompt of that request.
-SOUND_ANSWER_SECONDS = 0.1
+MAX_ACCUSING_SECONDS = 2.0
+# One that crashes sooner after a call's answer began is likely to have crashed by it,
+# so that the call isn't retried again and again.
+EARLY_CRASH_SECONDS = 1.0
+# A shorter time hasn't been measured for certain.
+MIN_ANSWER_SECONDS = 0.1
+# How often answers that go on are held against crashes.
+SURVIVAL_POLL_SECONDS = 0.25
 # After this time a suspected part has been quarantined or cleared.
 SUSPECTED_RETRY_SECONDS = 1.0
 
@@ -72,6 +82,45 @@
         self._clock = clock
         self._has_reported_since = has_reported_since
         self._refuses_connections = refuses_connections or _refuses_connections
+        # Of the calls that run: their shared parts, and what measures their answers.
+        self._watches = {}
+        self._has_news = False
+
+    async def run(self):
+        """Hold answers that go on against crashes, until cancelled."""
+        while True:
+            await sleep_to_tick(SURVIVAL_POLL_SECONDS)
+            if self._part_quarantine.is_accusing:
+                self._note_survivors()
+            if self._has_news:
+                self._has_news = False
+                await self._notify()
+
+    @contextmanager
+    def watch(self, call, measure_answer):
+        """Note how far the answer of a run goes, while it runs.
+
+        Parameters
+        ----------
+        call : OnlineCall
+        measure_answer : callable
+            Returns for how many seconds the answer has gone on; 0 if it did not begin.
+        """
+        key = object()
+        self._watches[key] = (call.shared_parts, measure_answer)
+        try:
+            yield
+        finally:
+            del self._watches[key]
+            self._note_survivor(call.shared_parts, measure_answer())
+
+    def _note_survivors(self):
+        for parts, measure_answer in list(self._watches.values()):
+            self._note_survivor(parts, measure_answer())
+
+    def _note_survivor(self, parts, answer_seconds):
+        if self._part_quarantine.note_answer(parts, answer_seconds):
+            self._has_news = True
 
     def check(self, call, executed="no"):
         """Raise `Refusal` if `call` is quarantined.
@@ -124,28 +173,27 @@
         endpoint : FleetEndpoint
         failure : AttemptFailure
         answer_seconds : float
-            How long ago the answer had begun; 0 if it had not.
+            How long the answer had gone on; 0 if it had not begun.
 
         Returns
         -------
         curio.Task or None
             Returns whether the endpoint crashed and the request may be the cause.
         """
-        is_sound = answer_seconds >= SOUND_ANSWER_SECONDS
-        if is_sound and self._part_quarantine.note_answer(call.shared_parts):
-            await self._notify()
         if not failure.connection_broken:
             return None
-        return await curio.spawn(self._diagnose, call, endpoint, is_sound, daemon=True)
+        return await curio.spawn(
+            self._diagnose, call, endpoint, answer_seconds, daemon=True
+        )
 
-    async def _diagnose(self, call, endpoint, is_sound):
+    async def _diagnose(self, call, endpoint, answer_seconds):
         broke_at = self._clock.read_elapsed()
         await curio.sleep(LISTENER_CLOSE_SECONDS)
         if not await self._refuses_connections(endpoint):
             return False
         if await self._is_data_centre_reporting(endpoint.data_centre, broke_at):
-            await self._note_crash(call, endpoint, is_sound)
-            return not is_sound
+            await self._note_crash(call, endpoint, answer_seconds)
+            return answer_seconds < EARLY_CRASH_SECONDS
         log.warning(
             "endpoint refuses connections, but its data centre does not report:"
             " treated as a network partition",
@@ -162,13 +210,18 @@
             await curio.sleep(CONFIRM_POLL_SECONDS)
         return True
 
-    async def _note_crash(self, call, endpoint, is_sound):
+    async def _note_crash(self, call, endpoint, answer_seconds):
         fingerprint = _make_fingerprint(call)
         if call.route.semantics is not RequestSemantics.BATCH:
             self._ledger.note_crash(fingerprint)
-        if not is_sound:
+        is_accused = answer_seconds < MAX_ACCUSING_SECONDS
+        if is_accused:
             crash = f"{endpoint.name}/{endpoint.start_time_ms}"
-            self._part_quarantine.note_crash(crash, fingerprint, call.shared_parts)
+            if answer_seconds < MIN_ANSWER_SECONDS:
+                answer_seconds = 0.0
+            self._part_quarantine.note_crash(
+                crash, fingerprint, call.shared_parts, answer_seconds
+            )
         log.warning(
             "endpoint crashed within a request",
             extra={
@@ -177,7 +230,8 @@
                 "fingerprint": fingerprint,
                 "condemned": self._ledger.is_quarantined(fingerprint),
                 "shared_parts": call.shared_parts,
-                "accused": not is_sound,
+                "accused": is_accused,
+                "answer_seconds": round(answer_seconds, 3),
             },
         )
         await self._notify()
--- a/mangogauge/entry/dispatch.py
+++ b/mangogauge/entry/dispatch.py
@@ -105,7 +105,10 @@
             try:
                 # It may have been quarantined while it waited for a slot.
                 self._crashes.check(state.call, state.executed)
-                await self._run_attempt(state, endpoint)
+                with self._crashes.watch(
+                    state.call, lambda: state.relay.answer_seconds
+                ):
+                    await self._run_attempt(state, endpoint)
             except AttemptFailure as failure:
                 failure.end_attempt(observer)
                 self._note_failure(state, endpoint, failure)
@@ -263,7 +266,7 @@
 
     async def _diagnose(self, state, endpoint, failure):
         diagnosis = await self._crashes.note_failure(
-            state.call, endpoint, failure, self._measure_answer(state)
+            state.call, endpoint, failure, state.relay.answer_seconds
         )
         if diagnosis is not None:
             state.diagnoses.append(diagnosis)
@@ -331,11 +334,6 @@
         weights = [share.weight for share in shares]
         return self._random.choices(shares, weights)[0].service
 
-    def _measure_answer(self, state):
-        """Return how long ago the answer of the attempt began; 0 if it did not."""
-        begun_at = state.relay.begun_at
-        return 0.0 if begun_at is None else self._clock.read_elapsed() - begun_at
-
     def _compute_time_left(self, call):
         return max(0.0, call.deadline - self._clock.read_elapsed())
 
--- a/mangogauge/entry/relay.py
+++ b/mangogauge/entry/relay.py
@@ -31,6 +31,8 @@
         Asked after that time; the attempt fails if it returns True.
     begun_at : float or None
         Elapsed time at which the answer of the current attempt began to arrive.
+    answer_seconds : float
+        How long after that the last of what has arrived did; 0 if nothing has.
     """
 
     def __init__(self, call, exchange, on_first_piece, clock):
@@ -44,12 +46,14 @@
         self.idle_timeout = None
         self.may_give_up = None
         self.begun_at = None
+        self.answer_seconds = 0.0
         self._observer = None
 
     def begin_attempt(self, observer):
         """Note that a new attempt starts, whose progress `observer` observes."""
         self._observer = observer
         self.begun_at = None
+        self.answer_seconds = 0.0
 
     async def relay(self, response):
         """Relay an answer's body, and its head unless one has been sent already.
@@ -120,8 +124,10 @@
             )
 
     def _note_progress(self, events):
+        now = self._clock.read_elapsed()
         if self.begun_at is None:
-            self.begun_at = self._clock.read_elapsed()
+            self.begun_at = now
+        self.answer_seconds = now - self.begun_at
         self._observer.note_progress(events)
 
     async def _start_response(self, response):
--- a/mangogauge/jobs/item_runner.py
+++ b/mangogauge/jobs/item_runner.py
@@ -64,12 +64,13 @@
         call = self._make_call(item, route)
         observer = self._trust.begin(endpoint)
         try:
-            await self._run(item, call, endpoint, observer)
+            with self._crashes.watch(call, lambda: item.answer_seconds):
+                await self._run(item, call, endpoint, observer)
         except AttemptFailure as failure:
             failure.end_attempt(observer)
             failure.report_to_health(self._health, endpoint)
             await self._crashes.note_failure(
-                call, endpoint, failure, self._measure_answer(item)
+                call, endpoint, failure, item.answer_seconds
             )
             self._handle_failure(item, route, endpoint, failure)
         else:
@@ -132,6 +133,7 @@
         is_retry = endpoint.name in item.tried_endpoints
         item.tried_endpoints.add(endpoint.name)
         item.answer_begun_at = None
+        item.answer_seconds = 0.0
         response = await self._endpoint_client.send(
             call, endpoint, item.last_event, IDLE_TIMEOUT_SECONDS, is_retry
         )
@@ -155,7 +157,7 @@
             if not events:
                 break
             observer.note_progress(len(events))
-            self._note_answer_begun(item)
+            self._note_answer_progress(item)
             if item.last_event is None:
                 item.origin = StreamOrigin.of(endpoint)
             for event in events:
@@ -176,15 +178,11 @@
         item.discard_events()
         raise HTTPReceiveError("The stream ended without an event.", step="receive")
 
-    def _note_answer_begun(self, item):
-        if item.answer_begun_at is None:
-            item.answer_begun_at = self._clock.read_elapsed()
-
-    def _measure_answer(self, item):
-        """Return how long ago the answer of the run began; 0 if it did not."""
+    def _note_answer_progress(self, item):
+        now = self._clock.read_elapsed()
         if item.answer_begun_at is None:
-            return 0.0
-        return self._clock.read_elapsed() - item.answer_begun_at
+            item.answer_begun_at = now
+        item.answer_seconds = now - item.answer_begun_at
 
     def _make_call(self, item, route):
         manifest = item.job.manifest
--- a/mangogauge/jobs/owned.py
+++ b/mangogauge/jobs/owned.py
@@ -63,6 +63,8 @@
         Elapsed time of its last start.
     answer_begun_at : float or None
         Elapsed time at which the answer of its last run began.
+    answer_seconds : float
+        How long after that the last of its events arrived.
     """
 
     job = field()
@@ -82,6 +84,7 @@
     endpoint = field(default="")
     started_at = field(default=0.0)
     answer_begun_at = field(default=None)
+    answer_seconds = field(default=0.0)
 
     def add_event(self, event):
         """Append the next event.
--- a/mangogauge/quarantine/culprits.py
+++ b/mangogauge/quarantine/culprits.py
@@ -14,10 +14,13 @@
 
 from attrs import define, field
 
-__all__ = ["CRASHES_TO_CONDEMN", "find_culprits"]
+__all__ = ["find_culprits"]
 
-# Crashes of endpoints that one part has to explain.
-CRASHES_TO_CONDEMN = 3
+# What a crash counts before an answer has begun, and within one, where endpoints crash
+# by chance too; and how much one part has to explain: three of the former.
+UNBEGUN_WEIGHT = 4
+BEGUN_WEIGHT = 3
+WEIGHT_TO_CONDEMN = 12
 # How many of them may come from one request: retries of a request that was at several
 # crashes by chance accuse its parts again and again.
 MAX_CRASHES_PER_REQUEST = 2
@@ -25,11 +28,24 @@
 
 @define
 class _Accusation:
-    """Crashes that one part may have caused, and its last position in a prompt."""
+    """Crashes that one part may have caused.
 
-    crashes = field(factory=set)
+    Parameters
+    ----------
+    crashes : dict of str to int
+        Their weights.
+    position : int
+        The part's last position in a prompt.
+    """
+
+    crashes = field(factory=dict)
     position = field(default=0)
 
+    @property
+    def weight(self):
+        """What all of them count."""
+        return sum(self.crashes.values())
+
 
 def find_culprits(sightings):
     """Return the parts that crash endpoints.
@@ -60,7 +76,7 @@
     while remaining:
         accusations = _collect_accusations(remaining)
         worst = max(accusations, key=lambda part: _rank(part, accusations[part]))
-        if len(accusations[worst].crashes) < CRASHES_TO_CONDEMN:
+        if accusations[worst].weight < WEIGHT_TO_CONDEMN:
             break
         culprits.add(worst)
         explained = {s.crash for s in remaining if worst in s.parts}
@@ -72,17 +88,21 @@
     accusations = {}
     crashes_by_request = Counter()
     for sighting in sightings:
+        weight = BEGUN_WEIGHT if sighting.answer_seconds else UNBEGUN_WEIGHT
         for position, part in enumerate(sighting.parts):
             accusation = accusations.setdefault(part, _Accusation())
             accusation.position = max(accusation.position, position)
-            if sighting.crash in accusation.crashes:
+            known = accusation.crashes.get(sighting.crash)
+            if known is not None:
+                # The longest answer with the part counts.
+                accusation.crashes[sighting.crash] = min(known, weight)
                 continue
             crashes_by_request[part, sighting.request] += 1
             if crashes_by_request[part, sighting.request] <= MAX_CRASHES_PER_REQUEST:
-                accusation.crashes.add(sighting.crash)
+                accusation.crashes[sighting.crash] = weight
     return accusations
 
 
 def _rank(part, accusation):
     # The name comes last, so that all hosts choose the same of equal parts.
-    return len(accusation.crashes), accusation.position, part
+    return accusation.weight, accusation.position, part
--- a/mangogauge/quarantine/news.py
+++ b/mangogauge/quarantine/news.py
@@ -5,11 +5,15 @@
 import orjson
 from attrs import evolve, field, frozen
 
+from .answers import WHOLE
+
 __all__ = ["NEWS_FORMAT", "AnsweredPart", "CrashNews"]
 
 NEWS_FORMAT = "crashes 1"
 # Ages are rounded up to multiples of this: they must not shrink from host to host.
 AGE_STEP_SECONDS = 0.1
+# Between the name of a request or part and the length of an answer.
+LENGTH_MARK = "~"
 
 
 @frozen
@@ -21,10 +25,13 @@
     part : str
     age : float
         In seconds.
+    seconds : float, optional
+        How long the answer went on; by default it is whole.
     """
 
     part = field()
     age = field()
+    seconds = field(default=WHOLE)
 
 
 @frozen
@@ -35,6 +42,7 @@
     request = field()
     parts = field(converter=tuple)
     age = field()
+    answer_seconds = field(default=0.0)
 
 
 @frozen
@@ -66,11 +74,8 @@
         if version != NEWS_FORMAT:
             raise ValueError(f"news format {version!r} is not supported")
         return cls(
-            [
-                SightingNews(str(crash), str(request), map(str, parts), _read_age(age))
-                for crash, request, parts, age in sightings
-            ],
-            [AnsweredPart(str(part), _read_age(age)) for part, age in answered],
+            [_read_sighting(*row) for row in sightings],
+            [_read_answered(*row) for row in answered],
         )
 
     def grow_older(self, seconds):
@@ -81,19 +86,59 @@
         )
 
     def to_bytes(self):
-        """Encode the news as JSON for a datagram."""
+        """Encode the news as JSON for a datagram.
+
+        Notes
+        -----
+        How long an answer went on is told behind the name of its request or part, as
+        in ``NAME~12`` for 1.2 s. To hosts of older builds, which know no such lengths,
+        this is another name; a part of that name is in no prompt.
+        """
         return orjson.dumps(
             [
                 NEWS_FORMAT,
                 [
-                    [s.crash, s.request, s.parts, _write_age(s.age)]
+                    [
+                        s.crash,
+                        _add_length(s.request, s.answer_seconds, 0.0),
+                        s.parts,
+                        _write_age(s.age),
+                    ]
                     for s in self.sightings
                 ],
-                [[a.part, _write_age(a.age)] for a in self.answered],
+                [
+                    [_add_length(a.part, a.seconds, WHOLE), _write_age(a.age)]
+                    for a in self.answered
+                ],
             ]
         )
 
 
+def _read_sighting(crash, request, parts, age):
+    name, seconds = _split_length(str(request), 0.0)
+    return SightingNews(str(crash), name, map(str, parts), _read_age(age), seconds)
+
+
+def _read_answered(part, age):
+    name, seconds = _split_length(str(part), WHOLE)
+    return AnsweredPart(name, _read_age(age), seconds)
+
+
+def _add_length(name, seconds, default):
+    """Return a name followed by the length of an answer, unless it is the default."""
+    if seconds == default:
+        return name
+    return f"{name}{LENGTH_MARK}{round(seconds / AGE_STEP_SECONDS)}"
+
+
+def _split_length(text, default):
+    """Return what `_add_length` was given."""
+    name, mark, steps = text.rpartition(LENGTH_MARK)
+    if not mark or not (steps.isascii() and steps.isdecimal()):
+        return text, default
+    return name, int(steps) * AGE_STEP_SECONDS
+
+
 def _write_age(age):
     return math.ceil(age / AGE_STEP_SECONDS)
 
--- a/mangogauge/quarantine/parts.py
+++ b/mangogauge/quarantine/parts.py
@@ -2,18 +2,17 @@
 
 Such a part may come in requests of which no two are alike, at any host, and sound
 requests share their client account and their other parts. So each crash accuses the
-parts of the requests that the endpoint had not begun to answer, and an answer to a
-request clears its parts. Hosts tell each other both. What they tell can be merged in
-any order and any number of times; a host that was cut off or has just started learns
-all of it from any other.
+parts of the requests that the endpoint had not answered whole, and an answer that is
+whole, or went on for much longer, clears its parts. Hosts tell each other both. What
+they tell can be merged in any order and any number of times; a host that was cut off
+or has just started learns all of it from any other.
 """
 
-from collections import OrderedDict
-
 import xxhash
 from attrs import evolve
 
 from ..telemetry import get_logger
+from .answers import WHOLE, PartAnswer, PartAnswers, outlasts
 from .culprits import find_culprits
 from .news import AnsweredPart, CrashNews, SightingNews
 from .sightings import CrashSighting
@@ -25,12 +24,8 @@
 # How long after a crash it counts: within this time other hosts tell of answers that
 # clear the parts.
 SETTLE_SECONDS = 0.75
-# How long an answer keeps its parts from being accused. A part that turned harmful
-# later is accused only after this time.
-ANSWER_LIFETIME_SECONDS = 10.0
 # How long the other hosts are told that an accused part was answered.
 DISPUTE_SECONDS = 10.0
-MAX_ANSWERED_PARTS = 8192
 MAX_SIGHTINGS = 512
 # Sightings that are told at once, so that news fits into a few packets.
 MAX_TOLD_SIGHTINGS = 24
@@ -66,8 +61,7 @@
     def __init__(self, clock):
         self._clock = clock
         self._sightings = {}
-        # Elapsed times of the last answers, by part; the oldest first.
-        self._answered = OrderedDict()
+        self._answers = PartAnswers(clock)
         # Until when the other hosts are told of an accused part's answer.
         self._disputed = {}
         self._culprits = frozenset()
@@ -89,8 +83,13 @@
         names = set(map(_shorten, parts))
         return any(not names.isdisjoint(s.parts) for s in self._sightings.values())
 
-    def note_crash(self, crash, request, parts):
-        """Note a request that an endpoint had not begun to answer when it crashed.
+    @property
+    def is_accusing(self):
+        """Whether any part was at a crash that it may have caused."""
+        return bool(self._sightings)
+
+    def note_crash(self, crash, request, parts, answer_seconds=0.0):
+        """Note a request whose answer an endpoint had not finished when it crashed.
 
         Parameters
         ----------
@@ -98,6 +97,8 @@
             As `CrashSighting`.
         parts : tuple of str
             The shared parts of its prompt.
+        answer_seconds : float, optional
+            How long the answer had gone on; 0 if it had not begun.
 
         Returns
         -------
@@ -105,19 +106,31 @@
             Whether the other hosts have to be told.
         """
         now = self._clock.read_elapsed()
-        parts = [part for part in map(_shorten, parts) if not self._is_answered(part)]
-        return self._add(CrashSighting(crash, request, parts, now))
+        parts = [
+            part
+            for part in map(_shorten, parts)
+            if not self._answers.clears(part, answer_seconds)
+        ]
+        return self._add(CrashSighting(crash, request, parts, now, answer_seconds))
 
-    def note_answer(self, parts):
+    def note_answer(self, parts, seconds=WHOLE):
         """Note that a request with these shared parts was answered.
 
+        Parameters
+        ----------
+        parts : tuple of str
+        seconds : float, optional
+            How long the answer has gone on; by default it is whole.
+
         Returns
         -------
         bool
             Whether the other hosts have to be told.
         """
-        now = self._clock.read_elapsed()
-        cleared = [self._note_answered(_shorten(part), now) for part in parts]
+        if not outlasts(seconds, 0.0):
+            return False
+        answer = PartAnswer(seconds, self._clock.read_elapsed())
+        cleared = [self._note_answered(_shorten(part), answer) for part in parts]
         return any(cleared)
 
     def merge(self, news):
@@ -130,7 +143,8 @@
         """
         now = self._clock.read_elapsed()
         learned = [
-            self._note_answered(row.part, now - row.age) for row in news.answered
+            self._note_answered(row.part, PartAnswer(row.seconds, now - row.age))
+            for row in news.answered
         ]
         learned += [self._merge_sighting(row, now) for row in news.sightings]
         return any(learned)
@@ -141,13 +155,17 @@
         self._disputed = {p: end for p, end in self._disputed.items() if end > now}
         return CrashNews(
             [_tell(s, now) for s in self._list_relevant(now)[:MAX_TOLD_SIGHTINGS]],
-            [
-                AnsweredPart(part, now - self._answered[part])
-                for part in list(self._disputed)[-MAX_TOLD_ANSWERED:]
-                if part in self._answered
-            ],
+            self._list_disputed(now)[-MAX_TOLD_ANSWERED:],
         )
 
+    def _list_disputed(self, now):
+        answers = {part: self._answers.get(part) for part in self._disputed}
+        return [
+            AnsweredPart(part, now - answer.at, answer.seconds)
+            for part, answer in answers.items()
+            if answer is not None
+        ]
+
     def make_quarantine_news(self):
         """Return the `CrashNews` of the crashes that quarantined parts explain."""
         self._update()
@@ -176,12 +194,18 @@
     def _merge_sighting(self, row, now):
         if row.age >= SIGHTING_LIFETIME_SECONDS:
             return False
-        answered = [part for part in row.parts if self._is_answered(part)]
+        answered = [
+            part for part in row.parts if self._answers.clears(part, row.answer_seconds)
+        ]
         for part in answered:
             # Also of a known sighting: its sender may not have heard of the answer.
             self._disputed[part] = now + DISPUTE_SECONDS
         parts = [part for part in row.parts if part not in answered]
-        added = self._add(CrashSighting(row.crash, row.request, parts, now - row.age))
+        added = self._add(
+            CrashSighting(
+                row.crash, row.request, parts, now - row.age, row.answer_seconds
+            )
+        )
         return added or bool(answered)
 
     def _add(self, sighting):
@@ -194,24 +218,19 @@
         self._plan_evaluation(self._clock.read_elapsed())
         return True
 
-    def _is_answered(self, part):
-        oldest = self._clock.read_elapsed() - ANSWER_LIFETIME_SECONDS
-        return self._answered.get(part, float("-inf")) > oldest
-
-    def _note_answered(self, part, answered_at):
-        """Note an answer; return whether it clears a part that was accused."""
-        if answered_at <= self._answered.get(part, float("-inf")):
-            return False
-        self._answered[part] = answered_at
-        self._answered.move_to_end(part)
-        if len(self._answered) > MAX_ANSWERED_PARTS:
-            self._answered.popitem(last=False)
-        if not self._sightings or not self._is_answered(part):
+    def _note_answered(self, part, answer):
+        """Note a `PartAnswer`; return whether it clears a part that was accused."""
+        if not self._answers.note(part, answer) or not self._sightings:
             return False
-        return self._clear(part)
-
-    def _clear(self, part):
-        accusing = [s for s in self._sightings.values() if part in s.parts]
+        return self._clear(part, answer.seconds)
+
+    def _clear(self, part, seconds):
+        """Clear a part of the crashes that an answer so long shows not to be its."""
+        accusing = [
+            sighting
+            for sighting in self._sightings.values()
+            if part in sighting.parts and outlasts(seconds, sighting.answer_seconds)
+        ]
         for sighting in accusing:
             parts = [other for other in sighting.parts if other != part]
             if parts:
@@ -267,7 +286,9 @@
 
 def _tell(sighting, now):
     age = now - sighting.seen_at
-    return SightingNews(sighting.crash, sighting.request, sighting.parts, age)
+    return SightingNews(
+        sighting.crash, sighting.request, sighting.parts, age, sighting.answer_seconds
+    )
 
 
 def _has_any(parts, names):
--- a/mangogauge/quarantine/sightings.py
+++ b/mangogauge/quarantine/sightings.py
@@ -7,7 +7,7 @@
 
 @frozen
 class CrashSighting:
-    """A request that an endpoint had not begun to answer when it crashed.
+    """A request whose answer an endpoint had not finished when it crashed.
 
     Parameters
     ----------
@@ -19,12 +19,15 @@
         The shared parts of its prompt that may be the cause, in order.
     seen_at : float
         Elapsed time of the crash in seconds, by this host's clock.
+    answer_seconds : float, optional
+        How long the answer had gone on; 0 if it had not begun.
     """
 
     crash = field()
     request = field()
     parts = field(converter=tuple)
     seen_at = field()
+    answer_seconds = field(default=0.0)
 
     @property
     def key(self):
