Bound what unfinished messages hold in memory together, and each that is kept

What operators of other systems saw: an endpoint sent bytes without end, its caller kept them all and ran out of memory. Here each answer had a bound, but not all together: 300 answers of 1 MiB at once, or 24 bodies of 8 MB from callers, were all kept. An engine's answer for a batch item of the product's own API had no bound at all, and bodies that are read whole (probes, the etcd gateway, another host's operator port) had only a time-out.

Cause: bounds were set on one message, and memory belongs to all; what is passed on needs none, and what is kept for somebody who isn't a caller got none.

Change: BufferBudget counts what unfinished messages hold beyond 16 KiB each: 32 MiB for answers, 64 MiB for callers' bodies (then 503, not run) and for batch items, which are bounded at 8 MiB each like all bodies that are read whole. The table of statuses that stood twice is one.

Why it works: a message fails before it would exceed the budget, and lets go of its part when it ends; sound messages are small and not counted.

--- a/features/builders/platform/endless.py
+++ b/features/builders/platform/endless.py
@@ -11,6 +11,7 @@
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 CHUNK = b"%x\r\n%s\r\n" % (len(BLOCK), BLOCK)
 STALL_SECONDS = 0.1
+STEP_SECONDS = 0.02
 
 # What it sends first, and what it then sends again and again.
 TROUBLES = {
@@ -33,10 +34,15 @@
     ),
     "a chunk's header": (EVENT_HEAD + CHUNKED, b"0" * 16_384),
     "an event": (EVENT_HEAD + CHUNKED, CHUNK),
+    "an event, in steps": (EVENT_HEAD + CHUNKED, CHUNK),
     "an event, slowly": (EVENT_HEAD + CHUNKED, b"1\r\nx\r\n"),
 }
 
 
+# How long it waits between two blocks, by the end of the trouble's name.
+PAUSES = {"slowly": STALL_SECONDS, "in steps": STEP_SECONDS}
+
+
 class EndlessEndpoint(RawServer):
     """Sends one kind of bytes on each connection until that is closed.
 
@@ -57,7 +63,7 @@
 
     def __init__(self, address, trouble):
         self._first, self._block = TROUBLES[trouble]
-        self._pause = STALL_SECONDS if "slowly" in trouble else 0.0
+        self._pause = PAUSES.get(trouble.rpartition(", ")[2], 0.0)
         self.opened = 0
         self.sent = []
         super().__init__(address)
--- a/features/http/rough_callers.feature
+++ b/features/http/rough_callers.feature
@@ -72,3 +72,12 @@
     Then the service is held back, and the host's memory has not grown by 30000000 bytes
     When the caller reads on
     Then it gets all 100000000 bytes
+
+  # Guards against bodies that keep to their bound one by one and take all memory together.
+  Scenario: Many large bodies at once are refused beyond what a host holds in all
+    When 24 callers send a body of 8,000,000 bytes each, all but the last byte
+    Then some were answered 503 with "overloaded"
+    And "a1" takes less than 200 MB
+    And the host still serves
+    When the callers end
+    Then a caller's body of 8,000,000 bytes is read again
--- a/features/steps/http.py
+++ b/features/steps/http.py
@@ -1,6 +1,7 @@
 """Steps of the HTTP server's features."""
 
 import re
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import orjson
@@ -99,6 +100,59 @@
     assert error["code"] == code and error["executed"] == "no", error
 
 
+def send_most(context, size):
+    """Return a caller that has sent all of a body but its last byte."""
+    head = make_request(
+        "/bookings/1",
+        "POST",
+        key=context.key,
+        Content_Length=size,
+        Connection="close",
+    )
+    caller = open_caller(context)
+    try:
+        caller.send(head + bytes(size - 1))
+    except OSError:
+        # It was refused meanwhile.
+        return caller
+    return caller
+
+
+@when("{count:d} callers send a body of {size} bytes each, all but the last byte")
+def send_many_bodies(context, count, size):
+    size = int(size.replace(",", ""))
+    with ThreadPoolExecutor(count) as pool:
+        context.callers = list(
+            pool.map(lambda _: send_most(context, size), range(count))
+        )
+        context.raws = list(pool.map(lambda c: c.read_to_end(), context.callers))
+
+
+@then('some were answered {status:d} with "{code}"')
+def check_overloaded(context, status, code):
+    told = [raw for raw in context.raws if read_status(raw) == status]
+    assert told, [read_status(raw) for raw in context.raws]
+    assert {read_error(raw)["code"] for raw in told} == {code}
+    # Those that wait for their last byte are told that they are slow.
+    statuses = {read_status(raw) for raw in context.raws}
+    assert statuses <= {0, 408, status}, statuses
+
+
+@when("the callers end")
+def end_callers(context):
+    for caller in context.callers:
+        caller.close()
+
+
+@then("a caller's body of {size} bytes is read again")
+def check_read_again(context, size):
+    caller = send_most(context, int(size.replace(",", "")))
+    caller.send(b"x")
+    raw = caller.read_to_end()
+    caller.close()
+    assert read_status(raw) not in (0, 408, 503), raw[:300]
+
+
 @when("a caller sends half a head and waits")
 def send_half_head(context):
     exchange(context, b"GET /v1/models HTTP/1.1\r\nHost:")
--- a/features/steps/items_crashes.py
+++ b/features/steps/items_crashes.py
@@ -12,7 +12,7 @@
 from mangogauge.clock import ManualClock
 from mangogauge.entry import AttemptFailure, StreamEvent
 from mangogauge.fleet import RequestSemantics
-from mangogauge.http import HTTPReceiveError
+from mangogauge.http import BufferBudget, HTTPReceiveError
 from mangogauge.jobs.item_runner import ItemRunner
 from mangogauge.jobs.owned import OwnedJob
 from mangogauge.jobs.records import ItemState, JobItem, JobManifest
@@ -38,6 +38,7 @@
         self._events = events
         self._broken = broken
         self.ends_with_connection = ends_with_connection
+        self.buffers = BufferBudget(1_000_000)
 
     def gather(self, seconds):
         """Do nothing: all events are already there."""
--- a/features/steps/platform_endless.py
+++ b/features/steps/platform_endless.py
@@ -1,6 +1,7 @@
 """Steps of endpoints and a store that send bytes without end."""
 
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 from behave import given, then, when
 
@@ -8,16 +9,22 @@
 from features.builders.platform.endless import EndlessEndpoint
 
 MOST_REQUESTS = 60
+DEFAULT_SLOTS = 8
 KILOBYTES_PER_MEGABYTE = 1024
 
 
 @given('an endpoint "{name}" that sends {trouble} without end')
 def start_rogue(context, name, trouble):
+    start_rogue_of(context, name, DEFAULT_SLOTS, trouble)
+
+
+@given('an endpoint "{name}" of {slots:d} slots that sends {trouble} without end')
+def start_rogue_of(context, name, slots, trouble):
     deployment = context.deployment
     context.rogue = EndlessEndpoint(deployment.address, trouble)
     context.add_cleanup(context.rogue.close)
     deployment.endpoints[name] = context.rogue.address
-    deployment.write_entry(name)
+    deployment.write_entry(name, slots=slots)
     # It can't be asked what arrived there.
     del deployment.endpoints[name]
     for host in deployment.hosts:
@@ -59,6 +66,33 @@
     assert rogue.sent and max(rogue.sent) <= most, rogue.sent
 
 
+def make_asker(context, account, host, path):
+    def ask(number):
+        key = f"{account}-key"
+        return context.deployment.ask(host, path, f"m{number}", 4, key=key)
+
+    return ask
+
+
+@when('"{account}" asks "{host}" for "{path}" {count:d} times, {width:d} at once')
+def ask_many(context, account, host, path, count, width):
+    ask = make_asker(context, account, host, path)
+    with ThreadPoolExecutor(width) as pool:
+        context.answers = list(pool.map(ask, range(count)))
+
+
+@when('"{account}" asks "{host}" {count:d} times for "{path}", whoever answers')
+def ask_some(context, account, host, count, path):
+    ask = make_asker(context, account, host, path)
+    context.answers = [ask(1_000_000 + number) for number in range(count)]
+
+
+@then("some were answered whole")
+def check_some_whole(context):
+    whole = [a for a in context.answers if a.status == 200 and a.whole]
+    assert whole, context.answers
+
+
 @then('the log of "{host}" says "{text}"')
 def check_log(context, host, text):
     assert text in context.world.processes[host].read_log()
--- a/mangogauge/batch/execution.py
+++ b/mangogauge/batch/execution.py
@@ -7,7 +7,7 @@
 import orjson
 
 from ..gateway.sinks import MemorySink
-from ..http import ClientPool, HTTPError
+from ..http import BufferBudget, ClientPool, HTTPError
 from ..refusals import Refusal
 from ..settings import RoomKind
 from .fillers import FillerChooser
@@ -26,6 +26,8 @@
 RESTING_ROOM_TICK_SECONDS = 0.5
 ROOM_PAUSE_SECONDS = 0.05
 TICKS_PER_REPORT = 5
+# What the answers of all running items may hold in memory.
+BUFFERED_BYTES = 67_108_864
 BACKOFF_LIMIT_SECONDS = 30.0
 DEFAULT_WORK = 16
 FAILURES = frozenset({Verdict.LATER, Verdict.AGAIN})
@@ -66,6 +68,7 @@
         }
         self._room = self._rooms[RoomKind.SPARE]
         self._loads = LoadWatcher(ClientPool())
+        self._buffers = BufferBudget(BUFFERED_BYTES)
         self._fillers = FillerChooser(parts.view)
         self._assigned = frozenset()
         self._has_gained = False
@@ -305,9 +308,10 @@
 
     async def _run_item(self, run, index, item, attempt_id, work):
         ledger, call, room = run.chunk.ledger, item.call, self._room
-        sink = MemorySink()
+        sink = MemorySink(self._buffers)
         try:
             verdict, error = await self._dispatch(call, sink)
+            result = item.make_result(index, sink) if verdict is Verdict.DONE else None
         except curio.CancelledError:
             if call.repeatable:
                 ledger.put_back(index)
@@ -315,13 +319,13 @@
                 self._keep(run, attempt_id, item.make_failure(index, CANCELLED))
             raise
         finally:
+            sink.close()
             room.give(call.endpoint)
             run.tasks.pop(index, None)
         room.note_outcome(call.endpoint, verdict not in FAILURES)
         if verdict not in FAILURES:
             run.worked_at = self._parts.clock.read_elapsed()
         if verdict is Verdict.DONE:
-            result = item.make_result(index, sink)
             self._share.charge(run.chunk.job.account, result.tokens - work)
             self._keep(run, attempt_id, result, item)
         else:
--- a/mangogauge/entry/events.py
+++ b/mangogauge/entry/events.py
@@ -72,6 +72,11 @@
         """Whether no incomplete event is buffered."""
         return not self._pending
 
+    @property
+    def pending_bytes(self):
+        """Size of the incomplete event."""
+        return len(self._pending)
+
     def feed(self, data):
         """Add received bytes and return the events that they complete.
 
@@ -98,6 +103,12 @@
         self._response = response
         self._pieces = response.iterate()
         self._parser = EventParser()
+        self._buffer = response.buffers.open()
+
+    async def close(self):
+        """Close the response, and hold no incomplete event any more."""
+        self._buffer.close()
+        await self._response.close()
 
     async def read_events(self, idle_timeout=None, may_give_up=None):
         """Return the next complete events; an empty list at the end of the stream.
@@ -145,7 +156,9 @@
 
     def _parse(self, piece):
         try:
-            return self._parser.feed(piece)
+            events = self._parser.feed(piece)
+            self._buffer.resize(self._parser.pending_bytes)
+            return events
         except ValueError as error:
             raise HTTPReceiveError(str(error), step="receive") from error
 
--- a/mangogauge/entry/handler.py
+++ b/mangogauge/entry/handler.py
@@ -4,17 +4,13 @@
 
 from ..fleet import RequestSemantics
 from ..http import HTTPError, HTTPRequestError
-from ..refusals import Refusal, RefusalCode
+from ..refusals import Refusal, RefusalCode, make_request_refusal
 from ..telemetry import get_logger
 from .calls import OnlineCall
 
 __all__ = ["CallerRequestHandler"]
 
 FORBIDDEN_SEGMENTS = ("/../", "/./")
-REFUSAL_CODES_BY_STATUS = {
-    408: RefusalCode.REQUEST_TIMEOUT,
-    413: RefusalCode.TOO_LARGE,
-}
 STARTING_RETRY_SECONDS = 0.5
 # Another host takes the request; the caller need not wait.
 STOPPING_RETRY_SECONDS = 0.05
@@ -94,9 +90,9 @@
             record.outcome = refusal.code.value.code
             await self._refuse(exchange, record, refusal)
         except HTTPRequestError as error:
-            code = REFUSAL_CODES_BY_STATUS.get(error.status, RefusalCode.MALFORMED)
-            record.outcome = code.value.code
-            await self._refuse(exchange, record, Refusal(code, error.message))
+            refusal = make_request_refusal(error)
+            record.outcome = refusal.code.value.code
+            await self._refuse(exchange, record, refusal)
         except HTTPError as error:
             # A part of the answer has been sent: closing the connection without
             # the last chunk shows the caller that the answer is incomplete.
--- a/mangogauge/entry/relay.py
+++ b/mangogauge/entry/relay.py
@@ -93,10 +93,18 @@
 
     async def _relay_events(self, response):
         stream = EventStream(response)
+        try:
+            await self._relay_stream(stream, response)
+        finally:
+            await stream.close()
+        if self.begun_at is None:
+            raise HTTPReceiveError("The stream ended without an event.", step="receive")
+
+    async def _relay_stream(self, stream, response):
         while True:
             events = await stream.read_events(self.idle_timeout, self.may_give_up)
             if not events:
-                break
+                return
             self._note_progress(len(events))
             for event in events:
                 self._check_number(event)
@@ -104,8 +112,6 @@
                 # Set before the write: if that fails, the whole answer ends.
                 self.last_event = event.number
                 await self._exchange.send_data(event.raw)
-        if self.begun_at is None:
-            raise HTTPReceiveError("The stream ended without an event.", step="receive")
 
     def _check_number(self, event):
         """Raise `HTTPReceiveError` if an event doesn't follow the one before.
--- a/mangogauge/gateway/front.py
+++ b/mangogauge/gateway/front.py
@@ -7,7 +7,7 @@
 import curio
 
 from ..http import HTTPError, HTTPRequestError
-from ..refusals import Refusal, RefusalCode, render_refusal
+from ..refusals import Refusal, RefusalCode, make_request_refusal, render_refusal
 from ..settings import RouteKind
 from ..telemetry import get_logger
 from .calls import Call
@@ -30,10 +30,6 @@
     "x-resume-from",
     DEADLINE_HEADER,
 )
-STATUS_CODES = {
-    408: RefusalCode.REQUEST_TIMEOUT,
-    413: RefusalCode.TOO_LARGE,
-}
 IDEMPOTENCY_HEADER = "idempotency-key"
 KEY_LIMIT = 255
 FIRST_SERVER_ERROR = 500
@@ -87,8 +83,7 @@
             await self._refuse(exchange, request_id, refusal, labels)
         except HTTPRequestError as error:
             outcome = "malformed"
-            code = STATUS_CODES.get(error.status, RefusalCode.MALFORMED)
-            refusal = Refusal(code, error.message, step=error.step, peer=error.peer)
+            refusal = make_request_refusal(error)
             await self._refuse(exchange, request_id, refusal, labels)
         except HTTPError as error:
             # The caller has part of an answer; ending the connection without
--- a/mangogauge/gateway/sinks.py
+++ b/mangogauge/gateway/sinks.py
@@ -2,10 +2,13 @@
 
 from abc import ABC, abstractmethod
 
-from ..http import Headers
+from ..http import BufferBudget, Headers, HTTPLimitError
 
 __all__ = ["ExchangeSink", "MemorySink", "Sink"]
 
+# Largest answer that is kept, in bytes.
+MAX_KEPT_BYTES = 8_388_608
+
 
 class Sink(ABC):
     """Receives one answer.
@@ -85,14 +88,21 @@
     body : bytes
     whole : bool
         Whether the answer has ended.
+
+    Parameters
+    ----------
+    buffers : BufferBudget, optional
+        For what this sink and others keep together.
     """
 
-    def __init__(self):
+    def __init__(self, buffers=None):
         self.status = 0
         self.headers = Headers()
         self.body = b""
         self.whole = False
         self._pieces = []
+        self._size = 0
+        self._buffer = (buffers or BufferBudget(MAX_KEPT_BYTES)).open()
 
     async def start(self, status, headers):
         """Keep the head."""
@@ -101,9 +111,26 @@
         self.headers = headers
 
     async def write(self, data):
-        """Keep a piece."""
+        """Keep a piece.
+
+        Raises
+        ------
+        HTTPLimitError
+            If the answer is larger than `MAX_KEPT_BYTES`, or all that are kept hold
+            too much.
+        """
+        self._size += len(data)
+        if self._size > MAX_KEPT_BYTES:
+            raise HTTPLimitError("kept_bytes", MAX_KEPT_BYTES)
+        self._buffer.resize(self._size)
         self._pieces.append(data)
 
+    def close(self):
+        """Keep nothing any more."""
+        self._pieces.clear()
+        self.body = b""
+        self._buffer.close()
+
     async def finish(self):
         """Put the pieces together."""
         self.body = b"".join(self._pieces)
--- a/mangogauge/http/__init__.py
+++ b/mangogauge/http/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 on both sides, by `h11` over curio sockets."""
 
+from .buffers import BufferBudget
 from .client import ClientConnection, ClientResponse
 from .connectors import Connector, DirectConnector
 from .errors import (
@@ -22,6 +23,7 @@
 from .tunnel import TunnelRefusedError, TunnelSocket
 
 __all__ = [
+    "BufferBudget",
     "ClientConnection",
     "ClientLimits",
     "ClientPool",
--- a/mangogauge/http/client.py
+++ b/mangogauge/http/client.py
@@ -45,6 +45,8 @@
         HTTP status.
     headers : Headers
         Header fields.
+    buffers : BufferBudget
+        For what a reader keeps of the body.
     """
 
     def __init__(self, connection, status, headers, release):
@@ -53,6 +55,7 @@
         self.status = status
         self.headers = headers
         self.complete = False
+        self.buffers = connection.limits.buffers
 
     @property
     def ends_with_connection(self):
@@ -97,19 +100,25 @@
         Parameters
         ----------
         limit : int, optional
-            Largest body in bytes, where it is less than the connection's.
+            Largest body in bytes; by default the connection's for such bodies.
 
         Raises
         ------
         HTTPLimitError
-            If it is larger.
+            If it is larger, or all answers that are being read hold too much.
         """
+        limit = self._connection.limits.whole_bytes if limit is None else limit
         pieces, size = [], 0
-        async for piece in self.iterate():
-            size += len(piece)
-            if limit is not None and size > limit:
-                raise HTTPLimitError("read_bytes", limit)
-            pieces.append(piece)
+        buffer = self.buffers.open()
+        try:
+            async for piece in self.iterate():
+                size += len(piece)
+                if limit is not None and size > limit:
+                    raise HTTPLimitError("read_bytes", limit)
+                buffer.resize(size)
+                pieces.append(piece)
+        finally:
+            buffer.close()
         return b"".join(pieces)
 
     async def close(self):
--- a/mangogauge/http/connection.py
+++ b/mangogauge/http/connection.py
@@ -69,6 +69,11 @@
         """The limits in force, which may change while the connection is open."""
         return self._server.limits
 
+    @property
+    def buffers(self):
+        """What the bodies of requests on all connections hold in memory."""
+        return self._server.buffers
+
     @property
     def must_close(self):
         """Whether the connection ends with the answer under way."""
@@ -246,6 +251,7 @@
                 handling = await group.spawn(self._call_handler, handler, exchange)
                 await group.spawn(self._watch_caller)
         finally:
+            exchange.close()
             self._log_incomplete(exchange)
         if not handling.terminated or handling.exception is not None:
             self._broken = True
--- a/mangogauge/http/exchange.py
+++ b/mangogauge/http/exchange.py
@@ -4,7 +4,7 @@
 
 import h11
 
-from .errors import HTTPRequestError
+from .errors import HTTPLimitError, HTTPRequestError
 from .headers import Headers
 
 __all__ = ["Exchange", "make_response"]
@@ -32,6 +32,11 @@
         self.headers = Headers.from_raw(request.headers.raw_items())
         self.peer = connection.peer
         self.response_started = False
+        self._buffer = connection.buffers.open()
+
+    def close(self):
+        """Let go of the request's body."""
+        self._buffer.close()
 
     @property
     def caller_left(self):
@@ -65,7 +70,8 @@
         Raises
         ------
         HTTPRequestError
-            With status 413 if the body is larger than `limit` bytes.
+            With status 413 if the body is larger than `limit` bytes; with status 503
+            if the bodies of all requests would hold too much memory.
         """
         limit = self._connection.limits.body_bytes if limit is None else limit
         announced = self.headers.get("content-length", "0")
@@ -77,9 +83,16 @@
             size += len(piece)
             if size > limit:
                 raise _make_too_large(limit)
+            self._hold(size)
             pieces.append(piece)
         return b"".join(pieces)
 
+    def _hold(self, size):
+        try:
+            self._buffer.resize(size)
+        except HTTPLimitError as error:
+            raise HTTPRequestError(503, error.message) from error
+
     async def start_response(self, status, headers):
         """Send the status line and the header fields.
 
--- a/mangogauge/http/heads.py
+++ b/mangogauge/http/heads.py
@@ -9,7 +9,14 @@
 __all__ = ["has_body", "has_short_body", "judge_head", "render_unreadable"]
 
 SPOKEN_VERSIONS = frozenset({b"1.0", b"1.1"})
-UNREADABLE_CODES = {408: "request_timeout", 413: "too_large", 431: "too_large"}
+UNREADABLE_CODES = {
+    408: "request_timeout",
+    413: "too_large",
+    431: "too_large",
+    503: "overloaded",
+}
+# Seconds after which a caller may come again, by status.
+RETRY_AFTER_SECONDS = {503: 1}
 
 
 def judge_head(request, limits):
@@ -69,6 +76,8 @@
             ("Connection", "close"),
         ]
     )
+    if status in RETRY_AFTER_SECONDS:
+        headers.add("Retry-After", str(RETRY_AFTER_SECONDS[status]))
     return headers, body
 
 
--- a/mangogauge/http/limits.py
+++ b/mangogauge/http/limits.py
@@ -2,6 +2,8 @@
 
 from attrs import field, frozen
 
+from .buffers import BufferBudget
+
 __all__ = ["ClientLimits", "ServerLimits"]
 
 
@@ -23,6 +25,8 @@
         Seconds a caller may leave its receive window full.
     connections : int
         Largest number of connections open at once.
+    buffered_bytes : int
+        What the bodies of all requests may hold in memory together, in bytes.
     """
 
     header_bytes = field(default=32_768)
@@ -31,6 +35,7 @@
     body_timeout = field(default=30.0)
     write_timeout = field(default=60.0)
     connections = field(default=4096)
+    buffered_bytes = field(default=67_108_864)
 
 
 @frozen
@@ -49,6 +54,10 @@
         Largest body of such an answer, in bytes.
     body_bytes : int or None
         Largest body, in bytes; None for any.
+    whole_bytes : int or None
+        Largest body that is read whole into memory, in bytes; None for any.
+    buffers : BufferBudget
+        What unfinished answers hold in memory, on all connections with these limits.
     """
 
     head_bytes = field(default=32_768)
@@ -56,3 +65,5 @@
     skipped_answers = field(default=4)
     skipped_bytes = field(default=1_048_576)
     body_bytes = field(default=None)
+    whole_bytes = field(default=8_388_608)
+    buffers = field(factory=lambda: BufferBudget(33_554_432), eq=False)
--- a/mangogauge/http/server.py
+++ b/mangogauge/http/server.py
@@ -9,6 +9,7 @@
 from curio import socket
 
 from ..telemetry import get_logger
+from .buffers import BufferBudget
 from .connection import ServerConnection
 from .limits import ServerLimits
 from .liveness import detect_dead_peer
@@ -46,6 +47,7 @@
     def __init__(self, handler, limits=None, tls=None):
         self._handler = handler
         self.limits = limits or ServerLimits()
+        self.buffers = BufferBudget(self.limits.buffered_bytes)
         self.tls = tls
         self._listener = None
         self._accepting = None
--- a/mangogauge/jobs/item_runner.py
+++ b/mangogauge/jobs/item_runner.py
@@ -137,8 +137,12 @@
         response = await self._endpoint_client.send(
             call, endpoint, item.last_event, IDLE_TIMEOUT_SECONDS, is_retry
         )
+        response.gather(GATHER_SECONDS)
+        stream = EventStream(response)
         try:
-            await self._read_events(item, endpoint, response, observer)
+            await self._read_events(item, endpoint, stream, observer)
+            if item.answer_begun_at is None:
+                self._check_empty_rest(item, response)
         except HTTPError as error:
             raise AttemptFailure(
                 Progress.MAYBE_RUN,
@@ -147,11 +151,9 @@
                 connection_broken=True,
             ) from error
         finally:
-            await response.close()
+            await stream.close()
 
-    async def _read_events(self, item, endpoint, response, observer):
-        response.gather(GATHER_SECONDS)
-        stream = EventStream(response)
+    async def _read_events(self, item, endpoint, stream, observer):
         while True:
             events = await stream.read_events(IDLE_TIMEOUT_SECONDS)
             if not events:
@@ -162,8 +164,6 @@
                 item.origin = StreamOrigin.of(endpoint)
             for event in events:
                 item.add_event(event)
-        if item.answer_begun_at is None:
-            self._check_empty_rest(item, response)
 
     def _check_empty_rest(self, item, response):
         """Raise `HTTPReceiveError` if a run without events doesn't complete an item.
--- a/mangogauge/refusals.py
+++ b/mangogauge/refusals.py
@@ -9,7 +9,15 @@
 from .errors import MangogaugeError
 from .http import Headers
 
-__all__ = ["Refusal", "RefusalCode", "RefusalKind", "render_refusal"]
+__all__ = [
+    "Refusal",
+    "RefusalCode",
+    "RefusalKind",
+    "make_request_refusal",
+    "render_refusal",
+]
+
+BUSY_RETRY_SECONDS = 1.0
 
 
 @frozen
@@ -78,6 +86,26 @@
         return self.code.value.status
 
 
+# What a request that can't be read is refused by, where it isn't malformed.
+CODES_BY_STATUS = {
+    408: RefusalCode.REQUEST_TIMEOUT,
+    413: RefusalCode.TOO_LARGE,
+    503: RefusalCode.OVERLOADED,
+}
+
+
+def make_request_refusal(error):
+    """Return the `Refusal` for an `HTTPRequestError`: the request wasn't read whole."""
+    code = CODES_BY_STATUS.get(error.status, RefusalCode.MALFORMED)
+    return Refusal(
+        code,
+        error.message,
+        retry_after=BUSY_RETRY_SECONDS if code is RefusalCode.OVERLOADED else None,
+        step=error.step,
+        peer=error.peer,
+    )
+
+
 def render_refusal(refusal, request_id):
     """Return the header fields and body that tell a caller."""
     headers = Headers([("Content-Type", "application/json")])
