--- a/mangogauge/entry/crashes.py
+++ b/mangogauge/entry/crashes.py
@@ -10,6 +10,7 @@
 
 import curio
 import xxhash
+from attrs import field, frozen
 
 from ..fleet import RequestSemantics
 from ..http import ClientConnection, HTTPConnectError
@@ -39,13 +40,29 @@
 # A shorter time hasn't been measured for certain.
 MIN_ANSWER_SECONDS = 0.1
 # How often answers that go on are held against crashes.
-SURVIVAL_POLL_SECONDS = 0.25
+LENGTH_POLL_SECONDS = 0.25
 # After this time a suspected part has been quarantined or cleared.
 SUSPECTED_RETRY_SECONDS = 1.0
 
 log = get_logger("crashes")
 
 
+@frozen
+class _RunningAnswer:
+    """An answer that goes on.
+
+    Parameters
+    ----------
+    parts : tuple of str
+        The shared parts of its prompt.
+    measure : callable
+        Returns for how many seconds it has gone on; 0 if it did not begin.
+    """
+
+    parts = field()
+    measure = field()
+
+
 class CrashDetector:
     """Notes crashes of endpoints and refuses quarantined requests.
 
@@ -82,23 +99,23 @@
         self._clock = clock
         self._has_reported_since = has_reported_since
         self._refuses_connections = refuses_connections or _refuses_connections
-        # Of the calls that run: their shared parts, and what measures their answers.
-        self._watches = {}
+        self._running = {}
         self._has_news = False
 
     async def run(self):
         """Hold answers that go on against crashes, until cancelled."""
         while True:
-            await sleep_to_tick(SURVIVAL_POLL_SECONDS)
+            await sleep_to_tick(LENGTH_POLL_SECONDS)
             if self._part_quarantine.is_accusing:
-                self._note_survivors()
+                for answer in list(self._running.values()):
+                    self._note_length(answer)
             if self._has_news:
                 self._has_news = False
                 await self._notify()
 
     @contextmanager
     def watch(self, call, measure_answer):
-        """Note how far the answer of a run goes, while it runs.
+        """Note how long the answer of a run goes on, while it runs.
 
         Parameters
         ----------
@@ -106,20 +123,18 @@
         measure_answer : callable
             Returns for how many seconds the answer has gone on; 0 if it did not begin.
         """
-        key = object()
-        self._watches[key] = (call.shared_parts, measure_answer)
+        answer = _RunningAnswer(call.shared_parts, measure_answer)
+        key = id(answer)
+        self._running[key] = answer
         try:
             yield
         finally:
-            del self._watches[key]
-            self._note_survivor(call.shared_parts, measure_answer())
-
-    def _note_survivors(self):
-        for parts, measure_answer in list(self._watches.values()):
-            self._note_survivor(parts, measure_answer())
+            del self._running[key]
+            self._note_length(answer)
 
-    def _note_survivor(self, parts, answer_seconds):
-        if self._part_quarantine.note_answer(parts, answer_seconds):
+    def _note_length(self, answer):
+        """Clear the parts of an answer of crashes that it has outlasted."""
+        if self._part_quarantine.note_answer(answer.parts, answer.measure()):
             self._has_news = True
 
     def check(self, call, executed="no"):
