Quarantine parts of prompts whose names have more than 32 characters

What callers saw: nothing was quarantined for a part with a long name, such as a digest of 64 characters. Each request that names one was answered whole and then logged as failed, with TypeError.

Cause: long names are replaced by their hash, and the hash function was handed a string; the pinned xxhash takes bytes only. Found while a test of other code was written: no site's names are that long.

Evidence: features/platform/crashing_parts.feature, "A part may have a long name": all nine endpoints crashed, h1 logged TypeError eleven times; and features/quarantine/parts.feature raised it. Both failed before, and pass.

Change: the name is encoded first.

--- a/features/platform/crashing_parts.feature
+++ b/features/platform/crashing_parts.feature
@@ -70,3 +70,11 @@
     Then none of them was refused, and some were answered whole
     When "desk" asks "h1" for 3 different prompts with "common"
     Then all were answered whole
+
+  # Guards against requests that fail since one of their parts has a long name.
+  Scenario: A part may have a long name
+    Given the endpoints answer "crash" to requests for "deadly-part-with-a-name-of-48-characters-00000001"
+    When "desk" asks "h1" for 3 different prompts with "a-shared-part-with-a-name-of-more-than-32-characters"
+    Then all were answered whole
+    When "desk" asks "h1" and "h2" in turn for 9 different prompts with "common+deadly-part-with-a-name-of-48-characters-00000001", and each time for one with "common"
+    Then 5 endpoints at most have crashed, and the last answer is 422
--- a/features/quarantine/parts.feature
+++ b/features/quarantine/parts.feature
@@ -153,3 +153,11 @@
     Then "a" quarantines "other" alone
     When "a" has an answer to a request for "x+deadly" that goes on for 4 s
     Then the former build takes the news of "a" for no answer to "x" or "deadly"
+
+  # Guards against requests that fail since one of their parts has a long name.
+  Scenario: Hosts add up the crashes of a part with a long name, and answers clear one
+    When "a" is answered a request for "a-sound-part-with-a-name-of-more-than-32-characters"
+    And "a" sees 2 crashes with different requests for "a-sound-part-with-a-name-of-more-than-32-characters+a-deadly-part-with-a-name-of-more-than-32-characters"
+    And "b" sees 2 crashes with different requests for "a-deadly-part-with-a-name-of-more-than-32-characters"
+    And all hosts tell each other, and 1 s passes
+    Then "a, b, c" refuse "a-deadly-part-with-a-name-of-more-than-32-characters", not "a-sound-part-with-a-name-of-more-than-32-characters"
--- a/features/steps/quarantined_parts.py
+++ b/features/steps/quarantined_parts.py
@@ -172,6 +172,13 @@
         assert found == sorted(parts.split("+")), (host, found)
 
 
+@then('"{hosts}" refuse "{part}", not "{other}"')
+def check_refused(context, hosts, part, other):
+    for host in split(hosts):
+        assert context.hosts[host].is_quarantined([part]), host
+        assert not context.hosts[host].is_quarantined([other]), host
+
+
 @then('"{hosts}" quarantines nothing')
 @then('"{hosts}" quarantine nothing')
 def check_nothing(context, hosts):
--- a/mangogauge/quarantine/parts.py
+++ b/mangogauge/quarantine/parts.py
@@ -299,4 +299,4 @@
     """Return a name that identifies a part and isn't too long to be told."""
     if len(name) <= MAX_NAME_LENGTH:
         return name
-    return xxhash.xxh3_64_hexdigest(name)
+    return xxhash.xxh3_64_hexdigest(name.encode())
