Run items on trial whose prompts have a part that has crashed endpoints

Mended endpoints would not have helped: the items waited for ten minutes or until their job's time limit.

Cause: an item was held back for as long as a part of its prompt was in quarantine. Only an answer ends that, and while all items with the part wait, none comes.

Change: an item that is held back runs on trial each 17 s, one at a time over all hosts by a lock in the store on the host's lease, until two trials came later than 3 s after the fifth crash. An answer clears the part everywhere. No message and no record that the former build reads changes.

--- a/features/platform/crashing_parts.feature
+++ b/features/platform/crashing_parts.feature
@@ -64,6 +64,17 @@
     When "desk" asks "h2" for 5 different prompts with "common+other"
     Then all were answered whole
 
+  # Guards against items that are neither run nor given up (LOST).
+  Scenario: Items with a part that has crashed endpoints are done once these are mended
+    Given the runners "r1, r2"
+    When "desk" submits the job "j1" of 4 items to "h1", with these header fields in each
+      | name            | value                            |
+      | X-Prompt-Prefix | common:100,deadly:100,own:100    |
+    And 3 endpoints or more have crashed
+    And 2 s pass for the endpoints
+    And all endpoints are there again, and run requests for "deadly"
+    Then all 4 results of "j1" can be read whole at "h1" and "h2"
+
   # The other side: endpoints that crash by chance cost no sound request a refusal.
   Scenario: Endpoints crash by chance within long answers that share a part
     When "desk" asks "h1" and "h2" for 24 streams of 300 events with "common", and 6 endpoints are killed meanwhile, one every 0.5 s
--- /dev/null
+++ b/features/steps/item_trials.py
@@ -0,0 +1,84 @@
+"""Steps of items that are run on trial."""
+
+import curio
+from behave import given, then, when
+
+from features.builders.trials import PART, TrialFleet
+from features.machines.stores import Fate
+from mangogauge.jobs.records import ItemState
+from mangogauge.jobs.trials import make_trial_key
+from mangogauge.store import Operation, Transaction
+
+KINDS = {"crashes endpoints": True, "is sound": False}
+
+
+@given('{count:d} items at "{names}" whose prompts share a part that {kind}')
+def make_fleet(context, count, names, kind):
+    context.fleet = TrialFleet(names.split(", "), count, KINDS[kind])
+
+
+@given("the part has crashed {count:d} endpoints")
+def crash_endpoints(context, count):
+    for number in range(count):
+        context.fleet.crash(f"r{number}")
+
+
+@given("a trial of the part is under way elsewhere")
+def lock_elsewhere(context):
+    lock = Operation(make_trial_key(PART), b"other")
+    curio.run(context.fleet.store.transact, Transaction((), [lock]))
+
+
+@when("the trial elsewhere has ended")
+def unlock_elsewhere(context):
+    lock = Operation(make_trial_key(PART))
+    curio.run(context.fleet.store.transact, Transaction((), [lock]))
+
+
+@given("the store's next write is {fate}")
+def set_fate(context, fate):
+    context.fleet.store.fates.append(Fate(fate))
+
+
+@given("the items' store is away")
+def take_store_away(context):
+    context.fleet.store.unavailable = True
+
+
+@when("the items' store is back")
+def bring_store_back(context):
+    context.fleet.store.unavailable = False
+
+
+@when("{seconds:d} s pass for the items")
+def pass_time(context, seconds):
+    curio.run(context.fleet.run_for, seconds)
+
+
+@then("each of them has failed within the last {seconds:d} s")
+def check_failed_lately(context, seconds):
+    fleet = context.fleet
+    since = fleet.clock.read_elapsed() - seconds
+    late = {name for at, name in fleet.runs if at >= since}
+    assert late == fleet.list_open_items(), fleet.runs
+
+
+@then("{count:d} crashes were later than {seconds:d} s after the fifth")
+def check_late_crashes(context, count, seconds):
+    times = context.fleet.crashes
+    late = [at for at in times if at > times[4] + seconds]
+    assert len(late) == count, times
+
+
+@then("no item has been run")
+def check_no_runs(context):
+    assert context.fleet.runs == [], context.fleet.runs
+
+
+@then("all items are done, and the part has crashed {count:d} endpoints")
+def check_done(context, count):
+    fleet = context.fleet
+    results = [result for job in fleet.jobs.values() for result in job.finished]
+    assert not fleet.list_open_items(), fleet.runs
+    assert {result.state for result in results} == {ItemState.DONE}, results
+    assert len(fleet.crashes) == count, fleet.crashes
--- a/features/steps/items_crashes.py
+++ b/features/steps/items_crashes.py
@@ -9,6 +9,7 @@
 
 from features.builders.crashes import make_crash_detector
 from features.builders.fleet import HOST_NAME, make_endpoint, make_route
+from features.builders.trials import make_trials
 from mangogauge.clock import ManualClock
 from mangogauge.entry import AttemptFailure, StreamEvent
 from mangogauge.fleet import RequestSemantics
@@ -19,6 +20,7 @@
 from mangogauge.placement import EndpointHealth
 from mangogauge.quarantine import PartQuarantine
 from mangogauge.routing import Progress
+from mangogauge.store import MemoryStore
 from mangogauge.telemetry import ServingMetrics
 from mangogauge.trust import EndpointTrust
 
@@ -130,6 +132,7 @@
         EndpointHealth(clock),
         EndpointTrust(clock),
         make_crash_detector(clock, part_quarantine=context.part_quarantine),
+        make_trials(MemoryStore(clock), "own", context.part_quarantine, clock),
         clock,
         Random(SEED),
         ServingMetrics(),
--- a/features/steps/platform_crashes.py
+++ b/features/steps/platform_crashes.py
@@ -173,10 +173,10 @@
     wait_until(lambda: count_crashed(context) >= count, f"{count} endpoints crashed")
 
 
-def make_sound(context, name):
+def make_sound(context, name, word):
     """Let an endpoint crash no more; return whether it lives."""
     try:
-        context.deployment.control(name, faults={CRASHING: ""})
+        context.deployment.control(name, faults={word: ""})
     except (OSError, http.client.HTTPException):
         # It crashed in this moment.
         return False
@@ -184,14 +184,19 @@
 
 
 @when("all endpoints are there again, and sound")
-def mend(context):
+def mend(context, word=CRASHING):
     for name in context.deployment.endpoints:
         process = context.world.processes[name]
-        if process.is_running and make_sound(context, name):
+        if process.is_running and make_sound(context, name, word):
             continue
         context.deployment.restart_endpoint(name)
 
 
+@when('all endpoints are there again, and run requests for "{word}"')
+def mend_for_word(context, word):
+    mend(context, word)
+
+
 @when("endpoints that crash come back as they were, for {seconds:d} s")
 def restart_crashed(context, seconds):
     context.crashes = 0
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -26,6 +26,7 @@
 from ..jobs.claims import JobClaims
 from ..jobs.item_runner import ItemRunner
 from ..jobs.keys import WORK_PREFIX
+from ..jobs.trials import ItemTrials
 from ..paths import TUNNEL_PREFIX
 from ..placement import BatchRoom, EndpointChooser, ReachabilityProber, SlotQueue
 from ..routing import RetryBudgets, RetryPolicy
@@ -179,6 +180,13 @@
                 self.fleet.health,
                 self.fleet.trust,
                 self.crashes,
+                ItemTrials(
+                    store,
+                    self.fleet.registration,
+                    self.fleet.claimant,
+                    self.fleet.part_quarantine,
+                    clock,
+                ),
                 clock,
                 self.random,
                 self.metrics,
--- a/mangogauge/jobs/item_runner.py
+++ b/mangogauge/jobs/item_runner.py
@@ -29,6 +29,7 @@
     health : EndpointHealth
     trust : EndpointTrust
     crashes : CrashDetector
+    trials : ItemTrials
     clock : Clock
     random : random.Random
     metrics : ServingMetrics
@@ -36,15 +37,18 @@
     Notes
     -----
     Unlike requests, items are not quarantined by themselves when endpoints crash under
-    them: an item can wait, and its caller must still get a result. An item waits while
-    a part of its prompt is quarantined.
+    them: an item can wait, and its caller must still get a result. While a part of its
+    prompt is quarantined, an item waits, and is run on trial now and then.
     """
 
-    def __init__(self, endpoint_client, health, trust, crashes, clock, random, metrics):
+    def __init__(
+        self, endpoint_client, health, trust, crashes, trials, clock, random, metrics
+    ):
         self._endpoint_client = endpoint_client
         self._health = health
         self._trust = trust
         self._crashes = crashes
+        self._trials = trials
         self._clock = clock
         self._random = random
         self._metrics = metrics
@@ -61,6 +65,20 @@
         # The part may have been quarantined since dispatch.
         if self.hold_back(item):
             return
+        parts = self._read_shared_parts(item)
+        if not self._crashes.has_crashing_part(parts):
+            await self._run_once(item, route, endpoint)
+            return
+        if not await self._trials.begin(item, parts):
+            reason = "another item with a part that has crashed endpoints is on trial"
+            self._wait_for_trial(item, parts, reason)
+            return
+        try:
+            await self._run_once(item, route, endpoint)
+        finally:
+            await self._trials.end(item)
+
+    async def _run_once(self, item, route, endpoint):
         call = self._make_call(item, route)
         observer = self._trust.begin(endpoint)
         try:
@@ -88,12 +106,20 @@
         ----------
         item : OwnedItem
         """
-        if not self._crashes.has_crashing_part(self._read_shared_parts(item)):
+        parts = self._read_shared_parts(item)
+        if not self._crashes.has_crashing_part(parts):
+            item.trial_at = None
             return False
-        reason = "a part of its prompt has crashed endpoints"
-        self.pause(item, reason, QUARANTINE_BACKOFF_COUNT)
+        if self._trials.is_due(item, parts):
+            return False
+        self._wait_for_trial(item, parts, "a part of its prompt has crashed endpoints")
         return True
 
+    def _wait_for_trial(self, item, parts, reason):
+        self.pause(item, reason, QUARANTINE_BACKOFF_COUNT)
+        next_trial = self._trials.find_next(item, parts)
+        item.delay_until(min(item.not_before, next_trial))
+
     def give_up(self, item, reason):
         """Finish an item as given up.
 
--- a/mangogauge/jobs/owned.py
+++ b/mangogauge/jobs/owned.py
@@ -61,6 +61,10 @@
         Name of the endpoint at which the item runs; empty if it doesn't run.
     started_at : float
         Elapsed time of its last start.
+    trial_at : float or None
+        Elapsed time from which the item may run on trial; None if it isn't held back.
+    trial_part : str
+        Part of its prompt for which it was last run on trial.
     answer_begun_at : float or None
         Elapsed time at which the answer of its last run began.
     answer_seconds : float
@@ -83,6 +87,8 @@
     not_before = field(default=float("-inf"))
     endpoint = field(default="")
     started_at = field(default=0.0)
+    trial_at = field(default=None)
+    trial_part = field(default="")
     answer_begun_at = field(default=None)
     answer_seconds = field(default=0.0)
 
--- a/mangogauge/quarantine/parts.py
+++ b/mangogauge/quarantine/parts.py
@@ -178,6 +178,20 @@
             ]
         )
 
+    def list_culprits(self, parts):
+        """Return the names of those of some parts that are in quarantine, in order."""
+        self._update()
+        return [name for name in map(_shorten, parts) if name in self._culprits]
+
+    def list_crash_times(self, name):
+        """Return when a part may have crashed endpoints, by its name, in order."""
+        times = {}
+        for sighting in self._sightings.values():
+            if name in sighting.parts:
+                seen_at = times.get(sighting.crash, sighting.seen_at)
+                times[sighting.crash] = min(seen_at, sighting.seen_at)
+        return sorted(times.values())
+
     def list_quarantined(self):
         """Return the names of the parts in quarantine."""
         self._update()
