Refuse a request that crashes endpoints for ten minutes, not for one

A minute later it was let through 4 to 6 times in a row, and so on each minute.

Cause: a crash counted for 60 s, whether or not the request was refused by then. All crashes of a request were forgotten at the same moment, everywhere.

Change: crashes still have to be within a minute of each other. Once a request is refused, the hosts that counted its crashes tell of them for ten minutes. What a host is told counts for as long as it is told, and stays cleared if an answer cleared it. The format of the reports is the same.

--- a/mangogauge/sharing/crashes.py
+++ b/mangogauge/sharing/crashes.py
@@ -4,6 +4,10 @@
 caller retries at any host. Requests that run at the same endpoint fail with it, so a
 single crash proves nothing, and an answer clears the count. Batch items are not
 counted: they wait and are retried.
+
+A crash is forgotten after a minute, unless the request is refused by then: the hosts
+that counted its crashes tell of them for ten minutes, so that all others, and those
+that start or were cut off meanwhile, refuse it too.
 """
 
 from attrs import define, field
@@ -12,8 +16,11 @@
 
 # Crashes without an answer in between after which a request is refused.
 QUARANTINE_CRASHES = 3
-# How long a crash counts against a request.
+# How long a crash counts against a request, and one that other hosts have told of
+# after they fell silent.
 CRASH_LIFETIME_SECONDS = 60.0
+# How long the crashes of a request that is refused count.
+QUARANTINE_SECONDS = 600.0
 # Requests to keep counts of; the oldest are evicted first.
 MAX_REQUESTS = 64
 
@@ -30,11 +37,14 @@
     cleared : int
         How many of them an answer at this host has cleared. The host that counted
         them still reports them.
+    is_kept : bool
+        Whether they count for longer, since the request is refused.
     """
 
     count = field(default=0)
     expires_at = field(default=0.0)
     cleared = field(default=0)
+    is_kept = field(default=False)
 
     @property
     def uncleared(self):
@@ -77,9 +87,11 @@
         record = self._own.pop(fingerprint, None) or _CrashRecord()
         record.count += 1
         record.expires_at = self._clock.read_elapsed() + CRASH_LIFETIME_SECONDS
+        record.is_kept = False
         self._own[fingerprint] = record
         while len(self._own) > MAX_REQUESTS:
             del self._own[next(iter(self._own))]
+        self._keep_if_quarantined(fingerprint)
 
     def note_answer(self, fingerprint):
         """Note that an endpoint answered a request and did not crash."""
@@ -109,10 +121,13 @@
             record = previous.get(name)
             if record is None or record.count != count:
                 cleared = min(record.cleared, count) if record else 0
-                record = _CrashRecord(count, now + CRASH_LIFETIME_SECONDS, cleared)
+                record = _CrashRecord(count, cleared=cleared)
+            record.expires_at = now + CRASH_LIFETIME_SECONDS
             records[name] = record
         if records:
             self._others[host] = records
+        for name in counts.keys() & self._own.keys():
+            self._keep_if_quarantined(name)
 
     def is_quarantined(self, fingerprint):
         """Return whether a request must not be run for now."""
@@ -127,6 +142,14 @@
             total += record.uncleared if record else 0
         return total
 
+    def _keep_if_quarantined(self, name):
+        """Let this host's crashes of a request count for longer if it is refused."""
+        record = self._own.get(name)
+        if record is None or record.is_kept or not self.is_quarantined(name):
+            return
+        record.is_kept = True
+        record.expires_at = self._clock.read_elapsed() + QUARANTINE_SECONDS
+
     def _expire(self, records):
         now = self._clock.read_elapsed()
         for name in [n for n, record in records.items() if record.expires_at <= now]:
