Keep an unfinished event in blocks, and half as many bytes of answers

Cause: the budget counts 32 MiB, but what is counted takes several times that. Each piece that arrived copied all that an unfinished event had before, so the heap held many blocks of ever new sizes, and the holes between them.

Change: an unfinished event is kept in blocks of 16 KiB and more, which are joined when its end comes; and the budget for answers is 16 MiB. No answer that was served before needs more: what is read whole has 8 MiB at most.

--- a/mangogauge/entry/events.py
+++ b/mangogauge/entry/events.py
@@ -12,6 +12,8 @@
 
 __all__ = ["EventParser", "EventStream", "StreamEvent"]
 
+# An incomplete event is kept in blocks of at least this size.
+BLOCK_BYTES = 16_384
 EVENT_LIMIT_BYTES = 1_048_576
 # How often a silent stream is asked for again whether it may be given up.
 SILENCE_CHECK_SECONDS = 0.2
@@ -55,6 +57,11 @@
 class EventParser:
     """Incremental parser that turns received bytes into complete events.
 
+    Attributes
+    ----------
+    pending_bytes : int
+        Size of the incomplete event.
+
     Examples
     --------
     >>> parser = EventParser()
@@ -65,18 +72,16 @@
     """
 
     def __init__(self):
-        self._pending = b""
+        self._pending = []
+        # Its last bytes, with which a boundary may begin.
+        self._end = b""
+        self.pending_bytes = 0
 
     @property
     def is_empty(self):
         """Whether no incomplete event is buffered."""
         return not self._pending
 
-    @property
-    def pending_bytes(self):
-        """Size of the incomplete event."""
-        return len(self._pending)
-
     def feed(self, data):
         """Add received bytes and return the events that they complete.
 
@@ -85,11 +90,27 @@
         ValueError
             If an event exceeds `EVENT_LIMIT_BYTES`.
         """
-        *complete, self._pending = (self._pending + data).split(EVENT_BOUNDARY)
-        if len(self._pending) > EVENT_LIMIT_BYTES:
+        # The boundary may have begun before.
+        if EVENT_BOUNDARY in self._end + data:
+            *complete, rest = b"".join([*self._pending, data]).split(EVENT_BOUNDARY)
+            self._pending, self.pending_bytes, self._end = [], 0, b""
+            self._keep(rest)
+        else:
+            complete = []
+            self._keep(data)
+        if self.pending_bytes > EVENT_LIMIT_BYTES:
             raise ValueError("An event is over the limit.")
         return [StreamEvent(raw + EVENT_BOUNDARY) for raw in complete]
 
+    def _keep(self, data):
+        """Keep a part of an event, in blocks that later parts don't copy."""
+        if self._pending and len(self._pending[-1]) < BLOCK_BYTES:
+            self._pending[-1] += data
+        elif data:
+            self._pending.append(data)
+        self.pending_bytes += len(data)
+        self._end = (self._end + data)[1 - len(EVENT_BOUNDARY) :]
+
 
 class EventStream:
     """Reads an endpoint's answer as server-sent events.
--- a/mangogauge/http/limits.py
+++ b/mangogauge/http/limits.py
@@ -66,4 +66,4 @@
     skipped_bytes = field(default=1_048_576)
     body_bytes = field(default=None)
     whole_bytes = field(default=8_388_608)
-    buffers = field(factory=lambda: BufferBudget(33_554_432), eq=False)
+    buffers = field(factory=lambda: BufferBudget(16_777_216), eq=False)
