Open listening sockets in one place

Three classes opened a listening socket with the same four calls: the HTTP server, the server of the protocol between hosts, and the stand-in for faulty links. No behaviour changes but the backlog of that stand-in, 1024 in place of 512. Found by looking for lines that stand twice.

Run: features/http, features/membership and features/standins, 44 passed.

--- a/mangogauge/http/__init__.py
+++ b/mangogauge/http/__init__.py
@@ -16,6 +16,7 @@
 from .exchange import Exchange
 from .headers import HOP_BY_HOP_HEADERS, Headers
 from .limits import ClientLimits, ServerLimits
+from .listeners import open_listener
 from .pool import ClientPool, open_response
 from .requests import make_request
 from .server import HTTPServer
@@ -47,6 +48,7 @@
     "TunnelRefusedError",
     "TunnelSocket",
     "make_request",
+    "open_listener",
     "open_response",
     "open_socket",
 ]
--- a/mangogauge/http/server.py
+++ b/mangogauge/http/server.py
@@ -6,17 +6,16 @@
 
 import curio
 import h11
-from curio import socket
 
 from ..telemetry import get_logger
 from .buffers import BufferBudget
 from .connection import ServerConnection
 from .limits import ServerLimits
+from .listeners import open_listener
 from .liveness import detect_dead_peer
 
 __all__ = ["HTTPServer"]
 
-LISTEN_BACKLOG = 1024
 DRAIN_INTERVAL = 0.02
 ACCEPT_PAUSE = 0.1
 BUSY_BODY = (
@@ -77,11 +76,7 @@
 
     def bind(self, address, port):
         """Bind the listening socket, so that the port is known."""
-        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((address, port))
-        listener.listen(LISTEN_BACKLOG)
-        self._listener = listener
+        self._listener = open_listener(address, port)
 
     async def serve(self):
         """Accept connections until cancelled."""
--- a/mangogauge/protocol/server.py
+++ b/mangogauge/protocol/server.py
@@ -9,13 +9,12 @@
 from attrs import field, frozen
 from curio import socket
 
+from ..http import open_listener
 from .errors import CallError, CallStatus, ChannelError
 from .framing import Link, StreamState, encode_message
 
 __all__ = ["CallContext", "Method", "ProtocolServer"]
 
-LISTEN_BACKLOG = 1024
-
 
 @frozen
 class Method:
@@ -88,11 +87,7 @@
 
     def bind(self, address, port):
         """Bind the listening socket, so that the port is known."""
-        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((address, port))
-        listener.listen(LISTEN_BACKLOG)
-        self._listener = listener
+        self._listener = open_listener(address, port)
 
     async def serve(self):
         """Accept peers until cancelled."""
--- a/mangogauge/standins/proxy.py
+++ b/mangogauge/standins/proxy.py
@@ -12,14 +12,13 @@
 from curio import socket
 from curio.meta import finalize
 
-from ..http import HTTPServer
+from ..http import HTTPServer, open_listener
 from .answers import read_json, send_json
 
 __all__ = ["FaultProxy", "Link", "LinkFaults", "make_schedule"]
 
 READ_SIZE_BYTES = 65_536
 POLL_INTERVAL = 0.01
-LISTEN_BACKLOG = 512
 CONNECT_TIMEOUT = 2.0
 
 
@@ -81,10 +80,7 @@
         self._random = random.Random(f"{seed}/{name}")
         self._generation = 0
         host, _, port = listen.rpartition(":")
-        self._listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._listener.bind((host, int(port)))
-        self._listener.listen(LISTEN_BACKLOG)
+        self._listener = open_listener(host, int(port))
 
     @property
     def port(self):
