Remember a lost answer when the end of a batch job is refused

What callers saw: DELETE of a batch job answered 503 platform_away, "not done, send it again", and the job ended all the same.

Cause: the mark is written in up to six tries, and the refusal went by the last of them. The first lay at a paused store, whose kernel holds what was sent: no answer in time, but written on waking. The last found no way to the store, which alone does say that nothing was done.

Evidence: the new scenario with real processes, the store stopped by SIGSTOP and woken after the answer, its link broken meanwhile.

Change: one try without an answer makes the outcome unknown (502), whatever came of the others, as acceptance of jobs has it already. Why it works: 503 is now sent only if each try failed before anything was sent, or was answered that nothing was done.

--- a/mangogauge/jobs/handler.py
+++ b/mangogauge/jobs/handler.py
@@ -138,17 +138,19 @@
         await exchange.respond(200, JSON, b"{}")
 
     async def _write_mark(self, mark):
+        answer_lost = False
         for _ in range(CANCEL_ATTEMPTS):
             answer = await self._store.transact(Transaction((), (mark,)))
             if not isinstance(answer, Failure):
                 return
+            # A call without an answer may take effect after the last attempt.
+            answer_lost |= isinstance(answer.failure(), StoreLostAnswerError)
             await curio.sleep(RETRY_SECONDS)
-        lost = isinstance(answer.failure(), StoreLostAnswerError)
         raise Refusal(
-            RefusalCode.OUTCOME_UNKNOWN if lost else RefusalCode.PLATFORM_AWAY,
-            f"The job's end was not written: {answer.failure()}.",
-            executed="unknown" if lost else "no",
-            retry_after=None if lost else RETRY_AFTER_SECONDS,
+            RefusalCode.OUTCOME_UNKNOWN if answer_lost else RefusalCode.PLATFORM_AWAY,
+            f"The job's end was not confirmed: {answer.failure()}.",
+            executed="unknown" if answer_lost else "no",
+            retry_after=None if answer_lost else RETRY_AFTER_SECONDS,
             step="end job",
         )
 
