Answer 502 where the platform may have taken a batch or its cancel

What callers saw: a batch, or a cancel, that was sent to the platform and got no answer within its time was refused with 503 platform_away and Retry-After, beside "executed": "unknown" in the body. 503 promises that nothing was done; clients that go by the status sent it again, and the batch was in force.

Cause: one refusal for all failures of the platform; only a word in its body told a write whose outcome is unknown from one that was never made.

Evidence: the two scenarios of features/batch/unanswered.feature, real hosts and a platform that takes all writes without an answer (it isn't stopped by SIGSTOP: the reads that come before the write would fail then). All of features/batch passes.

Change: a write of unknown outcome is 502 outcome_unknown without Retry-After, as for online requests and batch jobs. Reads, and writes that were never made, stay 503.

--- a/mangogauge/batch/answers.py
+++ b/mangogauge/batch/answers.py
@@ -19,15 +19,18 @@
 
 def take_read(result):
     """Return the value of a read, or refuse because the platform is away."""
-    return _take(result, "no")
+    if isinstance(result, Failure):
+        raise _make_away_refusal(result.failure())
+    return result.unwrap()
 
 
 def take_write(result):
     """Return the value of a write that puts something in force, or refuse."""
-    lost = isinstance(result, Failure) and isinstance(
-        result.failure(), StoreLostAnswerError
-    )
-    return _take(result, "unknown" if lost else "no")
+    if isinstance(result, Failure):
+        error = result.failure()
+        lost = isinstance(error, StoreLostAnswerError)
+        raise _make_unknown_refusal(error) if lost else _make_away_refusal(error)
+    return result.unwrap()
 
 
 def show_file(record):
@@ -110,14 +113,21 @@
     }
 
 
-def _take(result, executed):
-    if isinstance(result, Failure):
-        raise Refusal(
-            RefusalCode.PLATFORM_AWAY,
-            "The platform's store does not answer.",
-            executed=executed,
-            retry_after=RETRY_AFTER_SECONDS,
-            step="platform",
-            peer=result.failure().peer,
-        )
-    return result.unwrap()
+def _make_away_refusal(error):
+    return Refusal(
+        RefusalCode.PLATFORM_AWAY,
+        "The platform's store does not answer.",
+        retry_after=RETRY_AFTER_SECONDS,
+        step="platform",
+        peer=error.peer,
+    )
+
+
+def _make_unknown_refusal(error):
+    return Refusal(
+        RefusalCode.OUTCOME_UNKNOWN,
+        "The platform's store did not say whether it took the change.",
+        executed="unknown",
+        step="platform",
+        peer=error.peer,
+    )
