Keep the entry of a freed key, so that a late intent can't take it

What callers saw: a booking with an Idempotency-Key was refused as not run, "the key is free again"; the same booking sent again got 504 deadline_exceeded, executed "unknown", though nothing had run, and would have got 502 until 10 s after the first one's deadline.

Cause: a key was freed by deleting it. The intent of the first try lay at the host that writes for the data centre, which was paused; the other host had passed it over after 4 s and written by itself. On waking the paused host wrote the intent: its condition, that the key is absent, held again. The same may lie at a paused store. No run came twice: whoever finds such an intent doesn't run.

Evidence: features/idempotency/paused.feature, real processes stopped by SIGSTOP. The other scenarios guard what held before too (a paused runner, a paused writer, and a paused platform: bookings ran once).

Change: the outcome "not run" is an entry that frees the key (no end of the run is awaited), and the next intent names its revision. Why it works: a key that has been used is never absent again before its retention ends, so a late intent fails by its own condition, however late. The same number of writes; an entry freed so is removed with the expiry note that its first intent has written.

--- a/mangogauge/idempotency/dispatcher.py
+++ b/mangogauge/idempotency/dispatcher.py
@@ -10,7 +10,9 @@
 from .entries import (
     BODY_LIMIT_BYTES,
     compute_fingerprint,
+    is_free,
     make_answer_entry,
+    make_freed_entry,
     make_intent_entry,
     make_key,
     make_recording,
@@ -128,13 +130,16 @@
             if row is None:
                 return None
             entry = KeyedEntry.FromString(row.payload)
+            if is_free(entry):
+                return None
             if entry.ended and not entry.unknown:
                 return await make_recording(entry)
             if not entry.ended and not self._is_outcome_lost(entry, polls):
                 continue
             if not call.repeatable:
                 raise _make_unknown_refusal()
-            await self._writer.write(KeyWrite(key, b"", row.revision))
+            freed = _encode(make_freed_entry(entry))
+            await self._writer.write(KeyWrite(key, freed, row.revision))
 
     def _is_outcome_lost(self, entry, polls):
         """Return whether no host will record the outcome of a call any more."""
@@ -164,7 +169,7 @@
         seconds_left = self._compute_time_left(call)
         ends_at = self._clock.read_calendar() + seconds_left
         intent = make_intent_entry(self._view.own, recording.fingerprint, ends_at)
-        granted = await self._writer.write(KeyWrite(key, intent.SerializeToString()))
+        granted = await self._write_intent(key, intent)
         if isinstance(granted, Failure):
             await self._run_without_platform(call, key, intent, recording)
             return
@@ -175,6 +180,19 @@
             return
         await self._run_once(call, key, intent, outcome.revision, recording)
 
+    async def _write_intent(self, key, intent):
+        """Write an intent if the key is absent or free; return as `FleetWriter`."""
+        revision = 0
+        while True:
+            write = KeyWrite(key, _encode(intent), revision)
+            granted = await self._writer.write(write)
+            if isinstance(granted, Failure) or granted.unwrap().written:
+                return granted
+            outcome = granted.unwrap()
+            if not is_free(KeyedEntry.FromString(outcome.current)):
+                return granted
+            revision = outcome.revision
+
     async def _answer_from_entry(self, entry, key, revision, call, recording):
         """Answer from the entry that the platform has under the key."""
         if entry.fingerprint != recording.fingerprint or not entry.ended:
@@ -200,14 +218,12 @@
         await self._record_outcome(KeyWrite(key, payload, revision))
 
     def _encode_outcome(self, call, intent, recording, error):
-        """Return the payload to record; empty if the call may be run again."""
-        if error is None:
-            if len(recording.body) > BODY_LIMIT_BYTES:
-                return b"" if call.repeatable else _encode(make_unknown_entry(intent))
+        """Return the payload to record."""
+        if error is None and len(recording.body) <= BODY_LIMIT_BYTES:
             return _encode(make_answer_entry(intent, recording))
         not_run = isinstance(error, Refusal) and error.executed == "no"
         if not_run or call.repeatable:
-            return b""
+            return _encode(make_freed_entry(intent))
         return _encode(make_unknown_entry(intent))
 
     async def _record_outcome(self, write):
@@ -239,19 +255,22 @@
                 step="record intent",
             )
         )
-        await self._delete_intent(key, intent)
+        await self._free_key(key, intent)
 
-    async def _delete_intent(self, key, intent):
-        """Delete an intent that may have been written although the write failed."""
+    async def _free_key(self, key, intent):
+        """Free the key of an intent that may be written although its write failed."""
+        freed = _encode(make_freed_entry(intent))
         for _ in range(OUTCOME_ATTEMPTS):
             found = await self._records.read(key)
-            if isinstance(found, Failure):
-                await curio.sleep(OUTCOME_PAUSE_SECONDS)
-                continue
-            row = found.unwrap()
-            if row is not None and row.payload == intent.SerializeToString():
-                await self._writer.write(KeyWrite(key, b"", row.revision))
-            return
+            if not isinstance(found, Failure):
+                row = found.unwrap()
+                if row is not None and row.payload != _encode(intent):
+                    return
+                revision = 0 if row is None else row.revision
+                written = await self._writer.write(KeyWrite(key, freed, revision))
+                if not isinstance(written, Failure) and written.unwrap().written:
+                    return
+            await curio.sleep(OUTCOME_PAUSE_SECONDS)
 
     def _compute_time_left(self, call):
         return max(0.001, call.deadline - self._clock.read_elapsed())
--- a/mangogauge/idempotency/entries.py
+++ b/mangogauge/idempotency/entries.py
@@ -12,7 +12,9 @@
 __all__ = [
     "BODY_LIMIT_BYTES",
     "compute_fingerprint",
+    "is_free",
     "make_answer_entry",
+    "make_freed_entry",
     "make_intent_entry",
     "make_key",
     "make_recording",
@@ -88,6 +90,26 @@
     return entry
 
 
+def make_freed_entry(entry):
+    """Return the entry that frees the key of a call that may be run again.
+
+    Notes
+    -----
+    A key that was deleted would be absent again, which is what each intent requires:
+    one that lies at a paused host or store could then still be written.
+    """
+    freed = KeyedEntry()
+    freed.CopyFrom(entry)
+    freed.ends_at = 0
+    freed.ended = freed.unknown = False
+    return freed
+
+
+def is_free(entry):
+    """Return whether a call may be run under the key of an entry."""
+    return not entry.ended and not entry.ends_at
+
+
 async def make_recording(entry):
     """Return a `Recording` that replays the complete answer of an entry."""
     recording = Recording(entry.fingerprint)
