Refuse by 502 where no engine is left for a request that may have run

What callers saw: 503 no_endpoint with Retry-After, beside "executed": "unknown" in the body: an engine had been sent the request and given up for its silence, and when the next attempt was due no engine was left. A paused engine runs on waking what it was sent; 503 promises that nothing will.

Cause: this one refusal went by its code alone, whatever became of earlier attempts.

Only requests that may be repeated are concerned: others get no next attempt.

--- /dev/null
+++ b/features/gateway/paused.feature
@@ -0,0 +1,7 @@
+Feature: A request that a paused engine may run on waking isn't refused as not run
+
+  Scenario: No engine is left after one that is paused has been given up
+    Given routing: engines "engine-1, engine-2" and services "desk-1" behind a proxy
+    And routing: a host "a1" with a caller
+    When a chat of 10 s is sent while both engines are paused, and then leave
+    Then the chat is answered by 502 as "outcome_unknown", executed "unknown"
--- a/mangogauge/gateway/dispatch.py
+++ b/mangogauge/gateway/dispatch.py
@@ -271,8 +271,9 @@
     def _refuse_unserved(self, run):
         if run.relay.started:
             return HTTPReceiveError("No endpoint can resume the stream.", step="resume")
+        is_certain = run.worst.executed == "no"
         return Refusal(
-            RefusalCode.NO_ENDPOINT,
+            RefusalCode.NO_ENDPOINT if is_certain else RefusalCode.OUTCOME_UNKNOWN,
             "No endpoint can run this request now.",
             executed=run.worst.executed,
             retry_after=RETRY_AFTER_NO_ENDPOINT,
