Don't pass an engine's 503 on where an earlier engine may run the request

What callers saw: an engine's own 503, and the request ran later: the engine that was asked first was paused, was given up for its silence, and began the request on waking; the engine that was asked next answered that it was full, no retry was left, and its answer was passed on as it was.

Cause: an engine's 429 or 503 speaks for its own attempt. Passed on, it spoke for all.

Change: an error that says "not run" is held back where an earlier attempt may have run the request; the caller gets 502 outcome_unknown, or 504 at the deadline. A service's 503 stays passed on: what it did before isn't known anyway. Not covered: an engine's 503 that comes by way of another host.

--- a/mangogauge/gateway/attempts.py
+++ b/mangogauge/gateway/attempts.py
@@ -91,8 +91,9 @@
         bound : float
             Seconds until the first byte of the answer.
         may_retry : callable
-            Tells whether another attempt could follow; an endpoint's error is
-            passed on as it is when none could.
+            Tells whether an endpoint's error is held back: another attempt could
+            follow, or the error says that the call was not run and an earlier attempt
+            may have run it. It is passed on as it is otherwise.
 
         Raises
         ------
--- a/mangogauge/gateway/dispatch.py
+++ b/mangogauge/gateway/dispatch.py
@@ -186,7 +186,7 @@
         """Run an attempt; one at an endpoint is watched for a crash."""
 
         def may_retry(progress):
-            return self._decide(run, progress)
+            return self._decide(run, progress) or run.contradicts(progress)
 
         endpoint = attempt.endpoint
         if endpoint is None:
@@ -333,6 +333,10 @@
         self.tried.append(attempt.peer)
         self.decision = None
 
+    def contradicts(self, progress):
+        """Return whether an earlier attempt may run what another one did not run."""
+        return self.worst.executed == "unknown" and progress.executed == "no"
+
     def note_failure(self, error):
         """Keep the worst that is known of all attempts, and the last one's path."""
         self.unreached = error.progress is Progress.NOT_SENT
