--- a/features/builders/platform/deployment.py
+++ b/features/builders/platform/deployment.py
@@ -107,6 +107,13 @@
         self.accounts = [{"name": "desk", "api_keys": ["desk-key"]}]
         self.accounts.append({"name": "other", "api_keys": ["other-key"]})
         self.routes = [self.make_route(*row) for row in ROUTES]
+        self.services = ["llm"]
+        self.limits = {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 4194304,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        }
         self.faults = world.folder / "faults"
         self.faults.mkdir()
         self.store_address = f"{self.address}:{world.take_port()}"
@@ -144,6 +151,15 @@
         self.endpoints[name] = address
         self.write_entry(name, slots=slots, **changes)
 
+    def start_pausable(self, name, notices, slots=8, service="llm"):
+        """Start an endpoint that can be stopped; return its journal's path."""
+        address = f"{self.address}:{self.world.take_port()}"
+        journal = self.world.folder / f"{name}.runs"
+        self._start(name, "pausable", address, name, str(slots), notices, journal)
+        self.endpoints[name] = address
+        self.write_entry(name, slots=slots, service=service)
+        return journal
+
     def restart_endpoint(self, name, *crashing):
         """Start an endpoint that has crashed; a word names what crashes it again."""
         process = self.world.processes[name]
@@ -178,18 +194,13 @@
     def write_configuration(self):
         """Put the routes and accounts in force."""
         self.version += 1
-        limits = {
-            "max_header_bytes": 16384,
-            "max_body_bytes": 4194304,
-            "header_timeout_ms": 3000,
-            "idle_timeout_ms": 15000,
-        }
+        services = [{"name": n, "health_path": "/health"} for n in self.services]
         value = {
             "version": self.version,
             "routes": self.routes,
-            "services": [{"name": "llm", "health_path": "/health"}],
+            "services": services,
             "tenants": self.accounts,
-            "limits": limits,
+            "limits": self.limits,
         }
         self.put("op/config", value)
 
