Let items give way at endpoints that are stopped (TWICE, fails)

The stopped endpoint reads the item, or goes on with it, when it goes on: two endpoints work on it, 0.44 s to 0.87 s after it began at the second.

--- a/features/platform/paused_endpoints.feature
+++ b/features/platform/paused_endpoints.feature
@@ -19,3 +19,11 @@
       | 2     | 1.3     | the routes' time-out | never      |
       | 3     | 1.3     | the routes' service  | never      |
       | 2     | 2.2     | the idle time        | at a write |
+
+  Scenario: An item that gives way at a stopped endpoint runs at another one meanwhile
+    Given the platform with 4 endpoints that notice a closed connection at a write, and the hosts "h1, h2"
+    And the runners "r1"
+    When 4 jobs run, and bursts of requests come while 2 endpoints are stopped for 1.3 s
+    Then no request that may run once ran twice
+    And none that ran was answered as if it would not
+    And no endpoint worked on what had gone on elsewhere
--- a/features/steps/platform_pauses.py
+++ b/features/steps/platform_pauses.py
@@ -10,13 +10,21 @@
 from features.builders.platform import PlatformDeployment
 from features.builders.platform.runs import RunRecord
 from features.steps.platform import wait_until_in_force, wait_until_known
+from features.steps.platform_jobs import read_all
 
 # Requests come from this long before endpoints stop until as long after they go on.
 MARGIN_SECONDS = 0.6
 REQUEST_GAP_SECONDS = 0.06
 CHANGE_DELAY_SECONDS = 0.15
 EVENTS = 30
-ITEMS = 6
+JOB_ITEMS = 8
+ITEM_EVENTS = 60
+BURST_REQUESTS = 12
+BURST_GAP_SECONDS = 0.2
+BURST_EVENTS = 3
+# Items fill the endpoints meanwhile; and so long after the first burst these stop.
+FILL_SECONDS = 1.0
+FIRST_BURST_SECONDS = 0.25
 WIDTH = 96
 PATHS = ("/ask/", "/note/", "/ask/", "/note/", "/safe/")
 SHORT_TIMEOUT_MS = 3000
@@ -96,6 +104,44 @@
     context.record = RunRecord(context.journals)
 
 
+@when(
+    "{count:d} jobs run, and bursts of requests come while {stopped:d} endpoints "
+    "are stopped for {seconds:g} s"
+)
+def run_bursts(context, count, stopped, seconds):
+    deployment = context.deployment
+    jobs = [f"j{number}" for number in range(count)]
+    for job in jobs:
+        items = [(f"{job}-{n}", f"/night/{n}", ITEM_EVENTS) for n in range(JOB_ITEMS)]
+        assert deployment.submit("h1", job, items).status == 202, job
+    wait_until(lambda: RunRecord(context.journals).runs, "items run")
+    time.sleep(FILL_SECONDS)
+    started = time.monotonic()
+
+    def ask(number, request_id):
+        at = started + number // BURST_REQUESTS * BURST_GAP_SECONDS
+        time.sleep(max(0.0, at - time.monotonic()))
+        host = ("h1", "h2")[number % 2]
+        path = PATHS[number % len(PATHS)] + str(number)
+        return deployment.ask(host, path, request_id, BURST_EVENTS)
+
+    numbers = range(int((seconds + 1) / BURST_GAP_SECONDS) * BURST_REQUESTS)
+    with ThreadPoolExecutor(WIDTH) as pool:
+        sent = {f"q{n}": pool.submit(ask, n, f"q{n}") for n in numbers}
+        time.sleep(FIRST_BURST_SECONDS)
+        stop_endpoints(context, stopped)
+        time.sleep(seconds)
+        resume_endpoints(context)
+        context.answers = {key: answer.result() for key, answer in sent.items()}
+    for job in jobs:
+        found = sorted(row["id"] for row in read_all(context, "h1", job))
+        assert found == sorted(f"{job}-{n}" for n in range(JOB_ITEMS)), found
+    wait_until(lambda: RunRecord(context.journals).are_ended, "all runs have ended")
+    context.record = RunRecord(context.journals)
+    log = context.world.processes["r1"].read_log()
+    assert log.count("item gives way") > 0, "no item gave way"
+
+
 def send_requests(context, pool, started, seconds):
     """Have requests sent over a time; return futures of their answers by id."""
     hosts = [name for name in context.deployment.hosts if name.startswith("h")]
