--- a/features/builders/sending.py
+++ b/features/builders/sending.py
@@ -100,6 +100,9 @@
         self._number += 1
         return make_endpoint(f"e{self._number}")
 
+    async def try_acquire(self, call, service, excluded=()):
+        return await self.acquire(call, service, excluded)
+
     async def release(self, endpoint, seconds):
         pass
 
--- a/mangogauge/entry/attempt.py
+++ b/mangogauge/entry/attempt.py
@@ -134,6 +134,7 @@
         response_timeout,
         is_fresh=False,
         on_send=lambda: None,
+        handover=None,
     ):
         """Send `call` and return a successful `ClientResponse` with its body unread.
 
@@ -152,6 +153,8 @@
         on_send : callable, optional
             Called right before the first byte is sent: from then on the endpoint may
             run the call.
+        handover : Handover, optional
+            Decides when a silent endpoint is left, in place of `response_timeout`.
 
         Raises
         ------
@@ -168,8 +171,11 @@
             return self._make_headers(call, endpoint, last_event)
 
         try:
-            async with curio.timeout_after(response_timeout):
-                response = await self._request(call, endpoint, make_headers, is_fresh)
+            response = await self._await_response(
+                self._request(call, endpoint, make_headers, is_fresh, handover),
+                response_timeout,
+                handover,
+            )
         except HTTPConnectError as error:
             raise AttemptFailure(
                 Progress.NOT_SENT, str(error), unreachable=True
@@ -194,6 +200,18 @@
             return response
         raise await self._make_failure(kind, response)
 
+    async def _await_response(self, request, response_timeout, handover):
+        if handover is None:
+            async with curio.timeout_after(response_timeout):
+                return await request
+        reading = await curio.spawn(request)
+        try:
+            if not await handover.wait(reading):
+                raise curio.TaskTimeout(handover.limit)
+            return reading.result
+        finally:
+            await reading.cancel()
+
     async def connect(self, endpoint):
         """Make a connection to an endpoint, for the next call there.
 
@@ -225,7 +243,7 @@
         )
         return self._dialect.make_headers(request)
 
-    async def _request(self, call, endpoint, make_headers, is_fresh):
+    async def _request(self, call, endpoint, make_headers, is_fresh, handover):
         return await self._pool.request(
             endpoint,
             call.method,
@@ -238,6 +256,7 @@
                 call, endpoint, fields, is_first
             ),
             request_id=call.request_id,
+            on_connection=handover and handover.note_connection,
         )
 
     def _check_head(self, call, endpoint, fields, is_first):
--- a/mangogauge/entry/dispatch.py
+++ b/mangogauge/entry/dispatch.py
@@ -3,11 +3,13 @@
 import curio
 
 from ..http import HTTPError
+from ..paths import PathState
 from ..refusals import Refusal
 from ..routing import Decision, Progress
 from ..telemetry import get_logger
 from .attempt import AttemptFailure
 from .dialect import AnswerKind
+from .handover import Handover
 from .outcomes import include_attempts, make_refusal, make_timeout_error
 from .relay import AnswerRelay
 from .state import DispatchState
@@ -85,7 +87,6 @@
             call, exchange, lambda: self._note_first_piece(state), self._clock
         )
         state = DispatchState(call, relay)
-        relay.may_give_up = lambda: self._reserve_successor(state)
         try:
             async with curio.timeout_after(self._compute_time_left(call)):
                 call.origin = await self._streams.find(call)
@@ -93,8 +94,7 @@
         except curio.TaskTimeout:
             raise make_timeout_error(state) from None
         finally:
-            if state.successor is not None:
-                await self._slots.release(state.successor, 0.0)
+            await self._release_successor(state)
 
     async def _run_attempts(self, state):
         while True:
@@ -154,10 +154,14 @@
         if await self._reaches(endpoint) and self._takes_retry(state):
             state.connected = endpoint.name
             return True
-        state.successor = None
-        await self._slots.release(endpoint, 0.0)
+        await self._release_successor(state)
         return False
 
+    async def _release_successor(self, state):
+        endpoint, state.successor = state.successor, None
+        if endpoint is not None:
+            await self._slots.release(endpoint, 0.0)
+
     async def _reaches(self, endpoint):
         try:
             await self._endpoint_client.connect(endpoint)
@@ -181,10 +185,8 @@
         is_fresh = state.needs_new_connection(endpoint)
         state.contacted.add(endpoint.name)
         was_running = state.may_be_running
-        response_timeout = self._compute_silence_limit(state)
-        state.relay.idle_timeout = response_timeout
-        if response_timeout is None:
-            response_timeout = self._compute_time_left(call)
+        handover = state.relay.handover = self._make_handover(state)
+        response_timeout = self._compute_time_left(call)
         try:
             response = await self._endpoint_client.send(
                 call,
@@ -193,6 +195,7 @@
                 response_timeout,
                 is_fresh,
                 state.note_sending,
+                handover,
             )
         except AttemptFailure as failure:
             state.may_be_running = was_running or failure.progress not in (
@@ -311,6 +314,22 @@
         decision = self._retry_policy.decide(progress, call, 0, time_left)
         return decision is Decision.RETRY
 
+    def _make_handover(self, state):
+        """Return a `Handover` for the next attempt; None if no other may follow it."""
+        limit = self._compute_silence_limit(state)
+        if limit is None:
+            return None
+        paths, name = self._health.paths, state.endpoint.name
+        return Handover(
+            state.call,
+            state.endpoint,
+            limit,
+            lambda: self._reserve_successor(state),
+            lambda: self._release_successor(state),
+            lambda: paths.get(name) is PathState.DIRECT,
+            self._clock,
+        )
+
     def _compute_silence_limit(self, state):
         """Return how long an endpoint may send nothing, in seconds; None for no limit.
 
--- a/mangogauge/entry/relay.py
+++ b/mangogauge/entry/relay.py
@@ -24,11 +24,9 @@
         Whether a part of the answer has been sent to the caller.
     last_event : int or None
         Number of the last event that was sent to the caller.
-    idle_timeout : float or None
-        Seconds without a complete event after which the attempt may fail; None to
-        wait until the caller's deadline.
-    may_give_up : async callable or None
-        Asked after that time; the attempt fails if it returns True.
+    handover : Handover or None
+        Decides when the attempt fails for the silence of its endpoint; None to wait
+        until the caller's deadline.
     begun_at : float or None
         Elapsed time at which the answer of the current attempt began to arrive.
     answer_seconds : float
@@ -43,8 +41,7 @@
         self._clock = clock
         self.started = False
         self.last_event = call.last_event
-        self.idle_timeout = None
-        self.may_give_up = None
+        self.handover = None
         self.begun_at = None
         self.answer_seconds = 0.0
         self._observer = None
@@ -102,7 +99,7 @@
 
     async def _relay_stream(self, stream, response):
         while True:
-            events = await stream.read_events(self.idle_timeout, self.may_give_up)
+            events = await self._read_events(stream)
             if not events:
                 return
             self._note_progress(len(events))
@@ -113,6 +110,13 @@
                 self.last_event = event.number
                 await self._exchange.send_data(event.raw)
 
+    async def _read_events(self, stream):
+        handover = self.handover
+        if handover is None:
+            return await stream.read_events()
+        await handover.note_progress()
+        return await stream.read_events(handover.limit, handover.may_give_up)
+
     def _check_number(self, event):
         """Raise `HTTPReceiveError` if an event doesn't follow the one before.
 
--- a/mangogauge/http/client.py
+++ b/mangogauge/http/client.py
@@ -6,6 +6,7 @@
 
 import curio
 import h11
+from curio import socket
 
 from ..ticks import sleep_to_tick
 from .errors import (
@@ -18,7 +19,7 @@
 from .limits import ClientLimits
 from .liveness import read_idle_seconds
 from .requests import make_request
-from .sockets import DEFAULT_CONNECT_TIMEOUT, open_socket
+from .sockets import DEFAULT_CONNECT_TIMEOUT, RESET_ON_CLOSE, open_socket
 
 __all__ = [
     "ClientConnection",
@@ -137,6 +138,8 @@
         Names the server, in logs and as the key of idle connections.
     sock : curio.io.Socket or TunnelSocket
     limits : ClientLimits, optional
+    is_plain : bool, optional
+        Whether `sock` is a TCP connection without TLS.
 
     Attributes
     ----------
@@ -144,7 +147,7 @@
         How long data is left to gather before it is read.
     """
 
-    def __init__(self, address, sock, limits=None):
+    def __init__(self, address, sock, limits=None, is_plain=False):
         self.address = address
         self.limits = limits or ClientLimits()
         self._sock = sock
@@ -155,19 +158,26 @@
         self.gather_seconds = 0.0
         self._request_ids = deque(maxlen=REQUEST_IDS_PER_CONNECTION)
         self._is_first_answer = True
+        self._is_plain = is_plain
+        self._has_ended_sending = False
 
     @classmethod
     async def open(
         cls, address, timeout=DEFAULT_CONNECT_TIMEOUT, tls=None, limits=None
     ):
         """Connect, or raise `HTTPConnectError`."""
-        return cls(address, await open_socket(address, timeout, tls), limits)
+        sock = await open_socket(address, timeout, tls)
+        return cls(address, sock, limits, is_plain=tls is None)
 
     @property
     def idle_seconds(self):
         """Seconds since it carried an answer."""
         return time.monotonic() - self._idle_since
 
+    @property
+    def _is_sending(self):
+        return self._sending is not None and not self._sending.terminated
+
     @property
     def is_stale(self):
         """Whether the server has closed, is about to, or spoke out of turn."""
@@ -186,6 +196,27 @@
         """Return whether a request of this id was sent on the connection."""
         return request_id in self._request_ids
 
+    async def end_sending(self):
+        """Tell the server that this side has left, and go on reading.
+
+        If the connection is then closed before the server has ended it, it is reset,
+        so that the server notices at its next write.
+
+        Returns
+        -------
+        bool
+            False if nothing but closing the connection tells the server.
+        """
+        if not self._is_plain or self._is_sending:
+            return False
+        try:
+            await self._sock.shutdown(socket.SHUT_WR)
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        except OSError:
+            return False
+        self._has_ended_sending = True
+        return True
+
     async def close(self):
         """Close the connection."""
         if self._sending is not None:
@@ -204,7 +235,7 @@
         headers : Headers
             Of the answer just read; they may say how long the server waits.
         """
-        if self._sending is not None and not self._sending.terminated:
+        if self._is_sending or self._has_ended_sending:
             return False
         if self._h11.our_state is not h11.DONE:
             return False
--- a/mangogauge/http/connection.py
+++ b/mangogauge/http/connection.py
@@ -1,7 +1,6 @@
 """A caller's connection: requests one after another, until either side ends it."""
 
 import os
-import struct
 import time
 
 import curio
@@ -12,6 +11,7 @@
 from .errors import CallerLostError, HTTPRequestError
 from .exchange import Exchange, make_response
 from .heads import has_body, has_short_body, judge_head, render_unreadable
+from .sockets import RESET_ON_CLOSE
 from .unread import has_unread, has_unread_bytes, wait_for_unread, wake_reader
 
 __all__ = ["ServerConnection"]
@@ -23,8 +23,6 @@
 LINGER_BYTES = 16_777_216
 SKIPPED_BODY_BYTES = 65_536
 SKIP_SECONDS = 0.5
-# Socket option that makes closing reset the connection at once.
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # States of this side once an answer has been sent whole.
 ANSWERED_STATES = frozenset({h11.DONE, h11.MUST_CLOSE, h11.CLOSED})
 
--- a/mangogauge/http/pool.py
+++ b/mangogauge/http/pool.py
@@ -51,6 +51,7 @@
         idle_limit=None,
         request_id="",
         only_idle=False,
+        on_connection=None,
     ):
         """Send a request and return the head of its answer.
 
@@ -73,6 +74,8 @@
             copy of its answer couldn't be told from the answer of this one.
         only_idle : bool, optional
             Raise `HTTPConnectError` rather than open a connection.
+        on_connection : callable, optional
+            Called with the `ClientConnection` right before the request is sent.
 
         Returns
         -------
@@ -91,6 +94,8 @@
         if connection is None:
             connection = await self._connector.open(address)
         connection.note_request_id(request_id)
+        if on_connection is not None:
+            on_connection(connection)
         try:
             if callable(headers):
                 headers = headers()
--- a/mangogauge/http/sockets.py
+++ b/mangogauge/http/sockets.py
@@ -1,14 +1,18 @@
 """Open TCP and TLS connections to servers."""
 
+import struct
+
 import curio
 from curio import socket
 
 from .errors import HTTPConnectError
 from .liveness import detect_dead_peer
 
-__all__ = ["DEFAULT_CONNECT_TIMEOUT", "open_socket"]
+__all__ = ["DEFAULT_CONNECT_TIMEOUT", "RESET_ON_CLOSE", "open_socket"]
 
 DEFAULT_CONNECT_TIMEOUT = 2.0
+# Value of SO_LINGER that makes closing reset the connection at once.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # What the system raises for a host or port that can't be one.
 ADDRESS_ERRORS = (ValueError, OverflowError, TypeError)
 
