Keep an answer that begins while a successor is looked for

Callers saw nothing; found by reading entry/handover.py. While a slot and a connection at another endpoint are looked for, the silent endpoint may begin its answer. It was then dropped with its connection left open, and the request sent again (TWICE). Such an answer is now relayed, and the successor's slot given back.

The log's "no answer within" says the time that passed, since the limit alone no longer decides. No test: the window is as long as one connection takes.

--- a/mangogauge/entry/attempt.py
+++ b/mangogauge/entry/attempt.py
@@ -162,6 +162,7 @@
             If there is no answer, or an unsuccessful one.
         """
 
+        began_at = self._clock.read_elapsed()
         is_sent = False
 
         def make_headers():
@@ -188,7 +189,8 @@
                 connection_broken=True,
             ) from error
         except curio.TaskTimeout:
-            reason = f"no answer within {response_timeout:.3f} s"
+            seconds = self._clock.read_elapsed() - began_at
+            reason = f"no answer within {seconds:.3f} s"
             if not is_sent:
                 # Whether a path leads there has still to be found out.
                 raise AttemptFailure(Progress.NOT_SENT, reason) from None
--- a/mangogauge/entry/handover.py
+++ b/mangogauge/entry/handover.py
@@ -85,8 +85,13 @@
                 await reading.wait()
             if reading.terminated:
                 return True
-            if self.connection is None or await self.may_give_up():
+            if self.connection is None:
                 return False
+            if await self.may_give_up():
+                if reading.terminated:
+                    # The answer has begun while the successor was looked for.
+                    await self._release()
+                return reading.terminated
             seconds = CHECK_SECONDS
 
     async def may_give_up(self):
