--- a/features/steps/gathering.py
+++ b/features/steps/gathering.py
@@ -8,8 +8,7 @@
 
 from features.builders.fleet import make_report
 from features.builders.gathering import CountingSocket, PieceServer
-from mangogauge.http import ClientConnection, Headers
-from mangogauge.http.client import ClientResponse
+from mangogauge.http import ClientConnection, ClientResponse, Headers
 from mangogauge.sharing import sum_up
 from mangogauge.sharing.datagrams import DatagramSocket
 from mangogauge.sharing.messages import decode, join
--- a/mangogauge/entry/attempt.py
+++ b/mangogauge/entry/attempt.py
@@ -3,10 +3,12 @@
 import curio
 from attrs import field, frozen
 
+from ..fleet import RequestSemantics
 from ..http import HTTPConnectError, HTTPError
 from ..routing import Progress
 from ..trust import AttemptObserver
 from .dialect import AnswerKind, EndpointRequest
+from .endings import RunEndings
 
 __all__ = ["AttemptFailure", "EndpointClient", "BufferedAnswer"]
 
@@ -125,6 +127,7 @@
         self._dialect = dialect
         self._directory = directory
         self._clock = clock
+        self._endings = RunEndings()
 
     async def send(
         self,
@@ -162,6 +165,10 @@
             If there is no answer, or an unsuccessful one.
         """
 
+        if not await self._endings.wait(call.request_id):
+            raise AttemptFailure(
+                Progress.NOT_SENT, "the run before has not ended at its endpoint"
+            )
         began_at = self._clock.read_elapsed()
         is_sent = False
 
@@ -258,9 +265,17 @@
                 call, endpoint, fields, is_first
             ),
             request_id=call.request_id,
-            on_connection=handover and handover.note_connection,
+            on_connection=self._choose_observer(call, handover),
         )
 
+    def _choose_observer(self, call, handover):
+        """Return what is told of the connection that carries a call; may be None."""
+        if handover is not None:
+            return handover.note_connection
+        if call.route.semantics is RequestSemantics.BATCH:
+            return lambda connection: self._endings.attach(connection, call.request_id)
+        return None
+
     def _check_head(self, call, endpoint, fields, is_first):
         """Return whether a head answers the request; note if its endpoint leaves."""
         if self._dialect.announces_leaving(fields):
--- a/mangogauge/http/__init__.py
+++ b/mangogauge/http/__init__.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 on both sides, by `h11` over curio sockets."""
 
 from .buffers import BufferBudget
-from .client import ClientConnection, ClientResponse
+from .client import ClientConnection
 from .connectors import Connector, DirectConnector
 from .errors import (
     HTTPConnectError,
@@ -18,6 +18,7 @@
 from .limits import ClientLimits, ServerLimits
 from .pool import ClientPool, open_response
 from .requests import make_request
+from .responses import ClientResponse
 from .server import HTTPServer
 from .sockets import open_socket
 from .tunnel import TunnelRefusedError, TunnelSocket
--- a/mangogauge/http/client.py
+++ b/mangogauge/http/client.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 client: one connection, and answers as they stream in."""
+"""HTTP/1.1 client: one connection."""
 
 import select
 import time
@@ -17,116 +17,21 @@
 )
 from .headers import Headers
 from .limits import ClientLimits
+from .lingering import read_to_end
 from .liveness import read_idle_seconds
 from .requests import make_request
 from .sockets import DEFAULT_CONNECT_TIMEOUT, RESET_ON_CLOSE, open_socket
 
-__all__ = [
-    "ClientConnection",
-    "ClientResponse",
-]
+__all__ = ["ClientConnection"]
 
 READ_SIZE_BYTES = 65_536
 # A body beyond this may fill the server's window, so that it is sent while the
 # answer is awaited: a server may answer before it has read it.
 EAGER_BODY_BYTES = 32_768
-PIECES_PER_TURN = 16
 # Ids that one connection remembers; a copy of an older answer came long before.
 REQUEST_IDS_PER_CONNECTION = 256
-# Fields that say where a body ends.
-FRAMING_FIELDS = ("content-length", "transfer-encoding")
-
-
-class ClientResponse:
-    """The answer to one request, its body still to be read.
-
-    Attributes
-    ----------
-    status : int
-        HTTP status.
-    headers : Headers
-        Header fields.
-    buffers : BufferBudget
-        For what a reader keeps of the body.
-    """
-
-    def __init__(self, connection, status, headers, release):
-        self._connection = connection
-        self._release = release
-        self.status = status
-        self.headers = headers
-        self.complete = False
-        self.buffers = connection.limits.buffers
-
-    @property
-    def ends_with_connection(self):
-        """Whether only the end of the connection ends the body.
-
-        Such a body isn't known to be whole: the server may have crashed.
-        """
-        return not any(name in self.headers for name in FRAMING_FIELDS)
-
-    async def iterate(self):
-        """Yield the body in pieces as they arrive.
-
-        Raises
-        ------
-        HTTPReceiveError
-            If the connection breaks before the answer is whole.
-        """
-        pieces = 0
-        body_bytes = self._connection.limits.body_bytes
-        async for piece in self._connection.iterate_body("body_bytes", body_bytes):
-            yield piece
-            pieces += 1
-            if pieces % PIECES_PER_TURN == 0:
-                # A fast sender must not keep the kernel to itself.
-                await curio.sleep(0)
-        self.complete = True
-        await self.close()
-
-    def gather(self, seconds):
-        """Read the rest of the body less often, and more of it at a time.
-
-        Parameters
-        ----------
-        seconds : float
-            How long data may wait to be read.
-        """
-        self._connection.gather_seconds = seconds
-
-    async def read(self, limit=None):
-        """Return the whole body.
-
-        Parameters
-        ----------
-        limit : int, optional
-            Largest body in bytes; by default the connection's for such bodies.
-
-        Raises
-        ------
-        HTTPLimitError
-            If it is larger, or all answers that are being read hold too much.
-        """
-        limit = self._connection.limits.whole_bytes if limit is None else limit
-        pieces, size = [], 0
-        buffer = self.buffers.open()
-        try:
-            async for piece in self.iterate():
-                size += len(piece)
-                if limit is not None and size > limit:
-                    raise HTTPLimitError("read_bytes", limit)
-                buffer.resize(size)
-                pieces.append(piece)
-        finally:
-            buffer.close()
-        return b"".join(pieces)
-
-    async def close(self):
-        """Give the connection back, or end it if the answer is not whole."""
-        connection, self._connection = self._connection, None
-        if connection is not None:
-            await self._release(connection, self.complete, self.headers)
+# States of the server while it owes an answer, or the rest of one.
+UNANSWERED_STATES = frozenset({h11.SEND_RESPONSE, h11.SEND_BODY})
 
 
 class ClientConnection:
@@ -145,6 +50,9 @@
     ----------
     gather_seconds : float
         How long data is left to gather before it is read.
+    on_left : async callable or None
+        Called with the connection when it is closed within an answer, in place of
+        closing it; has to await `await_end`.
     """
 
     def __init__(self, address, sock, limits=None, is_plain=False):
@@ -160,6 +68,7 @@
         self._is_first_answer = True
         self._is_plain = is_plain
         self._has_ended_sending = False
+        self.on_left = None
 
     @classmethod
     async def open(
@@ -222,6 +131,21 @@
         if self._sending is not None:
             await self._sending.cancel()
             self._sending = None
+        on_left, self.on_left = self.on_left, None
+        is_answered = self._h11.their_state not in UNANSWERED_STATES
+        if on_left is None or is_answered or not await self.end_sending():
+            await self._close_socket()
+            return
+        await on_left(self)
+
+    async def await_end(self):
+        """Wait until the server has ended the connection; close it after a time."""
+        try:
+            await read_to_end(self._sock)
+        finally:
+            await self._close_socket()
+
+    async def _close_socket(self):
         try:
             await self._sock.close()
         except OSError:
@@ -245,6 +169,7 @@
             # More came than the answer: what follows can't be trusted.
             return False
         self._sending = None
+        self.on_left = None
         self.gather_seconds = 0.0
         self._idle_since = time.monotonic()
         self._idle_until = self._idle_since + read_idle_seconds(headers)
--- a/mangogauge/http/pool.py
+++ b/mangogauge/http/pool.py
@@ -1,9 +1,9 @@
 """Connections to servers, kept for later requests."""
 
-from .client import ClientResponse
 from .connectors import DirectConnector
 from .errors import HTTPConnectError
 from .headers import Headers
+from .responses import ClientResponse
 from .sockets import DEFAULT_CONNECT_TIMEOUT
 
 __all__ = ["ClientPool", "open_response"]
