--- a/mangogauge/entry/attempt.py
+++ b/mangogauge/entry/attempt.py
@@ -3,10 +3,12 @@
 import curio
 from attrs import field, frozen
 
+from ..fleet import RequestSemantics
 from ..http import HTTPConnectError, HTTPError
 from ..routing import Progress
 from ..trust import AttemptObserver
 from .dialect import AnswerKind, EndpointRequest
+from .endings import RunEndings
 
 __all__ = ["AttemptFailure", "EndpointClient", "BufferedAnswer"]
 
@@ -125,6 +127,7 @@
         self._dialect = dialect
         self._directory = directory
         self._clock = clock
+        self._endings = RunEndings()
 
     async def send(
         self,
@@ -134,6 +137,7 @@
         response_timeout,
         is_fresh=False,
         on_send=lambda: None,
+        handover=None,
     ):
         """Send `call` and return a successful `ClientResponse` with its body unread.
 
@@ -152,6 +156,8 @@
         on_send : callable, optional
             Called right before the first byte is sent: from then on the endpoint may
             run the call.
+        handover : Handover, optional
+            Decides when a silent endpoint is left, in place of `response_timeout`.
 
         Raises
         ------
@@ -159,6 +165,11 @@
             If there is no answer, or an unsuccessful one.
         """
 
+        if not await self._endings.wait(call.request_id):
+            raise AttemptFailure(
+                Progress.NOT_SENT, "the run before has not ended at its endpoint"
+            )
+        began_at = self._clock.read_elapsed()
         is_sent = False
 
         def make_headers():
@@ -168,8 +179,11 @@
             return self._make_headers(call, endpoint, last_event)
 
         try:
-            async with curio.timeout_after(response_timeout):
-                response = await self._request(call, endpoint, make_headers, is_fresh)
+            response = await self._await_response(
+                self._request(call, endpoint, make_headers, is_fresh, handover),
+                response_timeout,
+                handover,
+            )
         except HTTPConnectError as error:
             raise AttemptFailure(
                 Progress.NOT_SENT, str(error), unreachable=True
@@ -182,7 +196,8 @@
                 connection_broken=True,
             ) from error
         except curio.TaskTimeout:
-            reason = f"no answer within {response_timeout:.3f} s"
+            seconds = self._clock.read_elapsed() - began_at
+            reason = f"no answer within {seconds:.3f} s"
             if not is_sent:
                 # Whether a path leads there has still to be found out.
                 raise AttemptFailure(Progress.NOT_SENT, reason) from None
@@ -194,6 +209,18 @@
             return response
         raise await self._make_failure(kind, response)
 
+    async def _await_response(self, request, response_timeout, handover):
+        if handover is None:
+            async with curio.timeout_after(response_timeout):
+                return await request
+        reading = await curio.spawn(request)
+        try:
+            if not await handover.wait(reading):
+                raise curio.TaskTimeout(handover.limit)
+            return reading.result
+        finally:
+            await reading.cancel()
+
     async def connect(self, endpoint):
         """Make a connection to an endpoint, for the next call there.
 
@@ -225,7 +252,7 @@
         )
         return self._dialect.make_headers(request)
 
-    async def _request(self, call, endpoint, make_headers, is_fresh):
+    async def _request(self, call, endpoint, make_headers, is_fresh, handover):
         return await self._pool.request(
             endpoint,
             call.method,
@@ -238,8 +265,17 @@
                 call, endpoint, fields, is_first
             ),
             request_id=call.request_id,
+            on_connection=self._choose_observer(call, handover),
         )
 
+    def _choose_observer(self, call, handover):
+        """Return what is told of the connection that carries a call; may be None."""
+        if handover is not None:
+            return handover.note_connection
+        if call.route.semantics is RequestSemantics.BATCH:
+            return lambda connection: self._endings.attach(connection, call.request_id)
+        return None
+
     def _check_head(self, call, endpoint, fields, is_first):
         """Return whether a head answers the request; note if its endpoint leaves."""
         if self._dialect.announces_leaving(fields):
--- a/mangogauge/http/__init__.py
+++ b/mangogauge/http/__init__.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 on both sides, by `h11` over curio sockets."""
 
 from .buffers import BufferBudget
-from .client import ClientConnection, ClientResponse
+from .client import ClientConnection
 from .connectors import Connector, DirectConnector
 from .errors import (
     HTTPConnectError,
@@ -19,6 +19,7 @@
 from .listeners import open_listener
 from .pool import ClientPool, open_response
 from .requests import make_request
+from .responses import ClientResponse
 from .server import HTTPServer
 from .sockets import open_socket
 from .tunnel import TunnelRefusedError, TunnelSocket
