Take a status of 500 and above from the product's store for an unknown outcome

What callers saw: a batch refused with 503 platform_away, "executed": "no", that was in force.

Cause: any status but 200 counted as "the store refused, nothing took effect". An etcd gateway answers a proposal that timed out, as while its leader is paused, by 503 or 504, and may commit it later. The client of the users' platform has the difference (there 503 is promised to mean that nothing was done).

Change: from 500 on the outcome of a write is unknown, as with a lost answer, and a read has failed; so a lease whose renewal is answered so isn't given up as lapsed.

--- a/features/steps/batch_unanswered.py
+++ b/features/steps/batch_unanswered.py
@@ -54,3 +54,12 @@
     lose_answers(context, 0)
     job = context.jobs.wait_until_ended("a1", context.job_id)
     assert job["status"] == "cancelled", job
+
+
+@when(
+    'a batch is submitted to "{host}" while the platform answers all writes '
+    "by {status:d} after it took them"
+)
+def submit_beside_errors(context, host, status):
+    context.world.get_standin("platform").control(lost_status=status)
+    submit(context, host)
--- a/mangogauge/standins/platform.py
+++ b/mangogauge/standins/platform.py
@@ -12,7 +12,7 @@
 from attrs import define, field, fields
 
 from ..clock import SystemClock
-from ..http import Headers, HTTPServer, ServerLimits
+from ..http import Headers, HTTPRequestError, HTTPServer, ServerLimits
 from ..store.base import Condition, Operation, Transaction
 from ..store.keyspace import Keyspace
 from .answers import read_json, send_json
@@ -35,6 +35,8 @@
         Seconds to wait before each call.
     lose_answers : int
         How many further writes take effect but are not answered; -1 for all.
+    lost_status : int
+        Status by which these are answered all the same; 0 to close the connection.
     writes_per_second, reads_per_second : float
         Calls above these are refused; 0 for no cap.
     """
@@ -42,6 +44,7 @@
     down = field(default=False)
     delay = field(default=0.0)
     lose_answers = field(default=0)
+    lost_status = field(default=0)
     writes_per_second = field(default=0.0)
     reads_per_second = field(default=0.0)
 
@@ -205,6 +208,8 @@
     def _lose_answer(self):
         if self.faults.lose_answers:
             self.faults.lose_answers -= self.faults.lose_answers > 0
+            if self.faults.lost_status:
+                raise HTTPRequestError(self.faults.lost_status, "Request timed out.")
             raise ConnectionAbortedError("The answer is lost.")
 
     def _header(self):
--- a/mangogauge/store/gateway.py
+++ b/mangogauge/store/gateway.py
@@ -31,6 +31,9 @@
 LIMITS = StoreLimits()
 # What a lost answer means: a read has no effect that could be unknown.
 READ_ERRORS = {"/v3/kv/range": StoreUnavailableError}
+# From this status on the gateway itself may not know: a proposal that timed out, as
+# while the leader is paused, may be committed later.
+FIRST_UNCERTAIN_STATUS = 500
 JSON_HEADERS = Headers([("Content-Type", "application/json")])
 
 
@@ -169,7 +172,8 @@
             return Failure(lost(repr(error), step=path, peer=peer))
         if response.status != 200:
             message = f"Status {response.status}: {body[:200]!r}."
-            return Failure(StoreRefusedError(message, step=path, peer=peer))
+            error = _find_error(path, response.status)
+            return Failure(error(message, step=path, peer=peer))
         return Success(orjson.loads(body))
 
     async def _request(self, path, body):
@@ -181,6 +185,13 @@
         self._addresses.append(self._addresses.pop(0))
 
 
+def _find_error(path, status):
+    """Return the class of error that a status other than 200 stands for."""
+    if status < FIRST_UNCERTAIN_STATUS:
+        return StoreRefusedError
+    return READ_ERRORS.get(path, StoreLostAnswerError)
+
+
 def _encode(key):
     return base64.b64encode(key.encode()).decode("ascii")
 
