--- a/features/idempotency/paused.feature
+++ b/features/idempotency/paused.feature
@@ -39,3 +39,11 @@
     And a booking "b-1" is sent to "b1" with the key "k-1"
     And a booking "b-1" is sent to "a1" with the key "k-1"
     Then the last keyed answer is the service's, and "b-1" ran once
+
+  Scenario: The hosts that a booking is passed on to are paused and wake
+    When "a1, a2" are paused, and the booking "b-1" is sent to "b1" with the key "k-1"
+    Then the last keyed answer is refused with executed "unknown"
+    When all paused hosts wake
+    And a booking "b-1" is sent to "b1" with the key "k-1"
+    And a booking "b-1" is sent to "a1" with the key "k-1"
+    Then "b-1" ran once at most
--- a/features/steps/idempotency_paused.py
+++ b/features/steps/idempotency_paused.py
@@ -58,16 +58,43 @@
 
 @when("the paused host wakes")
 def wake(context):
-    context.world.processes[context.paused].resume()
+    wake_host(context, context.paused)
+
+
+def wake_host(context, name):
+    context.world.processes[name].resume()
 
     def answers():
-        caller = context.jobs.get_caller(context.paused)
+        caller = context.jobs.get_caller(name)
         try:
             return caller.request("GET", "/v1/batches").status == 200
         except (OSError, http.client.HTTPException):
             return False
 
-    wait_until(answers, f"{context.paused} answers again")
+    wait_until(answers, f"{name} answers again")
+
+
+@when(
+    '"{names}" are paused, and the booking "{name}" is sent to "{host}" '
+    'with the key "{key}"'
+)
+def send_beside_paused_hosts(context, names, name, host, key):
+    context.paused_hosts = names.split(", ")
+    for paused in context.paused_hosts:
+        context.world.processes[paused].pause()
+    send_booking(context, name, host, key)
+
+
+@when("all paused hosts wake")
+def wake_all(context):
+    for name in context.paused_hosts:
+        wake_host(context, name)
+
+
+@then('"{name}" ran once at most')
+def check_most(context, name):
+    runs = read_booking_runs(context.world).get(name, 0)
+    assert runs <= 1, (runs, context.keyed)
 
 
 @when(
