Take no end of a connection for an answer's end once its server was told to end it

Cause: ClientConnection.end_sending tells an endpoint to end a run and reads on. An answer without a length ends with its connection, so that the close with which the endpoint does as it was told read as the end of a whole answer.

Evidence: features/platform/told_endpoints.feature, first three rows, real processes.

Change: after end_sending the end of the connection raises HTTPReceiveError. An answer that says its length is whole before its connection ends, and isn't affected. Cost: an answer without a length that is whole, but came after its endpoint was told, counts as broken off.

--- a/features/builders/platform/deployment.py
+++ b/features/builders/platform/deployment.py
@@ -160,6 +160,15 @@
         self.write_entry(name, slots=slots, service=service)
         return journal
 
+    def start_told(self, name, framing, begins, slots=8):
+        """Start an endpoint that sends a part of each answer; return its journal."""
+        address = f"{self.address}:{self.world.take_port()}"
+        journal = self.world.folder / f"{name}.runs"
+        self._start(name, "told", address, name, str(slots), journal, framing, begins)
+        self.endpoints[name] = address
+        self.write_entry(name, slots=slots)
+        return journal
+
     def restart_endpoint(self, name, *crashing):
         """Start an endpoint that has crashed; a word names what crashes it again."""
         process = self.world.processes[name]
--- a/mangogauge/http/client.py
+++ b/mangogauge/http/client.py
@@ -379,7 +379,11 @@
                     return event
                 if self.gather_seconds:
                     await sleep_to_tick(self.gather_seconds)
-                self._h11.receive_data(await self._sock.recv(READ_SIZE_BYTES))
+                data = await self._sock.recv(READ_SIZE_BYTES)
+                if not data and self._has_ended_sending:
+                    # A body without a length may have been cut short.
+                    raise self._broken("after its server was told to end it")
+                self._h11.receive_data(data)
         except (OSError, h11.RemoteProtocolError) as error:
             raise HTTPReceiveError(
                 f"Receiving failed: {error!r}.", step="receive", peer=self.address
