Let no other run follow a part of an answer that can't be resumed

Cause: a slot at a successor is held while a silent endpoint is told to end its run. An endpoint that then answers goes on, and only the relay of events gives the successor back. The relay of bytes kept it: when the answer broke off in the middle, the held successor allowed a retry, though a part had been sent to the caller. It also kept a slot there as long as the answer lasted.

Evidence: features/platform/told_endpoints.feature, the two rows of /safe/.

Change: the relay of bytes notes progress first, which gives the successor back. Cost: such an answer that breaks off afterwards ends broken off at its caller.

--- a/features/platform/told_endpoints.feature
+++ b/features/platform/told_endpoints.feature
@@ -13,3 +13,5 @@
       | /note/ | without length | before |
       | /note/ | in chunks      | before |
       | /note/ | without length | after  |
+      | /safe/ | without length | after  |
+      | /safe/ | in chunks      | after  |
--- a/mangogauge/entry/relay.py
+++ b/mangogauge/entry/relay.py
@@ -77,6 +77,9 @@
         await self._exchange.respond(answer.status, headers, answer.body)
 
     async def _relay_bytes(self, response):
+        if self.handover is not None:
+            # No other endpoint can go on with such an answer.
+            await self.handover.note_progress()
         end_check = EventEndCheck()
         async for piece in response.iterate():
             self._note_progress(0)
