Let what an endpoint does while its successor is sought decide the attempt

Cause: holding a slot and making a connection takes up to seconds. Handover.wait didn't look again whether the reading task had ended, and ClientConnection.end_sending raised AttributeError on a connection that is closed.

Evidence: features/entry/handover.feature, a real connection and a successor that is found only after the endpoint has acted. 3 of 4 rows failed in the one run before: "left", AttributeError, "left". All 4 pass with the change, 1 of 1 run.

Change: wait returns whether the task has ended; a closed connection isn't ended again.

--- a/mangogauge/entry/handover.py
+++ b/mangogauge/entry/handover.py
@@ -86,7 +86,8 @@
             if reading.terminated:
                 return True
             if self.connection is None or await self.may_give_up():
-                return False
+                # It may have ended while a successor was sought.
+                return reading.terminated
             seconds = CHECK_SECONDS
 
     async def may_give_up(self):
--- a/mangogauge/http/client.py
+++ b/mangogauge/http/client.py
@@ -207,7 +207,8 @@
         bool
             False if nothing but closing the connection tells the server.
         """
-        if not self._is_plain or self._is_sending:
+        is_closed = self._sock.fileno() < 0
+        if is_closed or not self._is_plain or self._is_sending:
             return False
         try:
             await self._sock.shutdown(socket.SHUT_WR)
