--- a/mangogauge/entry/handover.py
+++ b/mangogauge/entry/handover.py
@@ -88,12 +88,15 @@
             if self.connection is None:
                 return False
             if await self.may_give_up():
-                if reading.terminated:
-                    # The answer has begun while the successor was looked for.
-                    await self._release()
+                await self._keep_answer(reading)
                 return reading.terminated
             seconds = CHECK_SECONDS
 
+    async def _keep_answer(self, reading):
+        """Give the successor back if an answer began while it was looked for."""
+        if reading.terminated and reading.exception is None:
+            await self._release()
+
     async def may_give_up(self):
         """Return whether another endpoint goes on with the silent endpoint's run.
 
