--- a/mangogauge/telemetry/explanation.py
+++ b/mangogauge/telemetry/explanation.py
@@ -25,6 +25,9 @@
 # What went wrong on the way, of which an ending may be the consequence.
 SETBACKS = {
     "attempt failed": "{host}: attempt {attempt} at {endpoint} failed: {reason}",
+    "silent endpoint told to end a run": (
+        "{host} left the run at {endpoint}, silent for {silent_seconds} s"
+    ),
     "item broke off": "{host}: the item broke off at {endpoint}: {reason}",
     "item gives way": "{host}: the item gave way at {endpoint} to online requests",
     "job taken over": "{host}: the job passed to {claimant}",
