Don't pass on another host's 503 where an engine here may run the request

What callers saw: 503 from an engine of another data centre, and the request ran later at the paused engine of this one, which had been given up for its silence.

Cause: an answer that comes from another host was passed on whatever its status; only answers of this host's own endpoints were compared with earlier attempts.

Change: a status that says "not run" is held back where an earlier attempt here may have run the request. All other answers of other hosts are passed on as before: they have made the attempts that such an answer allows.

--- a/features/gateway/paused.feature
+++ b/features/gateway/paused.feature
@@ -11,3 +11,9 @@
     And routing: a host "a1" with a caller
     When each of 5 chats of 10 s is sent while "engine-1" is paused and "engine-2" answers by 503
     Then each chat that "engine-1" began on waking was answered as one that may have run
+
+  Scenario: Another data centre's engine that is asked after a paused one is full
+    Given a batch fleet with hosts in two data centres
+    And the chats go to "a1"
+    When each of 3 chats of 10 s is sent while "engine-a" is paused and "engine-b" answers by 503
+    Then each chat that "engine-a" began on waking was answered as one that may have run
--- a/features/steps/gateway_paused.py
+++ b/features/steps/gateway_paused.py
@@ -2,7 +2,7 @@
 
 import threading
 
-from behave import then, when
+from behave import given, then, when
 
 from features.builders import run_together, wait_until
 from features.steps.routing import reapply_configuration
@@ -39,6 +39,11 @@
     assert found == (status, code, executed), context.chat
 
 
+@given('the chats go to "{host}"')
+def choose_host(context, host):
+    context.caller = context.jobs.get_caller(host)
+
+
 @when(
     'each of {count:d} chats of {seconds:d} s is sent while "{paused}" is paused '
     'and "{full}" answers by {status:d}'
--- a/mangogauge/gateway/dispatch.py
+++ b/mangogauge/gateway/dispatch.py
@@ -190,7 +190,8 @@
 
         endpoint = attempt.endpoint
         if endpoint is None:
-            await attempt.run(run.relay, bound, may_retry)
+            # The other host has made the attempts that an error allows.
+            await attempt.run(run.relay, bound, run.contradicts)
             return
         attempt.may_give_up = lambda: self._may_give_up(run)
         executed = run.worst.executed
--- a/mangogauge/gateway/forwarding.py
+++ b/mangogauge/gateway/forwarding.py
@@ -22,7 +22,7 @@
 )
 from ..protocol.forward_pb2 import Progress as WireProgress
 from ..refusals import Refusal, RefusalCode
-from ..routing import Progress
+from ..routing import Progress, find_failure
 from ..settings import RouteKind
 from .attempts import Attempt, AttemptFailed
 from .calls import Call
@@ -69,6 +69,7 @@
         async with finalize(parts):
             try:
                 head = await self._read_head(parts, bound)
+                self._check_status(head.status, may_retry)
                 headers = Headers((f.name, f.value) for f in head.headers)
                 await relay.take(head.status, headers, self._iterate(parts))
             except ChannelError as error:
@@ -81,6 +82,12 @@
             except HTTPError as error:
                 raise AttemptFailed(Progress.MAYBE_RUN, str(error)) from error
 
+    def _check_status(self, status, may_retry):
+        """Raise if an endpoint's error is held back; else it is passed on."""
+        progress = find_failure(self.call, status)
+        if progress is not None and may_retry(progress):
+            raise AttemptFailed(progress, f"Status {status}.", blames=False)
+
     async def _read_head(self, parts, bound):
         try:
             async with curio.timeout_after(bound):
