Look for no successor of a silent endpoint without a retry to spend

Found by the review, by reading.

Cause: the retry budget was asked last, after the slot and the connection.

Change: whether there is a retry to spend is asked first, without spending it.

--- a/features/builders/sending.py
+++ b/features/builders/sending.py
@@ -31,6 +31,7 @@
 __all__ = ["NEVER", "SendingWorld"]
 
 NEVER = 3600.0
+ACCOUNT = "desk"
 
 
 class _DeafSocket:
@@ -68,13 +69,17 @@
         it is refused.
     sent : list of str
         Requests that were sent.
+    asked : int
+        Connections that were asked for.
     """
 
     def __init__(self, plan):
         self.plan = list(plan)
         self.sent = []
+        self.asked = 0
 
     async def open(self, address):
+        self.asked += 1
         connection = self.plan.pop(0)
         if connection is None:
             raise HTTPConnectError("Refused.", peer=address)
@@ -153,6 +158,7 @@
 
     def __init__(self, *plan, endpoints=None, full=(), kept=0):
         self._clock = SystemClock()
+        self._budgets = RetryBudgets(self._clock)
         self._kept = kept
         self._connector = _LateConnector(plan)
         health = EndpointHealth(self._clock)
@@ -173,7 +179,7 @@
             EndpointTrust(self._clock),
             make_crash_detector(self._clock),
             _NewStreams(),
-            RetryPolicy(RetryBudgets(self._clock)),
+            RetryPolicy(self._budgets),
             self._clock,
             random.Random(1),
             ServingMetrics(),
@@ -183,6 +189,16 @@
         """Dispatch a request with a deadline; return its `Refusal`."""
         return curio.run(self._dispatch, seconds, semantics)
 
+    def spend_retries(self):
+        """Use up the retries that the account has on the route."""
+        while self._budgets.take(ACCOUNT, make_route().name):
+            pass
+
+    @property
+    def connection_count(self):
+        """Number of connections that were asked for."""
+        return self._connector.asked
+
     @property
     def sent_count(self):
         """Number of times that the request was sent."""
@@ -201,7 +217,7 @@
         call = OnlineCall(
             "r1",
             make_route(semantics=semantics, attempt_limit=2),
-            "desk",
+            ACCOUNT,
             "POST",
             "/ask/1",
             Headers(),
--- a/features/entry/sending.feature
+++ b/features/entry/sending.feature
@@ -40,3 +40,9 @@
     Given 2 kept connections that break once they are used, and no new ones
     When a request with a deadline of 2 s is dispatched, repeatable
     Then it was sent to 1 endpoint, and executed is "unknown"
+
+  Scenario: A host that has no retries left makes no connection for one
+    Given connections that are made after 0, 0, 0, 0, 0, 0 s, each silent once it is used
+    And the account has no retries left on the route
+    When a request with a deadline of 3 s is dispatched, repeatable
+    Then 1 connection was made, and executed is "unknown"
--- a/features/steps/entry_sending.py
+++ b/features/steps/entry_sending.py
@@ -76,3 +76,14 @@
 def check_sent(context, count, executed):
     assert context.sending.sent_count == count, context.sending.sent_count
     check_executed(context, executed)
+
+
+@given("the account has no retries left on the route")
+def spend_retries(context):
+    context.sending.spend_retries()
+
+
+@then('{count:d} connection was made, and executed is "{executed}"')
+def check_connections(context, count, executed):
+    assert context.sending.connection_count == count, context.sending.connection_count
+    assert context.refusal.executed == executed, context.refusal
--- a/mangogauge/entry/dispatch.py
+++ b/mangogauge/entry/dispatch.py
@@ -146,6 +146,8 @@
         be that of this host's own links.
         """
         call = state.call
+        if not self._retry_policy.has_budget(call):
+            return False
         service = self._choose_service(call)
         endpoint = await self._slots.try_acquire(call, service, state.excluded)
         if endpoint is None:
--- a/mangogauge/routing/budget.py
+++ b/mangogauge/routing/budget.py
@@ -40,10 +40,14 @@
         self._accrue(now)
         self.retries = min(MAX_RETRIES, self.retries + RETRIES_PER_SUCCESS)
 
+    def has_retry(self, now):
+        """Return whether a retry is available."""
+        self._accrue(now)
+        return self.retries >= 1
+
     def take(self, now):
         """Spend one retry; return whether one was available."""
-        self._accrue(now)
-        if self.retries < 1:
+        if not self.has_retry(now):
             return False
         self.retries -= 1
         return True
@@ -77,6 +81,10 @@
         """Record that a call was answered."""
         self._find(account, route).note_success(self._clock.read_elapsed())
 
+    def has_retry(self, account, route):
+        """Return whether a retry is available."""
+        return self._find(account, route).has_retry(self._clock.read_elapsed())
+
     def take(self, account, route):
         """Spend one retry; return whether one was available."""
         return self._find(account, route).take(self._clock.read_elapsed())
--- a/mangogauge/routing/retry.py
+++ b/mangogauge/routing/retry.py
@@ -69,6 +69,10 @@
             return Decision.RETRY
         return Decision.REFUSE
 
+    def has_budget(self, call):
+        """Return whether a retry of a call could be charged to its budget."""
+        return self.budgets.has_retry(call.account, call.route.name)
+
     def note_success(self, call):
         """Record that a call was answered, which adds to its retry budget."""
         self.budgets.note_success(call.account, call.route.name)
