Log no crash of a task where an attempt fails

Cause: the attempt reads in a task of its own, and curio logs each task that ends by an error, whoever waits for it.

Evidence: features/entry/sending.feature, 'A connection that breaks is logged as an attempt, not as the crash of a task': failed before with one such line, 13 of 13 scenarios pass after.

Change: the task returns the error as a result. A successor is given back only for a result that is an answer, as before.

--- a/features/builders/sending.py
+++ b/features/builders/sending.py
@@ -1,5 +1,6 @@
 """A dispatcher whose connections to endpoints are made late, or never."""
 
+import logging
 import random
 import socket
 
@@ -160,6 +161,8 @@
         self._clock = SystemClock()
         self._budgets = RetryBudgets(self._clock)
         self._kept = kept
+        # What curio has logged of tasks that ended by an error.
+        self.crashes = []
         self._connector = _LateConnector(plan)
         health = EndpointHealth(self._clock)
         pool = self._pool = ClientPool(connector=self._connector)
@@ -187,7 +190,12 @@
 
     def dispatch(self, seconds, semantics=RequestSemantics.ONCE):
         """Dispatch a request with a deadline; return its `Refusal`."""
-        return curio.run(self._dispatch, seconds, semantics)
+        kernel_log = logging.getLogger("curio.kernel")
+        kernel_log.addFilter(self._note_crash)
+        try:
+            return curio.run(self._dispatch, seconds, semantics)
+        finally:
+            kernel_log.removeFilter(self._note_crash)
 
     def spend_retries(self):
         """Use up the retries that the account has on the route."""
@@ -210,6 +218,10 @@
         _, _, field = self._connector.sent[0].partition(f"{HEADERS.patience}: ")
         return int(field.split()[0]) / 1000
 
+    def _note_crash(self, record):
+        self.crashes.append(record.getMessage())
+        return True
+
     async def _dispatch(self, seconds, semantics):
         for _ in range(self._kept):
             await self._pool.connect(make_endpoint().address)
--- a/features/entry/sending.feature
+++ b/features/entry/sending.feature
@@ -46,3 +46,8 @@
     And the account has no retries left on the route
     When a request with a deadline of 3 s is dispatched, repeatable
     Then 1 connection was made, and executed is "unknown"
+
+  Scenario: A connection that breaks is logged as an attempt, not as the crash of a task
+    Given connections that are made after 0, 0 s, the first broken once it is used
+    When a request with a deadline of 0.5 s is dispatched, repeatable
+    Then no task has ended by an error
--- a/features/steps/entry_sending.py
+++ b/features/steps/entry_sending.py
@@ -87,3 +87,8 @@
 def check_connections(context, count, executed):
     assert context.sending.connection_count == count, context.sending.connection_count
     assert context.refusal.executed == executed, context.refusal
+
+
+@then("no task has ended by an error")
+def check_crashes(context):
+    assert not context.sending.crashes, context.sending.crashes
--- a/mangogauge/entry/attempt.py
+++ b/mangogauge/entry/attempt.py
@@ -2,6 +2,7 @@
 
 import curio
 from attrs import field, frozen
+from returns.result import Failure, Success
 
 from ..fleet import RequestSemantics
 from ..http import HTTPConnectError, HTTPError
@@ -110,6 +111,14 @@
             health.note_failure(endpoint.name, is_confirmed)
 
 
+async def _capture(request):
+    """Return the `Result` of a request: curio logs each task that ends by an error."""
+    try:
+        return Success(await request)
+    except HTTPError as error:
+        return Failure(error)
+
+
 class EndpointClient:
     """Sends requests to endpoints.
 
@@ -213,13 +222,16 @@
         if handover is None:
             async with curio.timeout_after(response_timeout):
                 return await request
-        reading = await curio.spawn(request)
+        reading = await curio.spawn(_capture, request)
         try:
             if not await handover.wait(reading):
                 raise curio.TaskTimeout(handover.limit)
-            return reading.result
+            outcome = reading.result
         finally:
             await reading.cancel()
+        if isinstance(outcome, Failure):
+            raise outcome.failure()
+        return outcome.unwrap()
 
     async def connect(self, endpoint):
         """Make a connection to an endpoint, for the next call there.
--- a/mangogauge/entry/handover.py
+++ b/mangogauge/entry/handover.py
@@ -7,6 +7,7 @@
 """
 
 import curio
+from returns.result import Failure
 
 from ..telemetry import get_logger
 
@@ -94,7 +95,7 @@
 
     async def _keep_answer(self, reading):
         """Give the successor back if an answer began while it was looked for."""
-        if reading.terminated and reading.exception is None:
+        if reading.terminated and not _has_failed(reading):
             await self._release()
 
     async def may_give_up(self):
@@ -126,3 +127,7 @@
             },
         )
         return False
+
+
+def _has_failed(reading):
+    return reading.exception is not None or isinstance(reading.result, Failure)
