Log the limits that endpoints announce, and count them

Nothing read the field in which an endpoint names the requests a second that it takes, and no line said which host knew of it, so the logs could not tell an unread limit from one that hosts keep each for itself.

The platform's adapter reads the field; mangogauge.backpressure decides which of two answers that may have been written in either order holds: the one whose request was sent after the other had arrived, else the lower limit. A value that is no rate (no number, negative, not finite) says nothing. Log line "endpoint's limit" when one begins, ends, or changes by a fifth; 'endpoints_limited' in the summary line; the gauge mangogauge_endpoints_limited.

--- /dev/null
+++ b/mangogauge/backpressure/__init__.py
@@ -0,0 +1,10 @@
+"""Limits that endpoints announce: requests a second that one takes from all hosts.
+
+An endpoint in need names its limit in its answers, as long as the limit holds. The
+hosts tell each other what they heard and what they sent, and send together no more.
+"""
+
+from .announcements import AnnouncedLimits
+from .statements import NO_LIMIT, LimitStatement
+
+__all__ = ["NO_LIMIT", "AnnouncedLimits", "LimitStatement"]
--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from ..backpressure import AnnouncedLimits, LimitStatement
 from ..fleet import (
     AbsenceChecker,
     ConfigurationConfirmation,
@@ -139,6 +140,7 @@
         settings, clock = self._settings, self._clock
         self.health = EndpointHealth(clock)
         self.quota = SharedQuota(clock)
+        self.limits = AnnouncedLimits(clock)
         self.crash_ledger = CrashLedger(clock)
         self.part_quarantine = PartQuarantine(clock)
         self.board = ReportTable(settings.name, incarnation, clock)
@@ -286,6 +288,12 @@
         await self._exchange.note_change()
         await self._crash_gossip.note_change()
 
+    async def note_limit(self, endpoint, rate, asked_at):
+        """Note what an endpoint's answer says of its limit."""
+        now = self._clock.read_elapsed()
+        statement = LimitStatement(rate, asked_at, now)
+        self.limits.note(endpoint.name, endpoint.start_time_ms, statement, "its answer")
+
     async def run(self):
         """Keep up with the fleet until cancelled."""
         async with curio.TaskGroup(wait=any) as group:
@@ -312,10 +320,13 @@
     async def _judge_endpoints(self):
         while True:
             await sleep_to_tick(JUDGE_SECONDS)
-            self.trust.evaluate(self.directory.list_endpoints())
+            endpoints = self.directory.list_endpoints()
+            self.trust.evaluate(endpoints)
+            self.limits.remove_old({e.name: e.start_time_ms for e in endpoints})
             metrics = self._backends.metrics
             metrics.endpoints_barred.set(len(self.trust.list_barred()))
             metrics.endpoints_indirect.set(len(self.health.list_unreachable()))
+            metrics.endpoints_limited.set(len(self.limits.list_limited()))
             metrics.parts_quarantined.set(len(self.part_quarantine.list_quarantined()))
 
     async def _watch_isolation(self):
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -135,6 +135,7 @@
             self.backends.endpoints,
             self.fleet.directory,
             self.clock,
+            self.fleet.note_limit,
         )
 
         self.crashes = CrashDetector(
@@ -338,6 +339,7 @@
                     "hosts_heard": self.fleet.board.count_reporting_hosts(),
                     "endpoints_barred": self.fleet.trust.list_barred(),
                     "endpoints_indirect": self.fleet.health.list_unreachable(),
+                    "endpoints_limited": self.fleet.limits.list_limited(),
                     "parts_quarantined": self.fleet.part_quarantine.list_quarantined(),
                     "waiting": len(self.slots),
                     "items_waiting": self.fleet.board.items_waiting,
--- a/mangogauge/entry/attempt.py
+++ b/mangogauge/entry/attempt.py
@@ -33,6 +33,9 @@
 # Answers that show a fault of the endpoint, not of the request.
 ENDPOINT_FAULT_KINDS = frozenset({AnswerKind.GARBLED, AnswerKind.MISPLACED})
 
+# Answers that aren't the endpoint's own, and say nothing of its limit.
+FOREIGN_KINDS = ENDPOINT_FAULT_KINDS
+
 
 @frozen
 class BufferedAnswer:
@@ -108,6 +111,10 @@
             health.note_failure(endpoint.name, is_confirmed)
 
 
+async def _ignore_limit(endpoint, rate, asked_at):
+    """Default of `EndpointClient`'s `note_limit`."""
+
+
 class EndpointClient:
     """Sends requests to endpoints.
 
@@ -118,13 +125,17 @@
     directory : EndpointDirectory
         Notified of endpoints whose answers announce that they are leaving.
     clock : Clock
+    note_limit : async callable, optional
+        Called with a `FleetEndpoint`, the requests a second that its answer says it
+        takes, and the elapsed time at which the request was sent.
     """
 
-    def __init__(self, pool, dialect, directory, clock):
+    def __init__(self, pool, dialect, directory, clock, note_limit=_ignore_limit):
         self._pool = pool
         self._dialect = dialect
         self._directory = directory
         self._clock = clock
+        self._note_limit = note_limit
 
     async def send(
         self,
@@ -159,11 +170,11 @@
             If there is no answer, or an unsuccessful one.
         """
 
-        is_sent = False
+        sent_at = None
 
         def make_headers():
-            nonlocal is_sent
-            is_sent = True
+            nonlocal sent_at
+            sent_at = self._clock.read_elapsed()
             on_send()
             return self._make_headers(call, endpoint, last_event)
 
@@ -183,13 +194,15 @@
             ) from error
         except curio.TaskTimeout:
             reason = f"no answer within {response_timeout:.3f} s"
-            if not is_sent:
+            if sent_at is None:
                 # Whether a path leads there has still to be found out.
                 raise AttemptFailure(Progress.NOT_SENT, reason) from None
             raise AttemptFailure(
                 Progress.MAYBE_RUN, reason, endpoint_at_fault=True
             ) from None
         kind = self._dialect.classify_answer(response.status, response.headers)
+        if kind not in FOREIGN_KINDS:
+            await self._tell_limit(endpoint, response.headers, sent_at)
         if kind is AnswerKind.SUCCESS:
             return response
         raise await self._make_failure(kind, response)
@@ -246,6 +259,11 @@
             self._directory.note_leaving(endpoint)
         return self._dialect.is_answer(call.request_id, fields, is_first)
 
+    async def _tell_limit(self, endpoint, headers, sent_at):
+        rate = self._dialect.read_limit(headers)
+        if rate is not None:
+            await self._note_limit(endpoint, rate, sent_at)
+
     async def _make_failure(self, kind, response):
         """Return the failure for an unsuccessful answer, with its body if useful."""
         reason = f"{kind.value}: status {response.status}"
--- a/mangogauge/entry/dialect.py
+++ b/mangogauge/entry/dialect.py
@@ -116,3 +116,18 @@
     @abstractmethod
     def announces_leaving(self, headers):
         """Return whether an answer's headers announce that its endpoint is leaving."""
+
+    @abstractmethod
+    def read_limit(self, headers):
+        """Return how many requests a second an answer's endpoint takes.
+
+        Parameters
+        ----------
+        headers : Headers
+
+        Returns
+        -------
+        float or None
+            `NO_LIMIT` if the answer names no limit; None if what it names is no rate,
+            so that it says nothing.
+        """
--- a/mangogauge/platform/endpoints.py
+++ b/mangogauge/platform/endpoints.py
@@ -1,5 +1,8 @@
 """Orders to endpoints and their answers, as the platform writes them."""
 
+from math import isfinite
+
+from ..backpressure import NO_LIMIT
 from ..entry import AnswerKind, EndpointDialect
 from .names import HEADERS
 from .prompts import read_shared_parts
@@ -61,3 +64,14 @@
     def announces_leaving(self, headers):
         """Return whether an answer says that its endpoint leaves."""
         return headers.get(HEADERS.leaving) == LEAVING
+
+    def read_limit(self, headers):
+        """Return the limit that an answer names; None if that is no rate."""
+        text = headers.get(HEADERS.limit)
+        if text is None:
+            return NO_LIMIT
+        try:
+            rate = float(text)
+        except ValueError:
+            return None
+        return rate if isfinite(rate) and rate >= 0 else None
--- a/mangogauge/platform/names.py
+++ b/mangogauge/platform/names.py
@@ -22,6 +22,8 @@
     expected_endpoint = field(default="X-Expect-Instance")
     # The endpoint takes no new requests and is about to end.
     leaving = field(default="Server-Leaving")
+    # Requests a second that the endpoint takes from all hosts together.
+    limit = field(default="Server-Limit")
     not_run = field(default="X-Not-Run")
     # The prompt's parts in order, as ID:TOKENS; the last is the request's own.
     prompt_parts = field(default="X-Prompt-Prefix")
--- a/mangogauge/telemetry/serving.py
+++ b/mangogauge/telemetry/serving.py
@@ -49,6 +49,9 @@
         self.endpoints_indirect = self._gauge(
             "endpoints_indirect", "Endpoints that this host doesn't reach directly."
         )
+        self.endpoints_limited = self._gauge(
+            "endpoints_limited", "Endpoints that have announced a limit."
+        )
         self.parts_quarantined = self._gauge(
             "parts_quarantined", "Parts of prompts that are kept from endpoints."
         )
