Test that endpoints get no more requests than the limit that they announce

Real hosts, and endpoints that name a limit and count all requests that come, refused ones too; the bound is the rule's own: 1.5 times the limit over 4 s, and 5, in windows that end 3 s after the limit was first named or later. Requests count from a second after it was named, when each host has heard of it.

--- a/features/builders/platform/callers.py
+++ b/features/builders/platform/callers.py
@@ -21,6 +21,7 @@
     request_id = field()
     at = field()
     answer = field(default=None)
+    seconds = field(default=None)
 
 
 class Callers:
@@ -32,11 +33,14 @@
     paths : iterable of str
     events : int
         Events of each answer.
+    pause_seconds : float, optional
+        How long a caller waits after each answer.
     """
 
-    def __init__(self, deployment, paths, events):
+    def __init__(self, deployment, paths, events, pause_seconds=0.0):
         self.deployment = deployment
         self.events = events
+        self.pause_seconds = pause_seconds
         self.rows = []
         self._numbers = count()
         self._ended = threading.Event()
@@ -70,5 +74,7 @@
             row = Asked(host, path, f"c{next(self._numbers)}", time.monotonic())
             self.rows.append(row)
             row.answer = self.deployment.ask(host, path, row.request_id, self.events)
+            row.seconds = time.monotonic() - row.at
+            time.sleep(self.pause_seconds)
             if row.answer.status != 200:
                 time.sleep(PAUSE_SECONDS)
--- a/features/builders/platform/endpoint.py
+++ b/features/builders/platform/endpoint.py
@@ -56,6 +56,11 @@
         self.padding = 0
         # By which answers it says that it is leaving, if it is.
         self.leaving = ""
+        # The limit that its answers name, as written; empty if none.
+        self.limit = ""
+        # Elapsed times of the machine at which requests came, refused ones too.
+        self.request_times = []
+        self.clock = SystemClock()
         self.freed = curio.Condition()
         self.server = HTTPServer(self.handle, ServerLimits(body_bytes=BODY_BYTES))
 
@@ -64,6 +69,7 @@
         if exchange.path == "/control":
             await self._control(exchange)
             return
+        self.request_times.append(self.clock.read_elapsed())
         fields = exchange.headers
         body = await exchange.read_body()
         request_id = fields.get("x-request-id", "")
@@ -169,8 +175,9 @@
         return self._tell([*fields, ("X-Request-Id", request_id)])
 
     def _tell(self, fields):
-        """Return an answer's headers, which may say that the endpoint is leaving."""
+        """Return an answer's headers, which may say how the endpoint is."""
         said = [("Server-Leaving", "1")] if self.leaving else []
+        said += [("Server-Limit", self.limit)] if self.limit else []
         return Headers([*fields, *said])
 
     async def _refuse(self, exchange, status, request_id):
@@ -183,8 +190,14 @@
         self.padding = order.get("padding", self.padding)
         self.event_seconds = order.get("event_seconds", self.event_seconds)
         self.leaving = order.get("leaving", self.leaving)
+        self.limit = order.get("limit", self.limit)
         rows = [asdict(row) for row in self.arrivals]
-        value = {"arrivals": rows, "running": self.running, "waiting": self.waiting}
+        value = {
+            "arrivals": rows,
+            "request_times": self.request_times,
+            "running": self.running,
+            "waiting": self.waiting,
+        }
         headers = Headers([("Content-Type", "application/json")])
         await exchange.respond(200, headers, orjson.dumps(value))
 
