Keep requests to endpoints within the limits that these announce

Cause: nothing read the limit, hosts learned of it one by one, and no host knew what the others send. The class of fault: a bound on a sum over hosts that no host counts.

Change. mangogauge.backpressure: each limited endpoint has a leaky bucket that empties at the limit's rate; a host fills its own by what it sends and by what others tell, in datagrams of a kind of its own (old builds drop them, and nothing else). Hosts that wait draw lots for room. With 25 hosts or more only a dozen hosts send to a limited endpoint, ranked by hash; limits are gossiped to all. Of two answers that may have been written in either order the lower limit holds. EndpointChooser sends to limited endpoints what others have no room for, or what would be lost; SlotQueue counts limits in its estimate, so that requests beyond all limits are refused at once; items take only room that requests leave, and leave slots that requests need at times.

--- a/features/steps/filling.py
+++ b/features/steps/filling.py
@@ -52,6 +52,12 @@
         self.lookups += 1
         return [self._endpoint] if service == self._endpoint.service else []
 
+    def list_accepting(self, endpoints, work):
+        return endpoints
+
+    def take(self, endpoint):
+        pass
+
 
 class EndlessItemRunner:
     """Runs items until they are interrupted; records why items were given up.
--- a/mangogauge/backpressure/__init__.py
+++ b/mangogauge/backpressure/__init__.py
@@ -5,6 +5,20 @@
 """
 
 from .announcements import AnnouncedLimits
+from .counts import TakenCounts
+from .limiter import EndpointLimiter, Work
+from .news import LimitNews, LimitRow
 from .statements import NO_LIMIT, LimitStatement
+from .takers import Takers
 
-__all__ = ["NO_LIMIT", "AnnouncedLimits", "LimitStatement"]
+__all__ = [
+    "NO_LIMIT",
+    "AnnouncedLimits",
+    "EndpointLimiter",
+    "LimitNews",
+    "LimitRow",
+    "LimitStatement",
+    "TakenCounts",
+    "Takers",
+    "Work",
+]
--- a/mangogauge/backpressure/announcements.py
+++ b/mangogauge/backpressure/announcements.py
@@ -9,8 +9,8 @@
 
 # How long the end of a limit is remembered: answers written before may still arrive.
 ENDED_SECONDS = 10.0
-# A limit may move with each answer; smaller changes, by part of it, aren't logged.
-LOGGED_CHANGE = 0.2
+# A limit may move with each answer; smaller changes, in parts of it, are told later.
+TOLD_CHANGE = 0.2
 
 log = get_logger("backpressure")
 
@@ -24,13 +24,13 @@
     start_time_ms : int
         Identifies the process: a later one may have the same name.
     statement : LimitStatement
-    logged_rate : float
-        The rate in the last log line about the endpoint.
+    told_rate : float
+        The rate that was last logged and told to other hosts at once.
     """
 
     start_time_ms = field()
     statement = field()
-    logged_rate = field(default=NO_LIMIT)
+    told_rate = field(default=NO_LIMIT)
 
 
 class AnnouncedLimits:
@@ -59,7 +59,7 @@
         return len(self._announcements)
 
     def note(self, name, start_time_ms, statement, origin):
-        """Take a statement; return whether it changed the endpoint's limit.
+        """Take a statement; return whether other hosts should hear of it at once.
 
         Parameters
         ----------
@@ -79,12 +79,20 @@
             known = None
         if known is not None and not statement.supersedes(known.statement):
             return False
-        logged_rate = known.logged_rate if known else NO_LIMIT
-        if _is_worth_a_line(logged_rate, statement.rate):
-            self._log(name, start_time_ms, statement, logged_rate, origin)
-            logged_rate = statement.rate
-        self._announcements[name] = _Announcement(start_time_ms, statement, logged_rate)
-        return known is None or known.statement.rate != statement.rate
+        told_rate = known.told_rate if known else NO_LIMIT
+        is_news = _is_news(told_rate, statement.rate)
+        if is_news:
+            self._log(name, start_time_ms, statement, told_rate, origin)
+            told_rate = statement.rate
+        self._announcements[name] = _Announcement(start_time_ms, statement, told_rate)
+        return is_news
+
+    def find(self, name):
+        """Return ``(start_time_ms, LimitStatement)`` of an endpoint, or None."""
+        announcement = self._announcements.get(name)
+        if announcement is None:
+            return None
+        return announcement.start_time_ms, announcement.statement
 
     def get_rate(self, name, start_time_ms):
         """Return the requests a second that a process takes; `NO_LIMIT` if any."""
@@ -101,12 +109,9 @@
             if announcement.statement.is_limit
         ]
 
-    def list_statements(self):
-        """Return ``{name: (start_time_ms, LimitStatement)}``, also of limits' ends."""
-        return {
-            name: (announcement.start_time_ms, announcement.statement)
-            for name, announcement in self._announcements.items()
-        }
+    def list_names(self):
+        """Return the endpoints of whose limit, or its end, something is known."""
+        return list(self._announcements)
 
     def remove_old(self, start_times):
         """Remove processes that are gone, and ends of limits that all have heard of.
@@ -141,10 +146,10 @@
         )
 
 
-def _is_worth_a_line(logged_rate, rate):
-    if NO_LIMIT in (logged_rate, rate):
-        return logged_rate != rate
-    return abs(rate - logged_rate) > LOGGED_CHANGE * logged_rate
+def _is_news(told_rate, rate):
+    if NO_LIMIT in (told_rate, rate):
+        return told_rate != rate
+    return abs(rate - told_rate) > TOLD_CHANGE * told_rate
 
 
 def _write_rate(rate):
--- /dev/null
+++ b/mangogauge/backpressure/budget.py
@@ -0,0 +1,113 @@
+"""Requests that a limited endpoint may still get, as one host knows it."""
+
+from attrs import define, field
+
+__all__ = ["RequestBudget"]
+
+# Rate at which an endpoint is asked that takes nothing: else the end of its limit would
+# never be heard.
+MIN_RATE = 0.25
+# Requests that may come at once after a pause: this many, and those of so many seconds.
+BURST_REQUESTS = 3.0
+BURST_SECONDS = 2.0
+# Part of the room for bursts that batch items leave to requests.
+ITEM_SPARE_SHARE = 0.5
+# Where a bucket starts.
+INITIAL_LEVEL_SHARE = 0.5
+# Bounds of what is worked off later: others' requests of long ago no longer matter.
+MAX_DEBT_REQUESTS = 2.0
+MAX_DEBT_SECONDS = 2.0
+
+
+@define
+class RequestBudget:
+    """Leaky bucket of all hosts' requests to one endpoint process.
+
+    It starts half full, since nobody knows what was sent before the limit was heard of.
+
+    Parameters
+    ----------
+    start_time_ms : int
+        Identifies the process.
+    now : float
+        Elapsed time at which the limit was heard of.
+    rate : float
+        Requests a second that the endpoint takes from all hosts.
+
+    Attributes
+    ----------
+    share : float
+        Part of the rate that may be used: that of the hosts that are heard.
+    competitors : int
+        Hosts that may send to the endpoint, this one included if it may.
+    may_take : bool
+        Whether this host may.
+    """
+
+    start_time_ms = field()
+    _updated_at = field(alias="now")
+    _rate = field(alias="rate", converter=lambda rate: max(rate, MIN_RATE))
+    share = field(default=1.0, init=False)
+    competitors = field(default=1, init=False)
+    may_take = field(default=False, init=False)
+    _level = field(init=False)
+
+    def __attrs_post_init__(self):
+        self._level = INITIAL_LEVEL_SHARE * self._capacity
+
+    @property
+    def rate(self):
+        """Requests a second that all hosts together may send."""
+        return self._rate
+
+    def set_share(self, share, now):
+        """Use only a part of the rate from now on."""
+        self._update(now)
+        self.share = share
+
+    def set_rate(self, rate, now):
+        """Put another limit in force."""
+        self._update(now)
+        self._rate = max(rate, MIN_RATE)
+        self._level = min(self._level, self._most)
+
+    def has_room(self, spare, now):
+        """Return whether a request may be sent that leaves room for `spare` more."""
+        self._update(now)
+        return self._level + 1.0 + spare <= self._capacity
+
+    def is_unused(self, now):
+        """Return whether room is lost unless a request is sent soon."""
+        self._update(now)
+        return self._level <= 0.0
+
+    def has_item_room(self, now):
+        """Return whether a batch item may be sent, which leaves room for requests."""
+        self._update(now)
+        room = (self._capacity - 1.0) * (1.0 - ITEM_SPARE_SHARE)
+        return self._level <= room
+
+    def count_startable(self, seconds, now):
+        """Return how many requests all hosts together may send within some seconds."""
+        self._update(now)
+        room = max(0.0, self._capacity - self._level)
+        return room + seconds * self._rate * self.share
+
+    def charge(self, count, now):
+        """Count requests that this host or others have sent."""
+        self._update(now)
+        self._level = min(self._level + count, self._most)
+
+    @property
+    def _capacity(self):
+        return BURST_REQUESTS + BURST_SECONDS * self._rate
+
+    @property
+    def _most(self):
+        debt = max(MAX_DEBT_REQUESTS, MAX_DEBT_SECONDS * self._rate)
+        return self._capacity + debt
+
+    def _update(self, now):
+        leaked = (now - self._updated_at) * self._rate * self.share
+        self._level = max(0.0, self._level - leaked)
+        self._updated_at = now
--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -4,7 +4,7 @@
 
 import curio
 
-from ..backpressure import AnnouncedLimits, LimitStatement
+from ..backpressure import EndpointLimiter, LimitNews, Takers
 from ..fleet import (
     AbsenceChecker,
     ConfigurationConfirmation,
@@ -25,6 +25,7 @@
 from ..sharing import (
     CrashLedger,
     Gossip,
+    LimitExchange,
     ReportExchange,
     ReportTable,
     ReportTopology,
@@ -140,7 +141,6 @@
         settings, clock = self._settings, self._clock
         self.health = EndpointHealth(clock)
         self.quota = SharedQuota(clock)
-        self.limits = AnnouncedLimits(clock)
         self.crash_ledger = CrashLedger(clock)
         self.part_quarantine = PartQuarantine(clock)
         self.board = ReportTable(settings.name, incarnation, clock)
@@ -171,7 +171,11 @@
             self._make_summary,
             self._take_report,
             self._take_summary,
-            {CrashNews: self._take_crash_news, StreamNews: self._take_stream_news},
+            {
+                CrashNews: self._take_crash_news,
+                StreamNews: self._take_stream_news,
+                LimitNews: self._take_limit_news,
+            },
         )
         self._crash_gossip = Gossip(
             self.part_quarantine.make_news,
@@ -179,6 +183,20 @@
             self._exchange.send,
             random,
         )
+        self.limiter = EndpointLimiter(
+            Takers(self.members, lambda: self._topology.is_direct),
+            self.board,
+            incarnation,
+            clock,
+            random,
+        )
+        self._limit_exchange = LimitExchange(
+            self.limiter,
+            self.members,
+            self._exchange.send,
+            lambda: self.directory.list_endpoints(),
+            random,
+        )
         ports = range(settings.first_report_port, settings.last_report_port + 1)
         self._exchange.bind(settings.address, ports)
         self.member = self.members.own = FleetMember(
@@ -282,6 +300,7 @@
     async def notify(self):
         """Tell the other hosts soon what has changed here."""
         await self._exchange.note_change()
+        await self._limit_exchange.note_change()
 
     async def notify_crash(self):
         """Tell the other hosts soon what is new here about crashes of endpoints."""
@@ -290,9 +309,8 @@
 
     async def note_limit(self, endpoint, rate, asked_at):
         """Note what an endpoint's answer says of its limit."""
-        now = self._clock.read_elapsed()
-        statement = LimitStatement(rate, asked_at, now)
-        self.limits.note(endpoint.name, endpoint.start_time_ms, statement, "its answer")
+        if self.limiter.note_answer(endpoint, rate, asked_at):
+            await self._limit_exchange.note_news()
 
     async def run(self):
         """Keep up with the fleet until cancelled."""
@@ -303,6 +321,7 @@
                 self.registration.run,
                 self._exchange.run,
                 self._crash_gossip.run,
+                self._limit_exchange.run,
                 self._quarantine_record.run,
                 self._stream_record.run,
                 self._version_record.run,
@@ -320,13 +339,11 @@
     async def _judge_endpoints(self):
         while True:
             await sleep_to_tick(JUDGE_SECONDS)
-            endpoints = self.directory.list_endpoints()
-            self.trust.evaluate(endpoints)
-            self.limits.remove_old({e.name: e.start_time_ms for e in endpoints})
+            self.trust.evaluate(self.directory.list_endpoints())
             metrics = self._backends.metrics
             metrics.endpoints_barred.set(len(self.trust.list_barred()))
             metrics.endpoints_indirect.set(len(self.health.list_unreachable()))
-            metrics.endpoints_limited.set(len(self.limits.list_limited()))
+            metrics.endpoints_limited.set(len(self.limiter.limits.list_limited()))
             metrics.parts_quarantined.set(len(self.part_quarantine.list_quarantined()))
 
     async def _watch_isolation(self):
@@ -390,6 +407,10 @@
         if self.part_quarantine.merge(news):
             await self._crash_gossip.note_change()
 
+    async def _take_limit_news(self, news):
+        if self.limiter.merge(news):
+            await self._limit_exchange.note_news()
+
     async def _take_stream_news(self, news):
         self.origins.merge(news)
         self._version_history.add(news.streams)
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -119,6 +119,7 @@
             self.fleet.trust,
             self.settings.data_centre,
             self.random,
+            self.fleet.limiter,
         )
         self.prober = ReachabilityProber(
             self.fleet.health, self.fleet.directory, self.access.checker, self.clock
@@ -339,7 +340,7 @@
                     "hosts_heard": self.fleet.board.count_reporting_hosts(),
                     "endpoints_barred": self.fleet.trust.list_barred(),
                     "endpoints_indirect": self.fleet.health.list_unreachable(),
-                    "endpoints_limited": self.fleet.limits.list_limited(),
+                    "endpoints_limited": self.fleet.limiter.limits.list_limited(),
                     "parts_quarantined": self.fleet.part_quarantine.list_quarantined(),
                     "waiting": len(self.slots),
                     "items_waiting": self.fleet.board.items_waiting,
--- a/mangogauge/jobs/dispatch.py
+++ b/mangogauge/jobs/dispatch.py
@@ -2,6 +2,7 @@
 
 from attrs import field, frozen
 
+from ..backpressure import Work
 from ..streams import StreamOrigin
 from ..telemetry import get_logger
 from .estimates import SlotShare
@@ -140,6 +141,7 @@
             self._check_origin(item, services, places[services])
             endpoint = self._take_endpoint(item, places[services].free)
             if endpoint is not None:
+                self._chooser.take(endpoint)
                 await self._tasks.start(item, route, endpoint)
             elif places.keys() >= all_services and not any(
                 place.free for place in places.values()
@@ -218,6 +220,7 @@
             for service in services
             for endpoint in self._chooser.list_usable(service, trials=True)
         ]
-        rows = [(self._room.count_free_slots(e), e.name, e) for e in usable]
+        accepting = self._chooser.list_accepting(usable, Work.ITEM)
+        rows = [(self._room.count_free_slots(e), e.name, e) for e in accepting]
         free = [row[2] for row in sorted(row for row in rows if row[0] > 0)]
         return _Places(free, {StreamOrigin.of(endpoint) for endpoint in usable})
--- a/mangogauge/placement/choice.py
+++ b/mangogauge/placement/choice.py
@@ -19,6 +19,7 @@
 
 from attrs import field, frozen
 
+from ..backpressure import Work
 from ..sharing import estimate_report_delay
 
 __all__ = ["EndpointChooser"]
@@ -50,15 +51,27 @@
     data_centre : str
         Data centre of this host; its endpoints win ties.
     random : random.Random
+    limiter : EndpointLimiter, optional
+        None if endpoints announce no limits.
     """
 
-    def __init__(self, directory, report_table, health, trust, data_centre, random):
+    def __init__(
+        self,
+        directory,
+        report_table,
+        health,
+        trust,
+        data_centre,
+        random,
+        limiter=None,
+    ):
         self._directory = directory
         self._report_table = report_table
         self._health = health
         self._trust = trust
         self._data_centre = data_centre
         self._random = random
+        self._limiter = limiter
 
     def choose(self, service, excluded=(), may_repeat=False, software=None):
         """Return a `FleetEndpoint` with room for an online request, or None.
@@ -111,18 +124,20 @@
 
     def _list_candidates(self, service, excluded, software):
         """Return the endpoints with room; ejected ones only if no other has room."""
+        work = _classify(software)
         healthy = self._list_healthy(service, excluded, software)
         trusted = [
             e for e in healthy if self._trust.accepts_requests(e.name)
         ] or healthy
-        candidates = self._measure_with_room(trusted)
+        candidates = self._measure_with_room(trusted, work)
         if not candidates and len(trusted) < len(healthy):
             fallbacks = [e for e in healthy if self._trust.is_fallback(e.name)]
-            candidates = self._measure_with_room(fallbacks)
+            candidates = self._measure_with_room(fallbacks, work)
         return candidates
 
-    def _measure_with_room(self, endpoints):
-        candidates = [self._measure(endpoint) for endpoint in endpoints]
+    def _measure_with_room(self, endpoints, work):
+        accepting = self.list_accepting(endpoints, work)
+        candidates = [self._measure(endpoint) for endpoint in accepting]
         return [candidate for candidate in candidates if candidate.has_room]
 
     def _list_healthy(self, service, excluded, software):
@@ -147,11 +162,45 @@
         usable = self.list_usable(service, software=software)
         return sum(endpoint.slots for endpoint in usable)
 
+    def list_accepting(self, endpoints, work):
+        """Return the endpoints whose limits allow some `Work` of this host now."""
+        if not self._has_limits:
+            return endpoints
+        return [e for e in endpoints if self._limiter.accepts(e, work)]
+
+    def take(self, endpoint):
+        """Count work that is sent to an endpoint against its limit, if it has one."""
+        if self._has_limits:
+            self._limiter.take(endpoint)
+
+    def measure_open_share(self, service, hold_seconds, software=None):
+        """Return the share of the slots that the endpoints' limits let requests use.
+
+        Parameters
+        ----------
+        service : str
+        hold_seconds : float
+            Time for which a request holds a slot.
+        software : str, optional
+            The only software version at which requests may run.
+        """
+        if not self._has_limits:
+            return 1.0
+        usable = self.list_usable(service, software=software)
+        slots = sum(endpoint.slots for endpoint in usable)
+        estimate = self._limiter.estimate_slots
+        return sum(estimate(e, hold_seconds) for e in usable) / max(1, slots)
+
+    @property
+    def _has_limits(self):
+        return self._limiter is not None and self._limiter.has_limits
+
     def _choose_trial(self, service, excluded, may_repeat, software):
         """Return an endpoint for which the request is a trial, or None."""
         if not self._trust.trials:
             return None
-        for endpoint in self._list_healthy(service, excluded, software):
+        healthy = self._list_healthy(service, excluded, software)
+        for endpoint in self.list_accepting(healthy, _classify(software)):
             if self._trust.is_ready_for_trial(endpoint.name, may_repeat):
                 self._trust.begin_trial(endpoint.name)
                 return endpoint
@@ -188,6 +237,7 @@
         name = candidate.endpoint.name
         return (
             self._health.is_unverified(name),
+            self._has_limits and self._limiter.is_saving(candidate.endpoint),
             candidate.is_full,
             name not in preferred,
         )
@@ -243,6 +293,11 @@
         return (counted + 1) / self.endpoint.slots * self.cost
 
 
+def _classify(software):
+    """Return the `Work` of a request; one that resumes runs at one version only."""
+    return Work.ONLINE if software is None else Work.RESUMED
+
+
 def _list_preferred(candidates, unreported, max_load):
     """Return the names of local endpoints loaded up to `max_load` per slot.
 
--- a/mangogauge/placement/queue.py
+++ b/mangogauge/placement/queue.py
@@ -28,6 +28,8 @@
 ACCOUNT_WEIGHT = 1.0
 MIN_RETRY_SECONDS = 0.3
 MAX_RETRY_SECONDS = 1.5
+# The same for requests beyond the endpoints' limits, whose backlog may be longer.
+MAX_LIMITED_RETRY_SECONDS = 4.0
 
 
 @frozen(order=True)
@@ -185,6 +187,7 @@
         endpoint = self._chooser.choose(*waiter.choose_arguments)
         if endpoint is not None:
             self._report_table.begin(endpoint.name)
+            self._chooser.take(endpoint)
         return endpoint
 
     async def _wait(self, call, waiter):
@@ -196,10 +199,7 @@
             raise self._make_refusal(
                 RefusalCode.NO_ENDPOINT, "No endpoint can run this."
             )
-        if self._estimate_wait(call, waiter) > max_wait:
-            raise self._make_refusal(
-                RefusalCode.OVERLOADED, "No slot is free soon enough."
-            )
+        self._check_wait(call, waiter, max_wait)
         ticket = Ticket(call.account, ACCOUNT_WEIGHT, self._hold_seconds, waiter)
         key = _QueueKey.of(call)
         queue = self._queues.setdefault(key, FairQueue())
@@ -230,6 +230,24 @@
             )
         return waiter.endpoint
 
+    def _check_wait(self, call, waiter, max_wait):
+        """Refuse a call at once that would wait for too long."""
+        open_share = self._chooser.measure_open_share(
+            waiter.service, self._hold_seconds, waiter.software
+        )
+        wait = self._estimate_wait(call, waiter, open_share)
+        if wait <= max_wait:
+            return
+        if open_share == 1.0:
+            raise self._make_refusal(
+                RefusalCode.OVERLOADED, "No slot is free soon enough."
+            )
+        raise self._make_refusal(
+            RefusalCode.OVERLOADED,
+            "The endpoints' limits allow no request soon enough.",
+            max(MAX_RETRY_SECONDS, min(wait, MAX_LIMITED_RETRY_SECONDS)),
+        )
+
     def _may_still_start(self, call):
         """Return whether a call would start within its objective and its deadline."""
         now = self._clock.read_elapsed()
@@ -241,7 +259,7 @@
         max_wait = call.route.objective * MAX_WAIT_SHARE - age
         return max(0.0, min(max_wait, left))
 
-    def _estimate_wait(self, call, waiter):
+    def _estimate_wait(self, call, waiter, open_share):
         """Return the estimated seconds until this request would start.
 
         Notes
@@ -252,7 +270,9 @@
         """
         hosts = self._report_table.count_waiting_hosts()
         all_slots = self._chooser.count_slots(waiter.service, waiter.software)
-        slots = max(1.0, all_slots / hosts)
+        slots = max(1.0, all_slots / hosts) * open_share
+        if not slots:
+            return float("inf")
         queue = self._queues.get(_QueueKey.of(call)) or FairQueue()
         ahead = sum(
             len(q)
@@ -268,8 +288,8 @@
         )
         return own + ahead * self._hold_seconds / slots
 
-    def _make_refusal(self, code, message):
-        spread = MAX_RETRY_SECONDS - MIN_RETRY_SECONDS
+    def _make_refusal(self, code, message, max_retry=MAX_RETRY_SECONDS):
+        spread = max_retry - MIN_RETRY_SECONDS
         retry_after = MIN_RETRY_SECONDS + spread * self._random.random()
         return Refusal(code, message, retry_after=retry_after, step="queue")
 
--- a/mangogauge/sharing/__init__.py
+++ b/mangogauge/sharing/__init__.py
@@ -5,6 +5,7 @@
 from .exchange import ReportExchange
 from .freshness import SharedFreshness
 from .gossip import Gossip
+from .limits import LimitExchange
 from .pacing import estimate_report_delay
 from .quota import Admission, SharedQuota
 from .report_table import ReportTable
@@ -22,6 +23,7 @@
     "EndpointLoad",
     "Gossip",
     "HostReport",
+    "LimitExchange",
     "ReportTable",
     "ReportError",
     "ReportExchange",
--- a/mangogauge/sharing/messages.py
+++ b/mangogauge/sharing/messages.py
@@ -2,6 +2,7 @@
 
 import orjson
 
+from ..backpressure import LimitNews
 from ..quarantine import CrashNews
 from ..streams import StreamNews
 from .reports import HostReport, ReportError
@@ -17,6 +18,7 @@
     "summary": DataCentreSummary,
     "crashes": CrashNews,
     "streams": StreamNews,
+    "limits": LimitNews,
 }
 
 
