--- a/bench/hotpaths.py
+++ b/bench/hotpaths.py
@@ -17,8 +17,10 @@
 import orjson
 from attrs import evolve
 
+from mangogauge.backpressure import EndpointLimiter, Takers
 from mangogauge.clock import ManualClock
 from mangogauge.entry import EventParser
+from mangogauge.fleet.members import FleetMember, MemberDirectory
 from mangogauge.fleet.records import FleetEndpoint
 from mangogauge.placement import EndpointChooser, EndpointHealth
 from mangogauge.sharing import EndpointLoad, HostReport, ReportTable, sum_up
@@ -30,6 +32,7 @@
 ENDPOINTS = 56
 ACCOUNTS = 20
 LOADS_EACH = 6
+LIMIT = 4.0
 SLOTS = 8
 SERVICE = "notes"
 REPEATS = 300
@@ -69,6 +72,24 @@
     ]
 
 
+def make_chooser(endpoints, board, clock, limit=None):
+    """Return a chooser; all endpoints have a limit if one is given."""
+    members = MemberDirectory(FleetMember("own", "1"), clock)
+    takers = Takers(members, lambda: True)
+    limiter = EndpointLimiter(takers, board, "1", clock, random.Random(SEED))
+    for endpoint in endpoints if limit else ():
+        limiter.note_answer(endpoint, limit, clock.read_elapsed())
+    return EndpointChooser(
+        Directory(endpoints),
+        board,
+        EndpointHealth(clock),
+        EndpointTrust(clock),
+        "z0",
+        random.Random(SEED),
+        limiter,
+    )
+
+
 def make_paths():
     """Return ``{name: callable}``; each does one piece of work."""
     rng, clock = random.Random(SEED), ManualClock()
@@ -79,8 +100,8 @@
     ]
     reports = make_reports(rng, [e.name for e in endpoints])
     board = ReportTable("own", "1", clock)
-    health, trust = EndpointHealth(clock), EndpointTrust(clock)
-    chooser = EndpointChooser(Directory(endpoints), board, health, trust, "z0", rng)
+    chooser = make_chooser(endpoints, board, clock)
+    limited = make_chooser(endpoints, board, clock, LIMIT)
     datagrams = [report.to_bytes() for report in reports]
     cutter = EventParser()
 
@@ -95,6 +116,7 @@
             "z0", reports[0], reports[1:], {}, lambda host: False
         ).to_bytes(),
         f"choice, {ENDPOINTS} endpoints": lambda: chooser.choose(SERVICE),
+        f"choice, {ENDPOINTS} endpoints with limits": lambda: limited.choose(SERVICE),
         "event cut": lambda: cutter.feed(EVENT)[0].number,
         "request parsed": parse_request,
     }
--- a/features/steps/builds.py
+++ b/features/steps/builds.py
@@ -103,6 +103,34 @@
     context.seen_ids = {row["request_id"] for row in context.deployment.list_arrivals()}
 
 
+@then('"{first}" and "{second}" hear each other')
+def check_hearing(context, first, second):
+    for name in (first, second):
+        process = context.world.processes[name]
+
+        def is_heard(process=process):
+            rows = read_lines(process, "summary")
+            return bool(rows) and rows[-1]["hosts_heard"] == 1
+
+        wait_until(is_heard, f"{name} hears the other host")
+
+
+@then("no host dropped anything but news of limits, and none of the new build did")
+def check_dropped(context):
+    for name in context.deployment.hosts:
+        process = context.world.processes[name]
+        rows = read_lines(process, "datagram dropped")
+        if process.build == find_build("new"):
+            assert not rows, (name, rows[:3])
+        assert all("limits 1" in row["reason"] for row in rows), (name, rows[:3])
+
+
+def read_lines(process, message):
+    """Return the log lines of a host that have a message."""
+    lines = process.read_log().splitlines()
+    return [orjson.loads(line) for line in lines if f'"message": "{message}"' in line]
+
+
 @then("both hosts admitted and refused some")
 def check_both(context):
     for turn in (0, 1):
--- a/mangogauge/backpressure/budget.py
+++ b/mangogauge/backpressure/budget.py
@@ -50,9 +50,11 @@
     share = field(default=1.0, init=False)
     competitors = field(default=1, init=False)
     may_take = field(default=False, init=False)
+    _capacity = field(init=False)
     _level = field(init=False)
 
     def __attrs_post_init__(self):
+        self._capacity = BURST_REQUESTS + BURST_SECONDS * self._rate
         self._level = INITIAL_LEVEL_SHARE * self._capacity
 
     @property
@@ -69,6 +71,7 @@
         """Put another limit in force."""
         self._update(now)
         self._rate = max(rate, MIN_RATE)
+        self._capacity = BURST_REQUESTS + BURST_SECONDS * self._rate
         self._level = min(self._level, self._most)
 
     def has_room(self, spare, now):
@@ -98,10 +101,6 @@
         self._update(now)
         self._level = min(self._level + count, self._most)
 
-    @property
-    def _capacity(self):
-        return BURST_REQUESTS + BURST_SECONDS * self._rate
-
     @property
     def _most(self):
         debt = max(MAX_DEBT_REQUESTS, MAX_DEBT_SECONDS * self._rate)
--- a/mangogauge/backpressure/limiter.py
+++ b/mangogauge/backpressure/limiter.py
@@ -323,22 +323,25 @@
 
     def _refresh(self, limited, endpoint, now):
         """Find out which hosts may send to an endpoint, and which of them are heard."""
+        if now < limited.share_due_at:
+            return
+        limited.share_due_at = now + SHARE_SECONDS
+        names = self._find_group(endpoint)
+        budget, own = limited.budget, self._report_table.host
+        budget.may_take = own in names
+        budget.competitors = len(names)
+        is_reporting = self._report_table.is_reporting
+        heard = sum(name == own or is_reporting(name) for name in names)
+        budget.set_share(heard / len(names), now)
+
+    def _find_group(self, endpoint):
+        """Return the names of the hosts that may send to an endpoint."""
         version = self._takers.version
         group = self._groups.get(endpoint.name)
         if group is None or group.version is not version:
             names = self._takers.list_names(endpoint)
             group = self._groups[endpoint.name] = _Group(version, names)
-            limited.share_due_at = now
-        if now < limited.share_due_at:
-            return
-        limited.share_due_at = now + SHARE_SECONDS
-        budget, own = limited.budget, self._report_table.host
-        budget.may_take = own in group.names
-        budget.competitors = len(group.names)
-        heard = sum(
-            name == own or self._report_table.is_reporting(name) for name in group.names
-        )
-        budget.set_share(heard / len(group.names), now)
+        return group.names
 
     def _accepts_item(self, limited, endpoint, now):
         """Return whether an item may be sent: only if no request waits for room.
