--- a/mangogauge/backpressure/limiter.py
+++ b/mangogauge/backpressure/limiter.py
@@ -84,8 +84,9 @@
     """Keeps this host's requests, with those of all other hosts, within the limits.
 
     Each limited endpoint has a budget: what this host sends and what others tell of
-    fill it, and it empties at a rate that follows the limit. When several hosts wait for the same
-    room, each draws lots for it, so that they don't all take it at the same moment.
+    fill it, and it empties at a rate that follows the limit. When several hosts wait
+    for the same room, each draws lots for it, so that they don't all take it at the
+    same moment.
 
     Parameters
     ----------
