--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from ..backpressure import EndpointLimiter, LimitNews, Takers
 from ..fleet import (
     AbsenceChecker,
     ConfigurationConfirmation,
@@ -24,6 +25,7 @@
 from ..sharing import (
     CrashLedger,
     Gossip,
+    LimitExchange,
     ReportExchange,
     ReportTable,
     ReportTopology,
@@ -169,7 +171,11 @@
             self._make_summary,
             self._take_report,
             self._take_summary,
-            {CrashNews: self._take_crash_news, StreamNews: self._take_stream_news},
+            {
+                CrashNews: self._take_crash_news,
+                StreamNews: self._take_stream_news,
+                LimitNews: self._take_limit_news,
+            },
         )
         self._crash_gossip = Gossip(
             self.part_quarantine.make_news,
@@ -177,6 +183,20 @@
             self._exchange.send,
             random,
         )
+        self.limiter = EndpointLimiter(
+            Takers(self.members, lambda: self._topology.is_direct),
+            self.board,
+            incarnation,
+            clock,
+            random,
+        )
+        self._limit_exchange = LimitExchange(
+            self.limiter,
+            self.members,
+            self._exchange.send,
+            lambda: self.directory.list_endpoints(),
+            random,
+        )
         ports = range(settings.first_report_port, settings.last_report_port + 1)
         self._exchange.bind(settings.address, ports)
         self.member = self.members.own = FleetMember(
@@ -280,12 +300,18 @@
     async def notify(self):
         """Tell the other hosts soon what has changed here."""
         await self._exchange.note_change()
+        await self._limit_exchange.note_change()
 
     async def notify_crash(self):
         """Tell the other hosts soon what is new here about crashes of endpoints."""
         await self._exchange.note_change()
         await self._crash_gossip.note_change()
 
+    async def note_limit(self, endpoint, rate, asked_at):
+        """Note what an endpoint's answer says of its limit."""
+        if self.limiter.note_answer(endpoint, rate, asked_at):
+            await self._limit_exchange.note_news()
+
     async def run(self):
         """Keep up with the fleet until cancelled."""
         async with curio.TaskGroup(wait=any) as group:
@@ -295,6 +321,7 @@
                 self.registration.run,
                 self._exchange.run,
                 self._crash_gossip.run,
+                self._limit_exchange.run,
                 self._quarantine_record.run,
                 self._stream_record.run,
                 self._version_record.run,
@@ -316,6 +343,7 @@
             metrics = self._backends.metrics
             metrics.endpoints_barred.set(len(self.trust.list_barred()))
             metrics.endpoints_indirect.set(len(self.health.list_unreachable()))
+            metrics.endpoints_limited.set(len(self.limiter.limits.list_limited()))
             metrics.parts_quarantined.set(len(self.part_quarantine.list_quarantined()))
 
     async def _watch_isolation(self):
@@ -379,6 +407,10 @@
         if self.part_quarantine.merge(news):
             await self._crash_gossip.note_change()
 
+    async def _take_limit_news(self, news):
+        if self.limiter.merge(news):
+            await self._limit_exchange.note_news()
+
     async def _take_stream_news(self, news):
         self.origins.merge(news)
         self._version_history.add(news.streams)
--- a/mangogauge/entry/attempt.py
+++ b/mangogauge/entry/attempt.py
@@ -36,6 +36,9 @@
 # Answers that show a fault of the endpoint, not of the request.
 ENDPOINT_FAULT_KINDS = frozenset({AnswerKind.GARBLED, AnswerKind.MISPLACED})
 
+# Answers that aren't the endpoint's own, and say nothing of its limit.
+FOREIGN_KINDS = ENDPOINT_FAULT_KINDS
+
 
 @frozen
 class BufferedAnswer:
@@ -119,6 +122,10 @@
         return Failure(error)
 
 
+async def _ignore_limit(endpoint, rate, asked_at):
+    """Default of `EndpointClient`'s `note_limit`."""
+
+
 class EndpointClient:
     """Sends requests to endpoints.
 
@@ -129,14 +136,18 @@
     directory : EndpointDirectory
         Notified of endpoints whose answers announce that they are leaving.
     clock : Clock
+    note_limit : async callable, optional
+        Called with a `FleetEndpoint`, the requests a second that its answer says it
+        takes, and the elapsed time at which the request was sent.
     """
 
-    def __init__(self, pool, dialect, directory, clock):
+    def __init__(self, pool, dialect, directory, clock, note_limit=_ignore_limit):
         self._pool = pool
         self._dialect = dialect
         self._directory = directory
         self._clock = clock
         self._endings = RunEndings()
+        self._note_limit = note_limit
 
     async def send(
         self,
@@ -179,11 +190,11 @@
                 Progress.NOT_SENT, "the run before has not ended at its endpoint"
             )
         began_at = self._clock.read_elapsed()
-        is_sent = False
+        sent_at = None
 
         def make_headers():
-            nonlocal is_sent
-            is_sent = True
+            nonlocal sent_at
+            sent_at = self._clock.read_elapsed()
             on_send()
             return self._make_headers(call, endpoint, last_event)
 
@@ -207,13 +218,15 @@
         except curio.TaskTimeout:
             seconds = self._clock.read_elapsed() - began_at
             reason = f"no answer within {seconds:.3f} s"
-            if not is_sent:
+            if sent_at is None:
                 # Whether a path leads there has still to be found out.
                 raise AttemptFailure(Progress.NOT_SENT, reason) from None
             raise AttemptFailure(
                 Progress.MAYBE_RUN, reason, endpoint_at_fault=True
             ) from None
         kind = self._dialect.classify_answer(response.status, response.headers)
+        if kind not in FOREIGN_KINDS:
+            await self._tell_limit(endpoint, response.headers, sent_at)
         if kind is AnswerKind.SUCCESS:
             return response
         raise await self._make_failure(kind, response)
@@ -294,6 +307,11 @@
             self._directory.note_leaving(endpoint)
         return self._dialect.is_answer(call.request_id, fields, is_first)
 
+    async def _tell_limit(self, endpoint, headers, sent_at):
+        rate = self._dialect.read_limit(headers)
+        if rate is not None:
+            await self._note_limit(endpoint, rate, sent_at)
+
     async def _make_failure(self, kind, response):
         """Return the failure for an unsuccessful answer, with its body if useful."""
         reason = f"{kind.value}: status {response.status}"
