Tell hosts of limits in an order that doesn't vary between processes

Whoever ran features/backpressure/fleet.feature again by its seeds saw other figures: messages were made in the order of sets of names, which varies with Python's seed of hashes, and with it every draw that follows. So a seed that fails couldn't be played again.

Change: endpoints and hosts are sorted where messages are made.

--- a/mangogauge/backpressure/limiter.py
+++ b/mangogauge/backpressure/limiter.py
@@ -372,11 +372,11 @@
     def _make_messages(self, names):
         """Return pairs of a `LimitNews` and the names of the hosts that it is for."""
         own, names_by_host = self._report_table.host, {}
-        for name in names:
+        for name in sorted(names):
             group = self._groups.get(name)
             if group is None or own not in group.names:
                 continue
-            for host in group.names - {own}:
+            for host in sorted(group.names - {own}):
                 names_by_host.setdefault(host, []).append(name)
         hosts_by_names = {}
         for host, some in names_by_host.items():
