Test limits when load sets in at once at all hosts (LIMIT, fails)

What endpoints would see: more requests than their limit allows when requests come to all hosts at the same moment after a calm, such as callers that come back together.

Cause: lots are drawn by the count of hosts that wait. Hosts whose queue is empty don't wait: each takes what the shared bucket has free until the others' messages come, 10 ms of coalescing and up to 30 ms on the way. The bucket leaves 2 requests between 2 L + 3 at once, 4 L in 4 s, and the 6 L + 5 that are allowed, whatever L is.

--- a/features/backpressure/fleet.feature
+++ b/features/backpressure/fleet.feature
@@ -36,6 +36,34 @@
       | 12    | 6         | 0    | 4       | 4    |
       | 68    | 24        | 2    | 4       | 5    |
 
+  Scenario Outline: Load of <times> times a limit of <rate> sets in after a calm
+    Given 12 hosts and 6 endpoints, by the seed <seed>
+    And 0.5 times as many requests as limits of <rate> allow
+    When all endpoints name the limit <rate> for 12 s
+    And <times> times as many requests as limits of <rate> come for 5 s
+    Then none got more than its limit allows
+
+    Examples:
+      | rate | times | seed |
+      | 4    | 10    | 1    |
+      | 8    | 20    | 5    |
+      | 16   | 4     | 7    |
+
+  Scenario Outline: <each> requests come at once to each host, at a limit of <rate>
+    Given 12 hosts and 6 endpoints, by the seed <seed>
+    And 0.5 times as many requests as limits of <rate> allow
+    When all endpoints name the limit <rate> for 12 s
+    And <each> requests come to each host within 5 ms
+    And 4 times as many requests as limits of <rate> come for 5 s
+    Then none got more than its limit allows
+
+    Examples:
+      | each | rate | seed |
+      | 4    | 1    | 1    |
+      | 8    | 0    | 1    |
+      | 8    | 1    | 3    |
+      | 8    | 4    | 2    |
+
   Scenario Outline: At 640 endpoints, what hosts tell each other stays small
     Given 195 hosts and 640 endpoints of 10 services, by the seed 3
     And 1.2 times as many requests as limits of 0.5 allow
--- a/features/builders/backpressure.py
+++ b/features/builders/backpressure.py
@@ -231,6 +231,13 @@
 
         self._at(0.0, arrive)
 
+    def burst(self, each, seconds):
+        """Let so many requests come to each host at random within some seconds."""
+        for host in self.hosts.values():
+            for _ in range(each):
+                delay = self.random.random() * seconds
+                self._at(delay, lambda host=host: self._request(host))
+
     def start_items(self, until, interval=0.2):
         """Let each host try to send an item at each endpoint again and again."""
 
--- a/features/steps/backpressure_fleet.py
+++ b/features/steps/backpressure_fleet.py
@@ -14,6 +14,7 @@
 LEAST_RATE = 0.5
 # Requests come until long after the last step.
 LONG = 100.0
+MILLISECONDS = 1000
 
 
 @given("{hosts:d} hosts and {count:d} endpoints, by the seed {seed:d}")
@@ -77,6 +78,19 @@
     fleet.run(seconds)
 
 
+@when("{times:g} times as many requests as limits of {rate:g} come for {seconds:g} s")
+def add_traffic(context, times, rate, seconds):
+    fleet = context.fleet
+    each_second = times * max(rate, LEAST_RATE) * len(fleet.endpoints)
+    fleet.start_traffic(each_second, LONG)
+    fleet.run(seconds)
+
+
+@when("{each:d} requests come to each host within {milliseconds:g} ms")
+def burst_at_once(context, each, milliseconds):
+    context.fleet.burst(each, milliseconds / MILLISECONDS)
+
+
 @when("all endpoints name no limit for {seconds:g} s")
 def end_limits(context, seconds):
     context.fleet.set_limits(context.limited, NO_LIMIT)
