Draw for the room of a limited endpoint by how many hosts may want it (LIMIT)

What endpoints would see: 14 requests in 4 s where 11 are allowed when 8 requests come at once to each of 12 hosts at a limit of 1, and 65 of 53 when 20 times a limit of 8 sets in after a calm.

Cause: only hosts whose queue isn't empty drew lots, one in the number of those that wait. A host that got requests took as many as it saw room for, and so did all others until they had heard of each other.

Why it works: all hosts together then send about as many as there is room for before they hear of each other.

--- a/mangogauge/backpressure/budget.py
+++ b/mangogauge/backpressure/budget.py
@@ -82,9 +82,18 @@
         self._capacity = BURST_REQUESTS + BURST_SECONDS * self._rate
         self._level = min(self._level, self._most)
 
+    def measure_room(self, now):
+        """Return how many requests may be sent at once; negative for a debt."""
+        self._update(now)
+        recent = self._recent
+        while recent and recent[0][0] <= now - WINDOW_SECONDS:
+            self._recent_count -= recent.popleft()[1]
+        window = WINDOW_REQUESTS + WINDOW_SECONDS * WINDOW_SHARE * self._rate
+        return min(self._capacity - self._level, window - self._recent_count)
+
     def has_room(self, spare, now):
         """Return whether a request may be sent that leaves room for `spare` more."""
-        return 1.0 + spare <= self._measure_room(now)
+        return 1.0 + spare <= self.measure_room(now)
 
     def is_unused(self, now):
         """Return whether room is lost unless a request is sent soon."""
@@ -99,7 +108,7 @@
 
     def count_startable(self, seconds, now):
         """Return how many requests all hosts together may send within some seconds."""
-        room = max(0.0, self._measure_room(now))
+        room = max(0.0, self.measure_room(now))
         return room + seconds * self._rate * self.share
 
     def charge(self, count, now):
@@ -118,12 +127,3 @@
         leaked = (now - self._updated_at) * PLANNED_SHARE * self._rate * self.share
         self._level = max(0.0, self._level - leaked)
         self._updated_at = now
-
-    def _measure_room(self, now):
-        """Return how many requests may be sent at once; negative for a debt."""
-        self._update(now)
-        recent = self._recent
-        while recent and recent[0][0] <= now - WINDOW_SECONDS:
-            self._recent_count -= recent.popleft()[1]
-        window = WINDOW_REQUESTS + WINDOW_SECONDS * WINDOW_SHARE * self._rate
-        return min(self._capacity - self._level, window - self._recent_count)
--- a/mangogauge/backpressure/limiter.py
+++ b/mangogauge/backpressure/limiter.py
@@ -188,8 +188,7 @@
             return False
         if work is Work.RESUMED:
             return True
-        waiting = self._report_table.count_waiting_hosts()
-        return self._wins_draw(limited, waiting, now)
+        return self._wins_draw(limited, self._count_contenders(limited), now)
 
     def take(self, endpoint):
         """Count work that is sent to an endpoint against its limit, if it has one."""
@@ -361,16 +360,38 @@
             return False
         if not limited.budget.has_item_room(now):
             return False
-        return self._wins_draw(limited, 1 + len(table.list_hosts_with_items()), now)
+        contenders = 1 + len(table.list_hosts_with_items())
+        competitors = limited.budget.competitors
+        return self._wins_draw(limited, min(contenders, competitors), now)
+
+    def _count_contenders(self, limited):
+        """Return how many hosts may send a request at this moment, this one included.
+
+        Notes
+        -----
+        Hosts that wait are told of. A host that doesn't wait may get a request at any
+        moment, and others may at the same one.
+        """
+        competitors = limited.budget.competitors
+        if not self._report_table.waiting:
+            return competitors
+        return min(competitors, self._report_table.count_waiting_hosts())
+
+    def _wins_draw(self, limited, contenders, now):
+        """Return whether this host may send one of the requests that there is room for.
 
-    def _wins_draw(self, limited, waiting, now):
-        """Return whether this host may take room for which some hosts wait."""
-        competitors = min(waiting, limited.budget.competitors)
-        if competitors <= 1:
+        Notes
+        -----
+        What others send at the same moment is told `DRAW_SECONDS` later at most. Until
+        then a host sends one request at most, and all together about as many as there
+        is room for.
+        """
+        if contenders <= 1:
             return True
         if now >= limited.draw_due_at:
             limited.draw_due_at = now + DRAW_SECONDS
-            limited.has_won = self._random.random() * competitors < 1
+            room = limited.budget.measure_room(now)
+            limited.has_won = self._random.random() * contenders < room
         return limited.has_won
 
     def _make_messages(self, names):
