Plan no more requests than an endpoint's limit (LIMIT)

It used what the users tolerate for late news to serve more callers.

Change: a bucket empties at the limit itself. Bursts stay bounded by the window.

--- a/mangogauge/backpressure/budget.py
+++ b/mangogauge/backpressure/budget.py
@@ -9,9 +9,6 @@
 # Rate at which an endpoint is asked that takes nothing: else the end of its limit would
 # never be heard.
 MIN_RATE = 0.25
-# Requests are planned at this multiple of the limit. Users tolerate 1.5; the rest is
-# for what hosts don't know of each other yet.
-PLANNED_SHARE = 1.25
 # Requests that may come at once after a pause: this many, and those of so many seconds.
 BURST_REQUESTS = 3.0
 BURST_SECONDS = 3.0
@@ -124,6 +121,6 @@
         return self._capacity + debt
 
     def _update(self, now):
-        leaked = (now - self._updated_at) * PLANNED_SHARE * self._rate * self.share
+        leaked = (now - self._updated_at) * self._rate * self.share
         self._level = max(0.0, self._level - leaked)
         self._updated_at = now
