--- a/mangogauge/http/client.py
+++ b/mangogauge/http/client.py
@@ -30,6 +30,8 @@
 EAGER_BODY_BYTES = 32_768
 # Ids that one connection remembers; a copy of an older answer came long before.
 REQUEST_IDS_PER_CONNECTION = 256
+# h11 checks only that a status has three digits and isn't below 100.
+MAX_STATUS = 599
 # States of the server while it owes an answer, or the rest of one.
 UNANSWERED_STATES = frozenset({h11.SEND_RESPONSE, h11.SEND_BODY})
 
@@ -68,6 +70,7 @@
         self._is_first_answer = True
         self._is_plain = is_plain
         self._has_ended_sending = False
+        self._has_failed_sending = False
         self.on_left = None
 
     @classmethod
@@ -84,7 +87,8 @@
         return time.monotonic() - self._idle_since
 
     @property
-    def _is_sending(self):
+    def is_sending(self):
+        """Whether a part of the request is still to be sent."""
         return self._sending is not None and not self._sending.terminated
 
     @property
@@ -117,7 +121,7 @@
             False if nothing but closing the connection tells the server.
         """
         is_closed = self._sock.fileno() < 0
-        if is_closed or not self._is_plain or self._is_sending:
+        if is_closed or not self._is_plain or self.is_sending:
             return False
         try:
             await self._sock.shutdown(socket.SHUT_WR)
@@ -160,7 +164,7 @@
         headers : Headers
             Of the answer just read; they may say how long the server waits.
         """
-        if self._is_sending or self._has_ended_sending:
+        if self.is_sending or self._has_ended_sending or self._has_failed_sending:
             return False
         if self._h11.our_state is not h11.DONE:
             return False
@@ -221,8 +225,8 @@
         try:
             await self._sock.sendall(data)
         except OSError:
-            # Whoever awaits the answer finds the connection broken.
-            return
+            # The socket reports a reset only once; a later read finds an orderly end.
+            self._has_failed_sending = True
 
     async def skip_response(self):
         """Read past an answer that belongs to no request of this connection."""
@@ -244,6 +248,7 @@
         for _ in range(self.limits.interim_answers + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                self._check_status(event.status_code)
                 return event.status_code, Headers.from_raw(event.headers.raw_items())
             if not isinstance(event, h11.InformationalResponse):
                 raise self._broken("before the answer's head")
@@ -306,15 +311,32 @@
                 if self.gather_seconds:
                     await sleep_to_tick(self.gather_seconds)
                 data = await self._sock.recv(READ_SIZE_BYTES)
-                if not data and self._has_ended_sending:
-                    # A body without a length may have been cut short.
-                    raise self._broken("after its server was told to end it")
+                if not data:
+                    self._check_end()
                 self._h11.receive_data(data)
         except (OSError, h11.RemoteProtocolError) as error:
             raise HTTPReceiveError(
                 f"Receiving failed: {error!r}.", step="receive", peer=self.address
             ) from error
 
+    def _check_status(self, status):
+        if status > MAX_STATUS:
+            raise HTTPReceiveError(
+                f"Status {status} is not defined.", step="receive", peer=self.address
+            )
+
+    def _check_end(self):
+        """Raise `HTTPReceiveError` if the connection's end may be a reset.
+
+        Notes
+        -----
+        A body without a length may then have been cut short.
+        """
+        if self._has_ended_sending:
+            raise self._broken("after its server was told to end it")
+        if self._has_failed_sending:
+            raise self._broken("while the request was being sent")
+
     def _broken(self, where):
         return HTTPReceiveError(
             f"The connection ended {where}.", step="receive", peer=self.address
