Ask one module whether work may go to an endpoint now

Cause: only a leaving endpoint was left out, and only by the choice: nothing evacuates a data centre, no work can be restricted to regions, and a request that waited for a slot or a connection was sent to an endpoint that was ineligible by then.

Change: placement/eligibility.py answers for the choice, trials, items, the slot counts and, right before the first byte is sent, EndpointClient, whose request then counts as not sent. op/evacuate/ZONE is read with the other operators' entries; its deletion revokes it. Routes and accounts have allowed_regions; the host's section [regions] names the region of each data centre. Restricted requests wait in queues of their own, go through tunnels of peers in allowed regions only, and with any restriction configured calls to the store are relayed within the host's region. Refusals name the reasons.

No feature of the part yet.

--- a/features/builders/platform/deployment.py
+++ b/features/builders/platform/deployment.py
@@ -3,6 +3,7 @@
 import base64
 import http.client
 import os
+import re
 import subprocess
 import sys
 from concurrent.futures import ThreadPoolExecutor
@@ -104,6 +105,8 @@
         self.endpoints = {}
         self.hosts = {}
         self.version = 0
+        # Region of each data centre, as the platform's settings name it.
+        self.regions = {}
         self.accounts = [{"name": "desk", "api_keys": ["desk-key"]}]
         self.accounts.append({"name": "other", "api_keys": ["other-key"]})
         self.routes = [self.make_route(*row) for row in ROUTES]
@@ -235,6 +238,7 @@
         text = (build / "deploy" / f"{role}.ini").read_text()
         for placeholder, value in values.items():
             text = text.replace("{{" + placeholder + "}}", value)
+        text = render_regions(text, self.regions)
         text = text.replace("[store]", f"metrics_port = {ports[3]}\n\n[store]")
         path = self.world.folder / f"{name}.ini"
         path.write_text(text)
@@ -392,6 +396,19 @@
             return [future.result() for future in futures]
 
 
+def render_regions(text, regions):
+    """Return a template's text with its lines of data centres and their regions."""
+
+    def render(match):
+        rows = regions.items()
+        return "".join(
+            match[1].replace("{{@}}", name).replace("{{.}}", region)
+            for name, region in rows
+        )
+
+    return re.sub(r"\{\{#zones\}\}(.*?)\{\{/zones\}\}", render, text, flags=re.DOTALL)
+
+
 def read_answer(connection):
     """Read an answer; one that breaks off is told as not whole."""
     try:
--- a/features/builders/sending.py
+++ b/features/builders/sending.py
@@ -167,7 +167,7 @@
         health = EndpointHealth(self._clock)
         pool = self._pool = ClientPool(connector=self._connector)
         client = EndpointClient(
-            EndpointPool(pool, pool, health.paths, _NoPeers()),
+            EndpointPool(pool, lambda scope: pool, health.paths, _NoPeers()),
             PlatformEndpoints(),
             FixedDirectory([]),
             self._clock,
--- a/features/builders/tunnels.py
+++ b/features/builders/tunnels.py
@@ -60,7 +60,7 @@
         self.failed = []
         self.failed_for = []
 
-    def choose(self, endpoint, count, excluded=()):
+    def choose(self, endpoint, count, excluded=(), accepts=None):
         return [a for a in self.addresses if a not in excluded][:count]
 
     def note_failure(self, address, endpoint=None):
--- a/features/steps/filling.py
+++ b/features/steps/filling.py
@@ -48,10 +48,13 @@
     def get(self, name):
         return self._endpoint
 
-    def list_usable(self, service, excluded=(), trials=False):
+    def list_usable(self, service, excluded=(), trials=False, scope=None):
         self.lookups += 1
         return [self._endpoint] if service == self._endpoint.service else []
 
+    def count_ineligible(self, service, scope=None):
+        return {}
+
     def list_accepting(self, endpoints, work):
         return endpoints
 
--- a/mangogauge/daemon/endpointaccess.py
+++ b/mangogauge/daemon/endpointaccess.py
@@ -1,5 +1,7 @@
 """How one host reaches endpoints, and carries connections for its peers."""
 
+from functools import partial
+
 from ..http import ClientLimits, ClientPool
 from ..paths import (
     EndpointPool,
@@ -18,6 +20,40 @@
 ANSWER_BYTES = 67_108_864
 
 
+class ScopedTunnels:
+    """Pools of tunnels, by the regions whose hosts may carry what is sent.
+
+    Parameters
+    ----------
+    directory : EndpointDirectory
+    peers : TunnelPeers
+    limits : ClientLimits
+    eligibility : Eligibility
+    """
+
+    def __init__(self, directory, peers, limits, eligibility):
+        self._arguments = (directory, peers, limits)
+        self._eligibility = eligibility
+        self._pools = {}
+
+    def get(self, scope):
+        """Return the `ClientPool` of a `WorkScope`, or of None for any work."""
+        if scope not in self._pools:
+            self._pools[scope] = self._make_pool(scope)
+        return self._pools[scope]
+
+    def _make_pool(self, scope):
+        accepts = None
+        if scope is not None and scope.is_restricted:
+            accepts = partial(self._accepts, scope)
+        connector = TunnelConnector(*self._arguments, accepts)
+        # A tunnel carries one request, so that the peer sees when it is done with it.
+        return ClientPool(connector=connector, idle_per_address=0)
+
+    def _accepts(self, scope, member):
+        return self._eligibility.may_carry(member.data_centre, scope)
+
+
 class EndpointAccess:
     """Connections of one host to endpoints, direct and through peers.
 
@@ -44,9 +80,8 @@
         self.checker = PathChecker(
             paths, peers, connector, direct, self._take_lost_path, clock
         )
-        # A tunnel carries one request, so that the peer sees when it is done with it.
-        tunnels = ClientPool(connector=connector, idle_per_address=0)
-        self.pool = EndpointPool(direct, tunnels, paths, self.checker)
+        self._tunnels = ScopedTunnels(fleet.directory, peers, limits, fleet.eligibility)
+        self.pool = EndpointPool(direct, self._tunnels.get, paths, self.checker)
         self.relay = EndpointRelay(fleet.directory, paths)
 
     def _take_lost_path(self, name):
--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -20,7 +20,7 @@
     Registration,
     SharedSchedule,
 )
-from ..placement import EndpointHealth
+from ..placement import Eligibility, EndpointHealth, EvacuationMonitor
 from ..quarantine import CrashNews, PartQuarantine, QuarantineRecord
 from ..sharing import (
     CrashLedger,
@@ -216,7 +216,18 @@
         self.state = FleetState(
             self.directory, self.members, self.board, self._measure_age
         )
-        orders = OperatorListener(source, self.state, on_configuration, on_retirement)
+        regions = self._settings.regions if self._settings.checks_regions else None
+        self.eligibility = Eligibility(self.directory, regions)
+        self._evacuations = EvacuationMonitor(
+            self.eligibility, self.directory, self.members
+        )
+        orders = OperatorListener(
+            source,
+            self.state,
+            on_configuration,
+            on_retirement,
+            self._take_evacuations,
+        )
         self.confirmation = ConfigurationConfirmation(
             self._backends.feed,
             source.operator_prefix,
@@ -230,6 +241,10 @@
             self.members.prefix, self.members, least_gap=MEMBERS_LEAST_GAP
         )
 
+    def _take_evacuations(self, data_centres):
+        if self._settings.checks_evacuations:
+            self.eligibility.apply_evacuations(data_centres)
+
     def _make_streams(self):
         backends, clock = self._backends, self._clock
         prefix = backends.source.endpoints_prefix
@@ -297,6 +312,23 @@
         self._followers.append(follower)
         return follower
 
+    def list_store_relays(self):
+        """Return addresses of hosts that may pass on calls to the store.
+
+        Notes
+        -----
+        Calls hold the bodies of jobs. Where the configuration restricts work to
+        regions, they go by way of hosts of this host's own region only.
+        """
+        list_relays = self.neighbours.list_relays
+        if self.state.routes is None or not self.state.routes.restricts_regions:
+            return list_relays()
+        return list_relays(self._is_in_own_region)
+
+    def _is_in_own_region(self, member):
+        own = self.member.data_centre
+        return self.eligibility.is_same_region(own, member.data_centre)
+
     async def notify(self):
         """Tell the other hosts soon what has changed here."""
         await self._exchange.note_change()
@@ -345,6 +377,11 @@
             metrics.endpoints_indirect.set(len(self.health.list_unreachable()))
             metrics.endpoints_limited.set(len(self.limiter.limits.list_limited()))
             metrics.parts_quarantined.set(len(self.part_quarantine.list_quarantined()))
+            self._evacuations.evaluate()
+            metrics.data_centres_evacuated.set(len(self.eligibility.evacuated))
+            endpoints = self.directory.list_endpoints()
+            reasons = self.eligibility.count_reasons(endpoints)
+            metrics.note_ineligible(reasons)
 
     async def _watch_isolation(self):
         while True:
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -52,6 +52,9 @@
     "readiness_address",
     "metrics_port",
     "runs_batch",
+    "checks_evacuations",
+    "checks_regions",
+    "regions",
     "store",
 )
 PUMP_SECONDS = 0.02
@@ -120,6 +123,7 @@
             self.settings.data_centre,
             self.random,
             self.fleet.limiter,
+            self.fleet.eligibility,
         )
         self.prober = ReachabilityProber(
             self.fleet.health, self.fleet.directory, self.access.checker, self.clock
@@ -137,6 +141,7 @@
             self.fleet.directory,
             self.clock,
             self.fleet.note_limit,
+            self.fleet.eligibility.find_current_reason,
         )
 
         self.crashes = CrashDetector(
@@ -250,7 +255,7 @@
             f"{settings.address}:{settings.metrics_port}",
         )
         transport = self.backends.transport
-        transport.use_relays(self.fleet.neighbours.list_relays)
+        transport.use_relays(self.fleet.list_store_relays)
         self.store_relay = StoreRelay(transport.direct)
         peers = HTTPServer(
             self._serve_peer,
@@ -342,6 +347,7 @@
                     "endpoints_indirect": self.fleet.health.list_unreachable(),
                     "endpoints_limited": self.fleet.limiter.limits.list_limited(),
                     "parts_quarantined": self.fleet.part_quarantine.list_quarantined(),
+                    "evacuated": sorted(self.fleet.eligibility.evacuated),
                     "waiting": len(self.slots),
                     "items_waiting": self.fleet.board.items_waiting,
                     "store_calls": self.metrics.take_store_calls(),
--- a/mangogauge/entry/attempt.py
+++ b/mangogauge/entry/attempt.py
@@ -6,6 +6,7 @@
 
 from ..fleet import RequestSemantics
 from ..http import HTTPConnectError, HTTPError
+from ..paths import NoPeerAllowedError
 from ..routing import Progress
 from ..trust import AttemptObserver
 from .dialect import AnswerKind, EndpointRequest
@@ -118,10 +119,14 @@
     """Return the `Result` of a request: curio logs each task that ends by an error."""
     try:
         return Success(await request)
-    except HTTPError as error:
+    except (HTTPError, AttemptFailure) as error:
         return Failure(error)
 
 
+def _find_no_obstacle(endpoint, scope):
+    """Default of `EndpointClient`'s `find_obstacle`."""
+
+
 async def _ignore_limit(endpoint, rate, asked_at):
     """Default of `EndpointClient`'s `note_limit`."""
 
@@ -139,15 +144,27 @@
     note_limit : async callable, optional
         Called with a `FleetEndpoint`, the requests a second that its answer says it
         takes, and the elapsed time at which the request was sent.
+    find_obstacle : callable, optional
+        Called with a `FleetEndpoint` and a `WorkScope` right before a request is sent;
+        returns the `IneligibilityReason` for which it must not be, or None.
     """
 
-    def __init__(self, pool, dialect, directory, clock, note_limit=_ignore_limit):
+    def __init__(
+        self,
+        pool,
+        dialect,
+        directory,
+        clock,
+        note_limit=_ignore_limit,
+        find_obstacle=_find_no_obstacle,
+    ):
         self._pool = pool
         self._dialect = dialect
         self._directory = directory
         self._clock = clock
         self._endings = RunEndings()
         self._note_limit = note_limit
+        self._find_obstacle = find_obstacle
 
     async def send(
         self,
@@ -194,6 +211,8 @@
 
         def make_headers():
             nonlocal sent_at
+            # It may have become ineligible while a slot or a connection was awaited.
+            self._check_eligible(call, endpoint)
             sent_at = self._clock.read_elapsed()
             on_send()
             return self._make_headers(call, endpoint, last_event)
@@ -206,7 +225,10 @@
             )
         except HTTPConnectError as error:
             raise AttemptFailure(
-                Progress.NOT_SENT, str(error), unreachable=True
+                Progress.NOT_SENT,
+                str(error),
+                # Peers in other regions may still reach it.
+                unreachable=not isinstance(error, NoPeerAllowedError),
             ) from error
         except HTTPError as error:
             raise AttemptFailure(
@@ -261,6 +283,13 @@
                 Progress.NOT_SENT, str(error), unreachable=True
             ) from error
 
+    def _check_eligible(self, call, endpoint):
+        reason = self._find_obstacle(endpoint, call.scope)
+        if reason is not None:
+            raise AttemptFailure(
+                Progress.NOT_SENT, f"endpoint not eligible: {reason.value}"
+            )
+
     def read_shared_parts(self, headers):
         """Return the shared parts of the prompt, as the caller's headers name them."""
         return self._dialect.read_shared_parts(headers)
@@ -291,6 +320,7 @@
             ),
             request_id=call.request_id,
             on_connection=self._choose_observer(call, handover),
+            scope=call.scope,
         )
 
     def _choose_observer(self, call, handover):
--- a/mangogauge/entry/calls.py
+++ b/mangogauge/entry/calls.py
@@ -2,6 +2,8 @@
 
 from attrs import define, field, frozen
 
+from ..placement.eligibility import ANYWHERE
+
 __all__ = ["IncomingRequest", "OnlineCall"]
 
 
@@ -73,6 +75,8 @@
     origin : StreamOrigin or None
         What the endpoints have in common that may resume the answer; None until it
         has begun.
+    scope : WorkScope
+        Regions in which the call may run.
     """
 
     request_id = field()
@@ -89,6 +93,7 @@
     shared_parts = field(default=())
     resumed_id = field(default="")
     origin = field(default=None)
+    scope = field(default=ANYWHERE)
 
     @property
     def repeatable(self):
--- a/mangogauge/entry/handler.py
+++ b/mangogauge/entry/handler.py
@@ -4,6 +4,7 @@
 
 from ..fleet import RequestSemantics
 from ..http import HTTPError, HTTPRequestError
+from ..placement import WorkScope
 from ..refusals import Refusal, RefusalCode, make_request_refusal
 from ..telemetry import get_logger
 from .calls import OnlineCall
@@ -166,6 +167,7 @@
             _find_priority(route, account),
             request.shared_parts,
             request.resumed_id,
+            scope=WorkScope.of(route, account),
         )
         await self._dispatcher.run(call, exchange)
 
--- a/mangogauge/fleet/neighbours.py
+++ b/mangogauge/fleet/neighbours.py
@@ -29,9 +29,14 @@
         near = self._members.own.data_centre
         return [m.address for m in self._list_members(near)]
 
-    def list_relays(self):
+    def list_relays(self, accepts=lambda member: True):
         """Return addresses of hosts that may pass on calls to the store.
 
+        Parameters
+        ----------
+        accepts : callable, optional
+            Returns whether a `FleetMember` may be among them.
+
         Notes
         -----
         A host that receives no reports is not known to the others yet, or no longer.
@@ -39,10 +44,11 @@
         """
         reports = self._report_table.list_reports()
         if not reports:
-            return self.list_addresses()
+            others = self._members.list_others()
+            return [member.address for member in others if accepts(member)]
         names = [report.host for report in reports if report.reaches_store]
         members = [self._members.get(name) for name in names]
-        return [member.address for member in members if member is not None]
+        return [m.address for m in members if m is not None and accepts(m)]
 
     def is_first(self):
         """Return whether this host comes first by name of those that report."""
--- a/mangogauge/fleet/records.py
+++ b/mangogauge/fleet/records.py
@@ -72,6 +72,8 @@
     waiting_token_limit : int
         Most tokens of one client account that may wait on this route; 0 for no
         limit.
+    allowed_regions : frozenset of str, or None
+        Regions in which its requests may run; None for any.
     """
 
     name = field()
@@ -89,6 +91,7 @@
     due_after = field(default=60.0)
     abandon_after = field(default=600.0)
     waiting_token_limit = field(default=0)
+    allowed_regions = field(default=None)
 
     @property
     def repeatable(self):
@@ -117,6 +120,8 @@
     priority : int or None
         Queueing priority of its requests, which overrides the route's; None to use
         the route's.
+    allowed_regions : frozenset of str, or None
+        Regions in which its requests may run; None for any.
     """
 
     name = field()
@@ -124,6 +129,7 @@
     rate = field(default=0.0)
     burst = field(default=0.0)
     priority = field(default=None)
+    allowed_regions = field(default=None)
 
 
 @frozen
--- a/mangogauge/fleet/routes.py
+++ b/mangogauge/fleet/routes.py
@@ -16,6 +16,8 @@
     ----------
     batch_services : frozenset of tuple of str
         Services that run batch items, one tuple for each batch route.
+    restricts_regions : bool
+        Whether any route or client account is restricted to regions.
 
     Examples
     --------
@@ -44,6 +46,10 @@
             for route in configuration.routes
             if route.semantics is RequestSemantics.BATCH
         )
+        self.restricts_regions = any(
+            holder.allowed_regions is not None
+            for holder in (*configuration.routes, *configuration.accounts)
+        )
 
     @property
     def requires_keys(self):
--- a/mangogauge/fleet/source.py
+++ b/mangogauge/fleet/source.py
@@ -30,10 +30,13 @@
     ----------
     configuration : Configuration or None
     retirement : RetirementRequest or None
+    evacuation : str or None
+        Data centre that is evacuated for as long as the entry exists.
     """
 
     configuration = field(default=None)
     retirement = field(default=None)
+    evacuation = field(default=None)
 
 
 class FleetSource(ABC):
--- a/mangogauge/fleet/state.py
+++ b/mangogauge/fleet/state.py
@@ -91,14 +91,26 @@
         Called with each newer `Configuration`, after it is in force.
     on_retirement : callable
         Called with each `RetirementRequest`.
+    on_evacuations : callable, optional
+        Called with the evacuated data centres, a frozenset of str, after each read.
     """
 
-    def __init__(self, source, state, on_configuration, on_retirement):
+    def __init__(
+        self,
+        source,
+        state,
+        on_configuration,
+        on_retirement,
+        on_evacuations=lambda data_centres: None,
+    ):
         self._source = source
         self._state = state
         self._on_configuration = on_configuration
         self._on_retirement = on_retirement
+        self._on_evacuations = on_evacuations
         self._revisions = {}
+        # Evacuated data centres by the keys of their entries.
+        self._evacuations = {}
 
     @property
     def digest(self):
@@ -110,18 +122,27 @@
         return digest_values(_list_revisions(items).items())
 
     def apply_snapshot(self, items):
-        """Apply all entries."""
+        """Apply all entries; evacuations whose entries are gone are revoked."""
+        revisions = _list_revisions(items)
+        for key in self._evacuations.keys() - revisions.keys():
+            del self._evacuations[key]
         for item in items:
             self._apply(item)
-        self._revisions = _list_revisions(items)
+        self._revisions = revisions
+        self._publish_evacuations()
 
     def apply_changes(self, events):
-        """Apply entries that were written; a deletion does not undo an entry."""
+        """Apply entries that were written.
+
+        A deletion revokes an evacuation; it does not undo another entry.
+        """
         for event in events:
             if event.value is not None:
                 self._apply(event)
             else:
                 self._revisions.pop(event.key, None)
+                self._evacuations.pop(event.key, None)
+        self._publish_evacuations()
 
     def handle_store_regained(self):
         """Do nothing: operators' entries are not under leases."""
@@ -142,6 +163,11 @@
                 self._on_configuration(read.configuration)
         if read.retirement is not None:
             self._on_retirement(read.retirement)
+        if read.evacuation is not None:
+            self._evacuations[item.key] = read.evacuation
+
+    def _publish_evacuations(self):
+        self._on_evacuations(frozenset(self._evacuations.values()))
 
 
 def _list_revisions(items):
--- a/mangogauge/jobs/dispatch.py
+++ b/mangogauge/jobs/dispatch.py
@@ -1,8 +1,11 @@
 """Dispatch items to endpoints, and preempt them for online requests."""
 
+from collections import Counter
+
 from attrs import field, frozen
 
 from ..backpressure import Work
+from ..placement.eligibility import ANYWHERE, WorkScope, describe_reasons
 from ..streams import StreamOrigin
 from ..telemetry import get_logger
 from .estimates import SlotShare
@@ -26,10 +29,13 @@
         Those with free slots, most free slots last.
     origins : set of StreamOrigin
         Origins of all that are usable.
+    obstacle : str
+        Why none is usable, as far as they are ineligible; empty if any is.
     """
 
     free = field()
     origins = field()
+    obstacle = field(default="")
 
 
 class ItemDispatcher:
@@ -72,6 +78,8 @@
         self._slot_share = SlotShare(clock)
         self._timely = set()
         self._timely_at = float("-inf")
+        # Why the items of a job have no eligible endpoint, as last logged, by job.
+        self._obstacles = {}
 
     async def preempt(self):
         """Interrupt the least urgent items where online requests need their slots."""
@@ -123,6 +131,8 @@
             self._timely_at = now
             self._update_timely(jobs, calendar)
         may_start = [job for job in jobs if self._cancellation.may_start(job)]
+        known = {job.job_id for job in jobs}
+        self._obstacles = {j: o for j, o in self._obstacles.items() if j in known}
         ready = [item for job in may_start for item in job.list_ready(now)]
         all_services = self._state.routes.batch_services
         places = {}
@@ -136,14 +146,19 @@
                 self._item_runner.give_up(item, "time limit passed")
                 continue
             services = route.services
-            if services not in places:
-                places[services] = self._find_places(services)
-            self._check_origin(item, services, places[services])
-            endpoint = self._take_endpoint(item, places[services].free)
+            scope = self._find_scope(item, route)
+            for key in {(services, ANYWHERE), (services, scope)} - places.keys():
+                places[key] = self._find_places(*key)
+            place = places[services, scope]
+            self._note_obstacle(item.job, place.obstacle)
+            self._check_origin(item, services, place)
+            endpoint = self._take_endpoint(item, place.free)
             if endpoint is not None:
+                _remove(endpoint, places.values())
                 self._chooser.take(endpoint)
+                item.scope = scope
                 await self._tasks.start(item, route, endpoint)
-            elif places.keys() >= all_services and not any(
+            elif {s for s, _ in places} >= all_services and not any(
                 place.free for place in places.values()
             ):
                 break
@@ -158,7 +173,7 @@
         )
 
     def _take_endpoint(self, item, free):
-        """Remove and return the endpoint with the most free slots, or None.
+        """Return the endpoint with the most free slots, or None.
 
         An item that has failed before gets a trusted endpoint only, and one that has
         begun an endpoint that may resume it. One that must not run for now gets none.
@@ -171,11 +186,15 @@
         ]
         if not suitable or self._item_runner.hold_back(item):
             return None
-        return free.pop(suitable[-1])
+        return free[suitable[-1]]
 
     def _find_route(self, item):
         return self._state.routes.find(item.job.manifest.host, item.item.path)
 
+    def _find_scope(self, item, route):
+        account = self._state.routes.get_account(item.job.manifest.account)
+        return WorkScope.of(route, account)
+
     def _are_routes_confirmed_since(self, moment):
         """Return whether the routes in force were confirmed after an elapsed time.
 
@@ -207,8 +226,8 @@
         )
         item.discard_events()
 
-    def _find_places(self, services):
-        """Return the `_Places` of some services.
+    def _find_places(self, services, scope):
+        """Return the `_Places` of some services, in a `WorkScope`.
 
         Notes
         -----
@@ -218,9 +237,36 @@
         usable = [
             endpoint
             for service in services
-            for endpoint in self._chooser.list_usable(service, trials=True)
+            for endpoint in self._chooser.list_usable(service, trials=True, scope=scope)
         ]
         accepting = self._chooser.list_accepting(usable, Work.ITEM)
         rows = [(self._room.count_free_slots(e), e.name, e) for e in accepting]
         free = [row[2] for row in sorted(row for row in rows if row[0] > 0)]
-        return _Places(free, {StreamOrigin.of(endpoint) for endpoint in usable})
+        origins = {StreamOrigin.of(endpoint) for endpoint in usable}
+        return _Places(free, origins, "" if usable else self._explain(services, scope))
+
+    def _explain(self, services, scope):
+        reasons = Counter()
+        for service in services:
+            reasons.update(self._chooser.count_ineligible(service, scope))
+        return describe_reasons(reasons)
+
+    def _note_obstacle(self, job, obstacle):
+        """Log when a job's items no longer have an eligible endpoint, or do again."""
+        before = self._obstacles.get(job.job_id, "")
+        if obstacle == before:
+            return
+        if obstacle:
+            self._obstacles[job.job_id] = obstacle
+            extra = {"job": job.job_id, "reason": obstacle}
+            log.info("job has no eligible endpoint", extra=extra)
+        else:
+            del self._obstacles[job.job_id]
+            log.info("job has eligible endpoints again", extra={"job": job.job_id})
+
+
+def _remove(endpoint, places):
+    """Remove an endpoint from the free ones of each of some `_Places`."""
+    for place in places:
+        if endpoint in place.free:
+            place.free.remove(endpoint)
--- a/mangogauge/jobs/item_runner.py
+++ b/mangogauge/jobs/item_runner.py
@@ -226,6 +226,7 @@
             now,
             now + max(1.0, remaining),
             shared_parts=self._read_shared_parts(item),
+            scope=item.scope,
         )
 
     def _read_shared_parts(self, item):
--- a/mangogauge/jobs/owned.py
+++ b/mangogauge/jobs/owned.py
@@ -3,6 +3,7 @@
 from attrs import define, field
 
 from ..http import HTTPLimitError, HTTPReceiveError
+from ..placement.eligibility import ANYWHERE
 from .backoff import MAX_BACKOFF_SECONDS
 from .packing import unpack_body
 from .records import ItemProgress, ItemResult, ItemState
@@ -69,6 +70,8 @@
         Elapsed time at which the answer of its last run began.
     answer_seconds : float
         How long after that the last of its events arrived.
+    scope : WorkScope
+        Regions in which its last run was allowed.
     """
 
     job = field()
@@ -90,6 +93,7 @@
     trial_at = field(default=None)
     trial_part = field(default="")
     answer_begun_at = field(default=None)
+    scope = field(default=ANYWHERE)
     answer_seconds = field(default=0.0)
 
     def add_event(self, event):
--- a/mangogauge/paths/__init__.py
+++ b/mangogauge/paths/__init__.py
@@ -1,7 +1,7 @@
 """Paths from a host to the endpoints: direct, or through a peer that reaches them."""
 
 from .checker import PathChecker
-from .connector import TunnelConnector
+from .connector import NoPeerAllowedError, TunnelConnector
 from .peers import TunnelPeers
 from .pool import EndpointPool
 from .relay import TUNNEL_PREFIX, EndpointRelay
@@ -12,6 +12,7 @@
     "TUNNEL_PREFIX",
     "EndpointPool",
     "EndpointRelay",
+    "NoPeerAllowedError",
     "PathChecker",
     "PathState",
     "PathTable",
--- a/mangogauge/paths/connector.py
+++ b/mangogauge/paths/connector.py
@@ -9,7 +9,7 @@
 )
 from .relay import UNABLE_STATUS, make_tunnel_target
 
-__all__ = ["TunnelConnector"]
+__all__ = ["NoPeerAllowedError", "TunnelConnector"]
 
 # Peers that one connection is asked of.
 PEERS_PER_CONNECTION = 2
@@ -18,6 +18,10 @@
 OPEN_SECONDS = 0.35
 
 
+class NoPeerAllowedError(HTTPConnectError):
+    """No peer that may carry a restricted request does so."""
+
+
 class TunnelConnector(Connector):
     """Opens connections that peers carry; an address is an endpoint's name.
 
@@ -26,12 +30,15 @@
     directory : EndpointDirectory
     peers : TunnelPeers
     limits : ClientLimits
+    accepts_peer : callable, optional
+        Returns whether a `FleetMember` may carry what is sent; by default all may.
     """
 
-    def __init__(self, directory, peers, limits):
+    def __init__(self, directory, peers, limits, accepts_peer=None):
         self._directory = directory
         self._peers = peers
         self._limits = limits
+        self._accepts_peer = accepts_peer
 
     async def open(self, address):
         """Return a connection through a peer; see `Connector`."""
@@ -39,12 +46,19 @@
         if endpoint is None:
             raise HTTPConnectError("The endpoint is gone.", peer=address)
         failure = HTTPConnectError("No peer is heard.", peer=address)
-        for peer in self._peers.choose(endpoint, PEERS_PER_CONNECTION):
+        peers = self._peers.choose(
+            endpoint, PEERS_PER_CONNECTION, accepts=self._accepts_peer
+        )
+        for peer in peers:
             try:
                 return await self.open_through(peer, endpoint)
             except HTTPConnectError as error:
                 failure = error
-        raise failure
+        if self._accepts_peer is None:
+            raise failure
+        raise NoPeerAllowedError(
+            "No peer in an allowed region carries the request.", peer=address
+        ) from failure
 
     async def open_through(self, peer, endpoint):
         """Return a connection to an endpoint that one peer carries.
--- a/mangogauge/paths/peers.py
+++ b/mangogauge/paths/peers.py
@@ -24,7 +24,7 @@
         self._random = random
         self._avoided_until = {}
 
-    def choose(self, endpoint, count, excluded=()):
+    def choose(self, endpoint, count, excluded=(), accepts=None):
         """Return the addresses of up to `count` peers, the preferred one first.
 
         Parameters
@@ -33,6 +33,8 @@
         count : int
         excluded : collection of str, optional
             Addresses of peers that aren't chosen.
+        accepts : callable, optional
+            Returns whether a `FleetMember` may be chosen; by default all may.
 
         Notes
         -----
@@ -45,6 +47,7 @@
             for member in self._members.list_others()
             if member.address not in excluded
             and self._report_table.is_reporting(member.name)
+            and (accepts is None or accepts(member))
         ]
         self._random.shuffle(peers)
         avoided = {m.address for m in peers if self._is_avoided(m.address, endpoint)}
--- a/mangogauge/paths/pool.py
+++ b/mangogauge/paths/pool.py
@@ -13,19 +13,20 @@
     ----------
     direct : ClientPool
         By the endpoints' addresses.
-    tunnels : ClientPool
-        By the endpoints' names; opens connections by a `TunnelConnector`.
+    get_tunnels : callable
+        Returns the `ClientPool` for work of a `WorkScope`, by the endpoints' names; it
+        opens connections by a `TunnelConnector`.
     paths : PathTable
     checker : PathChecker
     """
 
-    def __init__(self, direct, tunnels, paths, checker):
+    def __init__(self, direct, get_tunnels, paths, checker):
         self._direct = direct
-        self._tunnels = tunnels
+        self._get_tunnels = get_tunnels
         self._paths = paths
         self._checker = checker
 
-    async def request(self, endpoint, *request, **options):
+    async def request(self, endpoint, *request, scope=None, **options):
         """Send a request and return the head of its answer.
 
         Parameters
@@ -33,6 +34,8 @@
         endpoint : FleetEndpoint
         *request, **options
             As of `ClientPool.request`, after the address.
+        scope : WorkScope, optional
+            Regions whose hosts may carry the request; None for any.
 
         Raises
         ------
@@ -52,7 +55,8 @@
                 state = await self._checker.find_path(endpoint, error)
                 if state is not PathState.TUNNELLED:
                     raise
-        return await self._tunnels.request(endpoint.name, *request, **options)
+        tunnels = self._get_tunnels(scope)
+        return await tunnels.request(endpoint.name, *request, **options)
 
     async def connect(self, endpoint):
         """Make sure that a path leads to an endpoint.
--- a/mangogauge/placement/choice.py
+++ b/mangogauge/placement/choice.py
@@ -21,6 +21,7 @@
 
 from ..backpressure import Work
 from ..sharing import estimate_report_delay
+from .eligibility import ANYWHERE, Eligibility
 
 __all__ = ["EndpointChooser"]
 
@@ -53,6 +54,8 @@
     random : random.Random
     limiter : EndpointLimiter, optional
         None if endpoints announce no limits.
+    eligibility : Eligibility, optional
+        By default only endpoints that are leaving are ineligible.
     """
 
     def __init__(
@@ -64,6 +67,7 @@
         data_centre,
         random,
         limiter=None,
+        eligibility=None,
     ):
         self._directory = directory
         self._report_table = report_table
@@ -72,8 +76,11 @@
         self._data_centre = data_centre
         self._random = random
         self._limiter = limiter
+        self._eligibility = eligibility or Eligibility(directory)
 
-    def choose(self, service, excluded=(), may_repeat=False, software=None):
+    def choose(
+        self, service, excluded=(), may_repeat=False, software=None, scope=ANYWHERE
+    ):
         """Return a `FleetEndpoint` with room for an online request, or None.
 
         Parameters
@@ -85,11 +92,14 @@
             Whether the request may be retried at another endpoint.
         software : str, optional
             The only software version at which the request may run.
+        scope : WorkScope, optional
         """
-        trial = self._choose_trial(service, excluded, may_repeat, software)
+        healthy = self._list_healthy(service, excluded, software, scope)
+        work = _classify(software)
+        trial = self._choose_trial(healthy, may_repeat, work)
         if trial is not None:
             return trial
-        candidates = self._list_candidates(service, excluded, software)
+        candidates = self._list_candidates(healthy, work)
         if not candidates:
             return None
         unreported = self._estimate_unreported(candidates)
@@ -103,10 +113,12 @@
         sampled = self._random.sample(best_candidates, min(len(best_candidates), size))
         return min(sampled, key=self._rank).endpoint
 
-    def list_usable(self, service, excluded=(), trials=False, software=None):
+    def list_usable(
+        self, service, excluded=(), trials=False, software=None, scope=ANYWHERE
+    ):
         """Return the endpoints that accept requests, whatever their load.
 
-        If none does, these are all healthy ones.
+        If none does, these are all healthy ones; ineligible ones are never included.
 
         Parameters
         ----------
@@ -117,15 +129,14 @@
             trial.
         software : str, optional
             The only software version that is usable.
+        scope : WorkScope, optional
         """
-        healthy = self._list_healthy(service, excluded, software)
+        healthy = self._list_healthy(service, excluded, software, scope)
         accepts = self._trust.accepts_items if trials else self._trust.accepts_requests
         return [e for e in healthy if accepts(e.name)] or healthy
 
-    def _list_candidates(self, service, excluded, software):
+    def _list_candidates(self, healthy, work):
         """Return the endpoints with room; ejected ones only if no other has room."""
-        work = _classify(software)
-        healthy = self._list_healthy(service, excluded, software)
         trusted = [
             e for e in healthy if self._trust.accepts_requests(e.name)
         ] or healthy
@@ -140,12 +151,13 @@
         candidates = [self._measure(endpoint) for endpoint in accepting]
         return [candidate for candidate in candidates if candidate.has_room]
 
-    def _list_healthy(self, service, excluded, software):
+    def _list_healthy(self, service, excluded, software, scope):
+        is_eligible = self._eligibility.is_eligible
         available = [
             endpoint
             for endpoint in self._directory.list_endpoints()
             if endpoint.service == service
-            and not self._directory.is_leaving(endpoint)
+            and is_eligible(endpoint, scope)
             and endpoint.name not in excluded
             and software in (None, endpoint.software)
         ]
@@ -157,9 +169,15 @@
         """Return whether an endpoint accepts work other than trials."""
         return self._trust.accepts_requests(endpoint.name)
 
-    def count_slots(self, service, software=None):
+    def count_ineligible(self, service, scope=ANYWHERE):
+        """Return ``{IneligibilityReason: int}`` of a service's endpoints."""
+        endpoints = self._directory.list_endpoints()
+        of_service = [e for e in endpoints if e.service == service]
+        return self._eligibility.count_reasons(of_service, scope)
+
+    def count_slots(self, service, software=None, scope=ANYWHERE):
         """Return the total slots of the endpoints that accept requests."""
-        usable = self.list_usable(service, software=software)
+        usable = self.list_usable(service, software=software, scope=scope)
         return sum(endpoint.slots for endpoint in usable)
 
     def list_accepting(self, endpoints, work):
@@ -173,7 +191,7 @@
         if self._has_limits:
             self._limiter.take(endpoint)
 
-    def measure_open_share(self, service, hold_seconds, software=None):
+    def measure_open_share(self, service, hold_seconds, software=None, scope=ANYWHERE):
         """Return the share of the slots that the endpoints' limits let requests use.
 
         Parameters
@@ -183,10 +201,11 @@
             Time for which a request holds a slot.
         software : str, optional
             The only software version at which requests may run.
+        scope : WorkScope, optional
         """
         if not self._has_limits:
             return 1.0
-        usable = self.list_usable(service, software=software)
+        usable = self.list_usable(service, software=software, scope=scope)
         slots = sum(endpoint.slots for endpoint in usable)
         estimate = self._limiter.estimate_slots
         return sum(estimate(e, hold_seconds) for e in usable) / max(1, slots)
@@ -195,12 +214,11 @@
     def _has_limits(self):
         return self._limiter is not None and self._limiter.has_limits
 
-    def _choose_trial(self, service, excluded, may_repeat, software):
+    def _choose_trial(self, healthy, may_repeat, work):
         """Return an endpoint for which the request is a trial, or None."""
         if not self._trust.trials:
             return None
-        healthy = self._list_healthy(service, excluded, software)
-        for endpoint in self.list_accepting(healthy, _classify(software)):
+        for endpoint in self.list_accepting(healthy, work):
             if self._trust.is_ready_for_trial(endpoint.name, may_repeat):
                 self._trust.begin_trial(endpoint.name)
                 return endpoint
--- a/mangogauge/placement/queue.py
+++ b/mangogauge/placement/queue.py
@@ -5,8 +5,8 @@
 so that it doesn't take the slot of a request that still can. A client account that
 sends most of the requests waits behind its own requests and doesn't delay those of
 other accounts. Requests that resume a stream run at endpoints of one software version
-only, and wait in a queue of their own, so that they don't delay those that can run at
-any.
+only, and those that are restricted to regions at endpoints there. They wait in queues
+of their own, so that they don't delay those that can run at any.
 """
 
 from operator import itemgetter
@@ -16,6 +16,7 @@
 
 from ..queueing import FairQueue, Ticket, estimate_wait
 from ..refusals import Refusal, RefusalCode
+from .eligibility import ANYWHERE, describe_reasons
 
 __all__ = ["SlotQueue"]
 
@@ -43,17 +44,38 @@
         Whether they may run at any version; what resumes a stream goes first.
     software : str
         Software version at which they may run; empty if `may_begin`.
+    is_anywhere : bool
+        Whether they may run in any region; those that may not go first.
+    regions : tuple of str
+        Regions in which they may run; empty if `is_anywhere`.
     """
 
     priority = field()
     may_begin = field()
     software = field()
+    is_anywhere = field()
+    regions = field()
 
     @classmethod
     def of(cls, call):
         """Return the key of an `OnlineCall`."""
         software = _get_software(call)
-        return cls(call.priority, software is None, software or "")
+        regions = call.scope.allowed_regions
+        return cls(
+            call.priority,
+            software is None,
+            software or "",
+            regions is None,
+            tuple(sorted(regions or ())),
+        )
+
+    def competes_with(self, other):
+        """Return whether requests of another queue can run at the same endpoints."""
+        return (self.software, self.is_anywhere, self.regions) == (
+            other.software,
+            other.is_anywhere,
+            other.regions,
+        )
 
 
 @define(eq=False)
@@ -64,18 +86,26 @@
     excluded = field()
     may_repeat = field()
     software = field()
+    scope = field(default=ANYWHERE)
     endpoint = field(default=None)
     assigned = field(factory=curio.Event)
 
     @classmethod
     def of(cls, call, service, excluded):
         """Return the waiter of an `OnlineCall`."""
-        return cls(service, excluded, _may_repeat(call), _get_software(call))
+        software = _get_software(call)
+        return cls(service, excluded, _may_repeat(call), software, call.scope)
 
     @property
     def choose_arguments(self):
         """Arguments of `EndpointChooser.choose`."""
-        return self.service, self.excluded, self.may_repeat, self.software
+        return (
+            self.service,
+            self.excluded,
+            self.may_repeat,
+            self.software,
+            self.scope,
+        )
 
 
 class SlotQueue:
@@ -159,8 +189,8 @@
         """Assign free slots to waiting requests, by priority and fair order."""
         for key, queue in sorted(self._queues.items(), key=itemgetter(0)):
             is_empty = await self._assign_from(queue)
-            if not is_empty and key.may_begin:
-                # No endpoint has room, of whichever version.
+            if not is_empty and key.may_begin and key.is_anywhere:
+                # No endpoint has room, of whichever version and region.
                 return
 
     async def _assign_from(self, queue):
@@ -180,7 +210,7 @@
         return any(
             len(queue)
             for other, queue in self._queues.items()
-            if other.software == key.software and other <= key
+            if other.competes_with(key) and other <= key
         )
 
     def _try_acquire(self, waiter):
@@ -192,13 +222,7 @@
 
     async def _wait(self, call, waiter):
         max_wait = self._compute_max_wait(call)
-        usable = self._chooser.list_usable(
-            waiter.service, waiter.excluded, software=waiter.software
-        )
-        if not usable:
-            raise self._make_refusal(
-                RefusalCode.NO_ENDPOINT, "No endpoint can run this."
-            )
+        self._check_usable(waiter)
         self._check_wait(call, waiter, max_wait)
         ticket = Ticket(call.account, ACCOUNT_WEIGHT, self._hold_seconds, waiter)
         key = _QueueKey.of(call)
@@ -225,15 +249,32 @@
                 del self._queues[key]
             self._report_table.waiting = len(self)
         if waiter.endpoint is None:
+            self._check_usable(waiter)
             raise self._make_refusal(
                 RefusalCode.OVERLOADED, "No slot became free in time."
             )
         return waiter.endpoint
 
+    def _check_usable(self, waiter):
+        """Refuse a call that no endpoint can run, and say why."""
+        usable = self._chooser.list_usable(
+            waiter.service,
+            waiter.excluded,
+            software=waiter.software,
+            scope=waiter.scope,
+        )
+        if usable:
+            return
+        reasons = self._chooser.count_ineligible(waiter.service, waiter.scope)
+        message = "No endpoint can run this"
+        if reasons:
+            message += f": {describe_reasons(reasons)}"
+        raise self._make_refusal(RefusalCode.NO_ENDPOINT, f"{message}.")
+
     def _check_wait(self, call, waiter, max_wait):
         """Refuse a call at once that would wait for too long."""
         open_share = self._chooser.measure_open_share(
-            waiter.service, self._hold_seconds, waiter.software
+            waiter.service, self._hold_seconds, waiter.software, waiter.scope
         )
         wait = self._estimate_wait(call, waiter, open_share)
         if wait <= max_wait:
@@ -269,7 +310,9 @@
         waiting.
         """
         hosts = self._report_table.count_waiting_hosts()
-        all_slots = self._chooser.count_slots(waiter.service, waiter.software)
+        all_slots = self._chooser.count_slots(
+            waiter.service, waiter.software, waiter.scope
+        )
         slots = max(1.0, all_slots / hosts) * open_share
         if not slots:
             return float("inf")
--- a/mangogauge/platform/source.py
+++ b/mangogauge/platform/source.py
@@ -22,6 +22,7 @@
 CONFIGURATION_KEY = "op/config"
 RETIREMENT_PREFIX = "op/retire/"
 RETIREMENT_REPORT_PREFIX = "status/retire/"
+EVACUATION_PREFIX = "op/evacuate/"
 # More than any endpoint has; an entry with more is a mistake.
 MAX_SLOTS = 65_536
 MAX_START_TIME_MS = 2**53
@@ -52,6 +53,8 @@
                 host = item.key.removeprefix(RETIREMENT_PREFIX)
                 seconds = float(orjson.loads(item.value)["duration_s"])
                 return OperatorEntry(retirement=RetirementRequest(host, seconds))
+            if item.key.startswith(EVACUATION_PREFIX):
+                return OperatorEntry(evacuation=_read_evacuation(item.key))
         except (LookupError, TypeError, AttributeError) as error:
             raise ValueError(f"a field is missing or of another type: {error!r}") from (
                 error
@@ -112,6 +115,7 @@
         abandon_after=float(value.get("max_wait_s", value["timeout_ms"] / 1000)),
         # Counts tokens that wait, in spite of its name.
         waiting_token_limit=value.get("max_count", 0),
+        allowed_regions=_read_regions(value),
     )
 
 
@@ -128,9 +132,34 @@
         rate=value.get("rate_per_s", 0),
         burst=value.get("burst", 0),
         priority=value.get("priority"),
+        allowed_regions=_read_regions(value),
     )
 
 
+def _read_regions(value):
+    """Return the regions of a route or an account; None for any."""
+    regions = value.get("allowed_regions")
+    if regions is None:
+        return None
+    if type(regions) is not list:
+        raise ValueError("allowed_regions must be a list")
+    return frozenset(_read_text(r, "allowed_regions") for r in regions) or None
+
+
+def _read_evacuation(key):
+    """Return the data centre that an entry evacuates.
+
+    Notes
+    -----
+    The value of the entry isn't read: an evacuation must not be missed for a mistake
+    in it.
+    """
+    data_centre = key.removeprefix(EVACUATION_PREFIX)
+    if not data_centre:
+        raise ValueError("the entry names no data centre")
+    return data_centre
+
+
 def _read_endpoint(name, value):
     parse_address(value["address"])
     return FleetEndpoint(
--- a/mangogauge/settings/sections.py
+++ b/mangogauge/settings/sections.py
@@ -121,6 +121,21 @@
                 values[name] = attribute.default
         return values
 
+    def read_mapping(self, section, options, kind):
+        """Return the values of a section whose options may have any name.
+
+        Parameters
+        ----------
+        section : str
+        options : dict of str to OptionText
+        kind : Kind
+            Kind of all values.
+        """
+        values = {}
+        for name, option in options.items():
+            self._read_option(section, name, option, kind, values)
+        return values
+
     def check_section(self, file, section, known):
         """Note a section that is not among `known`."""
         first = section.partition(" ")[0]
--- a/mangogauge/settings/serving.py
+++ b/mangogauge/settings/serving.py
@@ -50,7 +50,15 @@
         Time between SIGTERM and the end of the process.
     status_seconds : float
         How long a batch job can be read after it was submitted.
+    checks_evacuations : bool
+        Whether data centres that operators evacuate get no work.
+    checks_regions : bool
+        Whether the regions of data centres are known, as section ``[regions]`` of
+        the file tells: one line ``DATA CENTRE = REGION`` for each. Without them,
+        what is restricted to regions runs nowhere.
     store : StoreSettings
+    regions : dict of str to str
+        Region of each data centre.
     """
 
     name = make_option(NameKind())
@@ -64,7 +72,10 @@
     runs_batch = make_option(FlagKind(), default=False)
     drain_seconds = make_option(NumberKind(0.1, 600, "seconds"), default=8.0)
     status_seconds = make_option(NumberKind(1, 864_000, "seconds"), default=3600.0)
+    checks_evacuations = make_option(FlagKind(), default=True)
+    checks_regions = make_option(FlagKind(), default=True)
     store = field(default=None)
+    regions = field(factory=dict)
 
     @property
     def serves_callers(self):
@@ -72,7 +83,7 @@
         return bool(self.callers_address)
 
 
-SECTIONS = {"host": ServingSettings, "store": StoreSettings}
+SECTIONS = {"host": ServingSettings, "store": StoreSettings, "regions": dict}
 
 
 def read_serving(path):
@@ -88,8 +99,14 @@
     reader = SectionReader(problems)
     sections = reader.read_file(path, SECTIONS)
     store = reader.read("store", sections.get("store", {}), StoreSettings, file)
+    regions = reader.read_mapping("regions", sections.get("regions", {}), TextKind())
     host = reader.read(
-        "host", sections.get("host", {}), ServingSettings, file, store=store
+        "host",
+        sections.get("host", {}),
+        ServingSettings,
+        file,
+        store=store,
+        regions=regions,
     )
     if problems:
         raise SettingsError(problems)
--- a/mangogauge/telemetry/explanation.py
+++ b/mangogauge/telemetry/explanation.py
@@ -30,6 +30,7 @@
     ),
     "item broke off": "{host}: the item broke off at {endpoint}: {reason}",
     "item gives way": "{host}: the item gave way at {endpoint} to online requests",
+    "job has no eligible endpoint": "{host}: no endpoint is eligible: {reason}",
     "job taken over": "{host}: the job passed to {claimant}",
     "claim lost": "{host}: the job passed to {claimant}",
     "claim lapsed, claimed again": "{host}: the claim on the job lapsed",
--- a/mangogauge/telemetry/serving.py
+++ b/mangogauge/telemetry/serving.py
@@ -52,6 +52,12 @@
         self.endpoints_limited = self._gauge(
             "endpoints_limited", "Endpoints that have announced a limit."
         )
+        self.data_centres_evacuated = self._gauge(
+            "data_centres_evacuated", "Data centres that are evacuated."
+        )
+        self.endpoints_ineligible = self._gauge(
+            "endpoints_ineligible", "Endpoints that get no work, by reason.", "reason"
+        )
         self.parts_quarantined = self._gauge(
             "parts_quarantined", "Parts of prompts that are kept from endpoints."
         )
@@ -81,8 +87,10 @@
             f"mangogauge_{name}", text, labels, registry=self.registry
         )
 
-    def _gauge(self, name, text):
-        return prometheus.Gauge(f"mangogauge_{name}", text, registry=self.registry)
+    def _gauge(self, name, text, *labels):
+        return prometheus.Gauge(
+            f"mangogauge_{name}", text, labels, registry=self.registry
+        )
 
     def _time(self, name, text, *labels):
         return prometheus.Histogram(
--- a/review/standins.py
+++ b/review/standins.py
@@ -10,6 +10,7 @@
 import json
 import os
 import random
+import re
 import shutil
 import signal
 import subprocess
@@ -450,6 +451,7 @@
         text = (ROOT / "deploy" / template).read_text()
         for placeholder, value in values.items():
             text = text.replace("{{" + placeholder + "}}", value)
+        text = re.sub(r"\{\{#zones\}\}.*?\{\{/zones\}\}", "", text, flags=re.DOTALL)
         path = self.folder / f"{name}.ini"
         path.write_text(text)
         environment = {
