--- a/features/builders/fleet.py
+++ b/features/builders/fleet.py
@@ -78,6 +78,9 @@
     def list_endpoints(self):
         return self._endpoints
 
+    def get(self, name):
+        return next((e for e in self._endpoints if e.name == name), None)
+
     def is_leaving(self, endpoint):
         return endpoint.leaving
 
--- a/features/builders/sending.py
+++ b/features/builders/sending.py
@@ -155,9 +155,18 @@
         Names of endpoints that have no room.
     kept : int, optional
         How many of the connections were made before the request came.
+    find_obstacle : callable, optional
+        As of `EndpointClient`.
     """
 
-    def __init__(self, *plan, endpoints=None, full=(), kept=0):
+    def __init__(
+        self,
+        *plan,
+        endpoints=None,
+        full=(),
+        kept=0,
+        find_obstacle=lambda endpoint, scope: None,
+    ):
         self._clock = SystemClock()
         self._budgets = RetryBudgets(self._clock)
         self._kept = kept
@@ -171,6 +180,7 @@
             PlatformEndpoints(),
             FixedDirectory([]),
             self._clock,
+            find_obstacle=find_obstacle,
         )
         slots = _Slots()
         if endpoints is not None:
--- a/mangogauge/daemon/endpointaccess.py
+++ b/mangogauge/daemon/endpointaccess.py
@@ -82,7 +82,9 @@
         )
         self._tunnels = ScopedTunnels(fleet.directory, peers, limits, fleet.eligibility)
         self.pool = EndpointPool(direct, self._tunnels.get, paths, self.checker)
-        self.relay = EndpointRelay(fleet.directory, paths)
+        self.relay = EndpointRelay(
+            fleet.directory, paths, is_evacuated=fleet.eligibility.is_evacuated
+        )
 
     def _take_lost_path(self, name):
         """Hold nothing against an endpoint to which only this host's path is lost."""
--- a/mangogauge/paths/relay.py
+++ b/mangogauge/paths/relay.py
@@ -26,6 +26,9 @@
 REFUSED_STATUS = 502
 UNABLE_STATUS = 503
 SILENT_STATUS = 504
+# The asking host doesn't know yet that the endpoint's data centre is evacuated. Hosts
+# of any release take it for a peer that can't carry this endpoint's connections.
+EVACUATED_STATUS = 409
 # Status of the error that a body pauses for too long.
 PAUSED_STATUS = 408
 
@@ -53,12 +56,21 @@
     paths : PathTable
     max_tunnels : int, optional
         Most tunnels that are open or being opened.
+    is_evacuated : callable, optional
+        Returns whether a `FleetEndpoint` is in an evacuated data centre.
     """
 
-    def __init__(self, directory, paths, max_tunnels=MAX_TUNNELS):
+    def __init__(
+        self,
+        directory,
+        paths,
+        max_tunnels=MAX_TUNNELS,
+        is_evacuated=lambda endpoint: False,
+    ):
         self._directory = directory
         self._paths = paths
         self._max_tunnels = max_tunnels
+        self._is_evacuated = is_evacuated
         self._closing = False
         self._count = 0
 
@@ -94,6 +106,8 @@
         """Return the status that tells why no connection is tried; None if it is."""
         if endpoint is None:
             return UNKNOWN_STATUS
+        if self._is_evacuated(endpoint):
+            return EVACUATED_STATUS
         if self._closing or self._count >= self._max_tunnels:
             return UNABLE_STATUS
         return STATUS_BY_STATE.get(self._paths.get(endpoint.name))
--- a/mangogauge/placement/eligibility.py
+++ b/mangogauge/placement/eligibility.py
@@ -169,6 +169,10 @@
         del reasons[None]
         return reasons
 
+    def is_evacuated(self, endpoint):
+        """Return whether an endpoint is in an evacuated data centre."""
+        return endpoint.data_centre in self.evacuated
+
     def may_carry(self, data_centre, scope):
         """Return whether a host of a data centre may carry the body of some work.
 
