Count ineligible endpoints by reason, and test evacuations and regions

Cause: the metric's method was missing, which ended the task that evaluates endpoints, and no scenario covered evacuations and regions with real hosts.

--- a/features/builders/peers.py
+++ b/features/builders/peers.py
@@ -16,8 +16,11 @@
 class _Members:
     """Stands in for a `MemberDirectory`, and for the reports of all hosts."""
 
-    def __init__(self, names):
-        self._members = [FleetMember(name, "1", "b", name) for name in names]
+    def __init__(self, names, data_centres):
+        self._members = [
+            FleetMember(name, "1", data_centre, name)
+            for name, data_centre in zip(names, data_centres, strict=True)
+        ]
 
     def list_others(self):
         return self._members
@@ -32,11 +35,14 @@
     Attributes
     ----------
     clock : ManualClock
+    chosen : set of str
+        Peers among which those were chosen that carry a connection.
     """
 
-    def __init__(self, names):
+    def __init__(self, names, data_centres=None):
         self.clock = ManualClock()
-        members = _Members(names)
+        members = _Members(names, data_centres or ["b"] * len(names))
+        self.chosen = set()
         self._count = len(names)
         self._peers = TunnelPeers(members, members, self.clock, random.Random(1))
 
@@ -44,6 +50,12 @@
         """Note that a peer failed, for one endpoint or for all."""
         self._peers.note_failure(peer, endpoint and make_endpoint(endpoint))
 
+    def choose(self, endpoint, count, accepts=None):
+        """Choose peers as `TunnelPeers`; return none, so that none is connected to."""
+        choose = self._peers.choose
+        self.chosen.update(choose(endpoint, self._count, accepts=accepts))
+        return []
+
     def list_last(self, endpoint):
         """Return the peers that are asked last in any of many choices."""
         return {
--- a/features/entry/sending.feature
+++ b/features/entry/sending.feature
@@ -36,6 +36,13 @@
       | e1        | all free     | is refused             | 503    | no       |
       | e1, e2    | "e2" is full | is refused             | 503    | no       |
 
+  Scenario: An endpoint that becomes ineligible while a connection is made gets nothing
+    An evacuation comes into force at any time; whoever waits must ask again.
+
+    Given endpoints that become ineligible while the connection to the first is made
+    When a request with a deadline of 1 s is dispatched, repeatable
+    Then it was sent to none of them, and executed is "no"
+
   Scenario: A retry after a broken connection trusts no other that was made before
     Given 2 kept connections that break once they are used, and no new ones
     When a request with a deadline of 2 s is dispatched, repeatable
--- a/features/paths/peers.feature
+++ b/features/paths/peers.feature
@@ -15,3 +15,17 @@
     Then "p4" is asked last for "e2"
     When 2.1 s pass for the host
     Then "p4" is asked like the others for "e2"
+
+  Scenario Outline: What is restricted to regions is carried by peers there only
+    A body that any peer may carry leaves the regions in which it may be.
+
+    Given a host whose peers "p1, p2, p3" are in the data centres "a, b, c"
+    And the peers' regions are a = north, b = south
+    Then "<peers>" may carry what is restricted to the regions "<regions>"
+
+    Examples:
+      | regions      | peers      |
+      | any          | p1, p2, p3 |
+      | north        | p1         |
+      | north, south | p1, p2     |
+      | elsewhere    | none       |
--- a/features/steps/entry_sending.py
+++ b/features/steps/entry_sending.py
@@ -7,6 +7,7 @@
 from features.builders.fleet import make_endpoint
 from features.builders.sending import NEVER, SendingWorld
 from mangogauge.fleet import RequestSemantics
+from mangogauge.placement import IneligibilityReason
 
 MORE_CONNECTIONS = 8
 FIRST_CONNECTIONS = {"breaks once it is used": (0.0, True), "is refused": None}
@@ -92,3 +93,19 @@
 @then("no task has ended by an error")
 def check_crashes(context):
     assert not context.sending.crashes, context.sending.crashes
+
+
+@given("endpoints that become ineligible while the connection to the first is made")
+def prepare_ineligible(context):
+    context.sending = SendingWorld(
+        *[(0.05, False)] * MORE_CONNECTIONS,
+        find_obstacle=lambda endpoint, scope: IneligibilityReason.EVACUATED,
+    )
+
+
+@then('it was sent to none of them, and executed is "{executed}"')
+def check_not_sent(context, executed):
+    assert context.sending.sent_count == 0
+    assert context.sending.connection_count == MORE_CONNECTIONS
+    assert context.refusal.executed == executed, context.refusal
+    assert not context.sending.crashes, context.sending.crashes
--- a/mangogauge/telemetry/serving.py
+++ b/mangogauge/telemetry/serving.py
@@ -77,6 +77,12 @@
         self.store_calls.labels(call, str(status)).inc()
         self._calls[call] += 1
 
+    def note_ineligible(self, reasons):
+        """Set the number of ineligible endpoints by their `IneligibilityReason`."""
+        self.endpoints_ineligible.clear()
+        for reason, count in reasons.items():
+            self.endpoints_ineligible.labels(reason.value).set(count)
+
     def take_store_calls(self):
         """Return ``{call: int}``: calls since the last time this was asked."""
         calls, self._calls = self._calls, Counter()
