Document the settings of a host on the platform, and its regions

Cause: the settings page lacks the file that hosts on the platform read.

Change: its sections on the page, scenarios of [regions] and of turning a part off; without evacuations and regions the choice asks the directory directly.

--- a/mangogauge/placement/choice.py
+++ b/mangogauge/placement/choice.py
@@ -152,12 +152,12 @@
         return [candidate for candidate in candidates if candidate.has_room]
 
     def _list_healthy(self, service, excluded, software, scope):
-        is_eligible = self._eligibility.is_eligible
+        is_ineligible = self._eligibility.make_exclusion_test(scope)
         available = [
             endpoint
             for endpoint in self._directory.list_endpoints()
             if endpoint.service == service
-            and is_eligible(endpoint, scope)
+            and not is_ineligible(endpoint)
             and endpoint.name not in excluded
             and software in (None, endpoint.software)
         ]
--- a/mangogauge/placement/eligibility.py
+++ b/mangogauge/placement/eligibility.py
@@ -126,6 +126,23 @@
             return False
         return not self._directory.is_leaving(endpoint)
 
+    def make_exclusion_test(self, scope=ANYWHERE):
+        """Return a callable that tells whether an endpoint is ineligible now.
+
+        Parameters
+        ----------
+        scope : WorkScope, optional
+
+        Notes
+        -----
+        For use within one choice, over all endpoints of a service. Without
+        evacuations and regions it costs no more than the question for those that are
+        leaving.
+        """
+        if not self.evacuated and not scope.is_restricted:
+            return self._directory.is_leaving
+        return lambda endpoint: not self.is_eligible(endpoint, scope)
+
     def find_reason(self, endpoint, scope=ANYWHERE):
         """Return the `IneligibilityReason` of an endpoint, None if it is eligible.
 
--- a/mangogauge/settings/reference.py
+++ b/mangogauge/settings/reference.py
@@ -7,6 +7,8 @@
 
 from .fleet import NAMED_SECTIONS, SINGLE_SECTIONS
 from .host import HostSettings, PeerSettings, PlatformSettings
+from .kinds import TextKind
+from .serving import ServingSettings, StoreSettings
 
 __all__ = ["make_reference"]
 
@@ -15,6 +17,12 @@
     "platform": PlatformSettings,
     "peers": PeerSettings,
 }
+SERVING_SECTIONS = {"host": ServingSettings, "store": StoreSettings}
+REGIONS = (
+    "### [regions]\n\n"
+    "One line `DATA CENTRE = REGION` for each data centre whose region is known; a "
+    f"region is {TextKind.allowed}.\n"
+)
 INTRODUCTION = (
     "# Settings\n\n"
     "Made by `mangogauge report settings`; a feature checks that it is up to date.\n"
@@ -28,6 +36,9 @@
     parts += _list_sections({**fleet, **SINGLE_SECTIONS})
     parts.append("## A host's file\n")
     parts += _list_sections(HOST_SECTIONS)
+    parts.append("## The file of a host on the platform\n")
+    parts += _list_sections(SERVING_SECTIONS)
+    parts.append(REGIONS)
     return "\n".join(parts)
 
 
--- a/mangogauge/settings/serving.py
+++ b/mangogauge/settings/serving.py
@@ -53,9 +53,8 @@
     checks_evacuations : bool
         Whether data centres that operators evacuate get no work.
     checks_regions : bool
-        Whether the regions of data centres are known, as section ``[regions]`` of
-        the file tells: one line ``DATA CENTRE = REGION`` for each. Without them,
-        what is restricted to regions runs nowhere.
+        Whether section ``[regions]`` of the file is used. Otherwise no region is
+        known, and what is restricted to regions runs nowhere.
     store : StoreSettings
     regions : dict of str to str
         Region of each data centre.
