--- a/features/builders/tunnels.py
+++ b/features/builders/tunnels.py
@@ -165,6 +165,8 @@
         The peer's own paths.
     pool : ClientPool
         Its connections go through the peer.
+    evacuated : set of str
+        Endpoints that the peer knows to be evacuated.
     """
 
     def __init__(self, max_tunnels):
@@ -174,7 +176,13 @@
         )
         clock = SystemClock()
         self.peer_paths = PathTable(clock)
-        self.relay = EndpointRelay(self.directory, self.peer_paths, max_tunnels)
+        self.evacuated = set()
+        self.relay = EndpointRelay(
+            self.directory,
+            self.peer_paths,
+            max_tunnels,
+            lambda endpoint: endpoint.name in self.evacuated,
+        )
         self.server = HTTPServer(self.relay.handle, ServerLimits(body_timeout=0.3))
         self.server.bind(LOCAL, 0)
         self.peers = FixedPeers(f"{LOCAL}:{self.server.port}")
--- a/features/paths/tunnels.feature
+++ b/features/paths/tunnels.feature
@@ -50,6 +50,7 @@
       | no endpoint is called "e9"          | e9       | 404    | "e9"   |
       | the peer has lost its path to "e1"  | e1       | 503    | all    |
       | nobody reaches "e1"                 | e1       | 504    | "e1"   |
+      | the peer knows that "e1" is evacuated | e1     | 409    | "e1"   |
       | the peer is about to stop           | e1       | 503    | all    |
 
   Scenario: A burst of connections doesn't pass the bound on what a peer carries
--- a/features/platform/evacuation.feature
+++ b/features/platform/evacuation.feature
@@ -25,6 +25,7 @@
     When "desk" opens a stream of 15 events at "h1"
     And the data centre "a" is evacuated, as "h1, r1" notice
     Then a request to "h1" is refused as it says "1 evacuated"
+    And "mangogauge explain" says of "q2" that "1 evacuated"
     And the stream is whole
     When "desk" submits the job "j1" of 2 items to "h1"
     And "r1" notices that "j1" has no eligible endpoint
--- a/features/steps/paths_tunnels.py
+++ b/features/steps/paths_tunnels.py
@@ -78,6 +78,14 @@
     context.preparations.append(lose)
 
 
+@given('the peer knows that "e1" is evacuated')
+def evacuate(context):
+    async def learn(world):
+        world.evacuated.add("e1")
+
+    context.preparations.append(learn)
+
+
 @given("the peer is about to stop")
 def stop_peer(context):
     async def stop(world):
--- a/mangogauge/jobs/dispatch.py
+++ b/mangogauge/jobs/dispatch.py
@@ -135,7 +135,7 @@
         self._obstacles = {j: o for j, o in self._obstacles.items() if j in known}
         ready = [item for job in may_start for item in job.list_ready(now)]
         all_services = self._state.routes.batch_services
-        places = {}
+        places, obstacles = {}, {}
         for item in order_items(ready, self._timely, self._tasks.pace):
             route = self._find_route(item)
             if route is None:
@@ -150,7 +150,8 @@
             for key in {(services, ANYWHERE), (services, scope)} - places.keys():
                 places[key] = self._find_places(*key)
             place = places[services, scope]
-            self._note_obstacle(item.job, place.obstacle)
+            job_id = item.job.job_id
+            obstacles[job_id] = obstacles.get(job_id) or place.obstacle
             self._check_origin(item, services, place)
             endpoint = self._take_endpoint(item, place.free)
             if endpoint is not None:
@@ -162,6 +163,7 @@
                 place.free for place in places.values()
             ):
                 break
+        self._note_obstacles(obstacles)
 
     def _update_timely(self, jobs, calendar):
         """Find the items that can end in time with the slots that this host gets."""
@@ -251,18 +253,23 @@
             reasons.update(self._chooser.count_ineligible(service, scope))
         return describe_reasons(reasons)
 
-    def _note_obstacle(self, job, obstacle):
-        """Log when a job's items no longer have an eligible endpoint, or do again."""
-        before = self._obstacles.get(job.job_id, "")
-        if obstacle == before:
-            return
-        if obstacle:
-            self._obstacles[job.job_id] = obstacle
-            extra = {"job": job.job_id, "reason": obstacle}
-            log.info("job has no eligible endpoint", extra=extra)
-        else:
-            del self._obstacles[job.job_id]
-            log.info("job has eligible endpoints again", extra={"job": job.job_id})
+    def _note_obstacles(self, obstacles):
+        """Log of which jobs items have no eligible endpoint any more, or do again.
+
+        Parameters
+        ----------
+        obstacles : dict of str to str
+            Why not, by the ids of the jobs that were considered; empty if they do.
+        """
+        for job_id, obstacle in obstacles.items():
+            if obstacle == self._obstacles.get(job_id, ""):
+                continue
+            self._obstacles[job_id] = obstacle
+            if obstacle:
+                extra = {"job": job_id, "reason": obstacle}
+                log.info("job has no eligible endpoint", extra=extra)
+            else:
+                log.info("job has eligible endpoints again", extra={"job": job_id})
 
 
 def _remove(endpoint, places):
--- a/mangogauge/paths/checker.py
+++ b/mangogauge/paths/checker.py
@@ -9,7 +9,7 @@
 
 from ..http import DirectConnector, HTTPConnectError, TunnelRefusedError
 from ..telemetry import get_logger
-from .relay import REFUSED_STATUS, SILENT_STATUS
+from .relay import EVACUATED_STATUS, REFUSED_STATUS, SILENT_STATUS
 from .states import PathState
 
 __all__ = ["PathChecker"]
@@ -18,8 +18,9 @@
 # Peers that are asked at once: more than one may have lost the endpoint too. As many
 # others have to confirm a loss, since a cut of most hosts may have hit all of these.
 PEERS_ASKED = 3
-# Answers of peers that tried to reach the endpoint themselves.
-TRIED_STATUSES = frozenset({REFUSED_STATUS, SILENT_STATUS})
+# Answers of peers that tried to reach the endpoint themselves, or that never will
+# while its data centre is evacuated: they are asked again after the pause.
+TRIED_STATUSES = frozenset({REFUSED_STATUS, SILENT_STATUS, EVACUATED_STATUS})
 # Pause before peers are asked again for an endpoint that none of them reached; it grows
 # by the factor each time, since many hosts ask about an endpoint that is down.
 FIRST_PAUSE_SECONDS = 0.5
