Let requests of all scopes wait in one fair order

Cause: queues of their own gave requests that are restricted to regions precedence over all other accounts at each freed slot.

Change: they wait with the others; while there is no room in their regions they are passed over. An account's requests of different scopes don't wait for each other.

--- a/features/placement/eligibility.feature
+++ b/features/placement/eligibility.feature
@@ -68,6 +68,13 @@
     Given all slots of "b1" are in use
     When a request with the regions "south" waits for a slot
     Then a request with the regions "any" gets a slot at once
+    And a request with the regions "south" gets none
+
+  Scenario: Requests that are restricted to regions have no precedence
+    Given all slots of "a1, a2, b1, c1" are in use
+    When requests with the regions "any", "south" and "any" wait, of an account each
+    And 2 requests at "b1" end
+    Then the first 2 of them get a slot at "b1"
 
   Scenario: An evacuation of an unknown data centre, and of all, is logged once
     When the data centres "x" are evacuated and checked
--- a/features/steps/eligibility.py
+++ b/features/steps/eligibility.py
@@ -141,12 +141,12 @@
     )
 
 
-def make_call(context, regions):
+def make_call(context, regions, account="desk"):
     now = context.clock.read_elapsed()
     return OnlineCall(
         "r1",
         make_route(),
-        "desk",
+        account,
         "POST",
         "/ask/1",
         Headers(),
@@ -170,11 +170,11 @@
         raise AssertionError("not refused")
 
 
-@given('all slots of "{name}" are in use')
-def fill(context, name):
-    endpoint = context.endpoints[name]
-    for _ in range(endpoint.slots + 1):
-        context.report_table.begin(name)
+@given('all slots of "{names}" are in use')
+def fill(context, names):
+    for name in names.split(", "):
+        for _ in range(context.endpoints[name].slots + 1):
+            context.report_table.begin(name)
 
 
 @when('a request with the regions "{regions}" waits for a slot')
@@ -197,6 +197,46 @@
     assert curio.run(play) is not None
 
 
+@then('a request with the regions "{regions}" gets none')
+def check_gets_none(context, regions):
+    queue = make_queue(context)
+    call = make_call(context, regions)
+    assert curio.run(queue.try_acquire, call, SERVICE) is None
+
+
+@when('requests with the regions "{first}", "{second}" and "{third}" wait, {how}')
+def make_waiting(context, first, second, third, how):
+    context.calls = [
+        make_call(context, regions, f"account{number}")
+        for number, regions in enumerate((first, second, third))
+    ]
+
+
+@when('{count:d} requests at "{name}" end')
+def end_requests(context, count, name):
+    context.ending = [name] * count
+
+
+@then('the first {count:d} of them get a slot at "{name}"')
+def check_order(context, count, name):
+    async def play():
+        queue = make_queue(context)
+        tasks = [
+            await curio.spawn(queue.acquire, call, SERVICE) for call in context.calls
+        ]
+        await curio.sleep(0)
+        assert len(queue) == len(tasks)
+        for ended in context.ending:
+            context.report_table.end(ended)
+        await queue.assign_free_slots()
+        await curio.sleep(0)
+        assert [task.terminated for task in tasks] == [True] * count + [False]
+        await tasks[-1].cancel()
+        return {task.result.name for task in tasks[:count]}
+
+    assert curio.run(play) == {name}
+
+
 class LineKeeper(logging.Handler):
     """Keeps log records.
 
--- a/mangogauge/placement/eligibility.py
+++ b/mangogauge/placement/eligibility.py
@@ -70,6 +70,12 @@
         """Whether there are regions in which the work may not run."""
         return self.allowed_regions is not None
 
+    def includes(self, other):
+        """Return whether this work may run wherever that of another scope may."""
+        if self.allowed_regions is None:
+            return True
+        return other.is_restricted and other.allowed_regions <= self.allowed_regions
+
 
 ANYWHERE = WorkScope()
 
--- a/mangogauge/placement/queue.py
+++ b/mangogauge/placement/queue.py
@@ -5,8 +5,9 @@
 so that it doesn't take the slot of a request that still can. A client account that
 sends most of the requests waits behind its own requests and doesn't delay those of
 other accounts. Requests that resume a stream run at endpoints of one software version
-only, and those that are restricted to regions at endpoints there. They wait in queues
-of their own, so that they don't delay those that can run at any.
+only, and wait in a queue of their own, so that they don't delay those that can run at
+any. Requests that are restricted to regions wait in fair order with all others, and are
+passed over while there is no room in their regions.
 """
 
 from operator import itemgetter
@@ -44,38 +45,17 @@
         Whether they may run at any version; what resumes a stream goes first.
     software : str
         Software version at which they may run; empty if `may_begin`.
-    is_anywhere : bool
-        Whether they may run in any region; those that may not go first.
-    regions : tuple of str
-        Regions in which they may run; empty if `is_anywhere`.
     """
 
     priority = field()
     may_begin = field()
     software = field()
-    is_anywhere = field()
-    regions = field()
 
     @classmethod
     def of(cls, call):
         """Return the key of an `OnlineCall`."""
         software = _get_software(call)
-        regions = call.scope.allowed_regions
-        return cls(
-            call.priority,
-            software is None,
-            software or "",
-            regions is None,
-            tuple(sorted(regions or ())),
-        )
-
-    def competes_with(self, other):
-        """Return whether requests of another queue can run at the same endpoints."""
-        return (self.software, self.is_anywhere, self.regions) == (
-            other.software,
-            other.is_anywhere,
-            other.regions,
-        )
+        return cls(call.priority, software is None, software or "")
 
 
 @define(eq=False)
@@ -188,19 +168,30 @@
     async def assign_free_slots(self):
         """Assign free slots to waiting requests, by priority and fair order."""
         for key, queue in sorted(self._queues.items(), key=itemgetter(0)):
-            is_empty = await self._assign_from(queue)
-            if not is_empty and key.may_begin and key.is_anywhere:
-                # No endpoint has room, of whichever version and region.
+            has_room = await self._assign_from(queue)
+            if not has_room and key.may_begin:
+                # No endpoint has room, of whichever version.
                 return
 
     async def _assign_from(self, queue):
-        """Assign free slots to a queue's requests; return whether all got one."""
-        while len(queue):
-            waiter = queue.peek().item
+        """Assign free slots to a queue's requests; return whether some may be left.
+
+        Requests for whose regions there is no room are passed over.
+        """
+        full = set()
+
+        def accepts(ticket):
+            return ticket.item.scope not in full
+
+        while (ticket := queue.peek(accepts)) is not None:
+            waiter = ticket.item
             endpoint = self._try_acquire(waiter)
-            if endpoint is None:
+            if endpoint is None and not waiter.scope.is_restricted:
                 return False
-            queue.take_next()
+            if endpoint is None:
+                full.add(waiter.scope)
+                continue
+            queue.take_next(accepts)
             waiter.endpoint = endpoint
             await waiter.assigned.set()
         return True
@@ -208,9 +199,10 @@
     def _has_waiting_ahead(self, call):
         key = _QueueKey.of(call)
         return any(
-            len(queue)
+            head.item.scope.includes(call.scope)
             for other, queue in self._queues.items()
-            if other.competes_with(key) and other <= key
+            if other.software == key.software and other <= key
+            for head in queue.list_heads()
         )
 
     def _try_acquire(self, waiter):
@@ -224,7 +216,8 @@
         max_wait = self._compute_max_wait(call)
         self._check_usable(waiter)
         self._check_wait(call, waiter, max_wait)
-        ticket = Ticket(call.account, ACCOUNT_WEIGHT, self._hold_seconds, waiter)
+        flow = _get_flow(call)
+        ticket = Ticket(flow, ACCOUNT_WEIGHT, self._hold_seconds, waiter)
         key = _QueueKey.of(call)
         queue = self._queues.setdefault(key, FairQueue())
         queue.add(ticket)
@@ -317,15 +310,16 @@
         if not slots:
             return float("inf")
         queue = self._queues.get(_QueueKey.of(call)) or FairQueue()
+        flow = _get_flow(call)
         ahead = sum(
             len(q)
             for other, q in self._queues.items()
             if other.priority < call.priority
         )
         own = estimate_wait(
-            queue.count(call.account),
+            queue.count(flow),
             ACCOUNT_WEIGHT,
-            queue.sum_weights(call.account, ACCOUNT_WEIGHT),
+            queue.sum_weights(flow, ACCOUNT_WEIGHT),
             slots,
             self._hold_seconds,
         )
@@ -342,5 +336,15 @@
     return None if call.origin is None else call.origin.software
 
 
+def _get_flow(call):
+    """Return what has a share of the queue: a client account, in one scope.
+
+    Notes
+    -----
+    An account's requests of different scopes don't wait for each other's regions.
+    """
+    return (call.account, call.scope) if call.scope.is_restricted else call.account
+
+
 def _may_repeat(call):
     return call.repeatable and call.route.attempt_limit > 1
--- a/mangogauge/queueing/fair.py
+++ b/mangogauge/queueing/fair.py
@@ -94,14 +94,25 @@
         self._virtual_time = max(self._virtual_time, ticket.start)
         self._drop_idle_flows()
 
-    def peek(self):
-        """Return the request to be served next without removing it, or None."""
-        heads = [flow.waiting[0] for flow in self._flows.values() if flow.waiting]
+    def list_heads(self):
+        """Return the request of each account that it has served next."""
+        return [flow.waiting[0] for flow in self._flows.values() if flow.waiting]
+
+    def peek(self, accepts=lambda ticket: True):
+        """Return the request to be served next without removing it, or None.
+
+        Parameters
+        ----------
+        accepts : callable, optional
+            Returns whether a `Ticket` may be served now; accounts whose next request
+            may not are passed over.
+        """
+        heads = filter(accepts, self.list_heads())
         return min(heads, key=lambda head: head.start, default=None)
 
-    def take_next(self):
-        """Remove and return the request to be served next, or None."""
-        ticket = self.peek()
+    def take_next(self, accepts=lambda ticket: True):
+        """Remove and return the request that `peek` returns, or None."""
+        ticket = self.peek(accepts)
         if ticket is None:
             return None
         self._flows[ticket.account].waiting.popleft()
