Count only excluded endpoints, and check evacuations only while there are any

Cause: reasons were looked up for all endpoints, 640 at most, each 0.15 s. Change: the exclusion test of the choice comes first.

--- a/mangogauge/placement/eligibility.py
+++ b/mangogauge/placement/eligibility.py
@@ -188,9 +188,9 @@
         endpoints : iterable of FleetEndpoint
         scope : WorkScope, optional
         """
-        reasons = Counter(self.find_reason(endpoint, scope) for endpoint in endpoints)
-        del reasons[None]
-        return reasons
+        is_ineligible = self.make_exclusion_test(scope)
+        ineligible = filter(is_ineligible, endpoints)
+        return Counter(self.find_reason(endpoint, scope) for endpoint in ineligible)
 
     def is_evacuated(self, endpoint):
         """Return whether an endpoint is in an evacuated data centre."""
--- a/mangogauge/placement/evacuations.py
+++ b/mangogauge/placement/evacuations.py
@@ -30,6 +30,8 @@
             # A host that starts doesn't know yet which data centres there are.
             return
         evacuated = self._eligibility.evacuated
+        if not evacuated and not self._checked:
+            return
         with_endpoints = {e.data_centre for e in self._directory.list_endpoints()}
         unchecked = evacuated - self._checked
         if unchecked:
