Test that relays of calls to the store stay in a region

Cause: nothing showed that a host with restricted work passes its calls to hosts of its region only.

--- a/features/steps/relays.py
+++ b/features/steps/relays.py
@@ -30,3 +30,9 @@
 @then('its relays are "{names:Words}"')
 def check_relays(context, names):
     assert sorted(context.neighbours.list_relays()) == names
+
+
+@then('its relays in the region of "{near:Words}" are "{names:Words}"')
+def check_near_relays(context, near, names):
+    relays = context.neighbours.list_relays(lambda member: member.name in near)
+    assert sorted(relays) == names, relays
