--- a/mangogauge/placement/queue.py
+++ b/mangogauge/placement/queue.py
@@ -6,7 +6,8 @@
 sends most of the requests waits behind its own requests and doesn't delay those of
 other accounts. Requests that resume a stream run at endpoints of one software version
 only, and wait in a queue of their own, so that they don't delay those that can run at
-any.
+any. Requests that are restricted to regions wait in fair order with all others, and are
+passed over while there is no room in their regions.
 """
 
 from operator import itemgetter
@@ -16,6 +17,7 @@
 
 from ..queueing import FairQueue, Ticket, estimate_wait
 from ..refusals import Refusal, RefusalCode
+from .eligibility import ANYWHERE, describe_reasons
 
 __all__ = ["SlotQueue"]
 
@@ -64,18 +66,26 @@
     excluded = field()
     may_repeat = field()
     software = field()
+    scope = field(default=ANYWHERE)
     endpoint = field(default=None)
     assigned = field(factory=curio.Event)
 
     @classmethod
     def of(cls, call, service, excluded):
         """Return the waiter of an `OnlineCall`."""
-        return cls(service, excluded, _may_repeat(call), _get_software(call))
+        software = _get_software(call)
+        return cls(service, excluded, _may_repeat(call), software, call.scope)
 
     @property
     def choose_arguments(self):
         """Arguments of `EndpointChooser.choose`."""
-        return self.service, self.excluded, self.may_repeat, self.software
+        return (
+            self.service,
+            self.excluded,
+            self.may_repeat,
+            self.software,
+            self.scope,
+        )
 
 
 class SlotQueue:
@@ -158,19 +168,30 @@
     async def assign_free_slots(self):
         """Assign free slots to waiting requests, by priority and fair order."""
         for key, queue in sorted(self._queues.items(), key=itemgetter(0)):
-            is_empty = await self._assign_from(queue)
-            if not is_empty and key.may_begin:
+            has_room = await self._assign_from(queue)
+            if not has_room and key.may_begin:
                 # No endpoint has room, of whichever version.
                 return
 
     async def _assign_from(self, queue):
-        """Assign free slots to a queue's requests; return whether all got one."""
-        while len(queue):
-            waiter = queue.peek().item
+        """Assign free slots to a queue's requests; return whether some may be left.
+
+        Requests for whose regions there is no room are passed over.
+        """
+        full = set()
+
+        def accepts(ticket):
+            return ticket.item.scope not in full
+
+        while (ticket := queue.peek(accepts)) is not None:
+            waiter = ticket.item
             endpoint = self._try_acquire(waiter)
-            if endpoint is None:
+            if endpoint is None and not waiter.scope.is_restricted:
                 return False
-            queue.take_next()
+            if endpoint is None:
+                full.add(waiter.scope)
+                continue
+            queue.take_next(accepts)
             waiter.endpoint = endpoint
             await waiter.assigned.set()
         return True
@@ -178,9 +199,10 @@
     def _has_waiting_ahead(self, call):
         key = _QueueKey.of(call)
         return any(
-            len(queue)
+            head.item.scope.includes(call.scope)
             for other, queue in self._queues.items()
             if other.software == key.software and other <= key
+            for head in queue.list_heads()
         )
 
     def _try_acquire(self, waiter):
@@ -192,15 +214,10 @@
 
     async def _wait(self, call, waiter):
         max_wait = self._compute_max_wait(call)
-        usable = self._chooser.list_usable(
-            waiter.service, waiter.excluded, software=waiter.software
-        )
-        if not usable:
-            raise self._make_refusal(
-                RefusalCode.NO_ENDPOINT, "No endpoint can run this."
-            )
+        self._check_usable(waiter)
         self._check_wait(call, waiter, max_wait)
-        ticket = Ticket(call.account, ACCOUNT_WEIGHT, self._hold_seconds, waiter)
+        flow = _get_flow(call)
+        ticket = Ticket(flow, ACCOUNT_WEIGHT, self._hold_seconds, waiter)
         key = _QueueKey.of(call)
         queue = self._queues.setdefault(key, FairQueue())
         queue.add(ticket)
@@ -225,15 +242,32 @@
                 del self._queues[key]
             self._report_table.waiting = len(self)
         if waiter.endpoint is None:
+            self._check_usable(waiter)
             raise self._make_refusal(
                 RefusalCode.OVERLOADED, "No slot became free in time."
             )
         return waiter.endpoint
 
+    def _check_usable(self, waiter):
+        """Refuse a call that no endpoint can run, and say why."""
+        usable = self._chooser.list_usable(
+            waiter.service,
+            waiter.excluded,
+            software=waiter.software,
+            scope=waiter.scope,
+        )
+        if usable:
+            return
+        reasons = self._chooser.count_ineligible(waiter.service, waiter.scope)
+        message = "No endpoint can run this"
+        if reasons:
+            message += f": {describe_reasons(reasons)}"
+        raise self._make_refusal(RefusalCode.NO_ENDPOINT, f"{message}.")
+
     def _check_wait(self, call, waiter, max_wait):
         """Refuse a call at once that would wait for too long."""
         open_share = self._chooser.measure_open_share(
-            waiter.service, self._hold_seconds, waiter.software
+            waiter.service, self._hold_seconds, waiter.software, waiter.scope
         )
         wait = self._estimate_wait(call, waiter, open_share)
         if wait <= max_wait:
@@ -269,20 +303,23 @@
         waiting.
         """
         hosts = self._report_table.count_waiting_hosts()
-        all_slots = self._chooser.count_slots(waiter.service, waiter.software)
+        all_slots = self._chooser.count_slots(
+            waiter.service, waiter.software, waiter.scope
+        )
         slots = max(1.0, all_slots / hosts) * open_share
         if not slots:
             return float("inf")
         queue = self._queues.get(_QueueKey.of(call)) or FairQueue()
+        flow = _get_flow(call)
         ahead = sum(
             len(q)
             for other, q in self._queues.items()
             if other.priority < call.priority
         )
         own = estimate_wait(
-            queue.count(call.account),
+            queue.count(flow),
             ACCOUNT_WEIGHT,
-            queue.sum_weights(call.account, ACCOUNT_WEIGHT),
+            queue.sum_weights(flow, ACCOUNT_WEIGHT),
             slots,
             self._hold_seconds,
         )
@@ -299,5 +336,15 @@
     return None if call.origin is None else call.origin.software
 
 
+def _get_flow(call):
+    """Return what has a share of the queue: a client account, in one scope.
+
+    Notes
+    -----
+    An account's requests of different scopes don't wait for each other's regions.
+    """
+    return (call.account, call.scope) if call.scope.is_restricted else call.account
+
+
 def _may_repeat(call):
     return call.repeatable and call.route.attempt_limit > 1
