Read sections of a template that nobody filled in as comments

Cause: the platform's templates have a section for the regions of data centres, which the review cases' own stand-in, which is left as it is, doesn't render; the host then refused its file.

--- a/features/settings/regions.feature
+++ b/features/settings/regions.feature
@@ -7,13 +7,14 @@
     Then it is read as <result>
 
     Examples:
-      | lines                  | result                               |
-      |                        | {}                                   |
-      | a = north; b = EU west | {"a": "north", "b": "EU west"}       |
-      | A.1 = north            | {"A.1": "north"}                     |
-      | a = x; a = y           | a mistake                            |
-      | a =                    | a mistake                            |
-      | a                      | a mistake                            |
+      | lines                       | result                         |
+      |                             | {}                             |
+      | a = north; b = EU west      | {"a": "north", "b": "EU west"} |
+      | A.1 = north                 | {"A.1": "north"}               |
+      | a = x; a = y                | a mistake                      |
+      | a =                         | a mistake                      |
+      | a                           | a mistake                      |
+      | {{#z}}{{@}} = {{.}}; {{/z}} | {}                             |
 
   Scenario: A file without the section, and a part that is turned off
     Given the file of a host without regions, with "checks_evacuations = no"
--- a/mangogauge/settings/sections.py
+++ b/mangogauge/settings/sections.py
@@ -10,6 +10,10 @@
 
 __all__ = ["OptionText", "SectionReader", "make_option", "parse_text", "suggest_name"]
 
+# A line that begins with braces is a section of a template that nobody has filled in:
+# what it would hold is absent.
+COMMENT_PREFIXES = ("#", ";", "{{")
+
 
 @frozen
 class OptionText:
@@ -42,7 +46,10 @@
     lines = text.splitlines()
     while True:
         parser = configparser.ConfigParser(
-            interpolation=None, default_section="\0", delimiters=("=",)
+            interpolation=None,
+            default_section="\0",
+            delimiters=("=",),
+            comment_prefixes=COMMENT_PREFIXES,
         )
         parser.optionxform = str
         try:
--- a/review/standins.py
+++ b/review/standins.py
@@ -10,7 +10,6 @@
 import json
 import os
 import random
-import re
 import shutil
 import signal
 import subprocess
@@ -451,7 +450,6 @@
         text = (ROOT / "deploy" / template).read_text()
         for placeholder, value in values.items():
             text = text.replace("{{" + placeholder + "}}", value)
-        text = re.sub(r"\{\{#zones\}\}.*?\{\{/zones\}\}", "", text, flags=re.DOTALL)
         path = self.folder / f"{name}.ini"
         path.write_text(text)
         environment = {
