--- a/mangogauge/backpressure/budget.py
+++ b/mangogauge/backpressure/budget.py
@@ -2,20 +2,60 @@
 
 from collections import deque
 
-from attrs import define, field
+from attrs import define, field, frozen
 
-__all__ = ["RequestBudget"]
+__all__ = ["ANNOUNCED_BOUNDS", "BudgetBounds", "RequestBudget", "make_cold_budget"]
 
 # Rate at which an endpoint is asked that takes nothing: else the end of its limit would
 # never be heard.
 MIN_RATE = 0.25
-# Requests that may come at once after a pause: this many, and those of so many seconds.
-BURST_REQUESTS = 3.0
-BURST_SECONDS = 3.0
-# Most requests in any window: this many, and this multiple of what the limit allows.
-WINDOW_SECONDS = 4.0
-WINDOW_SHARE = 1.4
-WINDOW_REQUESTS = 2.0
+
+
+@frozen
+class BudgetBounds:
+    """What a budget allows beyond its rate.
+
+    Parameters
+    ----------
+    burst_requests, burst_seconds : float
+        Requests that may come at once after a pause: this many, and those of so many
+        seconds.
+    window_seconds : float
+    window_share, window_requests : float
+        Most requests in any window: this multiple of what the rate allows, and this
+        many.
+    draw_seconds : float
+        Interval at which a host looks anew whether it may take what several hosts may
+        want.
+    is_strict : bool
+        Whether the bound is so close that hosts which aren't heard, resumed streams
+        and hosts that don't wait yet have no room beyond it.
+    """
+
+    burst_requests = field()
+    burst_seconds = field()
+    window_seconds = field()
+    window_share = field()
+    window_requests = field()
+    draw_seconds = field()
+    is_strict = field(default=False)
+
+
+ANNOUNCED_BOUNDS = BudgetBounds(
+    burst_requests=3.0,
+    burst_seconds=3.0,
+    window_seconds=4.0,
+    window_share=1.4,
+    window_requests=2.0,
+    draw_seconds=0.02,
+)
+# Part of the requests allowed in a second beyond the rate that may come at once. The
+# rest is for what hosts don't know of each other yet.
+COLD_BURST_SHARE = 0.4
+# Longer than a host takes to hear of another one's request, delayed reads included.
+COLD_DRAW_SECONDS = 0.06
+# The same for a host that hears so few others that its part is less than a request.
+ALONE_DRAW_SECONDS = 1.0
 # Part of the room for bursts that batch items leave to requests.
 ITEM_SPARE_SHARE = 0.5
 # Where a bucket starts.
@@ -30,7 +70,7 @@
     """Leaky bucket of all hosts' requests to one endpoint process.
 
     It starts half full, since nobody knows what was sent before the limit was heard of.
-    What it allows after a pause is bounded in any window of `WINDOW_SECONDS` too.
+    What it allows after a pause is bounded in any window of its bounds too.
 
     Parameters
     ----------
@@ -40,32 +80,45 @@
         Elapsed time at which the limit was heard of.
     rate : float
         Requests a second that the endpoint takes from all hosts.
+    bounds : BudgetBounds, optional
+    initial_share : float, optional
+        Part of the bucket that is full at the start.
 
     Attributes
     ----------
     share : float
         Part of the rate that may be used: that of the hosts that are heard.
-    competitors : int
-        Hosts that may send to the endpoint, this one included if it may.
-    may_take : bool
-        Whether this host may.
     """
 
     start_time_ms = field()
     _updated_at = field(alias="now")
     _rate = field(alias="rate", converter=lambda rate: max(rate, MIN_RATE))
+    bounds = field(default=ANNOUNCED_BOUNDS)
+    initial_share = field(default=INITIAL_LEVEL_SHARE)
     share = field(default=1.0, init=False)
-    competitors = field(default=1, init=False)
-    may_take = field(default=False, init=False)
-    _capacity = field(init=False)
     _level = field(init=False)
     # Pairs of a time and how many requests were sent, within the window.
     _recent = field(factory=deque, init=False)
     _recent_count = field(default=0, init=False)
 
     def __attrs_post_init__(self):
-        self._capacity = BURST_REQUESTS + BURST_SECONDS * self._rate
-        self._level = INITIAL_LEVEL_SHARE * self._capacity
+        self._level = self.initial_share * self._capacity
+
+    @property
+    def odds_factor(self):
+        """Part of the usual odds of a draw: below 1 if the room is part of a request.
+
+        Notes
+        -----
+        Hosts that hear nobody each have a part of the bucket. They can only send whole
+        requests, so all of them would exceed it together.
+        """
+        return min(1.0, self._burst) if self.bounds.is_strict else 1.0
+
+    @property
+    def draw_seconds(self):
+        """Interval at which a host draws lots for a request."""
+        return self.bounds.draw_seconds if self.odds_factor == 1 else ALONE_DRAW_SECONDS
 
     def set_share(self, share, now):
         """Use only a part of the rate from now on."""
@@ -76,16 +129,16 @@
         """Put another limit in force."""
         self._update(now)
         self._rate = max(rate, MIN_RATE)
-        self._capacity = BURST_REQUESTS + BURST_SECONDS * self._rate
         self._level = min(self._level, self._most)
 
     def measure_room(self, now):
         """Return how many requests may be sent at once; negative for a debt."""
         self._update(now)
-        recent = self._recent
-        while recent and recent[0][0] <= now - WINDOW_SECONDS:
+        recent, bounds = self._recent, self.bounds
+        while recent and recent[0][0] <= now - bounds.window_seconds:
             self._recent_count -= recent.popleft()[1]
-        window = WINDOW_REQUESTS + WINDOW_SECONDS * WINDOW_SHARE * self._rate
+        window_rate = bounds.window_share * self._rate
+        window = bounds.window_requests + bounds.window_seconds * window_rate
         return min(self._capacity - self._level, window - self._recent_count)
 
     def has_room(self, spare, now):
@@ -115,6 +168,17 @@
         self._recent.append((now, count))
         self._recent_count += count
 
+    @property
+    def _burst(self):
+        """Requests that may come at once after a pause, from the hosts heard."""
+        bounds = self.bounds
+        burst = bounds.burst_requests + bounds.burst_seconds * self._rate
+        return burst * self.share if bounds.is_strict else burst
+
+    @property
+    def _capacity(self):
+        return max(1.0, self._burst)
+
     @property
     def _most(self):
         debt = max(MAX_DEBT_REQUESTS, MAX_DEBT_SECONDS * self._rate)
@@ -124,3 +188,30 @@
         leaked = (now - self._updated_at) * self._rate * self.share
         self._level = max(0.0, self._level - leaked)
         self._updated_at = now
+
+
+def make_cold_budget(start_time_ms, now, rate, allowed, initial_share):
+    """Return the `RequestBudget` of an endpoint that is cold.
+
+    Parameters
+    ----------
+    start_time_ms : int
+    now : float
+    rate : float
+        Requests a second that it takes.
+    allowed : float
+        Most requests in any one second.
+    initial_share : float
+    """
+    burst = max(1.0, COLD_BURST_SHARE * (allowed - rate))
+    planned = min(rate, max(MIN_RATE, allowed - 2 * burst))
+    bounds = BudgetBounds(
+        burst_requests=burst,
+        burst_seconds=0.0,
+        window_seconds=1.0,
+        window_share=1.0,
+        window_requests=burst,
+        draw_seconds=COLD_DRAW_SECONDS,
+        is_strict=True,
+    )
+    return RequestBudget(start_time_ms, now, planned, bounds, initial_share)
--- /dev/null
+++ b/mangogauge/backpressure/cold.py
@@ -0,0 +1,241 @@
+"""Which endpoints are cold: just started, so that they take few requests a second."""
+
+from attrs import define, field, frozen
+
+from ..telemetry import get_logger
+
+__all__ = ["ColdBounds", "ColdChange", "ColdStates"]
+
+# How long the start of an endpoint is remembered whose entry is gone: one that returns
+# with the same start has not started again.
+GONE_SECONDS = 600.0
+NEVER = float("-inf")
+
+log = get_logger("backpressure")
+
+
+@frozen
+class ColdBounds:
+    """Most requests that a cold endpoint may get in any one second.
+
+    Parameters
+    ----------
+    over : float
+        Multiple of the rate that it takes.
+    slack : float
+        Requests beyond that.
+
+    Examples
+    --------
+    >>> ColdBounds(1.5, 5.0).allow(12.0)
+    23.0
+    """
+
+    over = field()
+    slack = field()
+
+    def allow(self, rate):
+        """Return the requests in any one second for a rate that is taken."""
+        return self.over * rate + self.slack
+
+
+@frozen
+class ColdChange:
+    """An endpoint process that has become cold, takes another rate, or is warm.
+
+    Parameters
+    ----------
+    name : str
+    start_time_ms : int
+    rate : float or None
+        Requests a second that it takes; None if it isn't cold.
+    is_new : bool
+        Whether the process has just started.
+    """
+
+    name = field()
+    start_time_ms = field()
+    rate = field()
+    is_new = field()
+
+
+@define
+class _Process:
+    """What is known of one endpoint process.
+
+    Attributes
+    ----------
+    seen_at : float
+        Elapsed time at which its start was noticed; `NEVER` if it ran before.
+    said_until : float or None
+        Elapsed time until which it is cold by its entry or an answer.
+    said_at : float
+        Elapsed time at which that was received.
+    revision : int
+        Revision of the entry that said so.
+    rate : float or None
+        Rate of the last `ColdChange`.
+    present_at : float
+        Elapsed time at which it last had an entry.
+    """
+
+    service = field()
+    start_time_ms = field()
+    seen_at = field()
+    present_at = field()
+    said_until = field(default=None)
+    said_at = field(default=NEVER)
+    revision = field(default=0)
+    rate = field(default=None)
+
+
+class ColdStates:
+    """Cold states of the endpoints, by their entries, answers and starts.
+
+    Load: all endpoints of a data centre may become cold within a second, and each host
+    reads their entries at its own time. What an entry or an answer announces counts
+    from when it was received, since it may have been written just before.
+
+    Parameters
+    ----------
+    bounds : ColdBounds or None
+        None if no endpoint is ever cold.
+    clock : Clock
+
+    Examples
+    --------
+    >>> from mangogauge.clock import ManualClock
+    >>> from mangogauge.fleet import FleetEndpoint, Service
+    >>> states = ColdStates(ColdBounds(1.5, 5.0), ManualClock())
+    >>> states.set_services([Service("llm", 5.0, 12.0)])
+    >>> states.note_entry(FleetEndpoint("e", "llm", "192.0.2.1:80"), True)
+    >>> states.list_cold()
+    ['e']
+    """
+
+    def __init__(self, bounds, clock):
+        self.bounds = bounds
+        self._clock = clock
+        self._services = {}
+        self._processes = {}
+
+    def set_services(self, services):
+        """Put the `Service` records of a configuration in force."""
+        self._services = {
+            service.name: service
+            for service in services
+            if service.cold_seconds > 0 and service.cold_rate > 0
+        }
+
+    def note_entry(self, endpoint, has_entered):
+        """Note a new or changed entry.
+
+        Parameters
+        ----------
+        endpoint : FleetEndpoint
+        has_entered : bool
+            Whether the entry was added or changed while this host already had a copy
+            of all entries: a start that is new then has just happened.
+        """
+        now = self._clock.read_elapsed()
+        process = self._processes.get(endpoint.name)
+        if process is None or process.start_time_ms != endpoint.start_time_ms:
+            seen_at = now if has_entered else NEVER
+            process = self._processes[endpoint.name] = _Process(
+                endpoint.service, endpoint.start_time_ms, seen_at, now
+            )
+        process.service = endpoint.service
+        if endpoint.cold_left is None:
+            process.said_until = None
+        elif not endpoint.cold_left or endpoint.cold_revision != process.revision:
+            process.said_until = now + endpoint.cold_left
+        process.said_at = now
+        process.revision = endpoint.cold_revision
+
+    def note_answer(self, endpoint, cold_left, asked_at):
+        """Note that an answer announces the seconds for which its endpoint stays cold.
+
+        Notes
+        -----
+        An answer that was asked for before the last announcement was received may be
+        the older one, and then only prolongs the time.
+        """
+        process = self._processes.get(endpoint.name)
+        if process is None or process.start_time_ms != endpoint.start_time_ms:
+            return
+        now = self._clock.read_elapsed()
+        until = now + cold_left
+        if asked_at < process.said_at and until <= self._find_end(process):
+            return
+        process.said_until, process.said_at = until, now
+
+    def is_cold(self, name):
+        """Return whether an endpoint is cold now."""
+        process = self._processes.get(name)
+        return process is not None and self._find_rate(process) is not None
+
+    def list_cold(self):
+        """Return the names of the endpoints that are cold now, as a list."""
+        return [name for name in self._processes if self.is_cold(name)]
+
+    def take_changes(self):
+        """Return the `ColdChange` of each endpoint since the last call, as a list."""
+        changes = []
+        for name, process in self._processes.items():
+            rate = self._find_rate(process)
+            if rate != process.rate:
+                self._log(name, process, rate)
+                process.rate = rate
+                is_new = process.said_at == process.seen_at
+                changes.append(ColdChange(name, process.start_time_ms, rate, is_new))
+        return changes
+
+    def remove_old(self, names):
+        """Forget endpoints that have had no entry for `GONE_SECONDS`.
+
+        Parameters
+        ----------
+        names : iterable of str
+            Endpoints that have one.
+        """
+        now = self._clock.read_elapsed()
+        for name in names:
+            if name in self._processes:
+                self._processes[name].present_at = now
+        oldest = now - GONE_SECONDS
+        self._processes = {
+            name: process
+            for name, process in self._processes.items()
+            if process.present_at >= oldest
+        }
+
+    def _find_rate(self, process):
+        """Return the requests a second that a process takes while cold, or None."""
+        service = self._services.get(process.service)
+        if service is None or self.bounds is None:
+            return None
+        is_over = self._clock.read_elapsed() >= self._find_end(process)
+        return None if is_over else service.cold_rate
+
+    def _find_end(self, process):
+        """Return the elapsed time until which a process is cold."""
+        if process.said_until is not None:
+            return process.said_until
+        service = self._services.get(process.service)
+        return process.seen_at + (service.cold_seconds if service else 0.0)
+
+    def _log(self, name, process, rate):
+        details = {"endpoint": name, "born": process.start_time_ms}
+        if rate is None:
+            log.info("endpoint no longer cold", extra=details)
+            return
+        seconds = self._find_end(process) - self._clock.read_elapsed()
+        log.info(
+            "endpoint cold",
+            extra={
+                **details,
+                "rate": rate,
+                "seconds": round(seconds, 3),
+                "by": "its start" if process.said_until is None else "announcement",
+            },
+        )
--- /dev/null
+++ b/mangogauge/backpressure/limited.py
@@ -0,0 +1,120 @@
+"""State of one limited endpoint: a budget for each source of a limit."""
+
+import enum
+
+from attrs import define, field
+
+__all__ = ["LimitSource", "LimitedEndpoint"]
+
+# Time in which half of a peak of online requests at an endpoint is forgotten.
+PEAK_HALF_LIFE_SECONDS = 10.0
+
+
+class LimitSource(enum.Enum):
+    """Why an endpoint takes a limited number of requests."""
+
+    # Its answers name a limit.
+    ANNOUNCED = "announced"
+    # It has just started, or says that it is as if it had.
+    COLD = "cold"
+
+
+@define
+class LimitedEndpoint:
+    """Budgets of one endpoint process, all of which have to allow a request.
+
+    Parameters
+    ----------
+    start_time_ms : int
+        Identifies the process.
+
+    Attributes
+    ----------
+    budgets : dict of LimitSource to RequestBudget
+        At least one.
+    may_take : bool
+        Whether this host may send to the endpoint.
+    competitors : int
+        Hosts that may, this one included if it may.
+    heard : int
+        Those of them that are heard, this host included.
+    share_due_at, draw_due_at : float
+        Elapsed times from which the share of the rate and the draw are out of date.
+    has_won : bool
+        Whether the last draw allows this host a request.
+    peak : float
+        Slots that online requests have lately taken there at a time.
+    peak_at : float
+        Elapsed time of the peak.
+    """
+
+    start_time_ms = field()
+    budgets = field(factory=dict)
+    may_take = field(default=False)
+    competitors = field(default=1)
+    heard = field(default=1)
+    share_due_at = field(default=float("-inf"))
+    draw_due_at = field(default=float("-inf"))
+    has_won = field(default=False)
+    peak = field(default=0.0)
+    peak_at = field(default=0.0)
+
+    @property
+    def is_strict(self):
+        """Whether any of its bounds leaves no room for what isn't known yet."""
+        return any(budget.bounds.is_strict for budget in self.budgets.values())
+
+    @property
+    def is_paced(self):
+        """Whether this host's part of the room is less than a request."""
+        return any(budget.odds_factor < 1 for budget in self.budgets.values())
+
+    @property
+    def draw_seconds(self):
+        """Interval at which this host draws lots for a request."""
+        return max(budget.draw_seconds for budget in self.budgets.values())
+
+    def set_group(self, names, own, is_reporting, now):
+        """Note which hosts may send to the endpoint, and which of them are heard."""
+        self.may_take = own in names
+        self.competitors = len(names)
+        self.heard = sum(name == own or is_reporting(name) for name in names)
+        for budget in self.budgets.values():
+            budget.set_share(self.heard / len(names), now)
+
+    def has_room(self, spare, now):
+        """Return whether a request may be sent that leaves room for `spare` more."""
+        return all(
+            budget.has_room(max(0.0, spare) if budget.bounds.is_strict else spare, now)
+            for budget in self.budgets.values()
+        )
+
+    def is_unused(self, now):
+        """Return whether room is lost unless a request is sent soon."""
+        return all(budget.is_unused(now) for budget in self.budgets.values())
+
+    def has_item_room(self, now):
+        """Return whether a batch item may be sent, which leaves room for requests."""
+        return all(budget.has_item_room(now) for budget in self.budgets.values())
+
+    def count_startable(self, seconds, now):
+        """Return how many requests all hosts together may send within some seconds."""
+        budgets = self.budgets.values()
+        return min(budget.count_startable(seconds, now) for budget in budgets)
+
+    def compute_odds(self, contenders, now):
+        """Return this host's chance of one of the requests that there is room for."""
+        budgets = self.budgets.values()
+        rooms = [budget.measure_room(now) * budget.odds_factor for budget in budgets]
+        return min(rooms) / contenders
+
+    def charge(self, count, now):
+        """Count requests that this host or others have sent."""
+        for budget in self.budgets.values():
+            budget.charge(count, now)
+
+    def note_online(self, online, now):
+        """Note how many online requests run there."""
+        halvings = (now - self.peak_at) / PEAK_HALF_LIFE_SECONDS
+        self.peak = max(online, self.peak * 0.5**halvings)
+        self.peak_at = now
--- a/mangogauge/backpressure/limiter.py
+++ b/mangogauge/backpressure/limiter.py
@@ -1,14 +1,20 @@
-"""Decides which requests may be sent to endpoints that have announced a limit."""
+"""Decides which requests may be sent to endpoints that take a limited number.
+
+An endpoint may announce a limit, and it may be cold; the budgets of both are kept in
+the same way, and both have to allow a request.
+"""
 
 import enum
 from collections import Counter
 
-from attrs import define, field, frozen
+from attrs import field, frozen
 
 from .announcements import AnnouncedLimits
-from .budget import RequestBudget
+from .budget import RequestBudget, make_cold_budget
+from .cold import ColdStates
 from .counts import TakenCounts
-from .news import LimitNews, LimitRow
+from .limited import LimitedEndpoint, LimitSource
+from .news import LimitNews, LimitRow, make_count_row
 from .statements import LimitStatement
 
 __all__ = ["EndpointLimiter", "Work"]
@@ -27,49 +33,17 @@
 
 # Room that has to be left beyond a request's own; a stream that was begun may overdraw.
 SPARE_REQUESTS = {Work.ONLINE: 0.0, Work.RESUMED: -2.0}
-# Interval at which a host looks anew whether it may take what several hosts wait for.
-DRAW_SECONDS = 0.02
 # Interval at which it is counted which hosts are heard.
 SHARE_SECONDS = 0.25
-# Time in which half of a peak of online requests at an endpoint is forgotten.
-PEAK_HALF_LIFE_SECONDS = 10.0
 # Part of that peak whose slots batch items leave free.
 PEAK_SPARE_SHARE = 0.5
 # How long after a request it is told once more, in case that messages were lost.
 RETELL_SECONDS = 2.5
 # Most limits in one message of gossip.
 MAX_GOSSIP_ROWS = 24
-
-
-@define
-class _Limited:
-    """State of one endpoint whose limit is in force.
-
-    Parameters
-    ----------
-    budget : RequestBudget
-    share_due_at, draw_due_at : float
-        Elapsed times from which the share of the rate and the draw are out of date.
-    has_won : bool
-        Whether the last draw allows this host a request.
-    peak : float
-        Slots that online requests have lately taken there at a time.
-    peak_at : float
-        Elapsed time of the peak.
-    """
-
-    budget = field()
-    share_due_at = field(default=float("-inf"))
-    draw_due_at = field(default=float("-inf"))
-    has_won = field(default=False)
-    peak = field(default=0.0)
-    peak_at = field(default=0.0)
-
-    def note_online(self, online, now):
-        """Note how many online requests run there."""
-        halvings = (now - self.peak_at) / PEAK_HALF_LIFE_SECONDS
-        self.peak = max(online, self.peak * 0.5**halvings)
-        self.peak_at = now
+# How full the bucket of a cold endpoint begins, by whether its process is new: nobody
+# has sent anything to a new one, and others may just have been sent to as ever.
+COLD_INITIAL_SHARES = {True: 0.5, False: 1.0}
 
 
 @frozen
@@ -96,19 +70,25 @@
         Identifies this process.
     clock : Clock
     random : random.Random
+    cold_bounds : ColdBounds, optional
+        None if no endpoint is ever cold.
 
     Attributes
     ----------
     limits : AnnouncedLimits
+    cold : ColdStates
     """
 
-    def __init__(self, takers, report_table, incarnation, clock, random):
+    def __init__(
+        self, takers, report_table, incarnation, clock, random, cold_bounds=None
+    ):
         self._takers = takers
         self._report_table = report_table
         self._incarnation = incarnation
         self._clock = clock
         self._random = random
         self.limits = AnnouncedLimits(clock)
+        self.cold = ColdStates(cold_bounds, clock)
         self._limited = {}
         self._groups = {}
         self._taken = Counter()
@@ -124,6 +104,11 @@
         """Whether any limit is in force."""
         return bool(self._limited)
 
+    @property
+    def has_news(self):
+        """Whether anything is known that other hosts have to be told repeatedly."""
+        return bool(self._limited) or bool(len(self.limits))
+
     @property
     def has_changes(self):
         """Whether other hosts have to be told something soon."""
@@ -154,6 +139,31 @@
             self._refresh(limited, endpoint, statement.answered_at)
         return is_news
 
+    def set_services(self, services):
+        """Put the `Service` records of a configuration in force."""
+        self.cold.set_services(services)
+        self.update_cold()
+
+    def note_entry(self, endpoint, has_entered):
+        """Note an endpoint's new or changed entry; see `ColdStates.note_entry`."""
+        self.cold.note_entry(endpoint, has_entered)
+        self.update_cold()
+
+    def note_cold_answer(self, endpoint, cold_left, asked_at):
+        """Note that an answer announces how many seconds its endpoint stays cold."""
+        self.cold.note_answer(endpoint, cold_left, asked_at)
+        self.update_cold()
+
+    def update_cold(self):
+        """Let the budgets follow the cold states, some of which end by time."""
+        for change in self.cold.take_changes():
+            self._apply_cold(change)
+
+    def is_cold(self, endpoint):
+        """Return whether the cold state of an endpoint limits its requests now."""
+        limited = self._find(endpoint)
+        return limited is not None and LimitSource.COLD in limited.budgets
+
     def is_saving(self, endpoint):
         """Return whether a limited endpoint had better get no request yet.
 
@@ -165,7 +175,7 @@
         limited = self._find(endpoint)
         if limited is None:
             return False
-        return not limited.budget.is_unused(self._clock.read_elapsed())
+        return not limited.is_unused(self._clock.read_elapsed())
 
     def accepts(self, endpoint, work=Work.ONLINE):
         """Return whether this host may send some work to an endpoint now.
@@ -180,13 +190,13 @@
             return True
         now = self._clock.read_elapsed()
         self._refresh(limited, endpoint, now)
-        if not limited.budget.may_take:
+        if not limited.may_take:
             return False
         if work is Work.ITEM:
             return self._accepts_item(limited, endpoint, now)
-        if not limited.budget.has_room(SPARE_REQUESTS[work], now):
+        if not limited.has_room(SPARE_REQUESTS[work], now):
             return False
-        if work is Work.RESUMED:
+        if work is Work.RESUMED and not limited.is_strict:
             return True
         return self._wins_draw(limited, self._count_contenders(limited), now)
 
@@ -196,7 +206,7 @@
         if limited is None:
             return
         now = self._clock.read_elapsed()
-        limited.budget.charge(1, now)
+        limited.charge(1, now)
         limited.has_won = False
         self._taken[endpoint.name] += 1
         self._taken_at[endpoint.name] = now
@@ -223,12 +233,11 @@
             return endpoint.slots
         now = self._clock.read_elapsed()
         self._refresh(limited, endpoint, now)
-        budget = limited.budget
-        if not budget.may_take:
+        if not limited.may_take:
             return 0.0
         waiting = self._report_table.count_waiting_hosts()
-        each = waiting / min(waiting, budget.competitors)
-        return min(endpoint.slots, budget.count_startable(hold_seconds, now) * each)
+        each = waiting / min(waiting, limited.competitors)
+        return min(endpoint.slots, limited.count_startable(hold_seconds, now) * each)
 
     def merge(self, news):
         """Take in what another host tells; return whether its limits were news.
@@ -246,7 +255,7 @@
             is_news |= self._note(row.endpoint, row.start_time_ms, statement, news.host)
         for name, count in self._others.merge(news).items():
             if name in self._limited:
-                self._limited[name].budget.charge(count, now)
+                self._limited[name].charge(count, now)
         return is_news
 
     def make_changes(self):
@@ -281,10 +290,12 @@
         hosts : collection of str
             Names of the hosts that there are.
         """
-        if not len(self.limits):
+        if not self.has_news:
             return
-        self.limits.remove_old({e.name: e.start_time_ms for e in endpoints})
+        start_times = {e.name: e.start_time_ms for e in endpoints}
+        self.limits.remove_old(start_times)
         known = set(self.limits.list_names())
+        known |= {n for n in self._limited.keys() & start_times if self._has_cold(n)}
         self._changed &= known
         self._limited = {n: x for n, x in self._limited.items() if n in known}
         self._groups = {n: x for n, x in self._groups.items() if n in known}
@@ -296,9 +307,12 @@
         limited = self._limited.get(endpoint.name)
         if limited is None:
             return None
-        is_same = limited.budget.start_time_ms == endpoint.start_time_ms
+        is_same = limited.start_time_ms == endpoint.start_time_ms
         return limited if is_same else None
 
+    def _has_cold(self, name):
+        return LimitSource.COLD in self._limited[name].budgets
+
     def _note(self, name, start_time_ms, statement, origin):
         is_news = self.limits.note(name, start_time_ms, statement, origin)
         if is_news:
@@ -307,19 +321,59 @@
         return is_news
 
     def _apply(self, name):
-        """Let an endpoint's budget follow its limit."""
+        """Let an endpoint's budget follow its announced limit."""
         found = self.limits.find(name)
         if found is None or not found[1].is_limit:
-            self._limited.pop(name, None)
+            self._remove_budget(name, LimitSource.ANNOUNCED)
             return
         start_time_ms, statement = found
-        limited = self._limited.get(name)
+        limited = self._find_or_add(name, start_time_ms)
+        if limited is None:
+            return
         now = self._clock.read_elapsed()
-        if limited is None or limited.budget.start_time_ms != start_time_ms:
+        budget = limited.budgets.get(LimitSource.ANNOUNCED)
+        if budget is None:
             budget = RequestBudget(start_time_ms, now, statement.rate)
-            self._limited[name] = _Limited(budget)
+            self._add_budget(limited, LimitSource.ANNOUNCED, budget)
         else:
-            limited.budget.set_rate(statement.rate, now)
+            budget.set_rate(statement.rate, now)
+
+    def _apply_cold(self, change):
+        """Let an endpoint's budget follow its cold state."""
+        self._remove_budget(change.name, LimitSource.COLD)
+        if change.rate is None:
+            return
+        limited = self._find_or_add(change.name, change.start_time_ms)
+        if limited is None:
+            return
+        budget = make_cold_budget(
+            change.start_time_ms,
+            self._clock.read_elapsed(),
+            change.rate,
+            self.cold.bounds.allow(change.rate),
+            COLD_INITIAL_SHARES[change.is_new],
+        )
+        self._add_budget(limited, LimitSource.COLD, budget)
+
+    def _find_or_add(self, name, start_time_ms):
+        """Return the `LimitedEndpoint` of a process; None if a newer one is known."""
+        limited = self._limited.get(name)
+        if limited is None or limited.start_time_ms < start_time_ms:
+            limited = self._limited[name] = LimitedEndpoint(start_time_ms)
+        return limited if limited.start_time_ms == start_time_ms else None
+
+    def _add_budget(self, limited, source, budget):
+        limited.budgets[source] = budget
+        limited.share_due_at = limited.draw_due_at = float("-inf")
+        limited.has_won = False
+
+    def _remove_budget(self, name, source):
+        limited = self._limited.get(name)
+        if limited is None:
+            return
+        limited.budgets.pop(source, None)
+        if not limited.budgets:
+            del self._limited[name]
 
     def _refresh(self, limited, endpoint, now):
         """Find out which hosts may send to an endpoint, and which of them are heard."""
@@ -327,12 +381,8 @@
             return
         limited.share_due_at = now + SHARE_SECONDS
         names = self._find_group(endpoint)
-        budget, own = limited.budget, self._report_table.host
-        budget.may_take = own in names
-        budget.competitors = len(names)
-        is_reporting = self._report_table.is_reporting
-        heard = sum(name == own or is_reporting(name) for name in names)
-        budget.set_share(heard / len(names), now)
+        table = self._report_table
+        limited.set_group(names, table.host, table.is_reporting, now)
 
     def _find_group(self, endpoint):
         """Return the names of the hosts that may send to an endpoint."""
@@ -358,11 +408,12 @@
             return False
         if table.waiting or table.count_waiting_hosts() > 1:
             return False
-        if not limited.budget.has_item_room(now):
+        if not limited.has_item_room(now):
             return False
+        if limited.is_strict:
+            return self._wins_draw(limited, limited.heard, now)
         contenders = 1 + len(table.list_hosts_with_items())
-        competitors = limited.budget.competitors
-        return self._wins_draw(limited, min(contenders, competitors), now)
+        return self._wins_draw(limited, min(contenders, limited.competitors), now)
 
     def _count_contenders(self, limited):
         """Return how many hosts may send a request at this moment, this one included.
@@ -370,9 +421,12 @@
         Notes
         -----
         Hosts that wait are told of. A host that doesn't wait may get a request at any
-        moment, and others may at the same one.
+        moment, and others may at the same one. Of hosts that begin to wait at the same
+        moment each knows only itself, which a strict bound doesn't permit.
         """
-        competitors = limited.budget.competitors
+        if limited.is_strict:
+            return limited.heard
+        competitors = limited.competitors
         if not self._report_table.waiting:
             return competitors
         return min(competitors, self._report_table.count_waiting_hosts())
@@ -382,16 +436,16 @@
 
         Notes
         -----
-        What others send at the same moment is told `DRAW_SECONDS` later at most. Until
-        then a host sends one request at most, and all together about as many as there
-        is room for.
+        What others send at the same moment is told before the next draw. Until then a
+        host sends one request at most, and all together about as many as there is room
+        for.
         """
-        if contenders <= 1:
+        if contenders <= 1 and not limited.is_paced:
             return True
         if now >= limited.draw_due_at:
-            limited.draw_due_at = now + DRAW_SECONDS
-            room = limited.budget.measure_room(now)
-            limited.has_won = self._random.random() * contenders < room
+            limited.draw_due_at = now + limited.draw_seconds
+            odds = limited.compute_odds(contenders, now)
+            limited.has_won = self._random.random() < odds
         return limited.has_won
 
     def _make_messages(self, names):
@@ -399,7 +453,8 @@
         own, names_by_host = self._report_table.host, {}
         for name in sorted(names):
             group = self._groups.get(name)
-            if group is None or own not in group.names:
+            is_known = name in self._limited or self.limits.find(name) is not None
+            if not is_known or group is None or own not in group.names:
                 continue
             for host in sorted(group.names - {own}):
                 names_by_host.setdefault(host, []).append(name)
@@ -416,7 +471,11 @@
         return LimitNews(self._report_table.host, self._incarnation, self._number, rows)
 
     def _make_row(self, name, tells_taken=True):
-        start_time_ms, statement = self.limits.find(name)
+        found = self.limits.find(name)
+        if found is None:
+            start_time_ms = self._limited[name].start_time_ms
+            return make_count_row(name, start_time_ms, self._taken[name])
+        start_time_ms, statement = found
         now = self._clock.read_elapsed()
         return LimitRow(
             name,
--- a/mangogauge/backpressure/news.py
+++ b/mangogauge/backpressure/news.py
@@ -7,10 +7,13 @@
 
 from .statements import NO_LIMIT, LimitStatement
 
-__all__ = ["NEWS_FORMAT", "LimitNews", "LimitRow"]
+__all__ = ["NEWS_FORMAT", "LimitNews", "LimitRow", "make_count_row"]
 
 NEWS_FORMAT = "limits 1"
 MILLISECONDS = 1000
+# Age of a row that says nothing of a limit: older than any statement, so that it
+# supersedes none at hosts which take the missing rate for the end of a limit.
+UNSTATED_AGE_SECONDS = 1e9
 
 
 @frozen
@@ -76,6 +79,18 @@
         return LimitStatement(self.rate, now - self.asked_age, now - self.answered_age)
 
 
+def make_count_row(endpoint, start_time_ms, taken):
+    """Return the `LimitRow` of an endpoint that has announced no limit.
+
+    Examples
+    --------
+    >>> make_count_row("e", 0, 3).to_value()
+    ['e', 0, None, 1000000000000, 1000000000000, 3]
+    """
+    age = UNSTATED_AGE_SECONDS
+    return LimitRow(endpoint, start_time_ms, NO_LIMIT, age, age, taken)
+
+
 @frozen
 class LimitNews:
     """Limits that a host knows of, and its requests to their endpoints.
--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -4,7 +4,7 @@
 
 import curio
 
-from ..backpressure import EndpointLimiter, LimitNews, Takers
+from ..backpressure import ColdBounds, EndpointLimiter, LimitNews, Takers
 from ..fleet import (
     AbsenceChecker,
     ConfigurationConfirmation,
@@ -151,6 +151,7 @@
             lambda name: self.board.measure(name).total,
             self.health.note_silence,
             self.health.is_path_doubtful,
+            lambda name: self.limiter.cold.is_cold(name),
         )
         self._freshness = SharedFreshness(
             clock,
@@ -189,6 +190,7 @@
             incarnation,
             clock,
             random,
+            _make_cold_bounds(settings.cold),
         )
         self._limit_exchange = LimitExchange(
             self.limiter,
@@ -211,12 +213,22 @@
     def _make_copies(self, on_configuration, on_retirement):
         source = self._backends.source
         self.directory = EndpointDirectory(
-            source.read_endpoint, source.parse_endpoint_name, self._clock
+            source.read_endpoint,
+            source.parse_endpoint_name,
+            self._clock,
+            self.limiter.note_entry,
         )
         self.state = FleetState(
             self.directory, self.members, self.board, self._measure_age
         )
-        orders = OperatorListener(source, self.state, on_configuration, on_retirement)
+
+        def apply_configuration(configuration):
+            self.limiter.set_services(configuration.services)
+            on_configuration(configuration)
+
+        orders = OperatorListener(
+            source, self.state, apply_configuration, on_retirement
+        )
         self.confirmation = ConfigurationConfirmation(
             self._backends.feed,
             source.operator_prefix,
@@ -339,11 +351,15 @@
     async def _judge_endpoints(self):
         while True:
             await sleep_to_tick(JUDGE_SECONDS)
-            self.trust.evaluate(self.directory.list_endpoints())
+            endpoints = self.directory.list_endpoints()
+            self.trust.evaluate(endpoints)
+            self.limiter.update_cold()
+            self.limiter.cold.remove_old(endpoint.name for endpoint in endpoints)
             metrics = self._backends.metrics
             metrics.endpoints_barred.set(len(self.trust.list_barred()))
             metrics.endpoints_indirect.set(len(self.health.list_unreachable()))
             metrics.endpoints_limited.set(len(self.limiter.limits.list_limited()))
+            metrics.endpoints_cold.set(len(self.limiter.cold.list_cold()))
             metrics.parts_quarantined.set(len(self.part_quarantine.list_quarantined()))
 
     async def _watch_isolation(self):
@@ -421,3 +437,10 @@
         self.directory.merge_leaving(report.departures, report.host)
         for topic in self._freshness.merge_report(report.copies):
             await self._schedules[topic].wake()
+
+
+def _make_cold_bounds(settings):
+    """Return the `ColdBounds` of `ColdSettings`; None if there are none."""
+    if not settings.is_bounded:
+        return None
+    return ColdBounds(settings.over, settings.slack)
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -53,6 +53,7 @@
     "metrics_port",
     "runs_batch",
     "store",
+    "cold",
 )
 PUMP_SECONDS = 0.02
 IDLE_MARGIN = 1.2
@@ -137,6 +138,7 @@
             self.fleet.directory,
             self.clock,
             self.fleet.note_limit,
+            self.fleet.limiter.note_cold_answer,
         )
 
         self.crashes = CrashDetector(
@@ -341,6 +343,7 @@
                     "endpoints_barred": self.fleet.trust.list_barred(),
                     "endpoints_indirect": self.fleet.health.list_unreachable(),
                     "endpoints_limited": self.fleet.limiter.limits.list_limited(),
+                    "endpoints_cold": self.fleet.limiter.cold.list_cold(),
                     "parts_quarantined": self.fleet.part_quarantine.list_quarantined(),
                     "waiting": len(self.slots),
                     "items_waiting": self.fleet.board.items_waiting,
--- a/mangogauge/entry/attempt.py
+++ b/mangogauge/entry/attempt.py
@@ -126,6 +126,10 @@
     """Default of `EndpointClient`'s `note_limit`."""
 
 
+def _ignore_cold(endpoint, cold_left, asked_at):
+    """Default of `EndpointClient`'s `note_cold`."""
+
+
 class EndpointClient:
     """Sends requests to endpoints.
 
@@ -139,15 +143,27 @@
     note_limit : async callable, optional
         Called with a `FleetEndpoint`, the requests a second that its answer says it
         takes, and the elapsed time at which the request was sent.
+    note_cold : callable, optional
+        Called in the same way with the seconds for which the endpoint stays cold, if
+        its answer says that.
     """
 
-    def __init__(self, pool, dialect, directory, clock, note_limit=_ignore_limit):
+    def __init__(
+        self,
+        pool,
+        dialect,
+        directory,
+        clock,
+        note_limit=_ignore_limit,
+        note_cold=_ignore_cold,
+    ):
         self._pool = pool
         self._dialect = dialect
         self._directory = directory
         self._clock = clock
         self._endings = RunEndings()
         self._note_limit = note_limit
+        self._note_cold = note_cold
 
     async def send(
         self,
@@ -308,6 +324,9 @@
         return self._dialect.is_answer(call.request_id, fields, is_first)
 
     async def _tell_limit(self, endpoint, headers, sent_at):
+        cold_left = self._dialect.read_cold(headers)
+        if cold_left is not None:
+            self._note_cold(endpoint, cold_left, sent_at)
         rate = self._dialect.read_limit(headers)
         if rate is not None:
             await self._note_limit(endpoint, rate, sent_at)
--- a/mangogauge/entry/dialect.py
+++ b/mangogauge/entry/dialect.py
@@ -131,3 +131,17 @@
             `NO_LIMIT` if the answer names no limit; None if what it names is no rate,
             so that it says nothing.
         """
+
+    def read_cold(self, headers):
+        """Return for how many seconds an answer's endpoint stays cold.
+
+        Parameters
+        ----------
+        headers : Headers
+
+        Returns
+        -------
+        float or None
+            None if the answer doesn't say, or what it says is no time.
+        """
+        return None
--- a/mangogauge/fleet/__init__.py
+++ b/mangogauge/fleet/__init__.py
@@ -13,6 +13,7 @@
     FleetEndpoint,
     PrefixRoute,
     RequestSemantics,
+    Service,
     ServiceShare,
 )
 from .retirement import RetirementController
@@ -45,6 +46,7 @@
     "RetirementController",
     "RetirementRequest",
     "RequestSemantics",
+    "Service",
     "ServiceShare",
     "SharedSchedule",
     "FixedDelaySchedule",
--- a/mangogauge/fleet/directory.py
+++ b/mangogauge/fleet/directory.py
@@ -22,6 +22,9 @@
     parse_name : callable
         Returns the endpoint's name for a key of the store.
     clock : Clock
+    on_entry : callable, optional
+        Called with each `FleetEndpoint` that is new or has changed, and whether the
+        endpoints had been read before.
 
     Attributes
     ----------
@@ -29,9 +32,12 @@
         Whether the endpoints have been read.
     """
 
-    def __init__(self, decode, parse_name, clock):
+    def __init__(
+        self, decode, parse_name, clock, on_entry=lambda endpoint, has_entered: None
+    ):
         self._decode = decode
         self._parse_name = parse_name
+        self._on_entry = on_entry
         self._entries = LeasedEntries(clock)
         self._leaving = LeavingEndpoints(clock)
         self.loaded = False
@@ -39,11 +45,11 @@
     @property
     def digest(self):
         """Digest of the entries as last read from the store."""
-        return self._entries.compute_digest()
+        return _compute_digest(self._entries.list_present())
 
     def digest_items(self, items):
         """Return the digest of the valid entries among `items`."""
-        return digest_values(self._decode_all(items).values())
+        return _compute_digest(self._decode_all(items).values())
 
     def list_endpoints(self):
         """Return all known endpoints, including those that are leaving."""
@@ -123,6 +129,7 @@
         known = self._entries.put(endpoint.name, endpoint)
         if known == endpoint:
             return
+        self._on_entry(endpoint, self.loaded)
         log.info(
             "endpoint",
             extra={
@@ -148,3 +155,15 @@
             "endpoint leaves",
             extra={"endpoint": name, "born": start_time_ms, "heard_from": origin},
         )
+
+
+def _compute_digest(endpoints):
+    """Return the digest of endpoints.
+
+    Notes
+    -----
+    Without cold endpoints it is the same as at hosts of builds that don't know them.
+    """
+    endpoints = list(endpoints)
+    cold = [(e.name, e.cold_left, e.cold_revision) for e in endpoints if e.cold_left]
+    return digest_values([*endpoints, *cold])
--- a/mangogauge/fleet/records.py
+++ b/mangogauge/fleet/records.py
@@ -10,6 +10,7 @@
     "FleetEndpoint",
     "PrefixRoute",
     "RequestSemantics",
+    "Service",
     "ServiceShare",
 ]
 
@@ -23,6 +24,24 @@
     BATCH = "batch"
 
 
+@frozen
+class Service:
+    """A service, as far as the operators' configuration describes its endpoints.
+
+    Parameters
+    ----------
+    name : str
+    cold_seconds : float
+        Time for which an endpoint that has just started is cold; 0 if it isn't.
+    cold_rate : float
+        Requests per second that a cold endpoint takes; 0 if that isn't limited.
+    """
+
+    name = field()
+    cold_seconds = field(default=0.0)
+    cold_rate = field(default=0.0)
+
+
 @frozen
 class ServiceShare:
     """A service behind a route and its share of the route's requests.
@@ -146,6 +165,11 @@
         Start of its process, in milliseconds since the Unix epoch; 0 if unknown.
     software : str
         Version of its software; empty if unknown.
+    cold_left : float or None
+        Seconds for which it stays cold, from when its entry was written; 0 if it
+        isn't cold, None if the entry doesn't say.
+    cold_revision : int
+        Revision of the entry that says that it is cold; 0 if it isn't.
     """
 
     name = field()
@@ -156,6 +180,9 @@
     leaving = field(default=False)
     start_time_ms = field(default=0)
     software = field(default="")
+    # Hosts of builds without these fields compare digests of this text.
+    cold_left = field(default=None, repr=False)
+    cold_revision = field(default=0, repr=False)
 
 
 @frozen
@@ -174,6 +201,7 @@
         Longest time in seconds to receive a request's head.
     idle_timeout : float
         Seconds after which an idle connection of a caller may be closed.
+    services : tuple of Service
     """
 
     version = field()
@@ -183,3 +211,4 @@
     body_bytes = field(default=8_388_608)
     header_timeout = field(default=30.0)
     idle_timeout = field(default=60.0)
+    services = field(default=(), converter=tuple)
--- a/mangogauge/placement/choice.py
+++ b/mangogauge/placement/choice.py
@@ -191,6 +191,13 @@
         estimate = self._limiter.estimate_slots
         return sum(estimate(e, hold_seconds) for e in usable) / max(1, slots)
 
+    def has_cold(self, service, software=None):
+        """Return whether an endpoint that accepts requests is cold."""
+        if not self._has_limits:
+            return False
+        usable = self.list_usable(service, software=software)
+        return any(self._limiter.is_cold(endpoint) for endpoint in usable)
+
     @property
     def _has_limits(self):
         return self._limiter is not None and self._limiter.has_limits
--- a/mangogauge/placement/queue.py
+++ b/mangogauge/placement/queue.py
@@ -16,6 +16,7 @@
 
 from ..queueing import FairQueue, Ticket, estimate_wait
 from ..refusals import Refusal, RefusalCode
+from ..telemetry import get_logger
 
 __all__ = ["SlotQueue"]
 
@@ -30,6 +31,9 @@
 MAX_RETRY_SECONDS = 1.5
 # The same for requests beyond the endpoints' limits, whose backlog may be longer.
 MAX_LIMITED_RETRY_SECONDS = 4.0
+COLD_REASON = " Some endpoints are cold."
+
+log = get_logger("queue")
 
 
 @frozen(order=True)
@@ -200,6 +204,14 @@
                 RefusalCode.NO_ENDPOINT, "No endpoint can run this."
             )
         self._check_wait(call, waiter, max_wait)
+        if self._chooser.has_cold(waiter.service, waiter.software):
+            log.info(
+                "request waits",
+                extra={
+                    "request_id": call.request_id,
+                    "reason": "some endpoints are cold",
+                },
+            )
         ticket = Ticket(call.account, ACCOUNT_WEIGHT, self._hold_seconds, waiter)
         key = _QueueKey.of(call)
         queue = self._queues.setdefault(key, FairQueue())
@@ -225,8 +237,9 @@
                 del self._queues[key]
             self._report_table.waiting = len(self)
         if waiter.endpoint is None:
+            cold = self._describe_cold(waiter)
             raise self._make_refusal(
-                RefusalCode.OVERLOADED, "No slot became free in time."
+                RefusalCode.OVERLOADED, f"No slot became free in time.{cold}"
             )
         return waiter.endpoint
 
@@ -244,10 +257,17 @@
             )
         raise self._make_refusal(
             RefusalCode.OVERLOADED,
-            "The endpoints' limits allow no request soon enough.",
+            "The endpoints' limits allow no request soon enough."
+            + self._describe_cold(waiter),
             max(MAX_RETRY_SECONDS, min(wait, MAX_LIMITED_RETRY_SECONDS)),
         )
 
+    def _describe_cold(self, waiter):
+        """Return the sentence of a refusal that names cold endpoints; may be empty."""
+        if self._chooser.has_cold(waiter.service, waiter.software):
+            return COLD_REASON
+        return ""
+
     def _may_still_start(self, call):
         """Return whether a call would start within its objective and its deadline."""
         now = self._clock.read_elapsed()
--- a/mangogauge/platform/endpoints.py
+++ b/mangogauge/platform/endpoints.py
@@ -4,6 +4,8 @@
 
 from ..backpressure import NO_LIMIT
 from ..entry import AnswerKind, EndpointDialect
+from ..telemetry import get_logger
+from .cold import read_cold_header
 from .names import HEADERS
 from .prompts import read_shared_parts
 
@@ -18,11 +20,18 @@
     FAILURE_STATUS: AnswerKind.FAILURE,
     IMPOSSIBLE_STATUS: AnswerKind.IMPOSSIBLE,
 }
+# Different invalid values of a header that are logged, each once.
+MAX_LOGGED_VALUES = 32
+
+log = get_logger("platform")
 
 
 class PlatformEndpoints(EndpointDialect):
     """Writes orders and judges answers."""
 
+    def __init__(self):
+        self._logged = set()
+
     def make_headers(self, request):
         """Return the header fields of an request."""
         headers = request.headers.copy()
@@ -75,3 +84,20 @@
         except ValueError:
             return None
         return rate if isfinite(rate) and rate >= 0 else None
+
+    def read_cold(self, headers):
+        """Return the seconds for which an answer's endpoint stays cold, or None."""
+        text = headers.get(HEADERS.cold)
+        if text is None:
+            return None
+        try:
+            return read_cold_header(text)
+        except ValueError as error:
+            self._log_once(HEADERS.cold, str(error))
+            return None
+
+    def _log_once(self, name, reason):
+        if reason in self._logged or len(self._logged) >= MAX_LOGGED_VALUES:
+            return
+        self._logged.add(reason)
+        log.warning("value ignored", extra={"field": name, "reason": reason})
--- a/mangogauge/platform/names.py
+++ b/mangogauge/platform/names.py
@@ -24,6 +24,8 @@
     leaving = field(default="Server-Leaving")
     # Requests a second that the endpoint takes from all hosts together.
     limit = field(default="Server-Limit")
+    # Milliseconds for which the endpoint stays cold.
+    cold = field(default="X-Cold-Ms")
     not_run = field(default="X-Not-Run")
     # The prompt's parts in order, as ID:TOKENS; the last is the request's own.
     prompt_parts = field(default="X-Prompt-Prefix")
--- a/mangogauge/platform/source.py
+++ b/mangogauge/platform/source.py
@@ -1,6 +1,7 @@
 """Configuration, orders and endpoints, as the platform's store keeps them."""
 
 import orjson
+from attrs import evolve
 
 from ..addresses import parse_address
 from ..fleet import (
@@ -12,10 +13,12 @@
     PrefixRoute,
     RequestSemantics,
     RetirementRequest,
+    Service,
     ServiceShare,
 )
 from ..store import Operation
 from ..telemetry import get_logger
+from .cold import read_cold_milliseconds, read_cold_number
 
 __all__ = ["PlatformSource"]
 
@@ -42,6 +45,10 @@
     operator_prefix = "op/"
     endpoints_prefix = "servers/"
 
+    def __init__(self):
+        # Revisions of the entries whose cold state has been ignored, by endpoint.
+        self._invalid = {}
+
     def read_operator_entry(self, item):
         """Return the `OperatorEntry` of an item."""
         try:
@@ -62,7 +69,8 @@
         """Return the `FleetEndpoint` of an item, or None."""
         name = self.parse_endpoint_name(item.key)
         try:
-            return _read_endpoint(name, orjson.loads(item.value))
+            endpoint = _read_endpoint(name, orjson.loads(item.value))
+            return self._add_cold(endpoint, item)
         except (LookupError, TypeError, ValueError, AttributeError) as error:
             log.warning(
                 "endpoint's entry can't be used",
@@ -70,6 +78,22 @@
             )
             return None
 
+    def _add_cold(self, endpoint, item):
+        """Return an endpoint with what its entry says of its cold state."""
+        value = orjson.loads(item.value).get("cold_left_ms")
+        if value is None:
+            return endpoint
+        try:
+            seconds = read_cold_milliseconds(value)
+        except ValueError as error:
+            # Entries are read about once a second.
+            if self._invalid.get(endpoint.name) != item.mod_revision:
+                self._invalid[endpoint.name] = item.mod_revision
+                _log_ignored("cold_left_ms", error, endpoint=endpoint.name)
+            return endpoint
+        revision = item.mod_revision if seconds else 0
+        return evolve(endpoint, cold_left=seconds, cold_revision=revision)
+
     def parse_endpoint_name(self, key):
         """Return the name of the endpoint that has a key."""
         return key.removeprefix(self.endpoints_prefix)
@@ -91,6 +115,41 @@
         body_bytes=limits["max_body_bytes"],
         header_timeout=limits["header_timeout_ms"] / 1000,
         idle_timeout=limits["idle_timeout_ms"] / 1000,
+        services=_read_services(value.get("services")),
+    )
+
+
+def _read_services(values):
+    """Return the valid `Service` records; others are logged and left out."""
+    if not isinstance(values, list):
+        return []
+    services = []
+    for value in values:
+        if not isinstance(value, dict) or type(value.get("name")) is not str:
+            _log_ignored("services", f"{value!r:.200} has no name")
+            continue
+        name = value["name"]
+        cold_seconds = _read_cold_field(value, "cold_s", name)
+        cold_rate = _read_cold_field(value, "cold_per_s", name)
+        services.append(Service(name, cold_seconds, cold_rate))
+    return services
+
+
+def _read_cold_field(value, field_name, service):
+    """Return a number of a service; 0 if it is missing or invalid."""
+    if value.get(field_name) is None:
+        return 0.0
+    try:
+        return read_cold_number(value[field_name])
+    except ValueError as error:
+        _log_ignored(field_name, error, service=service)
+        return 0.0
+
+
+def _log_ignored(field_name, reason, **details):
+    log.warning(
+        "value ignored",
+        extra={"field": field_name, "reason": str(reason), **details},
     )
 
 
--- a/mangogauge/settings/serving.py
+++ b/mangogauge/settings/serving.py
@@ -6,7 +6,7 @@
 from .problems import SettingsError
 from .sections import SectionReader, make_option
 
-__all__ = ["ServingSettings", "StoreSettings", "read_serving"]
+__all__ = ["ColdSettings", "ServingSettings", "StoreSettings", "read_serving"]
 
 PORT = IntegerKind(1, 65_535)
 
@@ -29,6 +29,32 @@
     value_bytes = make_option(IntegerKind(1024, 1 << 30, "bytes"), default=1_000_000)
 
 
+@frozen
+class ColdSettings:
+    """Most requests that a cold endpoint may get in any one second.
+
+    Endpoints count as cold only where both bounds are given.
+
+    Parameters
+    ----------
+    enabled : bool
+        Whether requests to cold endpoints are limited.
+    over : float or None
+        Multiple of the rate that a cold endpoint takes.
+    slack : float or None
+        Requests beyond that.
+    """
+
+    enabled = make_option(FlagKind(), default=True)
+    over = make_option(NumberKind(0.1, 1000), default=None)
+    slack = make_option(NumberKind(0, 100_000, "requests"), default=None)
+
+    @property
+    def is_bounded(self):
+        """Whether requests to cold endpoints are limited."""
+        return self.enabled and self.over is not None and self.slack is not None
+
+
 @frozen
 class ServingSettings:
     """One host.
@@ -51,6 +77,7 @@
     status_seconds : float
         How long a batch job can be read after it was submitted.
     store : StoreSettings
+    cold : ColdSettings
     """
 
     name = make_option(NameKind())
@@ -65,6 +92,7 @@
     drain_seconds = make_option(NumberKind(0.1, 600, "seconds"), default=8.0)
     status_seconds = make_option(NumberKind(1, 864_000, "seconds"), default=3600.0)
     store = field(default=None)
+    cold = field(factory=ColdSettings)
 
     @property
     def serves_callers(self):
@@ -72,7 +100,7 @@
         return bool(self.callers_address)
 
 
-SECTIONS = {"host": ServingSettings, "store": StoreSettings}
+SECTIONS = {"host": ServingSettings, "store": StoreSettings, "cold": ColdSettings}
 
 
 def read_serving(path):
@@ -88,8 +116,9 @@
     reader = SectionReader(problems)
     sections = reader.read_file(path, SECTIONS)
     store = reader.read("store", sections.get("store", {}), StoreSettings, file)
+    cold = reader.read("cold", sections.get("cold", {}), ColdSettings, file)
     host = reader.read(
-        "host", sections.get("host", {}), ServingSettings, file, store=store
+        "host", sections.get("host", {}), ServingSettings, file, store=store, cold=cold
     )
     if problems:
         raise SettingsError(problems)
--- a/mangogauge/sharing/limits.py
+++ b/mangogauge/sharing/limits.py
@@ -71,7 +71,7 @@
     async def _tell_again(self):
         while True:
             await sleep_to_tick(REPEAT_SECONDS)
-            if not len(self._limiter.limits):
+            if not self._limiter.has_news:
                 continue
             hosts = {member.name for member in self._members.list_others()}
             self._limiter.remove_old(self._list_endpoints(), hosts)
--- a/mangogauge/telemetry/explanation.py
+++ b/mangogauge/telemetry/explanation.py
@@ -24,6 +24,7 @@
 }
 # What went wrong on the way, of which an ending may be the consequence.
 SETBACKS = {
+    "request waits": "{host}: the request waited for a slot: {reason}",
     "attempt failed": "{host}: attempt {attempt} at {endpoint} failed: {reason}",
     "silent endpoint told to end a run": (
         "{host} left the run at {endpoint}, silent for {silent_seconds} s"
--- a/mangogauge/telemetry/serving.py
+++ b/mangogauge/telemetry/serving.py
@@ -52,6 +52,9 @@
         self.endpoints_limited = self._gauge(
             "endpoints_limited", "Endpoints that have announced a limit."
         )
+        self.endpoints_cold = self._gauge(
+            "endpoints_cold", "Endpoints that are cold, so get few requests a second."
+        )
         self.parts_quarantined = self._gauge(
             "parts_quarantined", "Parts of prompts that are kept from endpoints."
         )
--- a/mangogauge/trust/endpoints.py
+++ b/mangogauge/trust/endpoints.py
@@ -25,6 +25,8 @@
 # Minimum duration at an endpoint whose slots are all in use, where a request waits
 # for one of them.
 MIN_SILENCE_WHEN_FULL_SECONDS = 1.2
+# Minimum duration at a cold endpoint, which is slower than the others.
+MIN_SILENCE_WHEN_COLD_SECONDS = 2.4
 # Delay before a request may be a trial of an endpoint; until then only items are. By
 # whether the endpoint is silent, and whether the request can be retried elsewhere.
 REQUEST_TRIAL_DELAY_SECONDS = {
@@ -85,6 +87,9 @@
     is_path_doubtful : callable, optional
         Returns whether cuts of an endpoint, given its name, may be the fault of this
         host's path to it; they aren't told to peers then.
+    is_cold : callable, optional
+        Returns whether an endpoint, given its name, is cold: its slowness is expected
+        and counts neither against it nor in the statistics of its service.
     """
 
     def __init__(
@@ -95,7 +100,9 @@
         measure_load=lambda name: 0,
         on_silence=lambda name: None,
         is_path_doubtful=lambda name: False,
+        is_cold=lambda name: False,
     ):
+        self._is_cold = is_cold
         self._is_path_doubtful = is_path_doubtful
         self._measure_load = measure_load
         self._on_silence = on_silence
@@ -148,6 +155,8 @@
         if record is None:
             return
         record.waiting.discard(attempt)
+        if self._is_cold(attempt.name):
+            return
         self._silence_detectors[record.service].note(seconds)
         if record.first is None:
             record.first = PeakEwma(seconds, self.read_now())
@@ -157,7 +166,7 @@
     def note_event_interval(self, name, seconds):
         """Record the mean time in seconds between an answer's events."""
         record = self._records.get(name)
-        if record is None:
+        if record is None or self._is_cold(name):
             return
         if record.pace is None:
             record.pace = PeakEwma(seconds, self.read_now())
@@ -349,6 +358,8 @@
 
     def _find_min_silence(self, attempt):
         """Return the seconds below which no silence counts against its endpoint."""
+        if self._is_cold(attempt.name):
+            return MIN_SILENCE_WHEN_COLD_SECONDS
         if self._measure_load(attempt.name) < attempt.endpoint.slots:
             return MIN_SILENCE_SECONDS
         return MIN_SILENCE_WHEN_FULL_SECONDS
