Tell other hosts of cold endpoints by gossip

Cause: hosts learn that an endpoint is cold when they next read the entries; until then they send as before, and a host that starts doesn't know of a start at all. A host that starts goes by the starts in the entries for its first 2 s, until others have told it.

--- a/features/builders/backpressure.py
+++ b/features/builders/backpressure.py
@@ -59,7 +59,7 @@
         return []
 
     def is_reporting(self, name):
-        return self._fleet.is_heard(name, self.host)
+        return self._fleet.is_reporting(name, self.host)
 
 
 @define(eq=False)
@@ -129,9 +129,13 @@
     services : int, optional
         Each endpoint belongs to one, each request is for one.
     data_centres : int, optional
+    cold_bounds : ColdBounds, optional
     """
 
-    def __init__(self, hosts, endpoints, seed, services=1, data_centres=4):
+    def __init__(
+        self, hosts, endpoints, seed, services=1, data_centres=4, cold_bounds=None
+    ):
+        self.cold_bounds = cold_bounds
         self.clock = ManualClock()
         self.random = random.Random(seed)
         self.waiting_hosts = frozenset()
@@ -174,6 +178,7 @@
             "1",
             self.clock,
             random.Random(self.random.random()),
+            self.cold_bounds,
         )
         host = _Host(member, limiter, reports)
         phase = self.random.random() * REPEAT_SECONDS
@@ -257,6 +262,10 @@
         """Return whether a host's messages reach another one."""
         return (name in self.cut) == (by in self.cut)
 
+    def is_reporting(self, name, by):
+        """Return whether a host takes another one for heard."""
+        return self.is_heard(name, by)
+
     def restart(self, name):
         """Let a host begin anew, without knowledge."""
         old = self.hosts[name]
@@ -295,7 +304,7 @@
     def _start(self, host, service):
         open_endpoints = [
             endpoint
-            for endpoint in self._by_service[service]
+            for endpoint in self.list_usable(host, service)
             if host.limiter.accepts(endpoint.record)
         ]
         if not open_endpoints:
@@ -304,6 +313,10 @@
         self._send(host, self.random.choice(open_endpoints))
         return True
 
+    def list_usable(self, host, service):
+        """Return the endpoints of a service to which a host may send."""
+        return self._by_service[service]
+
     def _send(self, host, endpoint):
         host.limiter.take(endpoint.record)
         asked_at, name = self.now, host.member.name
--- a/features/builders/platform/deployment.py
+++ b/features/builders/platform/deployment.py
@@ -3,6 +3,7 @@
 import base64
 import http.client
 import os
+import re
 import subprocess
 import sys
 from concurrent.futures import ThreadPoolExecutor
@@ -108,6 +109,9 @@
         self.accounts.append({"name": "other", "api_keys": ["other-key"]})
         self.routes = [self.make_route(*row) for row in ROUTES]
         self.services = ["llm"]
+        # Further fields of each service in the configuration.
+        self.service_fields = {}
+        self.bounds = {}
         self.limits = {
             "max_header_bytes": 16384,
             "max_body_bytes": 4194304,
@@ -203,7 +207,8 @@
     def write_configuration(self):
         """Put the routes and accounts in force."""
         self.version += 1
-        services = [{"name": n, "health_path": "/health"} for n in self.services]
+        fields = {"health_path": "/health", **self.service_fields}
+        services = [{"name": n, **fields} for n in self.services]
         value = {
             "version": self.version,
             "routes": self.routes,
@@ -216,7 +221,10 @@
     def start_host(
         self, name, role="entry", ready=True, store="", stop_seconds=4, zone="a"
     ):
-        """Start a host from its build's own template."""
+        """Start a host from its build's own template.
+
+        `self.bounds` are further values of the template.
+        """
         ports = [self.world.take_port() for _ in range(4)]
         values = {
             "node_name": name,
@@ -233,8 +241,7 @@
         }
         build = self.world.build or ROOT
         text = (build / "deploy" / f"{role}.ini").read_text()
-        for placeholder, value in values.items():
-            text = text.replace("{{" + placeholder + "}}", value)
+        text = render_template(text, {**values, **self.bounds})
         text = text.replace("[store]", f"metrics_port = {ports[3]}\n\n[store]")
         path = self.world.folder / f"{name}.ini"
         path.write_text(text)
@@ -392,6 +399,16 @@
             return [future.result() for future in futures]
 
 
+def render_template(text, values):
+    """Fill in a template as the platform does: what has no value becomes nothing."""
+
+    def render_section(match):
+        return match[2] if match[1] in values else ""
+
+    text = re.sub(r"{{#([\w.]+)}}(.*?){{/\1}}", render_section, text, flags=re.S)
+    return re.sub(r"{{([\w.]+)}}", lambda match: values.get(match[1], ""), text)
+
+
 def read_answer(connection):
     """Read an answer; one that breaks off is told as not whole."""
     try:
--- a/mangogauge/backpressure/__init__.py
+++ b/mangogauge/backpressure/__init__.py
@@ -7,6 +7,7 @@
 
 from .announcements import AnnouncedLimits
 from .cold import ColdBounds, ColdStates
+from .coldnews import ColdNews
 from .counts import TakenCounts
 from .limited import LimitSource
 from .limiter import EndpointLimiter, Work
@@ -18,6 +19,7 @@
     "NO_LIMIT",
     "AnnouncedLimits",
     "ColdBounds",
+    "ColdNews",
     "ColdStates",
     "EndpointLimiter",
     "LimitNews",
--- a/mangogauge/backpressure/budget.py
+++ b/mangogauge/backpressure/budget.py
@@ -52,6 +52,8 @@
 # Part of the requests allowed in a second beyond the rate that may come at once. The
 # rest is for what hosts don't know of each other yet.
 COLD_BURST_SHARE = 0.4
+# Time within which nearly all hosts read an entry after the first one has.
+LEARN_SECONDS = 0.5
 # Longer than a host takes to hear of another one's request, delayed reads included.
 COLD_DRAW_SECONDS = 0.06
 # The same for a host that hears so few others that its part is less than a request.
@@ -82,7 +84,7 @@
         Requests a second that the endpoint takes from all hosts.
     bounds : BudgetBounds, optional
     initial_share : float, optional
-        Part of the bucket that is full at the start.
+        Part of the bucket that is full at the start; above 1 for a debt.
 
     Attributes
     ----------
@@ -190,7 +192,7 @@
         self._updated_at = now
 
 
-def make_cold_budget(start_time_ms, now, rate, allowed, initial_share):
+def make_cold_budget(start_time_ms, now, rate, allowed, is_new):
     """Return the `RequestBudget` of an endpoint that is cold.
 
     Parameters
@@ -201,7 +203,10 @@
         Requests a second that it takes.
     allowed : float
         Most requests in any one second.
-    initial_share : float
+    is_new : bool
+        Whether the process has just started, so that nobody has sent anything to it.
+        Otherwise hosts that have not learned of it yet still send to it as before, so
+        hosts that have send nothing for about `LEARN_SECONDS`.
     """
     burst = max(1.0, COLD_BURST_SHARE * (allowed - rate))
     planned = min(rate, max(MIN_RATE, allowed - 2 * burst))
@@ -214,4 +219,7 @@
         draw_seconds=COLD_DRAW_SECONDS,
         is_strict=True,
     )
-    return RequestBudget(start_time_ms, now, planned, bounds, initial_share)
+    initial = INITIAL_LEVEL_SHARE
+    if not is_new:
+        initial = (burst + LEARN_SECONDS * planned) / burst
+    return RequestBudget(start_time_ms, now, planned, bounds, initial)
--- a/mangogauge/backpressure/cold.py
+++ b/mangogauge/backpressure/cold.py
@@ -3,13 +3,22 @@
 from attrs import define, field, frozen
 
 from ..telemetry import get_logger
+from .coldnews import ColdNews, ColdRow
 
 __all__ = ["ColdBounds", "ColdChange", "ColdStates"]
 
 # How long the start of an endpoint is remembered whose entry is gone: one that returns
 # with the same start has not started again.
 GONE_SECONDS = 600.0
+# How long a host that has just started goes by the starts in the entries, which other
+# clocks wrote, until others have told it which endpoints are cold.
+UNTOLD_SECONDS = 2.0
+MILLISECONDS = 1000
 NEVER = float("-inf")
+# Difference between two hosts' knowledge that the time of a message may explain.
+TOLD_SECONDS = 0.5
+# Most endpoints in one message.
+MAX_ROWS = 24
 
 log = get_logger("backpressure")
 
@@ -67,14 +76,20 @@
     ----------
     seen_at : float
         Elapsed time at which its start was noticed; `NEVER` if it ran before.
+    began_at : float
+        Elapsed time of its start, by this host's calendar.
+    untold_until : float
+        Elapsed time until which `began_at` counts.
     said_until : float or None
         Elapsed time until which it is cold by its entry or an answer.
     said_at : float
-        Elapsed time at which that was received.
+        Elapsed time at which that was received, here or by the host that told of it.
     revision : int
-        Revision of the entry that said so.
+        Revision of the entry that said so; 0 if something else did.
     rate : float or None
         Rate of the last `ColdChange`.
+    is_new : bool
+        Whether its start is all that is known of it so far.
     present_at : float
         Elapsed time at which it last had an entry.
     """
@@ -83,10 +98,13 @@
     start_time_ms = field()
     seen_at = field()
     present_at = field()
+    began_at = field(default=NEVER)
+    untold_until = field(default=NEVER)
     said_until = field(default=None)
     said_at = field(default=NEVER)
     revision = field(default=0)
     rate = field(default=None)
+    is_new = field(default=False)
 
 
 class ColdStates:
@@ -118,6 +136,7 @@
         self._clock = clock
         self._services = {}
         self._processes = {}
+        self.has_news = False
 
     def set_services(self, services):
         """Put the `Service` records of a configuration in force."""
@@ -144,12 +163,16 @@
             process = self._processes[endpoint.name] = _Process(
                 endpoint.service, endpoint.start_time_ms, seen_at, now
             )
+            process.is_new, process.said_at = has_entered, seen_at
+            if not has_entered:
+                self._note_start(process)
+        else:
+            process.is_new, process.said_at = False, now
         process.service = endpoint.service
         if endpoint.cold_left is None:
             process.said_until = None
         elif not endpoint.cold_left or endpoint.cold_revision != process.revision:
-            process.said_until = now + endpoint.cold_left
-        process.said_at = now
+            process.said_until, process.said_at = now + endpoint.cold_left, now
         process.revision = endpoint.cold_revision
 
     def note_answer(self, endpoint, cold_left, asked_at):
@@ -168,6 +191,35 @@
         if asked_at < process.said_at and until <= self._find_end(process):
             return
         process.said_until, process.said_at = until, now
+        process.revision = 0
+
+    def merge(self, news):
+        """Take in the `ColdNews` of another host."""
+        for row in news.rows:
+            process = self._processes.get(row.endpoint)
+            if process is not None and process.start_time_ms == row.start_time_ms:
+                self._merge_row(process, row)
+
+    def make_news(self):
+        """Return the `ColdNews` that tell any host of cold endpoints.
+
+        Notes
+        -----
+        Those that are cold for the longest time come first.
+        """
+        now = self._clock.read_elapsed()
+        cold = [(name, self._processes[name]) for name in self.list_cold()]
+        cold.sort(key=lambda pair: self._find_end(pair[1]), reverse=True)
+        return ColdNews(
+            ColdRow(
+                name,
+                process.start_time_ms,
+                self._find_end(process) - now,
+                max(0.0, now - process.said_at),
+                process.revision,
+            )
+            for name, process in cold[:MAX_ROWS]
+        )
 
     def is_cold(self, name):
         """Return whether an endpoint is cold now."""
@@ -186,8 +238,9 @@
             if rate != process.rate:
                 self._log(name, process, rate)
                 process.rate = rate
-                is_new = process.said_at == process.seen_at
-                changes.append(ColdChange(name, process.start_time_ms, rate, is_new))
+                self.has_news |= rate is not None
+                start_time_ms = process.start_time_ms
+                changes.append(ColdChange(name, start_time_ms, rate, process.is_new))
         return changes
 
     def remove_old(self, names):
@@ -209,6 +262,25 @@
             if process.present_at >= oldest
         }
 
+    def _merge_row(self, process, row):
+        """Take in a row that is newer, or knows the same entry more precisely.
+
+        Notes
+        -----
+        The first host that read an entry knows best until when it counts.
+        """
+        now = self._clock.read_elapsed()
+        until, said_at = now + row.left, now - row.age
+        if row.revision and row.revision == process.revision:
+            is_better = until < self._find_end(process) - TOLD_SECONDS
+        elif row.revision and process.revision:
+            is_better = row.revision > process.revision
+        else:
+            is_better = said_at > process.said_at + TOLD_SECONDS
+        if is_better:
+            process.said_until, process.said_at = until, said_at
+            process.revision = row.revision
+
     def _find_rate(self, process):
         """Return the requests a second that a process takes while cold, or None."""
         service = self._services.get(process.service)
@@ -222,7 +294,16 @@
         if process.said_until is not None:
             return process.said_until
         service = self._services.get(process.service)
-        return process.seen_at + (service.cold_seconds if service else 0.0)
+        seconds = service.cold_seconds if service else 0.0
+        untold = min(process.began_at + seconds, process.untold_until)
+        return max(process.seen_at + seconds, untold)
+
+    def _note_start(self, process):
+        """Note how long ago a process started that ran before this host knew it."""
+        now = self._clock.read_elapsed()
+        began = process.start_time_ms / MILLISECONDS
+        process.began_at = now - max(0.0, self._clock.read_calendar() - began)
+        process.untold_until = now + UNTOLD_SECONDS
 
     def _log(self, name, process, rate):
         details = {"endpoint": name, "born": process.start_time_ms}
--- a/mangogauge/backpressure/limiter.py
+++ b/mangogauge/backpressure/limiter.py
@@ -41,9 +41,6 @@
 RETELL_SECONDS = 2.5
 # Most limits in one message of gossip.
 MAX_GOSSIP_ROWS = 24
-# How full the bucket of a cold endpoint begins, by whether its process is new: nobody
-# has sent anything to a new one, and others may just have been sent to as ever.
-COLD_INITIAL_SHARES = {True: 0.5, False: 1.0}
 
 
 @frozen
@@ -154,6 +151,11 @@
         self.cold.note_answer(endpoint, cold_left, asked_at)
         self.update_cold()
 
+    def merge_cold(self, news):
+        """Take in the `ColdNews` of another host."""
+        self.cold.merge(news)
+        self.update_cold()
+
     def update_cold(self):
         """Let the budgets follow the cold states, some of which end by time."""
         for change in self.cold.take_changes():
@@ -351,7 +353,7 @@
             self._clock.read_elapsed(),
             change.rate,
             self.cold.bounds.allow(change.rate),
-            COLD_INITIAL_SHARES[change.is_new],
+            change.is_new,
         )
         self._add_budget(limited, LimitSource.COLD, budget)
 
--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -4,7 +4,7 @@
 
 import curio
 
-from ..backpressure import ColdBounds, EndpointLimiter, LimitNews, Takers
+from ..backpressure import ColdBounds, ColdNews, EndpointLimiter, LimitNews, Takers
 from ..fleet import (
     AbsenceChecker,
     ConfigurationConfirmation,
@@ -176,6 +176,7 @@
                 CrashNews: self._take_crash_news,
                 StreamNews: self._take_stream_news,
                 LimitNews: self._take_limit_news,
+                ColdNews: self._take_cold_news,
             },
         )
         self._crash_gossip = Gossip(
@@ -354,6 +355,7 @@
             endpoints = self.directory.list_endpoints()
             self.trust.evaluate(endpoints)
             self.limiter.update_cold()
+            await self._limit_exchange.note_cold()
             self.limiter.cold.remove_old(endpoint.name for endpoint in endpoints)
             metrics = self._backends.metrics
             metrics.endpoints_barred.set(len(self.trust.list_barred()))
@@ -427,6 +429,10 @@
         if self.limiter.merge(news):
             await self._limit_exchange.note_news()
 
+    async def _take_cold_news(self, news):
+        self.limiter.merge_cold(news)
+        await self._limit_exchange.note_cold()
+
     async def _take_stream_news(self, news):
         self.origins.merge(news)
         self._version_history.add(news.streams)
--- a/mangogauge/sharing/limits.py
+++ b/mangogauge/sharing/limits.py
@@ -38,11 +38,9 @@
         self._send = send
         self._list_endpoints = list_endpoints
         self._changed = curio.Event()
-        self._gossip = Gossip(
-            limiter.make_gossip,
-            lambda: [member.address for member in members.list_others()],
-            send,
-            random,
+        self._gossip = Gossip(limiter.make_gossip, self._list_addresses, send, random)
+        self._cold_gossip = Gossip(
+            limiter.cold.make_news, self._list_addresses, send, random
         )
 
     async def note_change(self):
@@ -55,12 +53,26 @@
         await self.note_change()
         await self._gossip.note_change()
 
+    async def note_cold(self):
+        """Tell other hosts soon of endpoints that have just become cold."""
+        if self._limiter.cold.has_news:
+            self._limiter.cold.has_news = False
+            await self._cold_gossip.note_change()
+
     async def run(self):
         """Tell others until cancelled."""
         async with curio.TaskGroup(wait=any) as group:
-            for run in (self._tell_changes, self._tell_again, self._gossip.run):
+            for run in (
+                self._tell_changes,
+                self._tell_again,
+                self._gossip.run,
+                self._cold_gossip.run,
+            ):
                 await group.spawn(keep_running, run.__qualname__, run)
 
+    def _list_addresses(self):
+        return [member.address for member in self._members.list_others()]
+
     async def _tell_changes(self):
         while True:
             await self._changed.wait()
--- a/mangogauge/sharing/messages.py
+++ b/mangogauge/sharing/messages.py
@@ -2,7 +2,7 @@
 
 import orjson
 
-from ..backpressure import LimitNews
+from ..backpressure import ColdNews, LimitNews
 from ..quarantine import CrashNews
 from ..streams import StreamNews
 from .reports import HostReport, ReportError
@@ -19,6 +19,7 @@
     "crashes": CrashNews,
     "streams": StreamNews,
     "limits": LimitNews,
+    "cold": ColdNews,
 }
 
 
