--- a/features/builders/cold.py
+++ b/features/builders/cold.py
@@ -45,6 +45,7 @@
         self._known = {}
         self._cut_at = float("-inf")
         self._revision = 1
+        self._is_isolated = False
         for name in self.hosts:
             self._load(name)
 
@@ -141,6 +142,13 @@
         """Cut hosts off from the others, who notice after `CUT_SECONDS`."""
         self.cut, self._cut_at = set(names), self.now
 
+    def isolate(self):
+        """Let no host hear another one from now on."""
+        self._is_isolated, self._cut_at = True, self.now
+
+    def is_heard(self, name, by):
+        return not self._is_isolated and super().is_heard(name, by)
+
     def is_reporting(self, name, by):
         return self.now < self._cut_at + CUT_SECONDS or self.is_heard(name, by)
 
