--- a/features/backpressure/cold.feature
+++ b/features/backpressure/cold.feature
@@ -179,3 +179,5 @@
 
   Scenario: A cold endpoint that is slow is not ejected
     Then a cold endpoint whose answer takes 2 s keeps its standing, and one that is not cold is silent
+    And a cold endpoint that a request leaves after 1.5 s has not failed, and one that is not cold has
+    And a cold endpoint that breaks the connection after 0.1 s has failed
--- a/features/steps/backpressure_cold.py
+++ b/features/steps/backpressure_cold.py
@@ -20,6 +20,7 @@
 from mangogauge.sharing.messages import decode
 from mangogauge.store import KeyValue
 from mangogauge.trust import EndpointTrust
+from mangogauge.trust.outcomes import NO_EVIDENCE
 
 COLD_SECONDS = 6.0
 WARM_UP_SECONDS = 3.0
@@ -266,6 +267,32 @@
     assert find_silent(seconds, set()) == ["e1"]
 
 
+@then(
+    "a cold endpoint that a request leaves after {seconds:g} s has not failed, "
+    "and one that is not cold has"
+)
+def check_left(context, seconds):
+    assert count_cuts(seconds, {"e1"}) == 0
+    assert count_cuts(seconds, set()) == 1
+
+
+@then("a cold endpoint that breaks the connection after {seconds:g} s has failed")
+def check_broken(context, seconds):
+    assert count_cuts(seconds, {"e1"}) == 1
+
+
+def count_cuts(seconds, cold):
+    """Return the cuts of an endpoint whose attempt ends after some seconds."""
+    clock = ManualClock()
+    trust = EndpointTrust(clock, is_cold=lambda name: name in cold)
+    endpoint = make_endpoint("e1", start_time_ms=1)
+    attempt = trust.begin(endpoint)
+    clock.advance(seconds)
+    attempt.end_interrupted()
+    trust.evaluate([endpoint])
+    return trust.list_evidence().get("e1", NO_EVIDENCE).cut
+
+
 def find_silent(seconds, cold):
     """Return the endpoints whose answers are overdue after some seconds."""
     clock, silent = ManualClock(), []
--- a/mangogauge/trust/attempts.py
+++ b/mangogauge/trust/attempts.py
@@ -79,7 +79,9 @@
 
     def end_interrupted(self):
         """End the attempt: the endpoint went silent or the connection broke."""
-        self._end(Outcome.CUT)
+        silence = self._trust.read_now() - self._last_at
+        is_excused = self._trust.excuses_silence(self.name, silence)
+        self._end(None if is_excused else Outcome.CUT)
 
     def end(self):
         """End the attempt without evidence; no effect if it has ended."""
--- a/mangogauge/trust/endpoints.py
+++ b/mangogauge/trust/endpoints.py
@@ -142,6 +142,18 @@
         load = self._measure_load(endpoint.name)
         return load <= endpoint.slots * MAX_LOAD_SHARE_AT_REFUSAL
 
+    def excuses_silence(self, name, seconds):
+        """Return whether an attempt that ends after a silence is no evidence.
+
+        Notes
+        -----
+        A request leaves an endpoint that is silent for some times its objective, which
+        ends the connection. A cold endpoint is slower than that; one that crashes ends
+        its connections without a silence as a rule.
+        """
+        is_short = seconds < MIN_SILENCE_WHEN_COLD_SECONDS
+        return MIN_SILENCE_SECONDS <= seconds and is_short and self._is_cold(name)
+
     def begin_trial(self, name):
         """Record that the next request to an endpoint is a trial."""
         record = self._records.get(name)
