--- a/mangogauge/backpressure/budget.py
+++ b/mangogauge/backpressure/budget.py
@@ -99,11 +99,15 @@
     initial_share = field(default=INITIAL_LEVEL_SHARE)
     share = field(default=1.0, init=False)
     _level = field(init=False)
+    # Requests that may come at once after a pause, from the hosts that are heard.
+    _burst = field(init=False)
+    _capacity = field(init=False)
     # Pairs of a time and how many requests were sent, within the window.
     _recent = field(factory=deque, init=False)
     _recent_count = field(default=0, init=False)
 
     def __attrs_post_init__(self):
+        self._resize()
         self._level = self.initial_share * self._capacity
 
     @property
@@ -126,11 +130,13 @@
         """Use only a part of the rate from now on."""
         self._update(now)
         self.share = share
+        self._resize()
 
     def set_rate(self, rate, now):
         """Put another limit in force."""
         self._update(now)
         self._rate = max(rate, MIN_RATE)
+        self._resize()
         self._level = min(self._level, self._most)
 
     def measure_room(self, now):
@@ -170,16 +176,11 @@
         self._recent.append((now, count))
         self._recent_count += count
 
-    @property
-    def _burst(self):
-        """Requests that may come at once after a pause, from the hosts heard."""
+    def _resize(self):
         bounds = self.bounds
         burst = bounds.burst_requests + bounds.burst_seconds * self._rate
-        return burst * self.share if bounds.is_strict else burst
-
-    @property
-    def _capacity(self):
-        return max(1.0, self._burst)
+        self._burst = burst * self.share if bounds.is_strict else burst
+        self._capacity = max(1.0, self._burst)
 
     @property
     def _most(self):
--- a/mangogauge/backpressure/limited.py
+++ b/mangogauge/backpressure/limited.py
@@ -64,7 +64,7 @@
     @property
     def is_strict(self):
         """Whether any of its bounds leaves no room for what isn't known yet."""
-        return any(budget.bounds.is_strict for budget in self.budgets.values())
+        return LimitSource.COLD in self.budgets
 
     @property
     def is_paced(self):
@@ -92,14 +92,19 @@
 
     def has_room(self, spare, now):
         """Return whether a request may be sent that leaves room for `spare` more."""
-        return all(
-            budget.has_room(max(0.0, spare) if budget.bounds.is_strict else spare, now)
-            for budget in self.budgets.values()
-        )
+        # Called for each limited endpoint at each choice; a loop costs less than `all`.
+        for budget in self.budgets.values():
+            least = max(0.0, spare) if budget.bounds.is_strict else spare
+            if not budget.has_room(least, now):
+                return False
+        return True
 
     def is_unused(self, now):
         """Return whether room is lost unless a request is sent soon."""
-        return all(budget.is_unused(now) for budget in self.budgets.values())
+        for budget in self.budgets.values():
+            if not budget.is_unused(now):
+                return False
+        return True
 
     def has_item_room(self, now):
         """Return whether a batch item may be sent, which leaves room for requests."""
