--- a/mangogauge/backpressure/limiter.py
+++ b/mangogauge/backpressure/limiter.py
@@ -1,15 +1,19 @@
-"""Decides which requests may be sent to endpoints that have announced a limit."""
+"""Decides which requests may be sent to endpoints that take a limited number.
+
+An endpoint may announce a limit, and it may be cold; the budgets of both are kept in
+the same way, and both have to allow a request.
+"""
 
 import enum
-from collections import Counter
 
-from attrs import define, field, frozen
+from attrs import field, frozen
 
 from .announcements import AnnouncedLimits
-from .budget import RequestBudget
+from .cold import ColdStates
 from .counts import TakenCounts
-from .news import LimitNews, LimitRow
+from .limited import LimitedEndpoints, LimitSource
 from .statements import LimitStatement
+from .telling import LimitTelling
 
 __all__ = ["EndpointLimiter", "Work"]
 
@@ -27,51 +31,14 @@
 
 # Room that has to be left beyond a request's own; a stream that was begun may overdraw.
 SPARE_REQUESTS = {Work.ONLINE: 0.0, Work.RESUMED: -2.0}
-# Interval at which a host looks anew whether it may take what several hosts wait for.
-DRAW_SECONDS = 0.02
 # Interval at which it is counted which hosts are heard.
 SHARE_SECONDS = 0.25
-# Time in which half of a peak of online requests at an endpoint is forgotten.
-PEAK_HALF_LIFE_SECONDS = 10.0
 # Part of that peak whose slots batch items leave free.
 PEAK_SPARE_SHARE = 0.5
-# How long after a request it is told once more, in case that messages were lost.
-RETELL_SECONDS = 2.5
 # Most limits in one message of gossip.
 MAX_GOSSIP_ROWS = 24
 
 
-@define
-class _Limited:
-    """State of one endpoint whose limit is in force.
-
-    Parameters
-    ----------
-    budget : RequestBudget
-    share_due_at, draw_due_at : float
-        Elapsed times from which the share of the rate and the draw are out of date.
-    has_won : bool
-        Whether the last draw allows this host a request.
-    peak : float
-        Slots that online requests have lately taken there at a time.
-    peak_at : float
-        Elapsed time of the peak.
-    """
-
-    budget = field()
-    share_due_at = field(default=float("-inf"))
-    draw_due_at = field(default=float("-inf"))
-    has_won = field(default=False)
-    peak = field(default=0.0)
-    peak_at = field(default=0.0)
-
-    def note_online(self, online, now):
-        """Note how many online requests run there."""
-        halvings = (now - self.peak_at) / PEAK_HALF_LIFE_SECONDS
-        self.peak = max(online, self.peak * 0.5**halvings)
-        self.peak_at = now
-
-
 @frozen
 class _Group:
     """Names of the hosts that may send to an endpoint; see `Takers.version`."""
@@ -96,38 +63,43 @@
         Identifies this process.
     clock : Clock
     random : random.Random
+    cold_bounds : ColdBounds, optional
+        None if no endpoint is ever cold.
 
     Attributes
     ----------
     limits : AnnouncedLimits
+    cold : ColdStates
     """
 
-    def __init__(self, takers, report_table, incarnation, clock, random):
+    def __init__(
+        self, takers, report_table, incarnation, clock, random, cold_bounds=None
+    ):
         self._takers = takers
         self._report_table = report_table
-        self._incarnation = incarnation
         self._clock = clock
         self._random = random
         self.limits = AnnouncedLimits(clock)
-        self._limited = {}
+        self.cold = ColdStates(cold_bounds, clock)
+        self._limited = LimitedEndpoints()
         self._groups = {}
-        self._taken = Counter()
-        # Elapsed time at which this host last sent something to an endpoint.
-        self._taken_at = {}
         self._others = TakenCounts()
-        # Names of the endpoints of which other hosts have to be told soon.
-        self._changed = set()
-        self._number = 0
+        self._telling = LimitTelling(report_table.host, incarnation, self.limits, clock)
 
     @property
     def has_limits(self):
         """Whether any limit is in force."""
-        return bool(self._limited)
+        return bool(len(self._limited))
+
+    @property
+    def has_news(self):
+        """Whether anything is known that other hosts have to be told repeatedly."""
+        return bool(len(self._limited) or len(self.limits))
 
     @property
     def has_changes(self):
         """Whether other hosts have to be told something soon."""
-        return bool(self._changed)
+        return self._telling.has_changes
 
     def note_answer(self, endpoint, rate, asked_at):
         """Note what an endpoint's answer says of its limit.
@@ -149,11 +121,42 @@
         is_news = self._note(
             endpoint.name, endpoint.start_time_ms, statement, "its answer"
         )
-        limited = self._find(endpoint)
+        limited = self._limited.find(endpoint)
         if limited is not None:
             self._refresh(limited, endpoint, statement.answered_at)
         return is_news
 
+    def set_services(self, services):
+        """Put the `Service` records of a configuration in force."""
+        self.cold.set_services(services)
+        self.update_cold()
+
+    def note_entry(self, endpoint, has_entered):
+        """Note an endpoint's new or changed entry; see `ColdStates.note_entry`."""
+        self.cold.note_entry(endpoint, has_entered)
+        self.update_cold()
+
+    def note_cold_answer(self, endpoint, cold_left, asked_at):
+        """Note that an answer announces how many seconds its endpoint stays cold."""
+        self.cold.note_answer(endpoint, cold_left, asked_at)
+        self.update_cold()
+
+    def merge_cold(self, news):
+        """Take in the `ColdNews` of another host."""
+        self.cold.merge(news)
+        self.update_cold()
+
+    def update_cold(self):
+        """Let the budgets follow the cold states, some of which end by time."""
+        now = self._clock.read_elapsed()
+        for change in self.cold.take_changes():
+            self._limited.set_cold(change, self.cold.bounds, now)
+
+    def is_cold(self, endpoint):
+        """Return whether the cold state of an endpoint limits its requests now."""
+        limited = self._limited.find(endpoint)
+        return limited is not None and LimitSource.COLD in limited.budgets
+
     def is_saving(self, endpoint):
         """Return whether a limited endpoint had better get no request yet.
 
@@ -162,10 +165,10 @@
         What its limit allows is kept for when others have no room, as long as it can
         be kept.
         """
-        limited = self._find(endpoint)
+        limited = self._limited.find(endpoint)
         if limited is None:
             return False
-        return not limited.budget.is_unused(self._clock.read_elapsed())
+        return not limited.is_unused(self._clock.read_elapsed())
 
     def accepts(self, endpoint, work=Work.ONLINE):
         """Return whether this host may send some work to an endpoint now.
@@ -175,32 +178,30 @@
         endpoint : FleetEndpoint
         work : Work, optional
         """
-        limited = self._find(endpoint)
+        limited = self._limited.find(endpoint)
         if limited is None:
             return True
         now = self._clock.read_elapsed()
         self._refresh(limited, endpoint, now)
-        if not limited.budget.may_take:
+        if not limited.may_take:
             return False
         if work is Work.ITEM:
             return self._accepts_item(limited, endpoint, now)
-        if not limited.budget.has_room(SPARE_REQUESTS[work], now):
+        if not limited.has_room(SPARE_REQUESTS[work], now):
             return False
-        if work is Work.RESUMED:
+        if work is Work.RESUMED and not limited.is_strict:
             return True
         return self._wins_draw(limited, self._count_contenders(limited), now)
 
     def take(self, endpoint):
         """Count work that is sent to an endpoint against its limit, if it has one."""
-        limited = self._find(endpoint)
+        limited = self._limited.find(endpoint)
         if limited is None:
             return
         now = self._clock.read_elapsed()
-        limited.budget.charge(1, now)
+        limited.charge(1, now)
         limited.has_won = False
-        self._taken[endpoint.name] += 1
-        self._taken_at[endpoint.name] = now
-        self._changed.add(endpoint.name)
+        self._telling.note_taken(endpoint.name, endpoint.start_time_ms)
 
     def estimate_slots(self, endpoint, hold_seconds):
         """Return how many requests an endpoint runs at a time for hosts like this one.
@@ -218,17 +219,16 @@
             to some of the hosts that wait, this is what it would be if all had as
             much.
         """
-        limited = self._find(endpoint)
+        limited = self._limited.find(endpoint)
         if limited is None:
             return endpoint.slots
         now = self._clock.read_elapsed()
         self._refresh(limited, endpoint, now)
-        budget = limited.budget
-        if not budget.may_take:
+        if not limited.may_take:
             return 0.0
         waiting = self._report_table.count_waiting_hosts()
-        each = waiting / min(waiting, budget.competitors)
-        return min(endpoint.slots, budget.count_startable(hold_seconds, now) * each)
+        each = waiting / min(waiting, limited.competitors)
+        return min(endpoint.slots, limited.count_startable(hold_seconds, now) * each)
 
     def merge(self, news):
         """Take in what another host tells; return whether its limits were news.
@@ -245,8 +245,7 @@
             statement = row.make_statement(now)
             is_news |= self._note(row.endpoint, row.start_time_ms, statement, news.host)
         for name, count in self._others.merge(news).items():
-            if name in self._limited:
-                self._limited[name].budget.charge(count, now)
+            self._limited.charge(name, count, now)
         return is_news
 
     def make_changes(self):
@@ -257,20 +256,17 @@
         list of (LimitNews, list of str)
             Each message, and the names of the hosts that it is for.
         """
-        names, self._changed = self._changed, set()
-        return self._make_messages(names)
+        return self._make_messages(self._telling.take_changed())
 
     def make_repeats(self):
         """Return the messages that tell those concerned once more of late requests."""
-        oldest = self._clock.read_elapsed() - RETELL_SECONDS
-        names = [name for name, at in self._taken_at.items() if at >= oldest]
-        return self._make_messages(names)
+        return self._make_messages(self._telling.list_recent())
 
     def make_gossip(self):
         """Return the `LimitNews` that tells any host of limits and of their ends."""
         names = self.limits.list_names()
         chosen = self._random.sample(names, min(MAX_GOSSIP_ROWS, len(names)))
-        return self._make_news(self._make_row(name, False) for name in chosen)
+        return self._telling.make_gossip(chosen)
 
     def remove_old(self, endpoints, hosts):
         """Forget endpoints and hosts that are gone.
@@ -281,45 +277,24 @@
         hosts : collection of str
             Names of the hosts that there are.
         """
-        if not len(self.limits):
+        if not self.has_news:
             return
-        self.limits.remove_old({e.name: e.start_time_ms for e in endpoints})
+        start_times = {e.name: e.start_time_ms for e in endpoints}
+        self.limits.remove_old(start_times)
         known = set(self.limits.list_names())
-        self._changed &= known
-        self._limited = {n: x for n, x in self._limited.items() if n in known}
+        known |= self._limited.list_cold() & start_times.keys()
+        self._telling.keep_only(known)
+        self._limited.keep_only(known)
         self._groups = {n: x for n, x in self._groups.items() if n in known}
-        self._taken = Counter({n: x for n, x in self._taken.items() if n in known})
-        self._taken_at = {n: x for n, x in self._taken_at.items() if n in known}
         self._others.keep_only(known, hosts)
 
-    def _find(self, endpoint):
-        limited = self._limited.get(endpoint.name)
-        if limited is None:
-            return None
-        is_same = limited.budget.start_time_ms == endpoint.start_time_ms
-        return limited if is_same else None
-
     def _note(self, name, start_time_ms, statement, origin):
         is_news = self.limits.note(name, start_time_ms, statement, origin)
         if is_news:
-            self._changed.add(name)
-        self._apply(name)
-        return is_news
-
-    def _apply(self, name):
-        """Let an endpoint's budget follow its limit."""
+            self._telling.note_change(name)
         found = self.limits.find(name)
-        if found is None or not found[1].is_limit:
-            self._limited.pop(name, None)
-            return
-        start_time_ms, statement = found
-        limited = self._limited.get(name)
-        now = self._clock.read_elapsed()
-        if limited is None or limited.budget.start_time_ms != start_time_ms:
-            budget = RequestBudget(start_time_ms, now, statement.rate)
-            self._limited[name] = _Limited(budget)
-        else:
-            limited.budget.set_rate(statement.rate, now)
+        self._limited.set_announced(name, found, self._clock.read_elapsed())
+        return is_news
 
     def _refresh(self, limited, endpoint, now):
         """Find out which hosts may send to an endpoint, and which of them are heard."""
@@ -327,12 +302,8 @@
             return
         limited.share_due_at = now + SHARE_SECONDS
         names = self._find_group(endpoint)
-        budget, own = limited.budget, self._report_table.host
-        budget.may_take = own in names
-        budget.competitors = len(names)
-        is_reporting = self._report_table.is_reporting
-        heard = sum(name == own or is_reporting(name) for name in names)
-        budget.set_share(heard / len(names), now)
+        table = self._report_table
+        limited.set_group(names, table.host, table.is_reporting, now)
 
     def _find_group(self, endpoint):
         """Return the names of the hosts that may send to an endpoint."""
@@ -358,11 +329,12 @@
             return False
         if table.waiting or table.count_waiting_hosts() > 1:
             return False
-        if not limited.budget.has_item_room(now):
+        if not limited.has_item_room(now):
             return False
+        if limited.is_strict:
+            return self._wins_draw(limited, limited.heard, now)
         contenders = 1 + len(table.list_hosts_with_items())
-        competitors = limited.budget.competitors
-        return self._wins_draw(limited, min(contenders, competitors), now)
+        return self._wins_draw(limited, min(contenders, limited.competitors), now)
 
     def _count_contenders(self, limited):
         """Return how many hosts may send a request at this moment, this one included.
@@ -370,9 +342,12 @@
         Notes
         -----
         Hosts that wait are told of. A host that doesn't wait may get a request at any
-        moment, and others may at the same one.
+        moment, and others may at the same one. Of hosts that begin to wait at the same
+        moment each knows only itself, which a strict bound doesn't permit.
         """
-        competitors = limited.budget.competitors
+        if limited.is_strict:
+            return limited.heard
+        competitors = limited.competitors
         if not self._report_table.waiting:
             return competitors
         return min(competitors, self._report_table.count_waiting_hosts())
@@ -382,47 +357,18 @@
 
         Notes
         -----
-        What others send at the same moment is told `DRAW_SECONDS` later at most. Until
-        then a host sends one request at most, and all together about as many as there
-        is room for.
+        What others send at the same moment is told before the next draw. Until then a
+        host sends one request at most, and all together about as many as there is room
+        for.
         """
-        if contenders <= 1:
+        if contenders <= 1 and not limited.is_paced:
             return True
         if now >= limited.draw_due_at:
-            limited.draw_due_at = now + DRAW_SECONDS
-            room = limited.budget.measure_room(now)
-            limited.has_won = self._random.random() * contenders < room
+            limited.draw_due_at = now + limited.draw_seconds
+            odds = limited.compute_odds(contenders, now)
+            limited.has_won = self._random.random() < odds
         return limited.has_won
 
     def _make_messages(self, names):
-        """Return pairs of a `LimitNews` and the names of the hosts that it is for."""
-        own, names_by_host = self._report_table.host, {}
-        for name in sorted(names):
-            group = self._groups.get(name)
-            if group is None or own not in group.names:
-                continue
-            for host in sorted(group.names - {own}):
-                names_by_host.setdefault(host, []).append(name)
-        hosts_by_names = {}
-        for host, some in names_by_host.items():
-            hosts_by_names.setdefault(tuple(some), []).append(host)
-        self._number += 1
-        return [
-            (self._make_news(map(self._make_row, some)), hosts)
-            for some, hosts in hosts_by_names.items()
-        ]
-
-    def _make_news(self, rows):
-        return LimitNews(self._report_table.host, self._incarnation, self._number, rows)
-
-    def _make_row(self, name, tells_taken=True):
-        start_time_ms, statement = self.limits.find(name)
-        now = self._clock.read_elapsed()
-        return LimitRow(
-            name,
-            start_time_ms,
-            statement.rate,
-            now - statement.asked_at,
-            now - statement.answered_at,
-            self._taken[name] if tells_taken else None,
-        )
+        groups = {name: group.names for name, group in self._groups.items()}
+        return self._telling.make_messages(names, groups)
--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -4,7 +4,7 @@
 
 import curio
 
-from ..backpressure import EndpointLimiter, LimitNews, Takers
+from ..backpressure import ColdBounds, ColdNews, EndpointLimiter, LimitNews, Takers
 from ..fleet import (
     AbsenceChecker,
     ConfigurationConfirmation,
@@ -151,6 +151,7 @@
             lambda name: self.board.measure(name).total,
             self.health.note_silence,
             self.health.is_path_doubtful,
+            lambda name: self.limiter.cold.is_cold(name),
         )
         self._freshness = SharedFreshness(
             clock,
@@ -175,6 +176,7 @@
                 CrashNews: self._take_crash_news,
                 StreamNews: self._take_stream_news,
                 LimitNews: self._take_limit_news,
+                ColdNews: self._take_cold_news,
             },
         )
         self._crash_gossip = Gossip(
@@ -189,6 +191,7 @@
             incarnation,
             clock,
             random,
+            _make_cold_bounds(settings.cold),
         )
         self._limit_exchange = LimitExchange(
             self.limiter,
@@ -211,7 +214,10 @@
     def _make_copies(self, on_configuration, on_retirement):
         source = self._backends.source
         self.directory = EndpointDirectory(
-            source.read_endpoint, source.parse_endpoint_name, self._clock
+            source.read_endpoint,
+            source.parse_endpoint_name,
+            self._clock,
+            self.limiter.note_entry,
         )
         self.state = FleetState(
             self.directory, self.members, self.board, self._measure_age
@@ -221,10 +227,15 @@
         self._evacuations = EvacuationMonitor(
             self.eligibility, self.directory, self.members
         )
+
+        def apply_configuration(configuration):
+            self.limiter.set_services(configuration.services)
+            on_configuration(configuration)
+
         orders = OperatorListener(
             source,
             self.state,
-            on_configuration,
+            apply_configuration,
             on_retirement,
             self._take_evacuations,
         )
@@ -371,11 +382,16 @@
     async def _judge_endpoints(self):
         while True:
             await sleep_to_tick(JUDGE_SECONDS)
-            self.trust.evaluate(self.directory.list_endpoints())
+            endpoints = self.directory.list_endpoints()
+            self.trust.evaluate(endpoints)
+            self.limiter.update_cold()
+            await self._limit_exchange.note_cold()
+            self.limiter.cold.remove_old(endpoint.name for endpoint in endpoints)
             metrics = self._backends.metrics
             metrics.endpoints_barred.set(len(self.trust.list_barred()))
             metrics.endpoints_indirect.set(len(self.health.list_unreachable()))
             metrics.endpoints_limited.set(len(self.limiter.limits.list_limited()))
+            metrics.endpoints_cold.set(len(self.limiter.cold.list_cold()))
             metrics.parts_quarantined.set(len(self.part_quarantine.list_quarantined()))
             self._evacuations.evaluate()
             metrics.data_centres_evacuated.set(len(self.eligibility.evacuated))
@@ -448,6 +464,10 @@
         if self.limiter.merge(news):
             await self._limit_exchange.note_news()
 
+    async def _take_cold_news(self, news):
+        self.limiter.merge_cold(news)
+        await self._limit_exchange.note_cold()
+
     async def _take_stream_news(self, news):
         self.origins.merge(news)
         self._version_history.add(news.streams)
@@ -458,3 +478,10 @@
         self.directory.merge_leaving(report.departures, report.host)
         for topic in self._freshness.merge_report(report.copies):
             await self._schedules[topic].wake()
+
+
+def _make_cold_bounds(settings):
+    """Return the `ColdBounds` of `ColdSettings`; None if there are none."""
+    if not settings.is_bounded:
+        return None
+    return ColdBounds(settings.over, settings.slack)
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -56,6 +56,7 @@
     "checks_regions",
     "regions",
     "store",
+    "cold",
 )
 PUMP_SECONDS = 0.02
 IDLE_MARGIN = 1.2
@@ -142,6 +143,7 @@
             self.clock,
             self.fleet.note_limit,
             self.fleet.eligibility.find_current_reason,
+            self.fleet.limiter.note_cold_answer,
         )
 
         self.crashes = CrashDetector(
@@ -346,6 +348,7 @@
                     "endpoints_barred": self.fleet.trust.list_barred(),
                     "endpoints_indirect": self.fleet.health.list_unreachable(),
                     "endpoints_limited": self.fleet.limiter.limits.list_limited(),
+                    "endpoints_cold": self.fleet.limiter.cold.list_cold(),
                     "parts_quarantined": self.fleet.part_quarantine.list_quarantined(),
                     "evacuated": sorted(self.fleet.eligibility.evacuated),
                     "waiting": len(self.slots),
--- a/mangogauge/entry/attempt.py
+++ b/mangogauge/entry/attempt.py
@@ -131,6 +131,10 @@
     """Default of `EndpointClient`'s `note_limit`."""
 
 
+def _ignore_cold(endpoint, cold_left, asked_at):
+    """Default of `EndpointClient`'s `note_cold`."""
+
+
 class EndpointClient:
     """Sends requests to endpoints.
 
@@ -147,6 +151,9 @@
     find_obstacle : callable, optional
         Called with a `FleetEndpoint` and a `WorkScope` right before a request is sent;
         returns the `IneligibilityReason` for which it must not be, or None.
+    note_cold : callable, optional
+        Called in the same way with the seconds for which the endpoint stays cold, if
+        its answer says that.
     """
 
     def __init__(
@@ -157,6 +164,7 @@
         clock,
         note_limit=_ignore_limit,
         find_obstacle=_find_no_obstacle,
+        note_cold=_ignore_cold,
     ):
         self._pool = pool
         self._dialect = dialect
@@ -165,6 +173,7 @@
         self._endings = RunEndings()
         self._note_limit = note_limit
         self._find_obstacle = find_obstacle
+        self._note_cold = note_cold
 
     async def send(
         self,
@@ -338,6 +347,9 @@
         return self._dialect.is_answer(call.request_id, fields, is_first)
 
     async def _tell_limit(self, endpoint, headers, sent_at):
+        cold_left = self._dialect.read_cold(headers)
+        if cold_left is not None:
+            self._note_cold(endpoint, cold_left, sent_at)
         rate = self._dialect.read_limit(headers)
         if rate is not None:
             await self._note_limit(endpoint, rate, sent_at)
--- a/mangogauge/placement/queue.py
+++ b/mangogauge/placement/queue.py
@@ -17,6 +17,7 @@
 
 from ..queueing import FairQueue, Ticket, estimate_wait
 from ..refusals import Refusal, RefusalCode
+from ..telemetry import get_logger
 from .eligibility import ANYWHERE, describe_reasons
 
 __all__ = ["SlotQueue"]
@@ -32,6 +33,9 @@
 MAX_RETRY_SECONDS = 1.5
 # The same for requests beyond the endpoints' limits, whose backlog may be longer.
 MAX_LIMITED_RETRY_SECONDS = 4.0
+COLD_REASON = " Some endpoints are cold."
+
+log = get_logger("queue")
 
 
 @frozen(order=True)
@@ -216,6 +220,14 @@
         max_wait = self._compute_max_wait(call)
         self._check_usable(waiter)
         self._check_wait(call, waiter, max_wait)
+        if self._chooser.has_cold(waiter.service, waiter.software):
+            log.info(
+                "request waits",
+                extra={
+                    "request_id": call.request_id,
+                    "reason": "some endpoints are cold",
+                },
+            )
         flow = _get_flow(call)
         ticket = Ticket(flow, ACCOUNT_WEIGHT, self._hold_seconds, waiter)
         key = _QueueKey.of(call)
@@ -243,8 +255,9 @@
             self._report_table.waiting = len(self)
         if waiter.endpoint is None:
             self._check_usable(waiter)
+            cold = self._describe_cold(waiter)
             raise self._make_refusal(
-                RefusalCode.OVERLOADED, "No slot became free in time."
+                RefusalCode.OVERLOADED, f"No slot became free in time.{cold}"
             )
         return waiter.endpoint
 
@@ -278,10 +291,17 @@
             )
         raise self._make_refusal(
             RefusalCode.OVERLOADED,
-            "The endpoints' limits allow no request soon enough.",
+            "The endpoints' limits allow no request soon enough."
+            + self._describe_cold(waiter),
             max(MAX_RETRY_SECONDS, min(wait, MAX_LIMITED_RETRY_SECONDS)),
         )
 
+    def _describe_cold(self, waiter):
+        """Return the sentence of a refusal that names cold endpoints; may be empty."""
+        if self._chooser.has_cold(waiter.service, waiter.software):
+            return COLD_REASON
+        return ""
+
     def _may_still_start(self, call):
         """Return whether a call would start within its objective and its deadline."""
         now = self._clock.read_elapsed()
--- a/mangogauge/settings/reference.py
+++ b/mangogauge/settings/reference.py
@@ -8,7 +8,7 @@
 from .fleet import NAMED_SECTIONS, SINGLE_SECTIONS
 from .host import HostSettings, PeerSettings, PlatformSettings
 from .kinds import TextKind
-from .serving import ServingSettings, StoreSettings
+from .serving import ColdSettings, ServingSettings, StoreSettings
 
 __all__ = ["make_reference"]
 
@@ -17,7 +17,11 @@
     "platform": PlatformSettings,
     "peers": PeerSettings,
 }
-SERVING_SECTIONS = {"host": ServingSettings, "store": StoreSettings}
+SERVING_SECTIONS = {
+    "host": ServingSettings,
+    "store": StoreSettings,
+    "cold": ColdSettings,
+}
 REGIONS = (
     "### [regions]\n\n"
     "One line `DATA CENTRE = REGION` for each data centre whose region is known; a "
--- a/mangogauge/settings/serving.py
+++ b/mangogauge/settings/serving.py
@@ -6,7 +6,7 @@
 from .problems import SettingsError
 from .sections import SectionReader, make_option
 
-__all__ = ["ServingSettings", "StoreSettings", "read_serving"]
+__all__ = ["ColdSettings", "ServingSettings", "StoreSettings", "read_serving"]
 
 PORT = IntegerKind(1, 65_535)
 
@@ -29,6 +29,32 @@
     value_bytes = make_option(IntegerKind(1024, 1 << 30, "bytes"), default=1_000_000)
 
 
+@frozen
+class ColdSettings:
+    """Most requests that a cold endpoint may get in any one second.
+
+    Endpoints count as cold only where both bounds are given.
+
+    Parameters
+    ----------
+    enabled : bool
+        Whether requests to cold endpoints are limited.
+    over : float or None
+        Multiple of the rate that a cold endpoint takes.
+    slack : float or None
+        Requests beyond that.
+    """
+
+    enabled = make_option(FlagKind(), default=True)
+    over = make_option(NumberKind(0.1, 1000), default=None)
+    slack = make_option(NumberKind(0, 100_000, "requests"), default=None)
+
+    @property
+    def is_bounded(self):
+        """Whether requests to cold endpoints are limited."""
+        return self.enabled and self.over is not None and self.slack is not None
+
+
 @frozen
 class ServingSettings:
     """One host.
@@ -56,6 +82,7 @@
         Whether section ``[regions]`` of the file is used. Otherwise no region is
         known, and what is restricted to regions runs nowhere.
     store : StoreSettings
+    cold : ColdSettings
     regions : dict of str to str
         Region of each data centre.
     """
@@ -74,6 +101,7 @@
     checks_evacuations = make_option(FlagKind(), default=True)
     checks_regions = make_option(FlagKind(), default=True)
     store = field(default=None)
+    cold = field(factory=ColdSettings)
     regions = field(factory=dict)
 
     @property
@@ -82,7 +110,12 @@
         return bool(self.callers_address)
 
 
-SECTIONS = {"host": ServingSettings, "store": StoreSettings, "regions": dict}
+SECTIONS = {
+    "host": ServingSettings,
+    "store": StoreSettings,
+    "cold": ColdSettings,
+    "regions": dict,
+}
 
 
 def read_serving(path):
@@ -98,6 +131,7 @@
     reader = SectionReader(problems)
     sections = reader.read_file(path, SECTIONS)
     store = reader.read("store", sections.get("store", {}), StoreSettings, file)
+    cold = reader.read("cold", sections.get("cold", {}), ColdSettings, file)
     regions = reader.read_mapping("regions", sections.get("regions", {}), TextKind())
     host = reader.read(
         "host",
@@ -105,6 +139,7 @@
         ServingSettings,
         file,
         store=store,
+        cold=cold,
         regions=regions,
     )
     if problems:
--- a/mangogauge/telemetry/serving.py
+++ b/mangogauge/telemetry/serving.py
@@ -58,6 +58,9 @@
         self.endpoints_ineligible = self._gauge(
             "endpoints_ineligible", "Endpoints that get no work, by reason.", "reason"
         )
+        self.endpoints_cold = self._gauge(
+            "endpoints_cold", "Endpoints that are cold, so get few requests a second."
+        )
         self.parts_quarantined = self._gauge(
             "parts_quarantined", "Parts of prompts that are kept from endpoints."
         )
