Read the copies of the store in a ranked order, and tell all hosts of each read

Cause: a host read a copy again 0.7 to 1.3 s after it was last confirmed, at a time drawn at random. News of a read takes some tenths of a second through summaries, and waits of that length ended at common ticks of 0.16 s, so tens of hosts read each copy before they had heard of the first read. While the store refused calls, each host tried again for each of three topics, up to every 0.5 s, also when another host had confirmed the copy meanwhile.

Change: the reporting hosts are ranked for each read by a hash of topic, last read and host (ReadOrder): four read in turn, 0.12 s apart, all others after these. Where reports don't go to all hosts, the reader sends the news of its read to each of them (CopyNews, a new kind of datagram; older hosts drop it). After a failed read a host tries one topic at a time, and only the next readers try often (ReadBackoff). Where another host's read is known to be recent, a host reads the store's copy although its own was confirmed long ago; a copy with an item written after that read is taken even if its digest differs. Whether entries may be missing after an outage follows from the time without a known read, since not every host now meets the failures.

--- a/features/builders/copies.py
+++ b/features/builders/copies.py
@@ -7,16 +7,22 @@
 from attrs import define, field
 
 from mangogauge.clock import ManualClock
-from mangogauge.sharing import SharedFreshness
+from mangogauge.sharing import ReadOrder, SharedFreshness
 from mangogauge.sharing.copies import read_copies, write_copies
 
-__all__ = ["CopySimulation"]
+__all__ = ["CopySimulation", "make_order"]
 
 TOPIC = "orders"
 INTERVAL_SECONDS = 0.7
 POLL_SECONDS = 0.01
 
 
+def make_order(index, count):
+    """Return the `ReadOrder` of one of several hosts that all hear each other."""
+    others = [f"h{other}" for other in range(count) if other != index]
+    return ReadOrder(f"h{index}", lambda: others)
+
+
 @define(eq=False)
 class _Host:
     """One host, and the version that it has read."""
@@ -58,9 +64,8 @@
             _Host(
                 SharedFreshness(
                     self._clock,
-                    random.Random(seed + index),
                     INTERVAL_SECONDS,
-                    lambda: count,
+                    make_order(index, count),
                     f"h{index}",
                 )
             )
--- a/features/steps/copies_expected.py
+++ b/features/steps/copies_expected.py
@@ -8,7 +8,7 @@
 from features.builders.fleet import ScriptedFeed
 from mangogauge.clock import ManualClock
 from mangogauge.fleet import Follower, Listener, SharedSchedule
-from mangogauge.sharing import CopyReport, SharedFreshness
+from mangogauge.sharing import CopyReport, ReadBackoff, SharedFreshness
 
 KEY = "p/key"
 TOPIC = "p/"
@@ -57,12 +57,15 @@
 @given('a follower that shares its copy, and has read "{value}"')
 def make_sharing_follower(context, value):
     context.clock = ManualClock()
-    context.freshness = SharedFreshness(
-        context.clock, random.Random(1), INTERVAL_SECONDS, reader=OWN
-    )
+    context.freshness = SharedFreshness(context.clock, INTERVAL_SECONDS, reader=OWN)
     context.feed = ScriptedFeed()
     context.listener = ValueListener()
-    context.schedule = CountedSchedule(context.freshness, TOPIC, ignore_notification)
+    context.schedule = CountedSchedule(
+        context.freshness,
+        TOPIC,
+        ignore_notification,
+        ReadBackoff(context.clock, random.Random(1)),
+    )
     context.follower = Follower(
         context.feed,
         TOPIC,
--- a/features/steps/expected.py
+++ b/features/steps/expected.py
@@ -6,9 +6,10 @@
 from behave import given, then, when
 from returns.result import Success
 
+from features.builders.copies import make_order
 from mangogauge.clock import SystemClock
 from mangogauge.fleet import Follower, Listener, SharedSchedule
-from mangogauge.sharing import CopyReport, SharedFreshness
+from mangogauge.sharing import CopyReport, ReadBackoff, SharedFreshness
 from mangogauge.store import ChangeFeed, KeyValue, Snapshot
 
 PREFIX = "p/"
@@ -75,9 +76,10 @@
     context.feed = VersionFeed()
     context.listener = VersionListener()
     context.freshness = SharedFreshness(
-        clock, random.Random(1), INTERVAL_SECONDS, lambda: 50, "own#1"
+        clock, INTERVAL_SECONDS, make_order(0, 50), "own#1"
     )
-    context.schedule = SharedSchedule(context.freshness, PREFIX, ignore_change)
+    backoff = ReadBackoff(clock, random.Random(1))
+    context.schedule = SharedSchedule(context.freshness, PREFIX, ignore_change, backoff)
     context.follower = Follower(
         context.feed, PREFIX, context.listener, context.schedule, clock, reads_all=True
     )
--- a/features/steps/readtimes.py
+++ b/features/steps/readtimes.py
@@ -1,7 +1,5 @@
 """Steps of the estimated times of other hosts' reads."""
 
-import random
-
 from behave import given, then, when
 
 from mangogauge.clock import ManualClock
@@ -26,7 +24,7 @@
 )
 def make_freshness(context, seconds):
     clock = ManualClock()
-    context.freshness = SharedFreshness(clock, random.Random(1), INTERVAL_SECONDS)
+    context.freshness = SharedFreshness(clock, INTERVAL_SECONDS)
     context.freshness.note_read(TOPIC, "d", clock.read_elapsed(), 1)
     clock.advance(10 * seconds)
     merge_copy(context, seconds)
--- a/features/steps/registration.py
+++ b/features/steps/registration.py
@@ -16,7 +16,7 @@
     Registration,
     SharedSchedule,
 )
-from mangogauge.sharing import SharedFreshness
+from mangogauge.sharing import ReadBackoff, SharedFreshness
 from mangogauge.store import MemoryStore, Operation, Transaction
 
 LEASE_SECONDS = 2.5
@@ -101,8 +101,9 @@
     def __init__(self, name, store, clock):
         member = FleetMember(name, "1")
         self.members = MemberDirectory(member, clock)
-        freshness = SharedFreshness(clock, random.Random(1), INTERVAL_SECONDS)
-        schedule = SharedSchedule(freshness, MemberDirectory.prefix, ignore)
+        freshness = SharedFreshness(clock, INTERVAL_SECONDS)
+        backoff = ReadBackoff(clock, random.Random(1))
+        schedule = SharedSchedule(freshness, MemberDirectory.prefix, ignore, backoff)
         self.follower = Follower(
             store, MemberDirectory.prefix, self.members, schedule, clock, reads_all=True
         )
--- a/features/steps/sharing.py
+++ b/features/steps/sharing.py
@@ -5,6 +5,7 @@
 from attrs import define, field
 from behave import given, then, when
 
+from features.builders.copies import make_order
 from features.builders.fleet import make_account, make_configuration
 from mangogauge.clock import ManualClock
 from mangogauge.fleet import PrefixRoutes
@@ -191,13 +192,12 @@
         ReadingHost(
             SharedFreshness(
                 context.clock,
-                random.Random(seed),
                 float(interval),
-                lambda: count,
-                f"h{seed}",
+                make_order(index, count),
+                f"h{index}",
             )
         )
-        for seed in range(count)
+        for index in range(count)
     ]
     context.cut_off = set()
     for host in context.hosts:
--- a/features/steps/waiting_reports.py
+++ b/features/steps/waiting_reports.py
@@ -28,9 +28,7 @@
 @given("a host with a copy of the orders that it has read {seconds:g} s ago")
 def make_host(context, seconds):
     clock = context.clock = SystemClock()
-    context.freshness = SharedFreshness(
-        clock, random.Random(1), INTERVAL_SECONDS, reader="p1"
-    )
+    context.freshness = SharedFreshness(clock, INTERVAL_SECONDS, reader="p1")
     context.freshness.note_read(TOPIC, DIGEST, clock.read_elapsed() - seconds, 7)
     table = ReportTable("h1", "p1", clock)
     members = FixedMembers(FleetMember("h1", "p1"), [])
--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -23,9 +23,12 @@
 from ..placement import EndpointHealth
 from ..quarantine import CrashNews, PartQuarantine, QuarantineRecord
 from ..sharing import (
+    CopyNews,
     CrashLedger,
     Gossip,
     LimitExchange,
+    ReadBackoff,
+    ReadOrder,
     ReportExchange,
     ReportTable,
     ReportTopology,
@@ -152,15 +155,15 @@
             self.health.note_silence,
             self.health.is_path_doubtful,
         )
+        self.members = MemberDirectory(FleetMember(settings.name, incarnation), clock)
+        self.neighbours = Neighbours(self.members, self.board)
         self._freshness = SharedFreshness(
             clock,
-            random,
             FRESH_SECONDS,
-            lambda: self.board.count_reporting_hosts() + 1,
+            ReadOrder(settings.name, self.neighbours.list_reporting),
             incarnation,
         )
-        self.members = MemberDirectory(FleetMember(settings.name, incarnation), clock)
-        self.neighbours = Neighbours(self.members, self.board)
+        self._backoff = ReadBackoff(clock, random)
         self._topology = ReportTopology(self.members, self.board, random)
         self._exchange = ReportExchange(
             self.board,
@@ -175,6 +178,7 @@
                 CrashNews: self._take_crash_news,
                 StreamNews: self._take_stream_news,
                 LimitNews: self._take_limit_news,
+                CopyNews: self._take_copy_news,
             },
         )
         self._crash_gossip = Gossip(
@@ -270,7 +274,9 @@
 
     def _follow_shared(self, prefix, listener, **pace):
         """Keep a copy that is read in turn with the other hosts."""
-        schedule = SharedSchedule(self._freshness, prefix, self.notify, **pace)
+        schedule = SharedSchedule(
+            self._freshness, prefix, self._notify_read, self._backoff, **pace
+        )
         self._schedules[prefix] = schedule
         self._followers.append(
             Follower(
@@ -302,6 +308,21 @@
         await self._exchange.note_change()
         await self._limit_exchange.note_change()
 
+    async def _notify_read(self):
+        """Tell the other hosts at once that this one has read the store.
+
+        Notes
+        -----
+        Where reports go to all hosts, they suffice.
+        """
+        for schedule in self._schedules.values():
+            await schedule.wake()
+        await self.notify()
+        if not self._topology.is_direct:
+            news = CopyNews(self._freshness.report_own_reads())
+            addresses = self.neighbours.list_addresses()
+            await self._exchange.send(news.to_bytes(), addresses)
+
     async def notify_crash(self):
         """Tell the other hosts soon what is new here about crashes of endpoints."""
         await self._exchange.note_change()
@@ -419,5 +440,9 @@
         """Take in what a host's report and a data centre's totals both tell."""
         self.crash_ledger.merge_counts(report.host, report.crashes)
         self.directory.merge_leaving(report.departures, report.host)
-        for topic in self._freshness.merge_report(report.copies):
+        await self._take_copy_news(report)
+
+    async def _take_copy_news(self, news):
+        """Take in the copies of the store that other hosts have read."""
+        for topic in self._freshness.merge_report(news.copies):
             await self._schedules[topic].wake()
--- a/mangogauge/fleet/follower.py
+++ b/mangogauge/fleet/follower.py
@@ -2,18 +2,13 @@
 
 from abc import ABC, abstractmethod
 
-import curio
 from returns.result import Failure
 
-from ..store import StoreCompactedError
+from ..store import StoreCompactedError, StoreError
 from ..telemetry import get_logger
 
 __all__ = ["Follower", "Listener"]
 
-INITIAL_RETRY_SECONDS = 0.05
-MAX_RETRY_SECONDS = 0.5
-RETRY_GROWTH = 2.0
-
 log = get_logger("follower")
 
 
@@ -85,7 +80,6 @@
         self._reads_all = reads_all
         self._revision = None
         self._reachable = True
-        self._retry_seconds = INITIAL_RETRY_SECONDS
         self.confirmed_at = None
 
     @property
@@ -104,52 +98,51 @@
         """Follow until cancelled."""
         while True:
             asked_at = self._clock.read_elapsed()
-            if await self._read_newer_copy():
-                await self._schedule.wait()
-                continue
-            revision = await self._read_newest()
-            if revision is not None:
-                self.confirmed_at = asked_at
-                self._retry_seconds = INITIAL_RETRY_SECONDS
-                self._schedule.note_read(self._listener.digest, asked_at, revision)
-                await self._schedule.wait()
+            newer = self._schedule.find_newer()
+            try:
+                if newer is None or not await self._read_newer_copy(newer):
+                    await self._read_newest(asked_at)
+            except StoreError as error:
+                self._note_failure(error)
+                await self._schedule.wait_after_failure()
             else:
-                await curio.sleep(self._retry_seconds)
-                longer = self._retry_seconds * RETRY_GROWTH
-                self._retry_seconds = min(MAX_RETRY_SECONDS, longer)
+                await self._schedule.wait()
 
-    async def _read_newer_copy(self):
-        """Read the newer copy that another host has reported, if there is one.
+    async def _read_newer_copy(self, newer):
+        """Read the newer copy that another host has reported.
 
         Returns
         -------
         bool
             Whether a copy was read and applied.
 
+        Raises
+        ------
+        StoreError
+            If the store didn't answer, so that it can't be asked for its newest state.
+
         Notes
         -----
         The read goes to a copy of the store, which costs less but may be outdated; its
-        digest shows whether it is recent enough.
+        digest shows whether it is recent enough, or the revisions of its items.
         """
-        newer = self._schedule.find_newer()
-        if newer is None:
-            return False
-        answer = await self._feed.read_copy(self._prefix)
-        if isinstance(answer, Failure):
-            return False
-        items = answer.unwrap().items
-        if self._listener.digest_items(items) != newer.report.digest:
-            return False
+        snapshot = _unwrap(await self._feed.read_copy(self._prefix))
+        digest = self._listener.digest_items(snapshot.items)
+        revision = newer.report.revision
+        if digest != newer.report.digest:
+            revision = _find_later_revision(snapshot, revision)
+            if revision is None:
+                return False
         if self._schedule.find_newer() is None:
             # This host's copy was confirmed meanwhile, or is now too old for this.
             return False
         self._note_reachable()
-        self._listener.apply_snapshot(items)
-        self._schedule.note_newer_read(newer)
+        self._listener.apply_snapshot(snapshot.items)
+        self._schedule.note_newer_read(newer, digest, revision)
         return True
 
-    async def _read_newest(self):
-        """Read the prefix or its changes; return the revision, or None on failure."""
+    async def _read_newest(self, asked_at):
+        """Read the prefix or its changes."""
         if self._revision is None:
             answer = await self._feed.read_snapshot(self._prefix)
         else:
@@ -157,17 +150,15 @@
             answer = await self._feed.read_changes(
                 self._prefix, self._revision, wait_seconds
             )
-        if isinstance(answer, Failure):
-            self._note_failure(answer.failure())
-            return None
+        read = _unwrap(answer)
         self._note_reachable()
-        read = answer.unwrap()
         if self._revision is None:
             self._listener.apply_snapshot(read.items)
         elif read.events:
             self._listener.apply_changes(read.events)
         self._revision = None if self._reads_all else read.revision
-        return read.revision
+        self.confirmed_at = asked_at
+        self._schedule.note_read(self._listener.digest, asked_at, read.revision)
 
     def _note_failure(self, error):
         if isinstance(error, StoreCompactedError):
@@ -185,7 +176,27 @@
             )
 
     def _note_reachable(self):
-        if not self._reachable:
-            self._reachable = True
+        failed, self._reachable = not self._reachable, True
+        if self._schedule.is_after_outage(failed):
             self._listener.handle_store_regained()
+        if failed:
             log.info("store regained", extra={"prefix": self._prefix, "age": self.age})
+
+
+def _unwrap(answer):
+    """Return the value of an answer, or raise the error of a failure."""
+    if isinstance(answer, Failure):
+        raise answer.failure()
+    return answer.unwrap()
+
+
+def _find_later_revision(snapshot, revision):
+    """Return the revision of an item that was written after `revision`, or None.
+
+    Notes
+    -----
+    A copy with such an item has all changes up to it. Pages may come from different
+    copies, so that one page shows nothing of the others.
+    """
+    latest = max((item.mod_revision for item in snapshot.items), default=0)
+    return latest if snapshot.pages == 1 and latest > revision else None
--- a/mangogauge/fleet/neighbours.py
+++ b/mangogauge/fleet/neighbours.py
@@ -24,6 +24,11 @@
         """Return where all others take messages, as a list of str."""
         return [member.address for member in self._members.list_others()]
 
+    def list_reporting(self):
+        """Return the names of the others that are reporting."""
+        names = [member.name for member in self._members.list_others()]
+        return list(filter(self._report_table.is_reporting, names))
+
     def list_near_addresses(self):
         """Return where the others of this host's data centre take messages."""
         near = self._members.own.data_centre
@@ -46,9 +51,7 @@
 
     def is_first(self):
         """Return whether this host comes first by name of those that report."""
-        others = [member.name for member in self._members.list_others()]
-        reporting = filter(self._report_table.is_reporting, others)
-        return all(self._members.own.name < name for name in reporting)
+        return all(self._members.own.name < name for name in self.list_reporting())
 
     def hears_data_centre(self, data_centre, since):
         """Return whether another host of a data centre has been heard since.
--- a/mangogauge/fleet/schedule.py
+++ b/mangogauge/fleet/schedule.py
@@ -5,10 +5,19 @@
 import curio
 
 from ..telemetry import get_logger
-from ..ticks import measure_to_tick, sleep_to_tick
+from ..ticks import round_up_to_tick, sleep_to_tick
 
 __all__ = ["ReadSchedule", "SharedSchedule", "FixedDelaySchedule"]
 
+# A copy that no host has confirmed for longer may miss entries whose leases expired
+# while the store was lost to all hosts.
+OUTAGE_SECONDS = 1.3
+# The same where this host's own read has failed as well.
+FAILED_OUTAGE_SECONDS = 0.9
+INITIAL_RETRY_SECONDS = 0.05
+MAX_RETRY_SECONDS = 0.5
+RETRY_GROWTH = 2.0
+
 log = get_logger("schedule")
 
 
@@ -33,12 +42,37 @@
         """
         return None
 
+    @abstractmethod
+    async def wait_after_failure(self):
+        """Return when a read has to be tried again after one that failed."""
+
+    def is_after_outage(self, failed):
+        """Return whether entries may be missing because the store was lost.
+
+        Called before what was read is recorded.
+
+        Parameters
+        ----------
+        failed : bool
+            Whether this host's last read of the newest state failed.
+        """
+        return failed
+
     def find_newer(self):
         """Return the `NewerCopy` to read; None to read the newest state."""
         return None
 
-    def note_newer_read(self, newer):
-        """Record that the copy that `find_newer` returned was read."""
+    def note_newer_read(self, newer, digest, revision):
+        """Record that the copy that `find_newer` returned, or a later one, was read.
+
+        Parameters
+        ----------
+        newer : NewerCopy
+        digest : str
+            Digest of what was read.
+        revision : int
+            Revision of the store up to which it is complete.
+        """
         return None
 
 
@@ -52,11 +86,19 @@
 
     def __init__(self, pause_seconds):
         self._pause_seconds = pause_seconds
+        self._retry_seconds = INITIAL_RETRY_SECONDS
 
     async def wait(self):
         """Sleep for the delay."""
+        self._retry_seconds = INITIAL_RETRY_SECONDS
         await sleep_to_tick(self._pause_seconds)
 
+    async def wait_after_failure(self):
+        """Sleep for longer after each failure in a row."""
+        await curio.sleep(self._retry_seconds)
+        longer = self._retry_seconds * RETRY_GROWTH
+        self._retry_seconds = min(MAX_RETRY_SECONDS, longer)
+
 
 class SharedSchedule(ReadSchedule):
     """Schedule shared by all hosts.
@@ -70,12 +112,15 @@
         Prefix that is read; names the copy in reports.
     notify : async callable
         Called after a read, so that it is reported to the other hosts.
+    backoff : ReadBackoff
+        Pauses of all topics of this host.
     **wait_options
         Further arguments of `SharedFreshness.measure_wait`.
     """
 
-    def __init__(self, freshness, topic, notify, **wait_options):
+    def __init__(self, freshness, topic, notify, backoff, **wait_options):
         self._freshness = freshness
+        self._backoff = backoff
         self._wait_options = wait_options
         self.topic = topic
         self._notify = notify
@@ -89,19 +134,34 @@
             await self._notify()
         while True:
             seconds = self._freshness.measure_wait(self.topic, **self._wait_options)
-            if seconds <= 0:
+            seconds = max(seconds, self._backoff.measure_wait())
+            if seconds <= 0 and self._backoff.begin_read():
                 return
             self._wake_event.clear()
-            async with curio.ignore_after(measure_to_tick(seconds)):
+            # Hosts read in turn, so this can't wait for a coarser tick.
+            async with curio.ignore_after(round_up_to_tick(seconds)):
                 await self._wake_event.wait()
 
+    async def wait_after_failure(self):
+        """Return when a read is due and the pause after the failure has passed."""
+        self._backoff.note_failure(
+            self._freshness.find_rank(self.topic), self._freshness.count_hosts()
+        )
+        await self.wait()
+
+    def is_after_outage(self, failed):
+        """Return whether no host that this one hears has read for long."""
+        longest = FAILED_OUTAGE_SECONDS if failed else OUTAGE_SECONDS
+        return self._freshness.measure_gap(self.topic) > longest
+
     def find_newer(self):
         """Return the `NewerCopy` that another host has, or None."""
         return self._freshness.find_newer(self.topic)
 
-    def note_newer_read(self, newer):
-        """Record that the copy that another host has was read."""
-        self._freshness.note_newer_read(self.topic, newer)
+    def note_newer_read(self, newer, digest, revision):
+        """Record that the copy that another host has, or a later one, was read."""
+        self._backoff.note_success()
+        self._freshness.note_newer_read(self.topic, newer, digest, revision)
 
     async def request_read(self):
         """Make the next read due at once."""
@@ -123,5 +183,6 @@
                 "read_before": self._freshness.measure_read_age(self.topic),
             },
         )
+        self._backoff.note_success()
         self._freshness.note_read(self.topic, digest, asked_at, revision)
         self._notified = False
--- a/mangogauge/platform/store.py
+++ b/mangogauge/platform/store.py
@@ -111,7 +111,7 @@
         return await self._read_pages({"prefix": prefix, **FROM_COPY}, start_after)
 
     async def _read_pages(self, parameters, start_after):
-        items, revision = [], None
+        items, revision, pages = [], None, 0
         while True:
             query = dict(parameters)
             if start_after:
@@ -124,8 +124,9 @@
             # has to be read from the history.
             revision = body["as_of"] if revision is None else revision
             items += [_read_item(item) for item in body["items"]]
+            pages += 1
             if not body["truncated"]:
-                return Success(Snapshot(items, revision))
+                return Success(Snapshot(items, revision, pages))
             start_after = items[-1].key
 
     async def read_changes(self, prefix, revision, wait_seconds):
--- a/mangogauge/sharing/__init__.py
+++ b/mangogauge/sharing/__init__.py
@@ -1,6 +1,7 @@
 """Frequent reports between hosts: running work, admissions, copies of the store."""
 
 from .copies import CopyReport
+from .copynews import CopyNews
 from .crashes import CrashLedger
 from .exchange import ReportExchange
 from .freshness import SharedFreshness
@@ -8,6 +9,8 @@
 from .limits import LimitExchange
 from .pacing import estimate_report_delay
 from .quota import Admission, SharedQuota
+from .readbackoff import ReadBackoff
+from .readorder import ReadOrder
 from .report_table import ReportTable
 from .reports import EndpointLoad, HostReport, ReportError
 from .summaries import DataCentreSummary, DataCentreTotals
@@ -16,6 +19,7 @@
 
 __all__ = [
     "Admission",
+    "CopyNews",
     "CopyReport",
     "CrashLedger",
     "DataCentreSummary",
@@ -24,6 +28,8 @@
     "Gossip",
     "HostReport",
     "LimitExchange",
+    "ReadBackoff",
+    "ReadOrder",
     "ReportTable",
     "ReportError",
     "ReportExchange",
--- a/mangogauge/sharing/freshness.py
+++ b/mangogauge/sharing/freshness.py
@@ -9,18 +9,14 @@
 the read that it comes from, however many hosts have reported it since.
 """
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from .copies import CopyReport
+from .readorder import ReadOrder
 from .readtimes import ReadTimes
 
 __all__ = ["NewerCopy", "SharedFreshness"]
 
-# The first host whose wait ends reads for all. A wait is the interval plus a random
-# fraction of it: at most `REREAD_SPREAD` at about `EARLY_HOSTS` hosts, one to two times
-# `REREAD_SPREAD` at all others. So few hosts read at once, however many there are.
-EARLY_HOSTS = 5
-REREAD_SPREAD = 0.3
 # Minimum time between two reads of a copy by the same host, as a fraction of the
 # interval, however often others report newer ones: while many hosts start, each of
 # them changes the list of hosts.
@@ -58,12 +54,12 @@
         Number of that read.
     confirmed_at : float
         Elapsed time of that read.
-    due_after : float
-        Seconds after `confirmed_at` at which it has to be read again.
     newer : NewerCopy or None
         The newest different copy that has been reported.
     read_at : float
         Elapsed time at which this host last read it.
+    requested_at : float or None
+        Elapsed time since which a read of the newest state is requested.
     """
 
     digest = field(default="")
@@ -71,15 +67,23 @@
     reader = field(default="")
     number = field(default=0)
     confirmed_at = field(default=float("-inf"))
-    due_after = field(default=0.0)
     newer = field(default=None)
     read_at = field(default=float("-inf"))
+    requested_at = field(default=None)
 
     @property
     def is_outdated(self):
         """Whether another host has a newer copy with a different content."""
         return self.newer is not None and self.newer.report.revision > self.revision
 
+    @property
+    def last_read(self):
+        """Reader, number and time of the last read known, of this or a newer copy."""
+        newer = self.newer
+        if self.is_outdated and newer.read_at > self.confirmed_at:
+            return newer.report.reader, newer.report.number, newer.read_at
+        return self.reader, self.number, self.confirmed_at
+
 
 class SharedFreshness:
     """Freshness of this host's copies.
@@ -87,39 +91,36 @@
     Parameters
     ----------
     clock : Clock
-    random : random.Random
     interval : float
         Seconds after which a copy has to be confirmed again.
-    count_hosts : callable, optional
-        Returns how many hosts report their copies, this one included.
+    order : ReadOrder, optional
+        Decides how much later than the first host this one reads.
     reader : str, optional
         Name of this process.
 
     Examples
     --------
-    >>> import random
     >>> from mangogauge.clock import ManualClock
     >>> clock = ManualClock()
-    >>> freshness = SharedFreshness(clock, random.Random(1), interval=1.0)
+    >>> freshness = SharedFreshness(clock, interval=1.0)
     >>> freshness.note_read("routes", "a", 0.0, revision=7)
     >>> clock.advance(0.9)
     >>> freshness.merge_report({"routes": CopyReport("a", 9, "other", 1, 0.1)})
     ()
-    >>> clock.advance(0.9)
+    >>> clock.advance(0.8)
     >>> freshness.is_due("routes")
     False
     >>> freshness.merge_report({"routes": CopyReport("b", 12, "other", 2, 0.0)})
     ('routes',)
     """
 
-    def __init__(self, clock, random, interval, count_hosts=lambda: 1, reader=""):
+    def __init__(self, clock, interval, order=None, reader=""):
         self._clock = clock
         self._reader = reader
         self._reads = 0
         self._read_times = ReadTimes()
-        self._random = random
         self._interval = interval
-        self._count_hosts = count_hosts
+        self._order = order or ReadOrder()
         self._copies = {}
 
     def note_read(self, topic, digest, asked_at, revision):
@@ -136,6 +137,8 @@
         """
         copy = self._copies.setdefault(topic, _Copy())
         copy.read_at = self._clock.read_elapsed()
+        if copy.requested_at is not None and asked_at >= copy.requested_at:
+            copy.requested_at = None
         self._reads += 1
         self._read_times.record(topic, self._reader, self._reads, asked_at)
         read = CopyReport(digest, revision, self._reader, self._reads, 0.0)
@@ -174,17 +177,22 @@
                 self._confirm(copy, report, read_at)
         return tuple(newer)
 
-    def note_newer_read(self, topic, expected):
-        """Note that this host has read the copy that `find_newer` returned.
+    def note_newer_read(self, topic, expected, digest, revision):
+        """Note that this host has read the copy that `find_newer` returned, or a later.
 
         Parameters
         ----------
         topic : str
         expected : NewerCopy
+        digest : str
+            Digest of what was read.
+        revision : int
+            Revision of the store up to which it is complete.
         """
         copy = self._copies[topic]
         copy.read_at = self._clock.read_elapsed()
-        self._confirm(copy, expected.report, expected.read_at)
+        read = evolve(expected.report, digest=digest, revision=revision)
+        self._confirm(copy, read, expected.read_at)
 
     def find_newer(self, topic):
         """Return the newer copy of a topic that another host has.
@@ -192,13 +200,13 @@
         Returns
         -------
         NewerCopy or None
-            None if there is none, or if this host's copy has not been confirmed for
-            too long, so that the store's newest state has to be read.
+            None if there is none, or if the last read known is so old that the
+            store's newest state has to be read.
         """
         copy = self._copies.get(topic)
-        if copy is None or not copy.is_outdated or self._is_expired(copy):
+        if copy is None or not copy.is_outdated:
             return None
-        return copy.newer
+        return copy.newer if self._measure_newest_wait(topic, copy) > 0 else None
 
     def measure_wait(self, topic, least_gap=MIN_GAP):
         """Return the seconds until a topic has to be read again.
@@ -212,16 +220,17 @@
         copy = self._copies.get(topic)
         if copy is None:
             return 0.0
-        due_at = copy.confirmed_at + copy.due_after
+        wait = self._measure_newest_wait(topic, copy)
         if copy.is_outdated:
             due_at = copy.read_at + self._interval * least_gap
-        return max(0.0, due_at - self._clock.read_elapsed())
+            wait = min(wait, due_at - self._clock.read_elapsed())
+        return max(0.0, wait)
 
     def request_read(self, topic):
         """Make a topic due to be read again immediately."""
         copy = self._copies.get(topic)
         if copy is not None:
-            copy.due_after = 0.0
+            copy.requested_at = self._clock.read_elapsed()
 
     def measure_age(self, topic):
         """Return the seconds since a topic was last confirmed; infinity if never."""
@@ -250,6 +259,33 @@
             return float("inf")
         return self._clock.read_elapsed() - copy.read_at
 
+    def measure_gap(self, topic):
+        """Return the longest time without a known read since the copy was confirmed.
+
+        Returns
+        -------
+        float
+            Seconds; 0 if there is no copy yet.
+        """
+        copy = self._copies.get(topic)
+        if copy is None:
+            return 0.0
+        _, _, read_at = copy.last_read
+        now = self._clock.read_elapsed()
+        return max(now - read_at, read_at - copy.confirmed_at)
+
+    def find_rank(self, topic):
+        """Return this host's rank among the next readers of a topic."""
+        copy = self._copies.get(topic)
+        if copy is None:
+            return 0
+        reader, number, _ = copy.last_read
+        return self._order.find_rank(topic, reader, number)
+
+    def count_hosts(self):
+        """Return how many hosts are heard, this one included."""
+        return self._order.count_hosts()
+
     def is_due(self, topic):
         """Return whether a topic has to be read again."""
         return self.measure_wait(topic) <= 0
@@ -268,9 +304,29 @@
             for topic, copy in self._copies.items()
         }
 
-    def _is_expired(self, copy):
-        """Return whether a copy has not been confirmed for too long."""
-        return self._clock.read_elapsed() >= copy.confirmed_at + copy.due_after
+    def report_own_reads(self):
+        """Return ``{topic: CopyReport}`` of the copies that this host read itself."""
+        return {
+            topic: report
+            for topic, report in self.make_report().items()
+            if report.reader == self._reader
+        }
+
+    def _measure_newest_wait(self, topic, copy):
+        """Return the seconds until the newest state has to be read.
+
+        Notes
+        -----
+        The order depends on the hosts that are heard, so it is not looked up before
+        the first host has to read.
+        """
+        if copy.requested_at is not None:
+            return 0.0
+        reader, number, read_at = copy.last_read
+        left = read_at + self._interval - self._clock.read_elapsed()
+        if left > 0:
+            return left
+        return left + self._order.measure_delay(topic, reader, number)
 
     def _confirm(self, copy, read, read_at):
         """Update a copy from a read by this or another process that confirmed it."""
@@ -279,11 +335,6 @@
         copy.reader = read.reader
         copy.number = read.number
         copy.confirmed_at = read_at
-        copy.due_after = self._interval * (1 + REREAD_SPREAD * self._draw_delay())
-
-    def _draw_delay(self):
-        early = self._random.random() < EARLY_HOSTS / self._count_hosts()
-        return self._random.random() + (not early)
 
 
 def _is_newer(copy, report):
--- /dev/null
+++ b/mangogauge/sharing/readbackoff.py
@@ -0,0 +1,93 @@
+"""Pauses between a host's reads of the platform's store while these fail.
+
+The load this answers: the store refuses all calls for some seconds, and each call
+counts, also a refused one. The hosts that are next to read try often; one successful
+read confirms the copies of all, so that all others try rarely. All topics of a host
+share the pause: while the store refuses one, it would refuse the others.
+"""
+
+from .readorder import READERS
+
+__all__ = ["ReadBackoff"]
+
+INITIAL_SECONDS = 0.05
+GROWTH = 2.0
+# Longest pause of a host that is next to read, and of one in a small fleet.
+READER_SECONDS = 0.5
+# Longest pause of all others; grows with their number.
+SECONDS_PER_HOST = 0.02
+MAX_SECONDS = 1.5
+# Part of a pause that is drawn at random, so that hosts don't try at the same time.
+JITTER = 0.5
+# Longest time that the other topics wait for the outcome of a read.
+TRIAL_SECONDS = 1.3
+
+
+class ReadBackoff:
+    """Pauses of one host.
+
+    Parameters
+    ----------
+    clock : Clock
+    random : random.Random
+
+    Examples
+    --------
+    >>> import random
+    >>> from mangogauge.clock import ManualClock
+    >>> backoff = ReadBackoff(ManualClock(), random.Random(1))
+    >>> backoff.measure_wait()
+    0.0
+    >>> backoff.note_failure(rank=0, hosts=88)
+    >>> 0.025 <= backoff.measure_wait() <= 0.05
+    True
+    >>> backoff.note_success()
+    >>> backoff.measure_wait()
+    0.0
+    """
+
+    def __init__(self, clock, random):
+        self._clock = clock
+        self._random = random
+        self._failures = 0
+        self._until = self._trial_until = float("-inf")
+
+    def measure_wait(self):
+        """Return the seconds until the next read may be made."""
+        until = max(self._until, self._trial_until)
+        return max(0.0, until - self._clock.read_elapsed())
+
+    def begin_read(self):
+        """Return whether a read may begin; while reads fail, one at a time."""
+        if self.measure_wait() > 0:
+            return False
+        if self._failures:
+            self._trial_until = self._clock.read_elapsed() + TRIAL_SECONDS
+        return True
+
+    def note_failure(self, rank, hosts):
+        """Note that a read failed; reads that were under way then count as one.
+
+        Parameters
+        ----------
+        rank : int
+            This host's rank among the readers of the topic.
+        hosts : int
+            Number of hosts that are heard, this one included.
+        """
+        now = self._clock.read_elapsed()
+        self._trial_until = float("-inf")
+        if now >= self._until:
+            self._until = now + self._draw_pause(rank, hosts)
+            self._failures += 1
+
+    def note_success(self):
+        """Note that the store has answered."""
+        self._failures = 0
+        self._until = self._trial_until = float("-inf")
+
+    def _draw_pause(self, rank, hosts):
+        pause = min(READER_SECONDS, INITIAL_SECONDS * GROWTH**self._failures)
+        if rank >= READERS and hosts * SECONDS_PER_HOST > READER_SECONDS:
+            pause = min(MAX_SECONDS, hosts * SECONDS_PER_HOST)
+        return pause * (1 - JITTER * self._random.random())
--- a/mangogauge/store/base.py
+++ b/mangogauge/store/base.py
@@ -171,10 +171,14 @@
     revision : int
         Every change after this revision of the store has to be read from the
         history; some of them may be in `items` already.
+    pages : int
+        Number of calls that it was read with, each of which the store may have
+        answered from another copy.
     """
 
     items = field(converter=tuple)
     revision = field()
+    pages = field(default=1)
 
 
 @frozen
--- a/mangogauge/ticks.py
+++ b/mangogauge/ticks.py
@@ -9,7 +9,7 @@
 
 import curio
 
-__all__ = ["TICK_SECONDS", "measure_to_tick", "sleep_to_tick"]
+__all__ = ["TICK_SECONDS", "measure_to_tick", "round_up_to_tick", "sleep_to_tick"]
 
 TICK_SECONDS = 0.02
 # Part of its time by which a pause may be longer than asked for; a short one by up to
@@ -42,6 +42,12 @@
     return math.ceil((now + seconds) / step) * step - now
 
 
+def round_up_to_tick(seconds, now=None):
+    """Return the seconds until the first multiple of `TICK_SECONDS` after a pause."""
+    now = time.monotonic() if now is None else now
+    return math.ceil((now + seconds) / TICK_SECONDS) * TICK_SECONDS - now
+
+
 async def sleep_to_tick(seconds):
     """Sleep for so long at least; see `measure_to_tick`."""
     await curio.sleep(measure_to_tick(seconds))
