Let runners read the changes of open jobs in turn

Cause: each runner waited at the store for changes of open jobs. Jobs change several times a second, so 14 runners made about 14 waiting calls a second.

Change: the runners read in turn (ReadOrder among the runners that report), at an age of 0.5 s, and the reader sends the changes to the other runners (ChangeNews, a new kind of datagram; older hosts drop it). A runner applies them if it has all that came before, else it reads the changes itself. The reader repeats the changes of the read before, in case a datagram is lost. The age that CancellationCheck asks for is that of the read. The host's setting shared_reads = no restores the waiting calls, and makes a host read the other copies as soon as they are due.

Features run, all passed: platform/batch, platform/planned_stop, jobs/ends, jobs/lapses, fleet/following. Number of calls: not measured yet.

--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -23,6 +23,7 @@
 from ..placement import EndpointHealth
 from ..quarantine import CrashNews, PartQuarantine, QuarantineRecord
 from ..sharing import (
+    ChangeNews,
     CopyNews,
     CrashLedger,
     Gossip,
@@ -50,6 +51,7 @@
 from ..telemetry import get_logger
 from ..ticks import sleep_to_tick
 from ..trust import EndpointTrust
+from .sharedwork import SharedWork
 
 __all__ = ["FleetView"]
 
@@ -113,6 +115,7 @@
         self._on_report = on_report
         self._followers = []
         self._schedules = {}
+        self._shared_work = None
         self.isolated = False
         incarnation = uuid.uuid4().hex[:12]
         self._make_sharing(incarnation, random)
@@ -160,7 +163,7 @@
         self._freshness = SharedFreshness(
             clock,
             FRESH_SECONDS,
-            ReadOrder(settings.name, self.neighbours.list_reporting),
+            self._make_order(),
             incarnation,
         )
         self._backoff = ReadBackoff(clock, random)
@@ -179,6 +182,7 @@
                 StreamNews: self._take_stream_news,
                 LimitNews: self._take_limit_news,
                 CopyNews: self._take_copy_news,
+                ChangeNews: self._take_change_news,
             },
         )
         self._crash_gossip = Gossip(
@@ -212,6 +216,12 @@
             settings.runs_batch,
         )
 
+    def _make_order(self):
+        """Return the `ReadOrder` of the copies that all hosts keep."""
+        if not self._settings.shared_reads:
+            return ReadOrder()
+        return ReadOrder(self._settings.name, self.neighbours.list_reporting)
+
     def _make_copies(self, on_configuration, on_retirement):
         source = self._backends.source
         self.directory = EndpointDirectory(
@@ -303,6 +313,26 @@
         self._followers.append(follower)
         return follower
 
+    def follow_work(self, prefix, listener):
+        """Keep a copy of open jobs that is read in turn with the other runners.
+
+        Returns
+        -------
+        SharedWork
+        """
+        work = self._shared_work = SharedWork(
+            self._backends.feed,
+            prefix,
+            listener,
+            self.member,
+            self.neighbours,
+            self._exchange.send,
+            self._backoff,
+            self._clock,
+        )
+        self._followers.append(work.follower)
+        return work
+
     async def notify(self):
         """Tell the other hosts soon what has changed here."""
         await self._exchange.note_change()
@@ -317,6 +347,8 @@
         """
         for schedule in self._schedules.values():
             await schedule.wake()
+        if self._shared_work is not None:
+            await self._shared_work.wake()
         await self.notify()
         if not self._topology.is_direct:
             news = CopyNews(self._freshness.report_own_reads())
@@ -442,6 +474,10 @@
         self.directory.merge_leaving(report.departures, report.host)
         await self._take_copy_news(report)
 
+    async def _take_change_news(self, news):
+        if self._shared_work is not None:
+            await self._shared_work.take(news)
+
     async def _take_copy_news(self, news):
         """Take in the copies of the store that other hosts have read."""
         for topic in self._freshness.merge_report(news.copies):
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -165,9 +165,8 @@
         if not self.settings.runs_batch:
             return
         job_directory = JobDirectory(clock)
-        follower = self.fleet.follow(WORK_PREFIX, job_directory, WORK_PAUSE_SECONDS)
         cancellation_check = CancellationCheck(
-            job_directory, lambda: follower.age, clock
+            job_directory, self._follow_work(job_directory), clock
         )
         self.runner = JobRunner(
             self.settings.name,
@@ -210,6 +209,13 @@
         )
         self.keepers = [self.runner, self.retirement, retention]
 
+    def _follow_work(self, job_directory):
+        """Keep a copy of the open jobs; return a callable that measures its age."""
+        if self.settings.shared_reads:
+            return self.fleet.follow_work(WORK_PREFIX, job_directory).measure_age
+        follower = self.fleet.follow(WORK_PREFIX, job_directory, WORK_PAUSE_SECONDS)
+        return lambda: follower.age
+
     def _make_entry(self):
         clock = self.clock
         self.dispatcher = OnlineDispatcher(
--- a/mangogauge/fleet/follower.py
+++ b/mangogauge/fleet/follower.py
@@ -1,14 +1,19 @@
 """Replicate the entries below a prefix of the platform's store."""
 
 from abc import ABC, abstractmethod
+from collections import deque
 
 from returns.result import Failure
 
-from ..store import StoreCompactedError, StoreError
+from ..store import Changes, StoreCompactedError, StoreError
 from ..telemetry import get_logger
 
 __all__ = ["Follower", "Listener"]
 
+# Groups of changes that are kept to be sent to other hosts: the last ones and those
+# before, in case that a datagram is lost.
+RECENT_GROUPS = 2
+
 log = get_logger("follower")
 
 
@@ -80,6 +85,8 @@
         self._reads_all = reads_all
         self._revision = None
         self._reachable = True
+        # Pairs of a revision and the `Changes` that followed it, without a gap.
+        self._recent = deque(maxlen=RECENT_GROUPS)
         self.confirmed_at = None
 
     @property
@@ -94,6 +101,37 @@
             return float("inf")
         return self._clock.read_elapsed() - self.confirmed_at
 
+    @property
+    def loaded(self):
+        """Whether changes can be applied to what was read."""
+        return self._revision is not None
+
+    def list_recent_changes(self):
+        """Return pairs of a revision and the `Changes` that followed it, in order."""
+        return list(self._recent)
+
+    def merge_changes(self, base, changes):
+        """Apply changes that another host has read.
+
+        Parameters
+        ----------
+        base : int
+            Revision of the store that they follow.
+        changes : Changes
+
+        Returns
+        -------
+        bool
+            Whether the copy now has all changes up to theirs; False if it lacks some
+            that came before.
+        """
+        if self._revision is None or self._revision < base:
+            return False
+        self._note_reachable()
+        if changes.revision > self._revision:
+            self._apply_changes(changes)
+        return True
+
     async def run(self):
         """Follow until cancelled."""
         while True:
@@ -154,12 +192,27 @@
         self._note_reachable()
         if self._revision is None:
             self._listener.apply_snapshot(read.items)
-        elif read.events:
-            self._listener.apply_changes(read.events)
-        self._revision = None if self._reads_all else read.revision
+            self._recent.clear()
+            self._revision = None if self._reads_all else read.revision
+        else:
+            self._apply_changes(read)
         self.confirmed_at = asked_at
         self._schedule.note_read(self._listener.digest, asked_at, read.revision)
 
+    def _apply_changes(self, changes):
+        """Apply the changes that this copy doesn't have yet.
+
+        Notes
+        -----
+        Another host's changes may have been merged during the read.
+        """
+        before = self._revision
+        events = [e for e in changes.events if e.mod_revision > before]
+        if events:
+            self._listener.apply_changes(events)
+        self._revision = max(before, changes.revision)
+        self._recent.append((before, Changes(events, self._revision)))
+
     def _note_failure(self, error):
         if isinstance(error, StoreCompactedError):
             self._revision = None
--- a/mangogauge/fleet/neighbours.py
+++ b/mangogauge/fleet/neighbours.py
@@ -29,6 +29,15 @@
         names = [member.name for member in self._members.list_others()]
         return list(filter(self._report_table.is_reporting, names))
 
+    def list_reporting_runners(self):
+        """Return the names of the others that run items and are reporting."""
+        is_reporting = self._report_table.is_reporting
+        return [m.name for m in self._list_runners() if is_reporting(m.name)]
+
+    def list_runner_addresses(self):
+        """Return where the others that run items take messages."""
+        return [member.address for member in self._list_runners()]
+
     def list_near_addresses(self):
         """Return where the others of this host's data centre take messages."""
         near = self._members.own.data_centre
@@ -71,6 +80,9 @@
         heard = self._report_table.has_reported_since
         return not there or any(heard(name, since) for name in there)
 
+    def _list_runners(self):
+        return [m for m in self._members.list_others() if m.runs_batch]
+
     def _list_members(self, data_centre):
         return [
             member
--- a/mangogauge/settings/serving.py
+++ b/mangogauge/settings/serving.py
@@ -50,6 +50,9 @@
         Time between SIGTERM and the end of the process.
     status_seconds : float
         How long a batch job can be read after it was submitted.
+    shared_reads : bool
+        Whether the host takes turns with the others in reading the store; else it
+        reads as soon as a copy is due, which costs more calls the more hosts do so.
     store : StoreSettings
     """
 
@@ -64,6 +67,7 @@
     runs_batch = make_option(FlagKind(), default=False)
     drain_seconds = make_option(NumberKind(0.1, 600, "seconds"), default=8.0)
     status_seconds = make_option(NumberKind(1, 864_000, "seconds"), default=3600.0)
+    shared_reads = make_option(FlagKind(), default=True)
     store = field(default=None)
 
     @property
--- a/mangogauge/sharing/__init__.py
+++ b/mangogauge/sharing/__init__.py
@@ -1,8 +1,10 @@
 """Frequent reports between hosts: running work, admissions, copies of the store."""
 
+from .changenews import ChangeNews
 from .copies import CopyReport
 from .copynews import CopyNews
 from .crashes import CrashLedger
+from .datagrams import DATAGRAM_BYTES
 from .exchange import ReportExchange
 from .freshness import SharedFreshness
 from .gossip import Gossip
@@ -18,7 +20,9 @@
 from .topology import ReportTopology
 
 __all__ = [
+    "DATAGRAM_BYTES",
     "Admission",
+    "ChangeNews",
     "CopyNews",
     "CopyReport",
     "CrashLedger",
--- a/mangogauge/sharing/exchange.py
+++ b/mangogauge/sharing/exchange.py
@@ -6,6 +6,7 @@
 from ..supervision import keep_running
 from ..telemetry import get_logger
 from ..ticks import measure_to_tick, sleep_to_tick
+from .changenews import ChangeNews
 from .copynews import CopyNews
 from .datagrams import DATAGRAM_BYTES, DatagramSocket
 from .messages import REBROADCAST_MARK, decode, join
@@ -160,7 +161,7 @@
             if isinstance(message, HostReport):
                 await self._handle_report(_age(message, datagram), address)
                 continue
-            if isinstance(message, CopyNews):
+            if isinstance(message, (CopyNews, ChangeNews)):
                 message = _age(message, datagram)
             if type(message) in self._on_news:
                 await self._on_news[type(message)](message)
--- a/mangogauge/sharing/messages.py
+++ b/mangogauge/sharing/messages.py
@@ -5,6 +5,7 @@
 from ..backpressure import LimitNews
 from ..quarantine import CrashNews
 from ..streams import StreamNews
+from .changenews import ChangeNews
 from .copynews import CopyNews
 from .reports import HostReport, ReportError
 from .summaries import DataCentreSummary
@@ -21,6 +22,7 @@
     "streams": StreamNews,
     "limits": LimitNews,
     "copies": CopyNews,
+    "changes": ChangeNews,
 }
 
 
