Read the store's copy again before its newest state, and pause failed reads for longer

Cause: the store's copy may lack a version that another host has just read; then each host of a large fleet read the newest state. While the store refused all calls, each host of a large fleet tried about three times in 3 s.

Change: from 25 hosts on, hosts that are not among the next readers read the store's copy again after 0.15 to 0.35 s, four times in all, before they read the newest state. They pause up to 2.2 s between failed reads, but at most 0.5 s where another host is known to have read something newer.

--- a/mangogauge/fleet/follower.py
+++ b/mangogauge/fleet/follower.py
@@ -152,7 +152,7 @@
         Returns
         -------
         bool
-            Whether a copy was read and applied.
+            False if the newest state has to be read instead.
 
         Raises
         ------
@@ -170,7 +170,7 @@
         if digest != newer.report.digest:
             revision = _find_later_revision(snapshot, revision)
             if revision is None:
-                return False
+                return self._schedule.note_copy_missed()
         if self._schedule.find_newer() is None:
             # This host's copy was confirmed meanwhile, or is now too old for this.
             return False
--- a/mangogauge/fleet/schedule.py
+++ b/mangogauge/fleet/schedule.py
@@ -58,6 +58,10 @@
         """
         return failed
 
+    def note_copy_missed(self):
+        """Return whether to read the store's copy again later, since it is too old."""
+        return False
+
     def find_newer(self):
         """Return the `NewerCopy` to read; None to read the newest state."""
         return None
@@ -134,8 +138,9 @@
             await self._notify()
         while True:
             seconds = self._freshness.measure_wait(self.topic, **self._wait_options)
-            seconds = max(seconds, self._backoff.measure_wait())
-            if seconds <= 0 and self._backoff.begin_read():
+            has_newer = self.find_newer() is not None
+            seconds = max(seconds, self._backoff.measure_wait(has_newer))
+            if seconds <= 0 and self._backoff.begin_read(has_newer):
                 return
             self._wake_event.clear()
             # Hosts read in turn, so this can't wait for a coarser tick.
@@ -154,6 +159,10 @@
         longest = FAILED_OUTAGE_SECONDS if failed else OUTAGE_SECONDS
         return self._freshness.measure_gap(self.topic) > longest
 
+    def note_copy_missed(self):
+        """Return whether to read the store's copy again later, since it is too old."""
+        return self._freshness.note_copy_missed(self.topic)
+
     def find_newer(self):
         """Return the `NewerCopy` that another host has, or None."""
         return self._freshness.find_newer(self.topic)
--- a/mangogauge/sharing/freshness.py
+++ b/mangogauge/sharing/freshness.py
@@ -12,7 +12,7 @@
 from attrs import define, evolve, field, frozen
 
 from .copies import CopyReport
-from .readorder import ReadOrder
+from .readorder import READERS, ReadOrder
 from .readtimes import ReadTimes
 
 __all__ = ["NewerCopy", "SharedFreshness"]
@@ -21,6 +21,10 @@
 # interval, however often others report newer ones: while many hosts start, each of
 # them changes the list of hosts.
 MIN_GAP = 0.4
+# In a large fleet, pauses in seconds before a copy of the store that lacked a newer
+# version is read again; after these the newest state is read.
+COPY_PAUSES = (0.15, 0.2, 0.3, 0.35)
+LARGE_FLEET_HOSTS = 25
 
 
 @frozen
@@ -60,6 +64,10 @@
         Elapsed time at which this host last read it.
     requested_at : float or None
         Elapsed time since which a read of the newest state is requested.
+    misses : int
+        How often the store's copy has lacked what is newer.
+    copy_after : float
+        Elapsed time from which that copy may be read again.
     """
 
     digest = field(default="")
@@ -70,6 +78,8 @@
     newer = field(default=None)
     read_at = field(default=float("-inf"))
     requested_at = field(default=None)
+    misses = field(default=0)
+    copy_after = field(default=float("-inf"))
 
     @property
     def is_outdated(self):
@@ -194,6 +204,27 @@
         read = evolve(expected.report, digest=digest, revision=revision)
         self._confirm(copy, read, expected.read_at)
 
+    def note_copy_missed(self, topic):
+        """Note that the store's copy lacks what `find_newer` returned.
+
+        Returns
+        -------
+        bool
+            Whether to read that copy again later, instead of the newest state: in a
+            large fleet, if others are next to read.
+        """
+        copy = self._copies[topic]
+        is_waiting = (
+            copy.misses < len(COPY_PAUSES)
+            and self.count_hosts() >= LARGE_FLEET_HOSTS
+            and self.find_rank(topic) >= READERS
+        )
+        if is_waiting:
+            pause = COPY_PAUSES[copy.misses]
+            copy.copy_after = self._clock.read_elapsed() + pause
+            copy.misses += 1
+        return is_waiting
+
     def find_newer(self, topic):
         """Return the newer copy of a topic that another host has.
 
@@ -223,6 +254,7 @@
         wait = self._measure_newest_wait(topic, copy)
         if copy.is_outdated:
             due_at = copy.read_at + self._interval * least_gap
+            due_at = max(due_at, copy.copy_after)
             wait = min(wait, due_at - self._clock.read_elapsed())
         return max(0.0, wait)
 
@@ -335,6 +367,7 @@
         copy.reader = read.reader
         copy.number = read.number
         copy.confirmed_at = read_at
+        copy.misses = 0
 
 
 def _is_newer(copy, report):
--- a/mangogauge/sharing/readbackoff.py
+++ b/mangogauge/sharing/readbackoff.py
@@ -15,10 +15,10 @@
 # Longest pause of a host that is next to read, and of one in a small fleet.
 READER_SECONDS = 0.5
 # Longest pause of all others; grows with their number.
-SECONDS_PER_HOST = 0.02
-MAX_SECONDS = 1.5
+SECONDS_PER_HOST = 0.025
+MAX_SECONDS = 2.2
 # Part of a pause that is drawn at random, so that hosts don't try at the same time.
-JITTER = 0.5
+JITTER = 0.25
 # Longest time that the other topics wait for the outcome of a read.
 TRIAL_SECONDS = 1.3
 
@@ -39,7 +39,7 @@
     >>> backoff.measure_wait()
     0.0
     >>> backoff.note_failure(rank=0, hosts=88)
-    >>> 0.025 <= backoff.measure_wait() <= 0.05
+    >>> 0.037 <= backoff.measure_wait() <= 0.05
     True
     >>> backoff.note_success()
     >>> backoff.measure_wait()
@@ -50,16 +50,25 @@
         self._clock = clock
         self._random = random
         self._failures = 0
-        self._until = self._trial_until = float("-inf")
+        self._until = self._trial_until = self._failed_at = float("-inf")
+
+    def measure_wait(self, has_newer=False):
+        """Return the seconds until the next read may be made.
 
-    def measure_wait(self):
-        """Return the seconds until the next read may be made."""
-        until = max(self._until, self._trial_until)
+        Parameters
+        ----------
+        has_newer : bool, optional
+            Whether another host has read a newer copy, so that the store answers some.
+        """
+        until = self._until
+        if has_newer:
+            until = min(until, self._failed_at + READER_SECONDS)
+        until = max(until, self._trial_until)
         return max(0.0, until - self._clock.read_elapsed())
 
-    def begin_read(self):
+    def begin_read(self, has_newer=False):
         """Return whether a read may begin; while reads fail, one at a time."""
-        if self.measure_wait() > 0:
+        if self.measure_wait(has_newer) > 0:
             return False
         if self._failures:
             self._trial_until = self._clock.read_elapsed() + TRIAL_SECONDS
@@ -77,7 +86,8 @@
         """
         now = self._clock.read_elapsed()
         self._trial_until = float("-inf")
-        if now >= self._until:
+        if now >= min(self._until, self._failed_at + READER_SECONDS):
+            self._failed_at = now
             self._until = now + self._draw_pause(rank, hosts)
             self._failures += 1
 
