Register with two calls, read the hosts' entries once at start, and play the reads

Cause: a host that starts read its own entry, wrote it, and read all hosts' entries before and after. The number of reads by all hosts was not tested with the delays of summaries, in a partition, or with a store that refuses calls.

Change: a host that starts writes its entry on the condition that there is none, so that a previous process's lease is only looked for where there is one; it reads the hosts' entries after its registration, or after 0.4 s. features/sharing/storereads plays 12, 26, 88 and 300 hosts: calm, at a common start, in a partition, with a store that refuses all or some, with readers that are frozen or hear nothing.

--- a/features/builders/storereads.py
+++ b/features/builders/storereads.py
@@ -43,9 +43,11 @@
     versions = field(factory=dict)
     reading = field(factory=set)
     polls = field(factory=dict)
-    # The store refuses its calls; it has ended; it hears nobody.
+    # The store refuses its calls.
     refused = field(default=False)
-    dead = field(default=False)
+    # It neither reads nor tells anything, and others hear that only later.
+    frozen = field(default=False)
+    # No news reaches it, though it takes all others for hosts that it hears.
     deaf = field(default=False)
 
 
@@ -111,7 +113,7 @@
         times = [
             self.reached.get((host.name, topic, version), float("inf"))
             for host in self.hosts
-            if not host.dead
+            if not host.frozen and not host.refused
         ]
         return max(times) - changed_at
 
@@ -131,23 +133,23 @@
         order = ReadOrder(host.name, lambda: self._list_heard(host))
         host.freshness = SharedFreshness(self.clock, INTERVAL_SECONDS, order, host.name)
         host.backoff = ReadBackoff(self.clock, random.Random(host.name))
-        for topic in LEAST_GAPS:
-            self._read(host, topic)
-        self._schedule(3 * CALL_SECONDS, self._register, host)
+        self._read(host, ORDERS)
+        self._read(host, ENDPOINTS)
+        self._schedule(2 * CALL_SECONDS, self._register, host)
         self._schedule(self._random.uniform(0, REPORT_SECONDS), self._report, host)
         self._schedule(self._random.uniform(0, SUMMARY_SECONDS), self._sum_up, host)
 
     def _register(self, host):
+        """Register, and only then read the hosts' entries, as `FleetView`."""
         if host.starts_at:
             self.change(MEMBERS)
-            host.freshness.request_read(MEMBERS)
-            self._poll(host, MEMBERS)
+        self._read(host, MEMBERS)
 
     def _list_heard(self, host):
         return [h.name for h in self.hosts if h is not host and self._hears(host, h)]
 
     def _hears(self, host, other):
-        if other.dead or other.freshness is None or host.deaf or other.deaf:
+        if other.freshness is None:
             return False
         centres = {host.data_centre, other.data_centre}
         return len(centres) == 1 or self.cut_off not in centres
@@ -156,7 +158,7 @@
         """Read a topic if that is due, as `SharedSchedule` decides."""
         if number != host.polls.get(topic) and number is not None:
             return
-        if host.dead or topic in host.reading:
+        if host.frozen or topic in host.reading:
             return
         wait = host.freshness.measure_wait(topic, LEAST_GAPS[topic])
         has_newer = host.freshness.find_newer(topic) is not None
@@ -178,7 +180,7 @@
             self.calls[kind] += 1
 
     def _end_read(self, host, topic, newer, kind, asked_at):
-        if host.dead:
+        if host.frozen:
             return
         host.reading.discard(topic)
         if self.store_refuses or host.refused or host.data_centre == self.cut_off:
@@ -221,7 +223,7 @@
 
     def _report(self, host):
         """Report to the own data centre, or to all hosts where these are few."""
-        if host.dead:
+        if host.frozen:
             return
         copies = read_copies(write_copies(host.freshness.make_report()))
         is_summed = len(self.hosts) > SUMMED_HOSTS
@@ -233,10 +235,10 @@
 
     def _sum_up(self, host):
         """Send the freshest copies of a data centre to the others."""
-        if host.dead or len(self.hosts) <= SUMMED_HOSTS:
+        if host.frozen or len(self.hosts) <= SUMMED_HOSTS:
             return
         near = [h for h in self.hosts if h.data_centre == host.data_centre]
-        if host in [h for h in near if h.freshness and not h.dead][:AGGREGATORS]:
+        if host in [h for h in near if h.freshness and not h.frozen][:AGGREGATORS]:
             copies = host.freshness.make_report()
             seconds = self._draw_transit() + REBROADCAST_SECONDS
             for other in self.hosts:
@@ -252,7 +254,7 @@
             self._schedule(seconds, self._receive, other, copies)
 
     def _receive(self, host, copies):
-        if host.dead or host.deaf:
+        if host.frozen or host.deaf:
             return
         for topic in host.freshness.merge_report(copies):
             self._poll(host, topic)
--- a/features/fleet/registration.feature
+++ b/features/fleet/registration.feature
@@ -22,3 +22,9 @@
     Given a store that takes 0.8 s to answer a renewal
     When a host is registered for 30 s
     Then its renewals were asked for at most 1.1 s apart
+
+  # Each call of a host that starts counts as often as there are hosts.
+  Scenario: A host without a previous process registers with two calls
+    Given a store whose calls are recorded
+    When a host registers there
+    Then the store was called for "grant_lease, transact" only
--- a/features/steps/registration.py
+++ b/features/steps/registration.py
@@ -199,3 +199,40 @@
 @then("one of them knows the other")
 def check_known(context):
     assert any(host.members.list_others() for host in context.starting)
+
+
+class RecordingStore(MemoryStore):
+    """Store that records the names of the calls that a registration makes."""
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.names = []
+
+    async def get(self, key):
+        self.names.append("get")
+        return await super().get(key)
+
+    async def grant_lease(self, seconds):
+        self.names.append("grant_lease")
+        return await super().grant_lease(seconds)
+
+    async def transact(self, transaction):
+        self.names.append("transact")
+        return await super().transact(transaction)
+
+
+@given("a store whose calls are recorded")
+def make_recording_store(context):
+    context.clock = ManualClock()
+    context.store = RecordingStore(context.clock)
+    context.registrations = {}
+
+
+@when("a host registers there")
+def register_there(context):
+    start(context, "h1", "1")
+
+
+@then('the store was called for "{names}" only')
+def check_names(context, names):
+    assert context.store.names == names.split(", "), context.store.names
--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -1,6 +1,7 @@
 """What one host knows of the fleet, how it keeps up, and what it tells the others."""
 
 import uuid
+from functools import partial
 
 import curio
 
@@ -65,6 +66,8 @@
 # Entries of open jobs are awaited at the store, so briefly that with the pause between
 # two reads no copy grows as old as `CancellationCheck` allows.
 WAIT_SECONDS = 0.5
+# Longest time that the first read of the hosts' entries waits for the registration.
+REGISTRATION_SECONDS = 0.4
 ISOLATION_SECONDS = 0.25
 JUDGE_SECONDS = 0.15
 
@@ -116,6 +119,7 @@
         self._followers = []
         self._schedules = {}
         self._shared_work = None
+        self._registered = curio.Event()
         self.isolated = False
         incarnation = uuid.uuid4().hex[:12]
         self._make_sharing(incarnation, random)
@@ -135,7 +139,7 @@
             self.member,
             clock,
             settings.store.lease_seconds,
-            self._schedules[self.members.prefix].request_read,
+            self._note_registered,
         )
 
     @property
@@ -369,7 +373,11 @@
         """Keep up with the fleet until cancelled."""
         async with curio.TaskGroup(wait=any) as group:
             for follower in self._followers:
-                await group.spawn(keep_running, follower.name, follower.run)
+                await group.spawn(
+                    keep_running,
+                    follower.name,
+                    partial(self._follow_in_order, follower),
+                )
             for run in (
                 self.registration.run,
                 self._exchange.run,
@@ -385,6 +393,22 @@
         if group.exception is not None:
             raise group.exception
 
+    async def _note_registered(self):
+        await self._registered.set()
+        await self._schedules[self.members.prefix].request_read()
+
+    async def _follow_in_order(self, follower):
+        """Run a follower; that of the hosts' entries after this host's registration.
+
+        Notes
+        -----
+        Those entries have to be read after it in any case.
+        """
+        if follower.prefix == self.members.prefix:
+            async with curio.ignore_after(REGISTRATION_SECONDS):
+                await self._registered.wait()
+        await follower.run()
+
     def _measure_age(self):
         """Return the seconds since a host that this one hears reached the store."""
         return self._freshness.measure_age(self._backends.source.operator_prefix)
--- a/mangogauge/fleet/follower.py
+++ b/mangogauge/fleet/follower.py
@@ -61,6 +61,7 @@
 
     Attributes
     ----------
+    prefix : str
     confirmed_at : float or None
         Elapsed time at which the last successful read of the newest state began; None
         before it.
@@ -77,7 +78,7 @@
         reads_all=False,
     ):
         self._feed = feed
-        self._prefix = prefix
+        self.prefix = prefix
         self._listener = listener
         self._schedule = schedule
         self._clock = clock
@@ -92,7 +93,7 @@
     @property
     def name(self):
         """Name for the log."""
-        return f"Follower of {self._prefix}"
+        return f"Follower of {self.prefix}"
 
     @property
     def age(self):
@@ -164,7 +165,7 @@
         The read goes to a copy of the store, which costs less but may be outdated; its
         digest shows whether it is recent enough, or the revisions of its items.
         """
-        snapshot = _unwrap(await self._feed.read_copy(self._prefix))
+        snapshot = _unwrap(await self._feed.read_copy(self.prefix))
         digest = self._listener.digest_items(snapshot.items)
         revision = newer.report.revision
         if digest != newer.report.digest:
@@ -182,11 +183,11 @@
     async def _read_newest(self, asked_at):
         """Read the prefix or its changes."""
         if self._revision is None:
-            answer = await self._feed.read_snapshot(self._prefix)
+            answer = await self._feed.read_snapshot(self.prefix)
         else:
             wait_seconds = self._wait_seconds if self._reachable else 0.0
             answer = await self._feed.read_changes(
-                self._prefix, self._revision, wait_seconds
+                self.prefix, self._revision, wait_seconds
             )
         read = _unwrap(answer)
         self._note_reachable()
@@ -218,14 +219,14 @@
             self._revision = None
             log.info(
                 "history compacted, reading all entries again",
-                extra={"prefix": self._prefix},
+                extra={"prefix": self.prefix},
             )
             return
         if self._reachable:
             self._reachable = False
             log.warning(
                 "store lost",
-                extra={"prefix": self._prefix, "reason": str(error), "age": self.age},
+                extra={"prefix": self.prefix, "reason": str(error), "age": self.age},
             )
 
     def _note_reachable(self):
@@ -233,7 +234,7 @@
         if self._schedule.is_after_outage(failed):
             self._listener.handle_store_regained()
         if failed:
-            log.info("store regained", extra={"prefix": self._prefix, "age": self.age})
+            log.info("store regained", extra={"prefix": self.prefix, "age": self.age})
 
 
 def _unwrap(answer):
--- a/mangogauge/fleet/members.py
+++ b/mangogauge/fleet/members.py
@@ -6,7 +6,7 @@
 from attrs.validators import instance_of
 from returns.result import Failure
 
-from ..store import Lease, Operation, StoreRefusedError, Transaction
+from ..store import Condition, Lease, Operation, StoreRefusedError, Transaction
 from ..telemetry import get_logger
 from ..ticks import sleep_to_tick
 from .digests import digest_values
@@ -242,44 +242,60 @@
                 )
 
     async def _register(self):
-        if self._starting and not await self._revoke_previous_lease():
-            return False
-        self._starting = False
         granted = await self._store.grant_lease(self._lease_seconds)
         if isinstance(granted, Failure):
             return False
         lease = granted.unwrap()
-        entry = Operation(
-            self._member.key, self._member.to_bytes(), lease=lease.lease_id
-        )
-        written = await self._store.transact(Transaction((), (entry,)))
-        if isinstance(written, Failure):
+        if not await self._write_entry(lease):
             await self._store.revoke_lease(lease)
             return False
+        self._starting = False
         self.lease = lease
         log.info("registered", extra={"lease": lease.lease_id})
         await self._on_registered()
         return True
 
-    async def _revoke_previous_lease(self):
-        """Revoke the lease of this host's previous process; return whether it is gone.
+    async def _write_entry(self, lease):
+        """Write this host's entry; return whether that succeeded.
 
         Notes
         -----
-        That process has ended, or this one could not have bound its ports. Revoking
-        the lease frees its claims at once instead of when the lease expires.
+        A process that starts writes it if there is none, which shows in the same call
+        whether a previous process has left one.
         """
-        found = await self._store.get(self._member.key)
-        if isinstance(found, Failure):
+        key = self._member.key
+        entry = Operation(key, self._member.to_bytes(), lease=lease.lease_id)
+        conditions = (Condition(key, 0),) if self._starting else ()
+        written = await self._store.transact(Transaction(conditions, (entry,)))
+        if isinstance(written, Failure):
             return False
-        entry = found.unwrap()
-        if entry is None or not entry.lease:
+        outcome = written.unwrap()
+        if outcome.succeeded:
             return True
-        lease = Lease(entry.lease, 0.0, 0.0)
-        ended = await self._store.revoke_lease(lease)
-        if isinstance(ended, Failure):
+        if not await self._revoke_previous_lease(outcome.current):
             return False
-        log.info("lease of the previous process revoked", extra={"lease": entry.lease})
+        written = await self._store.transact(Transaction((), (entry,)))
+        return not isinstance(written, Failure)
+
+    async def _revoke_previous_lease(self, current):
+        """Revoke the lease of this host's previous process; return whether it is gone.
+
+        Notes
+        -----
+        That process has ended, or this one could not have bound its ports. Revoking
+        the lease frees its claims at once instead of when the lease expires.
+        """
+        if not current:
+            # Not every store tells what a failed condition has found.
+            found = await self._store.get(self._member.key)
+            if isinstance(found, Failure):
+                return False
+            current = [found.unwrap()] if found.unwrap() is not None else []
+        for lease_id in (item.lease for item in current if item.lease):
+            ended = await self._store.revoke_lease(Lease(lease_id, 0.0, 0.0))
+            if isinstance(ended, Failure):
+                return False
+            log.info("lease of the previous process revoked", extra={"lease": lease_id})
         return True
 
     async def _renew(self):
