--- a/features/sharing/summaries.feature
+++ b/features/sharing/summaries.feature
@@ -52,6 +52,12 @@
       | {"summary":1}           |
       | [4,"h","1",1e999]       |
       | ["summary 1","a","h","1",1,[[1]],[],0,[],[],[],[],[],[]] |
+      | ["copies 1"]            |
+      | ["copies 2",[]]         |
+      | ["copies 1",[["op/","d",1,"p",1,-5]]] |
+      | ["copies 1",[["op/","d",1,"p",1]]] |
+      | ["changes 1",["work/","",1,"p",1,0],0,1,[["k",5,1]]] |
+      | ["changes 1",[],0,1,[]] |
       | []                      |
       | null                    |
       | not json                |
--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -289,7 +289,12 @@
     def _follow_shared(self, prefix, listener, **pace):
         """Keep a copy that is read in turn with the other hosts."""
         schedule = SharedSchedule(
-            self._freshness, prefix, self._notify_read, self._backoff, **pace
+            self._freshness,
+            prefix,
+            self._notify_read,
+            self._backoff,
+            self._count_read,
+            **pace,
         )
         self._schedules[prefix] = schedule
         self._followers.append(
@@ -333,6 +338,7 @@
             self._exchange.send,
             self._backoff,
             self._clock,
+            self._count_read,
         )
         self._followers.append(work.follower)
         return work
@@ -393,6 +399,9 @@
         if group.exception is not None:
             raise group.exception
 
+    def _count_read(self, prefix, outcome):
+        self._backends.metrics.copies_read.labels(prefix, outcome).inc()
+
     async def _note_registered(self):
         await self._registered.set()
         await self._schedules[self.members.prefix].request_read()
--- a/mangogauge/daemon/sharedwork.py
+++ b/mangogauge/daemon/sharedwork.py
@@ -33,6 +33,8 @@
         Takes the bytes of a datagram and the addresses that it is sent to.
     backoff : ReadBackoff
     clock : Clock
+    count_read : callable
+        See `SharedSchedule`.
 
     Attributes
     ----------
@@ -40,7 +42,16 @@
     """
 
     def __init__(
-        self, feed, prefix, listener, member, neighbours, send, backoff, clock
+        self,
+        feed,
+        prefix,
+        listener,
+        member,
+        neighbours,
+        send,
+        backoff,
+        clock,
+        count_read,
     ):
         self._prefix = prefix
         self._neighbours = neighbours
@@ -52,7 +63,7 @@
             member.incarnation,
         )
         self._schedule = SharedSchedule(
-            self._freshness, prefix, self._send_changes, backoff
+            self._freshness, prefix, self._send_changes, backoff, count_read
         )
         self.follower = Follower(feed, prefix, listener, self._schedule, clock)
 
--- a/mangogauge/fleet/schedule.py
+++ b/mangogauge/fleet/schedule.py
@@ -118,11 +118,22 @@
         Called after a read, so that it is reported to the other hosts.
     backoff : ReadBackoff
         Pauses of all topics of this host.
+    count_read : callable, optional
+        Called with the topic and the outcome of each read: newest, copy or failed.
     **wait_options
         Further arguments of `SharedFreshness.measure_wait`.
     """
 
-    def __init__(self, freshness, topic, notify, backoff, **wait_options):
+    def __init__(
+        self,
+        freshness,
+        topic,
+        notify,
+        backoff,
+        count_read=lambda topic, outcome: None,
+        **wait_options,
+    ):
+        self._count_read = count_read
         self._freshness = freshness
         self._backoff = backoff
         self._wait_options = wait_options
@@ -149,6 +160,7 @@
 
     async def wait_after_failure(self):
         """Return when a read is due and the pause after the failure has passed."""
+        self._count_read(self.topic, "failed")
         self._backoff.note_failure(
             self._freshness.find_rank(self.topic), self._freshness.count_hosts()
         )
@@ -169,6 +181,7 @@
 
     def note_newer_read(self, newer, digest, revision):
         """Record that the copy that another host has, or a later one, was read."""
+        self._count_read(self.topic, "copy")
         self._backoff.note_success()
         self._freshness.note_newer_read(self.topic, newer, digest, revision)
 
@@ -192,6 +205,7 @@
                 "read_before": self._freshness.measure_read_age(self.topic),
             },
         )
+        self._count_read(self.topic, "newest")
         self._backoff.note_success()
         self._freshness.note_read(self.topic, digest, asked_at, revision)
         self._notified = False
--- a/mangogauge/sharing/copies.py
+++ b/mangogauge/sharing/copies.py
@@ -40,12 +40,20 @@
             int(revision),
             str(reader),
             int(number),
-            int(age) / MILLISECONDS,
+            _read_age(age),
         )
         for topic, digest, revision, reader, number, age in rows
     }
 
 
+def _read_age(value):
+    """Decode an age; a negative one would keep a copy fresh that isn't."""
+    age = int(value)
+    if age < 0:
+        raise ValueError(f"{age} is not the age of a read")
+    return age / MILLISECONDS
+
+
 def write_copies(copies):
     """Encode ``{topic: CopyReport}`` as rows for JSON, ages in milliseconds."""
     return [
--- a/mangogauge/telemetry/serving.py
+++ b/mangogauge/telemetry/serving.py
@@ -36,6 +36,12 @@
         self.store_calls = self._count(
             "store_calls", "Calls to the store; status 0 for none.", "call", "status"
         )
+        self.copies_read = self._count(
+            "copies_read",
+            "Reads of the store for this host's copies; newest, copy or failed.",
+            "prefix",
+            "outcome",
+        )
         self.writes_refused = self._count(
             "writes_refused", "Writes of jobs' progress that the store refused."
         )
