Keep missing entries after an outage only, not after a suspension of the process

Cause: a host that was suspended, or that heard late of a read, took the time without a known read for an outage of the store and kept missing entries for 2 s more, so that a removed endpoint could be used beyond the bound.

Change: time in which the process was suspended doesn't count, nor the duration of the read itself; without a failure of its own, a host takes 1.6 s without a known read for an outage (1.3 s before), since leases of 2.5 s that are renewed every 0.83 s can't expire sooner. A host that starts while the store refuses it keeps entries as before.

--- a/features/fleet/following.feature
+++ b/features/fleet/following.feature
@@ -120,3 +120,20 @@
     Given a follower that shares its copy, and has read "old"
     When no host has read for 2 s, and then the store has "new"
     Then the follower has "new", after these reads: snapshot
+
+  # A host that reads only in its turn may meet no failure of its own in an outage.
+  Scenario Outline: Whether entries may be missing follows from the time without a read
+    Given a follower that shares its copy, and has read "old"
+    When no host has read for <seconds> s, and then the store has "new"
+    Then it <took> the entries for those after an outage
+
+    Examples:
+      | seconds | took |
+      | 1.2     | did not take |
+      | 3       | took |
+
+  # Else an endpoint that was removed meanwhile would be used for 2 s more.
+  Scenario: A host that was suspended takes what it reads then as it is
+    Given a follower that shares its copy, and has read "old"
+    When its process is suspended for 3 s, and the store has "new"
+    Then it did not take the entries for those after an outage
--- a/features/steps/copies_expected.py
+++ b/features/steps/copies_expected.py
@@ -1,6 +1,7 @@
 """Steps of copies that another host has already read."""
 
 import random
+from unittest.mock import patch
 
 import curio
 from behave import given, then, when
@@ -22,6 +23,7 @@
 
     def __init__(self):
         self.value = ""
+        self.regained = 0
 
     @property
     def digest(self):
@@ -37,7 +39,7 @@
         raise AssertionError("the follower always reads a snapshot")
 
     def handle_store_regained(self):
-        pass
+        self.regained += 1
 
 
 class CountedSchedule(SharedSchedule):
@@ -155,3 +157,33 @@
 def check_reader(context, origin):
     reader = context.freshness.make_report()[TOPIC].reader
     assert reader == READERS[origin], reader
+
+
+@when('its process is suspended for {seconds:g} s, and the store has "{value}"')
+def suspend(context, seconds, value):
+    context.clock.advance(INTERVAL_SECONDS / 2)
+    context.feed.revision += 1
+    context.feed.items = {KEY: value.encode()}
+    curio.run(_suspend_and_follow, context, seconds, value)
+
+
+async def _suspend_and_follow(context, seconds, value):
+    """Wait for a read in a process whose clocks go on while it is suspended."""
+    times = iter([0.0, seconds])
+    with patch("mangogauge.fleet.schedule.monotonic", lambda: next(times)):
+        task = await curio.spawn(context.schedule.wait)
+        await curio.sleep(0.001)
+        context.clock.advance(seconds)
+        await context.schedule.wake()
+        await task.join()
+    await _follow_until(context, value)
+
+
+@then("it took the entries for those after an outage")
+def check_regained(context):
+    assert context.listener.regained == 1, context.listener.regained
+
+
+@then("it did not take the entries for those after an outage")
+def check_not_regained(context):
+    assert context.listener.regained == 0, context.listener.regained
--- a/mangogauge/fleet/follower.py
+++ b/mangogauge/fleet/follower.py
@@ -128,7 +128,7 @@
         """
         if self._revision is None or self._revision < base:
             return False
-        self._note_reachable()
+        self._note_reachable(self._clock.read_elapsed())
         if changes.revision > self._revision:
             self._apply_changes(changes)
         return True
@@ -190,7 +190,7 @@
                 self.prefix, self._revision, wait_seconds
             )
         read = _unwrap(answer)
-        self._note_reachable()
+        self._note_reachable(asked_at)
         if self._revision is None:
             self._listener.apply_snapshot(read.items)
             self._recent.clear()
@@ -229,9 +229,9 @@
                 extra={"prefix": self.prefix, "reason": str(error), "age": self.age},
             )
 
-    def _note_reachable(self):
+    def _note_reachable(self, asked_at=None):
         failed, self._reachable = not self._reachable, True
-        if self._schedule.is_after_outage(failed):
+        if self._schedule.is_after_outage(failed, asked_at):
             self._listener.handle_store_regained()
         if failed:
             log.info("store regained", extra={"prefix": self.prefix, "age": self.age})
--- a/mangogauge/fleet/schedule.py
+++ b/mangogauge/fleet/schedule.py
@@ -1,6 +1,7 @@
 """Schedules of a follower's reads."""
 
 from abc import ABC, abstractmethod
+from time import monotonic
 
 import curio
 
@@ -10,12 +11,14 @@
 __all__ = ["ReadSchedule", "SharedSchedule", "FixedDelaySchedule"]
 
 # A copy that no host has confirmed for longer may miss entries whose leases expired
-# while the store was lost to all hosts.
-OUTAGE_SECONDS = 1.3
+# while the store was lost to all hosts: leases of 2.5 s are renewed every 0.83 s.
+OUTAGE_SECONDS = 1.6
 # The same where this host's own read has failed as well.
 FAILED_OUTAGE_SECONDS = 0.9
 INITIAL_RETRY_SECONDS = 0.05
 MAX_RETRY_SECONDS = 0.5
+# A pause that ends later than this shows that the process was suspended.
+SUSPENDED_SECONDS = 0.2
 RETRY_GROWTH = 2.0
 
 log = get_logger("schedule")
@@ -46,7 +49,7 @@
     async def wait_after_failure(self):
         """Return when a read has to be tried again after one that failed."""
 
-    def is_after_outage(self, failed):
+    def is_after_outage(self, failed, asked_at=None):
         """Return whether entries may be missing because the store was lost.
 
         Called before what was read is recorded.
@@ -55,6 +58,8 @@
         ----------
         failed : bool
             Whether this host's last read of the newest state failed.
+        asked_at : float, optional
+            Elapsed time at which a read of the newest state began that ended now.
         """
         return failed
 
@@ -141,6 +146,7 @@
         self._notify = notify
         self._wake_event = curio.Event()
         self._notified = True
+        self._suspended_seconds = 0.0
 
     async def wait(self):
         """Return when the next read is due, by the reports of all hosts."""
@@ -153,10 +159,18 @@
             seconds = max(seconds, self._backoff.measure_wait(has_newer))
             if seconds <= 0 and self._backoff.begin_read(has_newer):
                 return
-            self._wake_event.clear()
-            # Hosts read in turn, so this can't wait for a coarser tick.
-            async with curio.ignore_after(round_up_to_tick(seconds)):
-                await self._wake_event.wait()
+            await self._sleep(seconds)
+
+    async def _sleep(self, seconds):
+        """Sleep until woken, or for so long; note whether it took far longer."""
+        self._wake_event.clear()
+        began_at = monotonic()
+        # Hosts read in turn, so this can't wait for a coarser tick.
+        async with curio.ignore_after(round_up_to_tick(seconds)):
+            await self._wake_event.wait()
+        late = monotonic() - began_at - seconds
+        if late > SUSPENDED_SECONDS:
+            self._suspended_seconds += late
 
     async def wait_after_failure(self):
         """Return when a read is due and the pause after the failure has passed."""
@@ -166,10 +180,18 @@
         )
         await self.wait()
 
-    def is_after_outage(self, failed):
-        """Return whether no host that this one hears has read for long."""
+    def is_after_outage(self, failed, asked_at=None):
+        """Return whether no host that this one hears has read for long.
+
+        Notes
+        -----
+        While this process was suspended, others may have read.
+        """
+        gap = self._freshness.measure_gap(self.topic, asked_at)
+        if gap == float("inf"):
+            return failed
         longest = FAILED_OUTAGE_SECONDS if failed else OUTAGE_SECONDS
-        return self._freshness.measure_gap(self.topic) > longest
+        return gap - self._suspended_seconds > longest
 
     def note_copy_missed(self):
         """Return whether to read the store's copy again later, since it is too old."""
@@ -181,6 +203,7 @@
 
     def note_newer_read(self, newer, digest, revision):
         """Record that the copy that another host has, or a later one, was read."""
+        self._suspended_seconds = 0.0
         self._count_read(self.topic, "copy")
         self._backoff.note_success()
         self._freshness.note_newer_read(self.topic, newer, digest, revision)
@@ -205,6 +228,7 @@
                 "read_before": self._freshness.measure_read_age(self.topic),
             },
         )
+        self._suspended_seconds = 0.0
         self._count_read(self.topic, "newest")
         self._backoff.note_success()
         self._freshness.note_read(self.topic, digest, asked_at, revision)
--- a/mangogauge/sharing/freshness.py
+++ b/mangogauge/sharing/freshness.py
@@ -291,20 +291,26 @@
             return float("inf")
         return self._clock.read_elapsed() - copy.read_at
 
-    def measure_gap(self, topic):
+    def measure_gap(self, topic, asked_at=None):
         """Return the longest time without a known read since the copy was confirmed.
 
+        Parameters
+        ----------
+        topic : str
+        asked_at : float, optional
+            Elapsed time at which a read of the newest state began that ended now.
+
         Returns
         -------
         float
-            Seconds; 0 if there is no copy yet.
+            Seconds; infinity if there is no copy yet.
         """
         copy = self._copies.get(topic)
         if copy is None:
-            return 0.0
+            return float("inf")
         _, _, read_at = copy.last_read
-        now = self._clock.read_elapsed()
-        return max(now - read_at, read_at - copy.confirmed_at)
+        end = read_at if asked_at is None else asked_at
+        return max(end - read_at, read_at - copy.confirmed_at)
 
     def find_rank(self, topic):
         """Return this host's rank among the next readers of a topic."""
