Move the copies of the store out of FleetView into a module of their own

After a read of open jobs had succeeded, the other topics of a runner waited out their pause.

Change: daemon/storecopies.py holds the followers, their schedules and the news of reads; a successful read of open jobs wakes the other topics.

--- a/features/steps/jobs_ends.py
+++ b/features/steps/jobs_ends.py
@@ -9,7 +9,7 @@
 from returns.result import Failure
 
 from mangogauge.clock import ManualClock, SystemClock
-from mangogauge.daemon.fleetview import WAIT_SECONDS
+from mangogauge.daemon.storecopies import WAIT_SECONDS
 from mangogauge.fleet import (
     FixedDelaySchedule,
     Follower,
--- a/features/steps/sharedwork.py
+++ b/features/steps/sharedwork.py
@@ -44,12 +44,16 @@
             self.directory,
             FleetMember(name, name),
             TwoRunners(other),
+            self._ignore_read,
             self._send,
             ReadBackoff(clock, random.Random(1)),
             clock,
             self._count_read,
         )
 
+    async def _ignore_read(self):
+        pass
+
     async def _send(self, data, addresses):
         self.sent.append(data)
 
--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -1,7 +1,6 @@
 """What one host knows of the fleet, how it keeps up, and what it tells the others."""
 
 import uuid
-from functools import partial
 
 import curio
 
@@ -10,16 +9,13 @@
     AbsenceChecker,
     ConfigurationConfirmation,
     EndpointDirectory,
-    FixedDelaySchedule,
     FleetMember,
     FleetState,
-    Follower,
     IsolationDetector,
     MemberDirectory,
     Neighbours,
     OperatorListener,
     Registration,
-    SharedSchedule,
 )
 from ..placement import EndpointHealth
 from ..quarantine import CrashNews, PartQuarantine, QuarantineRecord
@@ -29,12 +25,9 @@
     CrashLedger,
     Gossip,
     LimitExchange,
-    ReadBackoff,
-    ReadOrder,
     ReportExchange,
     ReportTable,
     ReportTopology,
-    SharedFreshness,
     SharedQuota,
     age_copies,
     sum_up,
@@ -52,20 +45,14 @@
 from ..telemetry import get_logger
 from ..ticks import sleep_to_tick
 from ..trust import EndpointTrust
-from .sharedwork import SharedWork
+from .storecopies import StoreCopies
 
 __all__ = ["FleetView"]
 
-# How old a copy of the operators' orders, or of the endpoints' or hosts' entries,
-# may grow before some host reads them again.
-FRESH_SECONDS = 0.7
 # Least time between two reads of the hosts' entries, as a part of that: hosts come and
 # go one after another while all are restarted, and those that aren't known yet are
 # told of what happens all the same.
 MEMBERS_LEAST_GAP = 1.5
-# Entries of open jobs are awaited at the store, so briefly that with the pause between
-# two reads no copy grows as old as `CancellationCheck` allows.
-WAIT_SECONDS = 0.5
 # Longest time that the first read of the hosts' entries waits for the registration.
 REGISTRATION_SECONDS = 0.4
 ISOLATION_SECONDS = 0.25
@@ -116,9 +103,6 @@
         self._backends = backends
         self._clock = clock
         self._on_report = on_report
-        self._followers = []
-        self._schedules = {}
-        self._shared_work = None
         self._registered = curio.Event()
         self.isolated = False
         incarnation = uuid.uuid4().hex[:12]
@@ -164,13 +148,19 @@
         )
         self.members = MemberDirectory(FleetMember(settings.name, incarnation), clock)
         self.neighbours = Neighbours(self.members, self.board)
-        self._freshness = SharedFreshness(
-            clock,
-            FRESH_SECONDS,
-            self._make_order(),
+        self._copies = StoreCopies(
+            self._backends.feed,
+            settings.name,
             incarnation,
+            self.neighbours,
+            self.notify,
+            lambda: self._topology.is_direct,
+            lambda data, addresses: self._exchange.send(data, addresses),
+            clock,
+            random,
+            self._count_read,
+            settings.shared_reads,
         )
-        self._backoff = ReadBackoff(clock, random)
         self._topology = ReportTopology(self.members, self.board, random)
         self._exchange = ReportExchange(
             self.board,
@@ -185,8 +175,8 @@
                 CrashNews: self._take_crash_news,
                 StreamNews: self._take_stream_news,
                 LimitNews: self._take_limit_news,
-                CopyNews: self._take_copy_news,
-                ChangeNews: self._take_change_news,
+                CopyNews: self._copies.take_copies,
+                ChangeNews: self._copies.take_changes,
             },
         )
         self._crash_gossip = Gossip(
@@ -220,12 +210,6 @@
             settings.runs_batch,
         )
 
-    def _make_order(self):
-        """Return the `ReadOrder` of the copies that all hosts keep."""
-        if not self._settings.shared_reads:
-            return ReadOrder()
-        return ReadOrder(self._settings.name, self.neighbours.list_reporting)
-
     def _make_copies(self, on_configuration, on_retirement):
         source = self._backends.source
         self.directory = EndpointDirectory(
@@ -242,10 +226,13 @@
             AbsenceChecker(self._measure_age, self._clock),
             self._clock,
         )
-        self._follow_shared(source.operator_prefix, orders)
-        self._follow_shared(source.endpoints_prefix, self.directory)
-        self._follow_shared(
-            self.members.prefix, self.members, least_gap=MEMBERS_LEAST_GAP
+        self._copies.follow_shared(source.operator_prefix, orders)
+        self._copies.follow_shared(source.endpoints_prefix, self.directory)
+        self._copies.follow_shared(
+            self.members.prefix,
+            self.members,
+            self._wait_for_registration,
+            least_gap=MEMBERS_LEAST_GAP,
         )
 
     def _make_streams(self):
@@ -254,8 +241,8 @@
         self.origins = StreamOrigins(clock)
         history = self._version_history = VersionHistory(
             self.directory.list_endpoints,
-            lambda: self._freshness.measure_age(prefix),
-            lambda: self._freshness.measure_newer_age(prefix),
+            lambda: self._copies.freshness.measure_age(prefix),
+            lambda: self._copies.freshness.measure_newer_age(prefix),
             clock,
         )
         self._stream_record = StreamRecord(
@@ -286,85 +273,19 @@
             self.origins, history, self._stream_record, confirmation
         )
 
-    def _follow_shared(self, prefix, listener, **pace):
-        """Keep a copy that is read in turn with the other hosts."""
-        schedule = SharedSchedule(
-            self._freshness,
-            prefix,
-            self._notify_read,
-            self._backoff,
-            self._count_read,
-            **pace,
-        )
-        self._schedules[prefix] = schedule
-        self._followers.append(
-            Follower(
-                self._backends.feed,
-                prefix,
-                listener,
-                schedule,
-                self._clock,
-                reads_all=True,
-            )
-        )
-
     def follow(self, prefix, listener, pause_seconds):
         """Keep a copy by waiting at the store for changes; return its `Follower`."""
-        schedule = FixedDelaySchedule(pause_seconds)
-        follower = Follower(
-            self._backends.feed,
-            prefix,
-            listener,
-            schedule,
-            self._clock,
-            WAIT_SECONDS,
-        )
-        self._followers.append(follower)
-        return follower
+        return self._copies.follow_waiting(prefix, listener, pause_seconds)
 
     def follow_work(self, prefix, listener):
-        """Keep a copy of open jobs that is read in turn with the other runners.
-
-        Returns
-        -------
-        SharedWork
-        """
-        work = self._shared_work = SharedWork(
-            self._backends.feed,
-            prefix,
-            listener,
-            self.member,
-            self.neighbours,
-            self._exchange.send,
-            self._backoff,
-            self._clock,
-            self._count_read,
-        )
-        self._followers.append(work.follower)
-        return work
+        """Keep a copy of open jobs in turn with the other runners: a `SharedWork`."""
+        return self._copies.follow_work(prefix, listener, self.member)
 
     async def notify(self):
         """Tell the other hosts soon what has changed here."""
         await self._exchange.note_change()
         await self._limit_exchange.note_change()
 
-    async def _notify_read(self):
-        """Tell the other hosts at once that this one has read the store.
-
-        Notes
-        -----
-        Where reports go to all hosts, they suffice.
-        """
-        for schedule in self._schedules.values():
-            await schedule.wake()
-        if self._shared_work is not None:
-            await self._shared_work.wake()
-        await self.notify()
-        if not self._topology.is_direct:
-            news = CopyNews(self._freshness.report_own_reads())
-            addresses = self.neighbours.list_addresses()
-            await self._exchange.send(news.to_bytes(), addresses)
-
     async def notify_crash(self):
         """Tell the other hosts soon what is new here about crashes of endpoints."""
         await self._exchange.note_change()
@@ -378,12 +299,7 @@
     async def run(self):
         """Keep up with the fleet until cancelled."""
         async with curio.TaskGroup(wait=any) as group:
-            for follower in self._followers:
-                await group.spawn(
-                    keep_running,
-                    follower.name,
-                    partial(self._follow_in_order, follower),
-                )
+            await self._copies.start(group)
             for run in (
                 self.registration.run,
                 self._exchange.run,
@@ -404,23 +320,21 @@
 
     async def _note_registered(self):
         await self._registered.set()
-        await self._schedules[self.members.prefix].request_read()
+        await self._copies.request_read(self.members.prefix)
 
-    async def _follow_in_order(self, follower):
-        """Run a follower; that of the hosts' entries after this host's registration.
+    async def _wait_for_registration(self):
+        """Wait until this host is registered, for a limited time.
 
         Notes
         -----
-        Those entries have to be read after it in any case.
+        The hosts' entries have to be read after that in any case.
         """
-        if follower.prefix == self.members.prefix:
-            async with curio.ignore_after(REGISTRATION_SECONDS):
-                await self._registered.wait()
-        await follower.run()
+        async with curio.ignore_after(REGISTRATION_SECONDS):
+            await self._registered.wait()
 
     def _measure_age(self):
         """Return the seconds since a host that this one hears reached the store."""
-        return self._freshness.measure_age(self._backends.source.operator_prefix)
+        return self._copies.freshness.measure_age(self._backends.source.operator_prefix)
 
     async def _judge_endpoints(self):
         while True:
@@ -454,7 +368,7 @@
         return self.board.make_report(
             admitted,
             self.health.list_unhealthy(),
-            self._freshness.make_report(),
+            self._copies.freshness.make_report(),
             reaches_store=self._backends.transport.reach.is_recent,
             crashes=self.crash_ledger.count_own(),
             departures=self.directory.list_leaving(),
@@ -505,13 +419,4 @@
         """Take in what a host's report and a data centre's totals both tell."""
         self.crash_ledger.merge_counts(report.host, report.crashes)
         self.directory.merge_leaving(report.departures, report.host)
-        await self._take_copy_news(report)
-
-    async def _take_change_news(self, news):
-        if self._shared_work is not None:
-            await self._shared_work.take(news)
-
-    async def _take_copy_news(self, news):
-        """Take in the copies of the store that other hosts have read."""
-        for topic in self._freshness.merge_report(news.copies):
-            await self._schedules[topic].wake()
+        await self._copies.take_copies(report)
--- a/mangogauge/daemon/sharedwork.py
+++ b/mangogauge/daemon/sharedwork.py
@@ -29,6 +29,8 @@
     member : FleetMember
         This host.
     neighbours : Neighbours
+    on_read : async callable
+        Called after a read, since the store has answered.
     send : async callable
         Takes the bytes of a datagram and the addresses that it is sent to.
     backoff : ReadBackoff
@@ -48,6 +50,7 @@
         listener,
         member,
         neighbours,
+        on_read,
         send,
         backoff,
         clock,
@@ -55,6 +58,7 @@
     ):
         self._prefix = prefix
         self._neighbours = neighbours
+        self._on_read = on_read
         self._send = send
         self._freshness = SharedFreshness(
             clock,
@@ -95,6 +99,7 @@
         -----
         The changes of the read before are repeated in case a datagram was lost.
         """
+        await self._on_read()
         copies = self._freshness.report_own_reads()
         recent = self.follower.list_recent_changes()
         for start in range(len(recent)) if copies else ():
