--- a/features/steps/registration.py
+++ b/features/steps/registration.py
@@ -16,7 +16,7 @@
     Registration,
     SharedSchedule,
 )
-from mangogauge.sharing import SharedFreshness
+from mangogauge.sharing import ReadBackoff, SharedFreshness
 from mangogauge.store import MemoryStore, Operation, Transaction
 
 LEASE_SECONDS = 2.5
@@ -101,8 +101,9 @@
     def __init__(self, name, store, clock):
         member = FleetMember(name, "1")
         self.members = MemberDirectory(member, clock)
-        freshness = SharedFreshness(clock, random.Random(1), INTERVAL_SECONDS)
-        schedule = SharedSchedule(freshness, MemberDirectory.prefix, ignore)
+        freshness = SharedFreshness(clock, INTERVAL_SECONDS)
+        backoff = ReadBackoff(clock, random.Random(1))
+        schedule = SharedSchedule(freshness, MemberDirectory.prefix, ignore, backoff)
         self.follower = Follower(
             store, MemberDirectory.prefix, self.members, schedule, clock, reads_all=True
         )
@@ -198,3 +199,40 @@
 @then("one of them knows the other")
 def check_known(context):
     assert any(host.members.list_others() for host in context.starting)
+
+
+class RecordingStore(MemoryStore):
+    """Store that records the names of the calls that a registration makes."""
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.names = []
+
+    async def get(self, key):
+        self.names.append("get")
+        return await super().get(key)
+
+    async def grant_lease(self, seconds):
+        self.names.append("grant_lease")
+        return await super().grant_lease(seconds)
+
+    async def transact(self, transaction):
+        self.names.append("transact")
+        return await super().transact(transaction)
+
+
+@given("a store whose calls are recorded")
+def make_recording_store(context):
+    context.clock = ManualClock()
+    context.store = RecordingStore(context.clock)
+    context.registrations = {}
+
+
+@when("a host registers there")
+def register_there(context):
+    start(context, "h1", "1")
+
+
+@then('the store was called for "{names}" only')
+def check_names(context, names):
+    assert context.store.names == names.split(", "), context.store.names
--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -9,27 +9,25 @@
     AbsenceChecker,
     ConfigurationConfirmation,
     EndpointDirectory,
-    FixedDelaySchedule,
     FleetMember,
     FleetState,
-    Follower,
     IsolationDetector,
     MemberDirectory,
     Neighbours,
     OperatorListener,
     Registration,
-    SharedSchedule,
 )
 from ..placement import Eligibility, EndpointHealth, EvacuationMonitor
 from ..quarantine import CrashNews, PartQuarantine, QuarantineRecord
 from ..sharing import (
+    ChangeNews,
+    CopyNews,
     CrashLedger,
     Gossip,
     LimitExchange,
     ReportExchange,
     ReportTable,
     ReportTopology,
-    SharedFreshness,
     SharedQuota,
     age_copies,
     sum_up,
@@ -47,19 +45,16 @@
 from ..telemetry import get_logger
 from ..ticks import sleep_to_tick
 from ..trust import EndpointTrust
+from .storecopies import StoreCopies
 
 __all__ = ["FleetView"]
 
-# How old a copy of the operators' orders, or of the endpoints' or hosts' entries,
-# may grow before some host reads them again.
-FRESH_SECONDS = 0.7
 # Least time between two reads of the hosts' entries, as a part of that: hosts come and
 # go one after another while all are restarted, and those that aren't known yet are
 # told of what happens all the same.
 MEMBERS_LEAST_GAP = 1.5
-# Entries of open jobs are awaited at the store, so briefly that with the pause between
-# two reads no copy grows as old as `CancellationCheck` allows.
-WAIT_SECONDS = 0.5
+# Longest time that the first read of the hosts' entries waits for the registration.
+REGISTRATION_SECONDS = 0.4
 ISOLATION_SECONDS = 0.25
 JUDGE_SECONDS = 0.15
 
@@ -108,8 +103,7 @@
         self._backends = backends
         self._clock = clock
         self._on_report = on_report
-        self._followers = []
-        self._schedules = {}
+        self._registered = curio.Event()
         self.isolated = False
         incarnation = uuid.uuid4().hex[:12]
         self._make_sharing(incarnation, random)
@@ -129,7 +123,7 @@
             self.member,
             clock,
             settings.store.lease_seconds,
-            self._schedules[self.members.prefix].request_read,
+            self._note_registered,
         )
 
     @property
@@ -153,15 +147,21 @@
             self.health.is_path_doubtful,
             lambda name: self.limiter.cold.is_cold(name),
         )
-        self._freshness = SharedFreshness(
+        self.members = MemberDirectory(FleetMember(settings.name, incarnation), clock)
+        self.neighbours = Neighbours(self.members, self.board)
+        self._copies = StoreCopies(
+            self._backends.feed,
+            settings.name,
+            incarnation,
+            self.neighbours,
+            self.notify,
+            lambda: self._topology.is_direct,
+            lambda data, addresses: self._exchange.send(data, addresses),
             clock,
             random,
-            FRESH_SECONDS,
-            lambda: self.board.count_reporting_hosts() + 1,
-            incarnation,
+            self._count_read,
+            settings.shared_reads,
         )
-        self.members = MemberDirectory(FleetMember(settings.name, incarnation), clock)
-        self.neighbours = Neighbours(self.members, self.board)
         self._topology = ReportTopology(self.members, self.board, random)
         self._exchange = ReportExchange(
             self.board,
@@ -177,6 +177,8 @@
                 StreamNews: self._take_stream_news,
                 LimitNews: self._take_limit_news,
                 ColdNews: self._take_cold_news,
+                CopyNews: self._copies.take_copies,
+                ChangeNews: self._copies.take_changes,
             },
         )
         self._crash_gossip = Gossip(
@@ -246,10 +248,13 @@
             AbsenceChecker(self._measure_age, self._clock),
             self._clock,
         )
-        self._follow_shared(source.operator_prefix, orders)
-        self._follow_shared(source.endpoints_prefix, self.directory)
-        self._follow_shared(
-            self.members.prefix, self.members, least_gap=MEMBERS_LEAST_GAP
+        self._copies.follow_shared(source.operator_prefix, orders)
+        self._copies.follow_shared(source.endpoints_prefix, self.directory)
+        self._copies.follow_shared(
+            self.members.prefix,
+            self.members,
+            self._wait_for_registration,
+            least_gap=MEMBERS_LEAST_GAP,
         )
 
     def _take_evacuations(self, data_centres):
@@ -262,8 +267,8 @@
         self.origins = StreamOrigins(clock)
         history = self._version_history = VersionHistory(
             self.directory.list_endpoints,
-            lambda: self._freshness.measure_age(prefix),
-            lambda: self._freshness.measure_newer_age(prefix),
+            lambda: self._copies.freshness.measure_age(prefix),
+            lambda: self._copies.freshness.measure_newer_age(prefix),
             clock,
         )
         self._stream_record = StreamRecord(
@@ -294,34 +299,13 @@
             self.origins, history, self._stream_record, confirmation
         )
 
-    def _follow_shared(self, prefix, listener, **pace):
-        """Keep a copy that is read in turn with the other hosts."""
-        schedule = SharedSchedule(self._freshness, prefix, self.notify, **pace)
-        self._schedules[prefix] = schedule
-        self._followers.append(
-            Follower(
-                self._backends.feed,
-                prefix,
-                listener,
-                schedule,
-                self._clock,
-                reads_all=True,
-            )
-        )
-
     def follow(self, prefix, listener, pause_seconds):
         """Keep a copy by waiting at the store for changes; return its `Follower`."""
-        schedule = FixedDelaySchedule(pause_seconds)
-        follower = Follower(
-            self._backends.feed,
-            prefix,
-            listener,
-            schedule,
-            self._clock,
-            WAIT_SECONDS,
-        )
-        self._followers.append(follower)
-        return follower
+        return self._copies.follow_waiting(prefix, listener, pause_seconds)
+
+    def follow_work(self, prefix, listener):
+        """Keep a copy of open jobs in turn with the other runners: a `SharedWork`."""
+        return self._copies.follow_work(prefix, listener, self.member)
 
     def list_store_relays(self):
         """Return addresses of hosts that may pass on calls to the store.
@@ -358,8 +342,7 @@
     async def run(self):
         """Keep up with the fleet until cancelled."""
         async with curio.TaskGroup(wait=any) as group:
-            for follower in self._followers:
-                await group.spawn(keep_running, follower.name, follower.run)
+            await self._copies.start(group)
             for run in (
                 self.registration.run,
                 self._exchange.run,
@@ -375,9 +358,26 @@
         if group.exception is not None:
             raise group.exception
 
+    def _count_read(self, prefix, outcome):
+        self._backends.metrics.copies_read.labels(prefix, outcome).inc()
+
+    async def _note_registered(self):
+        await self._registered.set()
+        await self._copies.request_read(self.members.prefix)
+
+    async def _wait_for_registration(self):
+        """Wait until this host is registered, for a limited time.
+
+        Notes
+        -----
+        The hosts' entries have to be read after that in any case.
+        """
+        async with curio.ignore_after(REGISTRATION_SECONDS):
+            await self._registered.wait()
+
     def _measure_age(self):
         """Return the seconds since a host that this one hears reached the store."""
-        return self._freshness.measure_age(self._backends.source.operator_prefix)
+        return self._copies.freshness.measure_age(self._backends.source.operator_prefix)
 
     async def _judge_endpoints(self):
         while True:
@@ -421,7 +421,7 @@
         return self.board.make_report(
             admitted,
             self.health.list_unhealthy(),
-            self._freshness.make_report(),
+            self._copies.freshness.make_report(),
             reaches_store=self._backends.transport.reach.is_recent,
             crashes=self.crash_ledger.count_own(),
             departures=self.directory.list_leaving(),
@@ -476,8 +476,7 @@
         """Take in what a host's report and a data centre's totals both tell."""
         self.crash_ledger.merge_counts(report.host, report.crashes)
         self.directory.merge_leaving(report.departures, report.host)
-        for topic in self._freshness.merge_report(report.copies):
-            await self._schedules[topic].wake()
+        await self._copies.take_copies(report)
 
 
 def _make_cold_bounds(settings):
--- a/mangogauge/fleet/neighbours.py
+++ b/mangogauge/fleet/neighbours.py
@@ -24,6 +24,20 @@
         """Return where all others take messages, as a list of str."""
         return [member.address for member in self._members.list_others()]
 
+    def list_reporting(self):
+        """Return the names of the others that are reporting."""
+        names = [member.name for member in self._members.list_others()]
+        return list(filter(self._report_table.is_reporting, names))
+
+    def list_reporting_runners(self):
+        """Return the names of the others that run items and are reporting."""
+        is_reporting = self._report_table.is_reporting
+        return [m.name for m in self._list_runners() if is_reporting(m.name)]
+
+    def list_runner_addresses(self):
+        """Return where the others that run items take messages."""
+        return [member.address for member in self._list_runners()]
+
     def list_near_addresses(self):
         """Return where the others of this host's data centre take messages."""
         near = self._members.own.data_centre
@@ -52,9 +66,7 @@
 
     def is_first(self):
         """Return whether this host comes first by name of those that report."""
-        others = [member.name for member in self._members.list_others()]
-        reporting = filter(self._report_table.is_reporting, others)
-        return all(self._members.own.name < name for name in reporting)
+        return all(self._members.own.name < name for name in self.list_reporting())
 
     def hears_data_centre(self, data_centre, since):
         """Return whether another host of a data centre has been heard since.
@@ -74,6 +86,9 @@
         heard = self._report_table.has_reported_since
         return not there or any(heard(name, since) for name in there)
 
+    def _list_runners(self):
+        return [m for m in self._members.list_others() if m.runs_batch]
+
     def _list_members(self, data_centre):
         return [
             member
--- a/mangogauge/settings/serving.py
+++ b/mangogauge/settings/serving.py
@@ -81,6 +81,9 @@
     checks_regions : bool
         Whether section ``[regions]`` of the file is used. Otherwise no region is
         known, and what is restricted to regions runs nowhere.
+    shared_reads : bool
+        Whether the host takes turns with the others in reading the store; else it
+        reads as soon as a copy is due, which costs more calls the more hosts do so.
     store : StoreSettings
     cold : ColdSettings
     regions : dict of str to str
@@ -100,6 +103,7 @@
     status_seconds = make_option(NumberKind(1, 864_000, "seconds"), default=3600.0)
     checks_evacuations = make_option(FlagKind(), default=True)
     checks_regions = make_option(FlagKind(), default=True)
+    shared_reads = make_option(FlagKind(), default=True)
     store = field(default=None)
     cold = field(factory=ColdSettings)
     regions = field(factory=dict)
--- a/mangogauge/sharing/__init__.py
+++ b/mangogauge/sharing/__init__.py
@@ -1,13 +1,18 @@
 """Frequent reports between hosts: running work, admissions, copies of the store."""
 
+from .changenews import ChangeNews
 from .copies import CopyReport
+from .copynews import CopyNews
 from .crashes import CrashLedger
+from .datagrams import DATAGRAM_BYTES
 from .exchange import ReportExchange
 from .freshness import SharedFreshness
 from .gossip import Gossip
 from .limits import LimitExchange
 from .pacing import estimate_report_delay
 from .quota import Admission, SharedQuota
+from .readbackoff import ReadBackoff
+from .readorder import ReadOrder
 from .report_table import ReportTable
 from .reports import EndpointLoad, HostReport, ReportError
 from .summaries import DataCentreSummary, DataCentreTotals
@@ -15,7 +20,10 @@
 from .topology import ReportTopology
 
 __all__ = [
+    "DATAGRAM_BYTES",
     "Admission",
+    "ChangeNews",
+    "CopyNews",
     "CopyReport",
     "CrashLedger",
     "DataCentreSummary",
@@ -24,6 +32,8 @@
     "Gossip",
     "HostReport",
     "LimitExchange",
+    "ReadBackoff",
+    "ReadOrder",
     "ReportTable",
     "ReportError",
     "ReportExchange",
--- a/mangogauge/sharing/messages.py
+++ b/mangogauge/sharing/messages.py
@@ -5,6 +5,8 @@
 from ..backpressure import ColdNews, LimitNews
 from ..quarantine import CrashNews
 from ..streams import StreamNews
+from .changenews import ChangeNews
+from .copynews import CopyNews
 from .reports import HostReport, ReportError
 from .summaries import DataCentreSummary
 
@@ -20,6 +22,8 @@
     "streams": StreamNews,
     "limits": LimitNews,
     "cold": ColdNews,
+    "copies": CopyNews,
+    "changes": ChangeNews,
 }
 
 
