Start items where a slot is expected to stay free, and interrupt those that lose least

Cause: items start in any free slot, also just before online demand rises, and the latest due give way, also those that are nearly done.

Change: SlotOutlook forecasts the online requests of each service from the reported loads; StartPolicy starts an item where its slot is expected to be free until its end, or long enough for worthwhile progress; an item that would be late otherwise isn't held back. order_victims keeps what is nearly done and what costs most to read again, timely items last. Log lines say the reason. Not yet used by a host.

--- a/mangogauge/jobs/dispatch.py
+++ b/mangogauge/jobs/dispatch.py
@@ -6,7 +6,8 @@
 from ..streams import StreamOrigin
 from ..telemetry import get_logger
 from .estimates import SlotShare
-from .scheduling import find_timely, order_items
+from .scheduling import find_timely, order_items, order_victims
+from .starting import StartPolicy
 
 __all__ = ["ItemDispatcher"]
 
@@ -46,6 +47,8 @@
     report_table : ReportTable
     tasks : ItemTasks
     clock : Clock
+    outlook : SlotOutlook, optional
+        None if items start in any free slot.
     """
 
     def __init__(
@@ -59,6 +62,7 @@
         report_table,
         tasks,
         clock,
+        outlook=None,
     ):
         self._state = state
         self._cancellation = cancellation
@@ -69,12 +73,13 @@
         self._report_table = report_table
         self._tasks = tasks
         self._clock = clock
+        self._outlook = outlook
         self._slot_share = SlotShare(clock)
         self._timely = set()
         self._timely_at = float("-inf")
 
     async def preempt(self):
-        """Interrupt the least urgent items where online requests need their slots."""
+        """Interrupt items where online requests need their slots."""
         running = self._tasks.list_running()
         for name in {item.endpoint for item in running if item.endpoint}:
             endpoint = self._state.directory.get(name)
@@ -85,7 +90,7 @@
                 await self._preempt_at(endpoint, excess)
 
     async def _preempt_at(self, endpoint, excess):
-        """Interrupt the least urgent items at an endpoint.
+        """Interrupt the items at an endpoint that lose least by it.
 
         Parameters
         ----------
@@ -95,17 +100,17 @@
         """
         running = self._tasks.list_running()
         here = [item for item in running if item.endpoint == endpoint.name]
-        for item in order_items(here, self._timely, self._tasks.pace)[-excess:]:
-            log.info(
-                "item gives way",
-                extra={
-                    "request_id": item.item.item_id,
-                    "endpoint": endpoint.name,
-                    "load": self._report_table.measure(endpoint.name).total,
-                    "slots": endpoint.slots,
-                },
+        now = self._clock.read_calendar()
+        victims = order_victims(here, self._timely, self._tasks.pace, now)
+        for item in victims[:excess]:
+            load = self._report_table.measure(endpoint.name)
+            await self._tasks.preempt(
+                item,
+                "the endpoint is overfull",
+                load=load.total,
+                slots=endpoint.slots,
+                due_in=round(item.job.manifest.due_at - now, 3),
             )
-            await self._tasks.interrupt(item)
 
     async def dispatch(self, jobs):
         """Start the most urgent items at endpoints with free slots.
@@ -122,6 +127,9 @@
         if now >= self._timely_at + TIMELY_SECONDS:
             self._timely_at = now
             self._update_timely(jobs, calendar)
+        if self._outlook is not None:
+            self._outlook.sample()
+        policy = StartPolicy(self._outlook, self._tasks.pace, calendar)
         may_start = [job for job in jobs if self._cancellation.may_start(job)]
         ready = [item for job in may_start for item in job.list_ready(now)]
         all_services = self._state.routes.batch_services
@@ -139,10 +147,10 @@
             if services not in places:
                 places[services] = self._find_places(services)
             self._check_origin(item, services, places[services])
-            endpoint = self._take_endpoint(item, places[services].free)
+            reason, endpoint = self._take_endpoint(item, places[services].free, policy)
             if endpoint is not None:
                 self._chooser.take(endpoint)
-                await self._tasks.start(item, route, endpoint)
+                await self._tasks.start(item, route, endpoint, reason)
             elif places.keys() >= all_services and not any(
                 place.free for place in places.values()
             ):
@@ -157,21 +165,29 @@
             items, calendar, self._tasks.pace, self._slot_share.slots
         )
 
-    def _take_endpoint(self, item, free):
-        """Remove and return the endpoint with the most free slots, or None.
+    def _take_endpoint(self, item, free, policy):
+        """Remove and return the endpoint with the most free slots.
 
         An item that has failed before gets a trusted endpoint only, and one that has
-        begun an endpoint that may resume it. One that must not run for now gets none.
+        begun an endpoint that may resume it. One that must not run for now gets none,
+        and none for which no slot lasts long enough.
+
+        Returns
+        -------
+        (StartReason, FleetEndpoint)
+            Both are None if there is no endpoint for the item.
         """
         suitable = [
-            number
-            for number, endpoint in enumerate(free)
+            endpoint
+            for endpoint in free
             if (not item.failures or self._chooser.is_trusted(endpoint))
             and item.origin in (None, StreamOrigin.of(endpoint))
         ]
-        if not suitable or self._item_runner.hold_back(item):
-            return None
-        return free.pop(suitable[-1])
+        reason, lasting = policy.find(item, suitable)
+        if not lasting or self._item_runner.hold_back(item):
+            return None, None
+        free.remove(lasting[-1])
+        return reason, lasting[-1]
 
     def _find_route(self, item):
         return self._state.routes.find(item.job.manifest.host, item.item.path)
--- a/mangogauge/jobs/item_tasks.py
+++ b/mangogauge/jobs/item_tasks.py
@@ -48,7 +48,7 @@
         """Return the running items."""
         return list(self._tasks)
 
-    async def start(self, item, route, endpoint):
+    async def start(self, item, route, endpoint, reason):
         """Start an item at an endpoint.
 
         Parameters
@@ -56,9 +56,11 @@
         item : OwnedItem
         route : PrefixRoute
         endpoint : FleetEndpoint
+        reason : StartReason
         """
         item.endpoint = endpoint.name
         item.started_at = self._clock.read_elapsed()
+        item.events_at_start = len(item.event_texts)
         self._report_table.begin(endpoint.name, batch=True)
         log.info(
             "item started",
@@ -68,12 +70,43 @@
                 "endpoint": endpoint.name,
                 "last_event": item.last_event,
                 "load": self._report_table.measure(endpoint.name).total,
+                "reason": reason.value,
+                "remaining": round(item.estimate_remaining_seconds(self.pace), 3),
             },
         )
         await self._notify()
         task = await self.group.spawn(self._run, item, route, endpoint, daemon=True)
         self._tasks[item] = task
 
+    async def preempt(self, item, reason, **details):
+        """Interrupt a running item for online requests.
+
+        Parameters
+        ----------
+        item : OwnedItem
+        reason : str
+            For the log.
+        **details
+            Further fields of the log line.
+        """
+        if item not in self._tasks:
+            return
+        log.info(
+            "item gives way",
+            extra={
+                "request_id": item.item.item_id,
+                "endpoint": item.endpoint,
+                "reason": reason,
+                "ran": round(self._clock.read_elapsed() - item.started_at, 3),
+                "run_events": len(item.event_texts) - item.events_at_start,
+                "events": len(item.event_texts),
+                "prompt_bytes": len(item.body),
+                "remaining": round(item.estimate_remaining_seconds(self.pace), 3),
+                **details,
+            },
+        )
+        await self.interrupt(item)
+
     async def interrupt(self, item):
         """Interrupt an item if it is running."""
         task = self._tasks.get(item)
--- a/mangogauge/jobs/owned.py
+++ b/mangogauge/jobs/owned.py
@@ -61,6 +61,8 @@
         Name of the endpoint at which the item runs; empty if it doesn't run.
     started_at : float
         Elapsed time of its last start.
+    events_at_start : int
+        Number of events that it had then.
     trial_at : float or None
         Elapsed time from which the item may run on trial; None if it isn't held back.
     trial_part : str
@@ -87,6 +89,7 @@
     not_before = field(default=float("-inf"))
     endpoint = field(default="")
     started_at = field(default=0.0)
+    events_at_start = field(default=0)
     trial_at = field(default=None)
     trial_part = field(default="")
     answer_begun_at = field(default=None)
--- a/mangogauge/jobs/runner.py
+++ b/mangogauge/jobs/runner.py
@@ -185,15 +185,7 @@
             await self._dispatcher.preempt()
             return
         for item in self.tasks.list_running():
-            log.info(
-                "item gives way",
-                extra={
-                    "request_id": item.item.item_id,
-                    "endpoint": item.endpoint,
-                    "reason": "no other host is heard",
-                },
-            )
-            await self.tasks.interrupt(item)
+            await self.tasks.preempt(item, "no other host is heard")
 
     async def dispatch_once(self):
         """Reconcile the claimed jobs, dispatch items, and report waiting items."""
--- a/mangogauge/jobs/scheduling.py
+++ b/mangogauge/jobs/scheduling.py
@@ -8,7 +8,12 @@
 
 import xxhash
 
-__all__ = ["find_timely", "order_items", "rank_host"]
+__all__ = ["find_timely", "order_items", "order_victims", "rank_host"]
+
+# Time that an interrupted item may wait for another slot, and still end in time.
+WAIT_SECONDS = 4.0
+# Items whose remaining times differ by less are equal: estimates aren't more precise.
+REMAINING_STEP_SECONDS = 0.25
 
 
 def find_timely(items, now, pace, slots):
@@ -84,6 +89,44 @@
     return sorted(items, key=rank)
 
 
+def order_victims(items, timely, pace, now):
+    """Return running items in the order in which they are interrupted, first to last.
+
+    Parameters
+    ----------
+    items : iterable of OwnedItem
+    timely : set of OwnedItem
+    pace : ItemPace
+    now : float
+        Seconds since the Unix epoch.
+
+    Returns
+    -------
+    list of OwnedItem
+
+    Notes
+    -----
+    Those that are late anyway come first, then timely ones that can wait, and at last
+    those that would become late. Among equals, an item that is nearly done is kept: it
+    frees its slot soonest, and would cost another run. Then the one is kept that has
+    most to be read again: its prompt, and the events of this run and of those before.
+    """
+
+    def rank(item):
+        remaining = item.estimate_remaining_seconds(pace)
+        slack = item.job.manifest.due_at - now - remaining
+        return (
+            item in timely,
+            item in timely and slack < WAIT_SECONDS,
+            -round(remaining / REMAINING_STEP_SECONDS),
+            len(item.body) + item.size,
+            -_get_due(item),
+            item.item.item_id,
+        )
+
+    return sorted(items, key=rank)
+
+
 def _get_due(item):
     return item.job.manifest.due_at
 
--- a/mangogauge/placement/__init__.py
+++ b/mangogauge/placement/__init__.py
@@ -2,6 +2,7 @@
 
 from .choice import EndpointChooser
 from .health import EndpointHealth
+from .outlook import SlotOutlook
 from .prober import ReachabilityProber
 from .queue import SlotQueue
 from .room import BatchRoom
@@ -11,5 +12,6 @@
     "EndpointChooser",
     "EndpointHealth",
     "ReachabilityProber",
+    "SlotOutlook",
     "SlotQueue",
 ]
--- /dev/null
+++ b/mangogauge/placement/outlook.py
@@ -0,0 +1,129 @@
+"""How long slots are expected to stay free of online requests.
+
+Online demand may alternate between a low and a high level every few seconds. An item
+that starts shortly before a rise is interrupted at once, so it is started only where
+a slot stays free for long enough.
+"""
+
+import math
+from functools import lru_cache
+
+import xxhash
+
+from ..forecast import DemandForecast
+
+__all__ = ["SlotOutlook"]
+
+SAMPLE_SECONDS = 0.1
+# Services that have been seen; each has a forecast of half a minute.
+MAX_SERVICES = 256
+MAX_CACHED_HASHES = 16_384
+
+
+class SlotOutlook:
+    """Forecasts the online requests of each service from reported loads.
+
+    Parameters
+    ----------
+    directory : EndpointDirectory
+    report_table : ReportTable
+    clock : Clock
+
+    Notes
+    -----
+    Online requests are expected to be spread over the endpoints of a service by their
+    slots. A share that isn't a whole number is rounded up at some endpoints and down
+    at others by a hash, so that the sum is right and all hosts agree.
+    """
+
+    def __init__(self, directory, report_table, clock):
+        self._directory = directory
+        self._report_table = report_table
+        self._clock = clock
+        self._forecasts = {}
+        self._slots = {}
+        self._sampled_at = float("-inf")
+        self._peaks = {}
+
+    def sample(self):
+        """Record the present demand, at most once per `SAMPLE_SECONDS`."""
+        now = self._clock.read_elapsed()
+        if now < self._sampled_at + SAMPLE_SECONDS:
+            return
+        self._sampled_at = now
+        self._peaks.clear()
+        online = self._measure()
+        running = sum(online.values())
+        waiting = self._report_table.count_waiting_requests()
+        for service, count in online.items():
+            forecast = self._forecasts.get(service)
+            if forecast is None:
+                if len(self._forecasts) >= MAX_SERVICES:
+                    continue
+                forecast = self._forecasts[service] = DemandForecast()
+            # Reports don't say which service a waiting request is for.
+            share = waiting * count / running if running else 0.0
+            forecast.note(now, count + share)
+
+    def _measure(self):
+        """Update the slots of each service; return ``{service: online requests}``."""
+        online, slots = {}, {}
+        for endpoint in self._directory.list_endpoints():
+            if self._directory.is_leaving(endpoint):
+                continue
+            service = endpoint.service
+            load = self._report_table.measure(endpoint.name)
+            online[service] = online.get(service, 0) + load.online
+            slots[service] = slots.get(service, 0) + endpoint.slots
+        self._slots = slots
+        return online
+
+    def list_forecasts(self):
+        """Return ``(service, DemandForecast)`` for each service with endpoints."""
+        return [
+            (name, forecast)
+            for name, forecast in self._forecasts.items()
+            if name in self._slots
+        ]
+
+    def get_period(self, service):
+        """Return the period of a service's demand in seconds, or None."""
+        forecast = self._forecasts.get(service)
+        return None if forecast is None else forecast.period_seconds
+
+    def predict_peak(self, service, seconds):
+        """Return the most online requests expected within some seconds."""
+        key = (service, math.ceil(seconds / SAMPLE_SECONDS))
+        if key not in self._peaks:
+            now = self._clock.read_elapsed()
+            forecast = self._forecasts[service]
+            self._peaks[key] = forecast.predict_peak(now, key[1] * SAMPLE_SECONDS)
+        return self._peaks[key]
+
+    def count_lasting_slots(self, endpoint, seconds):
+        """Return how many more items may run for some seconds at an endpoint.
+
+        Parameters
+        ----------
+        endpoint : FleetEndpoint
+        seconds : float
+
+        Returns
+        -------
+        int or None
+            None without a clear period: nothing says then when demand will rise.
+        """
+        if self.get_period(endpoint.service) is None:
+            return None
+        peak = self.predict_peak(endpoint.service, seconds)
+        slots = self._slots.get(endpoint.service) or endpoint.slots
+        online = endpoint.slots * peak / slots
+        items = self._report_table.measure(endpoint.name).batch
+        left = endpoint.slots - online + _hash_to_unit(endpoint.name)
+        return math.floor(left) - items
+
+
+@lru_cache(MAX_CACHED_HASHES)
+def _hash_to_unit(name):
+    """Return a number from 0 to 1, excluding 1, by an endpoint's name."""
+    return xxhash.xxh3_64_intdigest(name.encode()) / 2**64
--- a/mangogauge/sharing/report_table.py
+++ b/mangogauge/sharing/report_table.py
@@ -203,6 +203,16 @@
         self._expire()
         return list(self._tally.hosts_with_items)
 
+    def count_waiting_requests(self):
+        """Return how many online requests wait for a slot, as far as reports say.
+
+        Notes
+        -----
+        Of other data centres only the hosts at which some wait are known.
+        """
+        self._expire()
+        return self.waiting + self._tally.waiting_requests
+
     def count_waiting_hosts(self):
         """Return how many hosts compete for freed slots, this one included."""
         self._expire()
--- a/mangogauge/sharing/summaries.py
+++ b/mangogauge/sharing/summaries.py
@@ -73,6 +73,11 @@
         """Name under which receivers store the totals; no host can have it."""
         return f"@{self.data_centre}"
 
+    @property
+    def waiting(self):
+        """Least number of online requests that wait there."""
+        return self.waiting_hosts
+
     @property
     def incarnation(self):
         """Identifier of the aggregator's process, since each keeps its own counts."""
--- a/mangogauge/sharing/tally.py
+++ b/mangogauge/sharing/tally.py
@@ -42,6 +42,8 @@
     ----------
     waiting_hosts : int
         Hosts at which online requests wait for a free slot.
+    waiting_requests : int
+        Online requests that wait, one for each waiting host of a summary.
     hosts_with_items : set of str
         Hosts at which batch items wait.
     """
@@ -50,6 +52,7 @@
         self._totals = {}
         self._unhealthy_reports = Counter()
         self.waiting_hosts = 0
+        self.waiting_requests = 0
         self.hosts_with_items = set()
 
     def add(self, report):
@@ -58,6 +61,7 @@
             self._totals.setdefault(endpoint, _Total()).add(report.host, load)
         self._unhealthy_reports.update(report.unhealthy)
         self.waiting_hosts += report.waiting_hosts
+        self.waiting_requests += report.waiting
         if report.items_waiting:
             self.hosts_with_items.add(report.host)
 
@@ -70,6 +74,7 @@
                 del self._totals[endpoint]
         self._unhealthy_reports -= Counter(report.unhealthy)
         self.waiting_hosts -= report.waiting_hosts
+        self.waiting_requests -= report.waiting
         self.hosts_with_items.discard(report.host)
 
     def measure(self, endpoint):
