Leave out of the forecast what ends with a fall that has begun, and add its error

Change: SlotOutlook leaves out the next 0.5 s while demand falls, and adds 1.5 errors of the forecast to a peak, by the root of its size.

--- a/mangogauge/forecast/demand.py
+++ b/mangogauge/forecast/demand.py
@@ -22,7 +22,11 @@
 AVERAGED_PERIODS = 3
 # Uncertainty of the time of a rise.
 EDGE_CELLS = 1
+# Time in which a fall must exceed what is noise.
+FALL_CELLS = 3
 HIGH_QUANTILE, LOW_QUANTILE = 0.95, 0.05
+# Difference to the forecast that is noise, in mean errors.
+EXPLAINED_ERRORS = 2.5
 # Time over which the errors of the forecasts are averaged.
 ERROR_SECONDS = 5.0
 # Part of the error of the level up to which the period is used.
@@ -108,29 +112,50 @@
             self._cells_to_refit = round(REFIT_SECONDS / CELL_SECONDS)
             self._refit()
 
-    def predict_peak(self, now, seconds):
+    def is_falling(self, now):
+        """Return whether demand is expected to be falling already."""
+        if not self.is_periodic:
+            return False
+        cell = self._samples.locate(now)
+        earlier, present = self._predict(cell - FALL_CELLS), self._predict(cell)
+        if earlier is None or present is None:
+            return False
+        return earlier - present > EXPLAINED_ERRORS * self._period_error
+
+    def predict_peak(self, now, seconds, after=0.0):
         """Return the highest demand expected within some seconds.
 
         Parameters
         ----------
         now, seconds : float
+        after : float, optional
+            Seconds from now that are left out at the beginning.
 
         Returns
         -------
         float
-            Without a clear period a high quantile of the last half minute. At least
-            the newest sample.
+            Without a clear period a high quantile of the last half minute, but at
+            least the newest sample. What the newest sample is above its forecast, by
+            more than the forecasts' error, is expected to remain.
         """
         newest = self._samples.get(self._samples.newest) or 0.0
         if not self.is_periodic:
             return max(newest, self._high)
-        first = self._samples.locate(now)
+        first = self._samples.locate(now + after)
         last = min(
             self._samples.locate(now + seconds) + EDGE_CELLS,
             first + math.ceil(self._period_cells),
         )
-        expected = (self._predict(cell) for cell in range(first, last + 1))
-        return max(newest, *(self._high if e is None else e for e in expected))
+        expected = [self._predict(cell) for cell in range(first, last + 1)]
+        peak = max(self._high if e is None else e for e in expected)
+        return peak + self._measure_excess(newest)
+
+    def _measure_excess(self, newest):
+        """Return by how much demand is above what is explained by the forecast."""
+        expected = self._predict(self._samples.newest)
+        if expected is None:
+            return 0.0
+        return max(0.0, newest - expected - EXPLAINED_ERRORS * self._period_error)
 
     def predict_seconds_within(self, now, demand, seconds):
         """Return for how long the demand is expected not to exceed a value.
--- a/mangogauge/placement/outlook.py
+++ b/mangogauge/placement/outlook.py
@@ -15,6 +15,12 @@
 __all__ = ["SlotOutlook"]
 
 SAMPLE_SECONDS = 0.1
+# Mean errors of the forecast that are added to a peak. Requests arrive independently,
+# and a peak that fills all slots interrupts an item for each one above the mean.
+MARGIN_ERRORS = 1.5
+# When demand falls, the requests that run now end within this time. That a slot is free
+# until then is known from the loads.
+ENDING_SECONDS = 0.5
 # Services that have been seen; each has a forecast of half a minute.
 MAX_SERVICES = 256
 MAX_CACHED_HASHES = 16_384
@@ -92,14 +98,24 @@
         return None if forecast is None else forecast.period_seconds
 
     def predict_peak(self, service, seconds):
-        """Return the most online requests expected within some seconds."""
+        """Return the most online requests to be expected within some seconds."""
         key = (service, math.ceil(seconds / SAMPLE_SECONDS))
         if key not in self._peaks:
             now = self._clock.read_elapsed()
+            seconds = key[1] * SAMPLE_SECONDS
             forecast = self._forecasts[service]
-            self._peaks[key] = forecast.predict_peak(now, key[1] * SAMPLE_SECONDS)
+            is_falling = forecast.is_falling(now)
+            after = min(ENDING_SECONDS, seconds / 2) if is_falling else 0.0
+            peak = forecast.predict_peak(now, seconds, after)
+            self._peaks[key] = peak + self._compute_margin(service, peak)
         return self._peaks[key]
 
+    def _compute_margin(self, service, peak):
+        """Return the requests by which a peak may exceed its forecast."""
+        forecast = self._forecasts[service]
+        level = max(1.0, forecast.level)
+        return MARGIN_ERRORS * forecast.error * math.sqrt(peak / level)
+
     def count_lasting_slots(self, endpoint, seconds):
         """Return how many more items may run for some seconds at an endpoint.
 
