Let runners use the forecast, with a setting, metrics and log lines

Cause: the forecast was not used by a host.

Change: a runner samples the demand ten times a second while it receives other hosts' reports, exports the forecast, and dispatches by StartPolicy; lists of endpoints are kept for a round, since held items are looked at in each. forecasts_demand = no in the host's file turns it off. Margins in proportion to the peak; an item that would be late needs no margin.

--- a/features/builders/itemplay.py
+++ b/features/builders/itemplay.py
@@ -120,6 +120,7 @@
         self.chooser = EndpointChooser(
             play.directory, self.table, health, trust, "a", play.random
         )
+        self.outlook = None
         self.jobs = []
         self.queue = []
         self.tasks = PlayedTasks(play, self)
@@ -305,6 +306,8 @@
 
     def _dispatch(self, runner):
         runner.tasks.note_events()
+        if runner.outlook is not None:
+            runner.outlook.sample()
         _run(runner.dispatcher.dispatch(runner.list_open()))
 
     def _sample(self):
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -28,7 +28,13 @@
 from ..jobs.keys import WORK_PREFIX
 from ..jobs.trials import ItemTrials
 from ..paths import TUNNEL_PREFIX
-from ..placement import BatchRoom, EndpointChooser, ReachabilityProber, SlotQueue
+from ..placement import (
+    BatchRoom,
+    EndpointChooser,
+    ReachabilityProber,
+    SlotOutlook,
+    SlotQueue,
+)
 from ..routing import RetryBudgets, RetryPolicy
 from ..store import StoreRelay
 from ..supervision import keep_running
@@ -52,6 +58,7 @@
     "readiness_address",
     "metrics_port",
     "runs_batch",
+    "forecasts_demand",
     "store",
 )
 PUMP_SECONDS = 0.02
@@ -200,6 +207,7 @@
             self.fleet.notify,
             clock,
             self.metrics,
+            self._make_outlook(),
         )
 
         self.retirement = RetirementController(
@@ -210,6 +218,12 @@
         )
         self.keepers = [self.runner, self.retirement, retention]
 
+    def _make_outlook(self):
+        """Return the `SlotOutlook` of items, or None if the settings turn it off."""
+        if not self.settings.forecasts_demand:
+            return None
+        return SlotOutlook(self.fleet.directory, self.fleet.board, self.clock)
+
     def _make_entry(self):
         clock = self.clock
         self.dispatcher = OnlineDispatcher(
--- a/mangogauge/jobs/dispatch.py
+++ b/mangogauge/jobs/dispatch.py
@@ -1,5 +1,7 @@
 """Dispatch items to endpoints, and preempt them for online requests."""
 
+from functools import partial
+
 from attrs import field, frozen
 
 from ..backpressure import Work
@@ -127,8 +129,6 @@
         if now >= self._timely_at + TIMELY_SECONDS:
             self._timely_at = now
             self._update_timely(jobs, calendar)
-        if self._outlook is not None:
-            self._outlook.sample()
         policy = StartPolicy(self._outlook, self._tasks.pace, calendar)
         may_start = [job for job in jobs if self._cancellation.may_start(job)]
         ready = [item for job in may_start for item in job.list_ready(now)]
@@ -147,8 +147,12 @@
             if services not in places:
                 places[services] = self._find_places(services)
             self._check_origin(item, services, places[services])
-            reason, endpoint = self._take_endpoint(item, places[services].free, policy)
-            if endpoint is not None:
+            reason, endpoint = policy.find(
+                item, services, places[services].free, partial(self._may_run, item)
+            )
+            if endpoint is not None and not self._item_runner.hold_back(item):
+                policy.take(endpoint)
+                _remove(endpoint, places)
                 self._chooser.take(endpoint)
                 await self._tasks.start(item, route, endpoint, reason)
             elif places.keys() >= all_services and not any(
@@ -165,29 +169,15 @@
             items, calendar, self._tasks.pace, self._slot_share.slots
         )
 
-    def _take_endpoint(self, item, free, policy):
-        """Remove and return the endpoint with the most free slots.
+    def _may_run(self, item, endpoint):
+        """Return whether an item may run at a usable endpoint.
 
         An item that has failed before gets a trusted endpoint only, and one that has
-        begun an endpoint that may resume it. One that must not run for now gets none,
-        and none for which no slot lasts long enough.
-
-        Returns
-        -------
-        (StartReason, FleetEndpoint)
-            Both are None if there is no endpoint for the item.
+        begun an endpoint that may resume it.
         """
-        suitable = [
-            endpoint
-            for endpoint in free
-            if (not item.failures or self._chooser.is_trusted(endpoint))
-            and item.origin in (None, StreamOrigin.of(endpoint))
-        ]
-        reason, lasting = policy.find(item, suitable)
-        if not lasting or self._item_runner.hold_back(item):
-            return None, None
-        free.remove(lasting[-1])
-        return reason, lasting[-1]
+        if item.failures and not self._chooser.is_trusted(endpoint):
+            return False
+        return item.origin is None or item.origin == StreamOrigin.of(endpoint)
 
     def _find_route(self, item):
         return self._state.routes.find(item.job.manifest.host, item.item.path)
@@ -240,3 +230,10 @@
         rows = [(self._room.count_free_slots(e), e.name, e) for e in accepting]
         free = [row[2] for row in sorted(row for row in rows if row[0] > 0)]
         return _Places(free, {StreamOrigin.of(endpoint) for endpoint in usable})
+
+
+def _remove(endpoint, places):
+    """Leave out an endpoint from all places, so that it gets one item per round."""
+    for place in places.values():
+        if endpoint in place.free:
+            place.free.remove(endpoint)
--- a/mangogauge/jobs/runner.py
+++ b/mangogauge/jobs/runner.py
@@ -17,6 +17,8 @@
 IDLE_TICK_SECONDS = 0.1
 # Reports that arrive within this time of one another are handled together.
 PREEMPT_DELAY_SECONDS = 0.01
+# Interval whose expected peak is exported: about the time that an item runs.
+FORECAST_SECONDS = 2.5
 # Results of items that end within this time are committed together.
 COMMIT_INTERVAL_SECONDS = 0.25
 # Work that is lost with a host, against one write of the store for each interval.
@@ -44,6 +46,8 @@
         Called after this host's own load has changed.
     clock : Clock
     metrics : ServingMetrics
+    outlook : SlotOutlook, optional
+        None if items start in any free slot.
 
     Attributes
     ----------
@@ -68,8 +72,10 @@
         notify,
         clock,
         metrics,
+        outlook=None,
     ):
         self._state = state
+        self._outlook = outlook
         self._report_table = report_table
         self._notify = notify
         self._clock = clock
@@ -89,6 +95,7 @@
             report_table,
             self.tasks,
             clock,
+            outlook,
         )
         self._wake_event = curio.Event()
 
@@ -191,11 +198,31 @@
         """Reconcile the claimed jobs, dispatch items, and report waiting items."""
         if not self._is_active:
             return
+        self._sample_demand()
         await self.claimer.reconcile()
         if not self._hears_nobody:
             await self._dispatcher.dispatch(self.claimer.list_jobs())
         await self._report_waiting()
 
+    def _sample_demand(self):
+        """Feed the forecasts, also while no items wait, and export their metrics.
+
+        Notes
+        -----
+        A host that receives nothing from any other host knows only its own requests,
+        which must not count as a fall in demand.
+        """
+        if self._outlook is None or self._hears_nobody or not self._outlook.sample():
+            return
+        for service, forecast in self._outlook.list_forecasts():
+            self._metrics.note_forecast(
+                service,
+                forecast.level,
+                self._outlook.predict_peak(service, FORECAST_SECONDS),
+                forecast.error,
+                forecast.period_seconds or 0.0,
+            )
+
     async def _report_waiting(self):
         """Update the metrics, and notify other hosts if waiting items came or went."""
         waiting = self.waiting
--- a/mangogauge/jobs/starting.py
+++ b/mangogauge/jobs/starting.py
@@ -13,10 +13,10 @@
 __all__ = ["StartPolicy", "StartReason"]
 
 # A run this long is worth the start of another one.
-WORTHWHILE_SECONDS = 1.0
+WORTHWHILE_SECONDS = 0.6
 # Least time for an item that would be late otherwise: enough for its prompt and some
 # events.
-LEAST_SECONDS = 0.3
+LEAST_SECONDS = 0.5
 # Allowance for the next trough to be used by other items first.
 DUE_MARGIN_SECONDS = 1.0
 
@@ -38,16 +38,23 @@
     ----------
     reason : StartReason
     seconds : float
+    with_margin : bool, optional
+        Whether it has to be free also if demand exceeds the forecast by its error.
     """
 
     reason = field()
     seconds = field()
+    with_margin = field(default=True)
+
+
+ANY_SLOT = _Rule(StartReason.NO_FORECAST, 0.0)
 
 
 class StartPolicy:
-    """Finds the endpoints whose free slots last long enough for an item.
+    """Finds an endpoint whose free slot lasts long enough for an item.
 
-    Valid for one round of decisions: the forecast's answers are kept.
+    Valid for one round of decisions: the forecast's answers are kept, since hundreds
+    of items may wait.
 
     Parameters
     ----------
@@ -64,48 +71,64 @@
         self._now = now
         self._lasting = {}
 
-    def find(self, item, endpoints):
-        """Return ``(reason, endpoints)`` for the first rule that any of them meets.
+    def find(self, item, services, free, is_suitable):
+        """Return the reason and the endpoint of the first rule that any meets.
 
         Parameters
         ----------
         item : OwnedItem
-        endpoints : list of FleetEndpoint
-            With free slots.
+        services : tuple of str
+        free : list of FleetEndpoint
+            Endpoints of these services with free slots, most free slots last.
+        is_suitable : callable
+            Returns whether the item may run at an endpoint.
 
         Returns
         -------
-        (StartReason, list of FleetEndpoint)
-            The reason is None if the list is empty.
+        (StartReason, FleetEndpoint)
+            Both are None if there is none.
         """
+        for rule in self._list_rules(item, services):
+            for endpoint in reversed(self._list_lasting(rule, services, free)):
+                if is_suitable(endpoint):
+                    return rule.reason, endpoint
+        return None, None
+
+    def take(self, endpoint):
+        """Leave out an endpoint from now on."""
+        for endpoints in self._lasting.values():
+            if endpoint in endpoints:
+                endpoints.remove(endpoint)
+
+    def _list_rules(self, item, services):
         if self._outlook is None:
-            return StartReason.NO_FORECAST, endpoints
-        for rule in self._list_rules(item, endpoints):
-            lasting = [e for e in endpoints if self._lasts(e, rule.seconds)]
-            if lasting:
-                return rule.reason, lasting
-        return None, []
-
-    def _list_rules(self, item, endpoints):
+            return [ANY_SLOT]
         remaining = item.estimate_remaining_seconds(self._pace)
         rules = [_Rule(StartReason.RUNS_TO_END, remaining)]
         if remaining > WORTHWHILE_SECONDS:
             rules.append(_Rule(StartReason.MAKES_PROGRESS, WORTHWHILE_SECONDS))
-        if self._is_due_soon(item, remaining, endpoints):
-            rules.append(_Rule(StartReason.DUE_SOON, min(remaining, LEAST_SECONDS)))
+        if self._is_due_soon(item, remaining, services):
+            seconds = min(remaining, LEAST_SECONDS)
+            rules.append(_Rule(StartReason.DUE_SOON, seconds, with_margin=False))
         return rules
 
-    def _is_due_soon(self, item, remaining, endpoints):
+    def _is_due_soon(self, item, remaining, services):
         """Return whether an item would be late if it waited for the next trough."""
-        periods = (self._outlook.get_period(e.service) for e in endpoints)
-        wait = max((p for p in periods if p is not None), default=0.0)
+        periods = [self._outlook.get_period(service) or 0.0 for service in services]
         slack = item.job.manifest.due_at - self._now - remaining
-        return slack < wait + DUE_MARGIN_SECONDS
+        return slack < max(periods, default=0.0) + DUE_MARGIN_SECONDS
 
-    def _lasts(self, endpoint, seconds):
-        """Return whether a slot is expected to be free for some seconds."""
-        key = (endpoint.name, math.ceil(seconds * 10))
+    def _list_lasting(self, rule, services, free):
+        """Return the endpoints whose free slots last as a rule demands."""
+        key = (services, math.ceil(rule.seconds * 10), rule.with_margin)
         if key not in self._lasting:
-            count = self._outlook.count_lasting_slots(endpoint, seconds)
-            self._lasting[key] = count is None or count > 0
+            self._lasting[key] = [e for e in free if self._lasts(e, rule)]
         return self._lasting[key]
+
+    def _lasts(self, endpoint, rule):
+        if self._outlook is None:
+            return True
+        count = self._outlook.count_lasting_slots(
+            endpoint, rule.seconds, rule.with_margin
+        )
+        return count is None or count > 0
--- a/mangogauge/placement/outlook.py
+++ b/mangogauge/placement/outlook.py
@@ -11,13 +11,14 @@
 import xxhash
 
 from ..forecast import DemandForecast
+from ..telemetry import get_logger
 
 __all__ = ["SlotOutlook"]
 
 SAMPLE_SECONDS = 0.1
 # Mean errors of the forecast that are added to a peak. Requests arrive independently,
 # and a peak that fills all slots interrupts an item for each one above the mean.
-MARGIN_ERRORS = 1.5
+MARGIN_ERRORS = 1.2
 # When demand falls, the requests that run now end within this time. That a slot is free
 # until then is known from the loads.
 ENDING_SECONDS = 0.5
@@ -25,6 +26,8 @@
 MAX_SERVICES = 256
 MAX_CACHED_HASHES = 16_384
 
+log = get_logger("placement")
+
 
 class SlotOutlook:
     """Forecasts the online requests of each service from reported loads.
@@ -50,12 +53,19 @@
         self._slots = {}
         self._sampled_at = float("-inf")
         self._peaks = {}
+        self._periodic = {}
 
     def sample(self):
-        """Record the present demand, at most once per `SAMPLE_SECONDS`."""
+        """Record the present demand, at most once per `SAMPLE_SECONDS`.
+
+        Returns
+        -------
+        bool
+            Whether it was recorded.
+        """
         now = self._clock.read_elapsed()
         if now < self._sampled_at + SAMPLE_SECONDS:
-            return
+            return False
         self._sampled_at = now
         self._peaks.clear()
         online = self._measure()
@@ -70,6 +80,24 @@
             # Reports don't say which service a waiting request is for.
             share = waiting * count / running if running else 0.0
             forecast.note(now, count + share)
+            self._log_change(service, forecast)
+        return True
+
+    def _log_change(self, service, forecast):
+        """Log when a service's demand is found to have a period, or no longer has."""
+        if forecast.is_periodic == self._periodic.get(service, False):
+            return
+        self._periodic[service] = forecast.is_periodic
+        log.info(
+            "demand has a period" if forecast.is_periodic else "demand has no period",
+            extra={
+                "service": service,
+                "period": round(forecast.period_seconds or 0.0, 2),
+                "level": round(forecast.level, 1),
+                "swing": round(forecast.swing, 1),
+                "error": round(forecast.error, 1),
+            },
+        )
 
     def _measure(self):
         """Update the slots of each service; return ``{service: online requests}``."""
@@ -97,32 +125,49 @@
         forecast = self._forecasts.get(service)
         return None if forecast is None else forecast.period_seconds
 
-    def predict_peak(self, service, seconds):
-        """Return the most online requests to be expected within some seconds."""
-        key = (service, math.ceil(seconds / SAMPLE_SECONDS))
+    def predict_peak(self, service, seconds, with_margin=True):
+        """Return the most online requests to be expected within some seconds.
+
+        Parameters
+        ----------
+        service : str
+        seconds : float
+        with_margin : bool, optional
+            Whether to add the forecast's error.
+        """
+        key = (service, with_margin, math.ceil(seconds / SAMPLE_SECONDS))
         if key not in self._peaks:
             now = self._clock.read_elapsed()
-            seconds = key[1] * SAMPLE_SECONDS
+            seconds = key[2] * SAMPLE_SECONDS
             forecast = self._forecasts[service]
             is_falling = forecast.is_falling(now)
             after = min(ENDING_SECONDS, seconds / 2) if is_falling else 0.0
             peak = forecast.predict_peak(now, seconds, after)
-            self._peaks[key] = peak + self._compute_margin(service, peak)
+            margin = self._compute_margin(service, peak) if with_margin else 0.0
+            self._peaks[key] = peak + margin
         return self._peaks[key]
 
     def _compute_margin(self, service, peak):
-        """Return the requests by which a peak may exceed its forecast."""
+        """Return the requests by which a peak may exceed its forecast.
+
+        Notes
+        -----
+        In proportion to the peak: few requests arrive in a trough, and items that
+        end there make room for them.
+        """
         forecast = self._forecasts[service]
         level = max(1.0, forecast.level)
-        return MARGIN_ERRORS * forecast.error * math.sqrt(peak / level)
+        return MARGIN_ERRORS * forecast.error * peak / level
 
-    def count_lasting_slots(self, endpoint, seconds):
+    def count_lasting_slots(self, endpoint, seconds, with_margin=True):
         """Return how many more items may run for some seconds at an endpoint.
 
         Parameters
         ----------
         endpoint : FleetEndpoint
         seconds : float
+        with_margin : bool, optional
+            Whether to expect the forecast's error in addition to it.
 
         Returns
         -------
@@ -131,7 +176,7 @@
         """
         if self.get_period(endpoint.service) is None:
             return None
-        peak = self.predict_peak(endpoint.service, seconds)
+        peak = self.predict_peak(endpoint.service, seconds, with_margin)
         slots = self._slots.get(endpoint.service) or endpoint.slots
         online = endpoint.slots * peak / slots
         items = self._report_table.measure(endpoint.name).batch
--- a/mangogauge/settings/serving.py
+++ b/mangogauge/settings/serving.py
@@ -50,6 +50,9 @@
         Time between SIGTERM and the end of the process.
     status_seconds : float
         How long a batch job can be read after it was submitted.
+    forecasts_demand : bool
+        Whether items of batch jobs start only in slots that online requests are
+        expected to leave free for long enough, or in any free slot.
     store : StoreSettings
     """
 
@@ -64,6 +67,7 @@
     runs_batch = make_option(FlagKind(), default=False)
     drain_seconds = make_option(NumberKind(0.1, 600, "seconds"), default=8.0)
     status_seconds = make_option(NumberKind(1, 864_000, "seconds"), default=3600.0)
+    forecasts_demand = make_option(FlagKind(), default=True)
     store = field(default=None)
 
     @property
--- a/mangogauge/telemetry/serving.py
+++ b/mangogauge/telemetry/serving.py
@@ -62,10 +62,28 @@
             "configuration_version", "Version of the configuration in force."
         )
 
+        self.forecasts = self._gauge(
+            "forecast_requests",
+            "Forecast of online requests: level, peak of the next 2.5 s, mean error.",
+            "service",
+            "kind",
+        )
+        self.forecast_period = self._gauge(
+            "forecast_period_seconds",
+            "Period of online requests; 0 if they have no clear one.",
+            "service",
+        )
+
     def render(self):
         """Return the text that Prometheus reads, as bytes."""
         return prometheus.generate_latest(self.registry)
 
+    def note_forecast(self, service, level, peak, error, period_seconds):
+        """Export the forecast of a service's online requests."""
+        for kind, value in (("level", level), ("peak", peak), ("error", error)):
+            self.forecasts.labels(service, kind).set(value)
+        self.forecast_period.labels(service).set(period_seconds)
+
     def note_store_call(self, call, status):
         """Count a call to the store."""
         self.store_calls.labels(call, str(status)).inc()
@@ -81,8 +99,10 @@
             f"mangogauge_{name}", text, labels, registry=self.registry
         )
 
-    def _gauge(self, name, text):
-        return prometheus.Gauge(f"mangogauge_{name}", text, registry=self.registry)
+    def _gauge(self, name, text, *labels):
+        return prometheus.Gauge(
+            f"mangogauge_{name}", text, labels, registry=self.registry
+        )
 
     def _time(self, name, text, *labels):
         return prometheus.Histogram(
