--- a/mangogauge/jobs/scheduling.py
+++ b/mangogauge/jobs/scheduling.py
@@ -5,6 +5,7 @@
 """
 
 import heapq
+from collections import Counter
 
 import xxhash
 
@@ -76,17 +77,33 @@
     Timely items come first, by due date; within a job, those with the most events.
     The others are late whenever they run, so those with the least time left to run
     come first: they free their slots soonest, and the most of them end before they
-    are given up. Preemption uses the same order from its end, so that what has begun
-    runs to completion while the rest waits. If all items shared the slots, all of
-    them could end late.
+    are given up. Client accounts take turns among these, so that an account with
+    many short ones keeps none of another's from running. If all items shared the
+    slots, all of them could end late.
     """
 
-    def rank(item):
-        if item in timely:
-            return (0, _get_due(item), item.job.job_id, -len(item.event_texts))
-        return (1, item.estimate_remaining_seconds(pace), item.job.job_id, 0)
+    def rank_timely(item):
+        return (_get_due(item), item.job.job_id, -len(item.event_texts))
 
-    return sorted(items, key=rank)
+    def rank_late(item):
+        return (item.estimate_remaining_seconds(pace), item.job.job_id)
+
+    items = list(items)
+    first = sorted((item for item in items if item in timely), key=rank_timely)
+    late = sorted((item for item in items if item not in timely), key=rank_late)
+    return first + _take_turns(late)
+
+
+def _take_turns(items):
+    """Return items so that client accounts take turns, each with its own in order."""
+    counts = Counter()
+    turns = []
+    for item in items:
+        account = item.job.manifest.account
+        turns.append(counts[account])
+        counts[account] += 1
+    order = sorted(range(len(items)), key=turns.__getitem__)
+    return [items[number] for number in order]
 
 
 def order_victims(items, timely, pace, now):
