Compute forecasts once for each sample

Cause: a forecast of a peak took 53 us, and each round of decisions asked for one for each remaining time and each endpoint.

Change: forecasts of cells are kept until the next sample, and an endpoint is asked once a round for the demand up to which it has a slot.

--- a/features/steps/starting.py
+++ b/features/steps/starting.py
@@ -1,5 +1,7 @@
 """Steps of whether an item is worth starting, and which ones are interrupted."""
 
+import math
+
 from behave import given, then, when
 
 from features.builders.fleet import (
@@ -30,8 +32,11 @@
     def get_period(self, service):
         return PERIOD_SECONDS
 
-    def count_lasting_slots(self, endpoint, seconds, with_margin=True):
-        return int(seconds <= self._seconds)
+    def find_demand_limit(self, endpoint):
+        return 0.0
+
+    def predict_peak(self, service, seconds, with_margin=True):
+        return float(seconds > self._seconds)
 
 
 def make_pace(seconds):
@@ -197,8 +202,11 @@
 
 
 def count_lasting(context, seconds):
+    """Return for each endpoint how many items fit beside the expected peak."""
     outlook = context.outlook
-    return [outlook.count_lasting_slots(e, seconds) for e in context.endpoints]
+    peak = outlook.predict_peak(SERVICE, seconds) / len(context.endpoints)
+    limits = [outlook.find_demand_limit(e) for e in context.endpoints]
+    return [math.floor(x / len(limits) - peak) + 1 for x in limits]
 
 
 @then(
--- a/mangogauge/forecast/demand.py
+++ b/mangogauge/forecast/demand.py
@@ -59,6 +59,7 @@
     def __init__(self):
         cells = round(WINDOW_SECONDS / CELL_SECONDS)
         self._samples = SampleSeries(CELL_SECONDS, cells)
+        self._predicted = {}
         self._cells_to_refit = 0
         self._period_cells = None
         self._period_error = math.inf
@@ -104,6 +105,7 @@
             Requests that run or wait; invalid values are ignored.
         """
         passed = self._samples.add(now, demand)
+        self._predicted.clear()
         self._note_errors(demand, passed)
         if passed or not self.level:
             self._measure_level()
@@ -111,6 +113,7 @@
         if self._cells_to_refit <= 0:
             self._cells_to_refit = round(REFIT_SECONDS / CELL_SECONDS)
             self._refit()
+            self._predicted.clear()
 
     def is_falling(self, now):
         """Return whether demand is expected to be falling already."""
@@ -178,6 +181,11 @@
 
     def _predict(self, cell):
         """Return the mean of the same point in the last periods, or None."""
+        if cell not in self._predicted:
+            self._predicted[cell] = self._compute_mean(cell)
+        return self._predicted[cell]
+
+    def _compute_mean(self, cell):
         newest = self._samples.newest
         ago = math.ceil(max(1.0, (cell - newest) / self._period_cells))
         values = []
--- a/mangogauge/jobs/starting.py
+++ b/mangogauge/jobs/starting.py
@@ -70,6 +70,7 @@
         self._pace = pace
         self._now = now
         self._lasting = {}
+        self._limits = {}
 
     def find(self, item, services, free, is_suitable):
         """Return the reason and the endpoint of the first rule that any meets.
@@ -128,7 +129,10 @@
     def _lasts(self, endpoint, rule):
         if self._outlook is None:
             return True
-        count = self._outlook.count_lasting_slots(
-            endpoint, rule.seconds, rule.with_margin
+        if endpoint.name not in self._limits:
+            limit = self._outlook.find_demand_limit(endpoint)
+            self._limits[endpoint.name] = limit
+        peak = self._outlook.predict_peak(
+            endpoint.service, rule.seconds, rule.with_margin
         )
-        return count is None or count > 0
+        return peak <= self._limits[endpoint.name]
--- a/mangogauge/placement/outlook.py
+++ b/mangogauge/placement/outlook.py
@@ -135,6 +135,8 @@
         with_margin : bool, optional
             Whether to add the forecast's error.
         """
+        if service not in self._forecasts:
+            return 0.0
         key = (service, with_margin, math.ceil(seconds / SAMPLE_SECONDS))
         if key not in self._peaks:
             now = self._clock.read_elapsed()
@@ -159,29 +161,25 @@
         level = max(1.0, forecast.level)
         return MARGIN_ERRORS * forecast.error * peak / level
 
-    def count_lasting_slots(self, endpoint, seconds, with_margin=True):
-        """Return how many more items may run for some seconds at an endpoint.
+    def find_demand_limit(self, endpoint):
+        """Return the most online requests that leave a slot for one more item there.
 
         Parameters
         ----------
         endpoint : FleetEndpoint
-        seconds : float
-        with_margin : bool, optional
-            Whether to expect the forecast's error in addition to it.
 
         Returns
         -------
-        int or None
-            None without a clear period: nothing says then when demand will rise.
+        float
+            Requests of the whole service, to be compared with `predict_peak`. Infinite
+            without a clear period: nothing says then when demand will rise.
         """
         if self.get_period(endpoint.service) is None:
-            return None
-        peak = self.predict_peak(endpoint.service, seconds, with_margin)
-        slots = self._slots.get(endpoint.service) or endpoint.slots
-        online = endpoint.slots * peak / slots
+            return math.inf
         items = self._report_table.measure(endpoint.name).batch
-        left = endpoint.slots - online + _hash_to_unit(endpoint.name)
-        return math.floor(left) - items
+        online = endpoint.slots + _hash_to_unit(endpoint.name) - items - 1
+        slots = self._slots.get(endpoint.service) or endpoint.slots
+        return online * slots / max(1, endpoint.slots)
 
 
 @lru_cache(MAX_CACHED_HASHES)
