--- a/features/steps/settings.py
+++ b/features/steps/settings.py
@@ -3,16 +3,19 @@
 import subprocess
 import sys
 from pathlib import Path
+from types import SimpleNamespace
 
 from behave import then, when
 
 from features.builders.mistakes import BASE, OVERLAYS, find_problems
+from mangogauge.daemon.serving import ServingHost
 from mangogauge.settings import (
     ConfigurationDocuments,
     SettingsError,
     read_fleet,
     read_host,
 )
+from mangogauge.settings.serving import read_serving
 
 DEPLOYMENT = Path(__file__).resolve().parents[2] / "docs" / "deployment"
 
@@ -104,3 +107,25 @@
     path.write_text(text.replace("/etc/mangogauge/secret", str(secret)))
     settings = read_host(path)
     assert (settings.name, settings.callers.body_bytes) == ("north-1", 8388608)
+
+
+@when('a host\'s file says "{line}" under [host]')
+def read_host_file(context, line):
+    path = Path(context.world.folder) / "host.ini"
+    path.write_text(
+        "[host]\nname = a0\ndata_centre = a\naddress = 192.0.2.1\n"
+        f"first_report_port = 7000\nlast_report_port = 7001\n{line}\n"
+        "[store]\naddress = 192.0.2.9:2379\n"
+    )
+    context.settings = read_serving(path)
+
+
+@then("the host {does} online demand")
+def check_forecast(context, does):
+    host = SimpleNamespace(
+        settings=context.settings,
+        fleet=SimpleNamespace(directory=None, board=None),
+        clock=None,
+    )
+    outlook = ServingHost._make_outlook(host)
+    assert (outlook is not None) == (does == "forecasts"), outlook
