Look at held items less often where many wait

Cause: a round looks at each item that waits while slots are free, 40 times a second: 3.3% of a core with 200 items that are held back.

Change: if none of more than 50 ready items fits, the next round comes 0.09 s later. Margin of 1.4 errors.

--- a/mangogauge/jobs/dispatch.py
+++ b/mangogauge/jobs/dispatch.py
@@ -15,6 +15,10 @@
 
 # Interval at which it is decided which items can end in time.
 TIMELY_SECONDS = 0.1
+# Time until so many items are considered again if none fits any of the free slots: each
+# costs some microseconds, and the forecast changes only with each sample.
+HELD_SECONDS = 0.09
+MAX_READY = 50
 
 log = get_logger("jobs")
 
@@ -79,6 +83,7 @@
         self._slot_share = SlotShare(clock)
         self._timely = set()
         self._timely_at = float("-inf")
+        self._held_until = float("-inf")
 
     async def preempt(self):
         """Interrupt items where online requests need their slots."""
@@ -125,6 +130,8 @@
         jobs : list of OwnedJob
         """
         now = self._clock.read_elapsed()
+        if now < self._held_until:
+            return
         calendar = self._clock.read_calendar()
         if now >= self._timely_at + TIMELY_SECONDS:
             self._timely_at = now
@@ -133,7 +140,7 @@
         may_start = [job for job in jobs if self._cancellation.may_start(job)]
         ready = [item for job in may_start for item in job.list_ready(now)]
         all_services = self._state.routes.batch_services
-        places = {}
+        places, has_started = {}, False
         for item in order_items(ready, self._timely, self._tasks.pace):
             route = self._find_route(item)
             if route is None:
@@ -155,10 +162,14 @@
                 _remove(endpoint, places)
                 self._chooser.take(endpoint)
                 await self._tasks.start(item, route, endpoint, reason)
+                has_started = True
             elif places.keys() >= all_services and not any(
                 place.free for place in places.values()
             ):
                 break
+        is_held = not has_started and any(place.free for place in places.values())
+        if is_held and self._outlook is not None and len(ready) > MAX_READY:
+            self._held_until = now + HELD_SECONDS
 
     def _update_timely(self, jobs, calendar):
         """Find the items that can end in time with the slots that this host gets."""
--- a/mangogauge/placement/outlook.py
+++ b/mangogauge/placement/outlook.py
@@ -18,7 +18,7 @@
 SAMPLE_SECONDS = 0.1
 # Mean errors of the forecast that are added to a peak. Requests arrive independently,
 # and a peak that fills all slots interrupts an item for each one above the mean.
-MARGIN_ERRORS = 1.5
+MARGIN_ERRORS = 1.4
 # When demand falls, the requests that run now end within this time. That a slot is free
 # until then is known from the loads.
 ENDING_SECONDS = 0.5
