--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -28,7 +28,13 @@
 from ..jobs.keys import WORK_PREFIX
 from ..jobs.trials import ItemTrials
 from ..paths import TUNNEL_PREFIX
-from ..placement import BatchRoom, EndpointChooser, ReachabilityProber, SlotQueue
+from ..placement import (
+    BatchRoom,
+    EndpointChooser,
+    ReachabilityProber,
+    SlotOutlook,
+    SlotQueue,
+)
 from ..routing import RetryBudgets, RetryPolicy
 from ..store import StoreRelay
 from ..supervision import keep_running
@@ -55,6 +61,7 @@
     "checks_evacuations",
     "checks_regions",
     "regions",
+    "forecasts_demand",
     "store",
     "cold",
 )
@@ -206,6 +213,7 @@
             self.fleet.notify,
             clock,
             self.metrics,
+            self._make_outlook(),
         )
 
         self.retirement = RetirementController(
@@ -223,6 +231,14 @@
         follower = self.fleet.follow(WORK_PREFIX, job_directory, WORK_PAUSE_SECONDS)
         return lambda: follower.age
 
+    def _make_outlook(self):
+        """Return the `SlotOutlook` of items, or None if the settings turn it off."""
+        if not self.settings.forecasts_demand:
+            return None
+        return SlotOutlook(
+            self.fleet.directory, self.fleet.eligibility, self.fleet.board, self.clock
+        )
+
     def _make_entry(self):
         clock = self.clock
         self.dispatcher = OnlineDispatcher(
--- a/mangogauge/jobs/dispatch.py
+++ b/mangogauge/jobs/dispatch.py
@@ -1,6 +1,7 @@
 """Dispatch items to endpoints, and preempt them for online requests."""
 
 from collections import Counter
+from functools import partial
 
 from attrs import field, frozen
 
@@ -9,12 +10,17 @@
 from ..streams import StreamOrigin
 from ..telemetry import get_logger
 from .estimates import SlotShare
-from .scheduling import find_timely, order_items
+from .scheduling import find_timely, order_items, order_victims
+from .starting import StartPolicy
 
 __all__ = ["ItemDispatcher"]
 
 # Interval at which it is decided which items can end in time.
 TIMELY_SECONDS = 0.1
+# Time until so many items are considered again if none fits any of the free slots: each
+# costs some microseconds, and the forecast changes only with each sample.
+HELD_SECONDS = 0.09
+MAX_READY = 50
 
 log = get_logger("jobs")
 
@@ -52,6 +58,8 @@
     report_table : ReportTable
     tasks : ItemTasks
     clock : Clock
+    outlook : SlotOutlook, optional
+        None if items start in any free slot.
     """
 
     def __init__(
@@ -65,6 +73,7 @@
         report_table,
         tasks,
         clock,
+        outlook=None,
     ):
         self._state = state
         self._cancellation = cancellation
@@ -75,14 +84,16 @@
         self._report_table = report_table
         self._tasks = tasks
         self._clock = clock
+        self._outlook = outlook
         self._slot_share = SlotShare(clock)
         self._timely = set()
         self._timely_at = float("-inf")
         # Why the items of a job have no eligible endpoint, as last logged, by job.
         self._obstacles = {}
+        self._held_until = float("-inf")
 
     async def preempt(self):
-        """Interrupt the least urgent items where online requests need their slots."""
+        """Interrupt items where online requests need their slots."""
         running = self._tasks.list_running()
         for name in {item.endpoint for item in running if item.endpoint}:
             endpoint = self._state.directory.get(name)
@@ -93,7 +104,7 @@
                 await self._preempt_at(endpoint, excess)
 
     async def _preempt_at(self, endpoint, excess):
-        """Interrupt the least urgent items at an endpoint.
+        """Interrupt the items at an endpoint that lose least by it.
 
         Parameters
         ----------
@@ -103,17 +114,17 @@
         """
         running = self._tasks.list_running()
         here = [item for item in running if item.endpoint == endpoint.name]
-        for item in order_items(here, self._timely, self._tasks.pace)[-excess:]:
-            log.info(
-                "item gives way",
-                extra={
-                    "request_id": item.item.item_id,
-                    "endpoint": endpoint.name,
-                    "load": self._report_table.measure(endpoint.name).total,
-                    "slots": endpoint.slots,
-                },
+        now = self._clock.read_calendar()
+        victims = order_victims(here, self._timely, self._tasks.pace, now)
+        for item in victims[:excess]:
+            load = self._report_table.measure(endpoint.name)
+            await self._tasks.preempt(
+                item,
+                "the endpoint is overfull",
+                load=load.total,
+                slots=endpoint.slots,
+                due_in=round(item.job.manifest.due_at - now, 3),
             )
-            await self._tasks.interrupt(item)
 
     async def dispatch(self, jobs):
         """Start the most urgent items at endpoints with free slots.
@@ -126,16 +137,19 @@
         jobs : list of OwnedJob
         """
         now = self._clock.read_elapsed()
+        if now < self._held_until:
+            return
         calendar = self._clock.read_calendar()
         if now >= self._timely_at + TIMELY_SECONDS:
             self._timely_at = now
             self._update_timely(jobs, calendar)
+        policy = StartPolicy(self._outlook, self._tasks.pace, calendar)
         may_start = [job for job in jobs if self._cancellation.may_start(job)]
         known = {job.job_id for job in jobs}
         self._obstacles = {j: o for j, o in self._obstacles.items() if j in known}
         ready = [item for job in may_start for item in job.list_ready(now)]
         all_services = self._state.routes.batch_services
-        places, obstacles = {}, {}
+        places, obstacles, has_started = {}, {}, False
         for item in order_items(ready, self._timely, self._tasks.pace):
             route = self._find_route(item)
             if route is None:
@@ -153,17 +167,24 @@
             job_id = item.job.job_id
             obstacles[job_id] = obstacles.get(job_id) or place.obstacle
             self._check_origin(item, services, place)
-            endpoint = self._take_endpoint(item, place.free)
-            if endpoint is not None:
+            reason, endpoint = policy.find(
+                item, services, scope, place.free, partial(self._may_run, item)
+            )
+            if endpoint is not None and not self._item_runner.hold_back(item):
+                policy.take(endpoint)
                 _remove(endpoint, places.values())
                 self._chooser.take(endpoint)
                 item.scope = scope
-                await self._tasks.start(item, route, endpoint)
+                await self._tasks.start(item, route, endpoint, reason)
+                has_started = True
             elif {s for s, _ in places} >= all_services and not any(
                 place.free for place in places.values()
             ):
                 break
         self._note_obstacles(obstacles)
+        is_held = not has_started and any(place.free for place in places.values())
+        if is_held and self._outlook is not None and len(ready) > MAX_READY:
+            self._held_until = now + HELD_SECONDS
 
     def _update_timely(self, jobs, calendar):
         """Find the items that can end in time with the slots that this host gets."""
@@ -174,21 +195,15 @@
             items, calendar, self._tasks.pace, self._slot_share.slots
         )
 
-    def _take_endpoint(self, item, free):
-        """Return the endpoint with the most free slots, or None.
+    def _may_run(self, item, endpoint):
+        """Return whether an item may run at a usable endpoint.
 
         An item that has failed before gets a trusted endpoint only, and one that has
-        begun an endpoint that may resume it. One that must not run for now gets none.
+        begun an endpoint that may resume it.
         """
-        suitable = [
-            number
-            for number, endpoint in enumerate(free)
-            if (not item.failures or self._chooser.is_trusted(endpoint))
-            and item.origin in (None, StreamOrigin.of(endpoint))
-        ]
-        if not suitable or self._item_runner.hold_back(item):
-            return None
-        return free[suitable[-1]]
+        if item.failures and not self._chooser.is_trusted(endpoint):
+            return False
+        return item.origin is None or item.origin == StreamOrigin.of(endpoint)
 
     def _find_route(self, item):
         return self._state.routes.find(item.job.manifest.host, item.item.path)
--- a/mangogauge/jobs/scheduling.py
+++ b/mangogauge/jobs/scheduling.py
@@ -5,10 +5,16 @@
 """
 
 import heapq
+from collections import Counter
 
 import xxhash
 
-__all__ = ["find_timely", "order_items", "rank_host"]
+__all__ = ["find_timely", "order_items", "order_victims", "rank_host"]
+
+# Time that an interrupted item may wait for another slot, and still end in time.
+WAIT_SECONDS = 4.0
+# Items whose remaining times differ by less are equal: estimates aren't more precise.
+REMAINING_STEP_SECONDS = 0.25
 
 
 def find_timely(items, now, pace, slots):
@@ -71,15 +77,69 @@
     Timely items come first, by due date; within a job, those with the most events.
     The others are late whenever they run, so those with the least time left to run
     come first: they free their slots soonest, and the most of them end before they
-    are given up. Preemption uses the same order from its end, so that what has begun
-    runs to completion while the rest waits. If all items shared the slots, all of
-    them could end late.
+    are given up. Client accounts take turns among these, so that an account with
+    many short ones keeps none of another's from running. If all items shared the
+    slots, all of them could end late.
+    """
+
+    def rank_timely(item):
+        return (_get_due(item), item.job.job_id, -len(item.event_texts))
+
+    def rank_late(item):
+        return (item.estimate_remaining_seconds(pace), item.job.job_id)
+
+    items = list(items)
+    first = sorted((item for item in items if item in timely), key=rank_timely)
+    late = sorted((item for item in items if item not in timely), key=rank_late)
+    return first + _take_turns(late)
+
+
+def _take_turns(items):
+    """Return items so that client accounts take turns, each with its own in order."""
+    counts = Counter()
+    turns = []
+    for item in items:
+        account = item.job.manifest.account
+        turns.append(counts[account])
+        counts[account] += 1
+    order = sorted(range(len(items)), key=turns.__getitem__)
+    return [items[number] for number in order]
+
+
+def order_victims(items, timely, pace, now):
+    """Return running items in the order in which they are interrupted, first to last.
+
+    Parameters
+    ----------
+    items : iterable of OwnedItem
+    timely : set of OwnedItem
+    pace : ItemPace
+    now : float
+        Seconds since the Unix epoch.
+
+    Returns
+    -------
+    list of OwnedItem
+
+    Notes
+    -----
+    Those that are late anyway come first, then timely ones that can wait, and at last
+    those that would become late. Among equals, an item that is nearly done is kept: it
+    frees its slot soonest, and would cost another run. Then the one is kept that has
+    most to be read again: its prompt, and the events of this run and of those before.
     """
 
     def rank(item):
-        if item in timely:
-            return (0, _get_due(item), item.job.job_id, -len(item.event_texts))
-        return (1, item.estimate_remaining_seconds(pace), item.job.job_id, 0)
+        remaining = item.estimate_remaining_seconds(pace)
+        slack = item.job.manifest.due_at - now - remaining
+        return (
+            item in timely,
+            item in timely and slack < WAIT_SECONDS,
+            -round(remaining / REMAINING_STEP_SECONDS),
+            len(item.body) + item.size,
+            -_get_due(item),
+            item.item.item_id,
+        )
 
     return sorted(items, key=rank)
 
--- a/mangogauge/placement/__init__.py
+++ b/mangogauge/placement/__init__.py
@@ -4,6 +4,7 @@
 from .eligibility import ANYWHERE, Eligibility, IneligibilityReason, WorkScope
 from .evacuations import EvacuationMonitor
 from .health import EndpointHealth
+from .outlook import SlotOutlook
 from .prober import ReachabilityProber
 from .queue import SlotQueue
 from .room import BatchRoom
@@ -17,6 +18,7 @@
     "EvacuationMonitor",
     "IneligibilityReason",
     "ReachabilityProber",
+    "SlotOutlook",
     "SlotQueue",
     "WorkScope",
 ]
--- a/mangogauge/settings/serving.py
+++ b/mangogauge/settings/serving.py
@@ -84,6 +84,9 @@
     shared_reads : bool
         Whether the host takes turns with the others in reading the store; else it
         reads as soon as a copy is due, which costs more calls the more hosts do so.
+    forecasts_demand : bool
+        Whether items of batch jobs start only in slots that online requests are
+        expected to leave free for long enough, or in any free slot.
     store : StoreSettings
     cold : ColdSettings
     regions : dict of str to str
@@ -104,6 +107,7 @@
     checks_evacuations = make_option(FlagKind(), default=True)
     checks_regions = make_option(FlagKind(), default=True)
     shared_reads = make_option(FlagKind(), default=True)
+    forecasts_demand = make_option(FlagKind(), default=True)
     store = field(default=None)
     cold = field(factory=ColdSettings)
     regions = field(factory=dict)
