--- a/mangogauge/sharing/quota.py
+++ b/mangogauge/sharing/quota.py
@@ -8,23 +8,32 @@
 at once, also while reports are late or hosts are cut off from each other.
 """
 
+import random as random_module
 from collections import Counter
 
 from attrs import define, field, frozen
 
+from .bucket import AccountBucket
 from .counters import MergedCounts
+from .report_table import REPORTING_SECONDS
 
 __all__ = ["Admission", "SharedQuota"]
 
-# Capacity of a bucket beyond the account's burst: other hosts' reports arrive a
-# little late, and no account within its rate should be refused because of that.
-SPARE_REQUESTS = 4.0
 # Part of the burst that a new bucket is filled to, since a host that has just started
 # doesn't know what was admitted before.
 INITIAL_LEVEL_SHARE = 0.5
 # A changed count is repeated in all reports for this long, in case some are lost.
 # It is also the interval of reports of all counts.
 RECENT_SECONDS = 1.0
+# A host that has admitted requests of an account within this time, or within that in
+# which the rate comes to so many for each host, contends for its budget.
+CONTENDING_SECONDS = 5.0
+CONTENDING_REQUESTS = 3.0
+MAX_CONTENDING_SECONDS = 60.0
+# Interval at which the contending hosts are counted.
+COUNT_SECONDS = 0.25
+# Longest time that a caller is told to wait.
+MAX_RETRY_SECONDS = 5.0
 
 
 @frozen
@@ -35,35 +44,14 @@
     ----------
     admitted : bool
     retry_after : float, optional
-        Seconds until a refused request would be admitted.
+        Seconds after which a refused request should be sent again: then there is
+        budget for it, also after the requests that were refused before.
     """
 
     admitted = field()
     retry_after = field(default=0.0)
 
 
-@define
-class _Bucket:
-    """Leaky bucket of one account.
-
-    Parameters
-    ----------
-    level : float
-        Requests admitted by all hosts that have not yet leaked out at the rate.
-    updated_at : float
-        Elapsed time of the level.
-    own_count : int, optional
-        Requests that this host has admitted since its start.
-    admitted_at : float, optional
-        Elapsed time at which this host last admitted one.
-    """
-
-    level = field()
-    updated_at = field()
-    own_count = field(default=0)
-    admitted_at = field(default=0.0)
-
-
 @define
 class _HostCounts:
     """Admissions that another host has reported.
@@ -76,11 +64,17 @@
         By client account.
     complete : bool
         Whether accounts that are missing from `counts` had no admissions.
+    received_at : float
+        Elapsed time of the last report.
+    admitted_at : dict of str to float
+        Elapsed time of the report that last had an increase, by client account.
     """
 
     incarnation = field()
     counts = field(factory=dict)
     complete = field(default=False)
+    received_at = field(default=float("-inf"))
+    admitted_at = field(factory=dict)
 
 
 class SharedQuota:
@@ -89,6 +83,7 @@
     Parameters
     ----------
     clock : Clock
+    random : random.Random, optional
 
     Examples
     --------
@@ -100,16 +95,24 @@
     [True, True, True, True, True, True, False, False]
     """
 
-    def __init__(self, clock):
+    def __init__(self, clock, random=None):
         self._clock = clock
+        self._started_at = clock.read_elapsed()
+        self._random = random or random_module.Random()
         self._buckets = {}
         self._host_counts = {}
         # Increases in other hosts' own reports since this host's start.
         self._reported_counts = Counter()
         self._all_reported_at = float("-inf")
         self._data_centre_counts = {}
+        self._summarized_at = {}
+        self._share, self._hosts = 1.0, 1
+
+    def set_reporting(self, share, hosts):
+        """Set which part of the hosts is reporting; see `admit`."""
+        self._share, self._hosts = share, hosts
 
-    def admit(self, account, share):
+    def admit(self, account, share, hosts=1):
         """Admit or refuse a request, and count it against its account's rate.
 
         Parameters
@@ -117,22 +120,57 @@
         account : Account
         share : float
             Fraction of the hosts that are reporting here, this one included; it is
-            also the fraction of the rate that this host may use.
+            also the fraction of the rate that these hosts may use.
+        hosts : int, optional
+            Number of these hosts.
 
         Returns
         -------
         Admission
         """
-        if not account.rate:
+        if self.try_admit(account, share, hosts):
             return Admission(True)
-        bucket = self._update_bucket(account, share)
-        missing = bucket.level + 1.0 - _compute_capacity(account)
-        if missing > 0:
-            return Admission(False, missing / (account.rate * share))
-        bucket.level += 1.0
-        bucket.own_count += 1
-        bucket.admitted_at = self._clock.read_elapsed()
-        return Admission(True)
+        return Admission(False, self.promise(account))
+
+    def try_admit(self, account, share, hosts=1, is_retry=False):
+        """Admit a request, or return False; see `admit`.
+
+        Parameters
+        ----------
+        is_retry : bool, optional
+            Whether a host has refused it before: then it goes before others.
+        """
+        if not account.rate:
+            return True
+        self.set_reporting(share, hosts)
+        now = self._clock.read_elapsed()
+        bucket = self._update_bucket(account)
+        if now >= bucket.contenders_due_at:
+            bucket.contenders_due_at = now + COUNT_SECONDS
+            bucket.contenders = self._count_contenders(account)
+        bucket.pace(account, now, self._random)
+        if not bucket.may_take(account, is_retry):
+            return False
+        bucket.take(account, now)
+        return True
+
+    def estimate_wait(self, account, ahead=0, is_retry=False):
+        """Return the seconds until a request that was not admitted may be.
+
+        Parameters
+        ----------
+        account : Account
+        ahead : int, optional
+            Requests of the account that wait here before it.
+        is_retry : bool, optional
+        """
+        return self._update_bucket(account).estimate_wait(account, ahead, is_retry)
+
+    def promise(self, account):
+        """Return the seconds after which a caller that is refused should retry."""
+        bucket = self._update_bucket(account)
+        now = self._clock.read_elapsed()
+        return bucket.promise(account, now, MAX_RETRY_SECONDS, self._random)
 
     def count_own(self):
         """Return ``{account: int}`` of the requests that this host has admitted."""
@@ -172,13 +210,17 @@
             Has the accounts of the configuration in force.
         """
         known = self._get_host_counts(report)
+        now = self._clock.read_elapsed()
+        silent_seconds = now - known.received_at
+        known.received_at = now
         for name, count in report.admitted.items():
             increase = count - known.counts.get(name, 0 if known.complete else count)
             known.counts[name] = count
             if increase <= 0:
                 continue
+            known.admitted_at[name] = now
             self._reported_counts[name] += increase
-            self._charge(name, increase, accounts)
+            self._charge(name, increase, accounts, silent_seconds)
         known.complete = known.complete or report.admitted_complete
 
     def _get_host_counts(self, report):
@@ -199,9 +241,12 @@
         accounts : PrefixRoutes
             Has the accounts of the configuration in force.
         """
-        counts = self._data_centre_counts.setdefault(totals.data_centre, MergedCounts())
+        name, now = totals.data_centre, self._clock.read_elapsed()
+        counts = self._data_centre_counts.setdefault(name, MergedCounts())
+        silent_seconds = now - self._summarized_at.get(name, float("-inf"))
+        self._summarized_at[name] = now
         for name, increase in counts.merge(totals.incarnation, totals.admitted).items():
-            self._charge(name, increase, accounts)
+            self._charge(name, increase, accounts, silent_seconds)
 
     def count_known(self):
         """Return ``{account: int}`` admitted by this host and by reporting hosts."""
@@ -212,23 +257,47 @@
         bucket = self._buckets.get(name)
         return bucket.level if bucket else 0.0
 
-    def _charge(self, name, count, accounts):
+    def _charge(self, name, count, accounts, silent_seconds):
         account = accounts.get_account(name)
-        if account is not None and account.rate:
-            self._update_bucket(account, 1.0).level += count
-
-    def _update_bucket(self, account, share):
+        if account is None or not account.rate:
+            return
+        bucket = self._update_bucket(account)
+        if REPORTING_SECONDS < silent_seconds < float("inf"):
+            bucket.charge_silent(account, count, silent_seconds)
+        else:
+            bucket.charge(account, count)
+
+    def _update_bucket(self, account):
         """Return the account's bucket with its level as of now."""
         now = self._clock.read_elapsed()
         bucket = self._buckets.get(account.name)
         if bucket is None:
+            # Nothing was admitted since this host's start, as far as it is known here.
             level = INITIAL_LEVEL_SHARE * account.burst
-            bucket = self._buckets[account.name] = _Bucket(level, now)
-        paid = (now - bucket.updated_at) * account.rate * share
-        bucket.level = max(0.0, bucket.level - paid)
-        bucket.updated_at = now
+            bucket = AccountBucket(level, self._started_at, self._share)
+            self._buckets[account.name] = bucket
+        bucket.update(account, now)
+        bucket.share = self._share
         return bucket
 
+    def _count_contenders(self, account):
+        """Estimate how many of the reporting hosts have requests of an account.
 
-def _compute_capacity(account):
-    return max(1.0, account.burst) + SPARE_REQUESTS
+        Notes
+        -----
+        Hosts of other data centres may be known by their sums only; as large a part of
+        them as of those that report here is taken to have requests.
+        """
+        now, hosts = self._clock.read_elapsed(), self._hosts
+        seconds = max(CONTENDING_SECONDS, CONTENDING_REQUESTS * hosts / account.rate)
+        since = now - min(seconds, MAX_CONTENDING_SECONDS)
+        others = [
+            known
+            for known in self._host_counts.values()
+            if known.admitted_at and known.received_at >= now - REPORTING_SECONDS
+        ]
+        contending = sum(
+            known.admitted_at.get(account.name, float("-inf")) >= since
+            for known in others
+        )
+        return max(1.0, hosts * (1 + contending) / (1 + len(others)))
