--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -62,6 +62,7 @@
 WAIT_SECONDS = 0.5
 ISOLATION_SECONDS = 0.25
 JUDGE_SECONDS = 0.15
+QUOTA_SHARE_SECONDS = 0.1
 
 log = get_logger("host")
 
@@ -140,7 +141,8 @@
     def _make_sharing(self, incarnation, random):
         settings, clock = self._settings, self._clock
         self.health = EndpointHealth(clock)
-        self.quota = SharedQuota(clock)
+        self.quota = SharedQuota(clock, random)
+        self._quota_share_at = float("-inf")
         self.crash_ledger = CrashLedger(clock)
         self.part_quarantine = PartQuarantine(clock)
         self.board = ReportTable(settings.name, incarnation, clock)
@@ -393,12 +395,21 @@
 
     async def _take_report(self, report):
         await self._take_news(report)
+        self._update_quota_share()
         if self.state.routes is not None:
             self.quota.merge_report(report, self.state.routes)
         await self._on_report(report)
 
+    def _update_quota_share(self):
+        """Let the quota know which hosts report, which counting them all costs."""
+        now = self._clock.read_elapsed()
+        if now >= self._quota_share_at + QUOTA_SHARE_SECONDS:
+            self._quota_share_at = now
+            self.quota.set_reporting(*self.state.compute_quota_share())
+
     async def _take_summary(self, summary):
         await self._take_news(summary.totals)
+        self._update_quota_share()
         if self.state.routes is not None:
             self.quota.merge_totals(summary.totals, self.state.routes)
         await self._on_report(summary)
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -11,6 +11,7 @@
     CrashDetector,
     EndpointClient,
     OnlineDispatcher,
+    RequestAdmission,
 )
 from ..fleet import RetirementController
 from ..http import Headers, HTTPServer, ServerLimits
@@ -30,6 +31,7 @@
 from ..paths import TUNNEL_PREFIX
 from ..placement import BatchRoom, EndpointChooser, ReachabilityProber, SlotQueue
 from ..routing import RetryBudgets, RetryPolicy
+from ..sharing import QuotaLine
 from ..store import StoreRelay
 from ..supervision import keep_running
 from ..telemetry import get_logger
@@ -224,14 +226,22 @@
             self.random,
             self.metrics,
         )
+        line = QuotaLine(self.fleet.quota, self.fleet.state.compute_quota_share, clock)
+        admission = RequestAdmission(
+            self.fleet.quota,
+            line,
+            self.fleet.notify,
+            lambda: self.settings.waits_for_budget,
+            clock,
+            self.metrics,
+        )
         self.front = CallerRequestHandler(
             self.fleet.state,
             self.fleet.confirmation,
             self.backends.callers,
-            self.fleet.quota,
+            admission,
             self.dispatcher,
             self.jobs,
-            self.fleet.notify,
             self._measure_serving_time,
             clock,
             self.metrics,
@@ -302,6 +312,7 @@
             self.settings,
             drain_seconds=settings.drain_seconds,
             status_seconds=settings.status_seconds,
+            waits_for_budget=settings.waits_for_budget,
         )
         log.info("settings reloaded", extra={"drain": settings.drain_seconds})
 
--- a/mangogauge/entry/__init__.py
+++ b/mangogauge/entry/__init__.py
@@ -1,5 +1,6 @@
 """Handling of online requests, from the caller's request to the endpoint's answer."""
 
+from .admission import RequestAdmission
 from .attempt import AttemptFailure, EndpointClient
 from .calls import IncomingRequest, OnlineCall
 from .crashes import CrashDetector
@@ -24,5 +25,6 @@
     "IncomingRequest",
     "OnlineCall",
     "OnlineDispatcher",
+    "RequestAdmission",
     "StreamEvent",
 ]
--- a/mangogauge/entry/handler.py
+++ b/mangogauge/entry/handler.py
@@ -37,11 +37,9 @@
         Routes, client accounts and hosts as known to this host.
     confirmation : ConfigurationConfirmation
     dialect : CallerDialect
-    quota : SharedQuota
+    admission : RequestAdmission
     dispatcher : OnlineDispatcher
     jobs : JobRequestHandler
-    notify : async callable
-        Called after an admission, so that it is reported to the other hosts.
     measure_serving_time : callable
         Returns the seconds until this host cuts off what still runs; infinity unless
         it is about to stop.
@@ -54,10 +52,9 @@
         state,
         confirmation,
         dialect,
-        quota,
+        admission,
         dispatcher,
         jobs,
-        notify,
         measure_serving_time,
         clock,
         metrics,
@@ -65,10 +62,9 @@
         self._state = state
         self._confirmation = confirmation
         self._dialect = dialect
-        self._quota = quota
+        self._admission = admission
         self._dispatcher = dispatcher
         self._jobs = jobs
-        self._notify = notify
         self._measure_serving_time = measure_serving_time
         self._clock = clock
         self._metrics = metrics
@@ -150,7 +146,7 @@
 
     async def _run(self, exchange, request, route, account, started_at, timeout):
         if account is not None:
-            await self._admit(account)
+            await self._admission.admit(account, route, started_at, timeout)
         body = await self._read_body(exchange, started_at + timeout)
         call = OnlineCall(
             request.request_id,
@@ -215,18 +211,6 @@
                 step="stop",
             )
 
-    async def _admit(self, account):
-        admission = self._quota.admit(account, self._state.compute_quota_share())
-        if not admission.admitted:
-            raise Refusal(
-                RefusalCode.RATE_EXCEEDED,
-                "The client account's rate is used up.",
-                retry_after=admission.retry_after,
-                step="admit",
-            )
-        if account.rate:
-            await self._notify()
-
     async def _read_body(self, exchange, deadline):
         try:
             async with curio.timeout_after(deadline - self._clock.read_elapsed()):
--- a/mangogauge/fleet/state.py
+++ b/mangogauge/fleet/state.py
@@ -65,8 +65,11 @@
     def compute_quota_share(self):
         """Return the share of each rate limit that the reporting hosts may use.
 
-        This is the fraction of the hosts that serve callers from which reports
-        arrive, this host included.
+        Returns
+        -------
+        (float, int)
+            The fraction of the hosts that serve callers from which reports arrive, this
+            host included, and their number.
 
         Notes
         -----
@@ -77,7 +80,7 @@
         reporting = sum(
             self._report_table.is_reporting(member.name) for member in serving
         )
-        return (reporting + 1) / (len(serving) + 1)
+        return (reporting + 1) / (len(serving) + 1), reporting + 1
 
 
 class OperatorListener(Listener):
--- a/mangogauge/settings/serving.py
+++ b/mangogauge/settings/serving.py
@@ -50,6 +50,8 @@
         Time between SIGTERM and the end of the process.
     status_seconds : float
         How long a batch job can be read after it was submitted.
+    waits_for_budget : bool
+        Whether a request waits for budget of its account that is due soon.
     store : StoreSettings
     """
 
@@ -64,6 +66,7 @@
     runs_batch = make_option(FlagKind(), default=False)
     drain_seconds = make_option(NumberKind(0.1, 600, "seconds"), default=8.0)
     status_seconds = make_option(NumberKind(1, 864_000, "seconds"), default=3600.0)
+    waits_for_budget = make_option(FlagKind(), default=True)
     store = field(default=None)
 
     @property
--- a/mangogauge/sharing/__init__.py
+++ b/mangogauge/sharing/__init__.py
@@ -8,6 +8,7 @@
 from .limits import LimitExchange
 from .pacing import estimate_report_delay
 from .quota import Admission, SharedQuota
+from .quota_line import QuotaLine
 from .report_table import ReportTable
 from .reports import EndpointLoad, HostReport, ReportError
 from .summaries import DataCentreSummary, DataCentreTotals
@@ -24,6 +25,7 @@
     "Gossip",
     "HostReport",
     "LimitExchange",
+    "QuotaLine",
     "ReportTable",
     "ReportError",
     "ReportExchange",
--- a/mangogauge/sharing/bucket.py
+++ b/mangogauge/sharing/bucket.py
@@ -70,6 +70,8 @@
         Requests that this host has admitted since its start.
     admitted_at : float
         Elapsed time at which this host last admitted one.
+    paced_until : float
+        Elapsed time until which the hosts are paced in any case.
     contenders_due_at : float
         Elapsed time from which `contenders` is out of date.
     """
@@ -84,6 +86,7 @@
     promised_until = field(default=float("-inf"))
     own_count = field(default=0)
     admitted_at = field(default=0.0)
+    paced_until = field(default=float("-inf"))
     contenders_due_at = field(default=float("-inf"))
 
     def update(self, account, now):
@@ -97,6 +100,11 @@
         self.level = max(0.0, self.level - leaked)
         self.updated_at = now
 
+    def start_paced(self, until, random):
+        """Pace a host that doesn't know yet what the others have admitted."""
+        self.is_paced, self.paced_until = True, until
+        self.credit = MIN_CREDIT + random.random()
+
     def pace(self, account, now, random):
         """Begin or end pacing, depending on the room that is left."""
         room = self.measure_room(account)
@@ -104,7 +112,8 @@
             self.is_paced = True
             # The hosts begin at the same time, and must not all reach 1 together.
             self.credit = MIN_RETRY_CREDIT - 0.5 + random.random()
-        elif self.is_paced and room >= self._compute_unpaced_room(account, now):
+            return
+        if now >= self.paced_until and room >= self._compute_unpaced_room(account, now):
             self.is_paced = False
 
     def measure_room(self, account):
--- a/mangogauge/sharing/quota.py
+++ b/mangogauge/sharing/quota.py
@@ -22,6 +22,8 @@
 # Part of the burst that a new bucket is filled to, since a host that has just started
 # doesn't know what was admitted before.
 INITIAL_LEVEL_SHARE = 0.5
+# Time after a host's start in which it doesn't know yet which hosts have requests.
+STARTING_SECONDS = 1.0
 # A changed count is repeated in all reports for this long, in case some are lost.
 # It is also the interval of reports of all counts.
 RECENT_SECONDS = 1.0
@@ -32,6 +34,8 @@
 MAX_CONTENDING_SECONDS = 60.0
 # Interval at which the contending hosts are counted.
 COUNT_SECONDS = 0.25
+# After this time without news of which hosts are reporting, all are taken to be.
+SHARE_LIFETIME_SECONDS = 0.3
 # Longest time that a caller is told to wait.
 MAX_RETRY_SECONDS = 5.0
 
@@ -64,8 +68,10 @@
         By client account.
     complete : bool
         Whether accounts that are missing from `counts` had no admissions.
-    received_at : float
-        Elapsed time of the last report.
+    received_at, completed_at : float
+        Elapsed times of the last report, and of the last one of all accounts.
+    counted_at : dict of str to float
+        Elapsed time of the last report that named it, by client account.
     admitted_at : dict of str to float
         Elapsed time of the report that last had an increase, by client account.
     """
@@ -74,8 +80,14 @@
     counts = field(factory=dict)
     complete = field(default=False)
     received_at = field(default=float("-inf"))
+    completed_at = field(default=float("-inf"))
+    counted_at = field(factory=dict)
     admitted_at = field(factory=dict)
 
+    def get_counted_at(self, name):
+        """Return the elapsed time at which an account's count was last known."""
+        return max(self.completed_at, self.counted_at.get(name, self.completed_at))
+
 
 class SharedQuota:
     """Admits requests of client accounts within their rates over all hosts.
@@ -107,10 +119,12 @@
         self._data_centre_counts = {}
         self._summarized_at = {}
         self._share, self._hosts = 1.0, 1
+        self._share_until = float("inf")
 
     def set_reporting(self, share, hosts):
         """Set which part of the hosts is reporting; see `admit`."""
         self._share, self._hosts = share, hosts
+        self._share_until = self._clock.read_elapsed() + SHARE_LIFETIME_SECONDS
 
     def admit(self, account, share, hosts=1):
         """Admit or refuse a request, and count it against its account's rate.
@@ -166,6 +180,19 @@
         """
         return self._update_bucket(account).estimate_wait(account, ahead, is_retry)
 
+    def describe(self, name):
+        """Return what decides on an account's requests here, for the log."""
+        bucket = self._buckets.get(name)
+        if bucket is None:
+            return {}
+        return {
+            "level": round(bucket.level, 2),
+            "share": round(bucket.share, 3),
+            "contenders": round(bucket.contenders, 1),
+            "credit": round(bucket.credit, 2),
+            "paced": bucket.is_paced,
+        }
+
     def promise(self, account):
         """Return the seconds after which a caller that is refused should retry."""
         bucket = self._update_bucket(account)
@@ -211,17 +238,19 @@
         """
         known = self._get_host_counts(report)
         now = self._clock.read_elapsed()
-        silent_seconds = now - known.received_at
         known.received_at = now
         for name, count in report.admitted.items():
             increase = count - known.counts.get(name, 0 if known.complete else count)
-            known.counts[name] = count
+            seconds = now - known.get_counted_at(name)
+            known.counts[name], known.counted_at[name] = count, now
             if increase <= 0:
                 continue
             known.admitted_at[name] = now
             self._reported_counts[name] += increase
-            self._charge(name, increase, accounts, silent_seconds)
-        known.complete = known.complete or report.admitted_complete
+            is_silent = seconds > RECENT_SECONDS + REPORTING_SECONDS
+            self._charge(name, increase, accounts, seconds if is_silent else 0.0)
+        if report.admitted_complete:
+            known.complete, known.completed_at = True, now
 
     def _get_host_counts(self, report):
         """Return the `_HostCounts` of the process that sent a report."""
@@ -243,7 +272,8 @@
         """
         name, now = totals.data_centre, self._clock.read_elapsed()
         counts = self._data_centre_counts.setdefault(name, MergedCounts())
-        silent_seconds = now - self._summarized_at.get(name, float("-inf"))
+        seconds = now - self._summarized_at.get(name, now)
+        silent_seconds = seconds if seconds > REPORTING_SECONDS else 0.0
         self._summarized_at[name] = now
         for name, increase in counts.merge(totals.incarnation, totals.admitted).items():
             self._charge(name, increase, accounts, silent_seconds)
@@ -262,7 +292,7 @@
         if account is None or not account.rate:
             return
         bucket = self._update_bucket(account)
-        if REPORTING_SECONDS < silent_seconds < float("inf"):
+        if 0.0 < silent_seconds < float("inf"):
             bucket.charge_silent(account, count, silent_seconds)
         else:
             bucket.charge(account, count)
@@ -276,8 +306,11 @@
             level = INITIAL_LEVEL_SHARE * account.burst
             bucket = AccountBucket(level, self._started_at, self._share)
             self._buckets[account.name] = bucket
+            if now < self._started_at + STARTING_SECONDS:
+                until = self._started_at + STARTING_SECONDS
+                bucket.start_paced(until, self._random)
         bucket.update(account, now)
-        bucket.share = self._share
+        bucket.share = self._share if now < self._share_until else 1.0
         return bucket
 
     def _count_contenders(self, account):
@@ -289,6 +322,8 @@
         them as of those that report here is taken to have requests.
         """
         now, hosts = self._clock.read_elapsed(), self._hosts
+        if now < self._started_at + STARTING_SECONDS:
+            return max(1.0, hosts)
         seconds = max(CONTENDING_SECONDS, CONTENDING_REQUESTS * hosts / account.rate)
         since = now - min(seconds, MAX_CONTENDING_SECONDS)
         others = [
--- a/mangogauge/telemetry/serving.py
+++ b/mangogauge/telemetry/serving.py
@@ -24,6 +24,14 @@
             "requests", "Requests by outcome.", "route", "outcome"
         )
         self.refusals = self._count("refusals", "Refusals by code.", "route", "code")
+        self.budget_waits = self._count(
+            "budget_waits", "Requests that waited for budget, by outcome.", "outcome"
+        )
+        self.budget_refusals = self._count(
+            "budget_refusals",
+            "Requests without budget, on arrival or after a wait.",
+            "at",
+        )
         self.request_seconds = self._time(
             "request_seconds", "Time to the whole answer.", "route"
         )
