--- a/mangogauge/sharing/bucket.py
+++ b/mangogauge/sharing/bucket.py
@@ -26,8 +26,11 @@
 # told to retry and come to this host.
 MIN_CREDIT = 1.5
 MIN_RETRY_CREDIT = 1.0
-# Room that pacing aims at, so that reports that are late don't overdraw the bucket.
+# Room that pacing aims at, so that reports that are late don't overdraw the bucket: so
+# many requests, and those of so many seconds, but no more than a part of the capacity.
 TARGET_ROOM_REQUESTS = 2.0
+TARGET_ROOM_SECONDS = 0.1
+MAX_TARGET_ROOM_SHARE = 0.5
 # Time in which pacing corrects the difference from it; longer than reports take.
 CORRECTION_SECONDS = 0.5
 MIN_CORRECTION_REQUESTS = 2.0
@@ -208,7 +211,10 @@
     def _compute_credit_rate(self, account):
         """Return how many requests accrue to this host in a second."""
         rate = account.rate * self.share
-        excess = self.measure_room(account) - TARGET_ROOM_REQUESTS
+        capacity = compute_capacity(account) / self._compute_cost(account)
+        target = TARGET_ROOM_REQUESTS + rate * TARGET_ROOM_SECONDS
+        target = min(target, capacity * MAX_TARGET_ROOM_SHARE)
+        excess = self.measure_room(account) - target
         range_ = max(MIN_CORRECTION_REQUESTS, rate * CORRECTION_SECONDS)
         return rate * max(0.0, 1.0 + excess / range_) / self.contenders
 
