--- a/mangogauge/sharing/quota.py
+++ b/mangogauge/sharing/quota.py
@@ -71,9 +71,11 @@
     received_at, completed_at : float
         Elapsed times of the last report, and of the last one of all accounts.
     counted_at : dict of str to float
-        Elapsed time of the last report that named it, by client account.
+        By client account, elapsed time of the last report that named it since then.
     admitted_at : dict of str to float
         Elapsed time of the report that last had an increase, by client account.
+    pruned_at : float
+        Elapsed time at which old entries of `admitted_at` were last removed.
     """
 
     incarnation = field()
@@ -83,10 +85,23 @@
     completed_at = field(default=float("-inf"))
     counted_at = field(factory=dict)
     admitted_at = field(factory=dict)
+    pruned_at = field(default=float("-inf"))
 
     def get_counted_at(self, name):
         """Return the elapsed time at which an account's count was last known."""
-        return max(self.completed_at, self.counted_at.get(name, self.completed_at))
+        return self.counted_at.get(name, self.completed_at)
+
+    def note_counted(self, report, now):
+        """Note which counts a report has, and forget admissions of long ago."""
+        if not report.admitted_complete:
+            self.counted_at.update(dict.fromkeys(report.admitted, now))
+            return
+        self.complete, self.completed_at = True, now
+        self.counted_at.clear()
+        if now > self.pruned_at + MAX_CONTENDING_SECONDS:
+            self.pruned_at, since = now, now - MAX_CONTENDING_SECONDS
+            recent = {n: at for n, at in self.admitted_at.items() if at >= since}
+            self.admitted_at = recent
 
 
 class SharedQuota:
@@ -241,16 +256,14 @@
         known.received_at = now
         for name, count in report.admitted.items():
             increase = count - known.counts.get(name, 0 if known.complete else count)
-            seconds = now - known.get_counted_at(name)
-            known.counts[name], known.counted_at[name] = count, now
-            if increase <= 0:
-                continue
-            known.admitted_at[name] = now
-            self._reported_counts[name] += increase
-            is_silent = seconds > RECENT_SECONDS + REPORTING_SECONDS
-            self._charge(name, increase, accounts, seconds if is_silent else 0.0)
-        if report.admitted_complete:
-            known.complete, known.completed_at = True, now
+            known.counts[name] = count
+            if increase > 0:
+                known.admitted_at[name] = now
+                self._reported_counts[name] += increase
+                seconds = now - known.get_counted_at(name)
+                is_silent = seconds > RECENT_SECONDS + REPORTING_SECONDS
+                self._charge(name, increase, accounts, seconds if is_silent else 0.0)
+        known.note_counted(report, now)
 
     def _get_host_counts(self, report):
         """Return the `_HostCounts` of the process that sent a report."""
@@ -329,7 +342,7 @@
         others = [
             known
             for known in self._host_counts.values()
-            if known.admitted_at and known.received_at >= now - REPORTING_SECONDS
+            if known.counts and known.received_at >= now - REPORTING_SECONDS
         ]
         contending = sum(
             known.admitted_at.get(account.name, float("-inf")) >= since
