Limit the debt of a bucket to the time that its bound covers

Cause: a wrong or very large count of another host could refuse an account's requests for any time. What was admitted over 5 s ago no longer counts against the bound of any 5 s.

Change: a debt is at most 5 s of the rate. The scenario of a request that waits at a host used the system's clock and failed once in a run beside other work, when its budget had come before it asked; it has a manual clock now and checks the same.

--- a/features/steps/entry_admission.py
+++ b/features/steps/entry_admission.py
@@ -4,16 +4,19 @@
 from behave import given, then, when
 
 from features.builders.fleet import make_account, make_route
-from mangogauge.clock import SystemClock
+from mangogauge.clock import ManualClock
 from mangogauge.entry import RequestAdmission
 from mangogauge.refusals import Refusal
 from mangogauge.sharing import QuotaLine, SharedQuota
 from mangogauge.telemetry.serving import ServingMetrics
 
+# Budget of an account that has none is due within this time.
+DUE_SECONDS = 0.06
+
 
 @given("an account without budget, of which {rate:d} requests a second are admitted")
 def make_admission(context, rate):
-    context.clock, context.metrics = SystemClock(), ServingMetrics()
+    context.clock, context.metrics = ManualClock(), ServingMetrics()
     context.account = make_account(rate=rate, burst=1.0)
     context.quota = SharedQuota(context.clock)
     context.line = QuotaLine(context.quota, lambda: (1.0, 1), context.clock)
@@ -30,7 +33,13 @@
 
 @when("a request with an objective of {objective:g} s comes")
 def admit(context, objective):
-    context.refusal = curio.run(_admit, context, objective)
+    async def run():
+        task = await curio.spawn(_admit, context, objective)
+        await curio.sleep(0)
+        context.clock.advance(DUE_SECONDS)
+        return await task.join()
+
+    context.refusal = curio.run(run)
 
 
 @when("a request with an objective of {objective:g} s comes, whose caller leaves")
--- a/mangogauge/sharing/bucket.py
+++ b/mangogauge/sharing/bucket.py
@@ -31,6 +31,9 @@
 TARGET_ROOM_REQUESTS = 2.0
 TARGET_ROOM_SECONDS = 0.1
 MAX_TARGET_ROOM_SHARE = 0.5
+# Longest time for which a debt delays requests; what was admitted longer ago no longer
+# counts against the bound of any 5 s.
+MAX_DEBT_SECONDS = 5.0
 # Time in which pacing corrects the difference from it; longer than reports take.
 CORRECTION_SECONDS = 0.5
 MIN_CORRECTION_REQUESTS = 2.0
@@ -139,7 +142,10 @@
 
     def charge(self, account, count):
         """Count requests that reporting hosts have admitted."""
-        self.level += count * self._compute_cost(account)
+        cost = self._compute_cost(account)
+        debt = max(SPARE_REQUESTS, MAX_DEBT_SECONDS * account.rate * self.share) * cost
+        most = compute_capacity(account) + debt
+        self.level = max(self.level, min(self.level + count * cost, most))
 
     def charge_silent(self, account, count, seconds):
         """Count requests of a host from which nothing arrived for some seconds.
