--- a/mangogauge/settings/serving.py
+++ b/mangogauge/settings/serving.py
@@ -87,6 +87,8 @@
     forecasts_demand : bool
         Whether items of batch jobs start only in slots that online requests are
         expected to leave free for long enough, or in any free slot.
+    waits_for_budget : bool
+        Whether a request waits for budget of its account that is due soon.
     store : StoreSettings
     cold : ColdSettings
     regions : dict of str to str
@@ -108,6 +110,7 @@
     checks_regions = make_option(FlagKind(), default=True)
     shared_reads = make_option(FlagKind(), default=True)
     forecasts_demand = make_option(FlagKind(), default=True)
+    waits_for_budget = make_option(FlagKind(), default=True)
     store = field(default=None)
     cold = field(factory=ColdSettings)
     regions = field(factory=dict)
--- a/mangogauge/sharing/__init__.py
+++ b/mangogauge/sharing/__init__.py
@@ -11,6 +11,7 @@
 from .limits import LimitExchange
 from .pacing import estimate_report_delay
 from .quota import Admission, SharedQuota
+from .quota_line import QuotaLine
 from .readbackoff import ReadBackoff
 from .readorder import ReadOrder
 from .report_table import ReportTable
@@ -32,6 +33,7 @@
     "Gossip",
     "HostReport",
     "LimitExchange",
+    "QuotaLine",
     "ReadBackoff",
     "ReadOrder",
     "ReportTable",
