Share the rates of endpoints between hosts

Cause: a third of the endpoints may be slower by a third for good. One host of 80 sends an endpoint one request in ten seconds, and ratios up to 1.6 aren't counted, so no host knew.

Change: EndpointRates estimates intervals at half load from attempts, hosts average their estimates by datagrams 'rates 1' (24 rows to 3 hosts a second), and EndpointChooser lets fewer requests queue at slower endpoints and ranks full endpoints by the cost. compares_rates = no turns it off.

--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -26,6 +26,7 @@
     CrashLedger,
     Gossip,
     LimitExchange,
+    RateExchange,
     ReportExchange,
     ReportTable,
     ReportTopology,
@@ -46,7 +47,7 @@
 from ..supervision import keep_running
 from ..telemetry import get_logger
 from ..ticks import sleep_to_tick
-from ..trust import EndpointTrust
+from ..trust import EndpointRates, EndpointTrust, RateNews
 
 __all__ = ["FleetView"]
 
@@ -144,6 +145,9 @@
         self.crash_ledger = CrashLedger(clock)
         self.part_quarantine = PartQuarantine(clock)
         self.board = ReportTable(settings.name, incarnation, clock)
+        self._rates = None
+        if settings.compares_rates:
+            self._rates = EndpointRates(settings.name, clock, random)
         self.trust = EndpointTrust(
             clock,
             self.board.list_failures,
@@ -151,6 +155,7 @@
             lambda name: self.board.measure(name).total,
             self.health.note_silence,
             self.health.is_path_doubtful,
+            self._rates,
         )
         self._freshness = SharedFreshness(
             clock,
@@ -175,6 +180,7 @@
                 CrashNews: self._take_crash_news,
                 StreamNews: self._take_stream_news,
                 LimitNews: self._take_limit_news,
+                RateNews: self._take_rate_news,
             },
         )
         self._crash_gossip = Gossip(
@@ -197,6 +203,12 @@
             lambda: self.directory.list_endpoints(),
             random,
         )
+        self._rate_exchange = RateExchange(
+            self._rates,
+            self.neighbours.list_addresses,
+            self._exchange.send,
+            random,
+        )
         ports = range(settings.first_report_port, settings.last_report_port + 1)
         self._exchange.bind(settings.address, ports)
         self.member = self.members.own = FleetMember(
@@ -359,6 +371,7 @@
                 self._version_record.run,
                 self._watch_isolation,
                 self._judge_endpoints,
+                self._rate_exchange.run,
             ):
                 await group.spawn(keep_running, run.__qualname__, run)
         if group.exception is not None:
@@ -377,6 +390,7 @@
             metrics.endpoints_indirect.set(len(self.health.list_unreachable()))
             metrics.endpoints_limited.set(len(self.limiter.limits.list_limited()))
             metrics.parts_quarantined.set(len(self.part_quarantine.list_quarantined()))
+            metrics.endpoints_slower.set(len(self.trust.list_slower()))
             self._evacuations.evaluate()
             metrics.data_centres_evacuated.set(len(self.eligibility.evacuated))
             endpoints = self.directory.list_endpoints()
@@ -448,6 +462,10 @@
         if self.limiter.merge(news):
             await self._limit_exchange.note_news()
 
+    async def _take_rate_news(self, news):
+        if self._rates is not None:
+            self._rates.merge(news)
+
     async def _take_stream_news(self, news):
         self.origins.merge(news)
         self._version_history.add(news.streams)
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -54,6 +54,7 @@
     "runs_batch",
     "checks_evacuations",
     "checks_regions",
+    "compares_rates",
     "regions",
     "store",
 )
--- a/mangogauge/placement/choice.py
+++ b/mangogauge/placement/choice.py
@@ -233,7 +233,8 @@
         load = self._report_table.measure(endpoint.name)
         is_local = endpoint.data_centre == self._data_centre
         cost = self._trust.get_cost(endpoint.name)
-        return _Candidate(endpoint, load, is_local, cost)
+        rate_cost = self._trust.get_rate_cost(endpoint.name)
+        return _Candidate(endpoint, load, is_local, cost, rate_cost)
 
     def _estimate_unreported(self, candidates):
         """Return how many requests of other hosts aren't reported yet.
@@ -281,19 +282,33 @@
         Whether it is in this host's data centre.
     cost : float
         Relative cost of a request there: 1, or more if it is slow or in slow start.
+    rate_cost : float
+        Factor, at least 1, by which a request always takes longer there.
     """
 
     endpoint = field()
     load = field()
     is_local = field()
     cost = field()
+    rate_cost = field()
 
     @property
     def has_room(self):
         """Whether an online request may be sent there."""
         if self.load.total >= self.endpoint.slots * MAX_REQUESTS_PER_SLOT:
             return False
-        return self.load.online < self.endpoint.slots * (1 + QUEUED_PER_SLOT)
+        return self.load.online < self.endpoint.slots + self._queued
+
+    @property
+    def _queued(self):
+        """Number of requests that may queue there.
+
+        Notes
+        -----
+        Slots of a slower endpoint become free less often, so fewer requests may queue.
+        """
+        queued = self.endpoint.slots * QUEUED_PER_SLOT / self.rate_cost
+        return math.floor(queued) if self.rate_cost > 1 else queued
 
     @property
     def is_full(self):
@@ -305,10 +320,15 @@
         """Share of the slots in use with one more request, times the cost.
 
         If the endpoint is full, only online requests count, since batch items are
-        preempted.
+        preempted, and a request waits for as long as the endpoint is slower. While
+        slots are free, equal loads give endpoints shares of the requests that follow
+        their rates, since requests hold a slot for longer where it is slower. A lower
+        load there would fill the faster endpoints in a rise of demand.
         """
-        counted = self.load.online if self.is_full else self.load.total
-        return (counted + 1) / self.endpoint.slots * self.cost
+        if not self.is_full:
+            return (self.load.total + 1) / self.endpoint.slots * self.cost
+        cost = max(self.cost, self.rate_cost)
+        return (self.load.online + 1) / self.endpoint.slots * cost
 
 
 def _classify(software):
--- a/mangogauge/settings/serving.py
+++ b/mangogauge/settings/serving.py
@@ -55,6 +55,9 @@
     checks_regions : bool
         Whether section ``[regions]`` of the file is used. Otherwise no region is
         known, and what is restricted to regions runs nowhere.
+    compares_rates : bool
+        Whether hosts share how fast endpoints are, and let fewer requests queue at
+        those that are slower over minutes.
     store : StoreSettings
     regions : dict of str to str
         Region of each data centre.
@@ -73,6 +76,7 @@
     status_seconds = make_option(NumberKind(1, 864_000, "seconds"), default=3600.0)
     checks_evacuations = make_option(FlagKind(), default=True)
     checks_regions = make_option(FlagKind(), default=True)
+    compares_rates = make_option(FlagKind(), default=True)
     store = field(default=None)
     regions = field(factory=dict)
 
--- a/mangogauge/sharing/__init__.py
+++ b/mangogauge/sharing/__init__.py
@@ -8,6 +8,7 @@
 from .limits import LimitExchange
 from .pacing import estimate_report_delay
 from .quota import Admission, SharedQuota
+from .rates import RateExchange
 from .report_table import ReportTable
 from .reports import EndpointLoad, HostReport, ReportError
 from .summaries import DataCentreSummary, DataCentreTotals
@@ -26,6 +27,7 @@
     "LimitExchange",
     "ReportTable",
     "ReportError",
+    "RateExchange",
     "ReportExchange",
     "ReportTopology",
     "SharedFreshness",
--- a/mangogauge/sharing/messages.py
+++ b/mangogauge/sharing/messages.py
@@ -5,6 +5,7 @@
 from ..backpressure import LimitNews
 from ..quarantine import CrashNews
 from ..streams import StreamNews
+from ..trust import RateNews
 from .reports import HostReport, ReportError
 from .summaries import DataCentreSummary
 
@@ -19,6 +20,7 @@
     "crashes": CrashNews,
     "streams": StreamNews,
     "limits": LimitNews,
+    "rates": RateNews,
 }
 
 
--- a/mangogauge/telemetry/serving.py
+++ b/mangogauge/telemetry/serving.py
@@ -58,6 +58,9 @@
         self.endpoints_ineligible = self._gauge(
             "endpoints_ineligible", "Endpoints that get no work, by reason.", "reason"
         )
+        self.endpoints_slower = self._gauge(
+            "endpoints_slower", "Endpoints whose long-term rate is below others'."
+        )
         self.parts_quarantined = self._gauge(
             "parts_quarantined", "Parts of prompts that are kept from endpoints."
         )
--- a/mangogauge/trust/__init__.py
+++ b/mangogauge/trust/__init__.py
@@ -6,6 +6,8 @@
 from .evidence import EndpointEvidence
 from .outcomes import NO_EVIDENCE, Evidence, Outcome, OutcomeWindow
 from .outliers import find_outliers
+from .rate_news import RateNews, RateRow
+from .rates import EndpointRates
 from .silence import SilenceDetector
 from .slowdowns import PeakEwma, compute_slowdowns
 
@@ -15,11 +17,14 @@
     "EjectionState",
     "EndpointEjection",
     "EndpointEvidence",
+    "EndpointRates",
     "EndpointTrust",
     "Evidence",
     "Outcome",
     "OutcomeWindow",
     "PeakEwma",
+    "RateNews",
+    "RateRow",
     "SilenceDetector",
     "compute_slowdowns",
     "find_outliers",
--- a/mangogauge/trust/attempts.py
+++ b/mangogauge/trust/attempts.py
@@ -30,6 +30,7 @@
         "_events",
         "_first_at",
         "_last_at",
+        "_running",
         "_trust",
         "began_at",
         "endpoint",
@@ -44,6 +45,7 @@
         self._first_at = None
         self._last_at = began_at
         self._events = 0
+        self._running = 0
         self._ended = False
 
     @property
@@ -56,6 +58,7 @@
         now = self._trust.read_now()
         if self._first_at is None:
             self._first_at = now
+            self._running = self._trust.measure_load(self.name)
             self._trust.note_first_response(self, now - self.began_at)
         else:
             self._events += events
@@ -65,7 +68,8 @@
         """End the attempt: the whole answer arrived."""
         if self._events >= MIN_EVENTS:
             interval = (self._last_at - self._first_at) / self._events
-            self._trust.note_event_interval(self.name, interval)
+            running = (self._running + self._trust.measure_load(self.name)) / 2
+            self._trust.note_event_interval(self.endpoint, interval, running)
         self._end(Outcome.ANSWERED)
 
     def end_failed(self):
--- a/mangogauge/trust/endpoints.py
+++ b/mangogauge/trust/endpoints.py
@@ -85,6 +85,8 @@
     is_path_doubtful : callable, optional
         Returns whether cuts of an endpoint, given its name, may be the fault of this
         host's path to it; they aren't told to peers then.
+    rates : EndpointRates, optional
+        None if endpoints' long-term rates are not compared.
     """
 
     def __init__(
@@ -95,9 +97,11 @@
         measure_load=lambda name: 0,
         on_silence=lambda name: None,
         is_path_doubtful=lambda name: False,
+        rates=None,
     ):
+        self._rates = rates
         self._is_path_doubtful = is_path_doubtful
-        self._measure_load = measure_load
+        self.measure_load = measure_load
         self._on_silence = on_silence
         self._clock = clock
         self._list_peer_evidence = list_peer_evidence
@@ -108,6 +112,7 @@
         self._responding = frozenset()
         self._costs = {}
         self._slowdowns = {}
+        self._rate_costs = {}
         self._reported = {}
         self.trials = frozenset()
 
@@ -132,7 +137,7 @@
         At the beginning of a burst the other hosts' latest requests are not reported
         yet, so an endpoint may be full although the reports show some free slots.
         """
-        load = self._measure_load(endpoint.name)
+        load = self.measure_load(endpoint.name)
         return load <= endpoint.slots * MAX_LOAD_SHARE_AT_REFUSAL
 
     def begin_trial(self, name):
@@ -154,11 +159,21 @@
         else:
             record.first.note(seconds, self.read_now())
 
-    def note_event_interval(self, name, seconds):
-        """Record the mean time in seconds between an answer's events."""
-        record = self._records.get(name)
+    def note_event_interval(self, endpoint, seconds, running):
+        """Record the mean time between an answer's events.
+
+        Parameters
+        ----------
+        endpoint : FleetEndpoint
+        seconds : float
+        running : float
+            Mean number of requests and items that ran at the endpoint meanwhile.
+        """
+        record = self._records.get(endpoint.name)
         if record is None:
             return
+        if self._rates is not None:
+            self._rates.note(endpoint, seconds, running)
         if record.pace is None:
             record.pace = PeakEwma(seconds, self.read_now())
         else:
@@ -210,6 +225,14 @@
         """Return the factor, at least 1, by which work takes longer than usual."""
         return self._slowdowns.get(name, 1.0)
 
+    def get_rate_cost(self, name):
+        """Return the factor, at least 1, by which work always takes longer there."""
+        return self._rate_costs.get(name, 1.0)
+
+    def list_slower(self):
+        """Return ``{name: float}`` of endpoints whose long-term rate is lower."""
+        return self._rate_costs
+
     def is_ready_for_trial(self, name, repeatable=True):
         """Return whether a request may be a trial of the endpoint now."""
         if name not in self.trials:
@@ -245,8 +268,10 @@
         services = {}
         for endpoint in endpoints:
             services.setdefault(endpoint.service, {})[endpoint.name] = endpoint
-        present = {name for group in services.values() for name in group}
-        for name in self._records.keys() - present:
+        present = {name: e for group in services.values() for name, e in group.items()}
+        if self._rates is not None:
+            self._rates.remove_old(present)
+        for name in self._records.keys() - present.keys():
             del self._records[name]
         now = self.read_now()
         self._record_silences(now)
@@ -304,8 +329,10 @@
         )
 
     def _publish_results(self, groups, now):
-        slowdowns = {}
+        slowdowns, rate_costs = {}, {}
         for group in groups:
+            if self._rates is not None:
+                rate_costs.update(self._rates.compute_costs(group))
             records = {n: self._records[n] for n in group if n in self._records}
             for kind in ("first", "pace"):
                 averages = {n: getattr(r, kind) for n, r in records.items()}
@@ -320,6 +347,7 @@
         by_name = {n: record.ejection for n, record in self._records.items()}
         self._costs = costs
         self._slowdowns = slowdowns
+        self._rate_costs = rate_costs
         self._barred = frozenset(n for n, s in by_name.items() if s.is_barred)
         self._responding = frozenset(
             n for n in self._barred if not self._records[n].is_silent
@@ -349,7 +377,7 @@
 
     def _find_min_silence(self, attempt):
         """Return the seconds below which no silence counts against its endpoint."""
-        if self._measure_load(attempt.name) < attempt.endpoint.slots:
+        if self.measure_load(attempt.name) < attempt.endpoint.slots:
             return MIN_SILENCE_SECONDS
         return MIN_SILENCE_WHEN_FULL_SECONDS
 
