Include the time until reports are read in their assumed age

Cause: estimate_report_delay left out compute_read_delay, so hosts expected half of the unreported requests that there were, took too large a sample and chose the same few endpoints in a rise of demand.

Features: placement (68), sharing/pacing (12), entry (31) passed.

--- a/mangogauge/sharing/pacing.py
+++ b/mangogauge/sharing/pacing.py
@@ -83,14 +83,15 @@
 
 
 def estimate_report_delay(hosts):
-    """Return the mean seconds until a change is reported to the other hosts.
+    """Return the mean seconds until the other hosts have read of a change.
 
     Parameters
     ----------
     hosts : int
         Number of other hosts.
     """
-    return COALESCE_SECONDS + _compute_gap(hosts) / 2
+    sending = COALESCE_SECONDS + _compute_gap(hosts) / 2
+    return sending + compute_read_delay(hosts, runs_batch=False)
 
 
 def _compute_gap(hosts):
