--- a/features/steps/settings.py
+++ b/features/steps/settings.py
@@ -124,7 +124,7 @@
 def check_forecast(context, does):
     host = SimpleNamespace(
         settings=context.settings,
-        fleet=SimpleNamespace(directory=None, board=None),
+        fleet=SimpleNamespace(directory=None, eligibility=None, board=None),
         clock=None,
     )
     outlook = ServingHost._make_outlook(host)
--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -25,6 +25,7 @@
     CrashLedger,
     Gossip,
     LimitExchange,
+    RateExchange,
     ReportExchange,
     ReportTable,
     ReportTopology,
@@ -44,7 +45,7 @@
 from ..supervision import keep_running
 from ..telemetry import get_logger
 from ..ticks import sleep_to_tick
-from ..trust import EndpointTrust
+from ..trust import EndpointRates, EndpointTrust, RateNews
 from .storecopies import StoreCopies
 
 __all__ = ["FleetView"]
@@ -140,6 +141,9 @@
         self.crash_ledger = CrashLedger(clock)
         self.part_quarantine = PartQuarantine(clock)
         self.board = ReportTable(settings.name, incarnation, clock)
+        self._rates = None
+        if settings.compares_rates:
+            self._rates = EndpointRates(settings.name, clock, random)
         self.trust = EndpointTrust(
             clock,
             self.board.list_failures,
@@ -148,6 +152,7 @@
             self.health.note_silence,
             self.health.is_path_doubtful,
             lambda name: self.limiter.cold.is_cold(name),
+            self._rates,
         )
         self.members = MemberDirectory(FleetMember(settings.name, incarnation), clock)
         self.neighbours = Neighbours(self.members, self.board)
@@ -181,6 +186,7 @@
                 ColdNews: self._take_cold_news,
                 CopyNews: self._copies.take_copies,
                 ChangeNews: self._copies.take_changes,
+                RateNews: self._take_rate_news,
             },
         )
         self._crash_gossip = Gossip(
@@ -204,6 +210,12 @@
             lambda: self.directory.list_endpoints(),
             random,
         )
+        self._rate_exchange = RateExchange(
+            self._rates,
+            self.neighbours.list_addresses,
+            self._exchange.send,
+            random,
+        )
         ports = range(settings.first_report_port, settings.last_report_port + 1)
         self._exchange.bind(settings.address, ports)
         self.member = self.members.own = FleetMember(
@@ -355,6 +367,7 @@
                 self._version_record.run,
                 self._watch_isolation,
                 self._judge_endpoints,
+                self._rate_exchange.run,
             ):
                 await group.spawn(keep_running, run.__qualname__, run)
         if group.exception is not None:
@@ -395,6 +408,7 @@
             metrics.endpoints_limited.set(len(self.limiter.limits.list_limited()))
             metrics.endpoints_cold.set(len(self.limiter.cold.list_cold()))
             metrics.parts_quarantined.set(len(self.part_quarantine.list_quarantined()))
+            metrics.endpoints_slower.set(len(self.trust.list_slower()))
             self._evacuations.evaluate()
             metrics.data_centres_evacuated.set(len(self.eligibility.evacuated))
             endpoints = self.directory.list_endpoints()
@@ -479,6 +493,10 @@
         self.limiter.merge_cold(news)
         await self._limit_exchange.note_cold()
 
+    async def _take_rate_news(self, news):
+        if self._rates is not None:
+            self._rates.merge(news)
+
     async def _take_stream_news(self, news):
         self.origins.merge(news)
         self._version_history.add(news.streams)
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -35,6 +35,7 @@
     ReachabilityProber,
     SlotOutlook,
     SlotQueue,
+    Spillover,
 )
 from ..routing import RetryBudgets, RetryPolicy
 from ..sharing import QuotaLine
@@ -62,6 +63,8 @@
     "runs_batch",
     "checks_evacuations",
     "checks_regions",
+    "compares_rates",
+    "way_seconds",
     "regions",
     "forecasts_demand",
     "store",
@@ -125,6 +128,9 @@
         return self.fleet.state.loaded and not self.draining and not self.fleet.isolated
 
     def _make_placement(self):
+        self.spillover = None
+        if self.settings.way_seconds is not None:
+            self.spillover = Spillover(self.settings.way_seconds, self.random)
         self.chooser = EndpointChooser(
             self.fleet.directory,
             self.fleet.board,
@@ -134,6 +140,7 @@
             self.random,
             self.fleet.limiter,
             self.fleet.eligibility,
+            self.spillover,
         )
         self.prober = ReachabilityProber(
             self.fleet.health, self.fleet.directory, self.access.checker, self.clock
@@ -384,6 +391,7 @@
                     "endpoints_cold": self.fleet.limiter.cold.list_cold(),
                     "parts_quarantined": self.fleet.part_quarantine.list_quarantined(),
                     "evacuated": sorted(self.fleet.eligibility.evacuated),
+                    "spillover": self.spillover and round(self.spillover.share, 2),
                     "waiting": len(self.slots),
                     "items_waiting": self.fleet.board.items_waiting,
                     "store_calls": self.metrics.take_store_calls(),
--- a/mangogauge/placement/__init__.py
+++ b/mangogauge/placement/__init__.py
@@ -8,6 +8,7 @@
 from .prober import ReachabilityProber
 from .queue import SlotQueue
 from .room import BatchRoom
+from .spillover import Spillover
 
 __all__ = [
     "ANYWHERE",
@@ -20,5 +21,6 @@
     "ReachabilityProber",
     "SlotOutlook",
     "SlotQueue",
+    "Spillover",
     "WorkScope",
 ]
--- a/mangogauge/placement/choice.py
+++ b/mangogauge/placement/choice.py
@@ -56,6 +56,8 @@
         None if endpoints announce no limits.
     eligibility : Eligibility, optional
         By default only endpoints that are leaving are ineligible.
+    spillover : Spillover, optional
+        By default local endpoints are preferred up to a fixed load.
     """
 
     def __init__(
@@ -68,6 +70,7 @@
         random,
         limiter=None,
         eligibility=None,
+        spillover=None,
     ):
         self._directory = directory
         self._report_table = report_table
@@ -77,6 +80,7 @@
         self._random = random
         self._limiter = limiter
         self._eligibility = eligibility or Eligibility(directory)
+        self._spillover = spillover
 
     def choose(
         self, service, excluded=(), may_repeat=False, software=None, scope=ANYWHERE
@@ -103,8 +107,7 @@
         if not candidates:
             return None
         unreported = self._estimate_unreported(candidates)
-        max_load = LOCAL_LOAD_PER_SLOT[self._report_table.has_summaries]
-        preferred = _list_preferred(candidates, unreported, max_load)
+        preferred = self._list_preferred(candidates, unreported)
         with_grades = [(self._compute_grade(c, preferred), c) for c in candidates]
         best = min(grade for grade, _ in with_grades)
         best_candidates = [c for grade, c in with_grades if grade == best]
@@ -240,7 +243,8 @@
         load = self._report_table.measure(endpoint.name)
         is_local = endpoint.data_centre == self._data_centre
         cost = self._trust.get_cost(endpoint.name)
-        return _Candidate(endpoint, load, is_local, cost)
+        rate_cost = self._trust.get_rate_cost(endpoint.name)
+        return _Candidate(endpoint, load, is_local, cost, rate_cost)
 
     def _estimate_unreported(self, candidates):
         """Return how many requests of other hosts aren't reported yet.
@@ -257,14 +261,25 @@
             / SLOT_HOLD_SECONDS
         )
 
+    def _list_preferred(self, candidates, unreported):
+        """Return the names of the endpoints that are preferred by their place."""
+        has_summaries = self._report_table.has_summaries
+        if self._spillover is None:
+            max_load = LOCAL_LOAD_PER_SLOT[has_summaries]
+            return _list_preferred(candidates, unreported, max_load)
+        age = estimate_report_delay(self._report_table.count_reports())
+        return self._spillover.list_preferred(candidates, age, has_summaries)
+
     def _compute_grade(self, candidate, preferred):
         """Return the criteria that precede load; the lowest grade is preferred."""
         name = candidate.endpoint.name
+        by_place = name not in preferred
+        by_load = candidate.is_full
         return (
             self._health.is_unverified(name),
             self._has_limits and self._limiter.is_saving(candidate.endpoint),
-            candidate.is_full,
-            name not in preferred,
+            # A spillover decision has compared the waits for a slot already.
+            *((by_load, by_place) if self._spillover is None else (by_place, by_load)),
         )
 
     def _rank(self, candidate):
@@ -288,19 +303,33 @@
         Whether it is in this host's data centre.
     cost : float
         Relative cost of a request there: 1, or more if it is slow or in slow start.
+    rate_cost : float
+        Factor, at least 1, by which a request always takes longer there.
     """
 
     endpoint = field()
     load = field()
     is_local = field()
     cost = field()
+    rate_cost = field()
 
     @property
     def has_room(self):
         """Whether an online request may be sent there."""
         if self.load.total >= self.endpoint.slots * MAX_REQUESTS_PER_SLOT:
             return False
-        return self.load.online < self.endpoint.slots * (1 + QUEUED_PER_SLOT)
+        return self.load.online < self.endpoint.slots + self._queued
+
+    @property
+    def _queued(self):
+        """Number of requests that may queue there.
+
+        Notes
+        -----
+        Slots of a slower endpoint become free less often, so fewer requests may queue.
+        """
+        queued = self.endpoint.slots * QUEUED_PER_SLOT / self.rate_cost
+        return math.floor(queued) if self.rate_cost > 1 else queued
 
     @property
     def is_full(self):
@@ -312,10 +341,15 @@
         """Share of the slots in use with one more request, times the cost.
 
         If the endpoint is full, only online requests count, since batch items are
-        preempted.
+        preempted, and a request waits for as long as the endpoint is slower. While
+        slots are free, equal loads give endpoints shares of the requests that follow
+        their rates, since requests hold a slot for longer where it is slower. A lower
+        load there would fill the faster endpoints in a rise of demand.
         """
-        counted = self.load.online if self.is_full else self.load.total
-        return (counted + 1) / self.endpoint.slots * self.cost
+        if not self.is_full:
+            return (self.load.total + 1) / self.endpoint.slots * self.cost
+        cost = max(self.cost, self.rate_cost)
+        return (self.load.online + 1) / self.endpoint.slots * cost
 
 
 def _classify(software):
--- a/mangogauge/settings/serving.py
+++ b/mangogauge/settings/serving.py
@@ -89,6 +89,13 @@
         expected to leave free for long enough, or in any free slot.
     waits_for_budget : bool
         Whether a request waits for budget of its account that is due soon.
+    compares_rates : bool
+        Whether hosts share how fast endpoints are, and let fewer requests queue at
+        those that are slower over minutes.
+    way_seconds : float or None
+        What the way to another data centre costs: requests stay in this one while
+        they wait no longer than this beyond the wait elsewhere. None for a fixed load
+        up to which this data centre's endpoints are preferred.
     store : StoreSettings
     cold : ColdSettings
     regions : dict of str to str
@@ -111,6 +118,8 @@
     shared_reads = make_option(FlagKind(), default=True)
     forecasts_demand = make_option(FlagKind(), default=True)
     waits_for_budget = make_option(FlagKind(), default=True)
+    compares_rates = make_option(FlagKind(), default=False)
+    way_seconds = make_option(NumberKind(0, 60, "seconds"), default=None)
     store = field(default=None)
     cold = field(factory=ColdSettings)
     regions = field(factory=dict)
--- a/mangogauge/sharing/__init__.py
+++ b/mangogauge/sharing/__init__.py
@@ -12,6 +12,7 @@
 from .pacing import estimate_report_delay
 from .quota import Admission, SharedQuota
 from .quota_line import QuotaLine
+from .rates import RateExchange
 from .readbackoff import ReadBackoff
 from .readorder import ReadOrder
 from .report_table import ReportTable
@@ -38,6 +39,7 @@
     "ReadOrder",
     "ReportTable",
     "ReportError",
+    "RateExchange",
     "ReportExchange",
     "ReportTopology",
     "SharedFreshness",
--- a/mangogauge/sharing/messages.py
+++ b/mangogauge/sharing/messages.py
@@ -5,6 +5,7 @@
 from ..backpressure import ColdNews, LimitNews
 from ..quarantine import CrashNews
 from ..streams import StreamNews
+from ..trust import RateNews
 from .changenews import ChangeNews
 from .copynews import CopyNews
 from .reports import HostReport, ReportError
@@ -24,6 +25,7 @@
     "cold": ColdNews,
     "copies": CopyNews,
     "changes": ChangeNews,
+    "rates": RateNews,
 }
 
 
--- a/mangogauge/telemetry/serving.py
+++ b/mangogauge/telemetry/serving.py
@@ -75,6 +75,9 @@
         self.endpoints_cold = self._gauge(
             "endpoints_cold", "Endpoints that are cold, so get few requests a second."
         )
+        self.endpoints_slower = self._gauge(
+            "endpoints_slower", "Endpoints whose long-term rate is below others'."
+        )
         self.parts_quarantined = self._gauge(
             "parts_quarantined", "Parts of prompts that are kept from endpoints."
         )
