Name times and counts of limited endpoints by the field's terms

Cause: cold.py had times named after what was said and told, and telling.py a class named for an activity; the floor of a limit had no unit. Change: announced_until, announced_at, estimated_until, MESSAGE_DELAY_SECONDS, START_ESTIMATE_SECONDS, MIN_REQUESTS_PER_SECOND, LimitedEndpoint.reporting; telling.LimitTelling is sending.SentCounts. Module docstrings name the failure. Messages and behaviour are unchanged.

--- a/mangogauge/backpressure/budget.py
+++ b/mangogauge/backpressure/budget.py
@@ -6,9 +6,9 @@
 
 __all__ = ["ANNOUNCED_BOUNDS", "BudgetBounds", "RequestBudget", "make_cold_budget"]
 
-# Rate at which an endpoint is asked that takes nothing: else the end of its limit would
-# never be heard.
-MIN_RATE = 0.25
+# An endpoint whose limit is 0 still gets requests at this rate, since only an answer
+# shows the end of the limit.
+MIN_REQUESTS_PER_SECOND = 0.25
 
 
 @frozen
@@ -60,7 +60,7 @@
 ALONE_DRAW_SECONDS = 1.0
 # Part of the room for bursts that batch items leave to requests.
 ITEM_SPARE_SHARE = 0.5
-# Where a bucket starts.
+# Part of a bucket that is full at the start: what was sent before isn't known.
 INITIAL_LEVEL_SHARE = 0.5
 # Bounds of what is worked off later: others' requests of long ago no longer matter.
 MAX_DEBT_REQUESTS = 2.0
@@ -94,7 +94,9 @@
 
     start_time_ms = field()
     _updated_at = field(alias="now")
-    _rate = field(alias="rate", converter=lambda rate: max(rate, MIN_RATE))
+    _rate = field(
+        alias="rate", converter=lambda rate: max(rate, MIN_REQUESTS_PER_SECOND)
+    )
     bounds = field(default=ANNOUNCED_BOUNDS)
     initial_share = field(default=INITIAL_LEVEL_SHARE)
     share = field(default=1.0, init=False)
@@ -135,7 +137,7 @@
     def set_rate(self, rate, now):
         """Put another limit in force."""
         self._update(now)
-        self._rate = max(rate, MIN_RATE)
+        self._rate = max(rate, MIN_REQUESTS_PER_SECOND)
         self._resize()
         self._level = min(self._level, self._most)
 
@@ -210,7 +212,7 @@
         hosts that have send nothing for about `LEARN_SECONDS`.
     """
     burst = max(1.0, COLD_BURST_SHARE * (allowed - rate))
-    planned = min(rate, max(MIN_RATE, allowed - 2 * burst))
+    planned = min(rate, max(MIN_REQUESTS_PER_SECOND, allowed - 2 * burst))
     bounds = BudgetBounds(
         burst_requests=burst,
         burst_seconds=0.0,
--- a/mangogauge/backpressure/cold.py
+++ b/mangogauge/backpressure/cold.py
@@ -1,4 +1,8 @@
-"""Which endpoints are cold: just started, so that they take few requests a second."""
+"""Which endpoints are cold: just started, so that they take few requests a second.
+
+The failure this answers: an endpoint that has just started crashes under the requests
+that it takes once it is warm, and its entry may not say yet that it is cold.
+"""
 
 from attrs import define, field, frozen
 
@@ -10,15 +14,15 @@
 # How long the start of an endpoint is remembered whose entry is gone: one that returns
 # with the same start has not started again.
 GONE_SECONDS = 600.0
-# How long a host that has just started goes by the starts in the entries, which other
-# clocks wrote, until others have told it which endpoints are cold.
-UNTOLD_SECONDS = 2.0
-# Interval at which it is looked for endpoints that are gone.
+# How long a host that has just started uses the starts in the entries, which were
+# written by other clocks; other hosts' messages have arrived after that.
+START_ESTIMATE_SECONDS = 2.0
+# Interval at which endpoints that are gone are removed.
 CLEAN_SECONDS = 60.0
 MILLISECONDS = 1000
 NEVER = float("-inf")
-# Difference between two hosts' knowledge that the time of a message may explain.
-TOLD_SECONDS = 0.5
+# Difference between two hosts' times that the delay of a message may explain.
+MESSAGE_DELAY_SECONDS = 0.5
 # Most endpoints in one message.
 MAX_ROWS = 24
 
@@ -80,14 +84,14 @@
         Elapsed time at which its start was noticed; `NEVER` if it ran before.
     began_at : float
         Elapsed time of its start, by this host's calendar.
-    untold_until : float
+    estimated_until : float
         Elapsed time until which `began_at` counts.
-    said_until : float or None
+    announced_until : float or None
         Elapsed time until which it is cold by its entry or an answer.
-    said_at : float
-        Elapsed time at which that was received, here or by the host that told of it.
+    announced_at : float
+        Elapsed time at which that was received, here or by the host that reported it.
     revision : int
-        Revision of the entry that said so; 0 if something else did.
+        Revision of the entry that announced it; 0 if none did.
     rate : float or None
         Rate of the last `ColdChange`.
     is_new : bool
@@ -101,9 +105,9 @@
     seen_at = field()
     present_at = field()
     began_at = field(default=NEVER)
-    untold_until = field(default=NEVER)
-    said_until = field(default=None)
-    said_at = field(default=NEVER)
+    estimated_until = field(default=NEVER)
+    announced_until = field(default=None)
+    announced_at = field(default=NEVER)
     revision = field(default=0)
     rate = field(default=None)
     is_new = field(default=False)
@@ -172,16 +176,19 @@
             process = self._processes[endpoint.name] = _Process(
                 endpoint.service, endpoint.start_time_ms, seen_at, now
             )
-            process.is_new, process.said_at = has_entered, seen_at
+            process.is_new, process.announced_at = has_entered, seen_at
             if not has_entered:
                 self._note_start(process)
         else:
-            process.is_new, process.said_at = False, now
+            process.is_new, process.announced_at = False, now
         process.service = endpoint.service
         if endpoint.cold_left is None:
-            process.said_until = None
+            process.announced_until = None
         elif not endpoint.cold_left or endpoint.cold_revision != process.revision:
-            process.said_until, process.said_at = now + endpoint.cold_left, now
+            process.announced_until, process.announced_at = (
+                now + endpoint.cold_left,
+                now,
+            )
         process.revision = endpoint.cold_revision
 
     def note_answer(self, endpoint, cold_left, asked_at):
@@ -197,14 +204,14 @@
             return
         now = self._clock.read_elapsed()
         until = now + cold_left
-        if asked_at < process.said_at and until <= self._find_end(process):
+        if asked_at < process.announced_at and until <= self._find_end(process):
             return
-        process.said_until, process.said_at = until, now
+        process.announced_until, process.announced_at = until, now
         process.revision = 0
         self._active.add(endpoint.name)
 
     def merge(self, news):
-        """Take in the `ColdNews` of another host."""
+        """Merge the `ColdNews` of another host."""
         for row in news.rows:
             process = self._processes.get(row.endpoint)
             if process is not None and process.start_time_ms == row.start_time_ms:
@@ -212,7 +219,7 @@
                 self._active.add(row.endpoint)
 
     def make_news(self):
-        """Return the `ColdNews` that tell any host of cold endpoints.
+        """Return `ColdNews` of the endpoints that are cold, for any host.
 
         Notes
         -----
@@ -226,7 +233,7 @@
                 name,
                 process.start_time_ms,
                 self._find_end(process) - now,
-                max(0.0, now - process.said_at),
+                max(0.0, now - process.announced_at),
                 process.revision,
             )
             for name, process in cold[:MAX_ROWS]
@@ -281,22 +288,22 @@
         self._active &= self._processes.keys()
 
     def _merge_row(self, process, row):
-        """Take in a row that is newer, or knows the same entry more precisely.
+        """Apply a row that is newer, or dates the same entry more precisely.
 
         Notes
         -----
         The first host that read an entry knows best until when it counts.
         """
         now = self._clock.read_elapsed()
-        until, said_at = now + row.left, now - row.age
+        until, announced_at = now + row.left, now - row.age
         if row.revision and row.revision == process.revision:
-            is_better = until < self._find_end(process) - TOLD_SECONDS
+            is_better = until < self._find_end(process) - MESSAGE_DELAY_SECONDS
         elif row.revision and process.revision:
             is_better = row.revision > process.revision
         else:
-            is_better = said_at > process.said_at + TOLD_SECONDS
+            is_better = announced_at > process.announced_at + MESSAGE_DELAY_SECONDS
         if is_better:
-            process.said_until, process.said_at = until, said_at
+            process.announced_until, process.announced_at = until, announced_at
             process.revision = row.revision
 
     def _find_rate(self, process):
@@ -309,19 +316,19 @@
 
     def _find_end(self, process):
         """Return the elapsed time until which a process is cold."""
-        if process.said_until is not None:
-            return process.said_until
+        if process.announced_until is not None:
+            return process.announced_until
         service = self._services.get(process.service)
         seconds = service.cold_seconds if service else 0.0
-        untold = min(process.began_at + seconds, process.untold_until)
-        return max(process.seen_at + seconds, untold)
+        estimated = min(process.began_at + seconds, process.estimated_until)
+        return max(process.seen_at + seconds, estimated)
 
     def _note_start(self, process):
         """Note how long ago a process started that ran before this host knew it."""
         now = self._clock.read_elapsed()
         began = process.start_time_ms / MILLISECONDS
         process.began_at = now - max(0.0, self._clock.read_calendar() - began)
-        process.untold_until = now + UNTOLD_SECONDS
+        process.estimated_until = now + START_ESTIMATE_SECONDS
 
     def _log(self, name, process, rate):
         details = {"endpoint": name, "born": process.start_time_ms}
@@ -335,6 +342,8 @@
                 **details,
                 "rate": rate,
                 "seconds": round(seconds, 3),
-                "by": "its start" if process.said_until is None else "announcement",
+                "by": "its start"
+                if process.announced_until is None
+                else "announcement",
             },
         )
--- a/mangogauge/backpressure/coldnews.py
+++ b/mangogauge/backpressure/coldnews.py
@@ -1,4 +1,4 @@
-"""What hosts tell each other of cold endpoints, and its encoding."""
+"""Messages between hosts on cold endpoints, and their encoding."""
 
 from math import isfinite
 
@@ -9,7 +9,7 @@
 
 NEWS_FORMAT = "cold 1"
 MILLISECONDS = 1000
-# A longer time is a mistake.
+# A longer time is invalid.
 MAX_SECONDS = 86_400
 
 
@@ -27,7 +27,7 @@
     age : float
         Seconds since that was learned.
     revision : int
-        Revision of the entry that said so; 0 if something else did.
+        Revision of the entry that announced it; 0 if none did.
     """
 
     endpoint = field()
--- a/mangogauge/backpressure/limited.py
+++ b/mangogauge/backpressure/limited.py
@@ -1,4 +1,8 @@
-"""State of limited endpoints: a budget for each source of a limit."""
+"""State of limited endpoints: a budget for each source of a limit.
+
+An endpoint may have an announced limit and be cold at once. Either may end first, so
+each has a budget of its own.
+"""
 
 import enum
 
@@ -38,8 +42,8 @@
         Whether this host may send to the endpoint.
     competitors : int
         Hosts that may, this one included if it may.
-    heard : int
-        Those of them that are heard, this host included.
+    reporting : int
+        Those of them that are reporting, this host included.
     share_due_at, draw_due_at : float
         Elapsed times from which the share of the rate and the draw are out of date.
     has_won : bool
@@ -54,7 +58,7 @@
     budgets = field(factory=dict)
     may_take = field(default=False)
     competitors = field(default=1)
-    heard = field(default=1)
+    reporting = field(default=1)
     share_due_at = field(default=float("-inf"))
     draw_due_at = field(default=float("-inf"))
     has_won = field(default=False)
@@ -83,12 +87,12 @@
         self.has_won = False
 
     def set_group(self, names, own, is_reporting, now):
-        """Note which hosts may send to the endpoint, and which of them are heard."""
+        """Note which hosts may send to the endpoint, and which of them report."""
         self.may_take = own in names
         self.competitors = len(names)
-        self.heard = sum(name == own or is_reporting(name) for name in names)
+        self.reporting = sum(name == own or is_reporting(name) for name in names)
         for budget in self.budgets.values():
-            budget.set_share(self.heard / len(names), now)
+            budget.set_share(self.reporting / len(names), now)
 
     def has_room(self, spare, now):
         """Return whether a request may be sent that leaves room for `spare` more."""
--- a/mangogauge/backpressure/limiter.py
+++ b/mangogauge/backpressure/limiter.py
@@ -12,8 +12,8 @@
 from .cold import ColdStates
 from .counts import TakenCounts
 from .limited import LimitedEndpoints, LimitSource
+from .sending import SentCounts
 from .statements import LimitStatement
-from .telling import LimitTelling
 
 __all__ = ["EndpointLimiter", "Work"]
 
@@ -31,9 +31,9 @@
 
 # Room that has to be left beyond a request's own; a stream that was begun may overdraw.
 SPARE_REQUESTS = {Work.ONLINE: 0.0, Work.RESUMED: -2.0}
-# Interval at which it is counted which hosts are heard.
+# Interval at which the reporting hosts are counted.
 SHARE_SECONDS = 0.25
-# Part of that peak whose slots batch items leave free.
+# Part of the recent peak of online requests whose slots batch items leave free.
 PEAK_SPARE_SHARE = 0.5
 # Most limits in one message of gossip.
 MAX_GOSSIP_ROWS = 24
@@ -84,7 +84,7 @@
         self._limited = LimitedEndpoints()
         self._groups = {}
         self._others = TakenCounts()
-        self._telling = LimitTelling(report_table.host, incarnation, self.limits, clock)
+        self._sent = SentCounts(report_table.host, incarnation, self.limits, clock)
 
     @property
     def has_limits(self):
@@ -99,7 +99,7 @@
     @property
     def has_changes(self):
         """Whether other hosts have to be told something soon."""
-        return self._telling.has_changes
+        return self._sent.has_changes
 
     def note_answer(self, endpoint, rate, asked_at):
         """Note what an endpoint's answer says of its limit.
@@ -142,7 +142,7 @@
         self.update_cold()
 
     def merge_cold(self, news):
-        """Take in the `ColdNews` of another host."""
+        """Merge the `ColdNews` of another host."""
         self.cold.merge(news)
         self.update_cold()
 
@@ -201,7 +201,7 @@
         now = self._clock.read_elapsed()
         limited.charge(1, now)
         limited.has_won = False
-        self._telling.note_taken(endpoint.name, endpoint.start_time_ms)
+        self._sent.note_taken(endpoint.name, endpoint.start_time_ms)
 
     def estimate_slots(self, endpoint, hold_seconds):
         """Return how many requests an endpoint runs at a time for hosts like this one.
@@ -231,7 +231,7 @@
         return min(endpoint.slots, limited.count_startable(hold_seconds, now) * each)
 
     def merge(self, news):
-        """Take in what another host tells; return whether its limits were news.
+        """Merge another host's message; return whether its limits were new here.
 
         Parameters
         ----------
@@ -256,17 +256,17 @@
         list of (LimitNews, list of str)
             Each message, and the names of the hosts that it is for.
         """
-        return self._make_messages(self._telling.take_changed())
+        return self._make_messages(self._sent.take_changed())
 
     def make_repeats(self):
         """Return the messages that tell those concerned once more of late requests."""
-        return self._make_messages(self._telling.list_recent())
+        return self._make_messages(self._sent.list_recent())
 
     def make_gossip(self):
         """Return the `LimitNews` that tells any host of limits and of their ends."""
         names = self.limits.list_names()
         chosen = self._random.sample(names, min(MAX_GOSSIP_ROWS, len(names)))
-        return self._telling.make_gossip(chosen)
+        return self._sent.make_gossip(chosen)
 
     def remove_old(self, endpoints, hosts):
         """Forget endpoints and hosts that are gone.
@@ -283,7 +283,7 @@
         self.limits.remove_old(start_times)
         known = set(self.limits.list_names())
         known |= self._limited.list_cold() & start_times.keys()
-        self._telling.keep_only(known)
+        self._sent.keep_only(known)
         self._limited.keep_only(known)
         self._groups = {n: x for n, x in self._groups.items() if n in known}
         self._others.keep_only(known, hosts)
@@ -291,13 +291,13 @@
     def _note(self, name, start_time_ms, statement, origin):
         is_news = self.limits.note(name, start_time_ms, statement, origin)
         if is_news:
-            self._telling.note_change(name)
+            self._sent.note_change(name)
         found = self.limits.find(name)
         self._limited.set_announced(name, found, self._clock.read_elapsed())
         return is_news
 
     def _refresh(self, limited, endpoint, now):
-        """Find out which hosts may send to an endpoint, and which of them are heard."""
+        """Find out which hosts may send to an endpoint, and which of them report."""
         if now < limited.share_due_at:
             return
         limited.share_due_at = now + SHARE_SECONDS
@@ -332,7 +332,7 @@
         if not limited.has_item_room(now):
             return False
         if limited.is_strict:
-            return self._wins_draw(limited, limited.heard, now)
+            return self._wins_draw(limited, limited.reporting, now)
         contenders = 1 + len(table.list_hosts_with_items())
         return self._wins_draw(limited, min(contenders, limited.competitors), now)
 
@@ -346,7 +346,7 @@
         moment each knows only itself, which a strict bound doesn't permit.
         """
         if limited.is_strict:
-            return limited.heard
+            return limited.reporting
         competitors = limited.competitors
         if not self._report_table.waiting:
             return competitors
@@ -371,4 +371,4 @@
 
     def _make_messages(self, names):
         groups = {name: group.names for name, group in self._groups.items()}
-        return self._telling.make_messages(names, groups)
+        return self._sent.make_messages(names, groups)
--- a/mangogauge/backpressure/telling.py
+++ b/mangogauge/backpressure/sending.py
@@ -1,16 +1,16 @@
-"""What this host sends to limited endpoints, and the messages that tell of it."""
+"""Counts of what this host sends to limited endpoints, and the messages with them."""
 
 from collections import Counter
 
 from .news import LimitNews, LimitRow, make_count_row
 
-__all__ = ["LimitTelling"]
+__all__ = ["SentCounts"]
 
-# How long after a request it is told once more, in case that messages were lost.
-RETELL_SECONDS = 2.5
+# How long after a request its count is repeated, in case messages were lost.
+REPEAT_SECONDS = 2.5
 
 
-class LimitTelling:
+class SentCounts:
     """Counts of this host's requests, and the news that contain them.
 
     Parameters
@@ -33,17 +33,17 @@
         # start of its process.
         self._taken_at = {}
         self._start_times = {}
-        # Names of the endpoints of which other hosts have to be told soon.
+        # Names of the endpoints whose counts or limits have to be sent soon.
         self._changed = set()
         self._number = 0
 
     @property
     def has_changes(self):
-        """Whether other hosts have to be told something soon."""
+        """Whether something has to be sent to other hosts soon."""
         return bool(self._changed)
 
     def note_change(self, name):
-        """Note that something new has to be told of an endpoint."""
+        """Note that an endpoint's limit is new and has to be sent."""
         self._changed.add(name)
 
     def note_taken(self, name, start_time_ms):
@@ -54,13 +54,13 @@
         self._changed.add(name)
 
     def take_changed(self):
-        """Return the endpoints of which others have to be told now, once."""
+        """Return the names of the endpoints that have changed since the last call."""
         names, self._changed = self._changed, set()
         return names
 
     def list_recent(self):
-        """Return the endpoints to which something was sent lately."""
-        oldest = self._clock.read_elapsed() - RETELL_SECONDS
+        """Return the names of the endpoints whose counts are repeated."""
+        oldest = self._clock.read_elapsed() - REPEAT_SECONDS
         return [name for name, at in self._taken_at.items() if at >= oldest]
 
     def keep_only(self, known):
