Split the route of an item from its dispatch

Cause: dispatch() mixed giving items up with choosing endpoints, and the precision of the forecast's answers was a bare number. Change: _find_route_or_give_up, STEPS_PER_SECOND, MAX_READY_ITEMS. Behaviour is unchanged. Ran: features/jobs/starting, urgency and filling.feature pass.

--- a/mangogauge/jobs/dispatch.py
+++ b/mangogauge/jobs/dispatch.py
@@ -17,10 +17,10 @@
 
 # Interval at which it is decided which items can end in time.
 TIMELY_SECONDS = 0.1
-# Time until so many items are considered again if none fits any of the free slots: each
-# costs some microseconds, and the forecast changes only with each sample.
+# Time until items are considered again if none of more than so many fits a free slot:
+# each costs some microseconds, and the forecast changes only with each sample.
 HELD_SECONDS = 0.09
-MAX_READY = 50
+MAX_READY_ITEMS = 50
 
 log = get_logger("jobs")
 
@@ -151,16 +151,12 @@
         all_services = self._state.routes.batch_services
         places, obstacles, has_started = {}, {}, False
         for item in order_items(ready, self._timely, self._tasks.pace):
-            route = self._find_route(item)
+            route = self._find_route_or_give_up(item, calendar)
             if route is None:
-                if self._are_routes_confirmed_since(item.job.claimed_at):
-                    self._item_runner.give_up(item, "route no longer exists")
-                continue
-            if calendar > item.job.manifest.abandon_at:
-                self._item_runner.give_up(item, "time limit passed")
                 continue
             services = route.services
             scope = self._find_scope(item, route)
+            # Whether any slot is free is decided below for items of all scopes.
             for key in {(services, ANYWHERE), (services, scope)} - places.keys():
                 places[key] = self._find_places(*key)
             place = places[services, scope]
@@ -183,7 +179,7 @@
                 break
         self._note_obstacles(obstacles)
         is_held = not has_started and any(place.free for place in places.values())
-        if is_held and self._outlook is not None and len(ready) > MAX_READY:
+        if is_held and self._outlook is not None and len(ready) > MAX_READY_ITEMS:
             self._held_until = now + HELD_SECONDS
 
     def _update_timely(self, jobs, calendar):
@@ -208,6 +204,23 @@
     def _find_route(self, item):
         return self._state.routes.find(item.job.manifest.host, item.item.path)
 
+    def _find_route_or_give_up(self, item, calendar):
+        """Return the route of an item that may run, or None.
+
+        Notes
+        -----
+        An item whose route is missing waits until the routes are known to be recent.
+        """
+        route = self._find_route(item)
+        if route is None:
+            if self._are_routes_confirmed_since(item.job.claimed_at):
+                self._item_runner.give_up(item, "route no longer exists")
+            return None
+        if calendar > item.job.manifest.abandon_at:
+            self._item_runner.give_up(item, "time limit passed")
+            return None
+        return route
+
     def _find_scope(self, item, route):
         account = self._state.routes.get_account(item.job.manifest.account)
         return WorkScope.of(route, account)
--- a/mangogauge/jobs/starting.py
+++ b/mangogauge/jobs/starting.py
@@ -19,6 +19,8 @@
 LEAST_SECONDS = 0.5
 # Allowance for the next trough to be used by other items first.
 DUE_MARGIN_SECONDS = 1.0
+# Times that are equal to this precision share an answer of the forecast.
+STEPS_PER_SECOND = 10
 
 
 class StartReason(enum.Enum):
@@ -123,7 +125,7 @@
 
     def _list_lasting(self, rule, place, free):
         """Return the endpoints whose free slots last as a rule demands."""
-        key = (place, math.ceil(rule.seconds * 10), rule.with_margin)
+        key = (place, math.ceil(rule.seconds * STEPS_PER_SECOND), rule.with_margin)
         if key not in self._lasting:
             self._lasting[key] = [e for e in free if self._lasts(e, rule)]
         return self._lasting[key]
