Give constants of quotas and of reads of the store units

Cause: credits, pauses and shares were named without units, the correction of pacing referred to a constant further up, and two docstrings didn't fit. Change: *_CREDIT_REQUESTS, *_PAUSE_SECONDS, *_SHARE, LONGEST_TIMEOUT_LIFETIME_SECONDS; module docstrings say which load is answered. Behaviour is unchanged. Ran: features/sharing/freshness, quota, pacing and storereads.feature, features/entry/admission.feature pass.

--- a/mangogauge/entry/admission.py
+++ b/mangogauge/entry/admission.py
@@ -1,4 +1,9 @@
-"""Admission of requests within the rates of their client accounts."""
+"""Admission of requests within the rates of their client accounts.
+
+The load this answers: requests of an account within its rate come unevenly to many
+hosts, each of which has a part of the rate. A short wait serves what a host alone would
+have to refuse.
+"""
 
 import curio
 
@@ -13,8 +18,8 @@
 # A request that leaves less than this part of the longest time that its account's
 # requests have lately left was refused before.
 RETRY_TIMEOUT_SHARE = 0.95
-# How long the longest time is remembered.
-TIMEOUT_SECONDS = 60.0
+# How long the longest time counts.
+LONGEST_TIMEOUT_LIFETIME_SECONDS = 60.0
 
 log = get_logger("front")
 
@@ -119,15 +124,15 @@
 class LongestTimeouts:
     """Recognizes retries by the time that their callers still wait.
 
-    Notes
-    -----
-    A caller that was refused comes at another host, which has no record of it, but its
-    request leaves less time. If it is mistaken for a retry, it goes before others of
-    its own account only.
-
     Parameters
     ----------
     clock : Clock
+
+    Notes
+    -----
+    A caller that was refused retries at another host, which has no record of it, but
+    its request leaves less time. A new request that is mistaken for a retry goes before
+    others of its own account only.
     """
 
     def __init__(self, clock):
@@ -139,7 +144,8 @@
         """Return whether a timeout is shorter than that of new requests; note it."""
         now = self._clock.read_elapsed()
         longest, noted_at = self._longest.get(name, (0.0, now))
-        if timeout >= longest or now > noted_at + TIMEOUT_SECONDS:
+        is_expired = now > noted_at + LONGEST_TIMEOUT_LIFETIME_SECONDS
+        if timeout >= longest or is_expired:
             self._longest[name] = timeout, now
             return False
         return timeout < longest * RETRY_TIMEOUT_SHARE
--- a/mangogauge/sharing/bucket.py
+++ b/mangogauge/sharing/bucket.py
@@ -1,4 +1,8 @@
-"""Bucket of one client account, as one host knows it."""
+"""Bucket of one client account, as one host knows it.
+
+The load this answers: an account sends many times its rate through all hosts at once,
+and each host learns of the others' admissions some tenths of a second later.
+"""
 
 from attrs import define, field
 
@@ -21,22 +25,22 @@
 REFUSED_SECONDS = 1.0
 MAX_REFUSED_ROOM_SHARE = 0.9
 # Requests that may accrue to a host that has none to admit at the moment.
-MAX_CREDIT = 2.5
-# Credit from which a request is admitted. The difference is left for callers that were
-# told to retry and come to this host.
-MIN_CREDIT = 1.5
-MIN_RETRY_CREDIT = 1.0
+MAX_CREDIT_REQUESTS = 2.5
+# Credit from which a new request and a retry are admitted. The difference is kept for
+# callers that another host has told to retry.
+MIN_CREDIT_REQUESTS = 1.5
+MIN_RETRY_CREDIT_REQUESTS = 1.0
 # Room that pacing aims at, so that reports that are late don't overdraw the bucket: so
 # many requests, and those of so many seconds, but no more than a part of the capacity.
 TARGET_ROOM_REQUESTS = 2.0
 TARGET_ROOM_SECONDS = 0.1
 MAX_TARGET_ROOM_SHARE = 0.5
+# Time in which pacing corrects the difference from that room; longer than reports take.
+CORRECTION_SECONDS = 0.5
+MIN_CORRECTION_REQUESTS = 2.0
 # Longest time for which a debt delays requests; what was admitted longer ago no longer
 # counts against the bound of any 5 s.
 MAX_DEBT_SECONDS = 5.0
-# Time in which pacing corrects the difference from it; longer than reports take.
-CORRECTION_SECONDS = 0.5
-MIN_CORRECTION_REQUESTS = 2.0
 
 
 @define
@@ -99,7 +103,7 @@
         """Let the level leak, and credit accrue, up to now."""
         seconds = now - self.updated_at
         if self.is_paced:
-            cap = max(MAX_CREDIT, self.measure_room(account) / self.contenders)
+            cap = max(MAX_CREDIT_REQUESTS, self.measure_room(account) / self.contenders)
             accrued = seconds * self._compute_credit_rate(account)
             self.credit = max(self.credit, min(cap, self.credit + accrued))
         leaked = seconds * account.rate * self.share * self._compute_cost(account)
@@ -109,15 +113,15 @@
     def start_paced(self, until, random):
         """Pace a host that doesn't know yet what the others have admitted."""
         self.is_paced, self.paced_until = True, until
-        self.credit = MIN_CREDIT + random.random()
+        self.credit = MIN_CREDIT_REQUESTS + random.random()
 
     def pace(self, account, now, random):
         """Begin or end pacing, depending on the room that is left."""
         room = self.measure_room(account)
         if not self.is_paced and room < PACED_ROOM_REQUESTS:
             self.is_paced = True
-            # The hosts begin at the same time, and must not all reach 1 together.
-            self.credit = MIN_RETRY_CREDIT - 0.5 + random.random()
+            # The hosts begin at the same time, and must not all admit one together.
+            self.credit = MIN_RETRY_CREDIT_REQUESTS - 0.5 + random.random()
             return
         if now >= self.paced_until and room >= self._compute_unpaced_room(account, now):
             self.is_paced = False
@@ -231,4 +235,4 @@
 
 
 def _get_min_credit(is_retry):
-    return MIN_RETRY_CREDIT if is_retry else MIN_CREDIT
+    return MIN_RETRY_CREDIT_REQUESTS if is_retry else MIN_CREDIT_REQUESTS
--- a/mangogauge/sharing/freshness.py
+++ b/mangogauge/sharing/freshness.py
@@ -20,7 +20,7 @@
 # Minimum time between two reads of a copy by the same host, as a fraction of the
 # interval, however often others report newer ones: while many hosts start, each of
 # them changes the list of hosts.
-MIN_GAP = 0.4
+MIN_GAP_SHARE = 0.4
 # In a large fleet, pauses in seconds before a copy of the store that lacked a newer
 # version is read again; after these the newest state is read.
 COPY_PAUSES = (0.15, 0.2, 0.3, 0.35)
@@ -239,7 +239,7 @@
             return None
         return copy.newer if self._measure_newest_wait(topic, copy) > 0 else None
 
-    def measure_wait(self, topic, least_gap=MIN_GAP):
+    def measure_wait(self, topic, least_gap=MIN_GAP_SHARE):
         """Return the seconds until a topic has to be read again.
 
         Parameters
--- a/mangogauge/sharing/readbackoff.py
+++ b/mangogauge/sharing/readbackoff.py
@@ -10,16 +10,16 @@
 
 __all__ = ["ReadBackoff"]
 
-INITIAL_SECONDS = 0.05
-GROWTH = 2.0
+INITIAL_PAUSE_SECONDS = 0.05
+PAUSE_GROWTH_FACTOR = 2.0
 # Longest pause of a host that is next to read, and of one in a small fleet.
-READER_SECONDS = 0.5
-# Longest pause of all others; grows with their number.
-SECONDS_PER_HOST = 0.025
-MAX_SECONDS = 2.2
+MAX_READER_PAUSE_SECONDS = 0.5
+# Pause of all others, which grows with the number of hosts, and its maximum.
+PAUSE_SECONDS_PER_HOST = 0.025
+MAX_PAUSE_SECONDS = 2.2
 # Part of a pause that is drawn at random, so that hosts don't try at the same time.
-JITTER = 0.25
-# Longest time that the other topics wait for the outcome of a read.
+JITTER_SHARE = 0.25
+# Longest time that the other topics wait for the outcome of one topic's read.
 TRIAL_SECONDS = 1.3
 
 
@@ -62,7 +62,7 @@
         """
         until = self._until
         if has_newer:
-            until = min(until, self._failed_at + READER_SECONDS)
+            until = min(until, self._failed_at + MAX_READER_PAUSE_SECONDS)
         until = max(until, self._trial_until)
         return max(0.0, until - self._clock.read_elapsed())
 
@@ -86,7 +86,7 @@
         """
         now = self._clock.read_elapsed()
         self._trial_until = float("-inf")
-        if now >= min(self._until, self._failed_at + READER_SECONDS):
+        if now >= min(self._until, self._failed_at + MAX_READER_PAUSE_SECONDS):
             self._failed_at = now
             self._until = now + self._draw_pause(rank, hosts)
             self._failures += 1
@@ -97,7 +97,9 @@
         self._until = self._trial_until = float("-inf")
 
     def _draw_pause(self, rank, hosts):
-        pause = min(READER_SECONDS, INITIAL_SECONDS * GROWTH**self._failures)
-        if rank >= READERS and hosts * SECONDS_PER_HOST > READER_SECONDS:
-            pause = min(MAX_SECONDS, hosts * SECONDS_PER_HOST)
-        return pause * (1 - JITTER * self._random.random())
+        pause = INITIAL_PAUSE_SECONDS * PAUSE_GROWTH_FACTOR**self._failures
+        pause = min(MAX_READER_PAUSE_SECONDS, pause)
+        fleet_pause = hosts * PAUSE_SECONDS_PER_HOST
+        if rank >= READERS and fleet_pause > MAX_READER_PAUSE_SECONDS:
+            pause = min(MAX_PAUSE_SECONDS, fleet_pause)
+        return pause * (1 - JITTER_SHARE * self._random.random())
--- a/mangogauge/sharing/readorder.py
+++ b/mangogauge/sharing/readorder.py
@@ -1,11 +1,11 @@
 """The order in which hosts read a topic of the platform's store again.
 
-If all hosts read a copy again at the same age, each of them reads before it has heard
-of the first read. So the hosts are ranked for each read, by a hash of the topic, the
-last read and the host's name: the first reads as soon as the copy is due, the next few
-only if they haven't heard of that read in time, and all others after these. The order
-changes with each read, so that a host that is frozen, slow or refused by the store
-delays few of them, and no host sends the news of all reads.
+If all hosts read a copy again at the same age, each of them reads before the report of
+the first read arrives. So the hosts are ranked for each read, by a hash of the topic,
+the last read and the host's name: the first reads as soon as the copy is due, the next
+few only if no report of that read has arrived in time, and all others after these. The
+order changes with each read, so that a host that is frozen, slow or refused by the
+store delays few of them, and no host sends the news of all reads.
 """
 
 import xxhash
