Split the metrics of a host's view from its judgement of endpoints

Cause: one loop judged endpoints and set eight metrics; a comment on the hosts' entries and the headings of two modules didn't name their load. Change: FleetView._export_metrics, MEMBERS_LEAST_GAP_SHARE, docstrings of storecopies, sharedwork and evacuations. Behaviour is unchanged. Ran: features/jobs/sharedwork, fleet/evacuations, fleet/registration and placement/eligibility.feature pass.

--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -49,10 +49,9 @@
 
 __all__ = ["FleetView"]
 
-# Least time between two reads of the hosts' entries, as a part of that: hosts come and
-# go one after another while all are restarted, and those that aren't known yet are
-# told of what happens all the same.
-MEMBERS_LEAST_GAP = 1.5
+# Least time between two reads of the hosts' entries, as a multiple of the interval of
+# the copies: while all hosts are restarted, their list changes many times.
+MEMBERS_LEAST_GAP_SHARE = 1.5
 # Longest time that the first read of the hosts' entries waits for the registration.
 REGISTRATION_SECONDS = 0.4
 ISOLATION_SECONDS = 0.25
@@ -256,7 +255,7 @@
             self.members.prefix,
             self.members,
             self._wait_for_registration,
-            least_gap=MEMBERS_LEAST_GAP,
+            least_gap=MEMBERS_LEAST_GAP_SHARE,
         )
 
     def _take_evacuations(self, data_centres):
@@ -389,17 +388,19 @@
             self.limiter.update_cold()
             await self._limit_exchange.note_cold()
             self.limiter.cold.remove_old(endpoint.name for endpoint in endpoints)
-            metrics = self._backends.metrics
-            metrics.endpoints_barred.set(len(self.trust.list_barred()))
-            metrics.endpoints_indirect.set(len(self.health.list_unreachable()))
-            metrics.endpoints_limited.set(len(self.limiter.limits.list_limited()))
-            metrics.endpoints_cold.set(len(self.limiter.cold.list_cold()))
-            metrics.parts_quarantined.set(len(self.part_quarantine.list_quarantined()))
             self._evacuations.evaluate()
-            metrics.data_centres_evacuated.set(len(self.eligibility.evacuated))
-            endpoints = self.directory.list_endpoints()
-            reasons = self.eligibility.count_reasons(endpoints)
-            metrics.note_ineligible(reasons)
+            self._export_metrics()
+
+    def _export_metrics(self):
+        metrics = self._backends.metrics
+        metrics.endpoints_barred.set(len(self.trust.list_barred()))
+        metrics.endpoints_indirect.set(len(self.health.list_unreachable()))
+        metrics.endpoints_limited.set(len(self.limiter.limits.list_limited()))
+        metrics.endpoints_cold.set(len(self.limiter.cold.list_cold()))
+        metrics.parts_quarantined.set(len(self.part_quarantine.list_quarantined()))
+        metrics.data_centres_evacuated.set(len(self.eligibility.evacuated))
+        reasons = self.eligibility.count_reasons(self.directory.list_endpoints())
+        metrics.note_ineligible(reasons)
 
     async def _watch_isolation(self):
         while True:
@@ -454,7 +455,7 @@
         await self._on_report(report)
 
     def _update_quota_share(self):
-        """Let the quota know which hosts report, which counting them all costs."""
+        """Update the quota's share at intervals, since it counts all hosts."""
         now = self._clock.read_elapsed()
         if now >= self._quota_share_at + QUOTA_SHARE_SECONDS:
             self._quota_share_at = now
@@ -484,7 +485,7 @@
         self._version_history.add(news.streams)
 
     async def _take_news(self, report):
-        """Take in what a host's report and a data centre's totals both tell."""
+        """Merge what a host's report and a data centre's totals both contain."""
         self.crash_ledger.merge_counts(report.host, report.crashes)
         self.directory.merge_leaving(report.departures, report.host)
         await self._copies.take_copies(report)
--- a/mangogauge/daemon/sharedwork.py
+++ b/mangogauge/daemon/sharedwork.py
@@ -97,12 +97,15 @@
 
         Notes
         -----
-        The changes of the read before are repeated in case a datagram was lost.
+        The changes of the read before are repeated in case a datagram was lost, if both
+        fit into one. If the last alone don't fit, the other runners read them.
         """
         await self._on_read()
         copies = self._freshness.report_own_reads()
         recent = self.follower.list_recent_changes()
-        for start in range(len(recent)) if copies else ():
+        if not copies:
+            return
+        for start in range(len(recent)):
             base, changes = _join(recent[start:])
             data = ChangeNews(copies, base, changes).to_bytes()
             if len(data) <= DATAGRAM_BYTES:
--- a/mangogauge/daemon/storecopies.py
+++ b/mangogauge/daemon/storecopies.py
@@ -1,4 +1,8 @@
-"""One host's copies of the store's entries, and the news of reads between hosts."""
+"""One host's copies of the store's entries, and the news of reads between hosts.
+
+The load this answers: every call to the store counts, and all hosts need the same
+entries. They read in turn, so that the calls don't grow with the number of hosts.
+"""
 
 from functools import partial
 
@@ -9,8 +13,7 @@
 
 __all__ = ["StoreCopies"]
 
-# How old a copy of the operators' orders, or of the endpoints' or hosts' entries,
-# may grow before some host reads them again.
+# Age at which some host reads the operators', endpoints' or hosts' entries again.
 FRESH_SECONDS = 0.7
 # Entries of open jobs are awaited at the store, so briefly that with the pause between
 # two reads no copy grows as old as `CancellationCheck` allows.
@@ -128,12 +131,12 @@
         await self._schedules[prefix].request_read()
 
     async def take_copies(self, news):
-        """Take in the copies that another host has, by its report or its news."""
+        """Merge the copies in another host's report, summary or `CopyNews`."""
         for topic in self.freshness.merge_report(news.copies):
             await self._schedules[topic].wake()
 
     async def take_changes(self, news):
-        """Take in the `ChangeNews` of another runner."""
+        """Apply the `ChangeNews` of another runner, if this host keeps open jobs."""
         if self._shared_work is not None:
             await self._shared_work.take(news)
 
--- a/mangogauge/fleet/schedule.py
+++ b/mangogauge/fleet/schedule.py
@@ -17,7 +17,7 @@
 FAILED_OUTAGE_SECONDS = 0.9
 INITIAL_RETRY_SECONDS = 0.05
 MAX_RETRY_SECONDS = 0.5
-# A pause that ends later than this shows that the process was suspended.
+# A pause that ends later by more than this shows that the process was suspended.
 SUSPENDED_SECONDS = 0.2
 RETRY_GROWTH = 2.0
 
--- a/mangogauge/placement/evacuations.py
+++ b/mangogauge/placement/evacuations.py
@@ -1,4 +1,8 @@
-"""Logs what operators should know of evacuated data centres."""
+"""Logs evacuations that are probably not meant as they are in force.
+
+A misspelt data centre evacuates nothing, and evacuating the last one refuses all
+requests; neither shows in the operator's entry.
+"""
 
 from ..telemetry import get_logger
 
