Bound the growth of the pause after failed reads of the store

Cause: the pause was 0.05 s times a power of 2 of the number of failures, which overflows at the 1024th: after 445 s without the store at a host that is next to read. From then on each failed read ended the follower's task, which began again 0.2 s later, and the pause no longer grew. Change: the power has at most 4 steps, which is already above the maximum. Ran: features/sharing/readbackoff.feature passes 3 of 3, and failed 3 of 3 without the change.

--- a/mangogauge/sharing/readbackoff.py
+++ b/mangogauge/sharing/readbackoff.py
@@ -12,6 +12,9 @@
 
 INITIAL_PAUSE_SECONDS = 0.05
 PAUSE_GROWTH_FACTOR = 2.0
+# Steps of growth after which a pause exceeds its maximum. The power of an unbounded
+# number of failures overflows after about 7 min without the store.
+MAX_GROWTH_STEPS = 4
 # Longest pause of a host that is next to read, and of one in a small fleet.
 MAX_READER_PAUSE_SECONDS = 0.5
 # Pause of all others, which grows with the number of hosts, and its maximum.
@@ -97,7 +100,8 @@
         self._until = self._trial_until = float("-inf")
 
     def _draw_pause(self, rank, hosts):
-        pause = INITIAL_PAUSE_SECONDS * PAUSE_GROWTH_FACTOR**self._failures
+        steps = min(self._failures, MAX_GROWTH_STEPS)
+        pause = INITIAL_PAUSE_SECONDS * PAUSE_GROWTH_FACTOR**steps
         pause = min(MAX_READER_PAUSE_SECONDS, pause)
         fleet_pause = hosts * PAUSE_SECONDS_PER_HOST
         if rank >= READERS and fleet_pause > MAX_READER_PAUSE_SECONDS:
