Eject an endpoint for the thousandth time without an overflow

Cause: the power of the ejections exceeds a float at the 1025th; whatever evaluated the endpoint then ended. Change: the power is bounded where the longest time is reached. Result: features/trust/ejection passes; the new scenario overflows without the change.

--- a/features/steps/trust.py
+++ b/features/steps/trust.py
@@ -6,6 +6,7 @@
 from features.builders.fleet import make_endpoint
 from mangogauge.clock import ManualClock
 from mangogauge.trust import EjectionState, EndpointTrust, Evidence
+from mangogauge.trust.ejection import EndpointEjection
 
 TYPICAL_SECONDS = 0.1
 EVENTS = 10
@@ -343,3 +344,19 @@
     evaluate_trust(context)
     cost = context.trust.get_cost(name)
     assert abs(cost - times) <= 0.15 * times, cost
+
+
+@given("an ejection")
+def make_ejection(context):
+    context.ejection = EndpointEjection(0.0)
+
+
+@when("it is ejected {count:d} times")
+def eject_often(context, count):
+    for _ in range(count):
+        context.ejection.eject(0.0)
+
+
+@then("it is still barred")
+def check_ejection(context):
+    assert context.ejection.is_barred
--- a/features/trust/ejection.feature
+++ b/features/trust/ejection.feature
@@ -136,3 +136,10 @@
     When each endpoint answers 4 requests
     And "e0" runs 8 requests and is silent to 3 for 1.5 s
     Then only "e0" is barred
+
+  Scenario: An endpoint that is ejected for hours is ejected again
+    The time grows with each ejection, and its power would exceed a float.
+
+    Given an ejection
+    When it is ejected 2000 times
+    Then it is still barred
--- a/mangogauge/trust/ejection.py
+++ b/mangogauge/trust/ejection.py
@@ -13,6 +13,8 @@
 FIRST_EJECTION_SECONDS = 1.0
 EJECTION_GROWTH = 2.0
 LONGEST_EJECTION_SECONDS = 16.0
+# Ejections that lead to the longest time; a larger power might overflow.
+MAX_GROWTH_STEPS = 4
 # Time without an ejection after which one past ejection is no longer counted.
 EJECTION_MEMORY_SECONDS = 20.0
 MIN_TRIAL_ANSWERS = 3
@@ -79,7 +81,8 @@
 
     def eject(self, now):
         """Eject the endpoint for a time that grows with each ejection."""
-        seconds = FIRST_EJECTION_SECONDS * EJECTION_GROWTH**self.ejections
+        steps = min(self.ejections, MAX_GROWTH_STEPS)
+        seconds = FIRST_EJECTION_SECONDS * EJECTION_GROWTH**steps
         self.ejections += 1
         seconds = min(LONGEST_EJECTION_SECONDS, seconds)
         self._decay_at = now + seconds + EJECTION_MEMORY_SECONDS
