End the limit of a cold process when another one takes its place

Cause: a process that isn't cold gave no change if the one before it was, so that its limit stayed until the endpoint's next cold time. Change: the change is given at the replacement. Result: features/backpressure/cold passes; the new scenario failed before.

--- a/features/backpressure/cold.feature
+++ b/features/backpressure/cold.feature
@@ -181,3 +181,11 @@
     Then a cold endpoint whose answer takes 2 s keeps its standing, and one that is not cold is silent
     And a cold endpoint that a request leaves after 1.5 s has not failed, and one that is not cold has
     And a cold endpoint that breaks the connection after 0.1 s has failed
+
+  Scenario: The limit of a cold process ends with the process
+    A process that takes its place and isn't cold would else be taken for limited.
+
+    Given an endpoint of a service that is cold for 5 s at 12 a second
+    When these events follow: it enters
+    And the changes are taken, and a process that isn't cold takes its place
+    Then a change ends the limit
--- a/features/steps/backpressure_cold.py
+++ b/features/steps/backpressure_cold.py
@@ -309,3 +309,16 @@
     clock.advance(seconds)
     trust.evaluate(endpoints)
     return silent
+
+
+@when("the changes are taken, and a process that isn't cold takes its place")
+def replace_process(context):
+    context.states.take_changes()
+    context.endpoint = evolve(context.endpoint, start_time_ms=2)
+    note_entry(context, 0.0)
+
+
+@then("a change ends the limit")
+def check_ended(context):
+    rates = [change.rate for change in context.states.take_changes()]
+    assert rates == [None], rates
--- a/mangogauge/backpressure/cold.py
+++ b/mangogauge/backpressure/cold.py
@@ -98,6 +98,8 @@
         Whether its start is all that is known of it so far.
     present_at : float
         Elapsed time at which it last had an entry.
+    replaces_cold : bool
+        Whether the process before it was cold, of which no `ColdChange` has told yet.
     """
 
     service = field()
@@ -111,6 +113,7 @@
     revision = field(default=0)
     rate = field(default=None)
     is_new = field(default=False)
+    replaces_cold = field(default=False)
 
 
 class ColdStates:
@@ -173,9 +176,11 @@
         process = self._processes.get(endpoint.name)
         if process is None or process.start_time_ms != endpoint.start_time_ms:
             seen_at = now if has_entered else NEVER
+            was_cold = process is not None and process.rate is not None
             process = self._processes[endpoint.name] = _Process(
                 endpoint.service, endpoint.start_time_ms, seen_at, now
             )
+            process.replaces_cold = was_cold
             process.is_new, process.announced_at = has_entered, seen_at
             if not has_entered:
                 self._note_start(process)
@@ -256,7 +261,8 @@
             rate = self._find_rate(process)
             if rate is None:
                 self._active.discard(name)
-            if rate != process.rate:
+            if rate != process.rate or process.replaces_cold:
+                process.replaces_cold = False
                 self._log(name, process, rate)
                 process.rate = rate
                 self.has_news |= rate is not None
