Read again soon after an outage when the store's copy was too old

Cause: a copy that answers but is too old left the pauses of an outage in force, 1.3 s at most, also for the host's other topics. Change: it counts as an answer of the store. Result: features/fleet and features/sharing pass; no scenario of its own yet.

--- a/mangogauge/fleet/schedule.py
+++ b/mangogauge/fleet/schedule.py
@@ -195,6 +195,8 @@
 
     def note_copy_missed(self):
         """Return whether to read the store's copy again later, since it is too old."""
+        # The store has answered, so reads need no longer be rare.
+        self._backoff.note_success()
         return self._freshness.note_copy_missed(self.topic)
 
     def find_newer(self):
