Let streams go on only where the process that began them is certain

Cause: a stream's version was that of the endpoint's entry in this host's copy, which may be a second old, though another process had taken the endpoint's place since. The same where a stream went on at such an endpoint, and for items.

Change: the version is certain once the entries were read after the connection was made and show the same process. Before a stream or an item goes on, the entries are read if that isn't so yet, and read again before it is sent to the next endpoint. An item whose endpoint was replaced or removed keeps its events for another endpoint.

No change of wire formats.

--- a/features/builders/sending.py
+++ b/features/builders/sending.py
@@ -28,6 +28,7 @@
 
 from .crashes import make_crash_detector
 from .fleet import FixedDirectory, make_endpoint, make_route
+from .origins import CertainOrigins
 
 __all__ = ["NEVER", "SendingWorld"]
 
@@ -135,13 +136,6 @@
     return SlotQueue(chooser, report_table, _skip_notification, clock, random.Random(2))
 
 
-class _NewStreams:
-    """Stands in for an `OriginFinder`: all calls are new."""
-
-    async def find(self, call):
-        return None
-
-
 class SendingWorld:
     """A dispatcher with endpoints that never answer.
 
@@ -191,7 +185,7 @@
             health,
             EndpointTrust(self._clock),
             make_crash_detector(self._clock),
-            _NewStreams(),
+            CertainOrigins(),
             RetryPolicy(self._budgets),
             self._clock,
             random.Random(1),
--- a/features/builders/trials.py
+++ b/features/builders/trials.py
@@ -8,6 +8,7 @@
 from features.builders.crashes import GossipingHosts, make_crash_detector
 from features.builders.fleet import HOST_NAME, make_endpoint, make_route
 from features.builders.jobstore import UnreliableStore
+from features.builders.origins import CertainOrigins
 from mangogauge.entry import AttemptFailure
 from mangogauge.fleet import RequestSemantics
 from mangogauge.http import BufferBudget
@@ -47,6 +48,7 @@
     """An answer of one event."""
 
     ends_with_connection = False
+    open_seconds = 0.0
 
     def __init__(self):
         self.buffers = BufferBudget(1_000_000)
@@ -102,6 +104,7 @@
             EndpointTrust(clock),
             make_crash_detector(clock, part_quarantine=quarantine),
             make_trials(self.store, name, quarantine, clock),
+            CertainOrigins(),
             clock,
             Random(SEED),
             ServingMetrics(),
--- a/features/steps/items_crashes.py
+++ b/features/steps/items_crashes.py
@@ -9,6 +9,7 @@
 
 from features.builders.crashes import make_crash_detector
 from features.builders.fleet import HOST_NAME, make_endpoint, make_route
+from features.builders.origins import CertainOrigins
 from features.builders.trials import make_trials
 from mangogauge.clock import ManualClock
 from mangogauge.entry import AttemptFailure, StreamEvent
@@ -40,6 +41,7 @@
         self._events = events
         self._broken = broken
         self.ends_with_connection = ends_with_connection
+        self.open_seconds = 0.0
         self.buffers = BufferBudget(1_000_000)
 
     def gather(self, seconds):
@@ -133,6 +135,7 @@
         EndpointTrust(clock),
         make_crash_detector(clock, part_quarantine=context.part_quarantine),
         make_trials(MemoryStore(clock), "own", context.part_quarantine, clock),
+        CertainOrigins(),
         clock,
         Random(SEED),
         ServingMetrics(),
--- a/features/steps/streams.py
+++ b/features/steps/streams.py
@@ -30,6 +30,7 @@
 from mangogauge.streams.record import RECORDS_PREFIX
 
 HOSTS = 4
+LONG_SECONDS = 3600.0
 OTHER = "other"
 
 
@@ -75,7 +76,9 @@
         version_record,
         clock,
     )
-    context.finder = OriginFinder(context.origins, history, record, confirmation)
+    context.finder = OriginFinder(
+        context.origins, history, record, confirmation, context.directory.get, clock
+    )
 
 
 def make_call(context, request_id, stream="", last_event=None):
@@ -143,7 +146,8 @@
 @when('the stream "{stream}" begins at "{software}"')
 def begin(context, stream, software):
     (endpoint,) = make_endpoints(software)
-    context.finder.note(make_call(context, stream), endpoint)
+    connected_at = context.clock.read_elapsed() - LONG_SECONDS
+    context.finder.note(make_call(context, stream), endpoint, connected_at)
 
 
 @when("a caller begins a stream")
--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -280,7 +280,12 @@
             clock,
         )
         self.streams = OriginFinder(
-            self.origins, history, self._stream_record, confirmation
+            self.origins,
+            history,
+            self._stream_record,
+            confirmation,
+            self.directory.get,
+            clock,
         )
 
     def _follow_shared(self, prefix, listener, **pace):
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -194,6 +194,7 @@
                     self.fleet.part_quarantine,
                     clock,
                 ),
+                self.fleet.streams,
                 clock,
                 self.random,
                 self.metrics,
--- a/mangogauge/entry/calls.py
+++ b/mangogauge/entry/calls.py
@@ -75,6 +75,8 @@
     origin : StreamOrigin or None
         What the endpoints have in common that may resume the answer; None until it
         has begun.
+    beginning : StreamBeginning or None
+        Where the answer has begun, while that isn't certain yet.
     scope : WorkScope
         Regions in which the call may run.
     """
@@ -93,6 +95,7 @@
     shared_parts = field(default=())
     resumed_id = field(default="")
     origin = field(default=None)
+    beginning = field(default=None)
     scope = field(default=ANYWHERE)
 
     @property
--- a/mangogauge/entry/dispatch.py
+++ b/mangogauge/entry/dispatch.py
@@ -84,7 +84,11 @@
         """
         self._crashes.check(call)
         relay = AnswerRelay(
-            call, exchange, lambda: self._note_first_piece(state), self._clock
+            call,
+            exchange,
+            lambda: self._note_first_piece(state),
+            lambda: self._streams.note_events(call),
+            self._clock,
         )
         state = DispatchState(call, relay)
         try:
@@ -148,6 +152,8 @@
         call = state.call
         if not self._retry_policy.has_budget(call):
             return False
+        if not await self._streams.settle(call):
+            return False
         service = self._choose_service(call)
         endpoint = await self._slots.try_acquire(call, service, state.excluded)
         if endpoint is None:
@@ -184,6 +190,8 @@
         state.attempts += 1
         state.endpoint = endpoint
         state.excluded.add(endpoint.name)
+        if state.relay.last_event is not None:
+            await self._check_origin(call, endpoint)
         is_fresh = state.needs_new_connection(endpoint)
         state.contacted.add(endpoint.name)
         was_running = state.may_be_running
@@ -206,6 +214,7 @@
             )
             raise
         self._health.note_answer(endpoint.name)
+        state.connected_at = self._clock.read_elapsed() - response.open_seconds
         self._log(
             call,
             "sent",
@@ -226,6 +235,18 @@
                 connection_broken=True,
             ) from error
 
+    async def _check_origin(self, call, endpoint):
+        """Raise `AttemptFailure` if an endpoint can't go on with a stream any more.
+
+        Notes
+        -----
+        A process with other software may have taken its place since this host's copy
+        was read.
+        """
+        if call.origin is None or await self._streams.may_resume(call.origin, endpoint):
+            return
+        raise AttemptFailure(Progress.NOT_SENT, "the endpoint was replaced or removed")
+
     def _note_failure(self, state, endpoint, failure):
         state.failure = failure
         failure.report_to_health(self._health, endpoint)
@@ -261,7 +282,9 @@
             if state.attempts >= 2 and failure.progress is Progress.NOT_RUN:
                 # Several endpoints were full: allow them again.
                 state.excluded.clear()
-            return False
+            if await self._streams.settle(call):
+                return False
+            self._log(call, "stream not resumed: its software version is not certain")
         if state.relay.started:
             raise HTTPError(failure.reason, step="relay", peer=call.request_id)
         if failure.progress is Progress.RUN and failure.answer is not None:
@@ -362,7 +385,7 @@
 
     def _note_first_piece(self, state):
         call = state.call
-        self._streams.note(call, state.endpoint)
+        self._streams.note(call, state.endpoint, state.connected_at)
         seconds = self._clock.read_elapsed() - call.received_at
         self._metrics.first_piece.labels(call.route.name).observe(seconds)
 
--- a/mangogauge/entry/relay.py
+++ b/mangogauge/entry/relay.py
@@ -16,6 +16,8 @@
     exchange : Exchange
     on_first_piece : callable
         Called when the first piece of the answer has arrived.
+    on_events : callable
+        Called after each batch of events of an answer that may be resumed.
     clock : Clock
 
     Attributes
@@ -33,11 +35,12 @@
         How long after that the last of what has arrived did; 0 if nothing has.
     """
 
-    def __init__(self, call, exchange, on_first_piece, clock):
+    def __init__(self, call, exchange, on_first_piece, on_events, clock):
         self._exchange = exchange
         self._resumable = call.route.resumable
         self._is_stream = call.route.semantics is RequestSemantics.STREAM
         self._on_first_piece = on_first_piece
+        self._on_events = on_events
         self._clock = clock
         self.started = False
         self.last_event = call.last_event
@@ -112,6 +115,7 @@
                 # Set before the write: if that fails, the whole answer ends.
                 self.last_event = event.number
                 await self._exchange.send_data(event.raw)
+            self._on_events()
 
     async def _read_events(self, stream):
         handover = self.handover
--- a/mangogauge/entry/state.py
+++ b/mangogauge/entry/state.py
@@ -29,6 +29,8 @@
         Endpoint that goes on with a silent endpoint's answer; a slot is held there.
     connected : str
         Name of the endpoint to which a connection has just been made.
+    connected_at : float
+        Elapsed time at which the connection of the last attempt was made.
     """
 
     call = field()
@@ -43,6 +45,7 @@
     diagnoses = field(factory=list)
     successor = field(default=None)
     connected = field(default="")
+    connected_at = field(default=0.0)
 
     @property
     def executed(self):
--- a/mangogauge/http/client.py
+++ b/mangogauge/http/client.py
@@ -61,6 +61,7 @@
         self.address = address
         self.limits = limits or ClientLimits()
         self._sock = sock
+        self._opened_at = time.monotonic()
         self._h11 = self._make_parser()
         self._sending = None
         self._idle_since = time.monotonic()
@@ -81,6 +82,11 @@
         sock = await open_socket(address, timeout, tls)
         return cls(address, sock, limits, is_plain=tls is None)
 
+    @property
+    def open_seconds(self):
+        """Seconds since it was made."""
+        return time.monotonic() - self._opened_at
+
     @property
     def idle_seconds(self):
         """Seconds since it carried an answer."""
--- a/mangogauge/http/responses.py
+++ b/mangogauge/http/responses.py
@@ -40,6 +40,11 @@
         """
         return not any(name in self.headers for name in FRAMING_FIELDS)
 
+    @property
+    def open_seconds(self):
+        """Seconds since the connection was made, while the body is still read."""
+        return self._connection.open_seconds
+
     async def iterate(self):
         """Yield the body in pieces as they arrive.
 
--- a/mangogauge/jobs/item_runner.py
+++ b/mangogauge/jobs/item_runner.py
@@ -3,7 +3,7 @@
 from ..entry import AnswerKind, AttemptFailure, EventStream, OnlineCall
 from ..http import Headers, HTTPError, HTTPReceiveError
 from ..routing import Progress
-from ..streams import StreamOrigin
+from ..streams import StreamBeginning, StreamOrigin
 from ..telemetry import get_logger
 from .backoff import compute_backoff
 from .records import ItemState
@@ -30,6 +30,7 @@
     trust : EndpointTrust
     crashes : CrashDetector
     trials : ItemTrials
+    streams : OriginFinder
     clock : Clock
     random : random.Random
     metrics : ServingMetrics
@@ -42,13 +43,23 @@
     """
 
     def __init__(
-        self, endpoint_client, health, trust, crashes, trials, clock, random, metrics
+        self,
+        endpoint_client,
+        health,
+        trust,
+        crashes,
+        trials,
+        streams,
+        clock,
+        random,
+        metrics,
     ):
         self._endpoint_client = endpoint_client
         self._health = health
         self._trust = trust
         self._crashes = crashes
         self._trials = trials
+        self._streams = streams
         self._clock = clock
         self._random = random
         self._metrics = metrics
@@ -160,13 +171,16 @@
         item.tried_endpoints.add(endpoint.name)
         item.answer_begun_at = None
         item.answer_seconds = 0.0
+        await self._check_origin(item, endpoint)
         response = await self._endpoint_client.send(
             call, endpoint, item.last_event, IDLE_TIMEOUT_SECONDS, is_retry
         )
         response.gather(GATHER_SECONDS)
+        connected_at = self._clock.read_elapsed() - response.open_seconds
+        beginning = StreamBeginning(endpoint, connected_at)
         stream = EventStream(response)
         try:
-            await self._read_events(item, endpoint, stream, observer)
+            await self._read_events(item, beginning, stream, observer)
             if item.answer_begun_at is None:
                 self._check_empty_rest(item, response)
         except HTTPError as error:
@@ -179,7 +193,25 @@
         finally:
             await stream.close()
 
-    async def _read_events(self, item, endpoint, stream, observer):
+    async def _check_origin(self, item, endpoint):
+        """Raise `AttemptFailure` if an endpoint can't go on with an item any more.
+
+        Notes
+        -----
+        An item whose own beginning is unknown starts anew. One whose endpoint was
+        replaced or removed since it was chosen keeps its events for another endpoint.
+        """
+        if item.beginning is not None:
+            if await self._streams.has_begun_elsewhere(item.beginning):
+                item.discard_events()
+        if item.last_event is None or item.origin is None:
+            return
+        if not await self._streams.may_resume(item.origin, endpoint):
+            raise AttemptFailure(
+                Progress.NOT_SENT, "the endpoint was replaced or removed"
+            )
+
+    async def _read_events(self, item, beginning, stream, observer):
         while True:
             events = await stream.read_events(IDLE_TIMEOUT_SECONDS)
             if not events:
@@ -187,9 +219,15 @@
             observer.note_progress(len(events))
             self._note_answer_progress(item)
             if item.last_event is None:
-                item.origin = StreamOrigin.of(endpoint)
+                item.origin = StreamOrigin.of(beginning.endpoint)
+                item.beginning = beginning
             for event in events:
                 item.add_event(event)
+            self._note_certain(item)
+
+    def _note_certain(self, item):
+        if item.beginning is not None and self._streams.is_certain(item.beginning):
+            item.beginning = None
 
     def _check_empty_rest(self, item, response):
         """Raise `HTTPReceiveError` if a run without events doesn't complete an item.
--- a/mangogauge/jobs/owned.py
+++ b/mangogauge/jobs/owned.py
@@ -44,6 +44,8 @@
     origin : StreamOrigin or None
         What the endpoints have in common that may resume the item; None if it has no
         events, or if that is unknown.
+    beginning : StreamBeginning or None
+        Where the first of its events came from, while that isn't certain yet.
     failures : int
         Number of runs that an endpoint answered with a failure.
     stored_failures : int
@@ -82,6 +84,7 @@
     tried_endpoints = field(factory=set)
     last_event = field(default=None)
     origin = field(default=None)
+    beginning = field(default=None)
     failures = field(default=0)
     stored_failures = field(default=0)
     stored_events = field(default=0)
@@ -136,6 +139,7 @@
         self.size = 0
         self.last_event = None
         self.origin = None
+        self.beginning = None
         self.stored_events = 0
 
     def record_interruption(self, now):
@@ -263,6 +267,8 @@
     def list_progress(self, max_bytes=MAX_PROGRESS_BYTES):
         """Return the `ItemProgress` of the unfinished items, the longest first.
 
+        Items whose software version isn't certain yet are left out.
+
         Parameters
         ----------
         max_bytes : int, optional
@@ -270,7 +276,8 @@
             left out.
         """
         max_bytes = min(max_bytes, MAX_PROGRESS_BYTES)
-        begun = [item for item in self.items.values() if item.event_texts]
+        items = self.items.values()
+        begun = [i for i in items if i.event_texts and i.beginning is None]
         begun.sort(key=lambda item: len(item.event_texts), reverse=True)
         progress, size = [], 0
         for item in begun:
--- a/mangogauge/streams/__init__.py
+++ b/mangogauge/streams/__init__.py
@@ -7,6 +7,7 @@
 also at one that has just started.
 """
 
+from .beginnings import StreamBeginning
 from .confirmation import VersionConfirmation
 from .finder import OriginFinder
 from .history import VersionHistory
@@ -18,6 +19,7 @@
 __all__ = [
     "NEWS_FORMAT",
     "OriginFinder",
+    "StreamBeginning",
     "StreamNews",
     "StreamOrigin",
     "StreamOrigins",
--- a/mangogauge/streams/confirmation.py
+++ b/mangogauge/streams/confirmation.py
@@ -46,6 +46,7 @@
         self._version_record = version_record
         self._clock = clock
         self._done = None
+        self._failed = False
         self._started_at = self._next_at = float("-inf")
 
     async def confirm(self):
@@ -55,8 +56,37 @@
         -----
         Returns at once if a read has just failed, or has been waited for so long.
         """
-        if self._history.is_current():
-            return
+        if not self._history.is_current():
+            await self._join_read()
+
+    async def confirm_since(self, moment):
+        """Wait, for a limited time, for a read that began after an elapsed time.
+
+        Notes
+        -----
+        A read that is under way may have begun before. Returns at once if a read has
+        just failed, or has been waited for so long.
+        """
+        async with curio.ignore_after(MAX_WAIT_SECONDS):
+            while not (self._history.is_known_since(moment) or self._is_hopeless()):
+                seconds_left = self._next_at - self._clock.read_elapsed()
+                if self._done is None and seconds_left > 0:
+                    await curio.sleep(seconds_left)
+                await self._join_read()
+
+    def _is_hopeless(self):
+        """Return whether a read has just failed, or gets no answer."""
+        now = self._clock.read_elapsed()
+        if self._done is None:
+            return self._failed and now < self._next_at
+        return self._compute_wait_left(now) <= 0
+
+    def _compute_wait_left(self, now):
+        """Return for how many seconds the read under way may still be waited for."""
+        return self._started_at + MAX_WAIT_SECONDS - now
+
+    async def _join_read(self):
+        """Wait for a read for a limited time, unless the last was a moment ago."""
         now = self._clock.read_elapsed()
         if self._done is None:
             if now < self._next_at:
@@ -64,7 +94,7 @@
             self._done = curio.Event()
             self._started_at = now
             await curio.spawn(self._read, daemon=True)
-        seconds_left = self._started_at + MAX_WAIT_SECONDS - now
+        seconds_left = self._compute_wait_left(now)
         if seconds_left > 0:
             async with curio.ignore_after(seconds_left):
                 await self._done.wait()
@@ -83,6 +113,7 @@
                 pause_seconds = MIN_READ_INTERVAL_SECONDS
                 await self._note(answer.unwrap().items, asked_at)
         finally:
+            self._failed = pause_seconds == RETRY_SECONDS
             self._next_at = asked_at + pause_seconds
             done, self._done = self._done, None
             await done.set()
--- a/mangogauge/streams/finder.py
+++ b/mangogauge/streams/finder.py
@@ -4,6 +4,7 @@
 
 from ..refusals import Refusal, RefusalCode
 from ..telemetry import get_logger
+from .beginnings import StreamBeginning, is_same_process
 from .origins import StreamOrigin, digest_stream_id
 
 __all__ = ["OriginFinder"]
@@ -24,13 +25,18 @@
     history : VersionHistory
     record : StreamRecord
     confirmation : VersionConfirmation
+    get_endpoint : callable
+        Returns the `FleetEndpoint` of a name in this host's copy, or None.
+    clock : Clock
     """
 
-    def __init__(self, origins, history, record, confirmation):
+    def __init__(self, origins, history, record, confirmation, get_endpoint, clock):
         self._origins = origins
         self._history = history
         self._record = record
         self._confirmation = confirmation
+        self._get_endpoint = get_endpoint
+        self._clock = clock
 
     async def find(self, call):
         """Return the `StreamOrigin` of the stream that a call resumes.
@@ -64,15 +70,120 @@
             raise _refuse("The route no longer leads to the service of this stream.")
         return origin
 
-    def note(self, call, endpoint):
-        """Note that an endpoint has begun or resumed the stream of a call."""
+    def note(self, call, endpoint, connected_at):
+        """Note that an endpoint has begun or resumed the stream of a call.
+
+        Parameters
+        ----------
+        call : OnlineCall
+        endpoint : FleetEndpoint
+        connected_at : float
+            Elapsed time at which the connection was made.
+        """
         if not call.route.resumable:
             return
         if call.origin is None:
             call.origin = StreamOrigin.of(endpoint)
-        request_id = call.resumed_id or call.request_id
-        self._origins.note(digest_stream_id(request_id), call.origin)
-        self._record.note_begun(digest_stream_id(request_id), call.origin)
+            call.beginning = StreamBeginning(endpoint, connected_at)
+        # Published before it is certain: the caller may resume at once elsewhere, also
+        # when this host has ended.
+        self._publish(call)
+        self.note_events(call)
+
+    def note_events(self, call):
+        """Check the origin of a stream that goes on, if it isn't certain yet."""
+        beginning = call.beginning
+        if beginning is None or not self._is_known(beginning):
+            return
+        if self.is_certain(beginning):
+            call.beginning = None
+        else:
+            self._withdraw(call)
+
+    def is_certain(self, beginning):
+        """Return whether a stream's beginning is known to be at that process.
+
+        Parameters
+        ----------
+        beginning : StreamBeginning
+
+        Notes
+        -----
+        Another process may have taken the endpoint's place after this host's copy was
+        read. It shows in each later read, since it registers before it is connected.
+        """
+        current = self._get_endpoint(beginning.endpoint.name)
+        return self._is_known(beginning) and is_same_process(
+            beginning.endpoint, current
+        )
+
+    async def settle(self, call):
+        """Find out for certain which origin the stream of a call has.
+
+        Returns
+        -------
+        bool
+            Whether it may go on. Where no read is possible it may, at the origin that
+            this host's copy had.
+        """
+        if call.beginning is None:
+            return True
+        if not await self.has_begun_elsewhere(call.beginning):
+            self.note_events(call)
+            return True
+        self._withdraw(call)
+        # It may have begun at the one as well as at the other.
+        self._history.add([call.origin])
+        call.beginning = None
+        call.origin = self.find_only(call.route.services)
+        return call.origin is not None
+
+    async def has_begun_elsewhere(self, beginning):
+        """Return whether a stream may have begun at another process than was known.
+
+        Parameters
+        ----------
+        beginning : StreamBeginning
+        """
+        await self._confirmation.confirm_since(beginning.connected_at)
+        return self._is_known(beginning) and not self.is_certain(beginning)
+
+    async def may_resume(self, origin, endpoint):
+        """Return whether an endpoint has a stream's origin, as far as can be read now.
+
+        Parameters
+        ----------
+        origin : StreamOrigin
+        endpoint : FleetEndpoint
+        """
+        await self._confirmation.confirm_since(self._clock.read_elapsed())
+        current = self._get_endpoint(endpoint.name)
+        return current is not None and StreamOrigin.of(current) == origin
+
+    def _is_known(self, beginning):
+        """Return whether the entries were read after the connection was made."""
+        return self._history.is_known_since(beginning.connected_at)
+
+    def _publish(self, call):
+        stream = digest_stream_id(call.resumed_id or call.request_id)
+        self._origins.note(stream, call.origin)
+        self._record.note_begun(stream, call.origin)
+
+    def _withdraw(self, call):
+        """Forget where a stream began; hosts that were told before still know it."""
+        stream = digest_stream_id(call.resumed_id or call.request_id)
+        if self._origins.find(stream) is None:
+            return
+        self._origins.forget(stream)
+        self._record.forget_begun(stream)
+        log.info(
+            "stream's origin withdrawn: its endpoint was replaced",
+            extra={
+                "request_id": call.request_id,
+                "endpoint": call.beginning.endpoint.name,
+                "software": call.origin.software,
+            },
+        )
 
     def find_only(self, services):
         """Return the one origin that streams of some services can have, or None."""
--- a/mangogauge/streams/history.py
+++ b/mangogauge/streams/history.py
@@ -75,6 +75,10 @@
         """Return whether this host's copy was last confirmed before an elapsed time."""
         return self._clock.read_elapsed() - self._measure_age() < asked_at
 
+    def is_known_since(self, moment):
+        """Return whether the endpoints' entries were read after an elapsed time."""
+        return self._read_at >= moment or not self.is_copy_older(moment)
+
     def is_lost(self):
         """Return whether this host, and all that it hears, have lost the store."""
         self._follow_copy()
--- a/mangogauge/streams/origins.py
+++ b/mangogauge/streams/origins.py
@@ -74,6 +74,10 @@
         self._known[stream] = _KnownOrigin(origin, self._clock.read_elapsed())
         self._evict()
 
+    def forget(self, stream):
+        """Remove what is known of a stream."""
+        self._known.pop(stream, None)
+
     def merge(self, news):
         """Add what `StreamNews` tell of streams that aren't known yet."""
         for stream, origin in news.list_streams():
--- a/mangogauge/streams/record.py
+++ b/mangogauge/streams/record.py
@@ -103,6 +103,14 @@
         self._untold.append(self._begun[-1])
         self._is_unrecorded = True
 
+    def forget_begun(self, stream):
+        """Tell and record no more where a stream began."""
+        for begun in (self._begun, self._untold):
+            kept = [row for row in begun if row[1] != stream]
+            begun.clear()
+            begun.extend(kept)
+        self._is_unrecorded = True
+
     async def run(self):
         """Tell and record this host's streams until cancelled."""
         async with curio.TaskGroup(wait=any) as group:
