--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -309,7 +309,12 @@
             clock,
         )
         self.streams = OriginFinder(
-            self.origins, history, self._stream_record, confirmation
+            self.origins,
+            history,
+            self._stream_record,
+            confirmation,
+            self.directory.get,
+            clock,
         )
 
     def follow(self, prefix, listener, pause_seconds):
