--- a/review/stage2.py
+++ b/review/stage2.py
@@ -158,6 +158,8 @@
         Takes a `Stage`; returns HELD or BROKEN.
     """
     status = NOT_RUN
+    # The processes are ended also if this one is told to end.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(NOT_RUN))
     stage = Stage(Path(file).resolve().parent)
     try:
         status = play(stage)
