Take an answer without a length for whole only if its endpoint outlived it

Cause: the kernel closes a killed process's connections in good order, and such an end was the end of the body for every reader.

Evidence: with chunked answers the case holds; each path fails that reads such a body. 8 of 11 scenarios of killed_endpoints.feature and 2 of 2 of killed_services.feature fail on (the other 3 guard sound answers).

Change: a second connection that carries nothing is kept to each server that answers so. Without it a new connection and a read of the endpoints' entries decide. Otherwise the answer has broken off: items and streams that may be resumed go on.

--- a/features/builders/platform/deployment.py
+++ b/features/builders/platform/deployment.py
@@ -6,6 +6,7 @@
 import re
 import subprocess
 import sys
+import time
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
@@ -175,6 +176,16 @@
         self.write_entry(name, slots=slots)
         return journal
 
+    def start_unframed(self, name, event_seconds, slots=8):
+        """Start an endpoint whose answers have no length; return its journal."""
+        address = f"{self.address}:{self.world.take_port()}"
+        journal = self.world.folder / f"{name}.runs"
+        arguments = (address, name, str(slots), journal, "keeps", event_seconds)
+        self._start(name, "unframed", *arguments)
+        self.endpoints[name] = address
+        self.write_entry(name, slots=slots, born=int(time.time() * 1000))
+        return journal
+
     def restart_endpoint(self, name, *crashing):
         """Start an endpoint that has crashed; a word names what crashes it again."""
         process = self.world.processes[name]
--- a/mangogauge/daemon/endpointaccess.py
+++ b/mangogauge/daemon/endpointaccess.py
@@ -48,7 +48,7 @@
             accepts = partial(self._accepts, scope)
         connector = TunnelConnector(*self._arguments, accepts)
         # A tunnel carries one request, so that the peer sees when it is done with it.
-        return ClientPool(connector=connector, idle_per_address=0)
+        return ClientPool(connector=connector, idle_per_address=0, proves_ends=True)
 
     def _accepts(self, scope, member):
         return self._eligibility.may_carry(member.data_centre, scope)
@@ -74,14 +74,20 @@
         self._fleet = fleet
         paths = fleet.health.paths
         limits = ClientLimits(body_bytes=ANSWER_BYTES)
-        direct = ClientPool(CONNECT_SECONDS, limits=limits)
+        direct = ClientPool(CONNECT_SECONDS, limits=limits, proves_ends=True)
         peers = TunnelPeers(fleet.members, fleet.board, clock, random)
         connector = TunnelConnector(fleet.directory, peers, limits)
         self.checker = PathChecker(
             paths, peers, connector, direct, self._take_lost_path, clock
         )
         self._tunnels = ScopedTunnels(fleet.directory, peers, limits, fleet.eligibility)
-        self.pool = EndpointPool(direct, self._tunnels.get, paths, self.checker)
+        self.pool = EndpointPool(
+            direct,
+            self._tunnels.get,
+            paths,
+            self.checker,
+            fleet.streams.is_same_process,
+        )
         self.relay = EndpointRelay(
             fleet.directory, paths, is_evacuated=fleet.eligibility.is_evacuated
         )
--- a/mangogauge/daemon/host.py
+++ b/mangogauge/daemon/host.py
@@ -186,7 +186,7 @@
             gate,
             RetryPolicy(RetryBudgets(self.clock)),
             times,
-            ClientPool(),
+            ClientPool(proves_ends=True),
             self.clock,
             self.random,
             self.metrics,
--- a/mangogauge/entry/dispatch.py
+++ b/mangogauge/entry/dispatch.py
@@ -12,7 +12,7 @@
 from .handover import Handover
 from .outcomes import include_attempts, make_refusal, make_timeout_error
 from .relay import AnswerRelay
-from .state import DispatchState
+from .state import DispatchState, HeldSlot
 
 __all__ = ["OnlineDispatcher"]
 
@@ -103,7 +103,7 @@
     async def _run_attempts(self, state):
         while True:
             endpoint = await self._acquire_endpoint(state)
-            started_at = self._clock.read_elapsed()
+            state.slot = HeldSlot(self._slots, endpoint, self._clock)
             observer = self._trust.begin(endpoint)
             state.relay.begin_attempt(observer)
             try:
@@ -124,8 +124,7 @@
                 return
             finally:
                 observer.end()
-                held_seconds = self._clock.read_elapsed() - started_at
-                await self._slots.release(endpoint, held_seconds)
+                await state.slot.release()
             if await self._handle_failure(state):
                 return
 
@@ -214,6 +213,8 @@
             )
             raise
         self._health.note_answer(endpoint.name)
+        # The endpoint is done with it while its end is looked at.
+        response.on_ended = state.slot.release
         state.connected_at = self._clock.read_elapsed() - response.open_seconds
         self._log(
             call,
--- a/mangogauge/entry/state.py
+++ b/mangogauge/entry/state.py
@@ -2,7 +2,33 @@
 
 from attrs import define, field
 
-__all__ = ["DispatchState"]
+__all__ = ["DispatchState", "HeldSlot"]
+
+
+class HeldSlot:
+    """The slot that an attempt holds at its endpoint.
+
+    Parameters
+    ----------
+    slots : SlotQueue
+    endpoint : FleetEndpoint
+    clock : Clock
+    """
+
+    def __init__(self, slots, endpoint, clock):
+        self._slots = slots
+        self._endpoint = endpoint
+        self._clock = clock
+        self._began_at = clock.read_elapsed()
+        self._is_held = True
+
+    async def release(self):
+        """Release it, unless that has been done."""
+        if not self._is_held:
+            return
+        self._is_held = False
+        seconds = self._clock.read_elapsed() - self._began_at
+        await self._slots.release(self._endpoint, seconds)
 
 
 @define(eq=False)
@@ -23,6 +49,8 @@
         Failure of the last attempt.
     endpoint : FleetEndpoint or None
         Endpoint of the last attempt.
+    slot : HeldSlot or None
+        The slot that the last attempt held there.
     diagnoses : list of curio.Task
         Each returns whether an attempt crashed its endpoint.
     successor : FleetEndpoint or None
@@ -42,6 +70,7 @@
     may_be_running = field(default=False)
     failure = field(default=None)
     endpoint = field(default=None)
+    slot = field(default=None)
     diagnoses = field(factory=list)
     successor = field(default=None)
     connected = field(default="")
--- a/mangogauge/http/client.py
+++ b/mangogauge/http/client.py
@@ -100,12 +100,31 @@
     @property
     def is_stale(self):
         """Whether the server has closed, is about to, or spoke out of turn."""
-        if time.monotonic() > self._idle_until:
+        return time.monotonic() > self._idle_until or self.has_input()
+
+    def has_input(self):
+        """Return whether the server has sent something unread, or has closed."""
+        return self._poll(select.POLLIN)
+
+    def has_ended(self):
+        """Return whether the server has closed, also if data is still unread."""
+        return self._poll(select.POLLRDHUP)
+
+    def _poll(self, events):
+        descriptor = self._sock.fileno()
+        if descriptor < 0:
             return True
         poller = select.poll()
-        poller.register(self._sock.fileno(), select.POLLIN)
+        poller.register(descriptor, events)
         return bool(poller.poll(0))
 
+    async def wait_for_input(self):
+        """Wait until the server sends something, which is dropped, or has closed."""
+        try:
+            await self._sock.recv(READ_SIZE_BYTES)
+        except OSError:
+            return
+
     def note_request_id(self, request_id):
         """Remember the id of a request that is about to be sent; may be empty."""
         if request_id:
--- a/mangogauge/http/pool.py
+++ b/mangogauge/http/pool.py
@@ -1,10 +1,13 @@
 """Connections to servers, kept for later requests."""
 
+import time
+
 from .connectors import DirectConnector
 from .errors import HTTPConnectError
 from .headers import Headers
-from .responses import ClientResponse
+from .responses import ClientResponse, EndProof, ends_with_connection
 from .sockets import DEFAULT_CONNECT_TIMEOUT
+from .witnesses import ServerFate, Witnesses
 
 __all__ = ["ClientPool", "open_response"]
 
@@ -25,6 +28,9 @@
         Opens connections in place of a `DirectConnector` with the arguments above.
     idle_per_address : int, optional
         Most idle connections that are kept for one address.
+    proves_ends : bool, optional
+        Whether an answer that ends with its connection is whole only if its server
+        is shown to have outlived it.
     """
 
     def __init__(
@@ -34,10 +40,12 @@
         limits=None,
         connector=None,
         idle_per_address=IDLE_PER_ADDRESS,
+        proves_ends=False,
     ):
         self._idle_per_address = idle_per_address
         self._connector = connector or DirectConnector(connect_timeout, tls, limits)
         self._idle = {}
+        self._witnesses = Witnesses(self._connector) if proves_ends else None
 
     async def request(
         self,
@@ -52,6 +60,7 @@
         request_id="",
         only_idle=False,
         on_connection=None,
+        is_running=None,
     ):
         """Send a request and return the head of its answer.
 
@@ -76,6 +85,10 @@
             Raise `HTTPConnectError` rather than open a connection.
         on_connection : callable, optional
             Called with the `ClientConnection` right before the request is sent.
+        is_running : async callable, optional
+            Returns whether the server that is asked runs on. It decides on an answer
+            that ends with its connection where no other connection shows that the
+            server has outlived it; by default, that it takes a new one.
 
         Returns
         -------
@@ -86,6 +99,8 @@
         HTTPConnectError, HTTPSendError, HTTPReceiveError
             According to how far the request got.
         """
+        if self._witnesses is not None and not only_idle:
+            await self._witnesses.prepare(address)
         connection = None
         if not fresh:
             connection = await self._take_idle(address, idle_limit, request_id)
@@ -99,14 +114,40 @@
         try:
             if callable(headers):
                 headers = headers()
+            sent_at = time.monotonic()
             await connection.send_request(method, target, headers, body)
             status, fields = await connection.read_answer_head(
                 is_answer or _take_any_answer
             )
+            proof = None
+            if ends_with_connection(method, status, fields):
+                proof = await self._make_proof(
+                    connection, sent_at, is_running, request_id
+                )
         except BaseException:
             await connection.close()
             raise
-        return ClientResponse(connection, status, fields, self._release)
+        return ClientResponse(connection, status, fields, self._release, proof)
+
+    async def _make_proof(self, connection, sent_at, is_running, request_id):
+        """Return the `EndProof` of an answer without a length, if one is needed."""
+        if self._witnesses is None:
+            return None
+        end = await self._witnesses.watch(connection, sent_at)
+        address = connection.address
+
+        async def is_server_running(fate):
+            if is_running is not None:
+                return await is_running()
+            if fate is ServerFate.ENDED:
+                return False
+            return await self._witnesses.is_listening(address)
+
+        return EndProof(end, is_server_running, address, request_id)
+
+    async def is_listening(self, address):
+        """Return whether a server accepts a connection; see `Witnesses`."""
+        return await self._witnesses.is_listening(address)
 
     async def connect(self, address):
         """Make a connection and keep it for the next request.
--- a/mangogauge/streams/finder.py
+++ b/mangogauge/streams/finder.py
@@ -148,6 +148,23 @@
         await self._confirmation.confirm_since(beginning.connected_at)
         return self._is_known(beginning) and not self.is_certain(beginning)
 
+    async def is_same_process(self, endpoint):
+        """Return whether an endpoint that has just accepted a connection is known.
+
+        Parameters
+        ----------
+        endpoint : FleetEndpoint
+            As this host's copy had it before.
+
+        Notes
+        -----
+        A process registers before it accepts connections, so that a later read shows
+        which one it was. Where no read is possible it isn't known.
+        """
+        beginning = StreamBeginning(endpoint, self._clock.read_elapsed())
+        await self._confirmation.confirm_since(beginning.connected_at)
+        return self.is_certain(beginning)
+
     async def may_resume(self, origin, endpoint):
         """Return whether an endpoint has a stream's origin, as far as can be read now.
 
