Try a part soon that was at the crash of all endpoints

Cause: three crashes that a part explains condemned it, whether other work went on beside them or everything crashed. Only an answer clears a part, an item waited 17 s for itself, and requests had no trials.

Evidence: the log names the shared part 1 s after the crash; work without it runs.

Change: hosts note whether work without the part went on beside its crashes. If none did it is tried 1.25 s after the first moment and 8 s after the second, by a request or an item, one at a time over all hosts, else rarely as before. Trials are recorded beside their lock and count like crashes, two of them late at most. Meanwhile a request gets 503 with a time.

--- a/features/builders/crashes.py
+++ b/features/builders/crashes.py
@@ -1,25 +1,53 @@
 """Test data of crashes: detectors, and hosts that tell each other of crashes."""
 
+import curio
+from attrs import define, field
+
 from mangogauge.clock import ManualClock
 from mangogauge.entry import CrashDetector
-from mangogauge.quarantine import PartQuarantine
+from mangogauge.quarantine import PartQuarantine, PartTrials
 from mangogauge.sharing import CrashLedger
 from mangogauge.sharing.messages import decode
+from mangogauge.store import MemoryStore
+
+__all__ = ["GossipingHosts", "make_crash_detector", "make_trials"]
 
-__all__ = ["GossipingHosts", "make_crash_detector"]
+LEASE_SECONDS = 100_000.0
 
 
 async def ignore_change():
     """Do nothing."""
 
 
+@define
+class LeaseHolder:
+    """Registration of a host whose lease never lapses."""
+
+    lease = field()
+    is_valid = True
+
+
+def make_trials(store, name, part_quarantine, clock, is_first=lambda: False):
+    """Return the `PartTrials` of a host whose news reach all others at once."""
+    holder = LeaseHolder(curio.run(store.grant_lease, LEASE_SECONDS).unwrap())
+    return PartTrials(
+        store, holder, name, part_quarantine, clock, is_first, settle_seconds=0
+    )
+
+
 def make_crash_detector(
-    clock, has_reported_since=lambda data_centre, since: True, part_quarantine=None
+    clock,
+    has_reported_since=lambda data_centre, since: True,
+    part_quarantine=None,
+    trials=None,
 ):
     """Return a `CrashDetector` of a host that tells nobody."""
+    part_quarantine = part_quarantine or PartQuarantine(clock)
+    trials = trials or make_trials(MemoryStore(clock), "own", part_quarantine, clock)
     return CrashDetector(
         CrashLedger(clock),
-        part_quarantine or PartQuarantine(clock),
+        part_quarantine,
+        trials,
         ignore_change,
         clock,
         has_reported_since,
--- a/features/builders/trials.py
+++ b/features/builders/trials.py
@@ -3,9 +3,8 @@
 from random import Random
 
 import curio
-from attrs import define, field
 
-from features.builders.crashes import GossipingHosts, make_crash_detector
+from features.builders.crashes import GossipingHosts, make_crash_detector, make_trials
 from features.builders.fleet import HOST_NAME, make_endpoint, make_route
 from features.builders.jobstore import UnreliableStore
 from features.builders.origins import CertainOrigins
@@ -15,35 +14,19 @@
 from mangogauge.jobs.item_runner import ItemRunner
 from mangogauge.jobs.owned import OwnedJob
 from mangogauge.jobs.records import JobItem, JobManifest
-from mangogauge.jobs.trials import ItemTrials
 from mangogauge.placement import EndpointHealth
 from mangogauge.routing import Progress
 from mangogauge.telemetry import ServingMetrics
 from mangogauge.trust import EndpointTrust
 
-__all__ = ["PART", "TrialFleet", "make_trials"]
+__all__ = ["PART", "TrialFleet"]
 
-LEASE_SECONDS = 100_000.0
 LONG_SECONDS = 3600.0
 STEP_SECONDS = 0.05
 PART = "shared"
 SEED = 1
 
 
-@define
-class LeaseHolder:
-    """Registration of a host whose lease never lapses."""
-
-    lease = field()
-    is_valid = True
-
-
-def make_trials(store, name, part_quarantine, clock):
-    """Return the `ItemTrials` of a host whose news reach all others at once."""
-    holder = LeaseHolder(curio.run(store.grant_lease, LEASE_SECONDS).unwrap())
-    return ItemTrials(store, holder, name, part_quarantine, clock, settle_seconds=0)
-
-
 class _OneEvent:
     """An answer of one event."""
 
@@ -74,6 +57,8 @@
         When which item was run, in seconds of the clock.
     crashes : list of float
         When endpoints have crashed.
+    notes_crashes : bool
+        Whether any host notes further crashes.
     """
 
     def __init__(self, names, count, crashing):
@@ -83,6 +68,7 @@
         self.crashing = crashing
         self.runs = []
         self.crashes = []
+        self.notes_crashes = True
         self.route = make_route("night", RequestSemantics.BATCH, attempt_limit=3)
         self.jobs = {name: self._make_job(name, count) for name in names}
         self._runners = {name: self._make_runner(name) for name in names}
@@ -117,10 +103,17 @@
     def crash(self, request):
         """Let an endpoint crash at a request with the part."""
         self.crashes.append(self.clock.read_elapsed())
+        if not self.notes_crashes:
+            return
         first = next(iter(self.jobs))
         self.hosts[first].note_crash(f"e{len(self.crashes)}", request, (PART,))
         self.hosts.tell_all()
 
+    def serve_others(self):
+        """Let an endpoint go on with an answer without the part."""
+        for name in self.jobs:
+            self.hosts[name].note_work(("other",), "")
+
     def read_shared_parts(self, headers):
         """Return the shared parts of each item's prompt."""
         return (PART,)
--- a/features/jobs/crashes.feature
+++ b/features/jobs/crashes.feature
@@ -40,6 +40,7 @@
   Scenario: An item isn't run while a part of its prompt is quarantined
     Given an item whose prompt shares the parts "a, b"
     And 3 endpoints have crashed at requests with these parts
+    And others went on meanwhile without these parts
     When it is run again and again for 16 s
     Then it has run at least 0 times and at most 0 times
     When the quarantine has ended after 600 s
--- a/features/platform/crashing_parts.feature
+++ b/features/platform/crashing_parts.feature
@@ -89,3 +89,16 @@
     Then all were answered whole
     When "desk" asks "h1" and "h2" in turn for 9 different prompts with "common+deadly-part-with-a-name-of-48-characters-00000001", and each time for one with "common"
     Then 5 endpoints at most have crashed, and the last answer is 422
+
+  # Guards against sound requests that are refused for ten minutes (DENIED, LOST).
+  Scenario Outline: All endpoints crash at once within answers that share a part, <store>
+    Given the store stays <store>
+    When "desk" asks "h1" and "h2" for 24 streams of 300 events with "common", and all endpoints are killed 1.1 s later and back after 1 s
+    And 4 s pass for the endpoints
+    And "desk" asks "h1" and "h2" for 24 prompts with "common", two a second
+    Then none was refused by 422, and the last 14 were answered whole
+
+    Examples:
+      | store |
+      | there |
+      | away  |
--- a/features/steps/item_trials.py
+++ b/features/steps/item_trials.py
@@ -6,9 +6,11 @@
 from features.builders.trials import PART, TrialFleet
 from features.machines.stores import Fate
 from mangogauge.jobs.records import ItemState
-from mangogauge.jobs.trials import make_trial_key
+from mangogauge.quarantine.trials import make_trial_key
 from mangogauge.store import Operation, Transaction
 
+# When others were seen to go on after the crashes.
+WORK_SECONDS = 0.1
 KINDS = {"crashes endpoints": True, "is sound": False}
 
 
@@ -17,12 +19,35 @@
     context.fleet = TrialFleet(names.split(", "), count, KINDS[kind])
 
 
-@given("the part has crashed {count:d} endpoints")
+@given("the part has crashed {count:d} endpoints, while others went on without it")
 def crash_endpoints(context, count):
+    crash_all(context, count)
+    context.fleet.clock.advance(WORK_SECONDS)
+    context.fleet.serve_others()
+
+
+@given("the part was at the crash of all {count:d} endpoints")
+def crash_all(context, count):
     for number in range(count):
         context.fleet.crash(f"r{number}")
 
 
+@given("no host notes further crashes")
+def miss_crashes(context):
+    context.fleet.notes_crashes = False
+
+
+@when("all {count:d} endpoints crash again at the part")
+def crash_again(context, count):
+    for number in range(count):
+        context.fleet.crash(f"again-{number}")
+
+
+@then("{count:d} trials have been made at most")
+def check_trials(context, count):
+    assert 1 <= len(context.fleet.runs) <= count, context.fleet.runs
+
+
 @given("a trial of the part is under way elsewhere")
 def lock_elsewhere(context):
     lock = Operation(make_trial_key(PART), b"other")
--- a/features/steps/items_crashes.py
+++ b/features/steps/items_crashes.py
@@ -7,10 +7,9 @@
 from attrs import define, field
 from behave import given, then, when
 
-from features.builders.crashes import make_crash_detector
+from features.builders.crashes import make_crash_detector, make_trials
 from features.builders.fleet import HOST_NAME, make_endpoint, make_route
 from features.builders.origins import CertainOrigins
-from features.builders.trials import make_trials
 from mangogauge.clock import ManualClock
 from mangogauge.entry import AttemptFailure, StreamEvent
 from mangogauge.fleet import RequestSemantics
@@ -175,6 +174,12 @@
         context.part_quarantine.note_crash(f"e{number}", f"r{number}", parts)
 
 
+@given("others went on meanwhile without these parts")
+def serve_others(context):
+    context.clock.advance(0.1)
+    context.part_quarantine.note_work(("other",), "")
+
+
 @when("the quarantine has ended after {seconds:d} s")
 def end_quarantine(context, seconds):
     context.clock.advance(seconds)
--- a/features/steps/platform_crashes.py
+++ b/features/steps/platform_crashes.py
@@ -4,11 +4,12 @@
 import time
 from concurrent.futures import ThreadPoolExecutor
 
-from behave import then, when
+from behave import given, then, when
 
 from features.builders.processes import wait_until
 
 # Between two requests: longer than a caller's own pause before the next try.
+STEADY_GAP_SECONDS = 0.5
 PAUSE_SECONDS = 0.5
 POLL_SECONDS = 0.02
 RECORDED = '"quarantine record written"'
@@ -74,27 +75,77 @@
 )
 def kill_within_answers(context, first, second, count, events, part, killed, gap):
     deployment = context.deployment
+    with ThreadPoolExecutor(count) as pool:
+        asked = ask_for_streams(pool, deployment, (first, second), count, events, part)
+        for name in list(deployment.endpoints)[:killed]:
+            time.sleep(gap)
+            context.world.processes[name].kill()
+        context.answers = [future.result() for future in asked]
+
+
+def ask_for_streams(pool, deployment, hosts, count, events, part):
+    """Ask hosts in turn for streams whose prompts share a part; return futures."""
+    return [
+        pool.submit(
+            deployment.ask,
+            hosts[number % 2],
+            f"/ask/{number}",
+            f"s-{number}",
+            events,
+            X_Prompt_Prefix=f"{part}:100,own-{number}:100",
+        )
+        for number in range(count)
+    ]
+
+
+@when(
+    '"desk" asks "{first}" and "{second}" for {count:d} streams of {events:d} events '
+    'with "{part}", and all endpoints are killed {after:g} s later and back after '
+    "{down:g} s"
+)
+def kill_all_at_once(context, first, second, count, events, part, after, down):
+    deployment = context.deployment
+    with ThreadPoolExecutor(count) as pool:
+        asked = ask_for_streams(pool, deployment, (first, second), count, events, part)
+        time.sleep(after)
+        for name in deployment.endpoints:
+            context.world.processes[name].kill()
+        time.sleep(down)
+        for name in deployment.endpoints:
+            deployment.restart_endpoint(name)
+        for future in asked:
+            future.result()
+
+
+@when(
+    '"desk" asks "{first}" and "{second}" for {count:d} prompts with "{parts}", '
+    "two a second"
+)
+def ask_steadily(context, first, second, count, parts):
     with ThreadPoolExecutor(count) as pool:
         asked = []
         for number in range(count):
             host = (first, second)[number % 2]
-            prefix = f"{part}:100,own-{number}:100"
             asked.append(
-                pool.submit(
-                    deployment.ask,
-                    host,
-                    f"/ask/{number}",
-                    f"s-{number}",
-                    events,
-                    X_Prompt_Prefix=prefix,
-                )
+                pool.submit(ask_with_parts, context, host, parts, f"later-{number}")
             )
-        for name in list(deployment.endpoints)[:killed]:
-            time.sleep(gap)
-            context.world.processes[name].kill()
+            time.sleep(STEADY_GAP_SECONDS)
         context.answers = [future.result() for future in asked]
 
 
+@given("the store stays {word}")
+def set_store(context, word):
+    context.deployment.control("store", status=503 if word == "away" else 0)
+
+
+@then("none was refused by 422, and the last {count:d} were answered whole")
+def check_let_go(context, count):
+    statuses = [answer.status for answer in context.answers]
+    assert 422 not in statuses, statuses
+    late = context.answers[-count:]
+    assert all(a.status == 200 and a.whole for a in late), statuses
+
+
 @then("none of them was refused, and some were answered whole")
 def check_none_refused(context):
     statuses = [answer.status for answer in context.answers]
--- a/mangogauge/daemon/serving.py
+++ b/mangogauge/daemon/serving.py
@@ -27,7 +27,6 @@
 from ..jobs.claims import JobClaims
 from ..jobs.item_runner import ItemRunner
 from ..jobs.keys import WORK_PREFIX
-from ..jobs.trials import ItemTrials
 from ..paths import TUNNEL_PREFIX
 from ..placement import (
     BatchRoom,
@@ -37,6 +36,7 @@
     SlotQueue,
     Spillover,
 )
+from ..quarantine import PartTrials
 from ..routing import RetryBudgets, RetryPolicy
 from ..sharing import QuotaLine
 from ..store import StoreRelay
@@ -162,9 +162,18 @@
             self.fleet.limiter.note_cold_answer,
         )
 
+        self.trials = PartTrials(
+            self.backends.store,
+            self.fleet.registration,
+            self.fleet.claimant,
+            self.fleet.part_quarantine,
+            self.clock,
+            self.fleet.neighbours.is_first,
+        )
         self.crashes = CrashDetector(
             self.fleet.crash_ledger,
             self.fleet.part_quarantine,
+            self.trials,
             self.fleet.notify_crash,
             self.clock,
             self.fleet.neighbours.hears_data_centre,
@@ -204,13 +213,7 @@
                 self.fleet.health,
                 self.fleet.trust,
                 self.crashes,
-                ItemTrials(
-                    store,
-                    self.fleet.registration,
-                    self.fleet.claimant,
-                    self.fleet.part_quarantine,
-                    clock,
-                ),
+                self.trials,
                 self.fleet.streams,
                 clock,
                 self.random,
--- a/mangogauge/entry/crashes.py
+++ b/mangogauge/entry/crashes.py
@@ -6,17 +6,19 @@
 centre is partitioned, so a failure counts as a crash only if such reports arrive.
 """
 
-from contextlib import contextmanager
+from contextlib import asynccontextmanager, contextmanager
 
 import curio
 import xxhash
-from attrs import field, frozen
+from attrs import define, field
 
 from ..fleet import RequestSemantics
 from ..http import ClientConnection, HTTPConnectError
 from ..refusals import Refusal, RefusalCode
+from ..routing import Progress
 from ..telemetry import get_logger
 from ..ticks import sleep_to_tick
+from .attempt import AttemptFailure
 
 __all__ = ["CrashDetector"]
 
@@ -43,11 +45,14 @@
 LENGTH_POLL_SECONDS = 0.25
 # After this time a suspected part has been quarantined or cleared.
 SUSPECTED_RETRY_SECONDS = 1.0
+# Most answers of a trial show by then whether its part is sound.
+TRIAL_ANSWER_SECONDS = 1.5
+UNRUN = frozenset({Progress.NOT_SENT, Progress.NOT_RUN})
 
 log = get_logger("crashes")
 
 
-@frozen
+@define(eq=False)
 class _RunningAnswer:
     """An answer that goes on.
 
@@ -55,12 +60,20 @@
     ----------
     parts : tuple of str
         The shared parts of its prompt.
+    service : str
     measure : callable
         Returns for how many seconds it has gone on; 0 if it did not begin.
+
+    Attributes
+    ----------
+    seconds : float
+        What `measure` last returned.
     """
 
     parts = field()
+    service = field()
     measure = field()
+    seconds = field(default=0.0)
 
 
 class CrashDetector:
@@ -73,6 +86,7 @@
         callers must get a result.
     part_quarantine : PartQuarantine
         Finds the parts of prompts that crash endpoints, in requests and items.
+    trials : PartTrials
     notify : async callable
         Called after a crash, so that it is reported to the other hosts.
     clock : Clock
@@ -88,6 +102,7 @@
         self,
         ledger,
         part_quarantine,
+        trials,
         notify,
         clock,
         has_reported_since,
@@ -95,6 +110,7 @@
     ):
         self._ledger = ledger
         self._part_quarantine = part_quarantine
+        self._trials = trials
         self._notify = notify
         self._clock = clock
         self._has_reported_since = has_reported_since
@@ -113,17 +129,58 @@
                 self._has_news = False
                 await self._notify()
 
+    @asynccontextmanager
+    async def admit(self, call, service, measure_answer, executed="no"):
+        """Let a call run, perhaps on trial, and watch its answer meanwhile.
+
+        Parameters
+        ----------
+        call, service, measure_answer
+            As `watch`.
+        executed : str, optional
+            As `check`.
+
+        Raises
+        ------
+        Refusal
+            As `check`.
+        """
+        self.check(call, executed)
+        part = await self._begin_trial(call, executed)
+        has_run = True
+        try:
+            with self.watch(call, service, measure_answer):
+                yield
+        except AttemptFailure as failure:
+            has_run = failure.progress not in UNRUN
+            raise
+        finally:
+            if part is not None:
+                await self._trials.end(part, has_run)
+
+    async def _begin_trial(self, call, executed):
+        """Return the part that a call runs on trial for; None if it may run anyhow."""
+        parts = call.shared_parts
+        if not self._part_quarantine.is_quarantined(parts):
+            return None
+        part = await self._trials.begin(parts, may_be_alone=True)
+        if part is None and self._part_quarantine.is_quarantined(parts):
+            raise self._make_trial_refusal(parts, executed)
+        return part
+
     @contextmanager
-    def watch(self, call, measure_answer):
+    def watch(self, call, service, measure_answer):
         """Note how long the answer of a run goes on, while it runs.
 
         Parameters
         ----------
         call : OnlineCall
+        service : str
+            The endpoint's.
         measure_answer : callable
             Returns for how many seconds the answer has gone on; 0 if it did not begin.
         """
-        answer = _RunningAnswer(call.shared_parts, measure_answer)
+        answer = _RunningAnswer(call.shared_parts, service, measure_answer)
         key = id(answer)
         self._running[key] = answer
         try:
@@ -134,11 +191,15 @@
 
     def _note_length(self, answer):
         """Clear the parts of an answer of crashes that it has outlasted."""
-        if self._part_quarantine.note_answer(answer.parts, answer.measure()):
+        seconds = answer.measure()
+        if seconds > answer.seconds:
+            answer.seconds = seconds
+            self._part_quarantine.note_work(answer.parts, answer.service)
+        if self._part_quarantine.note_answer(answer.parts, seconds):
             self._has_news = True
 
     def check(self, call, executed="no"):
-        """Raise `Refusal` if `call` is quarantined.
+        """Raise `Refusal` if `call` is quarantined, and not to be run on trial.
 
         Parameters
         ----------
@@ -151,12 +212,22 @@
                 "This request has crashed the endpoints that ran it.", executed
             )
         if self._part_quarantine.is_quarantined(call.shared_parts):
-            raise _make_quarantine_refusal(
-                "A part of this request's prompt has crashed endpoints.", executed
-            )
+            if not self._trials.is_due(call.shared_parts):
+                raise self._make_trial_refusal(call.shared_parts, executed)
+            # It is to run on trial.
+            return
         if self._part_quarantine.is_suspected(call.shared_parts):
             raise _make_suspicion_refusal(executed)
 
+    def _make_trial_refusal(self, parts, executed):
+        """Return the `Refusal` of a call that has to wait for another one's trial."""
+        if not self._trials.may_be_sound(parts):
+            return _make_quarantine_refusal(
+                "A part of this request's prompt has crashed endpoints.", executed
+            )
+        wait = self._trials.find_time(parts) - self._clock.read_elapsed()
+        return _make_suspicion_refusal(executed, max(0.0, wait) + TRIAL_ANSWER_SECONDS)
+
     def is_quarantined(self, call):
         """Return whether `call` has crashed too many endpoints."""
         if self._ledger.is_empty:
@@ -235,7 +306,11 @@
             if answer_seconds < MIN_ANSWER_SECONDS:
                 answer_seconds = 0.0
             self._part_quarantine.note_crash(
-                crash, fingerprint, call.shared_parts, answer_seconds
+                crash,
+                fingerprint,
+                call.shared_parts,
+                answer_seconds,
+                endpoint.service,
             )
         log.warning(
             "endpoint crashed within a request",
@@ -258,12 +333,12 @@
     )
 
 
-def _make_suspicion_refusal(executed):
+def _make_suspicion_refusal(executed, retry_after=SUSPECTED_RETRY_SECONDS):
     if executed == "no":
         return Refusal(
             RefusalCode.REQUEST_SUSPECTED,
             "A part of this request's prompt may have crashed endpoints.",
-            retry_after=SUSPECTED_RETRY_SECONDS,
+            retry_after=round(retry_after, 3),
             step="check crashes",
         )
     return Refusal(
--- a/mangogauge/entry/dispatch.py
+++ b/mangogauge/entry/dispatch.py
@@ -108,9 +108,11 @@
             state.relay.begin_attempt(observer)
             try:
                 # It may have been quarantined while it waited for a slot.
-                self._crashes.check(state.call, state.executed)
-                with self._crashes.watch(
-                    state.call, lambda: state.relay.answer_seconds
+                async with self._crashes.admit(
+                    state.call,
+                    endpoint.service,
+                    lambda: state.relay.answer_seconds,
+                    state.executed,
                 ):
                     await self._run_attempt(state, endpoint)
             except AttemptFailure as failure:
--- a/mangogauge/jobs/item_runner.py
+++ b/mangogauge/jobs/item_runner.py
@@ -14,6 +14,11 @@
 IDLE_TIMEOUT_SECONDS = 3.0
 # Events of items are read in batches, since no caller waits for single ones.
 GATHER_SECONDS = 0.04
+# Time between an item's trials, and until the first where its part is likely to have
+# crashed endpoints.
+TRIAL_INTERVAL_SECONDS = 17.0
+# How soon an item may be considered again that is to wait for a trial.
+TRIAL_CHECK_SECONDS = 0.5
 # An item that must not run for now backs off as after this many interrupted runs.
 QUARANTINE_BACKOFF_COUNT = 5
 
@@ -29,7 +34,7 @@
     health : EndpointHealth
     trust : EndpointTrust
     crashes : CrashDetector
-    trials : ItemTrials
+    trials : PartTrials
     streams : OriginFinder
     clock : Clock
     random : random.Random
@@ -74,26 +79,29 @@
         endpoint : FleetEndpoint
         """
         # The part may have been quarantined since dispatch.
-        if self.hold_back(item):
-            return
         parts = self._read_shared_parts(item)
-        if not self._crashes.has_crashing_part(parts):
+        if not self._plan_trial(item, parts):
             await self._run_once(item, route, endpoint)
             return
-        if not await self._trials.begin(item, parts):
-            reason = "another item with a part that has crashed endpoints is on trial"
-            self._wait_for_trial(item, parts, reason)
+        part = await self._trials.begin(parts, item.trial_at)
+        if part is None:
+            self._wait_for_trial(item, parts)
             return
+        item.trial_at = self._clock.read_elapsed() + TRIAL_INTERVAL_SECONDS
+        has_run = True
         try:
-            await self._run_once(item, route, endpoint)
+            has_run = await self._run_once(item, route, endpoint)
         finally:
-            await self._trials.end(item)
+            await self._trials.end(part, has_run)
 
     async def _run_once(self, item, route, endpoint):
+        """Run an item; return whether the endpoint may have run it."""
         call = self._make_call(item, route)
         observer = self._trust.begin(endpoint)
         try:
-            with self._crashes.watch(call, lambda: item.answer_seconds):
+            with self._crashes.watch(
+                call, endpoint.service, lambda: item.answer_seconds
+            ):
                 await self._run(item, call, endpoint, observer)
         except AttemptFailure as failure:
             failure.end_attempt(observer)
@@ -102,11 +110,13 @@
                 call, endpoint, failure, item.answer_seconds
             )
             self._handle_failure(item, route, endpoint, failure)
+            return failure.progress not in (Progress.NOT_SENT, Progress.NOT_RUN)
         else:
             observer.end_answered()
             await self._crashes.note_answer(call)
             self._health.note_answer(endpoint.name)
             self._finish(item, ItemState.DONE, "ran to its end")
+            return True
         finally:
             observer.end()
 
@@ -118,18 +128,39 @@
         item : OwnedItem
         """
         parts = self._read_shared_parts(item)
+        if not self._plan_trial(item, parts):
+            return False
+        if self._trials.take_turn(parts, item.trial_at):
+            return False
+        self._wait_for_trial(item, parts)
+        return True
+
+    def _plan_trial(self, item, parts):
+        """Return whether an item may run on trial only; if so, it has a time for it."""
         if not self._crashes.has_crashing_part(parts):
             item.trial_at = None
             return False
-        if self._trials.is_due(item, parts):
-            return False
-        self._wait_for_trial(item, parts, "a part of its prompt has crashed endpoints")
+        if item.trial_at is None:
+            item.trial_at = self._clock.read_elapsed() + TRIAL_INTERVAL_SECONDS
+            log.info(
+                "item waits",
+                extra={
+                    "request_id": item.item.item_id,
+                    "job": item.job.job_id,
+                    "reason": "a part of its prompt has crashed endpoints",
+                },
+            )
         return True
 
-    def _wait_for_trial(self, item, parts, reason):
-        self.pause(item, reason, QUARANTINE_BACKOFF_COUNT)
-        next_trial = self._trials.find_next(item, parts)
-        item.delay_until(min(item.not_before, next_trial))
+    def _wait_for_trial(self, item, parts):
+        """Postpone an item until it may be run on trial, or its part be let go."""
+        now = self._clock.read_elapsed()
+        backoff = compute_backoff(QUARANTINE_BACKOFF_COUNT, self._random)
+        next_trial = now + TRIAL_CHECK_SECONDS
+        if not self._trials.may_be_sound(parts):
+            trial_at = self._trials.find_time(parts, item.trial_at)
+            next_trial = max(next_trial, trial_at)
+        item.delay_until(min(now + backoff, next_trial))
 
     def give_up(self, item, reason):
         """Finish an item as given up.
--- a/mangogauge/jobs/owned.py
+++ b/mangogauge/jobs/owned.py
@@ -68,8 +68,6 @@
         Number of events that it had then.
     trial_at : float or None
         Elapsed time from which the item may run on trial; None if it isn't held back.
-    trial_part : str
-        Part of its prompt for which it was last run on trial.
     answer_begun_at : float or None
         Elapsed time at which the answer of its last run began.
     answer_seconds : float
@@ -97,7 +95,6 @@
     started_at = field(default=0.0)
     events_at_start = field(default=0)
     trial_at = field(default=None)
-    trial_part = field(default="")
     answer_begun_at = field(default=None)
     scope = field(default=ANYWHERE)
     answer_seconds = field(default=0.0)
--- a/mangogauge/quarantine/__init__.py
+++ b/mangogauge/quarantine/__init__.py
@@ -5,12 +5,14 @@
 from .parts import PartQuarantine
 from .record import QuarantineRecord
 from .sightings import CrashSighting
+from .trials import PartTrials
 
 __all__ = [
     "AnsweredPart",
     "CrashNews",
     "CrashSighting",
     "PartQuarantine",
+    "PartTrials",
     "QuarantineRecord",
     "find_culprits",
 ]
--- a/mangogauge/quarantine/news.py
+++ b/mangogauge/quarantine/news.py
@@ -14,6 +14,8 @@
 AGE_STEP_SECONDS = 0.1
 # Between the name of a request or part and the length of an answer.
 LENGTH_MARK = "~"
+# Behind the name of a request whose crash was one of a few beside sound work.
+CONTRAST_MARK = "^"
 
 
 @frozen
@@ -43,6 +45,7 @@
     parts = field(converter=tuple)
     age = field()
     answer_seconds = field(default=0.0)
+    is_contrasted = field(default=False)
 
 
 @frozen
@@ -92,7 +95,8 @@
         -----
         How long an answer went on is told behind the name of its request or part, as
         in ``NAME~12`` for 1.2 s. To hosts of older builds, which know no such lengths,
-        this is another name; a part of that name is in no prompt.
+        this is another name; a part of that name is in no prompt. The mark of sound
+        work beside a crash stands before the length.
         """
         return orjson.dumps(
             [
@@ -100,7 +104,7 @@
                 [
                     [
                         s.crash,
-                        _add_length(s.request, s.answer_seconds, 0.0),
+                        _add_length(_mark_request(s), s.answer_seconds, 0.0),
                         s.parts,
                         _write_age(s.age),
                     ]
@@ -116,7 +120,18 @@
 
 def _read_sighting(crash, request, parts, age):
     name, seconds = _split_length(str(request), 0.0)
-    return SightingNews(str(crash), name, map(str, parts), _read_age(age), seconds)
+    return SightingNews(
+        str(crash),
+        name.removesuffix(CONTRAST_MARK),
+        map(str, parts),
+        _read_age(age),
+        seconds,
+        name.endswith(CONTRAST_MARK),
+    )
+
+
+def _mark_request(sighting):
+    return sighting.request + CONTRAST_MARK * sighting.is_contrasted
 
 
 def _read_answered(part, age):
--- a/mangogauge/quarantine/parts.py
+++ b/mangogauge/quarantine/parts.py
@@ -16,6 +16,7 @@
 from .culprits import find_culprits
 from .news import AnsweredPart, CrashNews, SightingNews
 from .sightings import CrashSighting
+from .soundwork import SoundWork
 
 __all__ = ["PartQuarantine"]
 
@@ -24,6 +25,8 @@
 # How long after a crash it counts: within this time other hosts tell of answers that
 # clear the parts.
 SETTLE_SECONDS = 0.75
+# How long work is remembered that may have gone on beside a crash.
+WORK_SECONDS = 3.0
 # How long the other hosts are told that an accused part was answered.
 DISPUTE_SECONDS = 10.0
 MAX_SIGHTINGS = 512
@@ -62,6 +65,7 @@
         self._clock = clock
         self._sightings = {}
         self._answers = PartAnswers(clock)
+        self._work = SoundWork(WORK_SECONDS)
         # Until when the other hosts are told of an accused part's answer.
         self._disputed = {}
         self._culprits = frozenset()
@@ -88,7 +92,31 @@
         """Whether any part was at a crash that it may have caused."""
         return bool(self._sightings)
 
-    def note_crash(self, crash, request, parts, answer_seconds=0.0):
+    def note_work(self, parts, service):
+        """Note that an answer of a service, with these shared parts, went on."""
+        if self._sightings:
+            now = self._clock.read_elapsed()
+            self._work.note(map(_shorten, parts), service, now)
+
+    def is_ambiguous(self, name):
+        """Return whether nothing but its crashes tells against a part.
+
+        Notes
+        -----
+        Then all that ran may have crashed for another reason, and the part be one
+        that all of it shared.
+        """
+        self._update()
+        return not any(
+            name in s.parts and s.is_contrasted for s in self._sightings.values()
+        )
+
+    def has_followed(self, name):
+        """Return whether a part was at a second crash with the same request."""
+        requests = [s.request for s in self._sightings.values() if name in s.parts]
+        return len(requests) > len(set(requests))
+
+    def note_crash(self, crash, request, parts, answer_seconds=0.0, service=""):
         """Note a request whose answer an endpoint had not finished when it crashed.
 
         Parameters
@@ -99,6 +127,8 @@
             The shared parts of its prompt.
         answer_seconds : float, optional
             How long the answer had gone on; 0 if it had not begun.
+        service : str, optional
+            The endpoint's.
 
         Returns
         -------
@@ -111,7 +141,9 @@
             for part in map(_shorten, parts)
             if not self._answers.clears(part, answer_seconds)
         ]
-        return self._add(CrashSighting(crash, request, parts, now, answer_seconds))
+        return self._add(
+            CrashSighting(crash, request, parts, now, answer_seconds, service)
+        )
 
     def note_answer(self, parts, seconds=WHOLE):
         """Note that a request with these shared parts was answered.
@@ -151,6 +183,7 @@
 
     def make_news(self):
         """Return the `CrashNews` for other hosts; false if there are none."""
+        self._update()
         now = self._clock.read_elapsed()
         self._disputed = {p: end for p, end in self._disputed.items() if end > now}
         return CrashNews(
@@ -215,13 +248,25 @@
             # Also of a known sighting: its sender may not have heard of the answer.
             self._disputed[part] = now + DISPUTE_SECONDS
         parts = [part for part in row.parts if part not in answered]
-        added = self._add(
-            CrashSighting(
-                row.crash, row.request, parts, now - row.age, row.answer_seconds
-            )
+        sighting = CrashSighting(
+            row.crash,
+            row.request,
+            parts,
+            now - row.age,
+            row.answer_seconds,
+            is_contrasted=row.is_contrasted,
         )
+        added = self._add(sighting) or self._contrast(sighting)
         return added or bool(answered)
 
+    def _contrast(self, sighting):
+        """Take over that work went on beside a crash; return whether it is news."""
+        known = self._sightings.get(sighting.key)
+        if known is None or known.is_contrasted or not sighting.is_contrasted:
+            return False
+        self._sightings[known.key] = evolve(known, is_contrasted=True)
+        return True
+
     def _add(self, sighting):
         if not sighting.parts or sighting.key in self._sightings:
             return False
@@ -277,8 +322,22 @@
             default=float("inf"),
         )
         self._replace_culprits(find_culprits(settled))
+        for part in self._culprits:
+            self._note_contrast(part)
         self._suspects = find_culprits(settled + fresh) - self._culprits
 
+    def _note_contrast(self, part):
+        """Note whether work without a part went on right after its last crash."""
+        crashes = [s for s in self._sightings.values() if part in s.parts]
+        own = [s for s in crashes if s.service is not None]
+        if not own or any(s.is_contrasted for s in crashes):
+            return
+        last = max(s.seen_at for s in crashes)
+        until = last + SETTLE_SECONDS
+        if self._work.is_beside(part, own[0].service, last, until):
+            for sighting in own:
+                self._sightings[sighting.key] = evolve(sighting, is_contrasted=True)
+
     def _replace_culprits(self, culprits):
         if culprits == self._culprits:
             return
@@ -301,7 +360,12 @@
 def _tell(sighting, now):
     age = now - sighting.seen_at
     return SightingNews(
-        sighting.crash, sighting.request, sighting.parts, age, sighting.answer_seconds
+        sighting.crash,
+        sighting.request,
+        sighting.parts,
+        age,
+        sighting.answer_seconds,
+        sighting.is_contrasted,
     )
 
 
--- a/mangogauge/quarantine/record.py
+++ b/mangogauge/quarantine/record.py
@@ -37,7 +37,7 @@
         self._part_quarantine = part_quarantine
         self._is_writer = is_writer
         self._clock = clock
-        self._recorded = []
+        self._recorded = {}
 
     async def run(self):
         """Read the record, then keep it until cancelled."""
@@ -49,7 +49,15 @@
                 await self._write()
 
     def _has_changed(self):
-        return self._part_quarantine.list_quarantined() != self._recorded
+        return self._describe() != self._recorded
+
+    def _describe(self):
+        """Return whether each part in quarantine is ambiguous, by its name."""
+        quarantine = self._part_quarantine
+        return {
+            part: quarantine.is_ambiguous(part)
+            for part in quarantine.list_quarantined()
+        }
 
     async def _read(self):
         answer = await self._store.get(RECORD_KEY)
@@ -70,11 +78,11 @@
             log.warning("quarantine record is invalid", extra={"reason": repr(error)})
             return
         self._part_quarantine.merge(news)
-        self._recorded = self._part_quarantine.list_quarantined()
-        log.info("quarantine record read", extra={"parts": self._recorded})
+        self._recorded = self._describe()
+        log.info("quarantine record read", extra={"parts": sorted(self._recorded)})
 
     async def _write(self):
-        parts = self._part_quarantine.list_quarantined()
+        parts = self._describe()
         news = self._part_quarantine.make_quarantine_news()
         value = {
             "written_at": self._clock.read_calendar(),
@@ -85,7 +93,7 @@
             self._log_failure("written", answer)
             return
         self._recorded = parts
-        log.info("quarantine record written", extra={"parts": parts})
+        log.info("quarantine record written", extra={"parts": sorted(parts)})
 
     def _log_failure(self, action, answer):
         log.warning(
--- a/mangogauge/quarantine/sightings.py
+++ b/mangogauge/quarantine/sightings.py
@@ -21,6 +21,10 @@
         Elapsed time of the crash in seconds, by this host's clock.
     answer_seconds : float, optional
         How long the answer had gone on; 0 if it had not begun.
+    service : str, optional
+        The endpoint's service, if this host saw the crash.
+    is_contrasted : bool, optional
+        Whether work without the part that explains the crash went on beside it.
     """
 
     crash = field()
@@ -28,6 +32,8 @@
     parts = field(converter=tuple)
     seen_at = field()
     answer_seconds = field(default=0.0)
+    service = field(default=None)
+    is_contrasted = field(default=False)
 
     @property
     def key(self):
