Keep no witness on a closed connection, and forget servers of long ago

Found by reading the change: where a witness could not be opened again, its keeper waited on the closed connection, which may raise; addresses of servers that are gone were kept for good.

--- a/mangogauge/http/witnesses.py
+++ b/mangogauge/http/witnesses.py
@@ -134,6 +134,11 @@
         """Whether its answers are likely to end with their connection again."""
         return time.monotonic() < self.answered_at + EXPECT_SECONDS
 
+    @property
+    def is_in_use(self):
+        """Whether it has to be remembered."""
+        return self.is_expected or bool(self.answers)
+
     @property
     def _is_needed(self):
         kept_until = self.answered_at + KEEP_SECONDS
@@ -172,12 +177,13 @@
         try:
             while self._is_needed:
                 witness = self._witness
-                async with curio.ignore_after(CHECK_SECONDS):
-                    await witness.connection.wait_for_input()
-                if not witness.is_open:
-                    await witness.connection.close()
-                    await curio.sleep(max(0.0, self._retry_at - time.monotonic()))
-                    await self.open()
+                if witness.is_open:
+                    async with curio.ignore_after(CHECK_SECONDS):
+                        await witness.connection.wait_for_input()
+                    continue
+                await witness.connection.close()
+                await curio.sleep(max(0.0, self._retry_at - time.monotonic()))
+                await self.open()
         finally:
             self._is_kept = False
             witness, self._witness = self._witness, None
@@ -203,7 +209,7 @@
             return
         if server.is_expected:
             await server.open()
-        elif not server.answers:
+        elif not server.is_in_use:
             del self._servers[address]
 
     async def watch(self, connection, sent_at):
@@ -218,12 +224,18 @@
         address = connection.address
         server = self._servers.get(address)
         if server is None:
+            self._forget_others()
             server = self._servers[address] = _Server(address, self._connector)
         end = server.add(connection, sent_at)
         # The answer isn't held up by it.
         await curio.spawn(server.open, daemon=True)
         return end
 
+    def _forget_others(self):
+        """Forget the servers that have had no such answer lately."""
+        for address in [a for a, s in self._servers.items() if not s.is_in_use]:
+            del self._servers[address]
+
     async def is_listening(self, address):
         """Return whether a server accepts a connection.
 
