Let trials begin without the store more than once, and soon

Found by reading the change: a trial that began without the store stayed locked until the store was back, also if no endpoint ran it, and a store that gave no answer held up its begin. The trials' and crashes' scenarios pass as before.

--- a/mangogauge/quarantine/trials.py
+++ b/mangogauge/quarantine/trials.py
@@ -25,6 +25,8 @@
 EARLY_SECONDS = 1.0
 # After this time other hosts have heard of a trial that has crashed its endpoint.
 SETTLE_SECONDS = 1.25
+# How long the store may take to tell of earlier trials.
+STORE_SECONDS = 0.5
 # How long after a lock of another host was seen it is tried again.
 RETRY_SECONDS = 0.5
 # How long trials count. No part is in quarantine for longer.
@@ -76,6 +78,8 @@
         # Locks that this host has, or may have since an answer was lost.
         self._held = set()
         self._doubtful = set()
+        # Parts whose trial here began without the store.
+        self._alone = set()
         # Parts whose last trial here was not run.
         self._unrun = set()
         # Until when a lock isn't tried again.
@@ -226,11 +230,15 @@
         self._held.add(key)
         lease = self._registration.lease
         is_possible = lease is not None and self._registration.is_valid
-        revision = await self._read_tries(part) if is_possible else None
+        revision = None
+        if is_possible:
+            async with curio.ignore_after(STORE_SECONDS):
+                revision = await self._read_tries(part)
         if revision is None and not (may_be_alone and self._is_first()):
             self._block(part)
         elif self._is_still_due(part, slow_at):
             if revision is None:
+                self._alone.add(part)
                 self._add_try(part)
                 return True
             if await self._write_lock(part, lease, revision):
@@ -315,6 +323,12 @@
         that was not run.
         """
         key = make_trial_key(part)
+        if part in self._alone:
+            self._correct_tries(part)
+            self._alone.discard(part)
+            self._unrun.discard(part)
+            self._held.discard(key)
+            return
         self._doubtful.add(key)
         answer = await self._store.get(key)
         if isinstance(answer, Failure):
