Tell of at most 24 silent hosts at once, and at changes

Found by reading the change: a host told three others of all silent hosts four times a second for as long as there were any; 205 of them (a region) are 6,466 bytes a message, 78 KB/s where 18 are allowed.

--- a/mangogauge/daemon/fleetview.py
+++ b/mangogauge/daemon/fleetview.py
@@ -431,7 +431,7 @@
             await self._limit_exchange.note_cold()
             self.limiter.cold.remove_old(endpoint.name for endpoint in endpoints)
             self._evacuations.evaluate()
-            if self._silent_hosts.list_names():
+            if self._silent_hosts.take_change():
                 await self._member_gossip.note_change()
             self._export_metrics()
 
--- a/mangogauge/fleet/silent.py
+++ b/mangogauge/fleet/silent.py
@@ -16,6 +16,8 @@
 
 # How long a part is left to a host of which nothing is known.
 RESERVED_SECONDS = 600.0
+# Hosts that are told of at once, so that news stay small.
+MAX_TOLD = 24
 
 log = get_logger("members")
 
@@ -52,6 +54,7 @@
         # Elapsed times at which processes lapsed, and at which others said to leave.
         self._silent = {}
         self._left = {}
+        self._has_changed = False
 
     def list_names(self):
         """Return the names of the silent hosts, in order."""
@@ -67,14 +70,22 @@
         """Return the `MemberNews` for other hosts; false if there are none."""
         self._update()
         now = self._clock.read_elapsed()
+        told = list(self._silent)[:MAX_TOLD]
+        for key in told:
+            # The others come first the next time.
+            self._silent[key] = self._silent.pop(key)
+        left = list(self._left)[-MAX_TOLD:] if told else []
         return MemberNews(
-            [
-                SilentHost(key.name, key.incarnation, now - at)
-                for key, at in self._silent.items()
-            ],
-            [(key.name, key.incarnation) for key in self._left if self._silent],
+            [SilentHost(k.name, k.incarnation, now - self._silent[k]) for k in told],
+            [(key.name, key.incarnation) for key in left],
         )
 
+    def take_change(self):
+        """Return whether a host has fallen silent since the last call."""
+        self._update()
+        has_changed, self._has_changed = self._has_changed, False
+        return has_changed
+
     def merge(self, news):
         """Merge another host's `MemberNews`; return whether they were new."""
         now = self._clock.read_elapsed()
@@ -92,6 +103,7 @@
             return
         if self._members.get(key.name) is None and key not in self._silent:
             self._silent[key] = at
+            self._has_changed = True
             log.info("part of the rates reserved", extra={"member": key.name})
 
     def _update(self):
