Leave no lock of a trial whose caller has left

Found by reading the change: a caller that left, or whose time was up, while its trial's lock was being written left the lock held: no host tried the part again. Whatever ends the beginning of a trial releases it now, and it doesn't count. The scenario fails without the change.

--- a/features/builders/trials.py
+++ b/features/builders/trials.py
@@ -96,6 +96,11 @@
             ServingMetrics(),
         )
 
+    def make_trials(self, name):
+        """Return the trials of another host that knows what the first one does."""
+        first = self.hosts[next(iter(self.jobs))]
+        return make_trials(self.store, name, first, self.clock)
+
     def list_open_items(self):
         """Return the ids of the items that have no result."""
         return {item for job in self.jobs.values() for item in job.items}
--- a/features/jobs/trials.feature
+++ b/features/jobs/trials.feature
@@ -94,3 +94,11 @@
     And no host notes further crashes
     When 100 s pass for the items
     Then 3 trials have been made at most
+
+  # Guards against a part that is never tried again since its lock stays.
+  Scenario: A trial ends while its lock is written
+    Given 1 items at "a" whose prompts share a part that is sound
+    And the part was at the crash of all 6 endpoints
+    When 1 s pass for the items
+    And a trial of it is cancelled while its lock is written
+    Then no lock is left, and another trial may begin
--- a/features/steps/item_trials.py
+++ b/features/steps/item_trials.py
@@ -11,6 +11,9 @@
 
 # When others were seen to go on after the crashes.
 WORK_SECONDS = 0.1
+# How long a write takes, and when a trial is due.
+WRITE_SECONDS = 0.2
+TRIAL_SECONDS = 1.0
 KINDS = {"crashes endpoints": True, "is sound": False}
 
 
@@ -107,3 +110,26 @@
     assert not fleet.list_open_items(), fleet.runs
     assert {result.state for result in results} == {ItemState.DONE}, results
     assert len(fleet.crashes) == count, fleet.crashes
+
+
+@when("a trial of it is cancelled while its lock is written")
+def cancel_trial(context):
+    context.fleet.clock.advance(TRIAL_SECONDS)
+    context.trials = context.fleet.make_trials("b")
+
+    async def cancel():
+        context.fleet.store.delay = WRITE_SECONDS
+        task = await curio.spawn(context.trials.begin, (PART,))
+        await curio.sleep(WRITE_SECONDS / 2)
+        await task.cancel()
+        context.fleet.store.delay = 0.0
+        await curio.sleep(WRITE_SECONDS)
+
+    curio.run(cancel)
+
+
+@then("no lock is left, and another trial may begin")
+def check_no_lock(context):
+    lock = curio.run(context.fleet.store.get, make_trial_key(PART)).unwrap()
+    assert lock is None, lock
+    assert curio.run(context.trials.begin, (PART,)) == PART
--- a/mangogauge/quarantine/trials.py
+++ b/mangogauge/quarantine/trials.py
@@ -228,6 +228,16 @@
         if key in self._held:
             return False
         self._held.add(key)
+        try:
+            return await self._take_lock(part, slow_at, may_be_alone)
+        except BaseException:
+            # Whoever was to be tried has left; the lock may be written all the same.
+            await self.end(part, has_run=False)
+            raise
+
+    async def _take_lock(self, part, slow_at, may_be_alone):
+        """Return whether a trial may begin; if not, its lock is held no longer."""
+        key = make_trial_key(part)
         lease = self._registration.lease
         is_possible = lease is not None and self._registration.is_valid
         revision = None
