Keep a second connection that is opened ahead of a request

Found by reading the change: to a server that had last answered without a length 5 s to 60 s before, the second connection was closed as soon as it was open, and not opened again for a second. Such an answer had no proof but a new connection, and under 'mangogauge serve' a service that is back at once would have passed for the one before. The scenario with 6 s between two answers fails without this.

--- a/mangogauge/http/witnesses.py
+++ b/mangogauge/http/witnesses.py
@@ -19,7 +19,7 @@
 
 # All connections of a process have ended so soon after its first one.
 SETTLE_SECONDS = 0.05
-# How long a witness is kept after the last answer that ended with its connection.
+# How long a witness is kept after the last such answer, or request that may have one.
 KEEP_SECONDS = 5.0
 # How long a server is expected to answer this way again.
 EXPECT_SECONDS = 60.0
@@ -126,6 +126,7 @@
         self._retry_at = float("-inf")
         self._opening = curio.Lock()
         self._is_kept = False
+        self._kept_until = float("-inf")
         self.answers = set()
         self.answered_at = float("-inf")
 
@@ -141,12 +142,16 @@
 
     @property
     def _is_needed(self):
-        kept_until = self.answered_at + KEEP_SECONDS
-        return bool(self.answers) or time.monotonic() < kept_until
+        return bool(self.answers) or time.monotonic() < self._kept_until
+
+    def keep(self):
+        """Keep a witness for a while, once there is one."""
+        self._kept_until = time.monotonic() + KEEP_SECONDS
 
     def add(self, connection, sent_at):
         """Return the `AnswerEnd` of an answer that begins on a connection."""
         self.answered_at = time.monotonic()
+        self.keep()
         end = AnswerEnd(self, connection, sent_at)
         self.answers.add(end)
         if self._witness is not None and self._witness.is_open:
@@ -208,6 +213,7 @@
         if server is None:
             return
         if server.is_expected:
+            server.keep()
             await server.open()
         elif not server.is_in_use:
             del self._servers[address]
